--- /dev/null
+++ b/packages/cli/src/client/api.ts
@@ -0,0 +1,175 @@
+/** Calls of the operators' interface; any entry of the cell will do. */
+import {readFileSync} from 'node:fs';
+import {randomUUID} from 'node:crypto';
+import {userInfo} from 'node:os';
+import {CellError} from '@primrosewick/state';
+import {callJson, sleep} from '@primrosewick/transport';
+
+/** Where and how to call. */
+export interface ApiOptions {
+  /** Operators' addresses of entries, tried in turn. */
+  readonly entries: readonly string[];
+  readonly token: string;
+  readonly author: string;
+}
+
+/** Identifies a write, so that sending it again is safe. */
+export interface WriteId {
+  readonly author: string;
+  readonly requestId: string;
+  readonly firstSentAt: number;
+}
+
+const CALL_TIMEOUT_MS = 8000;
+const MAX_WRITE_TRIES = 4;
+const RETRY_PAUSE_MS = 500;
+
+/** Calls of the operators' interface. */
+export class Api {
+  constructor(private readonly options: ApiOptions) {}
+
+  /** Reads a path. */
+  get<T>(path: string): Promise<T> {
+    return this.tryEntries(address =>
+      this.call<T>(address, 'GET', path, undefined),
+    );
+  }
+
+  /**
+   * Sends a write; it is sent again under the same id when its answer is lost.
+   * @param body - the write without its id.
+   */
+  async write<T>(
+    method: 'PUT' | 'POST',
+    path: string,
+    body: object,
+  ): Promise<T> {
+    const write = this.newWriteId();
+    for (let attempt = 1; ; attempt++) {
+      try {
+        return await this.tryEntries(address =>
+          this.call<T>(address, method, path, {...body, write}),
+        );
+      } catch (err) {
+        const isOpen = err instanceof CellError && mayBeRepeated(err);
+        if (!isOpen || attempt === MAX_WRITE_TRIES) throw err;
+        await sleep(RETRY_PAUSE_MS);
+      }
+    }
+  }
+
+  private newWriteId(): WriteId {
+    return {
+      author: this.options.author,
+      requestId: randomUUID(),
+      firstSentAt: Date.now(),
+    };
+  }
+
+  private async tryEntries<T>(
+    call: (address: string) => Promise<T>,
+  ): Promise<T> {
+    let last: unknown;
+    for (const address of this.options.entries) {
+      try {
+        return await call(address);
+      } catch (err) {
+        last = err;
+        const isElsewhere =
+          err instanceof CellError &&
+          (err.code === 'peer_unreachable' ||
+            err.code === 'starting' ||
+            err.code === 'stopping');
+        if (!isElsewhere) throw err;
+      }
+    }
+    throw last;
+  }
+
+  private call<T>(
+    address: string,
+    method: string,
+    path: string,
+    body: unknown,
+  ): Promise<T> {
+    const headers = {authorization: `Bearer ${this.options.token}`};
+    return callJson<T>({
+      address,
+      method,
+      path,
+      headers,
+      body,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+}
+
+/** Whether a write may be sent again under the same id. */
+const mayBeRepeated = ({code}: CellError): boolean =>
+  code === 'peer_timeout' ||
+  code === 'log_outcome_unknown' ||
+  code === 'log_unavailable' ||
+  code === 'log_overloaded';
+
+/** Arguments shared by all commands. */
+export const COMMON_ARGS = {
+  entry: {
+    type: 'string',
+    description:
+      "Operators' addresses of entries, separated by commas; or PRIMROSEWICK_ENTRY.",
+  },
+  'token-file': {
+    type: 'string',
+    description:
+      "File that holds the operators' token; or PRIMROSEWICK_TOKEN_FILE.",
+  },
+  author: {
+    type: 'string',
+    description: 'Name under which writes are recorded.',
+  },
+  json: {type: 'boolean', description: 'Print JSON.'},
+} as const;
+
+/** Values of the shared arguments. */
+export interface CommonArgs {
+  readonly entry?: string;
+  readonly 'token-file'?: string;
+  readonly author?: string;
+  readonly json?: boolean;
+}
+
+/**
+ * Makes the calls from the shared arguments.
+ * @throws UsageError when an address or the token is missing.
+ */
+export const apiOf = (args: CommonArgs): Api => {
+  const entry = args.entry ?? process.env['PRIMROSEWICK_ENTRY'];
+  const tokenFile =
+    args['token-file'] ?? process.env['PRIMROSEWICK_TOKEN_FILE'];
+  if (!entry)
+    throw new UsageError(
+      'no entry given: use --entry ADDRESS or set PRIMROSEWICK_ENTRY',
+    );
+  if (!tokenFile)
+    throw new UsageError(
+      'no token given: use --token-file FILE or set PRIMROSEWICK_TOKEN_FILE',
+    );
+  return new Api({
+    entries: entry.split(','),
+    token: readToken(tokenFile),
+    author: args.author ?? userInfo().username,
+  });
+};
+
+/** Error for arguments that cannot be used. */
+export class UsageError extends Error {}
+
+const readToken = (file: string): string => {
+  try {
+    return readFileSync(file, 'utf8').trim();
+  } catch (err) {
+    throw new UsageError(
+      `cannot read the token: ${err instanceof Error ? err.message : String(err)}`,
+    );
+  }
+};
--- /dev/null
+++ b/packages/cli/src/output/run.ts
@@ -0,0 +1,49 @@
+import {CellError} from '@primrosewick/state';
+import {UsageError} from '../client/api.js';
+
+/** Exit codes of the command line. */
+export const EXIT = {
+  done: 0,
+  /** The cell refused. */
+  refused: 1,
+  /** The arguments or a document cannot be used. */
+  usage: 2,
+  /** No entry could be reached, or the outcome is unknown. */
+  unreachable: 3,
+} as const;
+
+/** Runs a command and turns errors into a message and an exit code. */
+export const runCommand = async (
+  command: () => Promise<void>,
+): Promise<void> => {
+  try {
+    await command();
+  } catch (err) {
+    process.stderr.write(`${describeError(err)}\n`);
+    process.exitCode = exitCodeOf(err);
+  }
+};
+
+const describeError = (err: unknown): string => {
+  if (!(err instanceof CellError))
+    return err instanceof Error ? err.message : String(err);
+  const hint =
+    err.retryAfterMs > 0
+      ? ` Try again in ${Math.ceil(err.retryAfterMs / 1000)} s.`
+      : '';
+  return `${err.code} (${err.outcome}) at ${err.step} of ${err.peer}: ${err.message}.${hint}`;
+};
+
+const exitCodeOf = (err: unknown): number => {
+  if (err instanceof UsageError) return EXIT.usage;
+  if (!(err instanceof CellError)) return EXIT.unreachable;
+  if (err.code === 'invalid_input') return EXIT.usage;
+  return err.code === 'peer_unreachable' || err.outcome === 'unknown'
+    ? EXIT.unreachable
+    : EXIT.refused;
+};
+
+/** Prints a value as JSON. */
+export const printJson = (value: unknown): void => {
+  process.stdout.write(JSON.stringify(value, null, 2) + '\n');
+};
--- /dev/null
+++ b/packages/coordination/src/authority/core.ts
@@ -0,0 +1,280 @@
+/** Candidate and leader of one zone, without clock or network. */
+import {
+  NO_EPOCH,
+  assertNever,
+  type Epoch,
+  type Random,
+  type VmId,
+} from '@primrosewick/state';
+import type {AuthorityMessage, AuthorityReply} from '@primrosewick/protocol';
+import type {Grantor} from './grantor.js';
+import {
+  DEFAULT_AUTHORITY_TIMING,
+  counterOf,
+  makeEpoch,
+  type AuthorityChange,
+  type AuthorityEffects,
+  type AuthorityGroup,
+  type AuthorityInput,
+  type AuthoritySend,
+  type AuthorityTiming,
+} from './types.js';
+
+/** Options of the core. */
+export interface AuthorityOptions {
+  readonly vm: VmId;
+  /** Position of the VM in the list of the cell. */
+  readonly ordinal: number;
+  readonly group: AuthorityGroup;
+  /** The VM's own grants for the zone. */
+  readonly grantor: Grantor;
+  readonly random: Random;
+  readonly now: number;
+  readonly timing?: Partial<AuthorityTiming>;
+}
+
+type Phase =
+  | {readonly kind: 'idle'}
+  | {
+      readonly kind: 'preparing';
+      readonly round: number;
+      readonly granted: Set<VmId>;
+    }
+  | {
+      readonly kind: 'voting';
+      readonly round: number;
+      readonly epoch: Epoch;
+      readonly sentAt: number;
+      readonly granted: Set<VmId>;
+    }
+  | {readonly kind: 'leading'; readonly epoch: Epoch};
+
+interface RenewRound {
+  readonly sentAt: number;
+  readonly granted: Set<VmId>;
+}
+
+/** Candidate and leader of one zone. */
+export class AuthorityCore {
+  private readonly timing: AuthorityTiming;
+  private phase: Phase = {kind: 'idle'};
+  private round = 0;
+  private now: number;
+  private wall = 0;
+  private nextAttemptAt: number;
+  private nextRenewAt = 0;
+  private leaseDeadline = Number.NEGATIVE_INFINITY;
+  private seenEpoch: Epoch = NO_EPOCH;
+  private readonly renewals = new Map<number, RenewRound>();
+  private sends: AuthoritySend[] = [];
+  private changes: AuthorityChange[] = [];
+
+  constructor(private readonly options: AuthorityOptions) {
+    this.timing = {...DEFAULT_AUTHORITY_TIMING, ...options.timing};
+    this.now = options.now;
+    this.nextAttemptAt = options.now + this.randomDelay();
+  }
+
+  /** Handles one input. */
+  step(input: AuthorityInput): AuthorityEffects {
+    this.sends = [];
+    this.changes = [];
+    this.now = Math.max(this.now, input.now);
+    this.handle(input);
+    return {sends: this.sends, changes: this.changes};
+  }
+
+  /**
+   * Epoch under which this VM may act at a time, or undefined. To be asked
+   * right before each act, as the process may have been suspended.
+   */
+  epochAt(now: number): Epoch | undefined {
+    const isValid =
+      this.phase.kind === 'leading' &&
+      now < this.leaseDeadline - this.timing.safetyMs;
+    return isValid && this.phase.kind === 'leading'
+      ? this.phase.epoch
+      : undefined;
+  }
+
+  private handle(input: AuthorityInput): void {
+    switch (input.kind) {
+      case 'tick':
+        this.wall = input.wall;
+        return this.onTick();
+      case 'reply':
+        return this.onReply(input.from, input.round, input.reply);
+      case 'saw_epoch':
+        return this.onSeenEpoch(input.epoch);
+      case 'resign':
+        return this.onResign();
+      default:
+        return assertNever(input);
+    }
+  }
+
+  private onTick(): void {
+    if (this.phase.kind === 'leading') return this.onLeaderTick();
+    if (this.now < this.nextAttemptAt) return;
+    this.nextAttemptAt = this.now + this.randomDelay();
+    const {grantor, vm} = this.options;
+    const leader = grantor.leaderAt(this.now);
+    if (leader === null || leader === vm) this.prepare();
+  }
+
+  private onLeaderTick(): void {
+    if (this.phase.kind !== 'leading') return;
+    if (this.now >= this.leaseDeadline - this.timing.safetyMs)
+      return this.depose('the lease ran out');
+    if (this.now >= this.nextRenewAt) this.renew(this.phase.epoch);
+  }
+
+  /** Asks whether an election could succeed, without disturbing anyone. */
+  private prepare(): void {
+    this.round++;
+    this.phase = {kind: 'preparing', round: this.round, granted: new Set()};
+    this.broadcast({kind: 'prepare', zone: this.options.group.zone});
+  }
+
+  private vote(): void {
+    this.round++;
+    const counter = Math.max(
+      counterOf(this.seenEpoch) + 1,
+      Math.floor(this.wall / 1000),
+    );
+    const epoch = makeEpoch(counter, this.options.ordinal);
+    this.phase = {
+      kind: 'voting',
+      round: this.round,
+      epoch,
+      sentAt: this.now,
+      granted: new Set(),
+    };
+    this.broadcast({
+      kind: 'vote',
+      zone: this.options.group.zone,
+      epoch,
+      leaseMs: this.timing.leaseMs,
+    });
+  }
+
+  private renew(epoch: Epoch): void {
+    this.round++;
+    this.nextRenewAt = this.now + this.timing.renewMs;
+    this.renewals.set(this.round, {sentAt: this.now, granted: new Set()});
+    this.dropOldRenewals();
+    this.broadcast({
+      kind: 'renew',
+      zone: this.options.group.zone,
+      epoch,
+      leaseMs: this.timing.leaseMs,
+    });
+  }
+
+  private dropOldRenewals(): void {
+    for (const [round, {sentAt}] of this.renewals) {
+      if (sentAt + this.timing.leaseMs < this.now) this.renewals.delete(round);
+    }
+  }
+
+  private broadcast(message: AuthorityMessage): void {
+    const {round} = this;
+    const {group, vm, grantor} = this.options;
+    for (const to of group.grantors)
+      if (to !== vm) this.sends.push({to, round, message});
+    if (group.grantors.includes(vm))
+      this.onReply(vm, round, grantor.handle(vm, message, this.now));
+  }
+
+  private onReply(from: VmId, round: number, reply: AuthorityReply): void {
+    if (reply.seenEpoch > this.seenEpoch) this.seenEpoch = reply.seenEpoch;
+    const {phase} = this;
+    switch (phase.kind) {
+      case 'idle':
+        return;
+      case 'preparing':
+        if (phase.round === round && this.addGrant(phase.granted, from, reply))
+          this.vote();
+        return;
+      case 'voting':
+        if (phase.round === round && this.addGrant(phase.granted, from, reply))
+          this.lead(phase.epoch, phase.sentAt);
+        return;
+      case 'leading':
+        return this.onRenewReply(phase.epoch, from, round, reply);
+      default:
+        return assertNever(phase);
+    }
+  }
+
+  private onRenewReply(
+    epoch: Epoch,
+    from: VmId,
+    round: number,
+    reply: AuthorityReply,
+  ): void {
+    if (reply.seenEpoch > epoch)
+      return this.depose(`${from} has seen epoch ${reply.seenEpoch}`);
+    const renewal = this.renewals.get(round);
+    if (!renewal || !this.addGrant(renewal.granted, from, reply)) return;
+    this.leaseDeadline = Math.max(
+      this.leaseDeadline,
+      renewal.sentAt + this.timing.leaseMs,
+    );
+  }
+
+  /** @returns whether the grants now make a majority. */
+  private addGrant(
+    granted: Set<VmId>,
+    from: VmId,
+    reply: AuthorityReply,
+  ): boolean {
+    if (reply.isGranted) granted.add(from);
+    return (
+      granted.size >= Math.floor(this.options.group.grantors.length / 2) + 1
+    );
+  }
+
+  private lead(epoch: Epoch, sentAt: number): void {
+    this.leaseDeadline = sentAt + this.timing.leaseMs;
+    if (this.now >= this.leaseDeadline - this.timing.safetyMs)
+      return this.idle();
+    this.phase = {kind: 'leading', epoch};
+    this.renewals.clear();
+    this.changes.push({kind: 'elected', epoch});
+    this.renew(epoch);
+  }
+
+  private onSeenEpoch(epoch: Epoch): void {
+    this.options.grantor.noteEpoch(epoch);
+    if (epoch > this.seenEpoch) this.seenEpoch = epoch;
+    if (this.phase.kind === 'leading' && epoch > this.phase.epoch)
+      this.depose(`epoch ${epoch} was seen`);
+  }
+
+  private onResign(): void {
+    if (this.phase.kind !== 'leading') return;
+    const {epoch} = this.phase;
+    this.depose('the VM is shutting down');
+    this.nextAttemptAt = Number.POSITIVE_INFINITY;
+    this.broadcast({kind: 'release', zone: this.options.group.zone, epoch});
+  }
+
+  private depose(why: string): void {
+    if (this.phase.kind === 'leading')
+      this.changes.push({kind: 'deposed', epoch: this.phase.epoch, why});
+    this.idle();
+  }
+
+  private idle(): void {
+    this.phase = {kind: 'idle'};
+    this.leaseDeadline = Number.NEGATIVE_INFINITY;
+    this.renewals.clear();
+    this.nextAttemptAt = this.now + this.randomDelay();
+  }
+
+  private randomDelay(): number {
+    const {renewMs} = this.timing;
+    return this.options.random.nextInt(Math.ceil(renewMs / 4), renewMs);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/authority/task.ts
@@ -0,0 +1,132 @@
+/** Runs the authority of the VM's own zone, and grants for the zones it witnesses. */
+import {Subject} from 'rxjs';
+import {
+  seededRandom,
+  type Epoch,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
+import type {
+  AuthorityMessage,
+  AuthorityReply,
+  VmSettings,
+} from '@primrosewick/protocol';
+import type {Clock, PeerCaller} from '@primrosewick/transport';
+import {AuthorityCore} from './core.js';
+import {Grantor} from './grantor.js';
+import {authorityGroup} from './groups.js';
+import {
+  DEFAULT_AUTHORITY_TIMING,
+  type AuthorityChange,
+  type AuthorityEffects,
+  type AuthorityInput,
+  type AuthorityTiming,
+} from './types.js';
+
+/** Options of the task. */
+export interface AuthorityTaskOptions {
+  readonly own: VmSettings;
+  readonly vms: readonly VmSettings[];
+  readonly peers: PeerCaller;
+  readonly clock: Clock;
+  readonly timing: Partial<AuthorityTiming>;
+  readonly seed: number;
+}
+
+const TICK_MS = 50;
+
+/** Runs the authority of one zone. */
+export class AuthorityTask {
+  /** Emits when this VM is elected or deposed. */
+  readonly changes = new Subject<AuthorityChange>();
+  private readonly core: AuthorityCore;
+  private readonly grantors = new Map<ZoneId, Grantor>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: AuthorityTaskOptions) {
+    const {own, vms, clock, seed} = options;
+    const timing = {...DEFAULT_AUTHORITY_TIMING, ...options.timing};
+    const silentUntil = clock.now() + timing.leaseMs + timing.driftMs;
+    for (const zone of new Set(vms.map(vm => vm.zone))) {
+      if (!authorityGroup(vms, zone).grantors.includes(own.vm)) continue;
+      this.grantors.set(
+        zone,
+        new Grantor({silentUntil, driftMs: timing.driftMs}),
+      );
+    }
+    this.core = new AuthorityCore({
+      vm: own.vm,
+      ordinal: vms.findIndex(({vm}) => vm === own.vm),
+      group: authorityGroup(vms, own.zone),
+      grantor: this.ownGrantor,
+      random: seededRandom(seed),
+      now: clock.now(),
+      timing,
+    });
+  }
+
+  /** Starts the clock of the core. */
+  start(): void {
+    const {clock} = this.options;
+    this.timer = setInterval(
+      () => this.step({kind: 'tick', now: clock.now(), wall: clock.wall()}),
+      TICK_MS,
+    );
+  }
+
+  /** Gives up the leadership, if held, and stops. */
+  resign(): void {
+    clearInterval(this.timer);
+    this.step({kind: 'resign', now: this.options.clock.now()});
+  }
+
+  /** Epoch under which this VM may act right now, or undefined. */
+  get epoch(): Epoch | undefined {
+    return this.core.epochAt(this.options.clock.now());
+  }
+
+  /** VM to which this VM has promised the lease of its zone, or null. */
+  get leader(): VmId | null {
+    return this.ownGrantor.leaderAt(this.options.clock.now());
+  }
+
+  /** Highest epoch of the zone that this VM has seen. */
+  get highestEpoch(): Epoch {
+    return this.ownGrantor.highestEpoch;
+  }
+
+  /** Notes an epoch that an upstream or worker has seen. */
+  noteEpoch(epoch: Epoch): void {
+    this.step({kind: 'saw_epoch', now: this.options.clock.now(), epoch});
+  }
+
+  /** Answers a candidate or leader. */
+  handle(from: VmId, message: AuthorityMessage): AuthorityReply {
+    const grantor = this.grantors.get(message.zone);
+    if (!grantor)
+      return {isGranted: false, seenEpoch: this.highestEpoch, leader: null};
+    return grantor.handle(from, message, this.options.clock.now());
+  }
+
+  private get ownGrantor(): Grantor {
+    const grantor = this.grantors.get(this.options.own.zone);
+    if (!grantor) throw new Error('a VM is a grantor of its own zone');
+    return grantor;
+  }
+
+  private step(input: AuthorityInput): void {
+    this.carryOut(this.core.step(input));
+  }
+
+  private carryOut({sends, changes}: AuthorityEffects): void {
+    const {peers, clock} = this.options;
+    for (const {to, round, message} of sends) {
+      peers.call(to, 'authority', message).then(
+        reply =>
+          this.step({kind: 'reply', now: clock.now(), from: to, round, reply}),
+        () => undefined,
+      );
+    }
+    for (const change of changes) this.changes.next(change);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/consensus/core.ts
@@ -0,0 +1,214 @@
+/**
+ * The consensus core: a pure state machine without clock, disk or network.
+ * Each input yields effects, which a driver carries out in order.
+ */
+import {assertNever, type NodeId} from '@primrosewick/state';
+import {ConsensusContext, noEffects, type ConsensusOptions} from './context.js';
+import {Election} from './election.js';
+import {Following} from './following.js';
+import {Leadership} from './leadership.js';
+import type {
+  ConsensusEffects,
+  ConsensusInput,
+  ConsensusMessage,
+  ConsensusStatus,
+  Envelope,
+  Members,
+  Restored,
+} from './types.js';
+
+/** One voter or learner of the replicated log. */
+export class ConsensusCore<C> {
+  private readonly context: ConsensusContext<C>;
+  private readonly election: Election<C>;
+  private readonly leadership: Leadership<C>;
+  private readonly following: Following<C>;
+
+  constructor(options: ConsensusOptions<C>) {
+    this.context = new ConsensusContext(options);
+    this.leadership = new Leadership(this.context);
+    this.following = new Following(this.context);
+    this.election = new Election(this.context, () =>
+      this.leadership.becomeLeader(),
+    );
+  }
+
+  /** Handles one input. */
+  step(input: ConsensusInput<C>): ConsensusEffects<C> {
+    const {context} = this;
+    context.effects = noEffects();
+    context.now = Math.max(context.now, input.now);
+    this.handle(input);
+    this.deliver();
+    return context.effects;
+  }
+
+  /** A look at the state. */
+  get status(): ConsensusStatus {
+    const {context} = this;
+    const {id, role, term, leader, commitIndex, log, restartIndex} = context;
+    return {
+      id,
+      role,
+      term,
+      leader,
+      commitIndex,
+      lastIndex: log.lastIndex,
+      members: log.members,
+      isCurrent: commitIndex >= Math.max(1, restartIndex),
+      lastContactAt:
+        role === 'leader' ? context.quorumContactAt() : context.leaderContactAt,
+      matches: [...context.progress].map(([node, {matchIndex}]) => ({
+        node,
+        index: matchIndex,
+      })),
+    };
+  }
+
+  /** The state that must be on the disk. */
+  get durable(): Restored<C> {
+    const {term, votedFor, log} = this.context;
+    return {
+      hardState: {term, votedFor},
+      snapshot: log.snapshot,
+      entries: log.slice(log.baseIndex + 1, log.lastIndex),
+    };
+  }
+
+  private handle(input: ConsensusInput<C>): void {
+    switch (input.kind) {
+      case 'tick':
+        return this.onTick();
+      case 'message':
+        return this.onMessage(input.envelope);
+      case 'propose':
+        return this.leadership.onPropose(input.token, {
+          kind: 'command',
+          command: input.command,
+        });
+      case 'change_members':
+        return this.leadership.onChangeMembers(input.token, input.change);
+      case 'read':
+        return this.leadership.onRead(input.token);
+      case 'transfer':
+        return this.leadership.onTransferAway();
+      case 'compact':
+        return this.onCompact(input.index, input.data);
+      default:
+        return assertNever(input);
+    }
+  }
+
+  private onTick(): void {
+    const {context} = this;
+    if (context.role === 'leader') return this.leadership.onLeaderTick();
+    if (context.now < context.electionDeadline) return;
+    context.resetElectionDeadline();
+    if (context.isVoter(context.id)) this.election.campaign(true, false);
+  }
+
+  private onMessage({from, to, message}: Envelope<C>): void {
+    if (to !== this.context.id) return;
+    if (message.term > this.context.term && !this.keepsTerm(message)) {
+      const leader = isFromLeader(message) ? from : null;
+      this.context.becomeFollower(message.term, leader);
+    }
+    if (message.term < this.context.term)
+      return this.onStaleMessage(from, message);
+    this.dispatch(from, message);
+  }
+
+  private dispatch(from: NodeId, message: ConsensusMessage<C>): void {
+    switch (message.kind) {
+      case 'vote_request':
+        return this.election.onVoteRequest(from, message);
+      case 'vote_reply':
+        return this.election.onVoteReply(from, message);
+      case 'append':
+        return this.following.onAppend(from, message);
+      case 'append_reply':
+        return this.leadership.onAppendReply(from, message);
+      case 'snapshot_chunk':
+        return this.following.onSnapshotChunk(from, message);
+      case 'snapshot_reply':
+        return this.leadership.onSnapshotReply(from, message);
+      case 'transfer':
+        return this.election.campaign(false, true);
+      default:
+        return assertNever(message);
+    }
+  }
+
+  /** Whether a message of a later term leaves the own term as it is. */
+  private keepsTerm(message: ConsensusMessage<C>): boolean {
+    if (message.kind === 'vote_request') {
+      return (
+        message.isPreVote ||
+        (!message.isTransfer && this.context.hasLiveLeader())
+      );
+    }
+    return (
+      message.kind === 'vote_reply' && message.isPreVote && message.isGranted
+    );
+  }
+
+  /** Tells a sender of an older term about the present one. */
+  private onStaleMessage(from: NodeId, message: ConsensusMessage<C>): void {
+    if (message.kind === 'vote_request')
+      return this.election.replyVote(from, message, false);
+    if (isFromLeader(message))
+      this.following.replyAppend(from, false, this.context.log.lastIndex, 0);
+  }
+
+  private onCompact(index: number, data: Uint8Array): void {
+    const term = this.context.log.termAt(index);
+    if (
+      term === undefined ||
+      index <= this.context.log.baseIndex ||
+      index > this.context.deliveredIndex
+    )
+      return;
+    const snapshot = {
+      index,
+      term,
+      members: this.context.log.membersAt(index),
+      data,
+    };
+    this.context.log.compact(snapshot);
+    for (const progress of this.context.progress.values())
+      progress.snapshotOffset = 0;
+    this.context.effects.writes.push({kind: 'snapshot', snapshot});
+  }
+
+  private deliver(): void {
+    while (this.context.deliveredIndex < this.context.commitIndex) {
+      const entry = this.context.log.getEntry(this.context.deliveredIndex + 1);
+      if (!entry) return;
+      this.context.effects.deliveries.push({kind: 'entry', entry});
+      this.context.deliveredIndex++;
+    }
+  }
+}
+
+/**
+ * Founds a log with one voter.
+ * @param founder - identity of the founding node.
+ */
+export const foundingState = <C>(founder: NodeId): Restored<C> => {
+  const members: Members = {voters: [founder], learners: []};
+  return {
+    hardState: {term: 1, votedFor: null},
+    snapshot: null,
+    entries: [{term: 1, index: 1, body: {kind: 'members', members}}],
+  };
+};
+
+/** State of a data folder that has just been made. */
+export const emptyState = <C>(): Restored<C> => ({
+  hardState: {term: 0, votedFor: null},
+  snapshot: null,
+  entries: [],
+});
+
+const isFromLeader = <C>(message: ConsensusMessage<C>): boolean =>
+  message.kind === 'append' || message.kind === 'snapshot_chunk';
--- /dev/null
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -0,0 +1,281 @@
+/** The leader's part: replication, commitment, reads and member changes. */
+import type {NodeId} from '@primrosewick/state';
+import type {ConsensusContext, MessageOf} from './context.js';
+import {allMembers, applyChange} from './members.js';
+import type {EntryBody, MemberChange, Progress, Snapshot} from './types.js';
+
+/** Part of the core that is active while the node leads. */
+export class Leadership<C> {
+  constructor(private readonly context: ConsensusContext<C>) {}
+
+  /** Begins to lead the present term. */
+  becomeLeader(): void {
+    this.context.role = 'leader';
+    this.context.leader = this.context.id;
+    this.context.quorumDeadline =
+      this.context.now + this.context.timing.electionMs;
+    this.context.progress.clear();
+    this.trackMembers();
+    this.appendOwn({kind: 'noop'});
+    this.broadcast();
+  }
+
+  /** Sends heartbeats, and steps down without a quorum. */
+  onLeaderTick(): void {
+    if (
+      this.context.now >= this.context.quorumDeadline &&
+      !this.context.hasQuorumContact()
+    ) {
+      return this.context.becomeFollower(this.context.term, null);
+    }
+    if (this.context.now >= this.context.quorumDeadline)
+      this.context.quorumDeadline =
+        this.context.now + this.context.timing.electionMs;
+    if (this.context.now >= this.context.heartbeatDeadline) this.broadcast();
+  }
+
+  /** Appends an entry for a token. */
+  onPropose(token: number, body: EntryBody<C>): void {
+    if (this.context.role !== 'leader')
+      return this.context.refuse(token, 'not_leader');
+    const uncommitted = this.context.log.lastIndex - this.context.commitIndex;
+    if (uncommitted >= this.context.timing.maxUncommitted)
+      return this.context.refuse(token, 'overloaded');
+    const index = this.appendOwn(body);
+    this.context.effects.answers.push({
+      kind: 'appended',
+      token,
+      index,
+      term: this.context.term,
+    });
+    this.replicate();
+  }
+
+  /** Appends a change of the members. */
+  onChangeMembers(token: number, change: MemberChange): void {
+    if (this.context.role !== 'leader')
+      return this.context.refuse(token, 'not_leader');
+    const isSettled =
+      this.context.log.termAt(this.context.commitIndex) === this.context.term;
+    const isPending = this.context.log.membersIndex > this.context.commitIndex;
+    if (isPending || !isSettled)
+      return this.context.refuse(token, 'change_pending');
+    const members = applyChange(this.context.log.members, change);
+    this.onPropose(token, {kind: 'members', members});
+  }
+
+  private appendOwn(body: EntryBody<C>): number {
+    const entry = {
+      term: this.context.term,
+      index: this.context.log.lastIndex + 1,
+      body,
+    };
+    this.context.log.append([entry]);
+    this.context.effects.writes.push({kind: 'append', entries: [entry]});
+    if (body.kind === 'members') this.trackMembers();
+    this.advanceCommit();
+    return entry.index;
+  }
+
+  private trackMembers(): void {
+    const others = allMembers(this.context.log.members).filter(
+      node => node !== this.context.id,
+    );
+    for (const node of this.context.progress.keys()) {
+      if (!others.includes(node)) this.context.progress.delete(node);
+    }
+    for (const node of others) {
+      if (!this.context.progress.has(node))
+        this.context.progress.set(node, this.newProgress());
+    }
+  }
+
+  private newProgress(): Progress {
+    return {
+      nextIndex: this.context.log.lastIndex + 1,
+      matchIndex: 0,
+      lastHeardAt: this.context.now,
+      lastRound: 0,
+      snapshotOffset: 0,
+    };
+  }
+
+  /** Sends a heartbeat, with entries where they are due, to every member. */
+  private broadcast(): void {
+    this.context.heartbeatDeadline =
+      this.context.now + this.context.timing.heartbeatMs;
+    this.context.round++;
+    for (const [node, progress] of this.context.progress)
+      this.sendAppend(node, progress);
+    this.answerReads();
+  }
+
+  /** Sends entries to the members that have not been sent them. */
+  private replicate(): void {
+    for (const [node, progress] of this.context.progress) {
+      if (this.canSendMore(progress)) this.sendAppend(node, progress);
+    }
+  }
+
+  private canSendMore(progress: Progress): boolean {
+    const inFlight = progress.nextIndex - 1 - progress.matchIndex;
+    const isBehindSnapshot = progress.nextIndex <= this.context.log.baseIndex;
+    return (
+      !isBehindSnapshot &&
+      progress.nextIndex <= this.context.log.lastIndex &&
+      inFlight < this.context.timing.maxInFlight
+    );
+  }
+
+  private sendAppend(node: NodeId, progress: Progress): void {
+    const snapshot = this.context.log.snapshot;
+    if (snapshot && progress.nextIndex <= snapshot.index) {
+      return this.sendChunk(node, progress, snapshot);
+    }
+    const prevIndex = progress.nextIndex - 1;
+    const count = this.canSendMore(progress)
+      ? this.context.timing.maxEntriesPerMessage
+      : 0;
+    const entries = this.context.log.slice(progress.nextIndex, count);
+    progress.nextIndex += entries.length;
+    this.context.send(node, {
+      kind: 'append',
+      term: this.context.term,
+      prevIndex,
+      prevTerm: this.context.log.termAt(prevIndex) ?? 0,
+      entries,
+      commitIndex: this.context.commitIndex,
+      round: this.context.round,
+    });
+  }
+
+  /** Takes the answer to an append. */
+  onAppendReply(from: NodeId, message: MessageOf<C, 'append_reply'>): void {
+    const progress = this.hear(from, message.round);
+    if (!progress) return;
+    if (!message.isAccepted) {
+      progress.nextIndex = Math.max(
+        progress.matchIndex + 1,
+        Math.min(message.index, this.context.log.lastIndex + 1),
+      );
+      return this.sendAppend(from, progress);
+    }
+    progress.matchIndex = Math.max(progress.matchIndex, message.index);
+    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    const before = this.context.commitIndex;
+    this.advanceCommit();
+    if (this.context.commitIndex > before) this.announceCommit();
+    else if (this.canSendMore(progress)) this.sendAppend(from, progress);
+  }
+
+  private hear(from: NodeId, round: number): Progress | undefined {
+    const progress =
+      this.context.role === 'leader'
+        ? this.context.progress.get(from)
+        : undefined;
+    if (!progress) return undefined;
+    progress.lastHeardAt = this.context.now;
+    progress.lastRound = Math.max(progress.lastRound, round);
+    this.answerReads();
+    return progress;
+  }
+
+  private announceCommit(): void {
+    for (const [node, progress] of this.context.progress)
+      this.sendAppend(node, progress);
+  }
+
+  private advanceCommit(): void {
+    if (this.context.role !== 'leader') return;
+    const index = this.context.quorumValue(
+      this.context.log.lastIndex,
+      progress => progress.matchIndex,
+    );
+    if (
+      index <= this.context.commitIndex ||
+      this.context.log.termAt(index) !== this.context.term
+    )
+      return;
+    this.context.commitIndex = index;
+    const isRemoved =
+      !this.context.isVoter(this.context.id) &&
+      index >= this.context.log.membersIndex;
+    if (isRemoved) this.context.becomeFollower(this.context.term, null);
+  }
+
+  /** Begins a read that needs a quorum. */
+  onRead(token: number): void {
+    const isSettled =
+      this.context.log.termAt(this.context.commitIndex) === this.context.term;
+    if (this.context.role !== 'leader' || !isSettled)
+      return this.context.refuse(token, 'not_leader');
+    this.context.pendingReads.push({
+      token,
+      index: this.context.commitIndex,
+      round: this.context.round + 1,
+    });
+    this.broadcast();
+  }
+
+  private answerReads(): void {
+    const round = this.context.quorumValue(
+      this.context.round,
+      progress => progress.lastRound,
+    );
+    const ready = this.context.pendingReads.filter(read => read.round <= round);
+    this.context.pendingReads = this.context.pendingReads.filter(
+      read => read.round > round,
+    );
+    for (const {token, index} of ready) {
+      this.context.effects.answers.push({kind: 'read_ready', token, index});
+    }
+  }
+
+  /** Asks the most complete voter to take over. */
+  onTransferAway(): void {
+    if (this.context.role !== 'leader') return;
+    const candidates = this.context.log.members.voters.filter(node =>
+      this.context.progress.has(node),
+    );
+    candidates.sort((a, b) => this.matchOf(b) - this.matchOf(a));
+    const [best] = candidates;
+    if (best)
+      this.context.send(best, {kind: 'transfer', term: this.context.term});
+  }
+
+  private matchOf(node: NodeId): number {
+    return this.context.progress.get(node)?.matchIndex ?? 0;
+  }
+
+  private sendChunk(
+    node: NodeId,
+    progress: Progress,
+    snapshot: Snapshot,
+  ): void {
+    const offset = Math.min(progress.snapshotOffset, snapshot.data.length);
+    const end = Math.min(
+      offset + this.context.timing.chunkBytes,
+      snapshot.data.length,
+    );
+    this.context.send(node, {
+      kind: 'snapshot_chunk',
+      term: this.context.term,
+      index: snapshot.index,
+      snapshotTerm: snapshot.term,
+      members: snapshot.members,
+      offset,
+      chunk: snapshot.data.subarray(offset, end),
+      isLast: end === snapshot.data.length,
+      round: this.context.round,
+    });
+  }
+
+  /** Sends the next chunk of a snapshot. */
+  onSnapshotReply(from: NodeId, message: MessageOf<C, 'snapshot_reply'>): void {
+    const progress = this.hear(from, message.round);
+    if (!progress || message.index !== this.context.log.baseIndex) return;
+    if (progress.nextIndex > this.context.log.baseIndex) return;
+    progress.snapshotOffset = message.nextOffset;
+    this.sendAppend(from, progress);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/consensus/log.ts
@@ -0,0 +1,131 @@
+import type {Entry, Members, Snapshot} from './types.js';
+import {NO_MEMBERS} from './members.js';
+
+/** Members that took effect at an index. */
+interface MembersAt {
+  readonly index: number;
+  readonly members: Members;
+}
+
+/** Entries held in memory, after an optional snapshot. */
+export class ConsensusLog<C> {
+  private entries: Array<Entry<C>>;
+  private memberHistory: MembersAt[] = [];
+
+  constructor(
+    private base: Snapshot | null,
+    entries: ReadonlyArray<Entry<C>>,
+  ) {
+    this.entries = entries.filter(entry => entry.index > this.baseIndex);
+    this.rebuildMemberHistory();
+  }
+
+  /** Snapshot that precedes the entries, or null. */
+  get snapshot(): Snapshot | null {
+    return this.base;
+  }
+
+  /** Index of the snapshot, or 0. */
+  get baseIndex(): number {
+    return this.base?.index ?? 0;
+  }
+
+  /** Index of the last entry. */
+  get lastIndex(): number {
+    return this.baseIndex + this.entries.length;
+  }
+
+  /** Term of the last entry. */
+  get lastTerm(): number {
+    return this.termAt(this.lastIndex) ?? 0;
+  }
+
+  /** Members in force: those of the latest entry, committed or not. */
+  get members(): Members {
+    return this.memberHistory.at(-1)?.members ?? NO_MEMBERS;
+  }
+
+  /** Index at which the members in force were appended. */
+  get membersIndex(): number {
+    return this.memberHistory.at(-1)?.index ?? 0;
+  }
+
+  /** @returns the members in force at an index. */
+  membersAt(index: number): Members {
+    const known = this.memberHistory.filter(at => at.index <= index);
+    return known.at(-1)?.members ?? NO_MEMBERS;
+  }
+
+  /** @returns the term of an entry, or undefined when it is not held. */
+  termAt(index: number): number | undefined {
+    if (index === 0) return 0;
+    if (index === this.baseIndex) return this.base?.term;
+    return this.getEntry(index)?.term;
+  }
+
+  /** @returns the entry at an index, or undefined when it is not held. */
+  getEntry(index: number): Entry<C> | undefined {
+    return this.entries[index - this.baseIndex - 1];
+  }
+
+  /** @returns at most `count` entries from an index on. */
+  slice(fromIndex: number, count: number): Array<Entry<C>> {
+    const start = fromIndex - this.baseIndex - 1;
+    return this.entries.slice(Math.max(0, start), start + count);
+  }
+
+  /** Adds entries that follow the last one. */
+  append(entries: ReadonlyArray<Entry<C>>): void {
+    for (const entry of entries) {
+      this.entries.push(entry);
+      this.noteMembers(entry);
+    }
+  }
+
+  /** Drops the entries from an index on. */
+  truncate(fromIndex: number): void {
+    this.entries.length = fromIndex - this.baseIndex - 1;
+    this.rebuildMemberHistory();
+  }
+
+  /** Replaces the entries up to the snapshot's index by the snapshot. */
+  compact(snapshot: Snapshot): void {
+    const keepsTail = this.termAt(snapshot.index) === snapshot.term;
+    this.entries = keepsTail
+      ? this.slice(snapshot.index + 1, this.entries.length)
+      : [];
+    this.base = snapshot;
+    this.rebuildMemberHistory();
+  }
+
+  /** Whether a log that ends so is at least as complete as this one. */
+  isCoveredBy(lastIndex: number, lastTerm: number): boolean {
+    if (lastTerm !== this.lastTerm) return lastTerm > this.lastTerm;
+    return lastIndex >= this.lastIndex;
+  }
+
+  /** First index of the run of entries that share the term at an index. */
+  firstIndexOfTerm(index: number): number {
+    const term = this.termAt(index);
+    let first = index;
+    while (first - 1 > this.baseIndex && this.termAt(first - 1) === term)
+      first--;
+    return first;
+  }
+
+  private noteMembers(entry: Entry<C>): void {
+    if (entry.body.kind !== 'members') return;
+    this.memberHistory.push({index: entry.index, members: entry.body.members});
+  }
+
+  private rebuildMemberHistory(): void {
+    this.memberHistory = [];
+    if (this.base) {
+      this.memberHistory.push({
+        index: this.base.index,
+        members: this.base.members,
+      });
+    }
+    for (const entry of this.entries) this.noteMembers(entry);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/consensus/members.ts
@@ -0,0 +1,89 @@
+import {vmOfNode, type NodeId, type VmId} from '@primrosewick/state';
+import type {MemberChange, Members} from './types.js';
+
+/** Members before any are known. */
+export const NO_MEMBERS: Members = {voters: [], learners: []};
+
+/** Number of voters that make a majority. */
+export const majorityOf = (members: Members): number =>
+  Math.floor(members.voters.length / 2) + 1;
+
+/** Voters and learners together. */
+export const allMembers = (members: Members): NodeId[] => [
+  ...members.voters,
+  ...members.learners,
+];
+
+const without = (nodes: readonly NodeId[], node: NodeId): NodeId[] =>
+  nodes.filter(other => other !== node);
+
+/**
+ * Applies one change.
+ * @returns the new members.
+ */
+export const applyChange = (
+  members: Members,
+  change: MemberChange,
+): Members => {
+  const {node} = change;
+  const voters = without(members.voters, node);
+  const learners = without(members.learners, node);
+  switch (change.kind) {
+    case 'add_learner':
+      return {voters, learners: [...learners, node]};
+    case 'promote':
+      return {voters: [...voters, node], learners};
+    case 'remove':
+      return {voters, learners};
+  }
+};
+
+/** Identity that a VM with a disk announces at present. */
+export interface AnnouncedNode {
+  readonly vm: VmId;
+  readonly node: NodeId;
+}
+
+/** What the leader weighs when it repairs the members. */
+export interface RepairInput {
+  readonly members: Members;
+  /** VMs that the settings name as voters, with their present identity. */
+  readonly announced: readonly AnnouncedNode[];
+  /** Learners that hold every committed entry, synced. */
+  readonly caughtUp: ReadonlySet<NodeId>;
+}
+
+/**
+ * Finds the next change on the way to one voter for each announced VM. A
+ * replacement is promoted only once it holds everything, and the identity it
+ * replaces is removed last, so that no step lowers the number of copies.
+ * @returns the change, or undefined when the members are as announced.
+ */
+export const nextMemberChange = (
+  input: RepairInput,
+): MemberChange | undefined => {
+  const {members, announced, caughtUp} = input;
+  const known = new Set(allMembers(members));
+  const ready = members.learners.find(
+    node => isAnnounced(announced, node) && caughtUp.has(node),
+  );
+  if (ready) return {kind: 'promote', node: ready};
+  const replaced = allMembers(members).find(node => isReplaced(input, node));
+  if (replaced) return {kind: 'remove', node: replaced};
+  const fresh = announced.find(({node}) => !known.has(node));
+  return fresh && {kind: 'add_learner', node: fresh.node};
+};
+
+const isAnnounced = (
+  announced: readonly AnnouncedNode[],
+  node: NodeId,
+): boolean => announced.some(other => other.node === node);
+
+const isReplaced = (
+  {members, announced}: RepairInput,
+  node: NodeId,
+): boolean => {
+  const successor = announced.find(other => other.vm === vmOfNode(node))?.node;
+  if (!successor || successor === node) return false;
+  return members.learners.includes(node) || members.voters.includes(successor);
+};
--- /dev/null
+++ b/packages/coordination/src/consensus/snapshot_receiver.ts
@@ -0,0 +1,75 @@
+import type {Members, Snapshot} from './types.js';
+
+/** One part of a snapshot as it arrives. */
+export interface SnapshotChunk {
+  readonly index: number;
+  readonly snapshotTerm: number;
+  readonly members: Members;
+  readonly offset: number;
+  readonly chunk: Uint8Array;
+  readonly isLast: boolean;
+}
+
+interface Partial {
+  readonly index: number;
+  readonly term: number;
+  readonly parts: Uint8Array[];
+  length: number;
+}
+
+/** Puts the chunks of one snapshot together, in order. */
+export class SnapshotReceiver {
+  private partial: Partial | null = null;
+
+  /** Offset of the next byte wanted of a snapshot. */
+  nextOffset(index: number): number {
+    return this.partial?.index === index ? this.partial.length : 0;
+  }
+
+  /**
+   * Takes a chunk; one that does not follow the last is dropped.
+   * @returns the snapshot once it is whole.
+   */
+  addChunk(chunk: SnapshotChunk): Snapshot | undefined {
+    const partial = this.partialFor(chunk);
+    if (chunk.offset !== partial.length) return undefined;
+    partial.parts.push(chunk.chunk);
+    partial.length += chunk.chunk.length;
+    if (!chunk.isLast) return undefined;
+    this.partial = null;
+    const {index, snapshotTerm: term, members} = chunk;
+    return {
+      index,
+      term,
+      members,
+      data: joinBytes(partial.parts, partial.length),
+    };
+  }
+
+  private partialFor(chunk: SnapshotChunk): Partial {
+    const isSame =
+      this.partial?.index === chunk.index &&
+      this.partial.term === chunk.snapshotTerm;
+    if (this.partial && isSame) return this.partial;
+    this.partial = {
+      index: chunk.index,
+      term: chunk.snapshotTerm,
+      parts: [],
+      length: 0,
+    };
+    return this.partial;
+  }
+}
+
+const joinBytes = (
+  parts: readonly Uint8Array[],
+  length: number,
+): Uint8Array => {
+  const joined = new Uint8Array(length);
+  let offset = 0;
+  for (const part of parts) {
+    joined.set(part, offset);
+    offset += part.length;
+  }
+  return joined;
+};
--- /dev/null
+++ b/packages/coordination/src/consensus/task.ts
@@ -0,0 +1,349 @@
+/** Drives the consensus core of one voter or learner. */
+import {decode, encode} from '@msgpack/msgpack';
+import {Subject} from 'rxjs';
+import {
+  CellError,
+  seededRandom,
+  toCellError,
+  vmOfNode,
+  type CellCommand,
+  type CellImage,
+  type CellResult,
+  type Folder,
+  type NodeId,
+  type VmId,
+} from '@primrosewick/state';
+import type {LogStatus} from '@primrosewick/protocol';
+import type {Clock, PeerCaller} from '@primrosewick/transport';
+import type {ReplicaTask} from '../replica/task.js';
+import {ConsensusCore} from './core.js';
+import {persistWrites} from './persistence.js';
+import {ConsensusPump} from './pump.js';
+import type {
+  ConsensusStatus,
+  ConsensusTiming,
+  Delivery,
+  Envelope,
+  Entry,
+  MemberChange,
+  Restored,
+  TokenAnswer,
+} from './types.js';
+
+/** Options of the task. */
+export interface ConsensusTaskOptions {
+  readonly node: NodeId;
+  readonly folder: Folder;
+  readonly restored: Restored<CellCommand>;
+  readonly replica: ReplicaTask;
+  readonly peers: PeerCaller;
+  readonly clock: Clock;
+  readonly timing: Partial<ConsensusTiming>;
+  readonly seed: number;
+  /** Proposals that may wait at once. */
+  readonly maxProposals: number;
+  readonly onFailure: (err: CellError) => void;
+}
+
+/** Entries after which the log is compacted. */
+const COMPACT_ENTRIES = 4000;
+/** Entries after which the log is compacted even if a member lags. */
+const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
+const TICK_MS = 50;
+
+interface Waiter {
+  readonly resolve: (result: CellResult | {readonly index: number}) => void;
+  readonly reject: (err: CellError) => void;
+}
+
+interface Placed extends Waiter {
+  readonly term: number;
+}
+
+/** Drives the consensus core: one sync at a time, then messages and deliveries. */
+export class ConsensusTask {
+  /** Emits when the role or the leader changes. */
+  readonly changes = new Subject<ConsensusStatus>();
+  private readonly core: ConsensusCore<CellCommand>;
+  private readonly pump: ConsensusPump<CellCommand>;
+  private readonly byToken = new Map<number, Waiter>();
+  private readonly byIndex = new Map<number, Placed>();
+  private nextToken = 1;
+  private isRunning = false;
+  private failure: CellError | null = null;
+  private timer: NodeJS.Timeout | undefined;
+  private lastStatus: ConsensusStatus;
+
+  constructor(private readonly options: ConsensusTaskOptions) {
+    const {node, restored, seed, clock, timing, replica} = options;
+    this.core = new ConsensusCore<CellCommand>({
+      id: node,
+      restored,
+      random: seededRandom(seed),
+      now: clock.now(),
+      timing,
+    });
+    this.pump = new ConsensusPump(this.core);
+    this.lastStatus = this.core.status;
+    if (restored.snapshot)
+      replica.restore(decode(restored.snapshot.data) as CellImage);
+  }
+
+  /** Starts the clock of the core. */
+  start(): void {
+    this.timer = setInterval(
+      () => this.offer({kind: 'tick', now: this.options.clock.now()}),
+      TICK_MS,
+    );
+  }
+
+  /** Stops; what waits is refused. */
+  stop(): void {
+    clearInterval(this.timer);
+    this.refuseAll('stopping');
+  }
+
+  /** State of the core. */
+  get status(): ConsensusStatus {
+    return this.core.status;
+  }
+
+  /** State for operators. */
+  get logStatus(): LogStatus {
+    const {role, term, leader, commitIndex, lastIndex, members} =
+      this.core.status;
+    return {
+      node: this.options.node,
+      role,
+      term,
+      leader,
+      commitIndex,
+      lastIndex,
+      voters: members.voters,
+      learners: members.learners,
+      failure: this.failure?.message ?? null,
+    };
+  }
+
+  /** VM that leads the log as far as is known. */
+  get leaderVm(): VmId | null {
+    const {leader} = this.core.status;
+    return leader && vmOfNode(leader);
+  }
+
+  /** Takes messages of other nodes. */
+  receive(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
+    const now = this.options.clock.now();
+    for (const envelope of envelopes)
+      this.pump.offer({kind: 'message', now, envelope});
+    void this.run();
+  }
+
+  /**
+   * Proposes a command.
+   * @returns its answer once it is committed and applied here.
+   * @throws CellError `not_leader`, `log_overloaded`, `log_outcome_unknown` or `storage_failed`.
+   */
+  propose(command: CellCommand): Promise<CellResult> {
+    if (this.byToken.size + this.byIndex.size >= this.options.maxProposals) {
+      return Promise.reject(
+        new CellError({code: 'log_overloaded', step: 'propose'}),
+      );
+    }
+    const now = this.options.clock.now();
+    return this.ask(token => ({
+      kind: 'propose',
+      now,
+      token,
+      command,
+    })) as Promise<CellResult>;
+  }
+
+  /** Proposes a change of the members. */
+  async changeMembers(change: MemberChange): Promise<void> {
+    const now = this.options.clock.now();
+    await this.ask(token => ({kind: 'change_members', now, token, change}));
+  }
+
+  /** @returns an index that every read from now on must have reached. */
+  async readIndex(): Promise<number> {
+    const now = this.options.clock.now();
+    const {index} = await this.ask(token => ({kind: 'read', now, token}));
+    return index;
+  }
+
+  /** Hands the leadership to another voter. */
+  transferAway(): void {
+    this.offer({kind: 'transfer', now: this.options.clock.now()});
+  }
+
+  private ask(
+    makeInput: (
+      token: number,
+    ) => Parameters<ConsensusPump<CellCommand>['offer']>[0],
+  ): Promise<CellResult | {readonly index: number}> {
+    if (this.failure) return Promise.reject(this.failure);
+    const token = this.nextToken++;
+    return new Promise((resolve, reject) => {
+      this.byToken.set(token, {resolve, reject});
+      this.offer(makeInput(token));
+    });
+  }
+
+  private offer(
+    input: Parameters<ConsensusPump<CellCommand>['offer']>[0],
+  ): void {
+    this.pump.offer(input);
+    void this.run();
+  }
+
+  private async run(): Promise<void> {
+    if (this.isRunning || this.failure) return;
+    this.isRunning = true;
+    try {
+      while (this.pump.hasInput) await this.runOnce();
+    } catch (err) {
+      this.fail(toCellError(err, 'persist'));
+    } finally {
+      this.isRunning = false;
+    }
+  }
+
+  private async runOnce(): Promise<void> {
+    const {writes, messages, deliveries, answers} = this.pump.run();
+    const image = this.core.durable;
+    if (writes.length > 0)
+      await persistWrites(this.options.folder, writes, () => image);
+    this.sendAll(messages);
+    for (const answer of answers) this.onAnswer(answer);
+    for (const delivery of deliveries) this.deliver(delivery);
+    this.noteStatus();
+    if (deliveries.length > 0) this.compactIfLong();
+  }
+
+  private sendAll(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
+    const byNode = new Map<NodeId, Array<Envelope<CellCommand>>>();
+    for (const envelope of envelopes) {
+      byNode.set(envelope.to, [...(byNode.get(envelope.to) ?? []), envelope]);
+    }
+    for (const [node, batch] of byNode) {
+      this.options.peers
+        .call(vmOfNode(node), 'consensus', {envelopes: batch})
+        .catch(() => undefined);
+    }
+  }
+
+  private onAnswer(answer: TokenAnswer): void {
+    const waiter = this.byToken.get(answer.token);
+    this.byToken.delete(answer.token);
+    if (!waiter) return;
+    switch (answer.kind) {
+      case 'appended':
+        this.byIndex.set(answer.index, {...waiter, term: answer.term});
+        return;
+      case 'read_ready':
+        return waiter.resolve({index: answer.index});
+      case 'refused':
+        return waiter.reject(refusalOf(answer.why));
+    }
+  }
+
+  private deliver(delivery: Delivery<CellCommand>): void {
+    const {replica} = this.options;
+    if (delivery.kind === 'snapshot') {
+      replica.restore(decode(delivery.snapshot.data) as CellImage);
+      return this.dropWaiters(delivery.snapshot.index);
+    }
+    const {entry} = delivery;
+    const command =
+      entry.body.kind === 'command' ? entry.body.command : undefined;
+    const result = replica.apply(
+      command ? {index: entry.index, command} : {index: entry.index},
+    );
+    this.settle(entry, result);
+  }
+
+  private settle(
+    entry: Entry<CellCommand>,
+    result: CellResult | undefined,
+  ): void {
+    const waiter = this.byIndex.get(entry.index);
+    this.byIndex.delete(entry.index);
+    if (waiter?.term === entry.term)
+      waiter.resolve(result ?? {index: entry.index});
+    else
+      waiter?.reject(
+        new CellError({
+          code: 'log_outcome_unknown',
+          step: 'commit',
+          detail: 'another leader took over; the write was not committed',
+        }),
+      );
+  }
+
+  private dropWaiters(upToIndex: number): void {
+    for (const [index, waiter] of this.byIndex) {
+      if (index > upToIndex) continue;
+      this.byIndex.delete(index);
+      waiter.reject(
+        new CellError({code: 'log_outcome_unknown', step: 'commit'}),
+      );
+    }
+  }
+
+  private noteStatus(): void {
+    const status = this.core.status;
+    const {clock, replica} = this.options;
+    if (status.isCurrent && replica.replica.index >= status.commitIndex)
+      replica.open();
+    replica.noteFresh(Math.min(status.lastContactAt, clock.now()));
+    const before = this.lastStatus;
+    const isChanged =
+      status.role !== before.role ||
+      status.leader !== before.leader ||
+      status.members !== before.members;
+    this.lastStatus = status;
+    if (status.role !== 'leader' && before.role === 'leader')
+      this.refuseAll('log_outcome_unknown');
+    if (isChanged) this.changes.next(status);
+  }
+
+  private compactIfLong(): void {
+    const {commitIndex, lastIndex, matches} = this.core.status;
+    const held = lastIndex - (this.core.durable.snapshot?.index ?? 0);
+    if (held < COMPACT_ENTRIES) return;
+    const isLagging = matches.some(({index}) => index < commitIndex);
+    if (isLagging && held < COMPACT_ALWAYS_ENTRIES) return;
+    const image = this.options.replica.replica.state.toImage();
+    this.pump.offer({
+      kind: 'compact',
+      now: this.options.clock.now(),
+      index: image.index,
+      data: encode(image, {ignoreUndefined: true}),
+    });
+  }
+
+  private fail(err: CellError): void {
+    this.failure = err;
+    clearInterval(this.timer);
+    this.refuseAll('storage_failed');
+    this.options.onFailure(err);
+  }
+
+  private refuseAll(
+    code: 'stopping' | 'storage_failed' | 'log_outcome_unknown',
+  ): void {
+    const waiters = [...this.byToken.values(), ...this.byIndex.values()];
+    this.byToken.clear();
+    this.byIndex.clear();
+    for (const waiter of waiters)
+      waiter.reject(new CellError({code, step: 'propose', outcome: 'unknown'}));
+  }
+}
+
+const refusalOf = (
+  why: 'not_leader' | 'change_pending' | 'overloaded',
+): CellError => {
+  const code = why === 'overloaded' ? 'log_overloaded' : 'not_leader';
+  return new CellError({code, step: 'propose', detail: why});
+};
--- /dev/null
+++ b/packages/coordination/src/entry/keyed.ts
@@ -0,0 +1,139 @@
+/** Requests with an idempotency key: each key is claimed in the cell log before its request is dispatched. */
+import {
+  CellError,
+  digestOf,
+  toCellError,
+  type KeyAnswer,
+  type KeyRecord,
+} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import type {LogPort} from '../zone/types.js';
+import type {ClientRequest, UpstreamAnswer} from './types.js';
+
+/** Header of an answer that was kept from an earlier request with the same key. */
+export const REPLAYED_HEADER = 'primrosewick-replayed';
+
+/** Largest answer kept for a resend, in bytes. */
+const MAX_KEPT_BYTES = 16 * 1024;
+/** Time beyond the deadline of a request after which its key counts as lost, in ms. */
+const SETTLE_SLACK_MS = 10_000;
+/** Deadline assumed for the settling of a key where the client gave none, in ms. */
+const DEFAULT_SETTLE_MS = 120_000;
+
+/** Options of the keyed path. */
+export interface KeyedRequestsOptions {
+  readonly log: LogPort;
+  readonly clock: Clock;
+  /** Dispatches a request. */
+  readonly serve: (request: ClientRequest) => Promise<UpstreamAnswer>;
+  /** Called when a key could not be settled; a resend will then be told that the answer is lost. */
+  readonly onUnsettled: (err: CellError) => void;
+}
+
+/** Runs each idempotency key at most once, at whichever entry it arrives. */
+export class KeyedRequests {
+  constructor(private readonly options: KeyedRequestsOptions) {}
+
+  /**
+   * Serves a request with a key.
+   * @throws CellError `key_reused`, `key_in_progress`, `key_lost`, or the reason of the refusal.
+   */
+  async serve(key: string, request: ClientRequest): Promise<UpstreamAnswer> {
+    const {record, isClaimed} = await this.claim(key, request);
+    if (!isClaimed) return replayAnswer(record);
+    try {
+      const answer = await this.options.serve(request);
+      void this.settle(key, request, keptAnswer(answer));
+      return answer;
+    } catch (err) {
+      const error = toCellError(err, 'serve-keyed');
+      void this.settle(key, request, {kind: error.outcome});
+      throw error;
+    }
+  }
+
+  private async claim(
+    key: string,
+    request: ClientRequest,
+  ): Promise<{record: KeyRecord; isClaimed: boolean}> {
+    const {log, clock} = this.options;
+    const {method, path, body: payload} = request.forwarded;
+    const digest = digestOf([
+      request.service,
+      method,
+      path,
+      Buffer.from(payload).toString('base64'),
+    ]);
+    const at = clock.wall();
+    const settleBy =
+      (request.deadline ?? at + DEFAULT_SETTLE_MS) + SETTLE_SLACK_MS;
+    const body = {
+      kind: 'claim_key' as const,
+      key,
+      digest,
+      claimant: request.id,
+      settleBy,
+    };
+    const result = await log
+      .propose({at, body})
+      .catch(err => this.abandonClaim(key, request, err));
+    if (!result.ok) throw CellError.fromBody(result.error);
+    if (result.value.kind !== 'key')
+      throw new CellError({code: 'internal', step: 'claim-key'});
+    return {record: result.value.record, isClaimed: result.value.claimed};
+  }
+
+  /** A request whose claim was not confirmed is not dispatched. */
+  private abandonClaim(
+    key: string,
+    request: ClientRequest,
+    err: unknown,
+  ): never {
+    const error = toCellError(err, 'claim-key');
+    if (error.outcome === 'unknown')
+      void this.settle(key, request, {kind: 'not_run'});
+    throw new CellError({
+      ...error.toBody(),
+      detail: error.message,
+      outcome: 'not_run',
+    });
+  }
+
+  private async settle(
+    key: string,
+    request: ClientRequest,
+    answer: KeyAnswer,
+  ): Promise<void> {
+    const {log, clock, onUnsettled} = this.options;
+    try {
+      await log.propose({
+        at: clock.wall(),
+        body: {kind: 'settle_key', key, claimant: request.id, answer},
+      });
+    } catch (err) {
+      onUnsettled(toCellError(err, 'settle-key'));
+    }
+  }
+}
+
+const keptAnswer = ({status, headers, body}: UpstreamAnswer): KeyAnswer =>
+  body.length > MAX_KEPT_BYTES
+    ? {kind: 'unknown'}
+    : {
+        kind: 'answered',
+        status,
+        contentType: headers['content-type'] ?? '',
+        body,
+      };
+
+const replayAnswer = ({answer}: KeyRecord): UpstreamAnswer => {
+  if (!answer)
+    throw new CellError({code: 'key_in_progress', step: 'replay-answer'});
+  if (answer.kind !== 'answered')
+    throw new CellError({code: 'key_lost', step: 'replay-answer'});
+  return {
+    status: answer.status,
+    headers: {'content-type': answer.contentType, [REPLAYED_HEADER]: 'true'},
+    body: answer.body,
+  };
+};
--- /dev/null
+++ b/packages/coordination/src/entry/task.ts
@@ -0,0 +1,375 @@
+/** The request path of one entry: carries out what the request core decides. */
+import {
+  CellError,
+  RequestCore,
+  asId,
+  classOfPath,
+  type AttemptFailure,
+  type Arrival,
+  type AttemptId,
+  type HolderId,
+  type RequestEffect,
+  type RequestEvent,
+  type RequestId,
+  type RequestLimits,
+  type ServiceName,
+  type ZoneId,
+} from '@primrosewick/state';
+import type {Clock, Metrics} from '@primrosewick/transport';
+import type {ReplicaTask} from '../replica/task.js';
+import type {Recorder} from '../zone/types.js';
+import type {
+  AttemptResult,
+  ClientRequest,
+  LeaderPort,
+  UpstreamAnswer,
+  UpstreamPort,
+} from './types.js';
+
+/** Options of the task. */
+export interface EntryTaskOptions {
+  readonly zone: ZoneId;
+  readonly holder: HolderId;
+  readonly replica: ReplicaTask;
+  readonly leader: LeaderPort;
+  readonly upstreams: UpstreamPort;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly recorder: Recorder;
+  readonly limits: Partial<RequestLimits>;
+  readonly syncMs: number;
+  /** Most connections of this entry to one upstream, by the connections it accepts. */
+  readonly connectionsOf: (connections: number) => number;
+}
+
+const TICK_MS = 20;
+/** Least time between two syncs, however great the demand, in ms. */
+const MIN_SYNC_GAP_MS = 20;
+const IDEMPOTENT_METHODS = new Set([
+  'GET',
+  'HEAD',
+  'PUT',
+  'DELETE',
+  'OPTIONS',
+  'TRACE',
+]);
+
+interface Pending {
+  readonly request: ClientRequest;
+  readonly cls: string;
+  readonly resolve: (answer: UpstreamAnswer) => void;
+  readonly reject: (err: CellError) => void;
+}
+
+/** Whether a method may be sent again after a lost answer (RFC 9110, 9.2.2). */
+export const isIdempotentMethod = (method: string): boolean =>
+  IDEMPOTENT_METHODS.has(method);
+
+/** The request path of one entry. */
+export class EntryTask {
+  private readonly core: RequestCore;
+  private readonly pending = new Map<RequestId, Pending>();
+  private readonly answers = new Map<AttemptId, UpstreamAnswer>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private syncSeq = 0;
+  private lastSyncAt = Number.NEGATIVE_INFINITY;
+  private isSyncing = false;
+  private isBorrowDue = false;
+
+  constructor(private readonly options: EntryTaskOptions) {
+    this.core = new RequestCore(options.limits);
+    options.recorder.start('requests', options.limits);
+    options.replica.changes.subscribe(() => this.closeServices());
+  }
+
+  /** Starts the clock and the renewal of shares. */
+  start(): void {
+    const {clock, syncMs} = this.options;
+    this.timers.push(
+      setInterval(() => this.step({kind: 'tick', now: clock.now()}), TICK_MS),
+    );
+    this.timers.push(setInterval(() => void this.sync(), syncMs));
+  }
+
+  /** Stops the clock and returns what is held. */
+  async stop(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    this.syncSeq++;
+    const request = {
+      holder: this.options.holder,
+      seq: this.syncSeq,
+      held: [],
+      wants: [],
+      isForeign: false,
+    };
+    if (this.core.open === 0)
+      await this.options.leader.syncShares(request).catch(() => undefined);
+  }
+
+  /** Requests held, waiting or running. */
+  get open(): number {
+    return this.core.open;
+  }
+
+  /** Requests that wait for a slot. */
+  get queued(): number {
+    return this.core.queued;
+  }
+
+  /** Shares held, for status. */
+  listShares(): Array<{upstream: string; slots: number; busy: number}> {
+    return this.core.listShares().map(({upstream, slots, attempts}) => ({
+      upstream,
+      slots,
+      busy: attempts.size,
+    }));
+  }
+
+  /**
+   * Serves one request.
+   * @returns the whole answer of an upstream.
+   * @throws CellError with the reason of the refusal.
+   */
+  serve(request: ClientRequest): Promise<UpstreamAnswer> {
+    const {arrival} = this.admit(request);
+    return new Promise((resolve, reject) => {
+      this.pending.set(request.id, {
+        request,
+        cls: arrival.cls,
+        resolve,
+        reject,
+      });
+      request.signal.addEventListener('abort', () => this.cancel(request.id));
+      this.step({kind: 'arrive', now: this.options.clock.now(), arrival});
+    });
+  }
+
+  private admit(request: ClientRequest): {arrival: Arrival} {
+    const {replica, clock} = this.options;
+    const step = 'admit';
+    if (!replica.isReady) throw new CellError({code: 'starting', step});
+    const {state} = replica.replica;
+    const service = state.getService(request.service);
+    if (!service)
+      throw new CellError({
+        code: 'unknown_service',
+        step,
+        detail: `no service "${request.service}"`,
+      });
+    if (service.state !== 'running')
+      throw new CellError({
+        code: 'service_not_running',
+        step,
+        peer: request.service,
+      });
+    const profile = state.getProfile(service.service.profile)?.profile;
+    if (!profile)
+      throw new CellError({
+        code: 'unknown_profile',
+        step,
+        peer: service.service.profile,
+      });
+    const cls = classOfPath(profile, request.forwarded.path);
+    if (!cls)
+      throw new CellError({code: 'unknown_class', step, peer: profile.name});
+    const leftMs =
+      request.deadline === undefined
+        ? cls.deadlineMs
+        : request.deadline - clock.wall();
+    if (leftMs <= 0) throw new CellError({code: 'deadline_passed', step});
+    const arrival: Arrival = {
+      id: request.id,
+      service: request.service,
+      cls: cls.name,
+      priority: cls.priority,
+      queueBound: cls.queueBound,
+      deadline: clock.now() + leftMs,
+      isIdempotent: isIdempotentMethod(request.forwarded.method),
+    };
+    return {arrival};
+  }
+
+  private cancel(id: RequestId): void {
+    if (this.pending.has(id))
+      this.step({kind: 'cancel', now: this.options.clock.now(), id});
+  }
+
+  private step(event: RequestEvent): void {
+    const {effects, notes} = this.core.step(event);
+    this.options.recorder.record({
+      core: 'requests',
+      event,
+      outcome: effects,
+      notes,
+    });
+    for (const effect of effects) this.carryOut(effect);
+  }
+
+  private carryOut(effect: RequestEffect): void {
+    const {metrics} = this.options;
+    switch (effect.kind) {
+      case 'dispatch':
+        return void this.dispatch(effect);
+      case 'deliver':
+        return this.deliver(effect.id, effect.attempt);
+      case 'refuse':
+        return this.refuse(effect);
+      case 'end_attempt':
+        return void this.endAttempt(effect.attempt, effect.address);
+      case 'retry':
+        return metrics.addRetry(
+          effect.why === 'lost_idempotent' ? 'lost_idempotent' : effect.why,
+        );
+      case 'drop_answer':
+        this.answers.delete(effect.attempt);
+        return metrics.addDrop('late_answer');
+      case 'borrow':
+        return this.borrow();
+    }
+  }
+
+  private async dispatch(
+    effect: Extract<RequestEffect, {kind: 'dispatch'}>,
+  ): Promise<void> {
+    const pending = this.pending.get(effect.id);
+    if (!pending) return;
+    const {clock, metrics, upstreams, holder} = this.options;
+    metrics.addWait(pending.cls, effect.waitMs);
+    const {attempt, upstream, address, shareDeadline: sendBefore} = effect;
+    const isCovered = clock.now() < sendBefore;
+    const result = isCovered
+      ? await upstreams.send({
+          attempt,
+          upstream,
+          address,
+          holder,
+          request: pending.request.forwarded,
+          sendBefore,
+        })
+      : {kind: 'unreachable' as const};
+    this.onResult(attempt, result);
+  }
+
+  private onResult(attempt: AttemptId, result: AttemptResult): void {
+    const now = this.options.clock.now();
+    if (result.kind === 'answered') {
+      this.answers.set(attempt, result.answer);
+      return this.step({kind: 'answered', now, attempt});
+    }
+    const failure: AttemptFailure = result.kind;
+    this.step({kind: 'failed', now, attempt, failure});
+  }
+
+  private deliver(id: RequestId, attempt: AttemptId): void {
+    const pending = this.pending.get(id);
+    const answer = this.answers.get(attempt);
+    this.pending.delete(id);
+    this.answers.delete(attempt);
+    if (!pending || !answer) return;
+    this.options.metrics.addAnswer(pending.cls);
+    pending.resolve(answer);
+  }
+
+  private refuse({
+    id,
+    code,
+    retryAfterMs,
+  }: Extract<RequestEffect, {kind: 'refuse'}>): void {
+    const pending = this.pending.get(id);
+    this.pending.delete(id);
+    pending?.reject(
+      new CellError({
+        code,
+        step: 'schedule',
+        peer: pending.request.service,
+        retryAfterMs,
+      }),
+    );
+  }
+
+  private async endAttempt(attempt: AttemptId, address: string): Promise<void> {
+    await this.options.upstreams.end(address, attempt);
+    this.step({kind: 'ended', now: this.options.clock.now(), attempt});
+  }
+
+  private closeServices(): void {
+    const now = this.options.clock.now();
+    for (const {
+      service,
+      state,
+    } of this.options.replica.replica.state.listServices()) {
+      if (state !== 'running')
+        this.step({kind: 'close_service', now, service: service.name});
+    }
+  }
+
+  // Shares.
+
+  private borrow(): void {
+    if (this.isBorrowDue) return;
+    this.isBorrowDue = true;
+    const {clock} = this.options;
+    const pause = Math.max(0, this.lastSyncAt + MIN_SYNC_GAP_MS - clock.now());
+    setTimeout(() => void this.sync(), pause);
+  }
+
+  private async sync(): Promise<void> {
+    if (this.isSyncing || !this.options.replica.isReady) return;
+    this.isSyncing = true;
+    this.isBorrowDue = false;
+    try {
+      await this.syncOnce();
+    } catch {
+      // The shares held run on until their deadline.
+    } finally {
+      this.isSyncing = false;
+    }
+  }
+
+  private async syncOnce(): Promise<void> {
+    const {zone, holder, leader, clock, connectionsOf} = this.options;
+    const sentAt = clock.now();
+    this.lastSyncAt = sentAt;
+    this.syncSeq++;
+    const held = this.core.reportHeld(zone);
+    const reply = await leader.syncShares({
+      holder,
+      seq: this.syncSeq,
+      held,
+      wants: this.wants(),
+      isForeign: false,
+    });
+    if (reply.kind !== 'ok') return;
+    const {shares, leaseMs, isComplete} = reply.value;
+    const capped = shares.map(share => ({
+      ...share,
+      slots: Math.min(share.slots, connectionsOf(share.connections)),
+    }));
+    const update = {
+      lender: zone,
+      shares: capped,
+      deadline: sentAt + leaseMs,
+      isComplete,
+      roundTripMs: 0,
+    };
+    this.step({kind: 'shares', now: clock.now(), update});
+  }
+
+  private wants(): Array<{service: ServiceName; slots: number}> {
+    const known = new Map(
+      this.core.listWants().map(want => [want.service, want.slots]),
+    );
+    for (const {
+      service,
+      state,
+    } of this.options.replica.replica.state.listServices()) {
+      if (state === 'running' && !known.has(service.name))
+        known.set(service.name, 1);
+    }
+    return [...known].map(([service, slots]) => ({service, slots}));
+  }
+}
+
+/** Builds the id of a request, unique over VMs and restarts. */
+export const makeRequestId = (holder: HolderId, count: number): RequestId =>
+  asId<RequestId>(`${holder}-${count}`);
--- /dev/null
+++ b/packages/coordination/src/entry/upstream_port.ts
@@ -0,0 +1,144 @@
+/** Talks HTTP to upstreams. */
+import {Agent} from 'node:http';
+import {
+  assertNever,
+  type AttemptId,
+  type UpstreamId,
+} from '@primrosewick/state';
+import {
+  HttpFailure,
+  callHttp,
+  sleep,
+  type Clock,
+  type HttpAnswer,
+} from '@primrosewick/transport';
+import type {AttemptCall, AttemptResult, UpstreamPort} from './types.js';
+
+/** Header that names the holder of the share; upstreams count requests by it. */
+export const HOLDER_HEADER = 'primrosewick-holder';
+/** Header that names the upstream meant; another process at its address must refuse. */
+export const UPSTREAM_HEADER = 'primrosewick-upstream';
+/** Header that names the attempt, for a later request to end it. */
+export const ATTEMPT_HEADER = 'primrosewick-attempt';
+/** Header of an answer that tells that the request was not taken. */
+export const NOT_TAKEN_HEADER = 'primrosewick-not-taken';
+
+/** Options of the port. */
+export interface HttpUpstreamPortOptions {
+  readonly clock: Clock;
+  readonly maxAnswerBytes: number;
+  /** Time after which an attempt without an end counts as lost, in ms. */
+  readonly attemptMs: number;
+}
+
+const END_RETRY_MS = 500;
+const END_TIMEOUT_MS = 2000;
+/** Time after which an upstream that cannot be asked counts as gone, in ms. */
+const END_GIVE_UP_MS = 60_000;
+
+/** Talks HTTP to upstreams, with a bounded number of connections to each. */
+export class HttpUpstreamPort implements UpstreamPort {
+  private readonly agents = new Map<UpstreamId, Agent>();
+
+  constructor(private readonly options: HttpUpstreamPortOptions) {}
+
+  async send(call: AttemptCall): Promise<AttemptResult> {
+    const {clock, maxAnswerBytes, attemptMs} = this.options;
+    if (clock.now() >= call.sendBefore) return {kind: 'unreachable'};
+    try {
+      const answer = await callHttp({
+        address: call.address,
+        method: call.request.method,
+        path: call.request.path,
+        headers: headersOf(call),
+        body: call.request.body.length > 0 ? call.request.body : undefined,
+        timeoutMs: attemptMs,
+        maxAnswerBytes,
+        agent: this.agentOf(call.upstream),
+      });
+      return isNotTaken(answer)
+        ? {kind: 'refused'}
+        : {kind: 'answered', answer};
+    } catch (err) {
+      return resultOf(err);
+    }
+  }
+
+  async end(address: string, attempt: AttemptId): Promise<void> {
+    const {clock} = this.options;
+    const giveUpAt = clock.now() + END_GIVE_UP_MS;
+    while (clock.now() < giveUpAt) {
+      if (await this.tryEnd(address, attempt)) return;
+      await sleep(END_RETRY_MS);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const agent of this.agents.values()) agent.destroy();
+    this.agents.clear();
+  }
+
+  /** Drops the connections to upstreams that are no longer held. */
+  keepOnly(upstreams: ReadonlySet<UpstreamId>): void {
+    for (const [id, agent] of this.agents) {
+      if (upstreams.has(id)) continue;
+      agent.destroy();
+      this.agents.delete(id);
+    }
+  }
+
+  private async tryEnd(address: string, attempt: AttemptId): Promise<boolean> {
+    try {
+      const path = `/.primrosewick/attempts/${encodeURIComponent(attempt)}`;
+      const {status} = await callHttp({
+        address,
+        method: 'DELETE',
+        path,
+        timeoutMs: END_TIMEOUT_MS,
+        maxAnswerBytes: 4096,
+      });
+      return status === 204 || status === 404;
+    } catch (err) {
+      const isRefused =
+        err instanceof HttpFailure &&
+        err.kind === 'unreachable' &&
+        err.message.includes('ECONNREFUSED');
+      return isRefused;
+    }
+  }
+
+  private agentOf(upstream: UpstreamId): Agent {
+    const known = this.agents.get(upstream);
+    if (known) return known;
+    const agent = new Agent({keepAlive: true});
+    this.agents.set(upstream, agent);
+    return agent;
+  }
+}
+
+const headersOf = (call: AttemptCall): Record<string, string> => ({
+  ...call.request.headers,
+  [HOLDER_HEADER]: call.holder,
+  [UPSTREAM_HEADER]: call.upstream,
+  [ATTEMPT_HEADER]: call.attempt,
+});
+
+const isNotTaken = ({status, headers}: HttpAnswer): boolean =>
+  status === 503 && headers[NOT_TAKEN_HEADER] === 'true';
+
+const resultOf = (err: unknown): AttemptResult => {
+  if (!(err instanceof HttpFailure)) return {kind: 'lost'};
+  switch (err.kind) {
+    case 'unreachable':
+      return {kind: 'unreachable'};
+    case 'too_large':
+      return {kind: 'too_large'};
+    case 'lost':
+    case 'timeout':
+    case 'aborted':
+      return err.mayHaveSent ? {kind: 'lost'} : {kind: 'unreachable'};
+    default:
+      return assertNever(err.kind);
+  }
+};
--- /dev/null
+++ b/packages/coordination/src/propagation/sources.ts
@@ -0,0 +1,36 @@
+import type {VmSettings} from '@primrosewick/protocol';
+import type {VmId} from '@primrosewick/state';
+
+/**
+ * Orders the VMs that a VM without a disk may follow: a voter of its zone,
+ * then the VMs of its zone that come before it, then the voters of other
+ * zones, then the rest of its zone. Only one VM of a zone without a voter thus
+ * crosses zones.
+ * @param vms - all VMs of the cell.
+ * @param own - the VM that follows.
+ */
+export const followSources = (
+  vms: readonly VmSettings[],
+  own: VmSettings,
+): VmId[] => {
+  const others = vms.filter(({vm}) => vm !== own.vm);
+  const position = vms.findIndex(({vm}) => vm === own.vm);
+  const isBefore = ({vm}: VmSettings) =>
+    vms.findIndex(other => other.vm === vm) < position;
+  const near = others.filter(({zone}) => zone === own.zone);
+  const nearVoters = near.filter(({disk}) => disk);
+  const nearOthers = near.filter(({disk}) => !disk);
+  const farVoters = others.filter(({zone, disk}) => zone !== own.zone && disk);
+  return [
+    ...nearVoters,
+    ...nearOthers.filter(isBefore),
+    ...rotate(farVoters, position),
+    ...nearOthers.filter(vm => !isBefore(vm)),
+  ].map(({vm}) => vm);
+};
+
+/** Spreads the first choice over the voters. */
+const rotate = <T>(items: readonly T[], by: number): T[] => {
+  const at = items.length === 0 ? 0 : by % items.length;
+  return [...items.slice(at), ...items.slice(0, at)];
+};
--- /dev/null
+++ b/packages/coordination/src/propagation/task.ts
@@ -0,0 +1,122 @@
+/** Keeps the copy of a VM without a disk current by following another VM. */
+import type {FollowReply} from '@primrosewick/protocol';
+import type {VmId} from '@primrosewick/state';
+import {sleep, type Clock, type PeerCaller} from '@primrosewick/transport';
+import type {ReplicaTask} from '../replica/task.js';
+
+/** Options of the task. */
+export interface FollowTaskOptions {
+  readonly replica: ReplicaTask;
+  readonly peers: PeerCaller;
+  readonly clock: Clock;
+  readonly boot: string;
+  /** VMs to follow, best first. */
+  readonly sources: readonly VmId[];
+  /** VMs that vote on the log. */
+  readonly voters: readonly VmId[];
+}
+
+const LONG_POLL_MS = 2000;
+const PAUSE_MS = 200;
+/** Age beyond which a source is given up for another, in ms. */
+const MAX_SOURCE_STALE_MS = 6000;
+/** Time after which a VM that cannot reach the log's leader trusts its zone. */
+const CUT_OFF_MS = 3000;
+/** Time after which the best source is tried again, in ms. */
+const RETRY_BEST_MS = 10_000;
+
+/** Follows one VM at a time and moves on when it fails or falls behind. */
+export class FollowTask {
+  private at = 0;
+  private isStopped = false;
+  private retryBestAt = 0;
+
+  constructor(private readonly options: FollowTaskOptions) {}
+
+  /** Follows until it is stopped. */
+  async run(): Promise<void> {
+    void this.openWhenCurrent();
+    while (!this.isStopped) {
+      const isGood = await this.followOnce();
+      if (!isGood) await this.moveOn();
+      else this.retryBest();
+    }
+  }
+
+  /** Ends after the call under way. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async followOnce(): Promise<boolean> {
+    const {replica, peers, clock, boot, sources} = this.options;
+    const source = sources[this.at];
+    if (!source) return false;
+    const sinceIndex = replica.replica.index;
+    try {
+      const reply = await peers.call(source, 'follow', {
+        sinceIndex,
+        waitMs: LONG_POLL_MS,
+        boot,
+      });
+      return this.take(reply, clock.now());
+    } catch {
+      return false;
+    }
+  }
+
+  private take(reply: FollowReply, now: number): boolean {
+    const {replica} = this.options;
+    if (reply.kind === 'not_ready') return false;
+    if (reply.kind === 'image') replica.restore(reply.image);
+    else for (const entry of reply.entries) replica.apply(entry);
+    const staleMs = reply.staleMs ?? 0;
+    if (replica.replica.index >= reply.commitIndex)
+      replica.noteFresh(now - staleMs);
+    return staleMs <= MAX_SOURCE_STALE_MS;
+  }
+
+  private async moveOn(): Promise<void> {
+    const {sources, clock} = this.options;
+    if (this.at === 0) this.retryBestAt = clock.now() + RETRY_BEST_MS;
+    this.at = (this.at + 1) % Math.max(1, sources.length);
+    await sleep(PAUSE_MS);
+  }
+
+  private retryBest(): void {
+    if (this.at === 0 || this.options.clock.now() < this.retryBestAt) return;
+    this.at = 0;
+  }
+
+  /**
+   * Shows the copy once it holds all that was committed before the start, or
+   * once the log cannot be reached and a VM of the zone has given its copy.
+   */
+  private async openWhenCurrent(): Promise<void> {
+    const {replica, clock} = this.options;
+    const cutOffAt = clock.now() + CUT_OFF_MS;
+    let required: number | undefined;
+    while (!this.isStopped && !replica.isReady) {
+      required ??= await this.readIndex();
+      const isCurrent =
+        required !== undefined && replica.replica.index >= required;
+      const isCutOff =
+        required === undefined &&
+        clock.now() >= cutOffAt &&
+        replica.replica.index > 0;
+      if (isCurrent || isCutOff) replica.open();
+      else await sleep(PAUSE_MS / 4);
+    }
+  }
+
+  private async readIndex(): Promise<number | undefined> {
+    const {peers, voters, boot} = this.options;
+    for (const vm of voters) {
+      const reply = await peers
+        .call(vm, 'readIndex', {boot})
+        .catch(() => undefined);
+      if (reply?.kind === 'ok') return reply.value.index;
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/proposals/task.ts
@@ -0,0 +1,154 @@
+/** Brings writes to the leader of the cell log, from any VM. */
+import {
+  CellError,
+  toCellError,
+  type CellCommand,
+  type CellResult,
+  type ReasonCode,
+  type VmId,
+} from '@primrosewick/state';
+import type {ProposeReply} from '@primrosewick/protocol';
+import {
+  sleep,
+  type Clock,
+  type Metrics,
+  type PeerCaller,
+} from '@primrosewick/transport';
+
+/** Options of the proposer. */
+export interface ProposerOptions {
+  readonly vm: VmId;
+  /** VMs that vote on the log, nearest first. */
+  readonly voters: readonly VmId[];
+  readonly peers: PeerCaller;
+  /** Proposes at this VM, where it is a voter. */
+  readonly proposeHere:
+    ((command: CellCommand) => Promise<ProposeReply>) | null;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Time after which a write is given up, in ms. */
+  readonly giveUpMs: number;
+  /** Writes that may wait at once. */
+  readonly maxWaiting: number;
+}
+
+const RETRY_PAUSE_MS = 100;
+
+/**
+ * Brings writes to the leader. Every command may be sent again, because the
+ * cell state answers a repeated one as it did the first.
+ */
+export class Proposer {
+  private leader: VmId | null = null;
+  private waiting = 0;
+
+  constructor(private readonly options: ProposerOptions) {}
+
+  /**
+   * Proposes a command until it is answered or given up.
+   * @throws CellError `log_unavailable` when it was certainly not accepted, or `log_outcome_unknown`.
+   */
+  async propose(command: CellCommand): Promise<CellResult> {
+    if (this.waiting >= this.options.maxWaiting)
+      throw new CellError({code: 'log_overloaded', step: 'propose'});
+    this.waiting++;
+    try {
+      return await this.proposeUntilAnswered(command);
+    } finally {
+      this.waiting--;
+    }
+  }
+
+  private async proposeUntilAnswered(
+    command: CellCommand,
+  ): Promise<CellResult> {
+    const {clock, giveUpMs} = this.options;
+    const deadline = clock.now() + giveUpMs;
+    let mayBeAccepted = false;
+    for (let round = 0; ; round++) {
+      for (const vm of this.candidates()) {
+        const reply = await this.tryAt(vm, command);
+        if (reply.kind === 'result') return reply.result;
+        mayBeAccepted ||= reply.kind === 'unknown';
+        if (clock.now() >= deadline) throw this.giveUp(mayBeAccepted);
+        if (
+          reply.kind === 'not_leader' &&
+          reply.leader &&
+          reply.leader !== vm
+        ) {
+          this.leader = reply.leader;
+          break;
+        }
+      }
+      this.options.metrics.addRetry('proposal');
+      if (round > 0) await sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  private giveUp(mayBeAccepted: boolean): CellError {
+    const code: ReasonCode = mayBeAccepted
+      ? 'log_outcome_unknown'
+      : 'log_unavailable';
+    return new CellError({
+      code,
+      step: 'propose',
+      peer: this.leader ?? 'voters',
+    });
+  }
+
+  private candidates(): VmId[] {
+    const {voters} = this.options;
+    return this.leader
+      ? [this.leader, ...voters.filter(vm => vm !== this.leader)]
+      : [...voters];
+  }
+
+  private async tryAt(vm: VmId, command: CellCommand): Promise<Attempt> {
+    const {peers, proposeHere} = this.options;
+    const isHere = vm === this.options.vm;
+    if (isHere && !proposeHere) return {kind: 'not_leader', leader: null};
+    try {
+      const reply =
+        isHere && proposeHere
+          ? await proposeHere(command)
+          : await peers.call(vm, 'propose', {command});
+      return toAttempt(reply);
+    } catch (err) {
+      const isSent =
+        toCellError(err, 'propose', vm).code !== 'peer_unreachable';
+      if (this.leader === vm) this.leader = null;
+      return isSent ? {kind: 'unknown'} : {kind: 'not_leader', leader: null};
+    }
+  }
+}
+
+type Attempt =
+  | {readonly kind: 'result'; readonly result: CellResult}
+  | {readonly kind: 'not_leader'; readonly leader: VmId | null}
+  | {readonly kind: 'unknown'};
+
+const toAttempt = (reply: ProposeReply): Attempt => {
+  if (reply.kind !== 'refused') return reply;
+  return reply.error.outcome === 'unknown'
+    ? {kind: 'unknown'}
+    : {kind: 'not_leader', leader: null};
+};
+
+/**
+ * Proposes at the VM's own voter.
+ * @returns the answer in the form in which it is sent to other VMs.
+ */
+export const proposeAt = async (
+  propose: (command: CellCommand) => Promise<CellResult>,
+  leaderVm: () => VmId | null,
+  command: CellCommand,
+): Promise<ProposeReply> => {
+  try {
+    return {kind: 'result', result: await propose(command)};
+  } catch (err) {
+    const error = toCellError(err, 'propose');
+    if (error.code === 'not_leader')
+      return {kind: 'not_leader', leader: leaderVm()};
+    return {kind: 'refused', error: error.toBody()};
+  }
+};
--- /dev/null
+++ b/packages/coordination/src/replica/task.ts
@@ -0,0 +1,113 @@
+import {Subject} from 'rxjs';
+import {
+  asId,
+  assertNever,
+  jobOfTask,
+  type CellImage,
+  type CellResult,
+  type JobId,
+} from '@primrosewick/state';
+import type {
+  FollowEntry,
+  FollowReply,
+  FollowRequest,
+} from '@primrosewick/protocol';
+import type {Clock} from '@primrosewick/transport';
+import {Replica} from './core.js';
+
+/** What a change of the copy touched. */
+export interface ReplicaChange {
+  readonly index: number;
+  /** Jobs that changed, or `all` after an image. */
+  readonly jobs: readonly JobId[] | 'all';
+}
+
+/** Owns the copy of the cell state and tells the other tasks when it changes. */
+export class ReplicaTask {
+  readonly replica = new Replica();
+  /** Emits after each change. */
+  readonly changes = new Subject<ReplicaChange>();
+  private freshAt = Number.NEGATIVE_INFINITY;
+  private isOpen = false;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Whether the copy may be shown and used for decisions. */
+  get isReady(): boolean {
+    return this.isOpen;
+  }
+
+  /** Age of the last proof that the copy is current, in ms. */
+  get staleMs(): number {
+    return Math.max(0, this.clock.now() - this.freshAt);
+  }
+
+  /** Allows the copy to be shown from now on. */
+  open(): void {
+    if (this.isOpen) return;
+    this.isOpen = true;
+    this.changes.next({index: this.replica.index, jobs: 'all'});
+  }
+
+  /** Notes that the copy was current at a time of the monotonic clock. */
+  noteFresh(at: number): void {
+    this.freshAt = Math.max(this.freshAt, at);
+  }
+
+  /** Applies one entry and returns the answer to its command. */
+  apply(entry: FollowEntry): CellResult | undefined {
+    const result = this.replica.apply(entry);
+    this.changes.next({index: this.replica.index, jobs: changedJobs(entry)});
+    return result;
+  }
+
+  /** Takes over an image. */
+  restore(image: CellImage): void {
+    if (!this.replica.restore(image)) return;
+    this.changes.next({index: this.replica.index, jobs: 'all'});
+  }
+
+  /** Answers a VM that follows; waits for news up to the time it allows. */
+  async follow({sinceIndex, waitMs}: FollowRequest): Promise<FollowReply> {
+    if (!this.isOpen) return {kind: 'not_ready'};
+    if (this.replica.index <= sinceIndex) await this.waitForChange(waitMs);
+    return this.replica.replyTo(sinceIndex, this.staleMs);
+  }
+
+  private waitForChange(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        subscription.unsubscribe();
+        resolve();
+      };
+      const timer = setTimeout(finish, waitMs);
+      const subscription = this.changes.subscribe(finish);
+    });
+  }
+}
+
+/** Jobs that an entry may have changed. */
+const changedJobs = ({index, command}: FollowEntry): JobId[] => {
+  if (!command) return [];
+  const {body} = command;
+  switch (body.kind) {
+    case 'submit_job':
+      return [asId<JobId>(`job-${index}`)];
+    case 'cancel_job':
+      return [body.job];
+    case 'record_starts':
+      return [...new Set(body.tasks.map(jobOfTask))];
+    case 'finish_tasks':
+      return [...new Set(body.ends.map(end => jobOfTask(end.task)))];
+    case 'put_profile':
+    case 'put_service':
+    case 'set_service_state':
+    case 'set_quota':
+    case 'claim_key':
+    case 'settle_key':
+      return [];
+    default:
+      return assertNever(body);
+  }
+};
--- /dev/null
+++ b/packages/coordination/src/zone/task.ts
@@ -0,0 +1,339 @@
+/** Leads a zone while this VM holds its lease: lends slots and places tasks. */
+import {
+  PlacementCore,
+  ShareLedger,
+  keyOfOrder,
+  toCellError,
+  type CellCommand,
+  type Epoch,
+  type JobId,
+  type PlacementEffect,
+  type PlacementEvent,
+  type PlacementLimits,
+  type ShareAnswer,
+  type ShareEvent,
+  type ShareRequest,
+  type ShareTiming,
+  type StartTask,
+  type TaskId,
+  type VmId,
+  type WorkerAnswer,
+  type ZoneId,
+} from '@primrosewick/state';
+import type {
+  LeaderReply,
+  ShareGrant,
+  UpstreamAnnouncement,
+  UpstreamStatus,
+  WorkerAnnouncement,
+  WorkerOrders,
+  WorkerStatus,
+} from '@primrosewick/protocol';
+import {sleep, type Clock, type Metrics} from '@primrosewick/transport';
+import type {AuthorityTask} from '../authority/task.js';
+import type {ReplicaChange, ReplicaTask} from '../replica/task.js';
+import {zoneQuotas} from './quotas.js';
+import type {LogPort, Recorder, WorkerPort} from './types.js';
+
+/** Options of the task. */
+export interface ZoneTaskOptions {
+  readonly zone: ZoneId;
+  readonly authority: AuthorityTask;
+  readonly replica: ReplicaTask;
+  readonly log: LogPort;
+  readonly workers: WorkerPort;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly recorder: Recorder;
+  readonly shareTiming: ShareTiming;
+  readonly placementLimits: Partial<PlacementLimits>;
+  readonly taskLeaseMs: number;
+}
+
+/** State of one epoch. */
+interface Reign {
+  readonly epoch: Epoch;
+  readonly ledger: ShareLedger;
+  readonly placement: PlacementCore;
+}
+
+const TICK_MS = 100;
+const LOG_RETRY_MS = 500;
+
+/** Leads a zone while this VM holds its lease. */
+export class ZoneTask {
+  private reign: Reign | null = null;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ZoneTaskOptions) {
+    options.authority.changes.subscribe(change => {
+      if (change.kind === 'elected') this.begin(change.epoch);
+      else this.reign = null;
+    });
+    options.replica.changes.subscribe(change => this.onReplicaChange(change));
+  }
+
+  /** Starts the clock of the cores. */
+  start(): void {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  /** Stops the clock. */
+  stop(): void {
+    clearInterval(this.timer);
+    this.reign = null;
+  }
+
+  /** Renews the shares of an entry. */
+  syncShares(request: ShareRequest): LeaderReply<ShareGrant> {
+    const reign = this.currentReign();
+    if (!reign) return this.notLeader();
+    const openServices = this.options.replica.replica.state
+      .listServices()
+      .filter(({state}) => state === 'running')
+      .map(({service}) => service.name);
+    const answer = this.stepLedger(reign, {
+      kind: 'sync',
+      now: this.now,
+      request,
+      openServices,
+    });
+    return {
+      kind: 'ok',
+      value: {
+        ...answer,
+        epoch: reign.epoch,
+        leaseMs: this.options.shareTiming.shareMs,
+      },
+    };
+  }
+
+  /** Takes an announcement of an upstream. */
+  announceUpstream(
+    report: UpstreamAnnouncement,
+  ): LeaderReply<{readonly epoch: Epoch}> {
+    const reign = this.currentReign();
+    if (!reign) return this.notLeader();
+    this.stepLedger(reign, {kind: 'announce', now: this.now, report});
+    return {kind: 'ok', value: {epoch: reign.epoch}};
+  }
+
+  /** Takes an announcement of a worker. */
+  announceWorker(announcement: WorkerAnnouncement): LeaderReply<WorkerOrders> {
+    this.options.authority.noteEpoch(announcement.epoch);
+    const reign = this.currentReign();
+    if (!reign) return this.notLeader();
+    const effects = this.stepPlacement(reign, {
+      kind: 'report',
+      now: this.now,
+      report: announcement,
+    });
+    const answer = effects.find(effect => effect.kind === 'answer')?.answer;
+    return {
+      kind: 'ok',
+      value: ordersOf(reign.epoch, this.options.taskLeaseMs, answer),
+    };
+  }
+
+  /** Upstreams known to this leader. */
+  listUpstreams(): UpstreamStatus[] {
+    return this.currentReign()?.ledger.list(this.now) ?? [];
+  }
+
+  /** Workers known to this leader. */
+  listWorkers(): WorkerStatus[] {
+    const reign = this.currentReign();
+    if (!reign) return [];
+    return reign.placement.listWorkers().map(worker => ({
+      worker: worker.id,
+      rack: worker.rack,
+      state: reign.placement.isOpen(worker, this.now) ? 'open' : 'closed',
+      cpuMillis: worker.total.cpuMillis,
+      usedCpuMillis: worker.total.cpuMillis - worker.free.cpuMillis,
+      tasks: worker.reserved.size,
+    }));
+  }
+
+  private get now(): number {
+    return this.options.clock.now();
+  }
+
+  /** The present reign, if the lease still holds. */
+  private currentReign(): Reign | null {
+    const epoch = this.options.authority.epoch;
+    return this.reign && this.reign.epoch === epoch ? this.reign : null;
+  }
+
+  private notLeader(): {
+    readonly kind: 'not_leader';
+    readonly leader: VmId | null;
+  } {
+    return {kind: 'not_leader', leader: this.options.authority.leader};
+  }
+
+  private begin(epoch: Epoch): void {
+    const {shareTiming, placementLimits, recorder} = this.options;
+    const startedAt = this.now;
+    const placementOptions = {epoch, startedAt, limits: placementLimits};
+    const ledgerOptions = {startedAt, timing: shareTiming};
+    const reign = {
+      epoch,
+      ledger: new ShareLedger(ledgerOptions),
+      placement: new PlacementCore(placementOptions),
+    };
+    recorder.start('shares', ledgerOptions);
+    recorder.start('placement', placementOptions);
+    this.reign = reign;
+    this.feedJobs('all');
+    void this.findBarrier(reign);
+  }
+
+  /** Learns which jobs were accepted before this epoch began. */
+  private async findBarrier(reign: Reign): Promise<void> {
+    while (this.reign === reign) {
+      const index = await this.options.log.readIndex();
+      if (index !== undefined) {
+        this.stepPlacement(reign, {kind: 'barrier', now: this.now, index});
+        return;
+      }
+      await sleep(LOG_RETRY_MS);
+    }
+  }
+
+  private tick(): void {
+    const reign = this.currentReign();
+    if (!reign) return;
+    this.stepLedger(reign, {kind: 'expire', now: this.now});
+    this.stepPlacement(reign, {kind: 'tick', now: this.now});
+  }
+
+  private onReplicaChange({jobs}: ReplicaChange): void {
+    if (this.reign) this.feedJobs(jobs);
+  }
+
+  private feedJobs(jobs: readonly JobId[] | 'all'): void {
+    const {reign} = this;
+    if (!reign || jobs.length === 0) return;
+    const {state} = this.options.replica.replica;
+    const records =
+      jobs === 'all' ? state.listJobs() : jobs.map(id => state.getJob(id));
+    this.stepPlacement(reign, {
+      kind: 'quotas',
+      now: this.now,
+      quotas: zoneQuotas(state, this.options.zone),
+    });
+    for (const job of records) {
+      if (job?.homeZone !== this.options.zone) continue;
+      this.stepPlacement(reign, {
+        kind: 'job',
+        now: this.now,
+        job,
+        index: state.index,
+      });
+    }
+  }
+
+  private stepLedger(reign: Reign, event: ShareEvent): ShareAnswer {
+    const outcome = reign.ledger.step(event);
+    this.options.recorder.record({core: 'shares', event, outcome, notes: []});
+    return outcome;
+  }
+
+  private stepPlacement(
+    reign: Reign,
+    event: PlacementEvent,
+  ): readonly PlacementEffect[] {
+    const {effects, notes} = reign.placement.step(event);
+    this.options.recorder.record({
+      core: 'placement',
+      event,
+      outcome: effects,
+      notes,
+    });
+    for (const effect of effects) this.carryOut(reign, effect);
+    return effects;
+  }
+
+  private carryOut(reign: Reign, effect: PlacementEffect): void {
+    const {metrics} = this.options;
+    switch (effect.kind) {
+      case 'start':
+        return void this.startTask(reign, effect.order);
+      case 'record_starts':
+        return void this.recordStarts(reign, effect.tasks);
+      case 'finish':
+        return void this.commit(reign, {
+          kind: 'finish_tasks',
+          ends: effect.ends,
+        });
+      case 'retry':
+        return metrics.addRetry(effect.why);
+      case 'set_aside':
+        return metrics.addChange('worker_set_aside');
+      case 'answer':
+        return;
+    }
+  }
+
+  private async startTask(reign: Reign, order: StartTask): Promise<void> {
+    if (this.currentReign() !== reign) return;
+    const result = await this.options.workers.start(
+      order,
+      reign.epoch,
+      this.options.taskLeaseMs,
+    );
+    if (result === 'accepted' || this.currentReign() !== reign) return;
+    const key = keyOfOrder(order);
+    this.stepPlacement(reign, {
+      kind: 'start_refused',
+      now: this.now,
+      key,
+      isDefinite: result === 'refused',
+    });
+  }
+
+  private async recordStarts(
+    reign: Reign,
+    tasks: readonly TaskId[],
+  ): Promise<void> {
+    const isRecorded = await this.commit(reign, {kind: 'record_starts', tasks});
+    if (isRecorded)
+      this.stepPlacement(reign, {
+        kind: 'starts_recorded',
+        now: this.now,
+        tasks,
+      });
+  }
+
+  /** Commits a command, again and again until it succeeds or the reign ends. */
+  private async commit(
+    reign: Reign,
+    body: CellCommand['body'],
+  ): Promise<boolean> {
+    while (this.reign === reign) {
+      try {
+        await this.options.log.propose({at: this.options.clock.wall(), body});
+        return this.currentReign() === reign;
+      } catch (err) {
+        this.options.metrics.addRefusal(
+          toCellError(err, 'commit').code,
+          body.kind,
+        );
+        await sleep(LOG_RETRY_MS);
+      }
+    }
+    return false;
+  }
+}
+
+const ordersOf = (
+  epoch: Epoch,
+  leaseMs: number,
+  answer: WorkerAnswer | undefined,
+): WorkerOrders => ({
+  epoch,
+  leaseMs,
+  renewed: [...(answer?.renewed ?? [])],
+  stop: [...(answer?.stop ?? [])],
+  acknowledged: [...(answer?.acknowledged ?? [])],
+});
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,375 @@
+/** Puts the tasks of one VM together, and starts and stops them in order. */
+import {randomBytes, randomInt} from 'node:crypto';
+import type Logger from 'bunyan';
+import {
+  AuthorityTask,
+  EntryTask,
+  FollowTask,
+  HttpUpstreamPort,
+  KeyedRequests,
+  NO_RECORDER,
+  ReplicaTask,
+  ZoneTask,
+  followSources,
+  type LogPort,
+} from '@primrosewick/coordination';
+import {
+  ownVm,
+  type Settings,
+  type VmSettings,
+  type VmStatus,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  DEFAULT_SHARE_TIMING,
+  asId,
+  type HolderId,
+  type ShareRequest,
+} from '@primrosewick/state';
+import {
+  HttpServer,
+  Metrics,
+  PeerClient,
+  PeerServer,
+  sleep,
+  systemClock,
+  type HttpHandler,
+  type Route,
+} from '@primrosewick/transport';
+import {makeLogPort, votersByDistance} from './log_port.js';
+import {peerHandlers} from './peer_handlers.js';
+import {httpWorkerPort} from './ports/worker_port.js';
+import {clientRoutes} from './routes/client.js';
+import type {RouteContext} from './routes/context.js';
+import {operatorRoutes, tokenGuard} from './routes/operator.js';
+import {askLeader, platformRoutes} from './routes/platform.js';
+import {readToken} from './token.js';
+import {Voter} from './voter.js';
+
+const MAX_SEED = 2 ** 31 - 1;
+const BOOT_BYTES = 4;
+const DRAIN_STEP_MS = 20;
+/** Attempts without an end for this long count as lost, in ms. */
+const ATTEMPT_MS = 15 * 60 * 1000;
+
+const newSeed = (): number => randomInt(MAX_SEED);
+
+/** One daemon. */
+export class Daemon {
+  private readonly own: VmSettings;
+  private readonly boot = randomBytes(BOOT_BYTES).toString('hex');
+  private readonly holder: HolderId;
+  private readonly metrics = new Metrics();
+  private readonly clock = systemClock;
+  private readonly peers: PeerClient;
+  private readonly replica: ReplicaTask;
+  private readonly authority: AuthorityTask;
+  private readonly voter: Voter | null;
+  private readonly log: LogPort;
+  private readonly zone: ZoneTask;
+  private readonly upstreams: HttpUpstreamPort;
+  private readonly entry: EntryTask;
+  private readonly follow: FollowTask | null;
+  private readonly servers: HttpServer[];
+  private readonly peerServer: PeerServer;
+  private isStopping = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly logger: Logger,
+  ) {
+    this.own = ownVm(settings);
+    this.holder = asId<HolderId>(`${this.own.vm}.${this.boot}`);
+    this.peers = this.makePeers();
+    this.replica = new ReplicaTask(this.clock);
+    this.authority = this.makeAuthority();
+    this.voter = this.makeVoter();
+    this.log = this.makeLog();
+    this.zone = this.makeZone();
+    this.upstreams = this.makeUpstreams();
+    this.entry = this.makeEntry();
+    this.follow = this.makeFollow();
+    const context = this.makeContext();
+    this.servers = this.makeServers(context);
+    this.peerServer = this.makePeerServer();
+    this.logChanges();
+  }
+
+  /** Starts everything; resolves once the addresses are open. */
+  async start(): Promise<void> {
+    await this.voter?.open();
+    await this.peerServer.listen();
+    await Promise.all(this.servers.map(server => server.listen()));
+    this.authority.start();
+    this.zone.start();
+    this.entry.start();
+    void this.voter?.run();
+    void this.follow?.run();
+    this.logger.info({change: 'started', boot: this.boot}, 'started');
+  }
+
+  /** Stops gracefully: nothing that was accepted is cut off. */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    this.logger.info({change: 'stopping'}, 'stopping');
+    const closed = Promise.all(this.servers.map(server => server.close()));
+    await this.drain();
+    this.authority.resign();
+    await this.entry.stop();
+    this.zone.stop();
+    this.follow?.stop();
+    await this.voter?.close();
+    await Promise.race([closed, sleep(1000)]);
+    for (const server of this.servers) server.destroy();
+    this.peerServer.close();
+    this.peers.close();
+    this.upstreams.close();
+    this.logger.info({change: 'stopped'}, 'stopped');
+  }
+
+  private async drain(): Promise<void> {
+    const deadline = this.clock.now() + this.settings.timing.stopMs;
+    while (this.entry.open > 0 && this.clock.now() < deadline)
+      await sleep(DRAIN_STEP_MS);
+  }
+
+  private makePeers(): PeerClient {
+    const {cell, vms} = this.settings;
+    return new PeerClient({
+      cell,
+      vms,
+      vm: this.own.vm,
+      zone: this.own.zone,
+      onBytes: (scope, direction, bytes) =>
+        this.metrics.addPeerBytes(scope, direction, bytes),
+    });
+  }
+
+  private makeAuthority(): AuthorityTask {
+    const {vms, timing} = this.settings;
+    return new AuthorityTask({
+      own: this.own,
+      vms,
+      peers: this.peers,
+      clock: this.clock,
+      timing: {leaseMs: timing.zoneLeaseMs, renewMs: timing.zoneRenewMs},
+      seed: newSeed(),
+    });
+  }
+
+  private makeVoter(): Voter | null {
+    const {dataFolder} = this.settings;
+    if (!this.own.disk || !dataFolder) return null;
+    return new Voter({
+      settings: this.settings,
+      dataFolder,
+      boot: this.boot,
+      replica: this.replica,
+      peers: this.peers,
+      clock: this.clock,
+      seed: newSeed(),
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+  }
+
+  private makeLog(): LogPort {
+    const {own, settings, voter, peers, clock, metrics, boot} = this;
+    return makeLogPort({own, settings, voter, peers, clock, metrics, boot});
+  }
+
+  private makeZone(): ZoneTask {
+    const {timing} = this.settings;
+    return new ZoneTask({
+      zone: this.own.zone,
+      authority: this.authority,
+      replica: this.replica,
+      log: this.log,
+      workers: httpWorkerPort,
+      clock: this.clock,
+      metrics: this.metrics,
+      recorder: NO_RECORDER,
+      shareTiming: {
+        ...DEFAULT_SHARE_TIMING,
+        shareMs: timing.shareMs,
+        announceMs: timing.announceMs,
+      },
+      placementLimits: {
+        taskLeaseMs: timing.taskLeaseMs,
+        announceMs: timing.announceMs,
+      },
+      taskLeaseMs: timing.taskLeaseMs,
+    });
+  }
+
+  private makeUpstreams(): HttpUpstreamPort {
+    return new HttpUpstreamPort({
+      clock: this.clock,
+      maxAnswerBytes: this.settings.limits.answerBytes,
+      attemptMs: ATTEMPT_MS,
+    });
+  }
+
+  private makeEntry(): EntryTask {
+    const {settings} = this;
+    return new EntryTask({
+      zone: this.own.zone,
+      holder: this.holder,
+      replica: this.replica,
+      leader: {syncShares: request => this.syncShares(request)},
+      upstreams: this.upstreams,
+      clock: this.clock,
+      metrics: this.metrics,
+      recorder: NO_RECORDER,
+      limits: {maxRequests: settings.limits.requests},
+      syncMs: settings.timing.shareSyncMs,
+      connectionsOf: connections =>
+        Math.max(1, Math.floor(connections / settings.vms.length)),
+    });
+  }
+
+  private async syncShares(request: ShareRequest) {
+    const {authority, peers, settings} = this;
+    const value = await askLeader(
+      {authority, peers, settings},
+      'syncShares',
+      request,
+      () => this.zone.syncShares(request),
+    );
+    return {kind: 'ok' as const, value};
+  }
+
+  private makeFollow(): FollowTask | null {
+    if (this.own.disk) return null;
+    return new FollowTask({
+      replica: this.replica,
+      peers: this.peers,
+      clock: this.clock,
+      boot: this.boot,
+      sources: followSources(this.settings.vms, this.own),
+      voters: votersByDistance(this.settings, this.own),
+    });
+  }
+
+  private makeContext(): RouteContext {
+    const {
+      settings,
+      holder,
+      clock,
+      metrics,
+      peers,
+      replica,
+      log,
+      entry,
+      zone,
+      authority,
+    } = this;
+    const keyed = new KeyedRequests({
+      log,
+      clock,
+      serve: request => entry.serve(request),
+      onUnsettled: err => metrics.addRefusal(err.code, err.step),
+    });
+    return {
+      settings,
+      holder,
+      clock,
+      metrics,
+      peers,
+      replica,
+      log,
+      entry,
+      keyed,
+      zone,
+      authority,
+      consensus: () => this.voter?.task ?? null,
+      ownStatus: () => this.status(),
+      isStopping: () => this.isStopping,
+    };
+  }
+
+  private makeServers(context: RouteContext): HttpServer[] {
+    const {listen} = this.settings;
+    const token = readToken(this.settings.operatorTokenFile);
+    return [
+      this.makeServer(listen.client, clientRoutes(context)),
+      this.makeServer(listen.platform, platformRoutes(context)),
+      this.makeServer(
+        listen.operator,
+        operatorRoutes(context),
+        tokenGuard(token),
+      ),
+    ];
+  }
+
+  private makeServer(
+    address: string,
+    routes: Array<Route<HttpHandler>>,
+    guard?: ReturnType<typeof tokenGuard>,
+  ): HttpServer {
+    const onRefusal = (err: CellError): void =>
+      this.metrics.addRefusal(err.code, err.step);
+    return new HttpServer({
+      address,
+      routes,
+      guard,
+      onRefusal,
+      limits: this.settings.limits,
+    });
+  }
+
+  private makePeerServer(): PeerServer {
+    const handlers = peerHandlers({
+      own: this.own,
+      boot: this.boot,
+      replica: this.replica,
+      authority: this.authority,
+      zone: this.zone,
+      voter: this.voter,
+      status: () => this.status(),
+    });
+    return new PeerServer({
+      address: this.settings.listen.peer,
+      cell: this.settings.cell,
+      vm: this.own.vm,
+      handlers,
+      onRefusal: err => this.metrics.addRefusal(err.code, err.step),
+    });
+  }
+
+  private status(): VmStatus {
+    const {replica, authority, zone, entry} = this;
+    return {
+      vm: this.own.vm,
+      zone: this.own.zone,
+      boot: this.boot,
+      isReady: replica.isReady,
+      isStopping: this.isStopping,
+      appliedIndex: replica.replica.index,
+      staleMs: Number.isFinite(replica.staleMs)
+        ? Math.round(replica.staleMs)
+        : -1,
+      profiles: replica.replica.state
+        .listProfiles()
+        .map(({profile, revision}) => ({name: profile.name, revision})),
+      log: this.voter?.task?.logStatus ?? null,
+      zoneLeader: {vm: authority.leader, epoch: authority.highestEpoch},
+      upstreams: zone.listUpstreams(),
+      workers: zone.listWorkers(),
+      shares: entry.listShares(),
+      queued: entry.queued,
+      running: entry.open - entry.queued,
+    };
+  }
+
+  private logChanges(): void {
+    this.authority.changes.subscribe(change => {
+      this.metrics.addChange(`zone_leader_${change.kind}`);
+      this.logger.info(
+        {change: `zone_leader_${change.kind}`, ...change},
+        'zone leader changed',
+      );
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer_handlers.ts
@@ -0,0 +1,55 @@
+import type {
+  AuthorityTask,
+  ReplicaTask,
+  ZoneTask,
+} from '@primrosewick/coordination';
+import type {VmSettings, VmStatus} from '@primrosewick/protocol';
+import {proposeAt} from '@primrosewick/coordination';
+import type {PeerHandlers} from '@primrosewick/transport';
+import type {Voter} from './voter.js';
+
+/** What the handlers need of the daemon. */
+export interface PeerHandlerOptions {
+  readonly own: VmSettings;
+  readonly boot: string;
+  readonly replica: ReplicaTask;
+  readonly authority: AuthorityTask;
+  readonly zone: ZoneTask;
+  readonly voter: Voter | null;
+  readonly status: () => VmStatus;
+}
+
+/** Handlers of the methods that other daemons call. */
+export const peerHandlers = ({
+  own,
+  boot,
+  replica,
+  authority,
+  zone,
+  voter,
+  status,
+}: PeerHandlerOptions): PeerHandlers => ({
+  hello: async () => ({
+    vm: own.vm,
+    zone: own.zone,
+    boot,
+    node: voter?.node ?? null,
+    hasState: (voter?.hasState ?? false) || replica.replica.index > 0,
+  }),
+  consensus: async ({envelopes}) => {
+    voter?.receive(envelopes);
+    return {taken: voter !== null};
+  },
+  propose: async ({command}) =>
+    voter
+      ? proposeAt(voter.propose, () => voter.leaderVm, command)
+      : {kind: 'not_leader', leader: null},
+  readIndex: async () =>
+    voter ? voter.readIndex() : {kind: 'not_leader', leader: null},
+  follow: request => replica.follow(request),
+  authority: async (message, from) => authority.handle(from, message),
+  syncShares: async request => zone.syncShares(request),
+  announceUpstream: async report => zone.announceUpstream(report),
+  announceWorker: async report => zone.announceWorker(report),
+  status: async () => status(),
+});
--- /dev/null
+++ b/packages/daemon/src/routes/context.ts
@@ -0,0 +1,120 @@
+import type {
+  AuthorityTask,
+  ConsensusTask,
+  EntryTask,
+  KeyedRequests,
+  LogPort,
+  ReplicaTask,
+  ZoneTask,
+} from '@primrosewick/coordination';
+import type {Settings, VmStatus, WriteIdInput} from '@primrosewick/protocol';
+import {
+  CellError,
+  type CellResult,
+  type HolderId,
+  type WriteCommand,
+} from '@primrosewick/state';
+import type {
+  Clock,
+  HttpReply,
+  Metrics,
+  PeerCaller,
+} from '@primrosewick/transport';
+
+/** What the routes need of the daemon. */
+export interface RouteContext {
+  readonly settings: Settings;
+  readonly holder: HolderId;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly peers: PeerCaller;
+  readonly replica: ReplicaTask;
+  readonly log: LogPort;
+  readonly entry: EntryTask;
+  readonly keyed: KeyedRequests;
+  readonly zone: ZoneTask;
+  readonly authority: AuthorityTask;
+  /** The voter of this VM, once it takes part. */
+  readonly consensus: () => ConsensusTask | null;
+  readonly ownStatus: () => VmStatus;
+  readonly isStopping: () => boolean;
+}
+
+/** How far ahead of this VM's clock a write may claim to have been sent, in ms. */
+const MAX_CLOCK_AHEAD_MS = 60_000;
+/** Time for which an answer waits until this VM has applied the write, in ms. */
+const APPLY_WAIT_MS = 2000;
+
+/** Commits a write of an operator or client, and answers once it shows here. */
+export const commitWrite = async (
+  context: RouteContext,
+  write: WriteIdInput,
+  body: WriteCommand,
+): Promise<HttpReply> => {
+  const at = context.clock.wall();
+  if (write.firstSentAt > at + MAX_CLOCK_AHEAD_MS) {
+    throw new CellError({
+      code: 'invalid_input',
+      step: 'check-write',
+      peer: write.author,
+      detail: 'write.firstSentAt lies in the future',
+    });
+  }
+  if (context.isStopping())
+    throw new CellError({code: 'stopping', step: 'commit-write'});
+  const result = await context.log.propose({at, write, body});
+  if (!result.ok) throw CellError.fromBody(result.error);
+  await waitForIndex(context, result.index);
+  return replyOf(result);
+};
+
+const replyOf = (result: Extract<CellResult, {ok: true}>): HttpReply => ({
+  status: 200,
+  body: {index: result.index, ...result.value},
+});
+
+const waitForIndex = (context: RouteContext, index: number): Promise<void> =>
+  new Promise(resolve => {
+    const {replica} = context;
+    if (replica.replica.index >= index) return resolve();
+    const finish = (): void => {
+      clearTimeout(timer);
+      subscription.unsubscribe();
+      resolve();
+    };
+    const timer = setTimeout(finish, APPLY_WAIT_MS);
+    const subscription = replica.changes.subscribe(change => {
+      if (change.index >= index) finish();
+    });
+  });
+
+/**
+ * Answers a read with the age of what it shows.
+ * @throws CellError `starting` while the VM has no current state.
+ */
+export const readReply = (
+  context: RouteContext,
+  body: Readonly<Record<string, unknown>>,
+): HttpReply => {
+  const {replica} = context;
+  if (!replica.isReady) throw new CellError({code: 'starting', step: 'read'});
+  return {
+    status: 200,
+    body: {
+      index: replica.replica.index,
+      staleMs: Math.round(replica.staleMs),
+      ...body,
+    },
+  };
+};
+
+/** Checks that the name in a path is the one in the body. */
+export const checkName = (inPath: string | undefined, inBody: string): void => {
+  if (inPath === inBody) return;
+  throw new CellError({
+    code: 'invalid_input',
+    step: 'check-name',
+    peer: 'client',
+    detail: `the path names "${inPath}", the body "${inBody}"`,
+  });
+};
--- /dev/null
+++ b/packages/protocol/src/api/admin.ts
@@ -0,0 +1,77 @@
+/** Interface for operators, and the job interface shared with clients. */
+import {
+  jobSpecSchema,
+  nameSchema,
+  profileSchema,
+  serviceSchema,
+  serviceStateSchema,
+  type TeamName,
+} from '@primrosewick/state';
+import {z} from 'zod';
+
+const MAX_AUTHOR_LENGTH = 64;
+const MAX_REQUEST_ID_LENGTH = 128;
+const MAX_QUOTA_CPU_MILLIS = 1_000_000_000;
+
+/** Identifies a write so that a resend gets the first answer again. */
+export const writeIdSchema = z.strictObject({
+  author: z
+    .string()
+    .min(1)
+    .max(MAX_AUTHOR_LENGTH)
+    .describe('Operator or client that sends the write.'),
+  requestId: z
+    .string()
+    .min(1)
+    .max(MAX_REQUEST_ID_LENGTH)
+    .describe('Id of the write, unique for its author.'),
+  firstSentAt: z
+    .int()
+    .min(1)
+    .describe('Wall time at which the write was first sent, in ms since 1970.'),
+});
+
+const baseRevision = z
+  .int()
+  .min(0)
+  .describe('Revision that the author has seen; 0 to create.');
+
+/** Body of `PUT /v1/profiles/{name}`. */
+export const putProfileSchema = z.strictObject({
+  write: writeIdSchema,
+  baseRevision,
+  profile: profileSchema,
+});
+/** Body of `PUT /v1/services/{name}`. */
+export const putServiceSchema = z.strictObject({
+  write: writeIdSchema,
+  baseRevision,
+  service: serviceSchema,
+});
+/** Body of `POST /v1/services/{name}/state`. */
+export const setServiceStateSchema = z.strictObject({
+  write: writeIdSchema,
+  state: serviceStateSchema,
+});
+/** Body of `PUT /v1/quotas/{team}`. */
+export const setQuotaSchema = z.strictObject({
+  write: writeIdSchema,
+  team: nameSchema<TeamName>(),
+  cpuMillis: z
+    .int()
+    .min(0)
+    .max(MAX_QUOTA_CPU_MILLIS)
+    .describe(
+      'Processor share of all running tasks, in thousandths of a core.',
+    ),
+});
+/** Body of `POST /v1/jobs`. */
+export const submitJobSchema = z.strictObject({
+  write: writeIdSchema,
+  spec: jobSpecSchema,
+});
+/** Body of `POST /v1/jobs/{id}/cancel`. */
+export const cancelJobSchema = z.strictObject({write: writeIdSchema});
+
+/** Identifies a write. */
+export type WriteIdInput = z.output<typeof writeIdSchema>;
--- /dev/null
+++ b/packages/protocol/src/api/platform.ts
@@ -0,0 +1,176 @@
+/** Interface for upstreams and workers. */
+import {
+  asEpoch,
+  asId,
+  nameSchema,
+  type AttemptName,
+  type Branded,
+  type HolderId,
+  type TaskId,
+  sizeSchema,
+  taskOutcomeSchema,
+  type ServiceName,
+  type UpstreamId,
+  type WorkerId,
+  type ZoneId,
+} from '@primrosewick/state';
+import {z} from 'zod';
+import {addressSchema} from '../settings/types.js';
+
+const MAX_ID_LENGTH = 128;
+
+const idSchema = <T extends Branded<string, string>>() =>
+  z
+    .string()
+    .min(1)
+    .max(MAX_ID_LENGTH)
+    .transform(text => asId<T>(text));
+
+const MAX_SLOTS = 10_000;
+const MAX_CONNECTIONS = 100_000;
+const MAX_TASKS_PER_WORKER = 10_000;
+
+/** What an upstream says of itself, about once a second. */
+export const upstreamAnnouncementSchema = z.strictObject({
+  upstream: nameSchema<UpstreamId>().describe(
+    "Id chosen at the start of the upstream's process.",
+  ),
+  service: nameSchema<ServiceName>().describe(
+    'Service the upstream belongs to.',
+  ),
+  zone: nameSchema<ZoneId>().describe('Availability zone of the upstream.'),
+  address: addressSchema.describe('Address at which it serves HTTP.'),
+  slots: z
+    .int()
+    .min(1)
+    .max(MAX_SLOTS)
+    .describe('Requests it can serve at once.'),
+  connections: z
+    .int()
+    .min(1)
+    .max(MAX_CONNECTIONS)
+    .describe('Connections it accepts.'),
+  state: z
+    .enum(['serving', 'leaving'])
+    .describe('Whether it takes new requests.'),
+  seq: z.int().min(0).describe('Grows with each announcement of one process.'),
+  inFlight: z
+    .array(
+      z.strictObject({
+        holder: idSchema<HolderId>(),
+        requests: z.int().min(0).max(MAX_SLOTS),
+      }),
+    )
+    .max(1000)
+    .describe(
+      'Requests in flight by the value of their "primrosewick-holder" header.',
+    ),
+});
+
+/** State of one task at its worker. */
+export const taskReportSchema = z.strictObject({
+  task: idSchema<TaskId>().describe('Id of the task.'),
+  attempt: idSchema<AttemptName>().describe('Name of the attempt.'),
+  state: z
+    .enum(['running', 'stopping', 'ended'])
+    .describe('State of the attempt.'),
+  outcome: taskOutcomeSchema.optional().describe('How the attempt ended.'),
+  usedCpuMillis: z
+    .int()
+    .min(0)
+    .default(0)
+    .describe('Processor share used of late, in thousandths of a core.'),
+  usedMemoryMb: z.int().min(0).default(0).describe('Memory in use, in MiB.'),
+  size: sizeSchema.describe('Size under which the task was started.'),
+  ranMs: z
+    .int()
+    .min(0)
+    .default(0)
+    .describe('Time since the start of the attempt, in ms.'),
+});
+
+/** What a worker says of itself, about once a second. */
+export const workerAnnouncementSchema = z.strictObject({
+  worker: nameSchema<WorkerId>().describe(
+    "Id chosen at the start of the worker's process.",
+  ),
+  zone: nameSchema<ZoneId>().describe('Availability zone of the worker.'),
+  rack: z.string().min(1).max(64).describe('Rack of the worker.'),
+  address: addressSchema.describe('Address at which it takes orders.'),
+  size: sizeSchema.describe('Capacity of the worker.'),
+  state: z.enum(['serving', 'leaving']).describe('Whether it takes new tasks.'),
+  seq: z.int().min(0).describe('Grows with each announcement of one process.'),
+  fence: z
+    .int()
+    .min(0)
+    .describe(
+      'The worker refuses orders whose "leaseSeq" is lower than this: the last announcement that was answered.',
+    ),
+  epoch: z
+    .int()
+    .min(0)
+    .transform(asEpoch)
+    .describe('Highest epoch of the zone that the worker has seen.'),
+  tasks: z
+    .array(taskReportSchema)
+    .max(MAX_TASKS_PER_WORKER)
+    .describe('Tasks not yet acknowledged as ended.'),
+});
+
+/** Order to start a task, sent to a worker. */
+export const startOrderSchema = z.strictObject({
+  epoch: z
+    .int()
+    .min(1)
+    .describe("Epoch of the zone's leader; older ones are refused."),
+  task: idSchema<TaskId>().describe('Id of the task.'),
+  attempt: idSchema<AttemptName>().describe('Name of the attempt.'),
+  command: z.string().describe('What to run.'),
+  size: sizeSchema.describe('Size of the task.'),
+  leaseSeq: z
+    .int()
+    .min(0)
+    .describe('Announcement from whose send time the lease counts.'),
+  leaseMs: z
+    .int()
+    .min(1)
+    .describe(
+      'Time from the send time of announcement "leaseSeq" after which the worker must stop the task, in ms.',
+    ),
+  runMs: z.int().min(1).describe('Declared run time, in ms.'),
+  graceMs: z
+    .int()
+    .min(0)
+    .describe('Time the task has to end after it is told to stop, in ms.'),
+});
+
+/** Answer of a leader to a worker's announcement. */
+export const workerOrdersSchema = z.strictObject({
+  epoch: z.int().min(1).describe("Epoch of the zone's leader."),
+  leaseMs: z
+    .int()
+    .min(1)
+    .describe(
+      'Lease of the tasks listed under "renewed", from the send time of the announcement, in ms.',
+    ),
+  renewed: z
+    .array(z.string())
+    .describe('Tasks whose lease is renewed, as "task#attempt".'),
+  stop: z.array(z.string()).describe('Tasks to stop, as "task#attempt".'),
+  acknowledged: z
+    .array(z.string())
+    .describe(
+      'Ended tasks that need not be reported again, as "task#attempt".',
+    ),
+});
+
+/** What an upstream says of itself. */
+export type UpstreamAnnouncement = z.output<typeof upstreamAnnouncementSchema>;
+/** What a worker says of itself. */
+export type WorkerAnnouncement = z.output<typeof workerAnnouncementSchema>;
+/** State of one task at its worker. */
+export type TaskReport = z.output<typeof taskReportSchema>;
+/** Order to start a task. */
+export type StartOrder = z.output<typeof startOrderSchema>;
+/** Answer of a leader to a worker's announcement. */
+export type WorkerOrders = z.output<typeof workerOrdersSchema>;
--- /dev/null
+++ b/packages/standins/src/demo/main.ts
@@ -0,0 +1,235 @@
+/**
+ * The main job, end to end, as separate processes on loopback: three zones,
+ * seven daemons, upstreams and workers. Exits with 1 when an expectation
+ * fails. `--stop SIGKILL` breaks the expectation of a planned stop.
+ */
+import {callJson} from '@primrosewick/transport';
+import {readArgs} from '../utils/args.js';
+import {Cell, freePorts, waitUntil, type CommandResult} from './cell.js';
+import {DEPOSIT_JOB, DEPOSIT_PROFILE, DESK_PROFILE} from './documents.js';
+
+const START_MS = 25_000;
+const args = readArgs(process.argv.slice(2));
+const stopSignal = (args.get('stop') ?? 'SIGTERM') as NodeJS.Signals;
+const failures: string[] = [];
+
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+const expect = (what: string, holds: boolean, detail = ''): void => {
+  say(
+    `${holds ? 'ok    ' : 'FAILED'} ${what}${holds || !detail ? '' : `: ${detail.trim()}`}`,
+  );
+  if (!holds) failures.push(what);
+};
+
+const expectDone = (what: string, result: CommandResult): void =>
+  expect(what, result.code === 0, result.stderr || result.stdout);
+
+const ZONES = ['krakow', 'nowy-targ', 'tarnow'];
+
+const cell = await Cell.create({
+  cell: 'malopolska',
+  vms: [
+    {vm: 'krk-1', zone: 'krakow', disk: true},
+    {vm: 'krk-2', zone: 'krakow', disk: false},
+    {vm: 'krk-3', zone: 'krakow', disk: false},
+    {vm: 'nt-1', zone: 'nowy-targ', disk: true},
+    {vm: 'nt-2', zone: 'nowy-targ', disk: false},
+    {vm: 'tar-1', zone: 'tarnow', disk: true},
+    {vm: 'tar-2', zone: 'tarnow', disk: false},
+  ],
+});
+
+interface StatusView {
+  readonly vms: ReadonlyArray<{
+    readonly vm: string;
+    readonly appliedIndex?: number;
+    readonly upstreams?: readonly unknown[];
+    readonly workers?: ReadonlyArray<{readonly state: string}>;
+  }>;
+}
+
+const status = async (): Promise<StatusView> => {
+  const {code, stdout} = await cell.operate('krk-2', ['status', '--json']);
+  return code === 0 ? (JSON.parse(stdout) as StatusView) : {vms: []};
+};
+
+const startDaemons = async (): Promise<void> => {
+  for (const {vm} of cell.vms) cell.startDaemon(vm);
+  const ready = await Promise.all(
+    cell.vms.map(({vm}) => cell.waitReady(vm, START_MS)),
+  );
+  expect('all 7 daemons are ready', ready.every(Boolean));
+};
+
+const standins: string[] = [];
+
+const startStandins = async (): Promise<void> => {
+  const ports = await freePorts(ZONES.length * 4);
+  ZONES.forEach((zone, z) => {
+    for (let i = 0; i < 2; i++) {
+      const entries = cell.platformsOf(zone);
+      const upstreamAddress = `127.0.0.1:${ports[4 * z + i]}`;
+      const workerAddress = `127.0.0.1:${ports[4 * z + 2 + i]}`;
+      cell.startStandin(`desk-${zone}-${i}`, 'upstream', {
+        zone,
+        entries,
+        address: upstreamAddress,
+        service: 'booking-desk',
+      });
+      cell.startStandin(`worker-${zone}-${i}`, 'worker', {
+        zone,
+        entries,
+        address: workerAddress,
+        rack: `rack-${i}`,
+      });
+      standins.push(upstreamAddress, workerAddress);
+    }
+  });
+  const isThere = await waitUntil(START_MS, async () => {
+    const {vms} = await status();
+    const upstreams = vms.reduce(
+      (sum, vm) => sum + (vm.upstreams?.length ?? 0),
+      0,
+    );
+    const workers = vms.reduce((sum, vm) => sum + (vm.workers?.length ?? 0), 0);
+    return upstreams === 6 && workers === 6;
+  });
+  expect('6 upstreams and 6 workers have announced themselves', isThere);
+};
+
+const configure = async (): Promise<void> => {
+  const desk = cell.writeDocument('desk.jsonc', DESK_PROFILE);
+  const deposits = cell.writeDocument('deposits.jsonc', DEPOSIT_PROFILE);
+  expectDone(
+    'an operator creates the profile booking-desk',
+    await cell.operate('krk-1', ['profile', 'put', desk]),
+  );
+  expectDone(
+    'an operator creates the profile deposit-run',
+    await cell.operate('nt-2', ['profile', 'put', deposits]),
+  );
+  expectDone(
+    'an operator creates the service booking-desk',
+    await cell.operate('tar-2', [
+      'service',
+      'put',
+      'booking-desk',
+      '--profile',
+      'booking-desk',
+    ]),
+  );
+  const second = await cell.operate('tar-1', ['profile', 'put', desk]);
+  expect(
+    'a second creation is refused as a conflict',
+    second.code === 1 && second.stderr.includes('revision_conflict'),
+    second.stderr,
+  );
+};
+
+const checkEntries = async (): Promise<void> => {
+  for (const {vm, client} of cell.vms) {
+    const result = await cell.runClient({
+      entries: client,
+      service: 'booking-desk',
+      count: '5',
+      parallel: '1',
+    });
+    expect(
+      `availability checks are answered through ${vm}`,
+      result.code === 0,
+      result.stdout + result.stderr,
+    );
+  }
+};
+
+const runDeposits = async (): Promise<void> => {
+  const job = cell.writeDocument('job.jsonc', DEPOSIT_JOB);
+  const result = await cell.operate('nt-1', ['job', 'submit', job, '--wait']);
+  expectDone('a deposit run is placed, runs and ends', result);
+  say(result.stdout.trim());
+};
+
+const stopOneEntry = async (): Promise<void> => {
+  const entries = cell.vms.map(({client}) => client).join(',');
+  const load = cell.runClient({
+    entries,
+    service: 'booking-desk',
+    count: '1500',
+    parallel: '12',
+    ms: '10',
+  });
+  await waitUntil(400, async () => false);
+  const code = await cell.signal('krk-2', stopSignal);
+  const result = await load;
+  expect(
+    `krk-2 ends by itself after ${stopSignal}`,
+    code === 0,
+    `exit code ${code}`,
+  );
+  expect(
+    'no request was lost while krk-2 stopped',
+    result.code === 0,
+    result.stdout + result.stderr,
+  );
+  say(result.stdout.trim());
+};
+
+interface Stats {
+  readonly overSlots?: number;
+  readonly overSize?: number;
+  readonly runs?: ReadonlyArray<{readonly task: string}>;
+}
+
+const checkStandins = async (): Promise<void> => {
+  const stats = await Promise.all(
+    standins.map(address =>
+      callJson<Stats>({
+        address,
+        method: 'GET',
+        path: '/stats',
+        timeoutMs: 3000,
+      }),
+    ),
+  );
+  expect(
+    'no upstream was ever given more than its slots',
+    stats.every(({overSlots}) => !overSlots),
+  );
+  expect(
+    'no worker was ever given more than its size',
+    stats.every(({overSize}) => !overSize),
+  );
+  const tasks = stats.flatMap(({runs}) => runs?.map(run => run.task) ?? []);
+  expect(
+    'each of the 4 deposit tasks ran exactly once',
+    tasks.length === 4 && new Set(tasks).size === 4,
+    tasks.join(' '),
+  );
+};
+
+const showStatus = async (): Promise<void> => {
+  const {code, stdout} = await cell.operate('tar-2', ['status']);
+  expect('status shows the cell', code === 0);
+  say(`\n${stdout}`);
+};
+
+try {
+  await startDaemons();
+  await startStandins();
+  await configure();
+  await checkEntries();
+  await runDeposits();
+  await stopOneEntry();
+  await checkStandins();
+  await showStatus();
+} finally {
+  if (args.has('keep')) say(`kept: ${cell.root}`);
+  else await cell.destroy();
+}
+say(
+  failures.length === 0
+    ? 'The demo did all that was expected.'
+    : `${failures.length} expectations failed.`,
+);
+process.exit(failures.length === 0 ? 0 : 1);
--- /dev/null
+++ b/packages/standins/src/upstream/core.ts
@@ -0,0 +1,80 @@
+/** What an upstream keeps track of: its slots, and what runs in them. */
+import type {HolderId} from '@primrosewick/state';
+
+/** One request under way. */
+export interface Running {
+  readonly attempt: string;
+  readonly holder: HolderId;
+  /** Ends the request early. */
+  readonly abort: () => void;
+}
+
+/** Counts of an upstream since its start. */
+export interface UpstreamCounts {
+  readonly served: number;
+  readonly mostAtOnce: number;
+  readonly overSlots: number;
+  readonly refusedWhileLeaving: number;
+}
+
+/** Slots of one upstream. */
+export class UpstreamCore {
+  private readonly running = new Map<string, Running>();
+  private served = 0;
+  private mostAtOnce = 0;
+  private overSlots = 0;
+  private refused = 0;
+  private seq = 0;
+  /** Whether the upstream takes no new requests. */
+  isLeaving = false;
+
+  constructor(readonly slots: number) {}
+
+  /** Takes a request in. */
+  begin(request: Running): void {
+    this.running.set(request.attempt, request);
+    this.mostAtOnce = Math.max(this.mostAtOnce, this.running.size);
+    if (this.running.size > this.slots) this.overSlots++;
+  }
+
+  /** Ends a request. */
+  end(attempt: string): void {
+    if (this.running.delete(attempt)) this.served++;
+  }
+
+  /** Ends a request early. */
+  abort(attempt: string): void {
+    const request = this.running.get(attempt);
+    this.running.delete(attempt);
+    request?.abort();
+  }
+
+  /** Counts a request that came while the upstream was leaving. */
+  addRefusal(): void {
+    this.refused++;
+  }
+
+  /** Requests under way. */
+  get size(): number {
+    return this.running.size;
+  }
+
+  /** Number of the next announcement. */
+  nextSeq(): number {
+    return ++this.seq;
+  }
+
+  /** Requests in flight by holder. */
+  inFlight(): Array<{holder: HolderId; requests: number}> {
+    const counts = new Map<HolderId, number>();
+    for (const {holder} of this.running.values())
+      counts.set(holder, (counts.get(holder) ?? 0) + 1);
+    return [...counts].map(([holder, requests]) => ({holder, requests}));
+  }
+
+  /** Counts since the start. */
+  counts(): UpstreamCounts {
+    const {served, mostAtOnce, overSlots, refused} = this;
+    return {served, mostAtOnce, overSlots, refusedWhileLeaving: refused};
+  }
+}
--- /dev/null
+++ b/packages/state/src/cell/jobs.ts
@@ -0,0 +1,93 @@
+import {CellError} from '../errors/cell_error.js';
+import {asId, type JobId, type TaskId} from '../ids/types.js';
+import type {CellLimits, JobRecord, TaskEnd} from './types.js';
+
+/** Id of a task from its job and position. */
+export const makeTaskId = (job: JobId, position: number): TaskId =>
+  asId<TaskId>(`${job}.${position}`);
+
+/** Job of a task. */
+export const jobOfTask = (task: TaskId): JobId =>
+  asId<JobId>(task.slice(0, task.lastIndexOf('.')));
+
+/** Position of a task within its job. */
+export const positionOfTask = (task: TaskId): number =>
+  Number(task.slice(task.lastIndexOf('.') + 1));
+
+/** Accepted jobs; the oldest ended ones are dropped beyond the bound. */
+export class JobTable {
+  private readonly jobs = new Map<JobId, JobRecord>();
+  private readonly ended: JobId[] = [];
+
+  constructor(private readonly limits: CellLimits) {}
+
+  /** Number of jobs that have not ended. */
+  get openCount(): number {
+    return this.jobs.size - this.ended.length;
+  }
+
+  /** @returns the job, or undefined. */
+  getJob(job: JobId): JobRecord | undefined {
+    return this.jobs.get(job);
+  }
+
+  /** All jobs kept, in order of acceptance. */
+  listJobs(): JobRecord[] {
+    return [...this.jobs.values()];
+  }
+
+  /**
+   * Adds an accepted job.
+   * @throws CellError `too_many_jobs`.
+   */
+  addJob(job: JobRecord): void {
+    if (this.openCount >= this.limits.maxOpenJobs) {
+      throw new CellError({code: 'too_many_jobs', step: 'add-job'});
+    }
+    this.jobs.set(job.id, job);
+  }
+
+  /**
+   * Marks a job as cancelled; a job that has ended stays as it is.
+   * @throws CellError `unknown_job`.
+   */
+  cancelJob(id: JobId): void {
+    const job = this.jobs.get(id);
+    if (!job) throw new CellError({code: 'unknown_job', step: 'cancel-job'});
+    if (job.state !== 'open') return;
+    this.jobs.set(id, {...job, state: 'cancelling'});
+  }
+
+  /** Records that a task is about to start. */
+  addStart(task: TaskId): void {
+    const job = this.jobs.get(jobOfTask(task));
+    if (!job || job.started.includes(task)) return;
+    this.jobs.set(job.id, {...job, started: [...job.started, task]});
+  }
+
+  /** Records the end of a task; the first recorded end stands. */
+  addEnd(end: TaskEnd): void {
+    const job = this.jobs.get(jobOfTask(end.task));
+    if (!job || job.ended.some(known => known.task === end.task)) return;
+    const ended = [...job.ended, end];
+    const isDone = ended.length === job.spec.taskCount;
+    this.jobs.set(job.id, {...job, ended, state: isDone ? 'done' : job.state});
+    if (isDone) this.addEndedJob(job.id);
+  }
+
+  /** Replaces the table by the jobs of an image. */
+  restore(jobs: readonly JobRecord[]): void {
+    this.jobs.clear();
+    this.ended.length = 0;
+    for (const job of jobs) this.jobs.set(job.id, job);
+    for (const job of jobs) if (job.state === 'done') this.ended.push(job.id);
+  }
+
+  private addEndedJob(id: JobId): void {
+    this.ended.push(id);
+    while (this.ended.length > this.limits.maxEndedJobs) {
+      const oldest = this.ended.shift();
+      if (oldest) this.jobs.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/packages/state/src/placement/context.ts
@@ -0,0 +1,178 @@
+import {jobOfTask} from '../cell/jobs.js';
+import type {TaskEnd} from '../cell/types.js';
+import type {TaskOutcome} from '../documents/job.js';
+import type {Epoch, TaskId} from '../ids/types.js';
+import type {DecisionNote} from '../requests/types.js';
+import {JobQueue} from './job_queue.js';
+import {
+  JobTable,
+  type JobView,
+  type PlacedTask,
+  type TaskState,
+} from './job_table.js';
+import {TeamQuotas} from './team_quotas.js';
+import {
+  attemptKeyOf,
+  type PlacementEffect,
+  type PlacementLimits,
+} from './types.js';
+import {WorkerTable} from './worker_table.js';
+
+/** Options shared by the parts of the core. */
+export interface ContextOptions {
+  readonly epoch: Epoch;
+  readonly startedAt: number;
+  readonly limits: PlacementLimits;
+}
+
+/** State shared by the parts of the placement core. */
+export class PlacementContext {
+  readonly epoch: Epoch;
+  readonly startedAt: number;
+  readonly limits: PlacementLimits;
+  readonly workers: WorkerTable;
+  readonly jobs = new JobTable();
+  readonly queue: JobQueue;
+  readonly quotas = new TeamQuotas();
+  now = 0;
+  /** Whether tasks or room have come since the last pass. */
+  isDirty = false;
+  /** Log index above which jobs were accepted in this epoch. */
+  barrier = Number.POSITIVE_INFINITY;
+  effects: PlacementEffect[] = [];
+  notes: DecisionNote[] = [];
+  private ends: TaskEnd[] = [];
+
+  constructor(options: ContextOptions) {
+    this.epoch = options.epoch;
+    this.startedAt = options.startedAt;
+    this.limits = options.limits;
+    this.workers = new WorkerTable(options.limits);
+    this.queue = new JobQueue(options.limits.ageingMs);
+  }
+
+  /** Adds a reason. */
+  note(subject: string, reason: string): void {
+    this.notes.push({subject, reason});
+  }
+
+  /** Time after which nothing that an earlier leader started can still run unseen. */
+  get waitOutDeadline(): number {
+    return this.startedAt + this.limits.taskLeaseMs + this.limits.marginMs;
+  }
+
+  /** Time after which a worker heard now must have stopped what it was not told to go on with. */
+  get leaseDeadline(): number {
+    return this.now + this.limits.taskLeaseMs + this.limits.marginMs;
+  }
+
+  /** Whether an earlier leader may have started tasks of a job that were not seen yet. */
+  isHeld(view: JobView): boolean {
+    return (
+      view.record.acceptedIndex <= this.barrier &&
+      this.now < this.waitOutDeadline
+    );
+  }
+
+  /** Whether an earlier leader recorded the start of a task that no worker has reported since. */
+  wasLeftUnseen({record, tasks}: JobView, task: TaskId): boolean {
+    return (
+      record.acceptedIndex <= this.barrier &&
+      record.started.includes(task) &&
+      !tasks.has(task)
+    );
+  }
+
+  /** Ends as unknown the tasks that must not run twice and may have run unseen. */
+  endUnseen(view: JobView): void {
+    if (view.record.profile.stopping.repeat.kind !== 'at_most_once') return;
+    for (const task of view.record.started) {
+      if (this.wasLeftUnseen(view, task)) this.end(view, task, 1, 'unknown');
+    }
+  }
+
+  /** Moves a task to a state and keeps the accounts of its team. */
+  setState(view: JobView, task: TaskId, state: TaskState): void {
+    const {team, size} = view.record.spec;
+    const wasPlaced = this.jobs.getState(view, task)?.kind === 'placed';
+    const isPlaced = state.kind === 'placed';
+    if (wasPlaced !== isPlaced)
+      this.quotas.add(team, isPlaced ? size.cpuMillis : -size.cpuMillis);
+    this.jobs.setState(view, task, state);
+    if (state.kind !== 'waiting') return;
+    this.queue.add(view, this.now);
+    this.isDirty = true;
+  }
+
+  /** Puts a task back in line. */
+  requeue(
+    view: JobView,
+    task: TaskId,
+    attempts: number,
+    notBefore: number,
+  ): void {
+    this.setState(view, task, {kind: 'waiting', notBefore, attempts});
+  }
+
+  /** Ends a task and reports the end to the cell log. */
+  end(
+    view: JobView,
+    task: TaskId,
+    attempt: number,
+    outcome: TaskOutcome,
+  ): void {
+    const end = {task, attempt, outcome};
+    this.setState(view, task, {kind: 'ended', end});
+    this.ends.push(end);
+    this.note(task, `ended: ${outcome} after ${attempt} attempts`);
+  }
+
+  /** Frees the room of a placed task. */
+  release(task: TaskId, state: PlacedTask): void {
+    const worker = this.workers.getWorker(state.worker);
+    if (!worker) return;
+    this.workers.release(worker, attemptKeyOf(task, state.attempt), this.now);
+    this.isDirty = true;
+  }
+
+  /** Decides what follows an attempt that failed or was lost. */
+  retryOrEnd(
+    view: JobView,
+    task: TaskId,
+    attempts: number,
+    why: 'task_failed' | 'task_lost',
+  ): void {
+    const {repeat} = view.record.profile.stopping;
+    const lastOutcome = why === 'task_failed' ? 'failed' : 'unknown';
+    if (view.record.state === 'cancelling') {
+      return this.end(
+        view,
+        task,
+        attempts,
+        why === 'task_failed' ? 'cancelled' : 'unknown',
+      );
+    }
+    if (repeat.kind === 'at_most_once' || attempts >= repeat.maxAttempts) {
+      return this.end(view, task, attempts, lastOutcome);
+    }
+    const backoffMs = repeat.backoffMs * 2 ** Math.min(attempts - 1, 10);
+    this.effects.push({kind: 'retry', task, why});
+    this.note(
+      task,
+      `attempt ${attempts} ${why === 'task_failed' ? 'failed' : 'was lost'}; the next waits ${backoffMs} ms`,
+    );
+    this.requeue(view, task, attempts, this.now + backoffMs);
+  }
+
+  /** @returns the job of a task, or undefined. */
+  jobOf(task: TaskId): JobView | undefined {
+    return this.jobs.getJob(jobOfTask(task));
+  }
+
+  /** Ends gathered since the last call. */
+  takeEnds(): TaskEnd[] {
+    const {ends} = this;
+    this.ends = [];
+    return ends;
+  }
+}
--- /dev/null
+++ b/packages/state/src/placement/job_table.ts
@@ -0,0 +1,140 @@
+import {positionOfTask} from '../cell/jobs.js';
+import type {JobRecord, TaskEnd} from '../cell/types.js';
+import type {JobId, TaskId, WorkerId} from '../ids/types.js';
+import {makeTaskId} from '../cell/jobs.js';
+import type {Size} from '../documents/job.js';
+import type {AttemptName} from './types.js';
+
+/** State of a task that differs from one that merely waits. */
+export type TaskState =
+  | {
+      readonly kind: 'waiting';
+      readonly notBefore: number;
+      readonly attempts: number;
+    }
+  | {readonly kind: 'recording'; readonly attempts: number}
+  | {
+      readonly kind: 'placed';
+      readonly attempts: number;
+      readonly attempt: AttemptName;
+      readonly worker: WorkerId;
+      readonly size: Size;
+      /** Announcement on which the start was based. */
+      readonly leaseSeq: number;
+      /** Time after which the worker must have stopped the task. */
+      readonly deadline: number;
+      /** Whether the worker has reported the attempt. */
+      readonly isSeen: boolean;
+      readonly stop: 'none' | 'cancel' | 'preempt';
+    }
+  | {readonly kind: 'ended'; readonly end: TaskEnd};
+
+/** A placed task. */
+export type PlacedTask = Extract<TaskState, {kind: 'placed'}>;
+
+/** A job and the tasks that have left the plain waiting state. */
+export interface JobView {
+  record: JobRecord;
+  /** Log index at which this leader first saw the job. */
+  readonly index: number;
+  /** Time at which this leader first saw the job. */
+  readonly seenAt: number;
+  readonly tasks: Map<TaskId, TaskState>;
+  /** Positions before this one have left the plain waiting state. */
+  nextPosition: number;
+  /** Tasks that wait again after an attempt, or wait for their recorded start. */
+  readonly again: Set<TaskId>;
+  /** Time until which the job waits for tasks that it preempts. */
+  preemptingUntil: number;
+  /** Whether a reason for waiting was given since the last start. */
+  hasWaitNote: boolean;
+}
+
+/** Jobs of one zone that have not ended. */
+export class JobTable {
+  private readonly jobs = new Map<JobId, JobView>();
+
+  /** @returns a job, or undefined. */
+  getJob(id: JobId): JobView | undefined {
+    return this.jobs.get(id);
+  }
+
+  /** All jobs, in order of acceptance. */
+  listJobs(): IterableIterator<JobView> {
+    return this.jobs.values();
+  }
+
+  /** Adds a job or takes over its new record. */
+  putJob(record: JobRecord, index: number, now: number): JobView {
+    const known = this.jobs.get(record.id);
+    const view = known ?? newView(record, index, now);
+    view.record = record;
+    this.jobs.set(record.id, view);
+    for (const end of record.ended)
+      this.setState(view, end.task, {kind: 'ended', end});
+    return view;
+  }
+
+  /** Drops a job that has ended. */
+  removeJob(id: JobId): void {
+    this.jobs.delete(id);
+  }
+
+  /** State of a task, or undefined while it merely waits. */
+  getState(view: JobView, task: TaskId): TaskState | undefined {
+    return view.tasks.get(task);
+  }
+
+  /** Moves a task to a state. */
+  setState(view: JobView, task: TaskId, state: TaskState): void {
+    view.tasks.set(task, state);
+    if (state.kind === 'waiting') view.again.add(task);
+    else view.again.delete(task);
+  }
+
+  /** Tasks that could start now, at most `count`. */
+  listStartable(view: JobView, now: number, count: number): TaskId[] {
+    const tasks: TaskId[] = [];
+    for (const task of view.again) {
+      if (tasks.length === count) return tasks;
+      const state = view.tasks.get(task);
+      if (state?.kind === 'waiting' && state.notBefore <= now) tasks.push(task);
+    }
+    return [...tasks, ...this.listFresh(view, count - tasks.length)];
+  }
+
+  /** Whether any task of a job waits to be started. */
+  hasWaiting(view: JobView): boolean {
+    return view.again.size > 0 || this.listFresh(view, 1).length > 0;
+  }
+
+  private listFresh(view: JobView, count: number): TaskId[] {
+    const {record, tasks} = view;
+    const fresh: TaskId[] = [];
+    for (
+      let at = view.nextPosition;
+      at < record.spec.taskCount && fresh.length < count;
+      at++
+    ) {
+      const task = makeTaskId(record.id, at);
+      if (!tasks.has(task)) fresh.push(task);
+      else if (at === view.nextPosition) view.nextPosition++;
+    }
+    return fresh;
+  }
+}
+
+const newView = (record: JobRecord, index: number, now: number): JobView => ({
+  record,
+  index,
+  seenAt: now,
+  tasks: new Map(),
+  nextPosition: 0,
+  again: new Set(),
+  preemptingUntil: 0,
+  hasWaitNote: false,
+});
+
+/** Orders tasks of one job by their position. */
+export const byPosition = (a: TaskId, b: TaskId): number =>
+  positionOfTask(a) - positionOfTask(b);
--- /dev/null
+++ b/packages/state/src/placement/reports.ts
@@ -0,0 +1,237 @@
+import {jobOfTask} from '../cell/jobs.js';
+import type {TaskId} from '../ids/types.js';
+import type {PlacementContext} from './context.js';
+import type {JobView, PlacedTask, TaskState} from './job_table.js';
+import {
+  attemptKeyOf,
+  type AttemptKey,
+  type AttemptName,
+  type TaskView,
+  type WorkerAnswer,
+  type WorkerReport,
+} from './types.js';
+import type {Worker} from './worker_table.js';
+
+interface AnswerDraft {
+  readonly renewed: AttemptKey[];
+  readonly stop: AttemptKey[];
+  readonly acknowledged: AttemptKey[];
+}
+
+/** Takes in what workers report, and answers each announcement. */
+export class ReportHandler {
+  private draft: AnswerDraft = {renewed: [], stop: [], acknowledged: []};
+  /** Log index up to which jobs are known. */
+  appliedIndex = 0;
+
+  constructor(private readonly context: PlacementContext) {}
+
+  /**
+   * Handles one announcement.
+   * @returns the answer, or undefined for an announcement overtaken by a later one.
+   */
+  handle(report: WorkerReport): WorkerAnswer | undefined {
+    const {context} = this;
+    const worker = context.workers.addReport(report, context.now);
+    if (!worker) return undefined;
+    this.draft = {renewed: [], stop: [], acknowledged: []};
+    const listed = new Set<AttemptKey>();
+    for (const view of report.tasks) {
+      listed.add(attemptKeyOf(view.task, view.attempt));
+      if (view.state === 'ended') this.onEnded(worker, view);
+      else this.onRunning(worker, view);
+    }
+    this.dropUnlisted(worker, listed);
+    context.isDirty = true;
+    return this.draft;
+  }
+
+  private onRunning(worker: Worker, view: TaskView): void {
+    const {context} = this;
+    const key = attemptKeyOf(view.task, view.attempt);
+    if (!worker.reserved.has(key))
+      context.workers.reserve(worker, key, view.size, context.now);
+    context.workers.raise(worker, key, usedBy(view), context.now);
+    const job = context.jobOf(view.task);
+    if (!job) return this.onRunningOfUnknownJob(view.task, key);
+    const state = context.jobs.getState(job, view.task);
+    if (!this.isAdoptable(state, view.attempt))
+      return void this.draft.stop.push(key);
+    const placed = this.adopt(job, worker, view, state);
+    this.draft.renewed.push(key);
+    if (placed.stop !== 'none') this.draft.stop.push(key);
+  }
+
+  /** A job above the known index may be accepted and only not applied here yet. */
+  private onRunningOfUnknownJob(task: TaskId, key: AttemptKey): void {
+    if (this.isGone(task)) this.draft.stop.push(key);
+    else this.draft.renewed.push(key);
+  }
+
+  private isGone(task: TaskId): boolean {
+    const index = Number(jobOfTask(task).replace('job-', ''));
+    return index <= this.appliedIndex;
+  }
+
+  private isAdoptable(
+    state: TaskState | undefined,
+    attempt: AttemptName,
+  ): boolean {
+    if (!state || state.kind === 'waiting' || state.kind === 'recording')
+      return true;
+    return state.kind === 'placed' && state.attempt === attempt;
+  }
+
+  private adopt(
+    job: JobView,
+    worker: Worker,
+    view: TaskView,
+    state: TaskState | undefined,
+  ): PlacedTask {
+    const {context} = this;
+    const before = state?.kind === 'placed' ? state : undefined;
+    const isCancelled = job.record.state === 'cancelling';
+    const placed: PlacedTask = {
+      kind: 'placed',
+      attempts: before?.attempts ?? 1,
+      attempt: view.attempt,
+      worker: worker.id,
+      size: view.size,
+      leaseSeq: before?.leaseSeq ?? worker.report.seq,
+      deadline: context.leaseDeadline,
+      isSeen: true,
+      stop: isCancelled ? 'cancel' : (before?.stop ?? 'none'),
+    };
+    context.setState(job, view.task, placed);
+    if (!before)
+      context.note(
+        view.task,
+        `attempt ${view.attempt} is taken over: ${worker.id} reports it running`,
+      );
+    return placed;
+  }
+
+  private onEnded(worker: Worker, view: TaskView): void {
+    const {context} = this;
+    const key = attemptKeyOf(view.task, view.attempt);
+    context.workers.release(worker, key, context.now);
+    const job = context.jobOf(view.task);
+    if (!job) {
+      if (this.isGone(view.task)) this.draft.acknowledged.push(key);
+      return;
+    }
+    const state = context.jobs.getState(job, view.task);
+    if (this.isAdoptable(state, view.attempt))
+      this.settle(job, worker, view, state);
+    if (this.isSettled(job, view)) this.draft.acknowledged.push(key);
+  }
+
+  /** An end needs no further report once it is recorded, or another attempt follows. */
+  private isSettled(job: JobView, {task, attempt}: TaskView): boolean {
+    const state = this.context.jobs.getState(job, task);
+    if (state?.kind === 'ended')
+      return job.record.ended.some(end => end.task === task);
+    return state?.kind !== 'placed' || state.attempt !== attempt;
+  }
+
+  private settle(
+    job: JobView,
+    worker: Worker,
+    view: TaskView,
+    state: TaskState | undefined,
+  ): void {
+    const {context} = this;
+    const attempts = attemptsOf(state);
+    const stop = state?.kind === 'placed' ? state.stop : 'none';
+    switch (view.outcome) {
+      case 'succeeded':
+        context.workers.addSuccess(worker, context.now);
+        return context.end(job, view.task, attempts, 'succeeded');
+      case 'cancelled':
+        return this.settleStopped(job, view.task, attempts, stop);
+      case 'failed':
+        this.noteFailure(worker, view.task);
+        return context.retryOrEnd(job, view.task, attempts, 'task_failed');
+      case 'unknown':
+      case undefined:
+        return context.retryOrEnd(job, view.task, attempts, 'task_lost');
+    }
+  }
+
+  /** A task that was stopped ends when it was cancelled, and waits again otherwise. */
+  private settleStopped(
+    job: JobView,
+    task: TaskId,
+    attempts: number,
+    stop: PlacedTask['stop'],
+  ): void {
+    const {context} = this;
+    if (stop === 'cancel' || job.record.state === 'cancelling')
+      return context.end(job, task, attempts, 'cancelled');
+    const canRepeat =
+      job.record.profile.stopping.repeat.kind === 'again' ||
+      job.record.profile.stopping.checkpoint;
+    if (!canRepeat) return context.end(job, task, attempts, 'cancelled');
+    context.note(task, 'stopped with its progress saved; waits again');
+    context.requeue(job, task, attempts - 1, context.now);
+  }
+
+  private noteFailure(worker: Worker, task: TaskId): void {
+    const {context} = this;
+    const until = context.workers.addFailure(
+      worker,
+      jobOfTask(task),
+      context.now,
+    );
+    if (until === undefined) return;
+    context.effects.push({kind: 'set_aside', worker: worker.id, until});
+    context.note(
+      worker.id,
+      `is set aside for ${Math.round(until - context.now)} ms: it failed tasks of different jobs without a success`,
+    );
+  }
+
+  /** Frees what the worker no longer names. */
+  private dropUnlisted(worker: Worker, listed: ReadonlySet<AttemptKey>): void {
+    const {context} = this;
+    for (const key of [...worker.reserved.keys()]) {
+      if (listed.has(key)) continue;
+      const [task, attempt] = key.split('#') as [TaskId, AttemptName];
+      const job = context.jobOf(task);
+      const state = job && context.jobs.getState(job, task);
+      const isPlaced = state?.kind === 'placed' && state.attempt === attempt;
+      if (job && isPlaced && !this.dropPlaced(job, worker, task, state))
+        continue;
+      context.workers.release(worker, key, context.now);
+    }
+  }
+
+  /** @returns whether the attempt is over. */
+  private dropPlaced(
+    job: JobView,
+    worker: Worker,
+    task: TaskId,
+    state: PlacedTask,
+  ): boolean {
+    const {context} = this;
+    if (state.isSeen) {
+      context.retryOrEnd(job, task, state.attempts, 'task_lost');
+      return true;
+    }
+    if (worker.report.fence <= state.leaseSeq) return false;
+    context.note(task, `attempt ${state.attempt} never reached ${worker.id}`);
+    context.requeue(job, task, state.attempts - 1, context.now);
+    return true;
+  }
+}
+
+const attemptsOf = (state: TaskState | undefined): number => {
+  if (!state || state.kind === 'ended') return 1;
+  return Math.max(1, state.attempts);
+};
+
+const usedBy = (view: TaskView) => ({
+  cpuMillis: view.usedCpuMillis,
+  memoryMb: view.usedMemoryMb,
+  accelerators: 0,
+});
--- /dev/null
+++ b/packages/state/src/placement/team_quotas.ts
@@ -0,0 +1,28 @@
+import type {QuotaRecord} from '../cell/types.js';
+import type {TeamName} from '../ids/types.js';
+
+/** Processor share that the tasks of each team take up, against its quota. */
+export class TeamQuotas {
+  private limits = new Map<TeamName, number>();
+  private readonly used = new Map<TeamName, number>();
+
+  /** Replaces the quotas; a team without one is not bounded. */
+  setLimits(quotas: readonly QuotaRecord[]): void {
+    this.limits = new Map(quotas.map(({team, cpuMillis}) => [team, cpuMillis]));
+  }
+
+  /** Whether a team may start one more task of a size. */
+  allows(team: TeamName, cpuMillis: number): boolean {
+    const limit = this.limits.get(team);
+    return limit === undefined || this.usedBy(team) + cpuMillis <= limit;
+  }
+
+  /** Adds to what a team uses; negative to give back. */
+  add(team: TeamName, cpuMillis: number): void {
+    this.used.set(team, this.usedBy(team) + cpuMillis);
+  }
+
+  private usedBy(team: TeamName): number {
+    return this.used.get(team) ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/state/src/placement/worker_index.ts
@@ -0,0 +1,121 @@
+import type {Size} from '../documents/job.js';
+import {fits} from './sizes.js';
+
+/** What the index must know of a worker. */
+export interface Indexed {
+  readonly rack: string;
+  readonly total: Size;
+  /** Room left on the worker. */
+  free: Size;
+}
+
+const BUCKET_CPU_MILLIS = 1000;
+const BUCKET_COUNT = 129;
+const MAX_CANDIDATES = 8;
+
+const bucketOf = (cpuMillis: number): number =>
+  Math.max(
+    0,
+    Math.min(BUCKET_COUNT - 1, Math.floor(cpuMillis / BUCKET_CPU_MILLIS)),
+  );
+
+/**
+ * Workers by free processor share, so that the best fit is found without
+ * looking at every worker. Workers with accelerators are kept apart and
+ * serve other tasks last.
+ */
+export class WorkerIndex<W extends Indexed> {
+  private readonly plain = new Buckets<W>();
+  private readonly accelerated = new Buckets<W>();
+
+  /** Adds a worker, or moves it after its room has changed. */
+  put(worker: W): void {
+    this.bucketsOf(worker).put(worker);
+  }
+
+  /** Removes a worker. */
+  remove(worker: W): void {
+    this.bucketsOf(worker).remove(worker);
+  }
+
+  /** @returns the worker on which the task leaves least room, or undefined. */
+  findTightest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
+    const plain =
+      size.accelerators === 0
+        ? this.plain.findTightest(size, isAllowed)
+        : undefined;
+    return plain ?? this.accelerated.findTightest(size, isAllowed);
+  }
+
+  /** @returns the worker on which the task leaves most room, or undefined. */
+  findLoosest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
+    const plain =
+      size.accelerators === 0
+        ? this.plain.findLoosest(size, isAllowed)
+        : undefined;
+    return plain ?? this.accelerated.findLoosest(size, isAllowed);
+  }
+
+  private bucketsOf(worker: W): Buckets<W> {
+    return worker.total.accelerators > 0 ? this.accelerated : this.plain;
+  }
+}
+
+/** Workers of one kind by free processor share. */
+class Buckets<W extends Indexed> {
+  private readonly buckets = Array.from(
+    {length: BUCKET_COUNT},
+    () => new Set<W>(),
+  );
+  private readonly placeOf = new Map<W, number>();
+
+  put(worker: W): void {
+    const bucket = bucketOf(worker.free.cpuMillis);
+    if (this.placeOf.get(worker) === bucket) return;
+    this.remove(worker);
+    this.placeOf.set(worker, bucket);
+    this.buckets[bucket]?.add(worker);
+  }
+
+  remove(worker: W): void {
+    const bucket = this.placeOf.get(worker);
+    if (bucket === undefined) return;
+    this.placeOf.delete(worker);
+    this.buckets[bucket]?.delete(worker);
+  }
+
+  findTightest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
+    for (let at = bucketOf(size.cpuMillis); at < BUCKET_COUNT; at++) {
+      const found = this.bestOf(at, size, isAllowed, (a, b) => a - b);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
+  findLoosest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
+    for (let at = BUCKET_COUNT - 1; at >= bucketOf(size.cpuMillis); at--) {
+      const found = this.bestOf(at, size, isAllowed, (a, b) => b - a);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
+  private bestOf(
+    at: number,
+    size: Size,
+    isAllowed: (worker: W) => boolean,
+    compare: (a: number, b: number) => number,
+  ): W | undefined {
+    let best: W | undefined;
+    let seen = 0;
+    for (const worker of this.buckets[at] ?? []) {
+      if (!fits(size, worker.free) || !isAllowed(worker)) continue;
+      const isBetter =
+        !best || compare(worker.free.memoryMb, best.free.memoryMb) < 0;
+      if (isBetter) best = worker;
+      seen++;
+      if (seen === MAX_CANDIDATES) break;
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/state/src/placement/worker_table.ts
@@ -0,0 +1,166 @@
+import type {Size} from '../documents/job.js';
+import type {JobId, WorkerId} from '../ids/types.js';
+import {addSizes, maxSizes, subtractSizes, ZERO_SIZE} from './sizes.js';
+import type {AttemptKey, PlacementLimits, WorkerReport} from './types.js';
+import {WorkerIndex, type Indexed} from './worker_index.js';
+
+/** Evidence for or against a worker. */
+interface Evidence {
+  /** Jobs that failed here since the last success. */
+  readonly failedJobs: Set<JobId>;
+  /** Times the worker was set aside without a success since. */
+  rounds: number;
+  /** Time until which the worker gets no tasks. */
+  until: number;
+}
+
+/** One worker and what is reserved on it. */
+export interface Worker extends Indexed {
+  readonly id: WorkerId;
+  report: WorkerReport;
+  /** Time of the last announcement. */
+  reportedAt: number;
+  readonly reserved: Map<AttemptKey, Size>;
+  readonly evidence: Evidence;
+}
+
+/** The workers of one zone. */
+export class WorkerTable {
+  private readonly workers = new Map<WorkerId, Worker>();
+  private readonly index = new WorkerIndex<Worker>();
+
+  constructor(private readonly limits: PlacementLimits) {}
+
+  /** @returns a worker, or undefined. */
+  getWorker(id: WorkerId): Worker | undefined {
+    return this.workers.get(id);
+  }
+
+  /** All workers known. */
+  listWorkers(): Worker[] {
+    return [...this.workers.values()];
+  }
+
+  /**
+   * Notes an announcement.
+   * @returns the worker, or undefined when a later one was noted before.
+   */
+  addReport(report: WorkerReport, now: number): Worker | undefined {
+    const known = this.workers.get(report.worker);
+    if (known && report.seq <= known.report.seq) return undefined;
+    const worker = known ?? newWorker(report);
+    worker.report = report;
+    worker.reportedAt = now;
+    this.workers.set(worker.id, worker);
+    this.reindex(worker, now);
+    return worker;
+  }
+
+  /** Reserves room for an attempt; a second call changes its size. */
+  reserve(worker: Worker, key: AttemptKey, size: Size, now: number): void {
+    this.release(worker, key, now);
+    worker.reserved.set(key, size);
+    worker.free = subtractSizes(worker.free, size);
+    this.reindex(worker, now);
+  }
+
+  /** Frees the room of an attempt. */
+  release(worker: Worker, key: AttemptKey, now: number): void {
+    const size = worker.reserved.get(key);
+    if (!size) return;
+    worker.reserved.delete(key);
+    worker.free = addSizes(worker.free, size);
+    this.reindex(worker, now);
+  }
+
+  /** Raises a reservation to what the attempt is seen to use. */
+  raise(worker: Worker, key: AttemptKey, used: Size, now: number): void {
+    const size = worker.reserved.get(key);
+    if (!size) return;
+    const raised = maxSizes(size, used);
+    if (raised.cpuMillis > size.cpuMillis || raised.memoryMb > size.memoryMb)
+      this.reserve(worker, key, raised, now);
+  }
+
+  /** Notes a success, which clears the evidence against a worker. */
+  addSuccess(worker: Worker, now: number): void {
+    worker.evidence.failedJobs.clear();
+    worker.evidence.rounds = 0;
+    worker.evidence.until = 0;
+    this.reindex(worker, now);
+  }
+
+  /**
+   * Notes a failure.
+   * @returns the time until which the worker is now set aside, or undefined.
+   */
+  addFailure(worker: Worker, job: JobId, now: number): number | undefined {
+    const {evidence} = worker;
+    evidence.failedJobs.add(job);
+    const isOnTrial = evidence.rounds > 0;
+    if (!isOnTrial && evidence.failedJobs.size < this.limits.failuresToSetAside)
+      return undefined;
+    evidence.until =
+      now + this.limits.setAsideMs * 2 ** Math.min(evidence.rounds, 6);
+    evidence.rounds++;
+    evidence.failedJobs.clear();
+    this.reindex(worker, now);
+    return evidence.until;
+  }
+
+  /** Drops a worker that has gone and holds nothing. */
+  remove(worker: Worker): void {
+    this.workers.delete(worker.id);
+    this.index.remove(worker);
+  }
+
+  /** Brings workers whose time has come in or out of the index. */
+  refresh(now: number): void {
+    for (const worker of this.workers.values()) this.reindex(worker, now);
+  }
+
+  /** @returns the worker that is filled up most by the task, or undefined. */
+  findTightest(
+    size: Size,
+    isAllowed: (worker: Worker) => boolean,
+  ): Worker | undefined {
+    return this.index.findTightest(size, isAllowed);
+  }
+
+  /** @returns the worker with most room left, or undefined. */
+  findLoosest(
+    size: Size,
+    isAllowed: (worker: Worker) => boolean,
+  ): Worker | undefined {
+    return this.index.findLoosest(size, isAllowed);
+  }
+
+  /** Whether a worker may get new tasks at present. */
+  isOpen(worker: Worker, now: number): boolean {
+    const {report, reportedAt, evidence} = worker;
+    const isHeard = now < reportedAt + this.limits.announceMs;
+    const isTrialFull = evidence.rounds > 0 && worker.reserved.size > 0;
+    return (
+      report.state === 'serving' &&
+      isHeard &&
+      now >= evidence.until &&
+      !isTrialFull
+    );
+  }
+
+  private reindex(worker: Worker, now: number): void {
+    if (this.isOpen(worker, now)) this.index.put(worker);
+    else this.index.remove(worker);
+  }
+}
+
+const newWorker = (report: WorkerReport): Worker => ({
+  id: report.worker,
+  rack: report.rack,
+  total: report.size,
+  free: addSizes(report.size, ZERO_SIZE),
+  report,
+  reportedAt: 0,
+  reserved: new Map(),
+  evidence: {failedJobs: new Set(), rounds: 0, until: 0},
+});
--- /dev/null
+++ b/packages/state/src/requests/core.ts
@@ -0,0 +1,401 @@
+/**
+ * The request path of one entry: which request goes to which slot, which one
+ * waits, and which one is refused at once.
+ */
+import type {ReasonCode} from '../errors/reasons.js';
+import {REASONS} from '../errors/reasons.js';
+import type {RequestId, ServiceName, UpstreamId} from '../ids/types.js';
+import {assertNever} from '../utils/assert_never.js';
+import {ClassQueue} from './class_queue.js';
+import {RetryBudget} from './retry_budget.js';
+import {ShareTable, type HeldReport, type HeldSlots} from './share_table.js';
+import {
+  DEFAULT_REQUEST_LIMITS,
+  type Arrival,
+  type AttemptFailure,
+  type AttemptId,
+  type DecisionNote,
+  type RequestEffect,
+  type RequestEvent,
+  type RequestLimits,
+  type RequestStep,
+} from './types.js';
+import {ServiceTimes} from './service_times.js';
+
+interface OpenRequest {
+  readonly arrival: Arrival;
+  readonly arrivedAt: number;
+  attempts: number;
+  /** Attempt whose answer the client waits for; none while it queues. */
+  current: AttemptId | null;
+  dispatchedAt: number;
+  readonly tried: Set<UpstreamId>;
+}
+
+/** The request path of one entry. */
+export class RequestCore {
+  private readonly limits: RequestLimits;
+  private readonly shares = new ShareTable();
+  private readonly requests = new Map<RequestId, OpenRequest>();
+  private readonly requestOfAttempt = new Map<AttemptId, RequestId>();
+  private readonly queues = new Map<ServiceName, ClassQueue>();
+  private readonly times = new ServiceTimes();
+  private readonly budget: RetryBudget;
+  private now = 0;
+  private effects: RequestEffect[] = [];
+  private notes: DecisionNote[] = [];
+
+  constructor(limits: Partial<RequestLimits> = {}) {
+    this.limits = {...DEFAULT_REQUEST_LIMITS, ...limits};
+    this.budget = new RetryBudget({
+      ratio: this.limits.retryRatio,
+      burst: this.limits.retryBurst,
+    });
+  }
+
+  /** Handles one event. */
+  step(event: RequestEvent): RequestStep {
+    this.effects = [];
+    this.notes = [];
+    this.now = Math.max(this.now, event.now);
+    this.handle(event);
+    return {effects: this.effects, notes: this.notes};
+  }
+
+  /** Requests that wait for a slot. */
+  get queued(): number {
+    return [...this.queues.values()].reduce(
+      (sum, queue) => sum + queue.size,
+      0,
+    );
+  }
+
+  /** Requests held, waiting or running. */
+  get open(): number {
+    return this.requests.size;
+  }
+
+  /** Shares held, for status. */
+  listShares(): HeldSlots[] {
+    return this.shares.list();
+  }
+
+  /** Reports what is held of a lender, and returns idle slots. */
+  reportHeld(lender: string): HeldReport[] {
+    return this.shares.report(lender, service => this.wantOf(service));
+  }
+
+  /** Services with demand, and the slots that each wants. */
+  listWants(): Array<{service: ServiceName; slots: number}> {
+    const services = new Set([
+      ...this.queues.keys(),
+      ...this.shares.list().map(share => share.service),
+    ]);
+    return [...services].map(service => ({
+      service,
+      slots: this.wantOf(service),
+    }));
+  }
+
+  private wantOf(service: ServiceName): number {
+    const queued = this.queues.get(service)?.size ?? 0;
+    return this.shares.countBusy(service) + queued + this.limits.spareSlots;
+  }
+
+  private handle(event: RequestEvent): void {
+    switch (event.kind) {
+      case 'arrive':
+        return this.onArrive(event.arrival);
+      case 'shares':
+        this.shares.update(event.update);
+        return this.dispatchAll();
+      case 'answered':
+        return this.onAnswered(event.attempt);
+      case 'failed':
+        return this.onFailed(event.attempt, event.failure);
+      case 'ended':
+        return this.onEnded(event.attempt);
+      case 'cancel':
+        return this.onCancel(event.id);
+      case 'close_service':
+        return this.onCloseService(event.service);
+      case 'tick':
+        return this.onTick();
+      default:
+        return assertNever(event);
+    }
+  }
+
+  private onArrive(arrival: Arrival): void {
+    this.budget.addArrival();
+    const code = this.refusalOf(arrival);
+    if (code) return this.refuse(arrival.id, code, this.waitHint(arrival));
+    this.requests.set(arrival.id, {
+      arrival,
+      arrivedAt: this.now,
+      attempts: 0,
+      current: null,
+      dispatchedAt: 0,
+      tried: new Set(),
+    });
+    this.enqueue(arrival);
+    this.dispatch(arrival.service);
+    if (this.isQueued(arrival)) this.noteWait(arrival);
+  }
+
+  private refusalOf(arrival: Arrival): ReasonCode | undefined {
+    if (arrival.deadline <= this.now) return 'deadline_passed';
+    if (this.requests.size >= this.limits.maxRequests)
+      return 'too_many_requests';
+    if (this.findShare(arrival.service, new Set())) return undefined;
+    const queue = this.queueOf(arrival.service);
+    if (queue.sizeOf(arrival.cls) >= arrival.queueBound) return 'queue_full';
+    const canStartAt =
+      this.now +
+      this.expectedWait(arrival.service, queue.sizeAhead(arrival.priority));
+    return canStartAt + this.times.expected(arrival.service, arrival.cls) >
+      arrival.deadline
+      ? 'deadline_unreachable'
+      : undefined;
+  }
+
+  /** Time until a request with this many ahead of it gets a slot, in ms. */
+  private expectedWait(service: ServiceName, ahead: number): number {
+    const slots = this.shares.countSlots(service, this.now);
+    if (slots === 0) return 0;
+    return ((ahead + 1) * this.times.mean(service)) / slots;
+  }
+
+  private waitHint(arrival: Arrival): number {
+    const queue = this.queueOf(arrival.service);
+    return Math.ceil(this.expectedWait(arrival.service, queue.size));
+  }
+
+  private enqueue({id, service, cls, priority, deadline}: Arrival): void {
+    this.queueOf(service).add({id, cls, priority, deadline});
+  }
+
+  private isQueued({id, service}: Arrival): boolean {
+    return (
+      this.requests.get(id)?.current === null && this.queueOf(service).size > 0
+    );
+  }
+
+  private noteWait(arrival: Arrival): void {
+    const ahead = this.queueOf(arrival.service).sizeAhead(arrival.priority) - 1;
+    this.note(
+      arrival.id,
+      `waits in class ${arrival.cls} behind ${ahead}: no free slot of ${arrival.service} is held`,
+    );
+    this.effects.push({kind: 'borrow'});
+  }
+
+  // Dispatch.
+
+  private dispatchAll(): void {
+    for (const service of this.queues.keys()) this.dispatch(service);
+  }
+
+  private dispatch(service: ServiceName): void {
+    const queue = this.queueOf(service);
+    for (let next = queue.peek(); next; next = queue.peek()) {
+      const request = this.requests.get(next.id);
+      if (!request) {
+        queue.remove(next.id);
+        continue;
+      }
+      const share = this.findShare(service, request.tried);
+      if (!share) return;
+      queue.remove(next.id);
+      this.send(request, share);
+    }
+  }
+
+  /** The share with most free slots among those nearest, untried ones first. */
+  private findShare(
+    service: ServiceName,
+    tried: ReadonlySet<UpstreamId>,
+  ): HeldSlots | undefined {
+    const free = this.shares.listFree(
+      service,
+      this.now + this.limits.shareSafetyMs,
+    );
+    return free.reduce<HeldSlots | undefined>(
+      (best, share) => (best && !isBetter(share, best, tried) ? best : share),
+      undefined,
+    );
+  }
+
+  private send(request: OpenRequest, share: HeldSlots): void {
+    const {arrival} = request;
+    request.attempts++;
+    const attempt = `${arrival.id}/${request.attempts}`;
+    request.current = attempt;
+    request.dispatchedAt = this.now;
+    request.tried.add(share.upstream);
+    this.shares.addAttempt(attempt, share.upstream);
+    this.requestOfAttempt.set(attempt, arrival.id);
+    this.effects.push({
+      kind: 'dispatch',
+      id: arrival.id,
+      attempt,
+      upstream: share.upstream,
+      address: share.address,
+      shareDeadline: share.deadline - this.limits.shareSafetyMs,
+      waitMs: this.now - request.arrivedAt,
+    });
+    const free = share.slots - share.attempts.size;
+    this.note(
+      arrival.id,
+      `attempt ${request.attempts} goes to ${share.upstream} of ${share.lender}, which had most free slots (${free} left of ${share.slots})`,
+    );
+  }
+
+  // Ends of attempts.
+
+  private onAnswered(attempt: AttemptId): void {
+    const request = this.currentRequest(attempt);
+    this.release(attempt);
+    if (!request) this.effects.push({kind: 'drop_answer', attempt});
+    else this.deliver(request, attempt);
+    this.dispatchAll();
+  }
+
+  private deliver(request: OpenRequest, attempt: AttemptId): void {
+    const {service, cls, id} = request.arrival;
+    this.times.add(service, cls, this.now - request.dispatchedAt);
+    this.requests.delete(id);
+    this.effects.push({kind: 'deliver', id, attempt});
+    this.note(id, `answered by attempt ${request.attempts}`);
+  }
+
+  private onFailed(attempt: AttemptId, failure: AttemptFailure): void {
+    const request = this.currentRequest(attempt);
+    const hasEnded = failure === 'unreachable' || failure === 'refused';
+    if (!hasEnded) this.askToEnd(attempt);
+    else this.release(attempt);
+    if (request) this.retryOrRefuse(request, failure);
+    this.dispatchAll();
+  }
+
+  private askToEnd(attempt: AttemptId): void {
+    const address = this.shares.getByAttempt(attempt)?.address;
+    if (address) this.effects.push({kind: 'end_attempt', attempt, address});
+  }
+
+  private onEnded(attempt: AttemptId): void {
+    this.release(attempt);
+    this.dispatchAll();
+  }
+
+  private release(attempt: AttemptId): void {
+    this.shares.removeAttempt(attempt);
+    this.requestOfAttempt.delete(attempt);
+  }
+
+  private currentRequest(attempt: AttemptId): OpenRequest | undefined {
+    const id = this.requestOfAttempt.get(attempt);
+    const request = id === undefined ? undefined : this.requests.get(id);
+    return request?.current === attempt ? request : undefined;
+  }
+
+  private retryOrRefuse(request: OpenRequest, failure: AttemptFailure): void {
+    const {id} = request.arrival;
+    switch (failure) {
+      case 'unreachable':
+        return this.retry(request, 'unreachable', 'upstream_unreachable');
+      case 'refused':
+        return this.retry(request, 'refused_by_upstream', 'no_capacity');
+      case 'lost':
+        if (!request.arrival.isIdempotent)
+          return this.refuse(id, 'upstream_lost', 0);
+        return this.retry(request, 'lost_idempotent', 'upstream_lost');
+      case 'too_large':
+        return this.refuse(id, 'answer_too_large', 0);
+      default:
+        return assertNever(failure);
+    }
+  }
+
+  private retry(
+    request: OpenRequest,
+    why: 'unreachable' | 'refused_by_upstream' | 'lost_idempotent',
+    code: ReasonCode,
+  ): void {
+    const {arrival} = request;
+    const isLate = arrival.deadline <= this.now;
+    const isAllowed =
+      request.attempts < this.limits.maxAttempts &&
+      !isLate &&
+      this.budget.trySpend();
+    if (!isAllowed) return this.refuse(arrival.id, code, 0);
+    request.current = null;
+    this.enqueue(arrival);
+    this.effects.push({kind: 'retry', id: arrival.id, why});
+    this.note(
+      arrival.id,
+      `attempt ${request.attempts} failed (${why}); another may be made`,
+    );
+  }
+
+  // Ends of requests without an answer.
+
+  private onCancel(id: RequestId): void {
+    const request = this.requests.get(id);
+    if (!request) return;
+    this.refuse(id, 'client_gone', 0);
+  }
+
+  private onCloseService(service: ServiceName): void {
+    for (const {id} of this.queueOf(service).list())
+      this.refuse(id, 'service_not_running', 0);
+  }
+
+  private onTick(): void {
+    for (const {arrival, current} of [...this.requests.values()]) {
+      if (arrival.deadline > this.now) continue;
+      const code =
+        current === null ? 'deadline_unreachable' : 'upstream_timeout';
+      this.refuse(arrival.id, code, 0);
+    }
+    this.dispatchAll();
+  }
+
+  /** Ends a request; an attempt under way is asked to end and keeps its slot until then. */
+  private refuse(id: RequestId, code: ReasonCode, hintMs: number): void {
+    const request = this.requests.get(id);
+    if (request) {
+      this.queueOf(request.arrival.service).remove(id);
+      this.requests.delete(id);
+      if (request.current && this.requestOfAttempt.has(request.current))
+        this.askToEnd(request.current);
+    }
+    const retryAfterMs = Math.max(REASONS[code].retryAfterMs, hintMs);
+    this.effects.push({kind: 'refuse', id, code, retryAfterMs});
+    this.note(id, `refused: ${code} (${REASONS[code].meaning})`);
+  }
+
+  private queueOf(service: ServiceName): ClassQueue {
+    const known = this.queues.get(service);
+    if (known) return known;
+    const queue = new ClassQueue();
+    this.queues.set(service, queue);
+    return queue;
+  }
+
+  private note(subject: string, reason: string): void {
+    this.notes.push({subject, reason});
+  }
+}
+
+const isBetter = (
+  share: HeldSlots,
+  best: HeldSlots,
+  tried: ReadonlySet<UpstreamId>,
+): boolean => {
+  const isTried = tried.has(share.upstream);
+  if (isTried !== tried.has(best.upstream)) return !isTried;
+  if (share.roundTripMs !== best.roundTripMs)
+    return share.roundTripMs < best.roundTripMs;
+  return share.slots - share.attempts.size > best.slots - best.attempts.size;
+};
--- /dev/null
+++ b/packages/state/src/requests/share_table.ts
@@ -0,0 +1,142 @@
+import type {ServiceName, UpstreamId} from '../ids/types.js';
+import type {AttemptId, ShareUpdate} from './types.js';
+
+/** Slots of one upstream that the entry may use. */
+export interface HeldSlots {
+  readonly upstream: UpstreamId;
+  readonly service: ServiceName;
+  readonly address: string;
+  readonly lender: string;
+  readonly roundTripMs: number;
+  slots: number;
+  /** Time at which the share runs out. */
+  deadline: number;
+  /** Attempts whose end is not known. */
+  readonly attempts: Set<AttemptId>;
+}
+
+/** A share to be reported to its lender. */
+export interface HeldReport {
+  readonly upstream: UpstreamId;
+  readonly slots: number;
+}
+
+/** Shares of all services at one entry. */
+export class ShareTable {
+  private readonly held = new Map<UpstreamId, HeldSlots>();
+  private readonly upstreamOfAttempt = new Map<AttemptId, UpstreamId>();
+
+  /** Takes over the shares that a lender has answered. */
+  update({
+    lender,
+    shares,
+    deadline,
+    isComplete,
+    roundTripMs,
+  }: ShareUpdate): void {
+    const named = new Set(shares.map(share => share.upstream));
+    for (const share of this.held.values()) {
+      const isWithdrawn =
+        isComplete && share.lender === lender && !named.has(share.upstream);
+      if (isWithdrawn) share.slots = 0;
+    }
+    for (const {upstream, service, address, slots} of shares) {
+      const attempts =
+        this.held.get(upstream)?.attempts ?? new Set<AttemptId>();
+      this.held.set(upstream, {
+        upstream,
+        service,
+        address,
+        lender,
+        roundTripMs,
+        slots,
+        deadline,
+        attempts,
+      });
+    }
+    this.prune();
+  }
+
+  /** Upstreams of a service with a free slot whose share lasts beyond a time. */
+  listFree(service: ServiceName, until: number): HeldSlots[] {
+    return [...this.held.values()].filter(
+      share =>
+        share.service === service &&
+        share.attempts.size < share.slots &&
+        share.deadline > until,
+    );
+  }
+
+  /** Slots of a service whose shares last beyond a time. */
+  countSlots(service: ServiceName, until: number): number {
+    return this.ofService(service)
+      .filter(share => share.deadline > until)
+      .reduce((sum, share) => sum + share.slots, 0);
+  }
+
+  /** Attempts of a service whose end is not known. */
+  countBusy(service: ServiceName): number {
+    return this.ofService(service).reduce(
+      (sum, share) => sum + share.attempts.size,
+      0,
+    );
+  }
+
+  /** Takes a slot for an attempt. */
+  addAttempt(attempt: AttemptId, upstream: UpstreamId): void {
+    this.held.get(upstream)?.attempts.add(attempt);
+    this.upstreamOfAttempt.set(attempt, upstream);
+  }
+
+  /** Frees the slot of an attempt that is known to have ended. */
+  removeAttempt(attempt: AttemptId): void {
+    const upstream = this.upstreamOfAttempt.get(attempt);
+    this.upstreamOfAttempt.delete(attempt);
+    if (upstream !== undefined)
+      this.held.get(upstream)?.attempts.delete(attempt);
+    this.prune();
+  }
+
+  /** @returns the share that an attempt uses, or undefined. */
+  getByAttempt(attempt: AttemptId): HeldSlots | undefined {
+    const upstream = this.upstreamOfAttempt.get(attempt);
+    return upstream === undefined ? undefined : this.held.get(upstream);
+  }
+
+  /**
+   * Reports what is held of a lender, and returns the idle slots beyond the
+   * wanted number.
+   */
+  report(
+    lender: string,
+    wantOf: (service: ServiceName) => number,
+  ): HeldReport[] {
+    const left = new Map<ServiceName, number>();
+    const reports: HeldReport[] = [];
+    for (const share of this.held.values()) {
+      if (share.lender !== lender) continue;
+      const want = left.get(share.service) ?? wantOf(share.service);
+      share.slots = Math.min(share.slots, Math.max(want, share.attempts.size));
+      const slots = Math.max(share.slots, share.attempts.size);
+      left.set(share.service, Math.max(0, want - slots));
+      if (slots > 0) reports.push({upstream: share.upstream, slots});
+    }
+    this.prune();
+    return reports;
+  }
+
+  /** All shares, for status. */
+  list(): HeldSlots[] {
+    return [...this.held.values()];
+  }
+
+  private ofService(service: ServiceName): HeldSlots[] {
+    return [...this.held.values()].filter(share => share.service === service);
+  }
+
+  private prune(): void {
+    for (const [id, share] of this.held) {
+      if (share.slots === 0 && share.attempts.size === 0) this.held.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/state/src/shares/core.ts
@@ -0,0 +1,344 @@
+/**
+ * The ledger of a zone's leader over the slots of its upstreams. A slot is
+ * free only when its holder has returned it, or when the holder's share has
+ * run out and the upstream reports that nothing of the holder's is in flight.
+ */
+import type {ServiceName, UpstreamId} from '../ids/types.js';
+import {assertNever} from '../utils/assert_never.js';
+import {
+  DEFAULT_SHARE_TIMING,
+  type HolderId,
+  type Share,
+  type ShareAnswer,
+  type ShareEvent,
+  type ShareRequest,
+  type ShareTiming,
+  type UpstreamReport,
+  type UpstreamView,
+} from './types.js';
+import {waterFill} from './water_fill.js';
+
+/** Options of the ledger. */
+export interface ShareLedgerOptions {
+  /** Time at which this leader's epoch began, in ms. */
+  readonly startedAt: number;
+  readonly timing?: Partial<ShareTiming>;
+}
+
+interface Loan {
+  /** Slots the holder may use. */
+  slots: number;
+  /** Time after which the holder has stopped dispatching. */
+  deadline: number;
+}
+
+interface Upstream {
+  report: UpstreamReport;
+  /** Time of the last announcement. */
+  reportedAt: number;
+  readonly loans: Map<HolderId, Loan>;
+}
+
+interface Holder {
+  seq: number;
+  deadline: number;
+  isForeign: boolean;
+  readonly wants: Map<ServiceName, number>;
+}
+
+const EMPTY_ANSWER: ShareAnswer = {shares: [], loads: [], isComplete: false};
+
+/** Ledger of the shares of one zone in one epoch. */
+export class ShareLedger {
+  private readonly timing: ShareTiming;
+  private readonly startedAt: number;
+  private readonly upstreams = new Map<UpstreamId, Upstream>();
+  private readonly holders = new Map<HolderId, Holder>();
+
+  constructor(options: ShareLedgerOptions) {
+    this.timing = {...DEFAULT_SHARE_TIMING, ...options.timing};
+    this.startedAt = options.startedAt;
+  }
+
+  /**
+   * Handles one event.
+   * @returns the shares of the holder for a `sync`, else an empty answer.
+   */
+  step(event: ShareEvent): ShareAnswer {
+    switch (event.kind) {
+      case 'announce':
+        this.addReport(event.report, event.now);
+        return EMPTY_ANSWER;
+      case 'sync':
+        return this.sync(event.request, event.openServices, event.now);
+      case 'expire':
+        this.expire(event.now);
+        return EMPTY_ANSWER;
+      default:
+        return assertNever(event);
+    }
+  }
+
+  /** All upstreams, for status. */
+  list(now: number): UpstreamView[] {
+    return [...this.upstreams.values()].map(upstream => ({
+      upstream: upstream.report.upstream,
+      service: upstream.report.service,
+      address: upstream.report.address,
+      slots: upstream.report.slots,
+      lent: this.usedSlots(upstream, now),
+      inFlight: upstream.report.inFlight.reduce(
+        (sum, {requests}) => sum + requests,
+        0,
+      ),
+      state: upstream.report.state,
+    }));
+  }
+
+  private addReport(report: UpstreamReport, now: number): void {
+    const known = this.upstreams.get(report.upstream);
+    if (known && report.seq <= known.report.seq) return;
+    if (!known) this.dropSameAddress(report);
+    const loans = known?.loans ?? new Map<HolderId, Loan>();
+    this.upstreams.set(report.upstream, {report, reportedAt: now, loans});
+  }
+
+  /** A restart under the same address ends the process that was there before. */
+  private dropSameAddress({address}: UpstreamReport): void {
+    for (const [id, other] of this.upstreams) {
+      if (other.report.address === address) this.upstreams.delete(id);
+    }
+  }
+
+  private expire(now: number): void {
+    for (const [id, upstream] of this.upstreams) {
+      if (this.isSilent(upstream, now) && !hasLiveLoan(upstream, now))
+        this.upstreams.delete(id);
+    }
+    for (const [id, holder] of this.holders) {
+      if (now >= holder.deadline) this.holders.delete(id);
+    }
+  }
+
+  private isSilent(upstream: Upstream, now: number): boolean {
+    return now >= upstream.reportedAt + this.timing.announceMs;
+  }
+
+  private sync(
+    request: ShareRequest,
+    open: readonly ServiceName[],
+    now: number,
+  ): ShareAnswer {
+    this.expire(now);
+    if (!this.noteHolder(request, now)) return EMPTY_ANSWER;
+    this.noteHeld(request, now);
+    const services = new Set(request.wants.map(want => want.service));
+    for (const share of request.held) {
+      const service = this.upstreams.get(share.upstream)?.report.service;
+      if (service) services.add(service);
+    }
+    const isOpen = new Set(open);
+    const shares = [...services]
+      .filter(service => isOpen.has(service))
+      .flatMap(service => this.lend(request.holder, service, now));
+    return {
+      shares,
+      loads: this.loadsOf(open, now),
+      isComplete: !this.isWaitingOut(now),
+    };
+  }
+
+  private noteHolder(request: ShareRequest, now: number): boolean {
+    const known = this.holders.get(request.holder);
+    if (known && request.seq <= known.seq) return false;
+    this.holders.set(request.holder, {
+      seq: request.seq,
+      deadline: this.loanDeadline(now),
+      isForeign: request.isForeign,
+      wants: new Map(request.wants.map(({service, slots}) => [service, slots])),
+    });
+    return true;
+  }
+
+  /** Takes over what the holder holds: slots not named are returned. */
+  private noteHeld({holder, held}: ShareRequest, now: number): void {
+    const slotsOf = new Map(held.map(({upstream, slots}) => [upstream, slots]));
+    for (const [id, upstream] of this.upstreams) {
+      const slots = slotsOf.get(id) ?? 0;
+      if (slots === 0) upstream.loans.delete(holder);
+      else
+        upstream.loans.set(holder, {slots, deadline: this.loanDeadline(now)});
+    }
+  }
+
+  private loanDeadline(now: number): number {
+    return now + this.timing.shareMs + this.timing.marginMs;
+  }
+
+  /** Lends slots of one service to a holder, up to its fair part. */
+  private lend(holder: HolderId, service: ServiceName, now: number): Share[] {
+    const serving = this.servingUpstreams(service, now);
+    const target = this.fairPart(holder, serving, service, now);
+    const shares = this.keepLoans(holder, serving, target);
+    this.addLoans(holder, serving, shares, target, now);
+    return [...shares].map(([upstream, slots]) => shareOf(upstream, slots));
+  }
+
+  private servingUpstreams(service: ServiceName, now: number): Upstream[] {
+    return [...this.upstreams.values()].filter(upstream => {
+      const {report} = upstream;
+      const isServing =
+        report.state === 'serving' && !this.isSilent(upstream, now);
+      return isServing && report.service === service;
+    });
+  }
+
+  /** Max-min fair part of a holder; foreign holders share what is left. */
+  private fairPart(
+    holder: HolderId,
+    serving: readonly Upstream[],
+    service: ServiceName,
+    now: number,
+  ): number {
+    const isForeign = this.holders.get(holder)?.isForeign ?? false;
+    const total = serving.reduce(
+      (sum, upstream) => sum + this.lendable(upstream, now),
+      0,
+    );
+    const local = this.demands(service, false);
+    const left = isForeign
+      ? total - local.reduce((sum, {want}) => sum + want, 0)
+      : total;
+    const demands = isForeign ? this.demands(service, true) : local;
+    return waterFill(left, demands).get(holder) ?? 0;
+  }
+
+  private demands(
+    service: ServiceName,
+    isForeign: boolean,
+  ): Array<{key: HolderId; want: number}> {
+    return [...this.holders]
+      .filter(([, holder]) => holder.isForeign === isForeign)
+      .map(([key, holder]) => ({key, want: holder.wants.get(service) ?? 0}));
+  }
+
+  private keepLoans(
+    holder: HolderId,
+    serving: readonly Upstream[],
+    target: number,
+  ): Map<Upstream, number> {
+    const shares = new Map<Upstream, number>();
+    let left = target;
+    for (const upstream of serving) {
+      const kept = Math.min(left, upstream.loans.get(holder)?.slots ?? 0);
+      if (kept > 0) shares.set(upstream, kept);
+      left -= kept;
+    }
+    return shares;
+  }
+
+  private addLoans(
+    holder: HolderId,
+    serving: readonly Upstream[],
+    shares: Map<Upstream, number>,
+    target: number,
+    now: number,
+  ): void {
+    let left =
+      target - [...shares.values()].reduce((sum, slots) => sum + slots, 0);
+    const byFree = serving.map(upstream => ({
+      upstream,
+      free: this.freeSlots(upstream, now),
+    }));
+    byFree.sort((a, b) => b.free - a.free);
+    while (left > 0) {
+      const before = left;
+      for (const candidate of byFree) {
+        if (left === 0 || candidate.free <= 0) continue;
+        shares.set(
+          candidate.upstream,
+          (shares.get(candidate.upstream) ?? 0) + 1,
+        );
+        this.addLoan(holder, candidate.upstream, now);
+        candidate.free--;
+        left--;
+      }
+      if (left === before) return;
+    }
+  }
+
+  private addLoan(holder: HolderId, upstream: Upstream, now: number): void {
+    const slots = (upstream.loans.get(holder)?.slots ?? 0) + 1;
+    upstream.loans.set(holder, {slots, deadline: this.loanDeadline(now)});
+  }
+
+  private freeSlots(upstream: Upstream, now: number): number {
+    if (this.isWaitingOut(now)) return 0;
+    return upstream.report.slots - this.usedSlots(upstream, now);
+  }
+
+  /**
+   * Whether loans of an earlier epoch may still be in use that no holder has
+   * named to this leader yet.
+   */
+  private isWaitingOut(now: number): boolean {
+    return now < this.startedAt + this.timing.shareMs + this.timing.marginMs;
+  }
+
+  /** Slots that the present holders may divide among themselves. */
+  private lendable(upstream: Upstream, now: number): number {
+    const held = [...upstream.loans.values()].reduce(
+      (sum, loan) => sum + loan.slots,
+      0,
+    );
+    return Math.max(held, held + this.freeSlots(upstream, now));
+  }
+
+  /** Slots lent, or still in use by holders whose share has run out. */
+  private usedSlots(upstream: Upstream, now: number): number {
+    this.dropLapsed(upstream, now);
+    const {inFlight} = upstream.report;
+    const reported = new Map(
+      inFlight.map(({holder, requests}) => [holder, requests]),
+    );
+    let used = 0;
+    for (const [holder, loan] of upstream.loans) {
+      used += Math.max(loan.slots, reported.get(holder) ?? 0);
+      reported.delete(holder);
+    }
+    for (const requests of reported.values()) used += requests;
+    return used;
+  }
+
+  /**
+   * Drops loans that have run out, once an announcement made after that shows
+   * what is still in flight.
+   */
+  private dropLapsed(upstream: Upstream, now: number): void {
+    for (const [holder, {deadline}] of upstream.loans) {
+      if (now >= deadline && upstream.reportedAt >= deadline)
+        upstream.loans.delete(holder);
+    }
+  }
+
+  private loadsOf(services: readonly ServiceName[], now: number) {
+    return services.map(service => ({
+      service,
+      freeSlots: this.servingUpstreams(service, now).reduce(
+        (sum, upstream) => sum + Math.max(0, this.freeSlots(upstream, now)),
+        0,
+      ),
+    }));
+  }
+}
+
+const hasLiveLoan = ({loans}: Upstream, now: number): boolean =>
+  [...loans.values()].some(loan => now < loan.deadline);
+
+const shareOf = ({report}: Upstream, slots: number): Share => ({
+  upstream: report.upstream,
+  service: report.service,
+  address: report.address,
+  slots,
+  connections: report.connections,
+});
