--- /dev/null
+++ b/packages/state/src/shares/water_fill.spec.ts
@@ -0,0 +1,39 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {waterFill} from './water_fill.js';
+
+describe('water fill', () => {
+  it('gives the small ones all and splits the rest', () => {
+    const given = waterFill(10, [
+      {key: 'a', want: 9},
+      {key: 'b', want: 2},
+      {key: 'c', want: 9},
+    ]);
+    expect([...given]).to.have.deep.members([
+      ['a', 4],
+      ['b', 2],
+      ['c', 4],
+    ]);
+  });
+  it('never gives more than there is or than is wanted', () => {
+    const demands = fc.array(fc.nat(20), {minLength: 1, maxLength: 8});
+    fc.assert(
+      fc.property(fc.nat(60), demands, (total, wants) => {
+        const given = waterFill(
+          total,
+          wants.map((want, key) => ({key, want})),
+        );
+        const sum = [...given.values()].reduce((a, b) => a + b, 0);
+        expect(sum).to.equal(
+          Math.min(
+            total,
+            wants.reduce((a, b) => a + b, 0),
+          ),
+        );
+        for (const [key, units] of given)
+          expect(units).to.be.at.most(wants[key]!);
+      }),
+      {seed: 4102, numRuns: 500},
+    );
+  });
+});
--- /dev/null
+++ b/packages/state/src/storage/record_codec.spec.ts
@@ -0,0 +1,49 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {decodeRecords, encodeRecord} from './record_codec.js';
+
+const payloads = fc.array(fc.uint8Array({minLength: 1, maxLength: 40}), {
+  minLength: 1,
+  maxLength: 6,
+});
+const SEED = 4101;
+
+describe('record codec', () => {
+  it('a torn tail costs only the last record', () => {
+    fc.assert(
+      fc.property(payloads, fc.nat(), (all, cut) => {
+        const last = encodeRecord(all.at(-1)!);
+        const sound = Buffer.concat(all.slice(0, -1).map(encodeRecord));
+        const torn = last.subarray(0, cut % last.length);
+        const {records, soundBytes} = decodeRecords(
+          Buffer.concat([sound, torn]),
+          'log',
+        );
+        expect(records.map(bytes => [...bytes])).to.deep.equal(
+          all.slice(0, -1).map(bytes => [...bytes]),
+        );
+        expect(soundBytes).to.equal(sound.length);
+      }),
+      {seed: SEED, numRuns: 500},
+    );
+  });
+  it('damage before a sound record is refused', () => {
+    fc.assert(
+      fc.property(
+        payloads,
+        fc.nat(),
+        fc.integer({min: 1, max: 255}),
+        (all, at, flip) => {
+          const first = encodeRecord(all[0]!);
+          const bytes = Buffer.concat([first, ...all.map(encodeRecord)]);
+          const position = at % first.length;
+          bytes.writeUInt8(bytes.readUInt8(position) ^ flip, position);
+          expect(() => decodeRecords(bytes, 'log')).to.throw(
+            'damaged at byte 0',
+          );
+        },
+      ),
+      {seed: SEED, numRuns: 500},
+    );
+  });
+});
--- /dev/null
+++ b/packages/state/src/storage/record_codec.ts
@@ -0,0 +1,91 @@
+/**
+ * Checksummed records of an append-only file. One record holds everything
+ * that was made durable by one sync, so that only the last can be torn.
+ *
+ * A record is a header of three 32-bit little-endian numbers (length of the
+ * payload, CRC-32 of the payload, CRC-32 of the two numbers before) and the
+ * payload.
+ */
+import {crc32} from 'node:zlib';
+import {CellError} from '../errors/cell_error.js';
+
+const HEADER_BYTES = 12;
+const MAX_RECORD_BYTES = 1 << 30;
+
+/** Records read from a file. */
+export interface DecodedRecords {
+  readonly records: Uint8Array[];
+  /** Length up to which the file is sound; the rest is a torn tail. */
+  readonly soundBytes: number;
+}
+
+/**
+ * Encodes one record.
+ * @param payload - content of the record.
+ */
+export const encodeRecord = (payload: Uint8Array): Uint8Array => {
+  const record = Buffer.allocUnsafe(HEADER_BYTES + payload.length);
+  record.writeUInt32LE(payload.length, 0);
+  record.writeUInt32LE(crc32(payload), 4);
+  record.writeUInt32LE(crc32(record.subarray(0, 8)), 8);
+  record.set(payload, HEADER_BYTES);
+  return record;
+};
+
+/**
+ * Reads all records of a file. A damaged record with a sound one behind it
+ * is damage in the middle; without one it is a torn tail.
+ * @param bytes - the whole file.
+ * @param file - name of the file, for the error.
+ * @throws CellError `storage_damaged`.
+ */
+export const decodeRecords = (
+  bytes: Uint8Array,
+  file: string,
+): DecodedRecords => {
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  const records: Uint8Array[] = [];
+  let offset = 0;
+  for (;;) {
+    const payload = readRecord(buffer, offset);
+    if (!payload) break;
+    records.push(payload);
+    offset += HEADER_BYTES + payload.length;
+  }
+  if (hasRecordAfter(buffer, offset)) throw damagedAt(file, offset);
+  return {records, soundBytes: offset};
+};
+
+const readRecord = (buffer: Buffer, offset: number): Buffer | undefined => {
+  const start = offset + HEADER_BYTES;
+  if (start > buffer.length) return undefined;
+  const length = buffer.readUInt32LE(offset);
+  const isHeaderSound =
+    crc32(buffer.subarray(offset, offset + 8)) ===
+    buffer.readUInt32LE(offset + 8);
+  if (
+    !isHeaderSound ||
+    length > MAX_RECORD_BYTES ||
+    start + length > buffer.length
+  )
+    return undefined;
+  const payload = buffer.subarray(start, start + length);
+  return crc32(payload) === buffer.readUInt32LE(offset + 4)
+    ? payload
+    : undefined;
+};
+
+const hasRecordAfter = (buffer: Buffer, offset: number): boolean => {
+  for (let at = offset + 1; at + HEADER_BYTES < buffer.length; at++) {
+    if (readRecord(buffer, at)) return true;
+  }
+  return false;
+};
+
+const damagedAt = (file: string, offset: number): CellError =>
+  new CellError({
+    code: 'storage_damaged',
+    step: 'read-records',
+    peer: file,
+    detail: `${file} is damaged at byte ${offset}, before sound records; restore the folder or delete it to join anew`,
+  });
--- /dev/null
+++ b/packages/state/src/storage/types.ts
@@ -0,0 +1,15 @@
+/** The data folder as the storage code sees it, so that tests can fake it. */
+
+/** A folder whose files are made durable explicitly. */
+export interface Folder {
+  /** @returns the content of a file, or undefined when there is none. */
+  read(file: string): Promise<Uint8Array | undefined>;
+  /** Appends to a file and syncs it before it resolves. */
+  append(file: string, bytes: Uint8Array): Promise<void>;
+  /** Cuts a file to a length and syncs it. */
+  truncate(file: string, length: number): Promise<void>;
+  /** Replaces a file as a whole: after a crash it holds the old or the new. */
+  replace(file: string, bytes: Uint8Array): Promise<void>;
+  /** Releases the folder. */
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/transport/src/grpc/client.ts
@@ -0,0 +1,196 @@
+import {
+  Client,
+  connectivityState,
+  credentials,
+  Metadata,
+  status,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import {
+  MAX_PEER_MESSAGE_BYTES,
+  PEER_METHODS,
+  PEER_PROTOCOL_VERSION,
+  decodeFrame,
+  encodeFrame,
+  type PeerMethod,
+  type PeerMethods,
+  type VmSettings,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  isReasonCode,
+  type CellId,
+  type ErrorBody,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
+import {methodPath, type AnyFrame} from './service.js';
+
+/** Calls other daemons; the seam at which tests put a fake network. */
+export interface PeerCaller {
+  /**
+   * Calls a method of another VM.
+   * @throws CellError `peer_unreachable`, `peer_timeout` or the peer's reason.
+   */
+  call<M extends PeerMethod>(
+    to: VmId,
+    method: M,
+    request: PeerMethods[M]['request'],
+  ): Promise<PeerMethods[M]['reply']>;
+}
+
+/** Options of the client for other daemons. */
+export interface PeerClientOptions {
+  readonly cell: CellId;
+  readonly vm: VmId;
+  readonly zone: ZoneId;
+  readonly vms: readonly VmSettings[];
+  /** Called with the size of each message sent and received. */
+  readonly onBytes: (
+    scope: 'in_zone' | 'cross_zone',
+    direction: 'sent' | 'received',
+    bytes: number,
+  ) => void;
+}
+
+const CONNECT_MS = 400;
+const MAX_RECONNECT_MS = 1000;
+const MIN_RECONNECT_MS = 100;
+
+/** Calls other daemons over gRPC; of gRPC only the calls are used. */
+export class PeerClient implements PeerCaller {
+  private readonly clients = new Map<VmId, Client>();
+
+  constructor(private readonly options: PeerClientOptions) {}
+
+  async call<M extends PeerMethod>(
+    to: VmId,
+    method: M,
+    request: PeerMethods[M]['request'],
+  ): Promise<PeerMethods[M]['reply']> {
+    const target = this.options.vms.find(({vm}) => vm === to);
+    if (!target)
+      throw new CellError({
+        code: 'peer_unreachable',
+        step: method,
+        peer: to,
+        detail: 'not in the settings',
+      });
+    await this.connect(target, method);
+    const reply = await this.send(target, method, request);
+    return reply.body as PeerMethods[M]['reply'];
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  /**
+   * Waits for a connection, so that a call to a VM that cannot be reached is
+   * known not to have been sent.
+   */
+  private connect(target: VmSettings, step: PeerMethod): Promise<void> {
+    const client = this.clientOf(target);
+    const isReady =
+      client.getChannel().getConnectivityState(true) ===
+      connectivityState.READY;
+    if (isReady) return Promise.resolve();
+    return new Promise((resolve, reject) => {
+      client.waitForReady(Date.now() + CONNECT_MS, err => {
+        if (err)
+          reject(
+            new CellError({
+              code: 'peer_unreachable',
+              step,
+              peer: target.vm,
+              detail: 'no connection',
+            }),
+          );
+        else resolve();
+      });
+    });
+  }
+
+  private send(
+    target: VmSettings,
+    method: PeerMethod,
+    body: unknown,
+  ): Promise<AnyFrame> {
+    const {cell, vm, zone, onBytes} = this.options;
+    const scope = target.zone === zone ? 'in_zone' : 'cross_zone';
+    const frame: AnyFrame = {
+      version: PEER_PROTOCOL_VERSION,
+      cell,
+      from: vm,
+      to: target.vm,
+      body,
+    };
+    const serialize = (value: AnyFrame): Buffer => {
+      const bytes = encodeFrame(value);
+      onBytes(scope, 'sent', bytes.length);
+      return bytes;
+    };
+    const deserialize = (bytes: Buffer): AnyFrame => {
+      onBytes(scope, 'received', bytes.length);
+      return decodeFrame(bytes);
+    };
+    const deadline = Date.now() + PEER_METHODS[method].deadlineMs;
+    return new Promise((resolve, reject) => {
+      this.clientOf(target).makeUnaryRequest(
+        methodPath(method),
+        serialize,
+        deserialize,
+        frame,
+        new Metadata(),
+        {deadline},
+        (err, reply) =>
+          reply && !err
+            ? resolve(reply)
+            : reject(toPeerError(err, method, target.vm)),
+      );
+    });
+  }
+
+  private clientOf({vm, peer}: VmSettings): Client {
+    const known = this.clients.get(vm);
+    if (known) return known;
+    const client = new Client(peer, credentials.createInsecure(), {
+      'grpc.max_receive_message_length': MAX_PEER_MESSAGE_BYTES,
+      'grpc.max_send_message_length': MAX_PEER_MESSAGE_BYTES,
+      'grpc.initial_reconnect_backoff_ms': MIN_RECONNECT_MS,
+      'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
+      'grpc.enable_retries': 0,
+      'grpc.use_local_subchannel_pool': 1,
+    });
+    this.clients.set(vm, client);
+    return client;
+  }
+}
+
+const toPeerError = (
+  err: ServiceError | null,
+  step: string,
+  peer: VmId,
+): CellError => {
+  if (!err)
+    return new CellError({code: 'internal', step, peer, detail: 'empty reply'});
+  if (err.code === status.FAILED_PRECONDITION)
+    return parsePeerError(err, step, peer);
+  return new CellError({code: 'peer_timeout', step, peer, detail: err.details});
+};
+
+const parsePeerError = (
+  err: ServiceError,
+  step: string,
+  peer: VmId,
+): CellError => {
+  try {
+    const body = JSON.parse(err.details) as ErrorBody;
+    if (isReasonCode(body.code)) return CellError.fromBody({...body, peer});
+  } catch {
+    // Falls through: the details are not ours.
+  }
+  return new CellError({code: 'internal', step, peer, detail: err.details});
+};
--- /dev/null
+++ b/packages/transport/src/http/body.ts
@@ -0,0 +1,51 @@
+import type {IncomingMessage} from 'node:http';
+import {CellError, type ReasonCode} from '@primrosewick/state';
+
+/** Bounds of a body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Time the body may take to arrive, in ms. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Reads a whole body.
+ * @throws CellError `body_too_large`, `slow_sender` or `client_gone`.
+ */
+export const readBody = (
+  req: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Buffer> =>
+  new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let length = 0;
+    const end = (): void => {
+      clearTimeout(timer);
+      req.off('data', onData).off('end', onEnd).off('close', onClose);
+    };
+    const refuse = (code: ReasonCode): void => {
+      end();
+      reject(
+        new CellError({
+          code,
+          step: 'read-body',
+          peer: 'client',
+          outcome: 'not_run',
+        }),
+      );
+    };
+    const onData = (part: Buffer): void => {
+      parts.push(part);
+      length += part.length;
+      if (length > limits.maxBytes) refuse('body_too_large');
+    };
+    const onEnd = (): void => {
+      end();
+      resolve(Buffer.concat(parts, length));
+    };
+    const onClose = (): void => refuse('client_gone');
+    const timer = setTimeout(() => refuse('slow_sender'), limits.timeoutMs);
+    if (Number(req.headers['content-length'] ?? 0) > limits.maxBytes)
+      return refuse('body_too_large');
+    req.on('data', onData).on('end', onEnd).on('close', onClose);
+  });
--- /dev/null
+++ b/packages/transport/src/http/client.ts
@@ -0,0 +1,241 @@
+/** Calls over HTTP with a deadline, for upstreams, workers and operators. */
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
+import {splitAddress} from './address.js';
+
+/** One call. */
+export interface HttpCall {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array;
+  /** Time the whole call may take, in ms. */
+  readonly timeoutMs: number;
+  /** Largest answer taken, in bytes. */
+  readonly maxAnswerBytes: number;
+  readonly agent?: Agent;
+  /** Ends the call early. */
+  readonly signal?: AbortSignal;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** How a call without a whole answer ended. */
+export type HttpFailureKind =
+  'unreachable' | 'lost' | 'timeout' | 'too_large' | 'aborted';
+
+/** A call that brought no whole answer. */
+export class HttpFailure extends Error {
+  constructor(
+    readonly kind: HttpFailureKind,
+    /** Whether any byte of the request may have left. */
+    readonly mayHaveSent: boolean,
+    detail: string,
+  ) {
+    super(detail);
+    this.name = 'HttpFailure';
+  }
+}
+
+const DEFAULT_AGENT = new Agent({keepAlive: true, maxSockets: 64});
+
+/**
+ * Makes a call and collects its whole answer.
+ * @returns the answer; a body that broke off is never one.
+ * @throws HttpFailure
+ */
+export const callHttp = (call: HttpCall): Promise<HttpAnswer> =>
+  new Promise((resolve, reject) => {
+    new PendingCall(call, resolve, reject).start();
+  });
+
+/** One call under way. */
+class PendingCall {
+  private mayHaveSent = false;
+  private isSettled = false;
+  private req: ClientRequest | undefined;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly call: HttpCall,
+    private readonly resolve: (answer: HttpAnswer) => void,
+    private readonly reject: (err: HttpFailure) => void,
+  ) {}
+
+  start(): void {
+    const {call} = this;
+    const body = call.body;
+    const lengthHeader = body ? {'content-length': String(body.length)} : {};
+    const req = request({
+      ...splitAddress(call.address),
+      method: call.method,
+      path: call.path,
+      headers: {...call.headers, ...lengthHeader},
+      agent: call.agent ?? DEFAULT_AGENT,
+    });
+    this.req = req;
+    this.timer = setTimeout(
+      () => this.fail('timeout', 'no answer before the deadline'),
+      call.timeoutMs,
+    );
+    call.signal?.addEventListener('abort', () =>
+      this.fail('aborted', 'the caller gave up'),
+    );
+    req.on('socket', socket => {
+      if (!socket.connecting) this.mayHaveSent = true;
+      else socket.once('connect', () => (this.mayHaveSent = true));
+    });
+    req.on('error', err =>
+      this.fail(this.mayHaveSent ? 'lost' : 'unreachable', err.message),
+    );
+    req.on('response', res => this.collect(res));
+    if (call.signal?.aborted) return this.fail('aborted', 'the caller gave up');
+    req.end(body);
+  }
+
+  private collect(res: IncomingMessage): void {
+    const parts: Buffer[] = [];
+    let length = 0;
+    res.on('data', (part: Buffer) => {
+      parts.push(part);
+      length += part.length;
+      if (length > this.call.maxAnswerBytes)
+        this.fail('too_large', 'the answer exceeds its limit');
+    });
+    res.on('error', err => this.fail('lost', err.message));
+    res.on('close', () => {
+      if (!res.complete) this.fail('lost', 'the answer broke off');
+    });
+    res.on('end', () => {
+      if (res.complete) this.succeed(res, Buffer.concat(parts, length));
+    });
+  }
+
+  private succeed(res: IncomingMessage, body: Buffer): void {
+    if (!this.settle()) return;
+    this.resolve({
+      status: res.statusCode ?? 0,
+      headers: flatHeaders(res),
+      body,
+    });
+  }
+
+  private fail(kind: HttpFailureKind, detail: string): void {
+    if (!this.settle()) return;
+    this.req?.destroy();
+    this.reject(new HttpFailure(kind, this.mayHaveSent, detail));
+  }
+
+  private settle(): boolean {
+    if (this.isSettled) return false;
+    this.isSettled = true;
+    clearTimeout(this.timer);
+    return true;
+  }
+}
+
+const flatHeaders = (res: IncomingMessage): Record<string, string> => {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(res.headers)) {
+    if (value !== undefined)
+      headers[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return headers;
+};
+
+/** Options of a JSON call. */
+export interface JsonCall {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+  readonly agent?: Agent;
+}
+
+const MAX_JSON_ANSWER_BYTES = 32 * 1024 * 1024;
+
+/**
+ * Makes a call with JSON both ways.
+ * @returns the parsed answer, which the caller trusts to have the type `T`.
+ * @throws CellError with the reason that the other side gave, or `peer_unreachable` or `peer_timeout`.
+ */
+export const callJson = async <T>(call: JsonCall): Promise<T> => {
+  const step = `${call.method} ${call.path}`;
+  const answer = await callHttp({
+    ...call,
+    headers: {'content-type': 'application/json', ...call.headers},
+    body:
+      call.body === undefined
+        ? undefined
+        : Buffer.from(JSON.stringify(call.body)),
+    maxAnswerBytes: MAX_JSON_ANSWER_BYTES,
+  }).catch((err: unknown) => {
+    throw failureToError(err, step, call.address);
+  });
+  const parsed = parseAnswer(answer, step, call.address);
+  if (answer.status >= 200 && answer.status < 300) return parsed as T;
+  throw answerToError(parsed, answer.status, step, call.address);
+};
+
+const failureToError = (
+  err: unknown,
+  step: string,
+  peer: string,
+): CellError => {
+  const failure = err instanceof HttpFailure ? err : undefined;
+  const code =
+    failure && !failure.mayHaveSent ? 'peer_unreachable' : 'peer_timeout';
+  return new CellError({
+    code,
+    step,
+    peer,
+    detail: err instanceof Error ? err.message : String(err),
+  });
+};
+
+const parseAnswer = (
+  answer: HttpAnswer,
+  step: string,
+  peer: string,
+): unknown => {
+  if (answer.body.length === 0) return undefined;
+  try {
+    return JSON.parse(answer.body.toString('utf8'));
+  } catch {
+    throw new CellError({
+      code: 'internal',
+      step,
+      peer,
+      detail: `status ${answer.status} with a body that is not JSON`,
+    });
+  }
+};
+
+const answerToError = (
+  parsed: unknown,
+  status: number,
+  step: string,
+  peer: string,
+): CellError => {
+  const error = (parsed as {error?: ErrorBody} | undefined)?.error;
+  if (error && isReasonCode(error.code)) return CellError.fromBody(error);
+  return new CellError({
+    code: 'internal',
+    step,
+    peer,
+    detail: `status ${status} without a reason`,
+  });
+};
