--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,12 +9,14 @@
   'daemon',
   'cli',
   'standins',
+  'proofs',
 ];
 
 /** Packages that a layer must not import, beyond the ones above it. */
 const EXTRA_BANS = {
   cli: ['daemon', 'coordination'],
   standins: ['daemon', 'coordination', 'cli'],
+  proofs: ['daemon', 'cli'],
 };
 
 const layerRule = layer => {
@@ -66,7 +68,7 @@
     files: ['**/*.js'],
     languageOptions: {
       sourceType: 'module',
-      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+      globals: {console: 'readonly', URL: 'readonly'},
     },
   },
   {
--- a/packages/coordination/src/consensus/context.ts
+++ b/packages/coordination/src/consensus/context.ts
@@ -59,8 +59,11 @@
   now: number;
   commitIndex: number;
   deliveredIndex: number;
-  /** Last index that may have been shown before the restart. */
-  restartIndex: number;
+  /**
+   * Index below which the state may not be shown, as later ones may have been
+   * shown before the restart; null until it is known.
+   */
+  requiredIndex: number | null;
   electionDeadline = 0;
   heartbeatDeadline = 0;
   quorumDeadline = 0;
@@ -82,10 +85,16 @@
     this.now = options.now;
     this.commitIndex = this.log.baseIndex;
     this.deliveredIndex = this.log.baseIndex;
-    this.restartIndex = this.log.lastIndex;
+    this.requiredIndex = this.isVoter(this.id) ? this.log.lastIndex : null;
     this.resetElectionDeadline();
   }
 
+  /** Entries from an index on were dropped, so they were never committed. */
+  noteDropped(fromIndex: number): void {
+    if (this.requiredIndex !== null)
+      this.requiredIndex = Math.min(this.requiredIndex, fromIndex - 1);
+  }
+
   /** Whether a node votes at present. */
   isVoter(node: NodeId): boolean {
     return this.log.members.voters.includes(node);
--- /dev/null
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -0,0 +1,166 @@
+import {expect} from 'chai';
+import {asId, seededRandom, type NodeId} from '@primrosewick/state';
+import {ConsensusCore} from './core.js';
+import type {Entry, Envelope, Members} from './types.js';
+
+const [A, B, C, D, E] = ['a', 'b', 'c', 'd', 'e'].map(name =>
+  asId<NodeId>(`${name}~1`),
+) as [NodeId, NodeId, NodeId, NodeId, NodeId];
+const MEMBERS: Members = {voters: [A, B, C, D, E], learners: []};
+
+const command = (term: number, index: number): Entry<string> => ({
+  term,
+  index,
+  body: {kind: 'command', command: `${term}.${index}`},
+});
+const members: Entry<string> = {
+  term: 1,
+  index: 1,
+  body: {kind: 'members', members: MEMBERS},
+};
+
+const makeCore = (
+  id: NodeId,
+  term: number,
+  entries: ReadonlyArray<Entry<string>>,
+): ConsensusCore<string> =>
+  new ConsensusCore<string>({
+    id,
+    restored: {hardState: {term, votedFor: null}, snapshot: null, entries},
+    random: seededRandom(7),
+    now: 0,
+  });
+
+/** Makes a node the leader of the next term by the votes of two others. */
+const elect = (core: ConsensusCore<string>, id: NodeId): number => {
+  core.step({kind: 'tick', now: 10_000});
+  const term = core.status.term + 1;
+  for (const isPreVote of [true, false]) {
+    for (const from of [B, C]) {
+      core.step({
+        kind: 'message',
+        now: 10_001,
+        envelope: {
+          from,
+          to: id,
+          message: {kind: 'vote_reply', term, isPreVote, isGranted: true},
+        },
+      });
+    }
+  }
+  return term;
+};
+
+const accept = (
+  from: NodeId,
+  to: NodeId,
+  term: number,
+  index: number,
+): Envelope<string> => ({
+  from,
+  to,
+  message: {kind: 'append_reply', term, isAccepted: true, index, round: 1},
+});
+
+describe('consensus core', () => {
+  it('an entry of an earlier term is not committed by counting copies', () => {
+    const core = makeCore(A, 3, [members, command(2, 2)]);
+    const term = elect(core, A);
+    expect(core.status.role).to.equal('leader');
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_002,
+        envelope: accept(from, A, term, 2),
+      });
+    expect(core.status.commitIndex).to.equal(0);
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, 3),
+      });
+    expect(core.status.commitIndex).to.equal(3);
+  });
+  it('a new node that leads is current once its first entry is committed', () => {
+    const core = makeCore(A, 3, []);
+    const append = {
+      kind: 'append' as const,
+      term: 3,
+      prevIndex: 0,
+      prevTerm: 0,
+      entries: [members],
+      commitIndex: 1,
+      round: 1,
+    };
+    core.step({
+      kind: 'message',
+      now: 100,
+      envelope: {from: B, to: A, message: append},
+    });
+    expect(core.status.isCurrent).to.equal(false);
+    const term = elect(core, A);
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, 2),
+      });
+    expect(core.status.isCurrent).to.equal(true);
+  });
+  it('a leader without a quorum steps down', () => {
+    const core = makeCore(A, 3, [members]);
+    elect(core, A);
+    core.step({kind: 'tick', now: 20_000});
+    expect(core.status.role).to.equal('follower');
+  });
+  it('a node with a live leader refuses a vote', () => {
+    const core = makeCore(A, 3, [members]);
+    const append = {
+      kind: 'append' as const,
+      term: 3,
+      prevIndex: 1,
+      prevTerm: 1,
+      entries: [],
+      commitIndex: 1,
+      round: 1,
+    };
+    core.step({
+      kind: 'message',
+      now: 100,
+      envelope: {from: B, to: A, message: append},
+    });
+    const request = {
+      kind: 'vote_request' as const,
+      term: 9,
+      lastIndex: 9,
+      lastTerm: 9,
+      isPreVote: false,
+      isTransfer: false,
+    };
+    const {messages} = core.step({
+      kind: 'message',
+      now: 200,
+      envelope: {from: C, to: A, message: request},
+    });
+    expect(messages).to.have.nested.property('[0].message.isGranted', false);
+    expect(core.status.term).to.equal(3);
+  });
+  it('a message for another identity is left out', () => {
+    const core = makeCore(A, 3, [members]);
+    const request = {
+      kind: 'vote_request' as const,
+      term: 9,
+      lastIndex: 9,
+      lastTerm: 9,
+      isPreVote: false,
+      isTransfer: true,
+    };
+    const effects = core.step({
+      kind: 'message',
+      now: 100,
+      envelope: {from: C, to: asId<NodeId>('a~2'), message: request},
+    });
+    expect(effects.messages).to.have.length(0);
+  });
+});
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -46,7 +46,7 @@
   /** A look at the state. */
   get status(): ConsensusStatus {
     const {context} = this;
-    const {id, role, term, leader, commitIndex, log, restartIndex} = context;
+    const {id, role, term, leader, commitIndex, log, requiredIndex} = context;
     return {
       id,
       role,
@@ -55,7 +55,9 @@
       commitIndex,
       lastIndex: log.lastIndex,
       members: log.members,
-      isCurrent: commitIndex >= Math.max(1, restartIndex),
+      isCurrent:
+        requiredIndex !== null && commitIndex >= Math.max(1, requiredIndex),
+      needsIndex: requiredIndex === null,
       lastContactAt:
         role === 'leader' ? context.quorumContactAt() : context.leaderContactAt,
       matches: [...context.progress].map(([node, {matchIndex}]) => ({
@@ -94,6 +96,9 @@
         return this.leadership.onTransferAway();
       case 'compact':
         return this.onCompact(input.index, input.data);
+      case 'require':
+        this.context.requiredIndex ??= input.index;
+        return;
       default:
         return assertNever(input);
     }
--- a/packages/coordination/src/consensus/following.ts
+++ b/packages/coordination/src/consensus/following.ts
@@ -69,10 +69,7 @@
 
   private truncate(fromIndex: number): void {
     this.context.log.truncate(fromIndex);
-    this.context.restartIndex = Math.min(
-      this.context.restartIndex,
-      fromIndex - 1,
-    );
+    this.context.noteDropped(fromIndex);
     this.context.effects.writes.push({kind: 'truncate', fromIndex});
   }
 
@@ -131,9 +128,6 @@
     this.context.effects.deliveries.push({kind: 'snapshot', snapshot});
     this.context.commitIndex = snapshot.index;
     this.context.deliveredIndex = snapshot.index;
-    this.context.restartIndex = Math.min(
-      this.context.restartIndex,
-      this.context.log.lastIndex,
-    );
+    this.context.noteDropped(this.context.log.lastIndex + 1);
   }
 }
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -197,6 +197,8 @@
     )
       return;
     this.context.commitIndex = index;
+    // A leader has everything that was committed before its own first entry.
+    this.context.requiredIndex ??= index;
     const isRemoved =
       !this.context.isVoter(this.context.id) &&
       index >= this.context.log.membersIndex;
--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -60,17 +60,52 @@
   return identity;
 };
 
+/** One change of a file. */
+export type FileWrite =
+  | {readonly kind: 'append'; readonly file: string; readonly bytes: Uint8Array}
+  | {
+      readonly kind: 'replace';
+      readonly file: string;
+      readonly bytes: Uint8Array;
+    };
+
+/** State read back, and the length to which a torn log must be cut. */
+export interface RestoredFiles<C> {
+  readonly restored: Restored<C>;
+  readonly cutLogTo?: number;
+}
+
 /**
  * Reads the state of a voter back, and cuts off a torn last record.
  * @throws CellError `storage_damaged`.
  */
 export const restoreState = async <C>(folder: Folder): Promise<Restored<C>> => {
-  const snapshot = (await readOne<Snapshot>(folder, SNAPSHOT_FILE)) ?? null;
-  const bytes = await folder.read(LOG_FILE);
-  if (!bytes) return {...emptyState<C>(), snapshot};
-  const {records, soundBytes} = decodeRecords(bytes, LOG_FILE);
-  if (soundBytes < bytes.length) await folder.truncate(LOG_FILE, soundBytes);
-  return replayRecords(records, snapshot);
+  const files = {
+    snapshot: await folder.read(SNAPSHOT_FILE),
+    log: await folder.read(LOG_FILE),
+  };
+  const {restored, cutLogTo} = restoreFiles<C>(files);
+  if (cutLogTo !== undefined) await folder.truncate(LOG_FILE, cutLogTo);
+  return restored;
+};
+
+/**
+ * Reads the state of a voter from the content of its files.
+ * @throws CellError `storage_damaged`.
+ */
+export const restoreFiles = <C>(files: {
+  snapshot?: Uint8Array;
+  log?: Uint8Array;
+}): RestoredFiles<C> => {
+  const snapshot = files.snapshot
+    ? decodeOne<Snapshot>(files.snapshot, SNAPSHOT_FILE)
+    : null;
+  if (!files.log) return {restored: {...emptyState<C>(), snapshot}};
+  const {records, soundBytes} = decodeRecords(files.log, LOG_FILE);
+  const restored = replayRecords<C>(records, snapshot);
+  return soundBytes < files.log.length
+    ? {restored, cutLogTo: soundBytes}
+    : {restored};
 };
 
 /** Makes writes durable; a snapshot rewrites the log as well. */
@@ -79,26 +114,51 @@
   writes: ReadonlyArray<StorageWrite<C>>,
   image: () => Restored<C>,
 ): Promise<void> => {
-  const hasSnapshot = writes.some(write => write.kind === 'snapshot');
-  if (!hasSnapshot) return folder.append(LOG_FILE, encodeWrites(writes));
-  await replaceState(folder, image());
+  for (const write of planWrites(writes, image)) {
+    if (write.kind === 'append') await folder.append(write.file, write.bytes);
+    else await folder.replace(write.file, write.bytes);
+  }
 };
 
-/** Replaces the whole state; the snapshot goes first. */
+/** Replaces the whole state. */
 export const replaceState = async <C>(
   folder: Folder,
   state: Restored<C>,
 ): Promise<void> => {
-  const {snapshot, hardState, entries} = state;
-  if (snapshot)
-    await folder.replace(SNAPSHOT_FILE, encodeRecord(encode(snapshot)));
-  await folder.replace(
-    LOG_FILE,
-    encodeWrites([
-      {kind: 'hard_state', hardState},
-      {kind: 'append', entries},
-    ]),
-  );
+  for (const {file, bytes} of planImage(state))
+    await folder.replace(file, bytes);
+};
+
+/** File changes that make writes durable, in order. */
+export const planWrites = <C>(
+  writes: ReadonlyArray<StorageWrite<C>>,
+  image: () => Restored<C>,
+): FileWrite[] => {
+  if (writes.some(write => write.kind === 'snapshot'))
+    return planImage(image());
+  return [{kind: 'append', file: LOG_FILE, bytes: encodeWrites(writes)}];
+};
+
+/** File changes that replace the whole state; the snapshot goes first. */
+const planImage = <C>({
+  snapshot,
+  hardState,
+  entries,
+}: Restored<C>): FileWrite[] => {
+  const log = encodeWrites<C>([
+    {kind: 'hard_state', hardState},
+    {kind: 'append', entries},
+  ]);
+  const logWrite = {kind: 'replace' as const, file: LOG_FILE, bytes: log};
+  if (!snapshot) return [logWrite];
+  return [
+    {
+      kind: 'replace',
+      file: SNAPSHOT_FILE,
+      bytes: encodeRecord(encode(snapshot)),
+    },
+    logWrite,
+  ];
 };
 
 /** Encodes the writes of one sync as one record. */
@@ -149,7 +209,10 @@
   file: string,
 ): Promise<T | undefined> => {
   const bytes = await folder.read(file);
-  if (!bytes) return undefined;
+  return bytes && decodeOne<T>(bytes, file);
+};
+
+const decodeOne = <T>(bytes: Uint8Array, file: string): T => {
   const {records, soundBytes} = decodeRecords(bytes, file);
   const [record] = records;
   if (record && soundBytes === bytes.length) return decode(record) as T;
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -172,6 +172,11 @@
     return index;
   }
 
+  /** Shows the copy of a node that began without a log once it holds an index. */
+  require(index: number): void {
+    this.offer({kind: 'require', now: this.options.clock.now(), index});
+  }
+
   /** Hands the leadership to another voter. */
   transferAway(): void {
     this.offer({kind: 'transfer', now: this.options.clock.now()});
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -135,6 +135,8 @@
     }
   | {readonly kind: 'read'; readonly now: number; readonly token: number}
   | {readonly kind: 'transfer'; readonly now: number}
+  /** An index that was committed after the start of a node without a log. */
+  | {readonly kind: 'require'; readonly now: number; readonly index: number}
   | {
       readonly kind: 'compact';
       readonly now: number;
@@ -234,8 +236,10 @@
   readonly commitIndex: number;
   readonly lastIndex: number;
   readonly members: Members;
-  /** Whether everything shown before a restart is committed again. */
+  /** Whether the state may be shown: nothing later was shown before a restart. */
   readonly isCurrent: boolean;
+  /** Whether the node waits to be told an index by `require`. */
+  readonly needsIndex: boolean;
   /** Time of the last contact with the leader, or with a quorum, in ms. */
   readonly lastContactAt: number;
   /** Acknowledged index of each other node; empty unless leader. */
--- a/packages/daemon/src/voter.ts
+++ b/packages/daemon/src/voter.ts
@@ -76,6 +76,7 @@
   async run(): Promise<void> {
     if (!this.hasState) await this.foundIfAllowed();
     this.startConsensus();
+    if (this.consensus?.status.needsIndex) void this.requireCurrent();
     while (!this.isClosed) {
       await this.repair();
       await sleep(REPAIR_PAUSE_MS);
@@ -159,6 +160,22 @@
     logger.info({change: 'founded', node: this.node}, 'founded the cell');
   }
 
+  /** A new folder remembers nothing that was shown, so its copy waits for an index read now. */
+  private async requireCurrent(): Promise<void> {
+    const {settings, peers, boot} = this.options;
+    const others = voterVms(settings).filter(({vm}) => vm !== settings.vm);
+    while (!this.isClosed) {
+      for (const {vm} of others) {
+        const reply = await peers
+          .call(vm, 'readIndex', {boot})
+          .catch(() => undefined);
+        if (reply?.kind === 'ok')
+          return this.consensus?.require(reply.value.index);
+      }
+      await sleep(FOUND_PAUSE_MS);
+    }
+  }
+
   private startConsensus(): void {
     const {replica, peers, clock, settings, seed, logger, metrics} =
       this.options;
--- /dev/null
+++ b/packages/proofs/src/consensus/consensus.spec.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+import {runFuzz} from '../fuzz/run_fuzz.js';
+import {consensusPlan} from './plans.js';
+import {ConsensusSim} from './sim.js';
+
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 1400);
+
+describe('cell log under faults', () => {
+  it('three voters keep every promise', () =>
+    runFuzz(consensusPlan(3, 5101, RUNS)));
+  it('five voters keep every promise', () =>
+    runFuzz(consensusPlan(5, 5102, Math.ceil(RUNS / 2))));
+  it('a voter isolated for an hour disturbs nobody on its return', () => {
+    const sim = new ConsensusSim(5103, 3);
+    const away = sim.nodes.find(node => node.status?.role !== 'leader')!;
+    for (const other of sim.nodes) {
+      sim.network.cut(away.vm, other.vm);
+      sim.network.cut(other.vm, away.vm);
+    }
+    sim.advance(3_600_000);
+    const termBefore = Math.max(
+      ...sim.nodes.map(node => node.status?.term ?? 0),
+    );
+    sim.network.heal();
+    sim.advance(5000);
+    expect(Math.max(...sim.nodes.map(node => node.status?.term ?? 0))).to.equal(
+      termBefore,
+    );
+    sim.settle();
+  });
+  it('a voter away for 500 changes catches up', () => {
+    const sim = new ConsensusSim(5104, 3);
+    const leader = sim.nodes.findIndex(node => node.status?.role === 'leader');
+    sim.node(leader + 1).crash();
+    for (let i = 0; i < 500; i++) {
+      sim.write(leader, i, false);
+      sim.advance(60);
+    }
+    sim.node(leader + 1).start();
+    sim.settle();
+    expect(sim.node(leader + 1).shown?.index).to.be.at.least(500);
+  });
+});
--- /dev/null
+++ b/packages/proofs/src/consensus/oracle.ts
@@ -0,0 +1,140 @@
+import type {Entry} from '@primrosewick/coordination';
+import {
+  DEFAULT_CELL_LIMITS,
+  canonicalJson,
+  type CellCommand,
+  type CellResult,
+  type NodeId,
+  type ProfileName,
+  type VmId,
+} from '@primrosewick/state';
+import type {SimNode} from './sim_node.js';
+
+/** A write that was answered. */
+interface Accepted {
+  readonly revision: number;
+  readonly author: string;
+}
+
+/**
+ * What an outside observer knows: which writes were sent, how each was
+ * answered, and what each VM showed. It throws at the first contradiction.
+ */
+export class ConsensusOracle {
+  private readonly leaders = new Map<number, NodeId>();
+  private readonly committed = new Map<number, string>();
+  private readonly accepted = new Map<ProfileName, Map<number, Accepted>>();
+  private readonly answers = new Map<string, string>();
+  private readonly shownRevision = new Map<string, number>();
+  private readonly sentAuthors = new Map<string, Set<string>>();
+
+  /** Notes that a write was sent, at least once. */
+  noteSent(name: ProfileName, requestId: string): void {
+    const sent = this.sentAuthors.get(name) ?? new Set<string>();
+    this.sentAuthors.set(name, sent.add(requestId));
+  }
+
+  /** Notes the answer to a write; a resend must get the same. */
+  noteAnswer(name: ProfileName, requestId: string, result: CellResult): void {
+    const text = canonicalJson(result);
+    const before = this.answers.get(requestId);
+    if (before !== undefined && before !== text) {
+      throw new Error(
+        `write ${requestId} was answered ${before} and then ${text}`,
+      );
+    }
+    this.answers.set(requestId, text);
+    if (result.ok && result.value.kind === 'revision')
+      this.addAccepted(name, result.value.revision, requestId);
+  }
+
+  /** Notes a committed entry; every node must have the same at its index. */
+  noteCommitted(node: NodeId, entry: Entry<CellCommand>): void {
+    const text = canonicalJson(entry);
+    const before = this.committed.get(entry.index);
+    if (before !== undefined && before !== text) {
+      throw new Error(
+        `${node} committed ${text} where another committed ${before}`,
+      );
+    }
+    this.committed.set(entry.index, text);
+  }
+
+  /** Looks at what a node shows and whether it leads. */
+  look(node: SimNode): void {
+    const {status} = node;
+    if (!status) return;
+    if (status.role === 'leader') this.noteLeader(status.term, node.id);
+    if (node.shown) this.noteShown(node.vm, node);
+  }
+
+  /**
+   * Checks at the end that a node shows every accepted revision that is recent
+   * enough to be kept.
+   */
+  checkComplete(node: SimNode): void {
+    for (const [name, revisions] of this.accepted) {
+      const history = node.shown?.state.getHistory(name) ?? [];
+      const authors = new Map(
+        history.map(known => [known.revision, known.author]),
+      );
+      const firstKept =
+        history.length < DEFAULT_CELL_LIMITS.maxRevisions
+          ? 0
+          : history[0]!.revision;
+      for (const [revision, {author}] of revisions) {
+        if (revision < firstKept || authors.get(revision) === author) continue;
+        throw new Error(
+          `${node.vm} lost revision ${revision} of ${name} by ${author}: it has ${authors.get(revision)}`,
+        );
+      }
+    }
+  }
+
+  /** Counts for a look at how much a run has reached. */
+  get counts(): {leaders: number; committed: number; accepted: number} {
+    const accepted = [...this.accepted.values()].reduce(
+      (sum, revisions) => sum + revisions.size,
+      0,
+    );
+    return {
+      leaders: this.leaders.size,
+      committed: this.committed.size,
+      accepted,
+    };
+  }
+
+  private addAccepted(
+    name: ProfileName,
+    revision: number,
+    author: string,
+  ): void {
+    const revisions = this.accepted.get(name) ?? new Map<number, Accepted>();
+    const winner = revisions.get(revision);
+    if (winner && winner.author !== author) {
+      throw new Error(
+        `revision ${revision} of ${name} was won by ${winner.author} and by ${author}`,
+      );
+    }
+    this.accepted.set(name, revisions.set(revision, {revision, author}));
+  }
+
+  private noteLeader(term: number, node: NodeId): void {
+    const before = this.leaders.get(term);
+    if (before !== undefined && before !== node)
+      throw new Error(`term ${term} has two leaders: ${before} and ${node}`);
+    this.leaders.set(term, node);
+  }
+
+  private noteShown(vm: VmId, node: SimNode): void {
+    for (const {profile, revision} of node.shown?.state.listProfiles() ?? []) {
+      const key = `${vm} ${profile.name}`;
+      const before = this.shownRevision.get(key) ?? 0;
+      if (revision < before)
+        throw new Error(
+          `${vm} showed revision ${before} of ${profile.name} and then ${revision}`,
+        );
+      this.shownRevision.set(key, revision);
+    }
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/consensus/sim.ts
@@ -0,0 +1,252 @@
+import {nextMemberChange, type AnnouncedNode} from '@primrosewick/coordination';
+import {
+  asId,
+  seededRandom,
+  vmOfNode,
+  type CellCommand,
+  type NodeId,
+  type Profile,
+  type ProfileName,
+  type Random,
+  type VmId,
+} from '@primrosewick/state';
+import {EventQueue} from '../world/event_queue.js';
+import {FakeNetwork, NO_FAULTS} from '../world/fake_network.js';
+import {ConsensusOracle} from './oracle.js';
+import {SimNode} from './sim_node.js';
+
+const REPAIR_MS = 300;
+const REQUIRE_MS = 200;
+const SETTLE_MS = 30_000;
+const NAMES = ['desk', 'curves'].map(name => asId<ProfileName>(name));
+
+interface SentWrite {
+  readonly name: ProfileName;
+  readonly command: CellCommand;
+}
+
+/** The voters of a cell on virtual time, with a fake network and fake disks. */
+export class ConsensusSim {
+  readonly queue = new EventQueue();
+  readonly oracle = new ConsensusOracle();
+  readonly network: FakeNetwork;
+  readonly nodes: SimNode[];
+  private readonly random: Random;
+  private readonly sent: SentWrite[] = [];
+  private writes = 0;
+
+  constructor(seed: number, voters: number) {
+    this.random = seededRandom(seed);
+    this.network = new FakeNetwork(this.queue, this.random);
+    const context = {
+      queue: this.queue,
+      network: this.network,
+      random: this.random,
+      oracle: this.oracle,
+      nodeAt: (id: NodeId) => this.nodes.find(node => node.id === id),
+    };
+    this.nodes = Array.from(
+      {length: voters},
+      (_none, i) => new SimNode(asId<VmId>(`v${i}`), context),
+    );
+    this.nodes.forEach((node, i) => (i === 0 ? node.found() : node.start()));
+    this.repairLater();
+    this.requireLater();
+    this.queue.advance(5000);
+  }
+
+  /** Lets virtual time pass. */
+  advance(ms: number): void {
+    this.queue.advance(ms);
+  }
+
+  /** @returns a node by number. */
+  node(i: number): SimNode {
+    return this.nodes[i % this.nodes.length]!;
+  }
+
+  /** Writes a revision at a node, on top of what that node shows. */
+  write(at: number, name: number, isStale: boolean): void {
+    const node = this.node(at);
+    const profile = NAMES[name % NAMES.length]!;
+    const shown = node.shown?.state.getProfile(profile)?.revision ?? 0;
+    const baseRevision = isStale ? Math.max(0, shown - 1) : shown;
+    this.writes++;
+    const requestId = `w${this.writes}`;
+    const command: CellCommand = {
+      at: this.queue.now,
+      write: {author: requestId, requestId, firstSentAt: this.queue.now + 1},
+      body: {kind: 'put_profile', baseRevision, profile: profileOf(profile)},
+    };
+    this.sent.push({name: profile, command});
+    this.send(node, {name: profile, command});
+  }
+
+  /** Sends an earlier write again, through any node. */
+  resend(at: number, which: number): void {
+    const write = this.sent[which % Math.max(1, this.sent.length)];
+    if (write) this.send(this.node(at), write);
+  }
+
+  /**
+   * Whether the loss of a disk is within what the design bears: all voters of
+   * the members in force have the disk they voted with.
+   */
+  canLoseDisk(at: number): boolean {
+    const leader = this.leader();
+    if (!leader?.status) return false;
+    const {members, commitIndex, lastIndex} = leader.status;
+    const ids = new Set(this.nodes.map(node => node.id));
+    const areWhole =
+      members.voters.length === this.nodes.length &&
+      members.voters.every(id => ids.has(id));
+    const isSettled = commitIndex === lastIndex;
+    return (
+      areWhole &&
+      isSettled &&
+      this.isLive(leader) &&
+      members.voters.includes(this.node(at).id)
+    );
+  }
+
+  /** Mends everything and lets the cell settle; then all must be in order. */
+  settle(): void {
+    this.network.heal();
+    this.network.faults = NO_FAULTS;
+    for (const node of this.nodes) {
+      node.isDiskFailing = false;
+      if (node.isFrozen) node.thaw();
+      if (!node.isUp) node.start();
+    }
+    this.advance(SETTLE_MS);
+    this.checkLive();
+    for (const node of this.nodes) this.oracle.checkComplete(node);
+  }
+
+  private checkLive(): void {
+    const leader = this.leader();
+    if (!leader?.status)
+      throw new Error('no leader after the faults had ended');
+    if (leader.status.members.voters.length !== this.nodes.length) {
+      throw new Error(
+        `the members were not repaired: ${leader.status.members.voters.join(' ')}`,
+      );
+    }
+    const index = leader.status.commitIndex;
+    for (const node of this.nodes) {
+      if (node.shown && node.shown.index >= index) continue;
+      throw new Error(
+        `${node.vm} did not catch up: ${node.shown?.index} of ${index}`,
+      );
+    }
+  }
+
+  private leader(): SimNode | undefined {
+    const leaders = this.nodes.filter(node => node.status?.role === 'leader');
+    return leaders.sort(
+      (a, b) => (b.status?.term ?? 0) - (a.status?.term ?? 0),
+    )[0];
+  }
+
+  private isLive(leader: SimNode): boolean {
+    return this.queue.now - (leader.status?.lastContactAt ?? 0) < REPAIR_MS;
+  }
+
+  private send(node: SimNode, {name, command}: SentWrite): void {
+    const requestId = command.write!.requestId;
+    this.oracle.noteSent(name, requestId);
+    node.propose(command, result => {
+      if (result) this.oracle.noteAnswer(name, requestId, result);
+    });
+  }
+
+  /** The leader's repair of the members, as the daemon does it. */
+  private repairLater(): void {
+    this.queue.after(REPAIR_MS, () => {
+      for (const node of this.nodes) this.repair(node);
+      this.repairLater();
+    });
+  }
+
+  private repair(leader: SimNode): void {
+    const {status} = leader;
+    if (status?.role !== 'leader' || leader.isFrozen) return;
+    const reachable = this.nodes.filter(
+      node => node === leader || this.answers(leader, node),
+    );
+    const announced: AnnouncedNode[] = reachable.map(({vm, id}) => ({
+      vm,
+      node: id,
+    }));
+    const caughtUp = new Set(
+      status.matches
+        .filter(({index}) => index >= status.commitIndex)
+        .map(({node}) => node),
+    );
+    const change = nextMemberChange({
+      members: status.members,
+      announced,
+      caughtUp,
+    });
+    if (change)
+      leader.offer({
+        kind: 'change_members',
+        now: this.queue.now,
+        token: -1,
+        change,
+      });
+  }
+
+  private answers(from: SimNode, to: SimNode): boolean {
+    const isOpen =
+      !this.network.isCut(from.vm, to.vm) &&
+      !this.network.isCut(to.vm, from.vm);
+    return to.isUp && !to.isFrozen && isOpen;
+  }
+
+  /** A node with a new folder asks the leader for an index to wait for. */
+  private requireLater(): void {
+    this.queue.after(REQUIRE_MS, () => {
+      for (const node of this.nodes)
+        if (node.status?.needsIndex) this.require(node);
+      this.requireLater();
+    });
+  }
+
+  private require(node: SimNode): void {
+    const {id} = node;
+    for (const leader of this.nodes) {
+      if (
+        leader === node ||
+        leader.status?.role !== 'leader' ||
+        !this.answers(node, leader)
+      )
+        continue;
+      leader.read(index => {
+        if (node.id === id)
+          node.offer({kind: 'require', now: this.queue.now, index});
+      });
+    }
+  }
+}
+
+/** VM of a node, for tests. */
+export const vmOf = (node: NodeId): VmId => vmOfNode(node);
+
+const profileOf = (name: ProfileName): Profile => ({
+  name,
+  placing: {kind: 'pack'},
+  waiting: {
+    classes: [
+      {
+        name: 'all',
+        pathPrefix: '/',
+        priority: 1,
+        deadlineMs: 1000,
+        queueBound: 10,
+      },
+    ],
+    spill: {kind: 'never'},
+  },
+  stopping: {graceMs: 0, checkpoint: false, repeat: {kind: 'at_most_once'}},
+});
--- /dev/null
+++ b/packages/proofs/src/consensus/sim_node.ts
@@ -0,0 +1,309 @@
+import {decode, encode} from '@msgpack/msgpack';
+import {
+  ConsensusCore,
+  ConsensusPump,
+  Replica,
+  emptyState,
+  foundingState,
+  planWrites,
+  restoreFiles,
+  type ConsensusEffects,
+  type ConsensusInput,
+  type Delivery,
+  type Envelope,
+  type FileWrite,
+  type Restored,
+} from '@primrosewick/coordination';
+import {
+  makeNodeId,
+  seededRandom,
+  type CellCommand,
+  type CellImage,
+  type CellResult,
+  type NodeId,
+  type Random,
+  type VmId,
+} from '@primrosewick/state';
+import type {EventQueue} from '../world/event_queue.js';
+import {FakeDisk} from '../world/fake_disk.js';
+import type {FakeNetwork} from '../world/fake_network.js';
+import type {ConsensusOracle} from './oracle.js';
+
+/** What the nodes share. */
+export interface SimContext {
+  readonly queue: EventQueue;
+  readonly network: FakeNetwork;
+  readonly random: Random;
+  readonly oracle: ConsensusOracle;
+  readonly nodeAt: (node: NodeId) => SimNode | undefined;
+}
+
+const TICK_MS = 50;
+const MAX_SYNC_MS = 40;
+const COMPACT_ENTRIES = 25;
+
+/** One VM with a disk: the driver of the consensus core on virtual time. */
+export class SimNode {
+  private core: ConsensusCore<CellCommand> | null = null;
+  private pump: ConsensusPump<CellCommand> | null = null;
+  private disk: FakeDisk;
+  private replica = new Replica();
+  private births = 0;
+  private life = 0;
+  private isBusy = false;
+  private readonly waiting = new Map<
+    number,
+    {term: number; done: (result: CellResult | undefined) => void}
+  >();
+  private readonly tokens = new Map<
+    number,
+    (result: CellResult | undefined) => void
+  >();
+  private readonly reads = new Map<number, (index: number) => void>();
+  private nextToken = 1;
+  id: NodeId;
+  isFrozen = false;
+
+  constructor(
+    readonly vm: VmId,
+    private readonly context: SimContext,
+  ) {
+    this.disk = new FakeDisk(context.random);
+    this.id = this.newId();
+  }
+
+  /** Whether the process runs. */
+  get isUp(): boolean {
+    return this.core !== null;
+  }
+
+  /** Whether the disk refuses writes. */
+  set isDiskFailing(isFailing: boolean) {
+    this.disk.isFailing = isFailing;
+  }
+
+  /** State of the core, while the process runs. */
+  get status() {
+    return this.core?.status;
+  }
+
+  /** The copy of the cell state, when it may be shown. */
+  get shown(): Replica | undefined {
+    return this.core?.status.isCurrent ? this.replica : undefined;
+  }
+
+  /** Founds the cell at this node. */
+  found(): void {
+    this.boot(foundingState<CellCommand>(this.id));
+    const writes = planWrites<CellCommand>(
+      [{kind: 'append', entries: foundingState<CellCommand>(this.id).entries}],
+      emptyState,
+    );
+    for (const write of writes) {
+      this.disk.begin(write);
+      this.disk.sync();
+    }
+  }
+
+  /** Starts the process from what the disk holds. */
+  start(): void {
+    if (this.core) return;
+    const {restored, cutLogTo} = restoreFiles<CellCommand>({
+      snapshot: this.disk.read('snapshot'),
+      log: this.disk.read('log'),
+    });
+    if (cutLogTo !== undefined) this.disk.truncate('log', cutLogTo);
+    this.boot(restored);
+  }
+
+  /** Ends the process at once; what was not synced may be lost. */
+  crash(): void {
+    this.life++;
+    this.core = null;
+    this.pump = null;
+    this.isBusy = false;
+    this.isFrozen = false;
+    this.disk.crash();
+    for (const done of [
+      ...this.tokens.values(),
+      ...[...this.waiting.values()].map(waiter => waiter.done),
+    ])
+      done(undefined);
+    this.tokens.clear();
+    this.waiting.clear();
+    this.reads.clear();
+  }
+
+  /** Loses the disk; the next start is under a new identity. */
+  loseDisk(): void {
+    this.crash();
+    this.disk = new FakeDisk(this.context.random);
+    this.id = this.newId();
+  }
+
+  /** Goes on after a freeze. */
+  thaw(): void {
+    this.isFrozen = false;
+    this.run();
+  }
+
+  /** Takes a message. */
+  receive(envelope: Envelope<CellCommand>): void {
+    this.offer({kind: 'message', now: this.context.queue.now, envelope});
+  }
+
+  /** Proposes a command; `done` gets its answer, or undefined when it is not known. */
+  propose(
+    command: CellCommand,
+    done: (result: CellResult | undefined) => void,
+  ): void {
+    if (!this.core) return done(undefined);
+    const token = this.nextToken++;
+    this.tokens.set(token, done);
+    this.offer({kind: 'propose', now: this.context.queue.now, token, command});
+  }
+
+  /** Hands an input to the core. */
+  offer(input: ConsensusInput<CellCommand>): void {
+    if (!this.pump) return;
+    this.pump.offer(input);
+    this.run();
+  }
+
+  /** Asks for an index that a read must have reached. */
+  read(done: (index: number) => void): void {
+    const token = this.nextToken++;
+    this.reads.set(token, done);
+    this.offer({kind: 'read', now: this.context.queue.now, token});
+  }
+
+  private newId(): NodeId {
+    this.births++;
+    return makeNodeId(this.vm, `b${this.births}`);
+  }
+
+  private boot(restored: Restored<CellCommand>): void {
+    const {queue, random} = this.context;
+    this.core = new ConsensusCore<CellCommand>({
+      id: this.id,
+      restored,
+      random: seededRandom(random.nextInt(1, 1 << 30)),
+      now: queue.now,
+      timing: {
+        heartbeatMs: 100,
+        electionMs: 400,
+        maxEntriesPerMessage: 8,
+        chunkBytes: 700,
+        maxInFlight: 32,
+      },
+    });
+    this.pump = new ConsensusPump(this.core);
+    this.replica = new Replica();
+    if (restored.snapshot)
+      this.replica.restore(decode(restored.snapshot.data) as CellImage);
+    this.life++;
+    this.tickLater(this.life);
+  }
+
+  private tickLater(life: number): void {
+    this.context.queue.after(TICK_MS, () => {
+      if (life !== this.life) return;
+      this.offer({kind: 'tick', now: this.context.queue.now});
+      this.tickLater(life);
+    });
+  }
+
+  private run(): void {
+    if (this.isBusy || this.isFrozen || !this.pump?.hasInput) return;
+    const effects = this.pump.run();
+    if (effects.writes.length === 0) return this.finish(effects);
+    if (this.disk.isFailing) return this.crash();
+    this.isBusy = true;
+    const image = this.core!.durable;
+    this.persist(
+      planWrites(effects.writes, () => image),
+      effects,
+      this.life,
+    );
+  }
+
+  /** Syncs one write after another, each taking its time. */
+  private persist(
+    writes: readonly FileWrite[],
+    effects: ConsensusEffects<CellCommand>,
+    life: number,
+  ): void {
+    const [write, ...rest] = writes;
+    if (!write) {
+      this.isBusy = false;
+      return this.finish(effects);
+    }
+    this.disk.begin(write);
+    this.context.queue.after(
+      this.context.random.nextInt(1, MAX_SYNC_MS),
+      () => {
+        if (life !== this.life) return;
+        this.disk.sync();
+        this.persist(rest, effects, life);
+      },
+    );
+  }
+
+  private finish({
+    messages,
+    answers,
+    deliveries,
+  }: ConsensusEffects<CellCommand>): void {
+    for (const envelope of messages) this.sendOut(envelope);
+    for (const answer of answers) {
+      const done = this.tokens.get(answer.token);
+      this.tokens.delete(answer.token);
+      if (answer.kind === 'appended' && done)
+        this.waiting.set(answer.index, {term: answer.term, done});
+      else if (answer.kind === 'read_ready')
+        this.reads.get(answer.token)?.(answer.index);
+      else done?.(undefined);
+    }
+    for (const delivery of deliveries) this.deliver(delivery);
+    this.context.oracle.look(this);
+    if (deliveries.length > 0) this.compactIfLong();
+    this.run();
+  }
+
+  private sendOut(envelope: Envelope<CellCommand>): void {
+    const target = this.context.nodeAt(envelope.to);
+    if (!target) return;
+    this.context.network.carry(this.vm, target.vm, () =>
+      this.context.nodeAt(envelope.to)?.receive(envelope),
+    );
+  }
+
+  private deliver(delivery: Delivery<CellCommand>): void {
+    if (delivery.kind === 'snapshot') {
+      this.replica.restore(decode(delivery.snapshot.data) as CellImage);
+      return;
+    }
+    const {entry} = delivery;
+    this.context.oracle.noteCommitted(this.id, entry);
+    const command =
+      entry.body.kind === 'command' ? entry.body.command : undefined;
+    const result = this.replica.apply(
+      command ? {index: entry.index, command} : {index: entry.index},
+    );
+    const waiter = this.waiting.get(entry.index);
+    this.waiting.delete(entry.index);
+    waiter?.done(waiter.term === entry.term ? result : undefined);
+  }
+
+  private compactIfLong(): void {
+    const held = this.core!.durable.entries.length;
+    if (held < COMPACT_ENTRIES) return;
+    const image = this.replica.state.toImage();
+    this.pump?.offer({
+      kind: 'compact',
+      now: this.context.queue.now,
+      index: image.index,
+      data: encode(image, {ignoreUndefined: true}),
+    });
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/fuzz/main.ts
@@ -0,0 +1,42 @@
+/**
+ * Long fuzzing: `npm run fuzz -- --minutes N --seed S`. Each round of each
+ * plan has a seed of its own, which is printed; a failure ends it.
+ */
+import {consensusPlan} from '../consensus/plans.js';
+import {runFuzz} from './run_fuzz.js';
+
+const ROUND_RUNS = 50;
+const MINUTE_MS = 60_000;
+
+const valueOf = (name: string, fallback: number): number => {
+  const at = process.argv.indexOf(`--${name}`);
+  return at < 0 ? fallback : Number(process.argv[at + 1]);
+};
+
+/** Every plan of the long fuzzing; each takes the seed of its round. */
+const ROUNDS: ReadonlyArray<{
+  readonly name: string;
+  readonly run: (seed: number) => void;
+}> = [
+  {
+    name: 'cell-log-3',
+    run: seed => runFuzz(consensusPlan(3, seed, ROUND_RUNS)),
+  },
+  {
+    name: 'cell-log-5',
+    run: seed => runFuzz(consensusPlan(5, seed, ROUND_RUNS)),
+  },
+];
+
+const minutes = valueOf('minutes', 1);
+const firstSeed = valueOf('seed', 1);
+const deadline = performance.now() + minutes * MINUTE_MS;
+let seed = firstSeed;
+while (performance.now() < deadline) {
+  for (const {name, run} of ROUNDS) {
+    process.stdout.write(`${name} seed ${seed}: `);
+    run(seed);
+    process.stdout.write(`${ROUND_RUNS} runs passed\n`);
+  }
+  seed++;
+}
--- /dev/null
+++ b/packages/proofs/src/fuzz/run_fuzz.ts
@@ -0,0 +1,43 @@
+import fc from 'fast-check';
+
+/** One stateful fuzzing. */
+export interface FuzzPlan<M extends object, R> {
+  readonly name: string;
+  readonly seed: number;
+  readonly runs: number;
+  readonly commands: Array<fc.Arbitrary<fc.Command<M, R>>>;
+  /** Makes the real thing; the seed decides all that its world draws. */
+  readonly setUp: (seed: number) => R;
+  /** Ends a run and checks what must hold then. */
+  readonly finish: (real: R) => void;
+  readonly maxCommands?: number;
+}
+
+const MAX_COMMANDS = 200;
+const MAX_SEED = 2 ** 30;
+
+/**
+ * Runs a fuzzing; the error of a failure names its seed and path.
+ * @throws Error with the shrunk commands.
+ */
+export const runFuzz = <M extends object, R>(plan: FuzzPlan<M, R>): void => {
+  const {commands, setUp, finish, seed, runs} = plan;
+  const all = fc.commands(commands, {
+    maxCommands: plan.maxCommands ?? MAX_COMMANDS,
+    size: 'max',
+  });
+  const property = fc.property(
+    fc.integer({min: 1, max: MAX_SEED}),
+    all,
+    (worldSeed, cmds) => {
+      const real = setUp(worldSeed);
+      fc.modelRun(() => ({model: {} as M, real}), cmds);
+      finish(real);
+    },
+  );
+  fc.assert(property, {
+    seed,
+    numRuns: runs,
+    endOnFailure: process.env['FUZZ_SHRINK'] === undefined,
+  });
+};
--- /dev/null
+++ b/packages/proofs/src/world/fake_disk.ts
@@ -0,0 +1,66 @@
+import type {FileWrite} from '@primrosewick/coordination';
+import type {Random} from '@primrosewick/state';
+
+/** What a crash leaves of a write that was not synced. */
+type Remains = 'nothing' | 'torn' | 'all';
+
+/** Files that survive a crash only once they are synced. */
+export class FakeDisk {
+  private readonly files = new Map<string, Buffer>();
+  private unsynced: FileWrite | null = null;
+  /** Whether the disk refuses writes, as when it is full or a sync failed. */
+  isFailing = false;
+
+  constructor(private readonly random: Random) {}
+
+  /** @returns the content of a file, or undefined. */
+  read(file: string): Buffer | undefined {
+    return this.files.get(file);
+  }
+
+  /** Begins a write, which a crash may undo. */
+  begin(write: FileWrite): void {
+    this.unsynced = write;
+  }
+
+  /** Syncs the write that was begun. */
+  sync(): void {
+    if (this.unsynced) this.apply(this.unsynced, this.unsynced.bytes.length);
+    this.unsynced = null;
+  }
+
+  /** Loses, tears or keeps what was not synced. */
+  crash(): void {
+    const write = this.unsynced;
+    this.unsynced = null;
+    if (!write) return;
+    const remains = (['nothing', 'torn', 'all'] as const)[
+      this.random.nextInt(0, 2)
+    ] as Remains;
+    if (remains === 'nothing') return;
+    const isWhole = remains === 'all' || write.kind === 'replace';
+    this.apply(
+      write,
+      isWhole ? write.bytes.length : this.random.nextInt(0, write.bytes.length),
+    );
+  }
+
+  /** Cuts a file to a length. */
+  truncate(file: string, length: number): void {
+    this.files.set(
+      file,
+      (this.files.get(file) ?? Buffer.alloc(0)).subarray(0, length),
+    );
+  }
+
+  private apply(write: FileWrite, length: number): void {
+    const before =
+      write.kind === 'append'
+        ? (this.files.get(write.file) ?? Buffer.alloc(0))
+        : Buffer.alloc(0);
+    this.files.set(
+      write.file,
+      Buffer.concat([before, write.bytes.subarray(0, length)]),
+    );
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/world/fake_network.ts
@@ -0,0 +1,64 @@
+import type {Random} from '@primrosewick/state';
+import type {EventQueue} from './event_queue.js';
+
+/** How unreliable the network is at present. */
+export interface NetworkFaults {
+  /** Messages lost, in percent. */
+  readonly lossPercent: number;
+  /** Messages that arrive twice, in percent. */
+  readonly duplicatePercent: number;
+  /** Longest delay of a message, in ms; differing delays reorder messages. */
+  readonly maxDelayMs: number;
+}
+
+/** A network that works. */
+export const NO_FAULTS: NetworkFaults = {
+  lossPercent: 0,
+  duplicatePercent: 0,
+  maxDelayMs: 8,
+};
+
+/** Carries messages between named places, or loses, doubles and delays them. */
+export class FakeNetwork {
+  faults: NetworkFaults = NO_FAULTS;
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    private readonly queue: EventQueue,
+    private readonly random: Random,
+  ) {}
+
+  /** Cuts the link in one direction. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Mends all links. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  /** Whether a link is cut. */
+  isCut(from: string, to: string): boolean {
+    return this.cuts.has(`${from}>${to}`);
+  }
+
+  /** Carries something; the link must be whole when it leaves and when it arrives. */
+  carry(from: string, to: string, deliver: () => void): void {
+    this.carryOnce(from, to, deliver);
+    if (this.happens(this.faults.duplicatePercent))
+      this.carryOnce(from, to, deliver);
+  }
+
+  private carryOnce(from: string, to: string, deliver: () => void): void {
+    if (this.isCut(from, to) || this.happens(this.faults.lossPercent)) return;
+    const delayMs = this.random.nextInt(1, this.faults.maxDelayMs);
+    this.queue.after(delayMs, () => {
+      if (!this.isCut(from, to)) deliver();
+    });
+  }
+
+  private happens(percent: number): boolean {
+    return percent > 0 && this.random.nextInt(1, 100) <= percent;
+  }
+}
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -5,7 +5,7 @@
  */
 import {callJson} from '@primrosewick/transport';
 import {readArgs} from '../utils/args.js';
-import {Cell, freePorts, waitUntil, type CommandResult} from './cell.js';
+import {Cell, freePorts, waitUntil, type CommandResult} from '../cell/cell.js';
 import {DEPOSIT_JOB, DEPOSIT_PROFILE, DESK_PROFILE} from './documents.js';
 
 const START_MS = 25_000;
