--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -1,5 +1,5 @@
 /** Runs the authority of the VM's own zone, and grants for the zones it witnesses. */
-import {Subject} from 'rxjs';
+import {Subject, type Subscription} from 'rxjs';
 import {
   seededRandom,
   type Epoch,
@@ -41,7 +41,7 @@
   readonly changes = new Subject<AuthorityChange>();
   private readonly core: AuthorityCore;
   private readonly grantors = new Map<ZoneId, Grantor>();
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Subscription | undefined;
 
   constructor(private readonly options: AuthorityTaskOptions) {
     const {own, vms, clock, seed} = options;
@@ -68,15 +68,16 @@
   /** Starts the clock of the core. */
   start(): void {
     const {clock} = this.options;
-    this.timer = setInterval(
-      () => this.step({kind: 'tick', now: clock.now(), wall: clock.wall()}),
-      TICK_MS,
-    );
+    this.timer = clock
+      .every(TICK_MS)
+      .subscribe(() =>
+        this.step({kind: 'tick', now: clock.now(), wall: clock.wall()}),
+      );
   }
 
   /** Gives up the leadership, if held, and stops. */
   resign(): void {
-    clearInterval(this.timer);
+    this.timer?.unsubscribe();
     this.step({kind: 'resign', now: this.options.clock.now()});
   }
 
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -1,6 +1,6 @@
 /** Drives the consensus core of one voter or learner. */
 import {decode, encode} from '@msgpack/msgpack';
-import {Subject} from 'rxjs';
+import {Subject, type Subscription} from 'rxjs';
 import {
   CellError,
   seededRandom,
@@ -71,7 +71,7 @@
   private nextToken = 1;
   private isRunning = false;
   private failure: CellError | null = null;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Subscription | undefined;
   private lastStatus: ConsensusStatus;
 
   constructor(private readonly options: ConsensusTaskOptions) {
@@ -91,15 +91,15 @@
 
   /** Starts the clock of the core. */
   start(): void {
-    this.timer = setInterval(
-      () => this.offer({kind: 'tick', now: this.options.clock.now()}),
-      TICK_MS,
-    );
+    const {clock} = this.options;
+    this.timer = clock
+      .every(TICK_MS)
+      .subscribe(() => this.offer({kind: 'tick', now: clock.now()}));
   }
 
   /** Stops; what waits is refused. */
   stop(): void {
-    clearInterval(this.timer);
+    this.timer?.unsubscribe();
     this.refuseAll('stopping');
   }
 
@@ -330,7 +330,7 @@
 
   private fail(err: CellError): void {
     this.failure = err;
-    clearInterval(this.timer);
+    this.timer?.unsubscribe();
     this.refuseAll('storage_failed');
     this.options.onFailure(err);
   }
--- a/packages/coordination/src/entry/task.ts
+++ b/packages/coordination/src/entry/task.ts
@@ -1,4 +1,5 @@
 /** The request path of one entry: carries out what the request core decides. */
+import {Subscription} from 'rxjs';
 import {
   CellError,
   RequestCore,
@@ -70,7 +71,7 @@
   private readonly core: RequestCore;
   private readonly pending = new Map<RequestId, Pending>();
   private readonly answers = new Map<AttemptId, UpstreamAnswer>();
-  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly timers = new Subscription();
   private syncSeq = 0;
   private lastSyncAt = Number.NEGATIVE_INFINITY;
   private isSyncing = false;
@@ -85,15 +86,17 @@
   /** Starts the clock and the renewal of shares. */
   start(): void {
     const {clock, syncMs} = this.options;
-    this.timers.push(
-      setInterval(() => this.step({kind: 'tick', now: clock.now()}), TICK_MS),
+    this.timers.add(
+      clock
+        .every(TICK_MS)
+        .subscribe(() => this.step({kind: 'tick', now: clock.now()})),
     );
-    this.timers.push(setInterval(() => void this.sync(), syncMs));
+    this.timers.add(clock.every(syncMs).subscribe(() => void this.sync()));
   }
 
   /** Stops the clock and returns what is held. */
   async stop(): Promise<void> {
-    for (const timer of this.timers) clearInterval(timer);
+    this.timers.unsubscribe();
     this.syncSeq++;
     const request = {
       holder: this.options.holder,
@@ -273,6 +276,7 @@
   private refuse({
     id,
     code,
+    outcome,
     retryAfterMs,
   }: Extract<RequestEffect, {kind: 'refuse'}>): void {
     const pending = this.pending.get(id);
@@ -280,6 +284,7 @@
     pending?.reject(
       new CellError({
         code,
+        outcome,
         step: 'schedule',
         peer: pending.request.service,
         retryAfterMs,
@@ -309,8 +314,11 @@
     if (this.isBorrowDue) return;
     this.isBorrowDue = true;
     const {clock} = this.options;
-    const pause = Math.max(0, this.lastSyncAt + MIN_SYNC_GAP_MS - clock.now());
-    setTimeout(() => void this.sync(), pause);
+    const pauseMs = Math.max(
+      0,
+      this.lastSyncAt + MIN_SYNC_GAP_MS - clock.now(),
+    );
+    this.timers.add(clock.after(pauseMs).subscribe(() => void this.sync()));
   }
 
   private async sync(): Promise<void> {
@@ -331,16 +339,15 @@
     const sentAt = clock.now();
     this.lastSyncAt = sentAt;
     this.syncSeq++;
-    const held = this.core.reportHeld(zone);
-    const reply = await leader.syncShares({
+    const held = this.core.reportHeld(zone, sentAt);
+    const grant = await leader.syncShares({
       holder,
       seq: this.syncSeq,
       held,
       wants: this.wants(),
       isForeign: false,
     });
-    if (reply.kind !== 'ok') return;
-    const {shares, leaseMs, isComplete} = reply.value;
+    const {shares, leaseMs, isComplete} = grant;
     const capped = shares.map(share => ({
       ...share,
       slots: Math.min(share.slots, connectionsOf(share.connections)),
--- a/packages/coordination/src/entry/types.ts
+++ b/packages/coordination/src/entry/types.ts
@@ -7,7 +7,7 @@
   ShareRequest,
   UpstreamId,
 } from '@primrosewick/state';
-import type {LeaderReply, ShareGrant} from '@primrosewick/protocol';
+import type {ShareGrant} from '@primrosewick/protocol';
 
 /** A client's request as it is passed to an upstream. */
 export interface ForwardedRequest {
@@ -64,5 +64,5 @@
 
 /** Reaches the leaders of zones. */
 export interface LeaderPort {
-  syncShares(request: ShareRequest): Promise<LeaderReply<ShareGrant>>;
+  syncShares(request: ShareRequest): Promise<ShareGrant>;
 }
--- a/packages/coordination/src/entry/upstream_port.ts
+++ b/packages/coordination/src/entry/upstream_port.ts
@@ -8,7 +8,7 @@
 import {
   HttpFailure,
   callHttp,
-  sleep,
+  pause,
   type Clock,
   type HttpAnswer,
 } from '@primrosewick/transport';
@@ -69,7 +69,7 @@
     const giveUpAt = clock.now() + END_GIVE_UP_MS;
     while (clock.now() < giveUpAt) {
       if (await this.tryEnd(address, attempt)) return;
-      await sleep(END_RETRY_MS);
+      await pause(clock, END_RETRY_MS);
     }
   }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -23,3 +23,4 @@
 export * from './zone/task.js';
 export * from './zone/types.js';
 export * from './entry/keyed.js';
+export * from './zone/leader_port.js';
--- a/packages/coordination/src/propagation/task.ts
+++ b/packages/coordination/src/propagation/task.ts
@@ -1,7 +1,7 @@
 /** Keeps the copy of a VM without a disk current by following another VM. */
 import type {FollowReply} from '@primrosewick/protocol';
 import type {VmId} from '@primrosewick/state';
-import {sleep, type Clock, type PeerCaller} from '@primrosewick/transport';
+import {pause, type Clock, type PeerCaller} from '@primrosewick/transport';
 import type {ReplicaTask} from '../replica/task.js';
 
 /** Options of the task. */
@@ -80,7 +80,7 @@
     const {sources, clock} = this.options;
     if (this.at === 0) this.retryBestAt = clock.now() + RETRY_BEST_MS;
     this.at = (this.at + 1) % Math.max(1, sources.length);
-    await sleep(PAUSE_MS);
+    await pause(clock, PAUSE_MS);
   }
 
   private retryBest(): void {
@@ -105,7 +105,7 @@
         clock.now() >= cutOffAt &&
         replica.replica.index > 0;
       if (isCurrent || isCutOff) replica.open();
-      else await sleep(PAUSE_MS / 4);
+      else await pause(clock, PAUSE_MS / 4);
     }
   }
 
--- a/packages/coordination/src/proposals/task.ts
+++ b/packages/coordination/src/proposals/task.ts
@@ -9,7 +9,7 @@
 } from '@primrosewick/state';
 import type {ProposeReply} from '@primrosewick/protocol';
 import {
-  sleep,
+  pause,
   type Clock,
   type Metrics,
   type PeerCaller,
@@ -81,7 +81,7 @@
         }
       }
       this.options.metrics.addRetry('proposal');
-      if (round > 0) await sleep(RETRY_PAUSE_MS);
+      if (round > 0) await pause(clock, RETRY_PAUSE_MS);
     }
   }
 
--- a/packages/coordination/src/replica/task.ts
+++ b/packages/coordination/src/replica/task.ts
@@ -1,4 +1,4 @@
-import {Subject} from 'rxjs';
+import {Subject, firstValueFrom, race} from 'rxjs';
 import {
   asId,
   assertNever,
@@ -75,15 +75,9 @@
   }
 
   private waitForChange(waitMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const finish = (): void => {
-        clearTimeout(timer);
-        subscription.unsubscribe();
-        resolve();
-      };
-      const timer = setTimeout(finish, waitMs);
-      const subscription = this.changes.subscribe(finish);
-    });
+    return firstValueFrom(race(this.changes, this.clock.after(waitMs))).then(
+      () => undefined,
+    );
   }
 }
 
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -1,4 +1,5 @@
 /** Leads a zone while this VM holds its lease: lends slots and places tasks. */
+import type {Subscription} from 'rxjs';
 import {
   PlacementCore,
   ShareLedger,
@@ -29,7 +30,7 @@
   WorkerOrders,
   WorkerStatus,
 } from '@primrosewick/protocol';
-import {sleep, type Clock, type Metrics} from '@primrosewick/transport';
+import {pause, type Clock, type Metrics} from '@primrosewick/transport';
 import type {AuthorityTask} from '../authority/task.js';
 import type {ReplicaChange, ReplicaTask} from '../replica/task.js';
 import {zoneQuotas} from './quotas.js';
@@ -63,7 +64,7 @@
 /** Leads a zone while this VM holds its lease. */
 export class ZoneTask {
   private reign: Reign | null = null;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Subscription | undefined;
 
   constructor(private readonly options: ZoneTaskOptions) {
     options.authority.changes.subscribe(change => {
@@ -75,12 +76,12 @@
 
   /** Starts the clock of the cores. */
   start(): void {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.timer = this.options.clock.every(TICK_MS).subscribe(() => this.tick());
   }
 
   /** Stops the clock. */
   stop(): void {
-    clearInterval(this.timer);
+    this.timer?.unsubscribe();
     this.reign = null;
   }
 
@@ -196,7 +197,7 @@
         this.stepPlacement(reign, {kind: 'barrier', now: this.now, index});
         return;
       }
-      await sleep(LOG_RETRY_MS);
+      await pause(this.options.clock, LOG_RETRY_MS);
     }
   }
 
@@ -319,7 +320,7 @@
           toCellError(err, 'commit').code,
           body.kind,
         );
-        await sleep(LOG_RETRY_MS);
+        await pause(this.options.clock, LOG_RETRY_MS);
       }
     }
     return false;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,6 +9,7 @@
   KeyedRequests,
   NO_RECORDER,
   ReplicaTask,
+  ZoneLeaderPort,
   ZoneTask,
   followSources,
   type LogPort,
@@ -24,7 +25,6 @@
   DEFAULT_SHARE_TIMING,
   asId,
   type HolderId,
-  type ShareRequest,
 } from '@primrosewick/state';
 import {
   HttpServer,
@@ -42,7 +42,7 @@
 import {clientRoutes} from './routes/client.js';
 import type {RouteContext} from './routes/context.js';
 import {operatorRoutes, tokenGuard} from './routes/operator.js';
-import {askLeader, platformRoutes} from './routes/platform.js';
+import {platformRoutes} from './routes/platform.js';
 import {readToken} from './token.js';
 import {Voter} from './voter.js';
 
@@ -67,6 +67,7 @@
   private readonly voter: Voter | null;
   private readonly log: LogPort;
   private readonly zone: ZoneTask;
+  private readonly leader: ZoneLeaderPort;
   private readonly upstreams: HttpUpstreamPort;
   private readonly entry: EntryTask;
   private readonly follow: FollowTask | null;
@@ -86,6 +87,11 @@
     this.voter = this.makeVoter();
     this.log = this.makeLog();
     this.zone = this.makeZone();
+    this.leader = new ZoneLeaderPort({
+      own: this.own.vm,
+      peers: this.peers,
+      zone: this.zone,
+    });
     this.upstreams = this.makeUpstreams();
     this.entry = this.makeEntry();
     this.follow = this.makeFollow();
@@ -217,7 +223,7 @@
       zone: this.own.zone,
       holder: this.holder,
       replica: this.replica,
-      leader: {syncShares: request => this.syncShares(request)},
+      leader: this.leader,
       upstreams: this.upstreams,
       clock: this.clock,
       metrics: this.metrics,
@@ -229,17 +235,6 @@
     });
   }
 
-  private async syncShares(request: ShareRequest) {
-    const {authority, peers, settings} = this;
-    const value = await askLeader(
-      {authority, peers, settings},
-      'syncShares',
-      request,
-      () => this.zone.syncShares(request),
-    );
-    return {kind: 'ok' as const, value};
-  }
-
   private makeFollow(): FollowTask | null {
     if (this.own.disk) return null;
     return new FollowTask({
@@ -262,7 +257,6 @@
       replica,
       log,
       entry,
-      zone,
       authority,
     } = this;
     const keyed = new KeyedRequests({
@@ -281,7 +275,7 @@
       log,
       entry,
       keyed,
-      zone,
+      leader: this.leader,
       authority,
       consensus: () => this.voter?.task ?? null,
       ownStatus: () => this.status(),
--- a/packages/daemon/src/routes/context.ts
+++ b/packages/daemon/src/routes/context.ts
@@ -5,7 +5,7 @@
   KeyedRequests,
   LogPort,
   ReplicaTask,
-  ZoneTask,
+  ZoneLeaderPort,
 } from '@primrosewick/coordination';
 import type {Settings, VmStatus, WriteIdInput} from '@primrosewick/protocol';
 import {
@@ -32,7 +32,7 @@
   readonly log: LogPort;
   readonly entry: EntryTask;
   readonly keyed: KeyedRequests;
-  readonly zone: ZoneTask;
+  readonly leader: ZoneLeaderPort;
   readonly authority: AuthorityTask;
   /** The voter of this VM, once it takes part. */
   readonly consensus: () => ConsensusTask | null;
--- a/packages/proofs/src/fuzz/main.ts
+++ b/packages/proofs/src/fuzz/main.ts
@@ -3,7 +3,8 @@
  * plan has a seed of its own, which is printed; a failure ends it.
  */
 import {consensusPlan} from '../consensus/plans.js';
-import {runFuzz} from './run_fuzz.js';
+import {zonePlan} from '../zone/plans.js';
+import {runFuzz, runFuzzAsync} from './run_fuzz.js';
 
 const ROUND_RUNS = 50;
 const MINUTE_MS = 60_000;
@@ -13,11 +14,13 @@
   return at < 0 ? fallback : Number(process.argv[at + 1]);
 };
 
-/** Every plan of the long fuzzing; each takes the seed of its round. */
-const ROUNDS: ReadonlyArray<{
+interface Round {
   readonly name: string;
-  readonly run: (seed: number) => void;
-}> = [
+  readonly run: (seed: number) => Promise<void> | void;
+}
+
+/** Every plan of the long fuzzing; each takes the seed of its round. */
+const ROUNDS: readonly Round[] = [
   {
     name: 'cell-log-3',
     run: seed => runFuzz(consensusPlan(3, seed, ROUND_RUNS)),
@@ -26,6 +29,8 @@
     name: 'cell-log-5',
     run: seed => runFuzz(consensusPlan(5, seed, ROUND_RUNS)),
   },
+  {name: 'zone-3', run: seed => runFuzzAsync(zonePlan(3, seed, ROUND_RUNS))},
+  {name: 'zone-2', run: seed => runFuzzAsync(zonePlan(2, seed, ROUND_RUNS))},
 ];
 
 const minutes = valueOf('minutes', 1);
@@ -35,7 +40,7 @@
 while (performance.now() < deadline) {
   for (const {name, run} of ROUNDS) {
     process.stdout.write(`${name} seed ${seed}: `);
-    run(seed);
+    await run(seed);
     process.stdout.write(`${ROUND_RUNS} runs passed\n`);
   }
   seed++;
--- a/packages/proofs/src/fuzz/run_fuzz.ts
+++ b/packages/proofs/src/fuzz/run_fuzz.ts
@@ -41,3 +41,42 @@
     endOnFailure: process.env['FUZZ_SHRINK'] === undefined,
   });
 };
+
+/** One stateful fuzzing whose steps wait for promises. */
+export interface AsyncFuzzPlan<M extends object, R> {
+  readonly name: string;
+  readonly seed: number;
+  readonly runs: number;
+  readonly commands: Array<fc.Arbitrary<fc.AsyncCommand<M, R>>>;
+  readonly setUp: (seed: number) => Promise<R>;
+  readonly finish: (real: R) => Promise<void>;
+  readonly maxCommands?: number;
+}
+
+/**
+ * Runs a fuzzing whose steps wait for promises.
+ * @throws Error with the shrunk commands.
+ */
+export const runFuzzAsync = async <M extends object, R>(
+  plan: AsyncFuzzPlan<M, R>,
+): Promise<void> => {
+  const {commands, setUp, finish, seed, runs} = plan;
+  const all = fc.commands(commands, {
+    maxCommands: plan.maxCommands ?? MAX_COMMANDS,
+    size: 'max',
+  });
+  const property = fc.asyncProperty(
+    fc.integer({min: 1, max: MAX_SEED}),
+    all,
+    async (worldSeed, cmds) => {
+      const real = await setUp(worldSeed);
+      await fc.asyncModelRun(() => ({model: {} as M, real}), cmds);
+      await finish(real);
+    },
+  );
+  await fc.assert(property, {
+    seed,
+    numRuns: runs,
+    endOnFailure: process.env['FUZZ_SHRINK'] === undefined,
+  });
+};
--- a/packages/proofs/src/world/event_queue.ts
+++ b/packages/proofs/src/world/event_queue.ts
@@ -33,6 +33,23 @@
     this.now = until;
   }
 
+  /** Runs all events up to a time from now, with the promises that each settles. */
+  async advanceAsync(byMs: number): Promise<void> {
+    const until = this.now + byMs;
+    await settlePromises();
+    for (
+      let next = this.heap[0];
+      next && next.at <= until;
+      next = this.heap[0]
+    ) {
+      this.pop();
+      this.now = next.at;
+      next.run();
+      await settlePromises();
+    }
+    this.now = until;
+  }
+
   private push(item: Scheduled): void {
     let at = this.heap.length;
     this.heap.push(item);
@@ -67,5 +84,9 @@
   }
 }
 
+/** Lets every promise that can settle do so. */
+const settlePromises = (): Promise<void> =>
+  new Promise(resolve => setImmediate(resolve));
+
 const isBefore = (a: Scheduled, b: Scheduled): boolean =>
   a.at < b.at || (a.at === b.at && a.order < b.order);
--- /dev/null
+++ b/packages/proofs/src/world/fake_peers.ts
@@ -0,0 +1,92 @@
+import {
+  PEER_METHODS,
+  type PeerMethod,
+  type PeerMethods,
+} from '@primrosewick/protocol';
+import {CellError, type Random, type VmId} from '@primrosewick/state';
+import type {PeerCaller, PeerHandlers} from '@primrosewick/transport';
+import type {EventQueue} from './event_queue.js';
+import type {FakeNetwork} from './fake_network.js';
+import type {SimProcess} from './process.js';
+
+/** Where the calls to a VM arrive. */
+export interface PeerPlace {
+  readonly process: SimProcess;
+  readonly handlers: Partial<PeerHandlers>;
+}
+
+/** Options of the calls of one process. */
+export interface FakePeersOptions {
+  readonly vm: VmId;
+  readonly process: SimProcess;
+  readonly queue: EventQueue;
+  readonly network: FakeNetwork;
+  readonly random: Random;
+  readonly placeOf: (vm: VmId) => PeerPlace | undefined;
+}
+
+const CONNECT_MS = 400;
+
+/** Calls between daemons over the fake network. */
+export class FakePeers implements PeerCaller {
+  constructor(private readonly options: FakePeersOptions) {}
+
+  call<M extends PeerMethod>(
+    to: VmId,
+    method: M,
+    request: PeerMethods[M]['request'],
+  ): Promise<PeerMethods[M]['reply']> {
+    const {process, queue, random} = this.options;
+    return new Promise((resolve, reject) => {
+      const fail = (
+        code: 'peer_unreachable' | 'peer_timeout',
+        afterMs: number,
+      ): void =>
+        queue.after(afterMs, () =>
+          process.run(() =>
+            reject(new CellError({code, step: method, peer: to})),
+          ),
+        );
+      const isUnconnected = this.isCut(to) && random.nextInt(0, 1) === 0;
+      if (isUnconnected) return fail('peer_unreachable', CONNECT_MS);
+      fail('peer_timeout', PEER_METHODS[method].deadlineMs);
+      this.deliver(to, method, request, resolve, reject);
+    });
+  }
+
+  private isCut(to: VmId): boolean {
+    const {network, vm, placeOf} = this.options;
+    return (
+      network.isCut(vm, to) ||
+      network.isCut(to, vm) ||
+      !placeOf(to)?.process.isAlive
+    );
+  }
+
+  private deliver<M extends PeerMethod>(
+    to: VmId,
+    method: M,
+    request: PeerMethods[M]['request'],
+    resolve: (reply: PeerMethods[M]['reply']) => void,
+    reject: (err: unknown) => void,
+  ): void {
+    const {vm, process, network, placeOf} = this.options;
+    network.carry(vm, to, () => {
+      const place = placeOf(to);
+      place?.process.run(() => {
+        const handler = place.handlers[method] as
+          | ((request: unknown, from: VmId) => Promise<PeerMethods[M]['reply']>)
+          | undefined;
+        if (!handler) return;
+        const answer = (settle: () => void) =>
+          place.process.run(() =>
+            network.carry(to, vm, () => process.run(settle)),
+          );
+        handler(request, vm).then(
+          reply => answer(() => resolve(reply)),
+          (err: unknown) => answer(() => reject(err)),
+        );
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/zone/oracle.ts
@@ -0,0 +1,120 @@
+import type {ReasonCode} from '@primrosewick/state';
+import {CellError} from '@primrosewick/state';
+
+/** One run of a request at an upstream. */
+interface Run {
+  readonly upstream: string;
+  readonly at: number;
+}
+
+/** A request as its client knows it. */
+export interface ClientRecord {
+  readonly id: string;
+  readonly isIdempotent: boolean;
+  /** Requests with one key are one request. */
+  readonly key: string | undefined;
+  answer?:
+    | {readonly kind: 'whole'; readonly of: string}
+    | {
+        readonly kind: 'refused';
+        readonly code: ReasonCode;
+        readonly outcome: string;
+      };
+}
+
+/**
+ * What an outside observer knows of one zone: what was sent, what ran and
+ * what was answered.
+ */
+export class ZoneOracle {
+  readonly violations: string[] = [];
+  private readonly records: ClientRecord[] = [];
+  private readonly runs = new Map<string, Run[]>();
+
+  /** Notes a contradiction. */
+  blame(what: string): void {
+    this.violations.push(what);
+  }
+
+  /** Notes that a client sent a request. */
+  addRequest(record: ClientRecord): void {
+    this.records.push(record);
+  }
+
+  /** Notes that an upstream began to run a request. */
+  addRun(id: string, upstream: string, at: number): void {
+    this.runs.set(id, [...(this.runs.get(id) ?? []), {upstream, at}]);
+  }
+
+  /** Notes a whole answer. */
+  addAnswer(record: ClientRecord, of: string): void {
+    if (record.answer) this.blame(`${record.id} was answered twice`);
+    record.answer = {kind: 'whole', of};
+    if (of !== record.id && record.key === undefined)
+      this.blame(`${record.id} got the answer of ${of}`);
+  }
+
+  /** Notes a refusal. */
+  addRefusal(record: ClientRecord, err: unknown): void {
+    if (record.answer) this.blame(`${record.id} was answered twice`);
+    if (!(err instanceof CellError))
+      return this.blame(`${record.id} failed with ${String(err)}`);
+    record.answer = {kind: 'refused', code: err.code, outcome: err.outcome};
+  }
+
+  /** Throws at the first contradiction. */
+  check(): void {
+    const [first] = this.violations;
+    if (first) throw new Error(first);
+  }
+
+  /** Checks what must hold once everything has ended. */
+  checkEnd(): void {
+    for (const record of this.records) this.checkRecord(record);
+    this.checkKeys();
+    this.check();
+  }
+
+  /** Counts for a look at how much a run has reached. */
+  get counts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const {answer} of this.records) {
+      const key =
+        answer?.kind === 'refused' ? answer.code : (answer?.kind ?? 'none');
+      counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  private checkRecord({id, isIdempotent, key, answer}: ClientRecord): void {
+    const runs = this.runs.get(id)?.length ?? 0;
+    if (key !== undefined && answer) return;
+    if (!answer) return this.blame(`${id} was never answered`);
+    if (answer.kind === 'refused' && answer.outcome === 'not_run' && runs > 0) {
+      this.blame(
+        `${id} was refused as not run (${answer.code}) but ran ${runs} times`,
+      );
+    }
+    if (!isIdempotent && runs > 1)
+      this.blame(`${id} is not idempotent but ran ${runs} times`);
+    if (answer.kind === 'whole' && key === undefined && runs === 0)
+      this.blame(`${id} was answered but never ran`);
+  }
+
+  private checkKeys(): void {
+    const byKey = new Map<string, ClientRecord[]>();
+    for (const record of this.records) {
+      if (record.key !== undefined)
+        byKey.set(record.key, [...(byKey.get(record.key) ?? []), record]);
+    }
+    for (const [key, records] of byKey) {
+      const runs = this.runs.get(key)?.length ?? 0;
+      if (runs > 1)
+        this.blame(`the requests with key ${key} ran ${runs} times`);
+      for (const {id, answer} of records) {
+        const isOfKey = answer?.kind !== 'whole' || answer.of === key;
+        if (!isOfKey) this.blame(`${id} got an answer of another key`);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/zone/plans.ts
@@ -0,0 +1,25 @@
+import type {AsyncFuzzPlan} from '../fuzz/run_fuzz.js';
+import {zoneCommands, type EmptyModel} from './commands.js';
+import {ZoneWorld} from './zone_world.js';
+
+/**
+ * Fuzzing of one zone.
+ * @param zoneVms - 3, or 2 for a zone with a witness.
+ */
+export const zonePlan = (
+  zoneVms: number,
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, ZoneWorld> => ({
+  name: `zone-${zoneVms}`,
+  seed,
+  runs,
+  commands: zoneCommands,
+  maxCommands: 60,
+  setUp: async worldSeed => {
+    const world = new ZoneWorld(worldSeed, zoneVms);
+    await world.start();
+    return world;
+  },
+  finish: world => world.settle(),
+});
--- /dev/null
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -0,0 +1,261 @@
+import {
+  AuthorityTask,
+  EntryTask,
+  KeyedRequests,
+  NO_RECORDER,
+  ReplicaTask,
+  ZoneLeaderPort,
+  ZoneTask,
+  type AttemptCall,
+  type AttemptResult,
+  type LogPort,
+  type StartResult,
+  type UpstreamPort,
+  type WorkerPort,
+} from '@primrosewick/coordination';
+import type {VmSettings} from '@primrosewick/protocol';
+import {
+  asId,
+  type AttemptId,
+  type HolderId,
+  type VmId,
+} from '@primrosewick/state';
+import {Metrics} from '@primrosewick/transport';
+import {FakePeers, type PeerPlace} from '../world/fake_peers.js';
+import {SimProcess, VirtualClock} from '../world/process.js';
+import type {ZoneWorld} from './zone_world.js';
+
+const FEED_MS = 100;
+/** Time after which an order without an answer counts as unknown, in ms. */
+const ORDER_TIMEOUT_MS = 2000;
+const CONNECT_MS = 200;
+const END_RETRY_MS = 500;
+
+/** Short leases, so that a run sees many of them. */
+export const SIM_TIMING = {
+  shareMs: 2000,
+  shareMarginMs: 800,
+  announceMs: 3000,
+  taskLeaseMs: 4000,
+  taskMarginMs: 800,
+  zoneLeaseMs: 2000,
+  zoneRenewMs: 500,
+};
+
+/** The daemon of one VM: the real tasks behind fake ports. */
+export class SimVm implements PeerPlace {
+  readonly process = new SimProcess();
+  readonly holder: HolderId;
+  readonly authority: AuthorityTask;
+  readonly zone: ZoneTask;
+  readonly leader: ZoneLeaderPort;
+  readonly entry: EntryTask;
+  readonly keyed: KeyedRequests;
+  readonly handlers: PeerPlace['handlers'];
+  private readonly replica: ReplicaTask;
+
+  constructor(
+    private readonly own: VmSettings,
+    boot: number,
+    rate: number,
+    private readonly world: ZoneWorld,
+  ) {
+    const {queue, network, random} = world;
+    const clock = new VirtualClock({queue, process: this.process, rate});
+    const peers = new FakePeers({
+      vm: own.vm,
+      process: this.process,
+      queue,
+      network,
+      random,
+      placeOf: vm => world.vmOf(vm),
+    });
+    const metrics = new Metrics();
+    const log: LogPort = {
+      propose: command => world.log.propose(this.process, command),
+      readIndex: () => world.log.readIndex(this.process),
+    };
+    this.holder = asId<HolderId>(`${own.vm}.${boot}`);
+    this.replica = new ReplicaTask(clock);
+    this.authority = new AuthorityTask({
+      own,
+      vms: world.vms,
+      peers,
+      clock,
+      timing: {
+        leaseMs: SIM_TIMING.zoneLeaseMs,
+        renewMs: SIM_TIMING.zoneRenewMs,
+      },
+      seed: random.nextInt(1, 1 << 30),
+    });
+    this.zone = new ZoneTask({
+      zone: own.zone,
+      authority: this.authority,
+      replica: this.replica,
+      log,
+      workers: this.workerPort(),
+      clock,
+      metrics,
+      recorder: world.recorder ?? NO_RECORDER,
+      shareTiming: {
+        shareMs: SIM_TIMING.shareMs,
+        marginMs: SIM_TIMING.shareMarginMs,
+        announceMs: SIM_TIMING.announceMs,
+      },
+      placementLimits: {
+        taskLeaseMs: SIM_TIMING.taskLeaseMs,
+        marginMs: SIM_TIMING.taskMarginMs,
+        announceMs: SIM_TIMING.announceMs,
+        setAsideMs: 2000,
+      },
+      taskLeaseMs: SIM_TIMING.taskLeaseMs,
+    });
+    this.leader = new ZoneLeaderPort({own: own.vm, peers, zone: this.zone});
+    this.entry = new EntryTask({
+      zone: own.zone,
+      holder: this.holder,
+      replica: this.replica,
+      leader: this.leader,
+      upstreams: this.upstreamPort(),
+      clock,
+      metrics,
+      recorder: world.recorder ?? NO_RECORDER,
+      limits: {maxRequests: 100},
+      syncMs: 300,
+      connectionsOf: () => 100,
+    });
+    this.keyed = new KeyedRequests({
+      log,
+      clock,
+      serve: request => this.entry.serve(request),
+      onUnsettled: () => undefined,
+    });
+    this.handlers = {
+      authority: async (message, from) => this.authority.handle(from, message),
+      syncShares: async request => this.zone.syncShares(request),
+      announceUpstream: async report => this.zone.announceUpstream(report),
+      announceWorker: async report => this.zone.announceWorker(report),
+    };
+    this.start();
+  }
+
+  /** Name of the VM. */
+  get vm(): VmId {
+    return this.own.vm;
+  }
+
+  private start(): void {
+    this.replica.restore(this.world.log.image());
+    this.replica.open();
+    this.authority.start();
+    this.zone.start();
+    this.entry.start();
+    this.feedLater();
+  }
+
+  /** Brings the entries of the log to the copy, a little late. */
+  private feedLater(): void {
+    this.world.queue.after(this.world.random.nextInt(10, FEED_MS), () =>
+      this.process.run(() => {
+        const isOpen = this.world.log.isReachable;
+        if (isOpen)
+          for (const entry of this.world.log.after(this.replica.replica.index))
+            this.replica.apply(entry);
+        this.feedLater();
+      }),
+    );
+  }
+
+  private workerPort(): WorkerPort {
+    const {network, queue} = this.world;
+    return {
+      start: (order, epoch, leaseMs) =>
+        new Promise<StartResult>(resolve => {
+          const {
+            address,
+            task,
+            attempt,
+            command,
+            size,
+            leaseSeq,
+            runMs,
+            graceMs,
+          } = order;
+          const settle = (result: StartResult): void =>
+            this.process.run(() => resolve(result));
+          queue.after(ORDER_TIMEOUT_MS, () => settle('unknown'));
+          network.carry(this.vm, address, () => {
+            const wire = {
+              epoch,
+              task,
+              attempt,
+              command,
+              size,
+              leaseSeq,
+              leaseMs,
+              runMs,
+              graceMs,
+            };
+            const reply = (result: StartResult): void =>
+              network.carry(address, this.vm, () => settle(result));
+            this.world.workerAt(address)?.order(wire, reply);
+          });
+        }),
+    };
+  }
+
+  private upstreamPort(): UpstreamPort {
+    return {
+      send: call =>
+        new Promise(resolve =>
+          this.sendAttempt(call, result =>
+            this.process.run(() => resolve(result)),
+          ),
+        ),
+      end: (address, attempt) =>
+        new Promise(resolve =>
+          this.endAttempt(address, attempt, () => this.process.run(resolve)),
+        ),
+    };
+  }
+
+  /** A connection either carries a request or breaks; what broke may have arrived. */
+  private sendAttempt(
+    call: AttemptCall,
+    settle: (result: AttemptResult) => void,
+  ): void {
+    const {network, queue, random, faults} = this.world;
+    const upstream = this.world.upstreamAt(call.address);
+    const isCut = !upstream || network.isCut(this.vm, call.address);
+    if (isCut)
+      return queue.after(CONNECT_MS, () =>
+        settle({kind: random.nextInt(0, 1) === 0 ? 'unreachable' : 'lost'}),
+      );
+    const breaks = random.nextInt(1, 100) <= faults.lossPercent;
+    const arrives = !breaks || random.nextInt(0, 1) === 0;
+    if (breaks)
+      queue.after(random.nextInt(1, CONNECT_MS), () => settle({kind: 'lost'}));
+    if (!arrives) return;
+    queue.after(random.nextInt(1, faults.maxDelayMs), () =>
+      upstream.serve(call, result =>
+        queue.after(random.nextInt(1, faults.maxDelayMs), () => settle(result)),
+      ),
+    );
+  }
+
+  private endAttempt(
+    address: string,
+    attempt: AttemptId,
+    done: () => void,
+  ): void {
+    const {network, queue, random} = this.world;
+    if (!this.process.isAlive) return;
+    const upstream = this.world.upstreamAt(address);
+    if (!upstream || network.isCut(this.vm, address)) {
+      return queue.after(END_RETRY_MS, () =>
+        this.endAttempt(address, attempt, done),
+      );
+    }
+    queue.after(random.nextInt(1, 20), () => upstream.end(attempt, done));
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/zone/sim_worker.ts
@@ -0,0 +1,143 @@
+import type {StartResult} from '@primrosewick/coordination';
+import type {StartOrder, WorkerOrders} from '@primrosewick/protocol';
+import {
+  asId,
+  type Size,
+  type TaskOutcome,
+  type WorkerId,
+  type ZoneId,
+} from '@primrosewick/state';
+import {WorkerCore, type RunRecord} from '@primrosewick/standins';
+import {SimProcess} from '../world/process.js';
+import type {ZoneWorld} from './zone_world.js';
+
+const ANNOUNCE_MS = 500;
+const TICK_MS = 50;
+
+/** Options of a worker on virtual time. */
+export interface SimWorkerOptions {
+  readonly name: string;
+  readonly zone: ZoneId;
+  readonly rack: string;
+  readonly size: Size;
+  /** Speed of its clock. */
+  readonly rate: number;
+  readonly outcomeOf: (command: string) => TaskOutcome;
+}
+
+/** A worker at a fixed address, on virtual time. */
+export class SimWorker {
+  private starts = 0;
+  private core: WorkerCore;
+  private pastRuns: RunRecord[] = [];
+  process = new SimProcess();
+
+  constructor(
+    private readonly options: SimWorkerOptions,
+    private readonly world: ZoneWorld,
+  ) {
+    this.core = this.newCore();
+    this.loop(this.process);
+  }
+
+  /** Address of the worker. */
+  get address(): string {
+    return this.options.name;
+  }
+
+  /** Ends the process with all that it runs. */
+  crash(): void {
+    if (!this.process.isAlive) return;
+    this.process.kill();
+    this.core.tick(this.now);
+    this.pastRuns.push(
+      ...this.core.runs.map(run => ({
+        ...run,
+        endedAt: Math.min(run.endedAt, this.now),
+      })),
+    );
+    if (this.core.overSize > 0)
+      this.world.oracle.blame(`${this.address} was given more than its size`);
+  }
+
+  /** Starts a new process at the same address. */
+  restart(): void {
+    this.crash();
+    this.process = new SimProcess();
+    this.core = this.newCore();
+    this.loop(this.process);
+  }
+
+  /** Takes an order. */
+  order(order: StartOrder, reply: (result: StartResult) => void): void {
+    if (!this.process.isAlive) return reply('refused');
+    this.process.run(() =>
+      reply(this.core.start(order, this.now) ? 'refused' : 'accepted'),
+    );
+  }
+
+  /** All runs on this address, in virtual time. */
+  allRuns(): RunRecord[] {
+    const current = this.process.isAlive ? this.core.runs : [];
+    return [...this.pastRuns, ...current].map(run => ({
+      ...run,
+      startedAt: run.startedAt / this.options.rate,
+      endedAt: run.endedAt / this.options.rate,
+    }));
+  }
+
+  /** Blames the scheduler when the tasks did not fit. */
+  check(): void {
+    if (this.core.overSize > 0)
+      this.world.oracle.blame(`${this.address} was given more than its size`);
+  }
+
+  private get now(): number {
+    return this.world.queue.now * this.options.rate;
+  }
+
+  private newCore(): WorkerCore {
+    this.starts++;
+    const {name, zone, rack, size, outcomeOf} = this.options;
+    return new WorkerCore({
+      worker: asId<WorkerId>(`${name}-${this.starts}`),
+      zone,
+      rack,
+      address: name,
+      size,
+      outcomeOf,
+    });
+  }
+
+  private loop(process: SimProcess): void {
+    this.every(process, ANNOUNCE_MS, () => this.announce(process));
+    this.every(process, TICK_MS, () => this.core.tick(this.now));
+  }
+
+  private every(
+    process: SimProcess,
+    periodMs: number,
+    action: () => void,
+  ): void {
+    this.world.queue.after(periodMs, () =>
+      process.run(() => {
+        action();
+        this.every(process, periodMs, action);
+      }),
+    );
+  }
+
+  private announce(process: SimProcess): void {
+    const {core} = this;
+    const report = core.announce(this.now);
+    const onOrders = (orders: WorkerOrders): void =>
+      process.run(() => core.onOrders(report.seq, orders, this.now));
+    this.world.toRandomVm(this.address, vm => {
+      vm.leader.announceWorker(report).then(
+        orders =>
+          this.world.network.carry(vm.vm, this.address, () => onOrders(orders)),
+        () => undefined,
+      );
+    });
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/zone/zone.spec.ts
@@ -0,0 +1,11 @@
+import {runFuzzAsync} from '../fuzz/run_fuzz.js';
+import {zonePlan} from './plans.js';
+
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 200);
+
+describe('zone under faults', () => {
+  it('a zone of three VMs keeps every promise', () =>
+    runFuzzAsync(zonePlan(3, 6101, RUNS))).timeout(600_000);
+  it('a zone of two VMs and a witness keeps every promise', () =>
+    runFuzzAsync(zonePlan(2, 6102, RUNS))).timeout(600_000);
+});
--- /dev/null
+++ b/packages/proofs/src/zone/zone_world.ts
@@ -0,0 +1,406 @@
+import type {ClientRequest, Recorder} from '@primrosewick/coordination';
+import type {VmSettings} from '@primrosewick/protocol';
+import {
+  asId,
+  makeTaskId,
+  seededRandom,
+  type JobId,
+  type JobSpec,
+  type ProfileName,
+  type Random,
+  type RequestId,
+  type ServiceName,
+  type TaskId,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
+import {EventQueue} from '../world/event_queue.js';
+import {
+  FakeNetwork,
+  NO_FAULTS,
+  type NetworkFaults,
+} from '../world/fake_network.js';
+import {FakeLog} from './fake_log.js';
+import {ZoneOracle, type ClientRecord} from './oracle.js';
+import {makeVms, profileOf} from './fixtures.js';
+import {SimVm} from './sim_vm.js';
+import {SimUpstream} from './sim_upstream.js';
+import {SimWorker} from './sim_worker.js';
+
+const ZONE = asId<ZoneId>('a');
+const SERVICE = asId<ServiceName>('desk');
+const SETTLE_MS = 8000;
+const MAX_SETTLE_MS = 120_000;
+const START_MS = 6000;
+const WORKER_CPU_MILLIS = 4000;
+/** Clocks run fast or slow by at most this many parts in a thousand. */
+const MAX_DRIFT = 5;
+
+/** What a client asks for. */
+export interface RequestPlan {
+  readonly vm: number;
+  readonly isIdempotent: boolean;
+  readonly key: string | undefined;
+  readonly serviceMs: number;
+  readonly deadlineMs: number;
+  readonly hangUpMs: number | undefined;
+}
+
+/** What a job asks for. */
+export interface JobPlan {
+  readonly profile: 'again' | 'once' | 'spread';
+  readonly taskCount: number;
+  readonly gang: boolean;
+  readonly priority: number;
+  readonly cpuMillis: number;
+  readonly runMs: number;
+  readonly fails: boolean;
+}
+
+/** One zone on virtual time: real tasks of the daemons behind fake ports. */
+export class ZoneWorld {
+  readonly queue = new EventQueue();
+  readonly oracle = new ZoneOracle();
+  readonly random: Random;
+  readonly network: FakeNetwork;
+  readonly log: FakeLog;
+  readonly vms: VmSettings[];
+  readonly upstreams: SimUpstream[];
+  readonly workers: SimWorker[];
+  private readonly running = new Map<VmId, SimVm>();
+  private boots = 0;
+  private requests = 0;
+  /** Whether nothing is broken, so that bounds on time hold as well. */
+  isCalm = false;
+
+  constructor(
+    seed: number,
+    /** VMs of the zone: 3, or 2 and a witness. */
+    zoneVms: number,
+    readonly recorder?: Recorder,
+  ) {
+    this.random = seededRandom(seed);
+    this.network = new FakeNetwork(this.queue, this.random);
+    this.log = new FakeLog(this.queue, this.random);
+    this.vms = makeVms(zoneVms);
+    this.configure();
+    for (const {vm} of this.vms) this.boot(vm);
+    this.upstreams = [2, 3].map(
+      (slots, i) => new SimUpstream(`up${i}`, slots, SERVICE, ZONE, this),
+    );
+    this.workers = [0, 1, 2].map(i => this.makeWorker(i));
+  }
+
+  /** Faults of the network in force. */
+  get faults(): NetworkFaults {
+    return this.network.faults;
+  }
+
+  /** Lets the zone elect its first leader. */
+  async start(): Promise<void> {
+    await this.advance(START_MS);
+  }
+
+  /** Lets virtual time pass, and checks. */
+  async advance(ms: number): Promise<void> {
+    await this.queue.advanceAsync(ms);
+    for (const worker of this.workers) worker.check();
+    this.oracle.check();
+  }
+
+  /** @returns the running daemon of a VM. */
+  vmOf(vm: VmId): SimVm | undefined {
+    return this.running.get(vm);
+  }
+
+  /** @returns the daemon of an entry of the zone by number, if it runs. */
+  entryAt(i: number): SimVm | undefined {
+    const own = this.vms.filter(({zone}) => zone === ZONE);
+    return this.running.get(own[i % own.length]!.vm);
+  }
+
+  /** @returns the upstream at an address. */
+  upstreamAt(address: string): SimUpstream | undefined {
+    return this.upstreams.find(upstream => upstream.address === address);
+  }
+
+  /** @returns the worker at an address. */
+  workerAt(address: string): SimWorker | undefined {
+    return this.workers.find(worker => worker.address === address);
+  }
+
+  /** All places that a link can be cut between. */
+  get places(): string[] {
+    return [
+      ...this.vms.map(({vm}) => vm),
+      ...this.upstreams.map(({address}) => address),
+      ...this.workers.map(({address}) => address),
+    ];
+  }
+
+  /** Carries something to a random entry of the zone. */
+  toRandomVm(from: string, deliver: (vm: SimVm) => void): void {
+    const own = this.vms.filter(({zone}) => zone === ZONE);
+    const {vm} = own[this.random.nextInt(0, own.length - 1)]!;
+    this.network.carry(from, vm, () => {
+      const target = this.running.get(vm);
+      target?.process.run(() => deliver(target));
+    });
+  }
+
+  /** Starts the daemon of a VM anew. */
+  boot(vm: VmId): void {
+    this.running.get(vm)?.process.kill();
+    this.boots++;
+    const own = this.vms.find(other => other.vm === vm)!;
+    this.running.set(vm, new SimVm(own, this.boots, this.drift(), this));
+  }
+
+  /** Kills the daemon of a VM. */
+  crash(vm: VmId): void {
+    this.running.get(vm)?.process.kill();
+  }
+
+  /** Sends a request as a client. */
+  request(plan: RequestPlan): void {
+    const vm = this.entryAt(plan.vm);
+    if (!vm?.process.isAlive || vm.process.isFrozen) return;
+    this.requests++;
+    const id = `q${this.requests}`;
+    const record: ClientRecord = {
+      id,
+      isIdempotent: plan.isIdempotent,
+      key: plan.key,
+    };
+    const abort = new AbortController();
+    const request = this.clientRequest(id, plan, abort.signal);
+    const served =
+      plan.key === undefined
+        ? vm.entry.serve(request)
+        : vm.keyed.serve(plan.key, request);
+    this.oracle.addRequest(record);
+    this.watch(vm, record, served);
+    const {hangUpMs} = plan;
+    if (hangUpMs !== undefined)
+      this.queue.after(hangUpMs, () => vm.process.run(() => abort.abort()));
+  }
+
+  /** Submits a job. */
+  submit(plan: JobPlan): void {
+    const spec: JobSpec = {
+      team: asId('team'),
+      profile: asId<ProfileName>(plan.profile),
+      taskCount: plan.taskCount,
+      gang: plan.gang && this.canHoldGang(plan),
+      priority: plan.priority,
+      size: {cpuMillis: plan.cpuMillis, memoryMb: 100, accelerators: 0},
+      command: plan.fails ? 'fail' : 'run',
+      runMs: plan.runMs,
+    };
+    this.log.commit({
+      at: this.queue.now,
+      body: {kind: 'submit_job', spec, homeZone: ZONE},
+    });
+  }
+
+  /** Cancels one of the jobs. */
+  cancel(which: number): void {
+    const jobs = this.log.state.listJobs();
+    const job = jobs[which % Math.max(1, jobs.length)];
+    if (job)
+      this.log.commit({
+        at: this.queue.now,
+        body: {kind: 'cancel_job', job: job.id},
+      });
+  }
+
+  /** Mends everything and lets the zone settle; then all must be in order. */
+  async settle(): Promise<void> {
+    this.network.heal();
+    this.network.faults = NO_FAULTS;
+    this.log.isReachable = true;
+    this.log.lossPercent = 0;
+    for (const {vm} of this.vms) {
+      const running = this.running.get(vm);
+      if (running?.process.isFrozen) running.process.thaw();
+      if (!running?.process.isAlive) this.boot(vm);
+    }
+    for (const upstream of this.upstreams) {
+      if (upstream.process.isFrozen) upstream.process.thaw();
+      if (!upstream.process.isAlive || upstream.leftAt < this.queue.now)
+        upstream.restart();
+    }
+    for (const worker of this.workers) {
+      if (worker.process.isFrozen) worker.process.thaw();
+      if (!worker.process.isAlive) worker.restart();
+    }
+    await this.settleWork();
+    this.oracle.checkEnd();
+    this.checkJobs();
+    this.checkProgress();
+  }
+
+  /** Lets time pass until all jobs have ended, or until they should have. */
+  private async settleWork(): Promise<void> {
+    const deadline = this.queue.now + MAX_SETTLE_MS;
+    await this.advance(SETTLE_MS);
+    while (
+      this.queue.now < deadline &&
+      this.log.state.listJobs().some(job => job.state !== 'done')
+    ) {
+      await this.advance(SETTLE_MS);
+    }
+  }
+
+  /** A gang that can never fit is refused at submission, before it gets here. */
+  private canHoldGang({cpuMillis, taskCount}: JobPlan): boolean {
+    return (
+      Math.floor(WORKER_CPU_MILLIS / cpuMillis) * this.workers.length >=
+      taskCount
+    );
+  }
+
+  private watch(
+    vm: SimVm,
+    record: ClientRecord,
+    served: Promise<{body: Uint8Array}>,
+  ): void {
+    served.then(
+      answer =>
+        this.oracle.addAnswer(record, Buffer.from(answer.body).toString()),
+      (err: unknown) => this.oracle.addRefusal(record, err),
+    );
+    this.watchDeath(vm, record);
+  }
+
+  /** The connection to a daemon that has died breaks, so its client does not know. */
+  private watchDeath(vm: SimVm, record: ClientRecord): void {
+    this.queue.after(1000, () => {
+      if (record.answer) return;
+      if (vm.process.isAlive) this.watchDeath(vm, record);
+      else
+        record.answer = {
+          kind: 'refused',
+          code: 'client_gone',
+          outcome: 'unknown',
+        };
+    });
+  }
+
+  private clientRequest(
+    id: string,
+    plan: RequestPlan,
+    signal: AbortSignal,
+  ): ClientRequest {
+    const path =
+      plan.key === undefined
+        ? `/${id}?ms=${plan.serviceMs}`
+        : `/${plan.key}?ms=${plan.serviceMs}`;
+    return {
+      id: asId<RequestId>(id),
+      service: SERVICE,
+      deadline: Math.floor(
+        1_800_000_000_000 + this.queue.now + plan.deadlineMs,
+      ),
+      forwarded: {
+        method: plan.isIdempotent ? 'GET' : 'POST',
+        path,
+        headers: {},
+        body: new Uint8Array(),
+      },
+      signal,
+    };
+  }
+
+  private checkJobs(): void {
+    const runsOf = new Map<
+      string,
+      Array<{startedAt: number; endedAt: number; where: string}>
+    >();
+    for (const worker of this.workers) {
+      for (const {task, startedAt, endedAt} of worker.allRuns()) {
+        runsOf.set(task, [
+          ...(runsOf.get(task) ?? []),
+          {startedAt, endedAt, where: worker.address},
+        ]);
+      }
+    }
+    for (const job of this.log.state.listJobs()) {
+      if (job.state !== 'done')
+        throw new Error(
+          `${job.id} has not ended: ${job.ended.length} of ${job.spec.taskCount}`,
+        );
+      for (let at = 0; at < job.spec.taskCount; at++)
+        this.checkTask(job.id, makeTaskId(job.id, at), runsOf);
+    }
+  }
+
+  private checkTask(
+    id: JobId,
+    task: TaskId,
+    runsOf: ReadonlyMap<
+      string,
+      ReadonlyArray<{startedAt: number; endedAt: number; where: string}>
+    >,
+  ): void {
+    const job = this.log.state.getJob(id)!;
+    const runs = [...(runsOf.get(task) ?? [])].sort(
+      (a, b) => a.startedAt - b.startedAt,
+    );
+    const end = job.ended.find(known => known.task === task);
+    for (let i = 1; i < runs.length; i++) {
+      const [before, after] = [runs[i - 1]!, runs[i]!];
+      if (after.startedAt < before.endedAt)
+        throw new Error(
+          `${task} ran on ${before.where} and ${after.where} at once`,
+        );
+    }
+    if (job.profile.stopping.repeat.kind === 'at_most_once' && runs.length > 1)
+      throw new Error(`${task} ran ${runs.length} times`);
+    if (end?.outcome === 'not_run' && runs.length > 0)
+      throw new Error(`${task} was reported as never run, but ran`);
+    if (end?.outcome === 'succeeded' && runs.length === 0)
+      throw new Error(`${task} succeeded without a run`);
+  }
+
+  /** After the faults a new request is served. */
+  private checkProgress(): void {
+    const own = this.vms.filter(({zone}) => zone === ZONE);
+    const leaders = own.filter(
+      ({vm}) => this.running.get(vm)?.authority.epoch !== undefined,
+    );
+    if (leaders.length !== 1)
+      throw new Error(`${leaders.length} leaders after the faults had ended`);
+  }
+
+  private configure(): void {
+    for (const name of ['desk', 'again', 'once', 'spread'] as const) {
+      this.log.commit({
+        at: 0,
+        body: {kind: 'put_profile', profile: profileOf(name), baseRevision: 0},
+      });
+    }
+    const service = {name: SERVICE, profile: asId<ProfileName>('desk')};
+    this.log.commit({
+      at: 0,
+      body: {kind: 'put_service', service, baseRevision: 0},
+    });
+  }
+
+  private makeWorker(i: number): SimWorker {
+    const options = {
+      name: `wk${i}`,
+      zone: ZONE,
+      rack: `rack${i % 2}`,
+      size: {cpuMillis: WORKER_CPU_MILLIS, memoryMb: 4000, accelerators: 0},
+      rate: this.drift(),
+      outcomeOf: (command: string) =>
+        command === 'fail' ? ('failed' as const) : ('succeeded' as const),
+    };
+    return new SimWorker(options, this);
+  }
+
+  private drift(): number {
+    return 1 + this.random.nextInt(-MAX_DRIFT, MAX_DRIFT) / 1000;
+  }
+}
--- a/packages/standins/src/upstream/core.ts
+++ b/packages/standins/src/upstream/core.ts
@@ -17,9 +17,12 @@
   readonly refusedWhileLeaving: number;
 }
 
+const MAX_ENDED_KEPT = 10_000;
+
 /** Slots of one upstream. */
 export class UpstreamCore {
   private readonly running = new Map<string, Running>();
+  private readonly endedEarly = new Set<string>();
   private served = 0;
   private mostAtOnce = 0;
   private overSlots = 0;
@@ -30,11 +33,16 @@
 
   constructor(readonly slots: number) {}
 
-  /** Takes a request in. */
-  begin(request: Running): void {
+  /**
+   * Takes a request in.
+   * @returns whether it may run; one that was ended before it came may not.
+   */
+  begin(request: Running): boolean {
+    if (this.endedEarly.has(request.attempt)) return false;
     this.running.set(request.attempt, request);
     this.mostAtOnce = Math.max(this.mostAtOnce, this.running.size);
     if (this.running.size > this.slots) this.overSlots++;
+    return true;
   }
 
   /** Ends a request. */
@@ -44,11 +52,20 @@
 
   /** Ends a request early. */
   abort(attempt: string): void {
+    this.addEnded(attempt);
     const request = this.running.get(attempt);
     this.running.delete(attempt);
     request?.abort();
   }
 
+  /** The order to end an attempt may overtake the attempt itself. */
+  private addEnded(attempt: string): void {
+    this.endedEarly.add(attempt);
+    if (this.endedEarly.size <= MAX_ENDED_KEPT) return;
+    const [oldest] = this.endedEarly;
+    if (oldest !== undefined) this.endedEarly.delete(oldest);
+  }
+
   /** Counts a request that came while the upstream was leaving. */
   addRefusal(): void {
     this.refused++;
--- a/packages/standins/src/upstream/main.ts
+++ b/packages/standins/src/upstream/main.ts
@@ -68,17 +68,16 @@
     return endAttempt(url, res);
   const meant = req.headers['primrosewick-upstream'];
   if (meant !== upstream) {
-    core.addRefusal();
-    return reply(
-      res,
-      503,
-      {error: 'not taken'},
-      {'primrosewick-not-taken': 'true'},
-    );
+    return refuse(res);
   }
   await run(req, res, url);
 };
 
+const refuse = (res: ServerResponse): void => {
+  core.addRefusal();
+  reply(res, 503, {error: 'not taken'}, {'primrosewick-not-taken': 'true'});
+};
+
 const endAttempt = (url: URL, res: ServerResponse): void => {
   core.abort(decodeURIComponent(url.pathname.split('/').at(-1) ?? ''));
   res.writeHead(204).end();
@@ -91,7 +90,8 @@
 ): Promise<void> => {
   const attempt = String(req.headers['primrosewick-attempt']);
   const holder = asId<HolderId>(String(req.headers['primrosewick-holder']));
-  core.begin({attempt, holder, abort: () => res.destroy()});
+  const isTaken = core.begin({attempt, holder, abort: () => res.destroy()});
+  if (!isTaken) return refuse(res);
   try {
     const body = await readAll(req);
     await sleep(Number(url.searchParams.get('ms') ?? DEFAULT_SERVICE_MS));
--- a/packages/state/src/documents/job.ts
+++ b/packages/state/src/documents/job.ts
@@ -68,7 +68,10 @@
 export const taskOutcomeSchema = z.enum([
   'succeeded',
   'failed',
+  /** Cancelled; it may have run in part. */
   'cancelled',
+  /** Cancelled before it was ever started. */
+  'not_run',
   'unknown',
 ]);
 /** How a task ended. */
--- a/packages/state/src/placement/context.ts
+++ b/packages/state/src/placement/context.ts
@@ -83,6 +83,28 @@
     );
   }
 
+  /** Ends a cancelled task that no worker can be running. */
+  endCancelled(view: JobView, task: TaskId, attempt: number): void {
+    if (this.wasLeftUnseen(view, task))
+      return this.end(view, task, attempt, 'unknown');
+    this.end(
+      view,
+      task,
+      attempt,
+      this.hasNeverRun(view, task) ? 'not_run' : 'cancelled',
+    );
+  }
+
+  /** Whether neither this leader nor an earlier one can have started a task. */
+  private hasNeverRun({record, ran}: JobView, task: TaskId): boolean {
+    if (ran.has(task)) return false;
+    const isRecorded = record.profile.stopping.repeat.kind === 'at_most_once';
+    return (
+      record.acceptedIndex > this.barrier ||
+      (isRecorded && !record.started.includes(task))
+    );
+  }
+
   /** Ends as unknown the tasks that must not run twice and may have run unseen. */
   endUnseen(view: JobView): void {
     if (view.record.profile.stopping.repeat.kind !== 'at_most_once') return;
--- a/packages/state/src/placement/core.ts
+++ b/packages/state/src/placement/core.ts
@@ -132,12 +132,7 @@
     )) {
       const state = context.jobs.getState(view, task);
       const attempts = state?.kind === 'waiting' ? state.attempts : 0;
-      context.end(
-        view,
-        task,
-        attempts,
-        context.wasLeftUnseen(view, task) ? 'unknown' : 'cancelled',
-      );
+      context.endCancelled(view, task, attempts);
     }
     context.queue.remove(view.record.id);
   }
@@ -186,8 +181,7 @@
         ...record,
         started: [...new Set([...record.started, task])],
       };
-      if (record.state === 'cancelling')
-        context.end(view, task, 0, 'cancelled');
+      if (record.state === 'cancelling') context.endCancelled(view, task, 0);
       else context.requeue(view, task, 0, context.now);
     }
   }
--- a/packages/state/src/placement/job_table.ts
+++ b/packages/state/src/placement/job_table.ts
@@ -44,6 +44,10 @@
   nextPosition: number;
   /** Tasks that wait again after an attempt, or wait for their recorded start. */
   readonly again: Set<TaskId>;
+  /** Tasks that a worker has reported as running or ended. */
+  readonly ran: Set<TaskId>;
+  /** Workers on which tasks of the job have failed. */
+  readonly failedOn: Set<WorkerId>;
   /** Time until which the job waits for tasks that it preempts. */
   preemptingUntil: number;
   /** Whether a reason for waiting was given since the last start. */
@@ -131,6 +135,8 @@
   tasks: new Map(),
   nextPosition: 0,
   again: new Set(),
+  ran: new Set(),
+  failedOn: new Set(),
   preemptingUntil: 0,
   hasWaitNote: false,
 });
--- a/packages/state/src/placement/reports.ts
+++ b/packages/state/src/placement/reports.ts
@@ -12,6 +12,9 @@
 } from './types.js';
 import type {Worker} from './worker_table.js';
 
+/** Workers on which a job may fail before the job itself is blamed. */
+const MAX_WORKERS_BLAMED = 1;
+
 interface AnswerDraft {
   readonly renewed: AttemptKey[];
   readonly stop: AttemptKey[];
@@ -91,6 +94,7 @@
     const {context} = this;
     const before = state?.kind === 'placed' ? state : undefined;
     const isCancelled = job.record.state === 'cancelling';
+    job.ran.add(view.task);
     const placed: PlacedTask = {
       kind: 'placed',
       attempts: before?.attempts ?? 1,
@@ -142,15 +146,17 @@
   ): void {
     const {context} = this;
     const attempts = attemptsOf(state);
+    job.ran.add(view.task);
     const stop = state?.kind === 'placed' ? state.stop : 'none';
     switch (view.outcome) {
       case 'succeeded':
         context.workers.addSuccess(worker, context.now);
         return context.end(job, view.task, attempts, 'succeeded');
       case 'cancelled':
+      case 'not_run':
         return this.settleStopped(job, view.task, attempts, stop);
       case 'failed':
-        this.noteFailure(worker, view.task);
+        this.noteFailure(job, worker);
         return context.retryOrEnd(job, view.task, attempts, 'task_failed');
       case 'unknown':
       case undefined:
@@ -176,13 +182,14 @@
     context.requeue(job, task, attempts - 1, context.now);
   }
 
-  private noteFailure(worker: Worker, task: TaskId): void {
+  /** A failure speaks against the worker, unless the job fails wherever it runs. */
+  private noteFailure(job: JobView, worker: Worker): void {
     const {context} = this;
-    const until = context.workers.addFailure(
-      worker,
-      jobOfTask(task),
-      context.now,
-    );
+    const {id} = job.record;
+    job.failedOn.add(worker.id);
+    if (job.failedOn.size > MAX_WORKERS_BLAMED)
+      return context.workers.dropEvidence(id, context.now);
+    const until = context.workers.addFailure(worker, id, context.now);
     if (until === undefined) return;
     context.effects.push({kind: 'set_aside', worker: worker.id, until});
     context.note(
--- a/packages/state/src/placement/scheduler.ts
+++ b/packages/state/src/placement/scheduler.ts
@@ -57,6 +57,7 @@
 
   private startJob(view: JobView): Blocked {
     const {context} = this;
+    context.endUnseen(view);
     const tasks = context.jobs.listStartable(
       view,
       context.now,
--- a/packages/state/src/placement/worker_table.ts
+++ b/packages/state/src/placement/worker_table.ts
@@ -4,6 +4,10 @@
 import type {AttemptKey, PlacementLimits, WorkerReport} from './types.js';
 import {WorkerIndex, type Indexed} from './worker_index.js';
 
+/** At most one worker in this many is set aside. */
+const MIN_WORKERS_PER_ASIDE = 3;
+const MAX_DOUBLINGS = 6;
+
 /** Evidence for or against a worker. */
 interface Evidence {
   /** Jobs that failed here since the last success. */
@@ -97,17 +101,34 @@
   addFailure(worker: Worker, job: JobId, now: number): number | undefined {
     const {evidence} = worker;
     evidence.failedJobs.add(job);
-    const isOnTrial = evidence.rounds > 0;
-    if (!isOnTrial && evidence.failedJobs.size < this.limits.failuresToSetAside)
+    const wanted = evidence.rounds > 0 ? 1 : this.limits.failuresToSetAside;
+    if (evidence.failedJobs.size < wanted || !this.maySetAside(now))
       return undefined;
     evidence.until =
-      now + this.limits.setAsideMs * 2 ** Math.min(evidence.rounds, 6);
+      now +
+      this.limits.setAsideMs * 2 ** Math.min(evidence.rounds, MAX_DOUBLINGS);
     evidence.rounds++;
     evidence.failedJobs.clear();
     this.reindex(worker, now);
     return evidence.until;
   }
 
+  /** Takes back what a job's failures said against workers: the job itself is at fault. */
+  dropEvidence(job: JobId, now: number): void {
+    for (const worker of this.workers.values()) {
+      worker.evidence.failedJobs.delete(job);
+      this.reindex(worker, now);
+    }
+  }
+
+  /** When many workers fail, the tasks are to blame, and the others must go on. */
+  private maySetAside(now: number): boolean {
+    const aside = this.listWorkers().filter(
+      ({evidence}) => now < evidence.until,
+    ).length;
+    return (aside + 1) * MIN_WORKERS_PER_ASIDE <= this.workers.size;
+  }
+
   /** Drops a worker that has gone and holds nothing. */
   remove(worker: Worker): void {
     this.workers.delete(worker.id);
--- a/packages/state/src/requests/core.ts
+++ b/packages/state/src/requests/core.ts
@@ -29,6 +29,8 @@
   /** Attempt whose answer the client waits for; none while it queues. */
   current: AttemptId | null;
   dispatchedAt: number;
+  /** Whether an attempt was sent whose end is not known. */
+  mayHaveRun: boolean;
   readonly tried: Set<UpstreamId>;
 }
 
@@ -81,8 +83,8 @@
   }
 
   /** Reports what is held of a lender, and returns idle slots. */
-  reportHeld(lender: string): HeldReport[] {
-    return this.shares.report(lender, service => this.wantOf(service));
+  reportHeld(lender: string, now: number): HeldReport[] {
+    return this.shares.report(lender, now, service => this.wantOf(service));
   }
 
   /** Services with demand, and the slots that each wants. */
@@ -136,6 +138,7 @@
       attempts: 0,
       current: null,
       dispatchedAt: 0,
+      mayHaveRun: false,
       tried: new Set(),
     });
     this.enqueue(arrival);
@@ -274,7 +277,10 @@
     const hasEnded = failure === 'unreachable' || failure === 'refused';
     if (!hasEnded) this.askToEnd(attempt);
     else this.release(attempt);
-    if (request) this.retryOrRefuse(request, failure);
+    if (request) {
+      request.mayHaveRun ||= !hasEnded;
+      this.retryOrRefuse(request, failure);
+    }
     this.dispatchAll();
   }
 
@@ -371,7 +377,8 @@
         this.askToEnd(request.current);
     }
     const retryAfterMs = Math.max(REASONS[code].retryAfterMs, hintMs);
-    this.effects.push({kind: 'refuse', id, code, retryAfterMs});
+    const outcome = request?.mayHaveRun ? 'unknown' : REASONS[code].outcome;
+    this.effects.push({kind: 'refuse', id, code, outcome, retryAfterMs});
     this.note(id, `refused: ${code} (${REASONS[code].meaning})`);
   }
 
--- a/packages/state/src/requests/share_table.ts
+++ b/packages/state/src/requests/share_table.ts
@@ -105,16 +105,18 @@
 
   /**
    * Reports what is held of a lender, and returns the idle slots beyond the
-   * wanted number.
+   * wanted number. Of a share that has run out only the slots in use are left.
    */
   report(
     lender: string,
+    now: number,
     wantOf: (service: ServiceName) => number,
   ): HeldReport[] {
     const left = new Map<ServiceName, number>();
     const reports: HeldReport[] = [];
     for (const share of this.held.values()) {
       if (share.lender !== lender) continue;
+      if (now >= share.deadline) share.slots = 0;
       const want = left.get(share.service) ?? wantOf(share.service);
       share.slots = Math.min(share.slots, Math.max(want, share.attempts.size));
       const slots = Math.max(share.slots, share.attempts.size);
--- a/packages/state/src/requests/types.ts
+++ b/packages/state/src/requests/types.ts
@@ -2,7 +2,7 @@
  * Requests of clients at one entry. All times are monotonic times of the
  * entry's VM, in ms.
  */
-import type {ReasonCode} from '../errors/reasons.js';
+import type {Outcome, ReasonCode} from '../errors/reasons.js';
 import type {RequestId, ServiceName, UpstreamId} from '../ids/types.js';
 import type {Share} from '../shares/types.js';
 
@@ -91,6 +91,8 @@
       readonly kind: 'refuse';
       readonly id: RequestId;
       readonly code: ReasonCode;
+      /** Whether an earlier attempt may have run, whatever the reason says. */
+      readonly outcome: Outcome;
       readonly retryAfterMs: number;
     }
   | {
--- a/packages/state/src/shares/core.ts
+++ b/packages/state/src/shares/core.ts
@@ -160,11 +160,16 @@
     return true;
   }
 
-  /** Takes over what the holder holds: slots not named are returned. */
+  /**
+   * Takes over what the holder holds: slots not named are returned. Slots lent
+   * by an earlier leader are taken over only while they may still be valid.
+   */
   private noteHeld({holder, held}: ShareRequest, now: number): void {
     const slotsOf = new Map(held.map(({upstream, slots}) => [upstream, slots]));
     for (const [id, upstream] of this.upstreams) {
-      const slots = slotsOf.get(id) ?? 0;
+      const claimed = slotsOf.get(id) ?? 0;
+      const known = upstream.loans.get(holder)?.slots ?? 0;
+      const slots = this.isWaitingOut(now) ? claimed : Math.min(claimed, known);
       if (slots === 0) upstream.loans.delete(holder);
       else
         upstream.loans.set(holder, {slots, deadline: this.loanDeadline(now)});
