--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -163,4 +163,29 @@
     });
     expect(effects.messages).to.have.length(0);
   });
+  it('members change one at a time, and not before an entry of the own term', () => {
+    const core = makeCore(A, 3, [members]);
+    const term = elect(core, A);
+    const change = {kind: 'remove' as const, node: E};
+    const ask = (token: number) =>
+      core.step({kind: 'change_members', now: 10_002, token, change})
+        .answers[0];
+    expect(ask(1)).to.deep.equal({
+      kind: 'refused',
+      token: 1,
+      why: 'change_pending',
+    });
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, 2),
+      });
+    expect(ask(2)).to.include({kind: 'appended', index: 3});
+    expect(ask(3)).to.deep.equal({
+      kind: 'refused',
+      token: 3,
+      why: 'change_pending',
+    });
+  });
 });
--- /dev/null
+++ b/packages/proofs/src/process/input.spec.ts
@@ -0,0 +1,179 @@
+import {spawnSync} from 'node:child_process';
+import {readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {expect} from 'chai';
+import {Cell, DAEMON_SCRIPT, freePorts} from '@primrosewick/standins';
+import {call, errorCode, profileNamed, sendRaw, waitStatus} from './helpers.js';
+
+const START_MS = 40_000;
+
+describe('bad input', () => {
+  let cell: Cell;
+  let client = '';
+  let operator = '';
+  let auth: Record<string, string> = {};
+
+  before(async () => {
+    const settings = {
+      limits: {headerBytes: 4096, bodyBytes: 2000, bodyMs: 700},
+    };
+    cell = await Cell.create({
+      cell: 'input',
+      vms: [{vm: 'a1', zone: 'a', disk: true}],
+      settings,
+    });
+    cell.startDaemon('a1');
+    expect(await cell.waitReady('a1', START_MS)).to.equal(true);
+    ({client, operator} = cell.getVm('a1'));
+    auth = {authorization: `Bearer ${readFileSync(cell.tokenFile, 'utf8')}`};
+    const file = cell.writeDocument('desk.jsonc', profileNamed('desk'));
+    await cell.operate('a1', ['profile', 'put', file]);
+    await cell.operate('a1', ['service', 'put', 'desk', '--profile', 'desk']);
+    const [port] = await freePorts(1);
+    cell.startStandin('up', 'upstream', {
+      zone: 'a',
+      entries: cell.platformsOf('a'),
+      address: `127.0.0.1:${port}`,
+      service: 'desk',
+    });
+    expect(
+      await waitStatus(cell, 'a1', vms => vms[0]?.upstreams.length === 1),
+    ).to.equal(true);
+  });
+  after(() => cell.destroy());
+
+  const refuses = async (
+    code: string,
+    answer: ReturnType<typeof call>,
+  ): Promise<void> => {
+    expect(errorCode(await answer)).to.equal(code);
+  };
+  const write = {author: 'x', requestId: 'r1', firstSentAt: 1};
+  const spec = {
+    team: 't',
+    profile: 'desk',
+    taskCount: 1,
+    size: {cpuMillis: 100, memoryMb: 1},
+    command: 'run',
+    runMs: 10,
+  };
+  const post = (body: unknown) =>
+    call(client, 'POST', '/v1/jobs', {}, JSON.stringify(body));
+
+  it('malformed JSON', () =>
+    refuses(
+      'malformed_json',
+      call(client, 'POST', '/v1/jobs', {}, '{"spec": '),
+    ));
+  it('an oversized body', () =>
+    refuses(
+      'body_too_large',
+      call(client, 'POST', '/v1/jobs', {}, 'x'.repeat(5000)),
+    ));
+  it('an oversized header', () =>
+    refuses(
+      'headers_too_large',
+      call(client, 'GET', '/v1/jobs', {'x-long': 'x'.repeat(9000)}),
+    ));
+  it('a slow sender', async () => {
+    const answer = await sendRaw(
+      client,
+      'POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{"spec"',
+    );
+    expect(answer).to.include('slow_sender');
+  });
+  it('an unknown path', () =>
+    refuses('unknown_path', call(client, 'GET', '/v2/none')));
+  it('a wrong method', () =>
+    refuses('method_not_allowed', call(client, 'DELETE', '/v1/jobs')));
+  it('an unknown service', () =>
+    refuses(
+      'unknown_service',
+      call(client, 'GET', '/v1/services/none/requests/x'),
+    ));
+  it('an unknown profile', () =>
+    refuses(
+      'unknown_profile',
+      post({write, spec: {...spec, profile: 'none'}}),
+    ));
+  it('a negative size', () =>
+    refuses(
+      'invalid_input',
+      post({write, spec: {...spec, size: {cpuMillis: -1, memoryMb: 1}}}),
+    ));
+  it('an absurd size', () =>
+    refuses(
+      'invalid_input',
+      post({write, spec: {...spec, size: {cpuMillis: 1e12, memoryMb: 1}}}),
+    ));
+  it('an unknown field', () =>
+    refuses('invalid_input', post({write, spec, color: 'red'})));
+  it('a write from the future', () =>
+    refuses(
+      'invalid_input',
+      post({write: {...write, firstSentAt: Date.now() + 1e9}, spec}),
+    ));
+  it('a deadline that has passed', () =>
+    refuses(
+      'deadline_passed',
+      call(client, 'GET', '/v1/services/desk/requests/x', {
+        'primrosewick-deadline': '1000',
+      }),
+    ));
+  it('a deadline that is no number', () =>
+    refuses(
+      'invalid_input',
+      call(client, 'GET', '/v1/services/desk/requests/x', {
+        'primrosewick-deadline': 'soon',
+      }),
+    ));
+  it('no token', () =>
+    refuses('unauthorized', call(operator, 'GET', '/v1/profiles')));
+  it('a wrong token', () =>
+    refuses(
+      'unauthorized',
+      call(operator, 'GET', '/v1/profiles', {authorization: 'Bearer x'}),
+    ));
+  it('a path and a body that differ', () => {
+    const body = JSON.stringify({
+      write,
+      baseRevision: 0,
+      profile: profileNamed('other'),
+    });
+    return refuses(
+      'invalid_input',
+      call(operator, 'PUT', '/v1/profiles/desk', auth, body),
+    );
+  });
+  it('each refusal is counted by its code', async () => {
+    const text = (await call(operator, 'GET', '/metrics')).body.toString(
+      'utf8',
+    );
+    expect(text).to.match(
+      /primrosewick_refusals_total\{code="slow_sender",step="read-body"\} 1/,
+    );
+  });
+  it('a settings file with a mistake ends the daemon with code 2, file, line and reason', () => {
+    const file = path.join(cell.root, 'bad.jsonc');
+    writeFileSync(
+      file,
+      readFileSync(cell.settingsFile('a1'), 'utf8').replace('"cell"', '"sell"'),
+    );
+    const {status, stderr} = spawnSync(
+      process.execPath,
+      [DAEMON_SCRIPT, '--settings', file],
+      {encoding: 'utf8'},
+    );
+    expect(status).to.equal(2);
+    expect(stderr).to.match(/bad\.jsonc:\d+: sell: unknown key/);
+  });
+  it('a settings file that is sound passes the check', () => {
+    const {status} = spawnSync(process.execPath, [
+      DAEMON_SCRIPT,
+      '--check',
+      '--settings',
+      cell.settingsFile('a1'),
+    ]);
+    expect(status).to.equal(0);
+  });
+}).timeout(120_000);
--- a/packages/standins/src/cell/cell.ts
+++ b/packages/standins/src/cell/cell.ts
@@ -42,7 +42,8 @@
   path.dirname(fileURLToPath(import.meta.url)),
   '../../..',
 );
-const DAEMON = path.join(PACKAGES, 'daemon/dist/main.js');
+/** Script of the daemon. */
+export const DAEMON_SCRIPT = path.join(PACKAGES, 'daemon/dist/main.js');
 const CLI = path.join(PACKAGES, 'cli/dist/main.js');
 const STANDINS = path.join(PACKAGES, 'standins/dist');
 const POLL_MS = 50;
@@ -108,7 +109,13 @@
 
   /** Starts the daemon of a VM. */
   startDaemon(vm: string): ChildProcess {
-    return this.start(vm, DAEMON, ['--settings', this.settingsFile(vm)]);
+    return this.start(vm, DAEMON_SCRIPT, ['--settings', this.settingsFile(vm)]);
+  }
+
+  /** Starts a second daemon with the settings of a VM; @returns its exit code. */
+  startSecond(vm: string): Promise<number | null> {
+    const args = ['--settings', this.settingsFile(vm)];
+    return runNode(DAEMON_SCRIPT, args).then(({code}) => code);
   }
 
   /** Starts a stand-in by the name of its folder. */
--- a/scripts/mutants.js
+++ b/scripts/mutants.js
@@ -1,49 +1,104 @@
 /**
- * Switches one mechanism off at a time, in the built files, and checks that
- * the proof named for it fails. `node scripts/mutants.js [NAME]`
+ * Switches one mechanism off at a time, in a copy of the built files, and
+ * checks that the proof named for it fails. `node scripts/mutants.js [NAME]`
  */
-import {execFileSync} from 'node:child_process';
-import {readFileSync, writeFileSync} from 'node:fs';
+import {execFile} from 'node:child_process';
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  readdirSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import process from 'node:process';
+import {fileURLToPath} from 'node:url';
 
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
+const WORKERS = 3;
+const PROOF_MS = 600_000;
 const MUTANTS = JSON.parse(
-  readFileSync(new URL('mutants.json', import.meta.url), 'utf8'),
+  readFileSync(path.join(ROOT, 'scripts/mutants.json'), 'utf8'),
 );
 
-const proofFails = ({spec, grep}) => {
-  try {
-    const args = ['mocha', '--spec', spec, '--grep', grep, '--bail'];
-    execFileSync('npx', args, {stdio: 'pipe', timeout: 600_000});
-    return undefined;
-  } catch (err) {
-    const output = String(err.stdout);
-    const line = output.split('\n').find(text => /Error|expected/.test(text));
-    return (line ?? 'failed').trim().slice(0, 160);
+/** Copies what the proofs need; other packages are linked. */
+const copyTree = () => {
+  const copy = mkdtempSync(path.join(tmpdir(), 'primrosewick-mutant-'));
+  const modules = path.join(copy, 'node_modules');
+  mkdirSync(modules);
+  cpSync(path.join(ROOT, 'package.json'), path.join(copy, 'package.json'));
+  cpSync(path.join(ROOT, 'packages'), path.join(copy, 'packages'), {
+    recursive: true,
+    filter: source => !source.endsWith('/src'),
+  });
+  for (const name of readdirSync(path.join(ROOT, 'node_modules'))) {
+    if (name === '@primrosewick') continue;
+    symlinkSync(
+      path.join(ROOT, 'node_modules', name),
+      path.join(modules, name),
+    );
   }
+  mkdirSync(path.join(modules, '@primrosewick'));
+  for (const name of readdirSync(path.join(copy, 'packages'))) {
+    const target = path.join('../../packages', name);
+    symlinkSync(target, path.join(modules, '@primrosewick', name));
+  }
+  return copy;
+};
+
+/** A mutant must name exactly one place. */
+const placesOf = ({file, search}) =>
+  readFileSync(path.join(ROOT, file), 'utf8').split(search).length - 1;
+
+/** Runs a proof; resolves with what it said, if it failed. */
+const proofFails = ({spec, grep}, cwd) =>
+  new Promise(resolve => {
+    const mocha = path.join(ROOT, 'node_modules/mocha/bin/mocha.js');
+    const args = [mocha, '--no-config', '--timeout', String(PROOF_MS)];
+    args.push('--spec', spec, '--grep', grep, '--bail');
+    execFile(process.execPath, args, {cwd, timeout: PROOF_MS}, (err, out) => {
+      if (!err) return resolve(undefined);
+      const line = out.split('\n').find(text => /Error|expected/.test(text));
+      return resolve((line ?? 'failed').trim().slice(0, 150));
+    });
+  });
+
+/** Runs the proof with the mechanism off, and switches it on again. */
+const tryMutant = async (mutant, copy) => {
+  const file = path.join(copy, mutant.file);
+  const sound = readFileSync(file, 'utf8');
+  writeFileSync(
+    file,
+    sound.replace(mutant.search, () => mutant.replace),
+  );
+  const said = await proofFails(mutant, copy);
+  writeFileSync(file, sound);
+  return said;
 };
 
-/** Runs the proof with the mechanism off; @returns what it said, if it failed. */
-const tryMutant = mutant => {
-  const sound = readFileSync(mutant.file, 'utf8');
-  const count = sound.split(mutant.search).length - 1;
-  if (count !== 1) throw new Error(`${mutant.name}: found ${count} times`);
-  writeFileSync(mutant.file, sound.replace(mutant.search, mutant.replace));
-  try {
-    return proofFails(mutant);
-  } finally {
-    writeFileSync(mutant.file, sound);
+const wanted = process.argv[2] ?? '';
+const chosen = MUTANTS.filter(({name}) => name.includes(wanted));
+const lost = chosen.filter(mutant => placesOf(mutant) !== 1);
+for (const {name} of lost) console.log(`NOT FOUND ONCE ${name}`);
+const queue = chosen.filter(mutant => !lost.includes(mutant));
+let survivors = lost.length;
+
+const work = async () => {
+  const copy = copyTree();
+  for (let next = queue.shift(); next; next = queue.shift()) {
+    const said = await tryMutant(next, copy);
+    if (said === undefined) survivors++;
+    console.log(
+      `${said === undefined ? 'SURVIVED' : 'caught'} ${next.name}: ${said ?? ''}`,
+    );
   }
+  rmSync(copy, {recursive: true, force: true});
 };
 
-const wanted = process.argv[2];
-const chosen = MUTANTS.filter(({name}) => !wanted || name.includes(wanted));
-let survivors = 0;
-for (const mutant of chosen) {
-  const said = tryMutant(mutant);
-  if (said === undefined) survivors++;
-  console.log(
-    `${said === undefined ? 'SURVIVED' : 'caught  '} ${mutant.name}: ${said ?? ''}`,
-  );
-}
+await Promise.all(Array.from({length: WORKERS}, work));
 console.log(`${chosen.length - survivors} of ${chosen.length} mutants caught`);
 process.exitCode = survivors === 0 ? 0 : 1;
