--- /dev/null
+++ b/packages/state/src/requests/core.spec.ts
@@ -0,0 +1,205 @@
+import {expect} from 'chai';
+import {
+  asId,
+  type RequestId,
+  type ServiceName,
+  type UpstreamId,
+} from '../ids/types.js';
+import {RequestCore} from './core.js';
+import type {
+  Arrival,
+  AttemptFailure,
+  RequestEffect,
+  RequestLimits,
+} from './types.js';
+
+const DESK = asId<ServiceName>('desk');
+
+/** A request core with short calls to it. */
+class Trial {
+  readonly core: RequestCore;
+
+  constructor(limits: Partial<RequestLimits> = {}) {
+    this.core = new RequestCore(limits);
+  }
+
+  share(
+    now: number,
+    slots: Record<string, number>,
+    deadline = now + 10_000,
+  ): RequestEffect[] {
+    const shares = Object.entries(slots).map(([name, count]) => ({
+      upstream: asId<UpstreamId>(name),
+      service: DESK,
+      address: name,
+      slots: count,
+      connections: 60,
+    }));
+    const update = {
+      lender: 'z',
+      shares,
+      deadline,
+      isComplete: true,
+      roundTripMs: 0,
+    };
+    return [...this.core.step({kind: 'shares', now, update}).effects];
+  }
+
+  arrive(
+    now: number,
+    id: string,
+    more: Partial<Arrival> = {},
+  ): RequestEffect[] {
+    const arrival: Arrival = {
+      id: asId<RequestId>(id),
+      service: DESK,
+      cls: 'all',
+      priority: 1,
+      queueBound: 3,
+      deadline: now + 5000,
+      isIdempotent: false,
+      ...more,
+    };
+    return [...this.core.step({kind: 'arrive', now, arrival}).effects];
+  }
+
+  answered(now: number, attempt: string): RequestEffect[] {
+    return [...this.core.step({kind: 'answered', now, attempt}).effects];
+  }
+
+  failed(
+    now: number,
+    attempt: string,
+    failure: AttemptFailure,
+  ): RequestEffect[] {
+    return [...this.core.step({kind: 'failed', now, attempt, failure}).effects];
+  }
+}
+
+const dispatched = (effects: readonly RequestEffect[]): string[] =>
+  effects.flatMap(effect =>
+    effect.kind === 'dispatch' ? [effect.attempt] : [],
+  );
+const refused = (effects: readonly RequestEffect[]): string[] =>
+  effects.flatMap(effect =>
+    effect.kind === 'refuse'
+      ? [`${effect.id} ${effect.code} ${effect.outcome}`]
+      : [],
+  );
+
+describe('request core', () => {
+  it('a request goes to the upstream with most free slots', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1, y: 2});
+    expect(trial.arrive(1, 'r1')[0]).to.include({
+      kind: 'dispatch',
+      upstream: 'y',
+    });
+  });
+  it('a share is not used after its end', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1}, 1000);
+    expect(dispatched(trial.arrive(960, 'r1'))).to.deep.equal([]);
+    expect(dispatched(trial.share(970, {x: 1}, 2000))).to.deep.equal(['r1/1']);
+  });
+  it('a class of higher priority goes first', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1});
+    trial.arrive(1, 'r1');
+    trial.arrive(2, 'curve', {cls: 'curve'});
+    trial.arrive(3, 'certificate', {cls: 'certificate', priority: 9});
+    expect(dispatched(trial.answered(10, 'r1/1'))).to.deep.equal([
+      'certificate/1',
+    ]);
+  });
+  it('a full queue refuses at once', () => {
+    const trial = new Trial();
+    for (const id of ['r1', 'r2', 'r3']) trial.arrive(0, id);
+    expect(refused(trial.arrive(1, 'r4'))).to.deep.equal([
+      'r4 queue_full not_run',
+    ]);
+  });
+  it('a request that cannot make its deadline is refused at once', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1});
+    trial.arrive(0, 'r1');
+    trial.answered(1000, 'r1/1');
+    trial.arrive(1001, 'r2');
+    expect(refused(trial.arrive(1002, 'r3', {deadline: 2500}))).to.deep.equal([
+      'r3 deadline_unreachable not_run',
+    ]);
+  });
+  it('a request of unknown end is never sent again unless it is idempotent', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 2, y: 2});
+    trial.arrive(1, 'post');
+    trial.arrive(1, 'get', {isIdempotent: true});
+    expect(refused(trial.failed(2, 'post/1', 'lost'))).to.deep.equal([
+      'post upstream_lost unknown',
+    ]);
+    expect(dispatched(trial.failed(2, 'get/1', 'lost'))).to.deep.equal([
+      'get/2',
+    ]);
+  });
+  it('a retry goes elsewhere', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 3, y: 1});
+    trial.arrive(1, 'r1');
+    expect(
+      trial
+        .failed(2, 'r1/1', 'unreachable')
+        .find(({kind}) => kind === 'dispatch'),
+    ).to.include({upstream: 'y'});
+  });
+  it('retries stay within their budget', () => {
+    const trial = new Trial({retryBurst: 1, retryRatio: 0});
+    trial.share(0, {x: 9});
+    trial.arrive(1, 'r1');
+    trial.arrive(1, 'r2');
+    expect(dispatched(trial.failed(2, 'r1/1', 'unreachable'))).to.deep.equal([
+      'r1/2',
+    ]);
+    expect(refused(trial.failed(3, 'r2/1', 'unreachable'))).to.deep.equal([
+      'r2 upstream_unreachable not_run',
+    ]);
+  });
+  it('a slot stays taken until its attempt is known to have ended', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1});
+    trial.arrive(1, 'r1');
+    trial.failed(2, 'r1/1', 'lost');
+    expect(dispatched(trial.arrive(3, 'r2'))).to.deep.equal([]);
+    expect(
+      dispatched([
+        ...trial.core.step({kind: 'ended', now: 4, attempt: 'r1/1'}).effects,
+      ]),
+    ).to.deep.equal(['r2/1']);
+  });
+  it('a late answer is dropped', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 1});
+    trial.arrive(1, 'r1', {deadline: 100});
+    expect(
+      refused([...trial.core.step({kind: 'tick', now: 100}).effects]),
+    ).to.deep.equal(['r1 upstream_timeout unknown']);
+    expect(trial.answered(101, 'r1/1')).to.deep.equal([
+      {kind: 'drop_answer', attempt: 'r1/1'},
+    ]);
+  });
+  it('idle slots are returned, and slots in use are not', () => {
+    const trial = new Trial({spareSlots: 1});
+    trial.share(0, {x: 5});
+    trial.arrive(1, 'r1');
+    expect(trial.core.reportHeld('z', 2)).to.deep.equal([
+      {upstream: 'x', slots: 2},
+    ]);
+  });
+  it('of a share that has run out only the slots in use are reported', () => {
+    const trial = new Trial();
+    trial.share(0, {x: 5}, 1000);
+    trial.arrive(1, 'r1');
+    expect(trial.core.reportHeld('z', 1000)).to.deep.equal([
+      {upstream: 'x', slots: 1},
+    ]);
+  });
+});
