--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,42 @@
+import {defineCommand} from 'citty';
+import {COMMON_ARGS, apiOf} from '../client/api.js';
+import {EXIT, printJson, runCommand} from '../output/run.js';
+
+interface Note {
+  readonly at: number;
+  readonly vm: string;
+  readonly subject: string;
+  readonly reason: string;
+}
+
+/** Tells why a request, job, task or worker was treated as it was. */
+export const explainCommand = defineCommand({
+  meta: {
+    name: 'explain',
+    description: 'Tell why. Example: primrosewick explain job-7',
+  },
+  args: {
+    subject: {
+      type: 'positional',
+      description: 'Id of a request, job, task or worker.',
+      required: true,
+    },
+    ...COMMON_ARGS,
+  },
+  run: ({args}) =>
+    runCommand(async () => {
+      const reply = await apiOf(args).get<{notes: Note[]}>(
+        `/v1/explain/${encodeURIComponent(args.subject)}`,
+      );
+      if (args.json) return printJson(reply);
+      for (const note of reply.notes) process.stdout.write(`${lineOf(note)}\n`);
+      if (reply.notes.length > 0) return;
+      process.stdout.write(
+        `nothing is kept about ${args.subject}; reasons are kept in memory and the oldest are dropped\n`,
+      );
+      process.exitCode = EXIT.refused;
+    }),
+});
+
+const lineOf = ({at, vm, subject, reason}: Note): string =>
+  `${new Date(at).toISOString()} ${vm} ${subject}: ${reason}`;
--- a/packages/cli/src/commands/profile.ts
+++ b/packages/cli/src/commands/profile.ts
@@ -1,5 +1,5 @@
 import {defineCommand} from 'citty';
-import {COMMON_ARGS, apiOf} from '../client/api.js';
+import {COMMON_ARGS, UsageError, apiOf} from '../client/api.js';
 import {readDocument} from '../client/documents.js';
 import {printJson, runCommand} from '../output/run.js';
 import {formatTable} from '../output/table.js';
@@ -100,6 +100,55 @@
     }),
 });
 
+const diff = defineCommand({
+  meta: {
+    name: 'diff',
+    description:
+      'Compare two revisions. Example: primrosewick profile diff desk --from 1 --to 2',
+  },
+  args: {
+    name: NAME_ARG,
+    from: {type: 'string', description: 'Earlier revision.', required: true},
+    to: {type: 'string', description: 'Later revision.', required: true},
+    ...COMMON_ARGS,
+  },
+  run: ({args}) =>
+    runCommand(async () => {
+      const reply = await apiOf(args).get<{revisions: Revision[]}>(
+        `/v1/profiles/${encodeURIComponent(args.name)}/history`,
+      );
+      const before = fieldsOf(revisionAt(reply.revisions, args.from).profile);
+      const after = fieldsOf(revisionAt(reply.revisions, args.to).profile);
+      for (const key of new Set([...before.keys(), ...after.keys()])) {
+        if (before.get(key) === after.get(key)) continue;
+        process.stdout.write(
+          `${key}: ${before.get(key) ?? 'absent'} -> ${after.get(key) ?? 'absent'}\n`,
+        );
+      }
+    }),
+});
+
+const revisionAt = (
+  revisions: readonly Revision[],
+  wanted: string,
+): Revision => {
+  const found = revisions.find(({revision}) => String(revision) === wanted);
+  if (found) return found;
+  throw new UsageError(
+    `revision ${wanted} is not kept; see \`primrosewick profile history\``,
+  );
+};
+
+/** Fields of a document by their path. */
+const fieldsOf = (value: unknown, path = ''): Map<string, string> => {
+  if (typeof value !== 'object' || value === null)
+    return new Map([[path, JSON.stringify(value)]]);
+  const entries = Object.entries(value).flatMap(([key, field]) => [
+    ...fieldsOf(field, path ? `${path}.${key}` : key),
+  ]);
+  return new Map(entries);
+};
+
 interface VmProfiles {
   readonly vm: string;
   readonly error?: {readonly code: string};
@@ -150,5 +199,5 @@
 /** Commands for profiles. */
 export const profileCommand = defineCommand({
   meta: {name: 'profile', description: 'Write and show profiles.'},
-  subCommands: {put, get, list, history, status},
+  subCommands: {put, get, list, diff, history, status},
 });
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -86,7 +86,8 @@
   ];
 };
 
-const upstreamRows = (vm: VmRow): string[][] =>
+/** Rows of a VM's upstreams. */
+export const upstreamRows = (vm: VmRow): string[][] =>
   (vm.upstreams ?? []).map(
     ({upstream, service, slots, lent, inFlight, state}) => [
       upstream,
@@ -98,7 +99,8 @@
     ],
   );
 
-const workerRows = (vm: VmRow): string[][] =>
+/** Rows of a VM's workers. */
+export const workerRows = (vm: VmRow): string[][] =>
   (vm.workers ?? []).map(
     ({worker, rack, state, cpuMillis, usedCpuMillis, tasks}) => [
       worker,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,15 @@
 #!/usr/bin/env node
 /** The operators' command line. */
 import {defineCommand, runMain} from 'citty';
+import {
+  quotaCommand,
+  upstreamCommand,
+  workerCommand,
+} from './commands/capacity.js';
+import {explainCommand} from './commands/explain.js';
 import {jobCommand} from './commands/job.js';
+import {journalCommand, replayCommand} from './commands/journal.js';
+import {memberCommand} from './commands/member.js';
 import {profileCommand} from './commands/profile.js';
 import {serviceCommand} from './commands/service.js';
 import {statusCommand} from './commands/status.js';
@@ -16,7 +24,14 @@
     profile: profileCommand,
     service: serviceCommand,
     job: jobCommand,
+    quota: quotaCommand,
+    upstream: upstreamCommand,
+    worker: workerCommand,
+    member: memberCommand,
     status: statusCommand,
+    explain: explainCommand,
+    journal: journalCommand,
+    replay: replayCommand,
   },
 });
 
--- a/packages/coordination/src/entry/task.ts
+++ b/packages/coordination/src/entry/task.ts
@@ -5,6 +5,9 @@
   RequestCore,
   asId,
   classOfPath,
+  fromImage,
+  reviveRequestCore,
+  toImage,
   type AttemptFailure,
   type Arrival,
   type AttemptId,
@@ -68,7 +71,7 @@
 
 /** The request path of one entry. */
 export class EntryTask {
-  private readonly core: RequestCore;
+  private core: RequestCore;
   private readonly pending = new Map<RequestId, Pending>();
   private readonly answers = new Map<AttemptId, UpstreamAnswer>();
   private readonly timers = new Subscription();
@@ -89,7 +92,7 @@
     this.timers.add(
       clock
         .every(TICK_MS)
-        .subscribe(() => this.step({kind: 'tick', now: clock.now()})),
+        .subscribe(() => void this.step({kind: 'tick', now: clock.now()})),
     );
     this.timers.add(clock.every(syncMs).subscribe(() => void this.sync()));
   }
@@ -197,15 +200,22 @@
       this.step({kind: 'cancel', now: this.options.clock.now(), id});
   }
 
-  private step(event: RequestEvent): void {
+  private step(event: RequestEvent): readonly RequestEffect[] {
+    const {recorder} = this.options;
     const {effects, notes} = this.core.step(event);
-    this.options.recorder.record({
-      core: 'requests',
-      event,
-      outcome: effects,
-      notes,
-    });
+    const isIdleTick = event.kind === 'tick' && effects.length === 0;
+    if (!isIdleTick)
+      recorder.record({core: 'requests', event, outcome: effects, notes});
+    if (recorder.isFull('requests')) this.renewCore();
     for (const effect of effects) this.carryOut(effect);
+    return effects;
+  }
+
+  /** Goes on from an image, from which a replay can start as well. */
+  private renewCore(): void {
+    const image = toImage(this.core);
+    this.options.recorder.resume('requests', image);
+    this.core = fromImage(image, reviveRequestCore);
   }
 
   private carryOut(effect: RequestEffect): void {
@@ -228,6 +238,8 @@
         return metrics.addDrop('late_answer');
       case 'borrow':
         return this.borrow();
+      case 'sync':
+        return;
     }
   }
 
@@ -257,7 +269,8 @@
     const now = this.options.clock.now();
     if (result.kind === 'answered') {
       this.answers.set(attempt, result.answer);
-      return this.step({kind: 'answered', now, attempt});
+      this.step({kind: 'answered', now, attempt});
+      return;
     }
     const failure: AttemptFailure = result.kind;
     this.step({kind: 'failed', now, attempt, failure});
@@ -339,12 +352,20 @@
     const sentAt = clock.now();
     this.lastSyncAt = sentAt;
     this.syncSeq++;
-    const held = this.core.reportHeld(zone, sentAt);
+    const effects = this.step({
+      kind: 'renew',
+      now: sentAt,
+      lender: zone,
+      services: this.openServices(),
+    });
+    const sync = effects.find(effect => effect.kind === 'sync');
+    if (!sync) return;
+    const {held, wants} = sync;
     const grant = await leader.syncShares({
       holder,
       seq: this.syncSeq,
       held,
-      wants: this.wants(),
+      wants,
       isForeign: false,
     });
     const {shares, leaseMs, isComplete} = grant;
@@ -362,18 +383,11 @@
     this.step({kind: 'shares', now: clock.now(), update});
   }
 
-  private wants(): Array<{service: ServiceName; slots: number}> {
-    const known = new Map(
-      this.core.listWants().map(want => [want.service, want.slots]),
-    );
-    for (const {
-      service,
-      state,
-    } of this.options.replica.replica.state.listServices()) {
-      if (state === 'running' && !known.has(service.name))
-        known.set(service.name, 1);
-    }
-    return [...known].map(([service, slots]) => ({service, slots}));
+  private openServices(): ServiceName[] {
+    const services = this.options.replica.replica.state.listServices();
+    return services
+      .filter(({state}) => state === 'running')
+      .map(({service}) => service.name);
   }
 }
 
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -1,8 +1,14 @@
 /** Leads a zone while this VM holds its lease: lends slots and places tasks. */
-import type {Subscription} from 'rxjs';
+import {Subscription} from 'rxjs';
 import {
   PlacementCore,
   ShareLedger,
+  fromImage,
+  revivePlacementCore,
+  reviveShareLedger,
+  toImage,
+  type CoreName,
+  type Reviver,
   keyOfOrder,
   toCellError,
   type CellCommand,
@@ -54,17 +60,18 @@
 /** State of one epoch. */
 interface Reign {
   readonly epoch: Epoch;
-  readonly ledger: ShareLedger;
-  readonly placement: PlacementCore;
+  ledger: ShareLedger;
+  placement: PlacementCore;
 }
 
 const TICK_MS = 100;
+const EXPIRE_MS = 1000;
 const LOG_RETRY_MS = 500;
 
 /** Leads a zone while this VM holds its lease. */
 export class ZoneTask {
   private reign: Reign | null = null;
-  private timer: Subscription | undefined;
+  private readonly timers = new Subscription();
 
   constructor(private readonly options: ZoneTaskOptions) {
     options.authority.changes.subscribe(change => {
@@ -76,12 +83,14 @@
 
   /** Starts the clock of the cores. */
   start(): void {
-    this.timer = this.options.clock.every(TICK_MS).subscribe(() => this.tick());
+    const {clock} = this.options;
+    this.timers.add(clock.every(TICK_MS).subscribe(() => this.tick()));
+    this.timers.add(clock.every(EXPIRE_MS).subscribe(() => this.expire()));
   }
 
   /** Stops the clock. */
   stop(): void {
-    this.timer?.unsubscribe();
+    this.timers.unsubscribe();
     this.reign = null;
   }
 
@@ -201,10 +210,14 @@
     }
   }
 
+  private expire(): void {
+    const reign = this.currentReign();
+    if (reign) this.stepLedger(reign, {kind: 'expire', now: this.now});
+  }
+
   private tick(): void {
     const reign = this.currentReign();
     if (!reign) return;
-    this.stepLedger(reign, {kind: 'expire', now: this.now});
     this.stepPlacement(reign, {kind: 'tick', now: this.now});
   }
 
@@ -236,7 +249,10 @@
 
   private stepLedger(reign: Reign, event: ShareEvent): ShareAnswer {
     const outcome = reign.ledger.step(event);
-    this.options.recorder.record({core: 'shares', event, outcome, notes: []});
+    const {recorder} = this.options;
+    recorder.record({core: 'shares', event, outcome, notes: []});
+    if (recorder.isFull('shares'))
+      reign.ledger = renew(recorder, 'shares', reign.ledger, reviveShareLedger);
     return outcome;
   }
 
@@ -244,13 +260,17 @@
     reign: Reign,
     event: PlacementEvent,
   ): readonly PlacementEffect[] {
+    const {recorder} = this.options;
     const {effects, notes} = reign.placement.step(event);
-    this.options.recorder.record({
-      core: 'placement',
-      event,
-      outcome: effects,
-      notes,
-    });
+    recorder.record({core: 'placement', event, outcome: effects, notes});
+    if (recorder.isFull('placement')) {
+      reign.placement = renew(
+        recorder,
+        'placement',
+        reign.placement,
+        revivePlacementCore,
+      );
+    }
     for (const effect of effects) this.carryOut(reign, effect);
     return effects;
   }
@@ -327,6 +347,18 @@
   }
 }
 
+/** Lets a core go on from an image, from which a replay can start as well. */
+const renew = <T extends object>(
+  recorder: Recorder,
+  core: CoreName,
+  present: T,
+  revive: Reviver<T>,
+): T => {
+  const image = toImage(present);
+  recorder.resume(core, image);
+  return fromImage(image, revive);
+};
+
 const ordersOf = (
   epoch: Epoch,
   leaseMs: number,
--- a/packages/coordination/src/zone/types.ts
+++ b/packages/coordination/src/zone/types.ts
@@ -1,6 +1,7 @@
 /** Seams of the zone's leader towards workers, the cell log and the journal. */
 import type {
   CellCommand,
+  CoreName,
   CellResult,
   DecisionNote,
   Epoch,
@@ -22,9 +23,6 @@
   readIndex(): Promise<number | undefined>;
 }
 
-/** Name of a decision core. */
-export type CoreName = 'requests' | 'placement' | 'shares';
-
 /** One event of a decision core with what it decided. */
 export interface DecisionRecord {
   readonly core: CoreName;
@@ -37,11 +35,17 @@
 export interface Recorder {
   /** Notes that a core was started anew with these options. */
   start(core: CoreName, options: unknown): void;
+  /** Notes that a core goes on from its image. */
+  resume(core: CoreName, image: string): void;
   record(record: DecisionRecord): void;
+  /** Whether the core should go on from its image, so that older lines can be dropped. */
+  isFull(core: CoreName): boolean;
 }
 
 /** Recorder that keeps nothing. */
 export const NO_RECORDER: Recorder = {
   start: () => undefined,
+  resume: () => undefined,
   record: () => undefined,
+  isFull: () => false,
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,6 @@
   FollowTask,
   HttpUpstreamPort,
   KeyedRequests,
-  NO_RECORDER,
   ReplicaTask,
   ZoneLeaderPort,
   ZoneTask,
@@ -43,6 +42,7 @@
 import type {RouteContext} from './routes/context.js';
 import {operatorRoutes, tokenGuard} from './routes/operator.js';
 import {platformRoutes} from './routes/platform.js';
+import {JournalRecorder} from './recorder.js';
 import {readToken} from './token.js';
 import {Voter} from './voter.js';
 
@@ -61,6 +61,7 @@
   private readonly holder: HolderId;
   private readonly metrics = new Metrics();
   private readonly clock = systemClock;
+  private readonly recorder: JournalRecorder;
   private readonly peers: PeerClient;
   private readonly replica: ReplicaTask;
   private readonly authority: AuthorityTask;
@@ -81,6 +82,10 @@
   ) {
     this.own = ownVm(settings);
     this.holder = asId<HolderId>(`${this.own.vm}.${this.boot}`);
+    this.recorder = new JournalRecorder({
+      clock: this.clock,
+      maxBytes: settings.limits.journalBytes,
+    });
     this.peers = this.makePeers();
     this.replica = new ReplicaTask(this.clock);
     this.authority = this.makeAuthority();
@@ -195,7 +200,7 @@
       workers: httpWorkerPort,
       clock: this.clock,
       metrics: this.metrics,
-      recorder: NO_RECORDER,
+      recorder: this.recorder,
       shareTiming: {
         ...DEFAULT_SHARE_TIMING,
         shareMs: timing.shareMs,
@@ -227,7 +232,7 @@
       upstreams: this.upstreams,
       clock: this.clock,
       metrics: this.metrics,
-      recorder: NO_RECORDER,
+      recorder: this.recorder,
       limits: {maxRequests: settings.limits.requests},
       syncMs: settings.timing.shareSyncMs,
       connectionsOf: connections =>
@@ -278,6 +283,7 @@
       leader: this.leader,
       authority,
       consensus: () => this.voter?.task ?? null,
+      recorder: this.recorder,
       ownStatus: () => this.status(),
       isStopping: () => this.isStopping,
     };
@@ -322,6 +328,7 @@
       zone: this.zone,
       voter: this.voter,
       status: () => this.status(),
+      recorder: this.recorder,
     });
     return new PeerServer({
       address: this.settings.listen.peer,
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -3,9 +3,11 @@
   ReplicaTask,
   ZoneTask,
 } from '@primrosewick/coordination';
-import type {VmSettings, VmStatus} from '@primrosewick/protocol';
+import type {JournalPage, VmSettings, VmStatus} from '@primrosewick/protocol';
+import type {CoreName} from '@primrosewick/state';
 import {proposeAt} from '@primrosewick/coordination';
 import type {PeerHandlers} from '@primrosewick/transport';
+import type {JournalRecorder} from './recorder.js';
 import type {Voter} from './voter.js';
 
 /** What the handlers need of the daemon. */
@@ -17,6 +19,7 @@
   readonly zone: ZoneTask;
   readonly voter: Voter | null;
   readonly status: () => VmStatus;
+  readonly recorder: JournalRecorder;
 }
 
 /** Handlers of the methods that other daemons call. */
@@ -28,6 +31,7 @@
   zone,
   voter,
   status,
+  recorder,
 }: PeerHandlerOptions): PeerHandlers => ({
   hello: async () => ({
     vm: own.vm,
@@ -52,4 +56,26 @@
   announceUpstream: async report => zone.announceUpstream(report),
   announceWorker: async report => zone.announceWorker(report),
   status: async () => status(),
+  explain: async ({subject}) => ({notes: recorder.explain(subject)}),
+  journal: async ({core, fromLine}) => journalPage(recorder, core, fromLine),
 });
+
+/** Bytes of journal lines in one reply. */
+const PAGE_BYTES = 1024 * 1024;
+
+/** A part of the kept lines of a core. */
+export const journalPage = (
+  recorder: JournalRecorder,
+  core: CoreName,
+  fromLine: number,
+): JournalPage => {
+  const all = recorder.getLines(core);
+  const lines: string[] = [];
+  let bytes = 0;
+  for (const line of all.slice(fromLine)) {
+    if (lines.length > 0 && bytes + line.length > PAGE_BYTES) break;
+    lines.push(line);
+    bytes += line.length;
+  }
+  return {lines, hasMore: fromLine + lines.length < all.length};
+};
--- a/packages/daemon/src/routes/context.ts
+++ b/packages/daemon/src/routes/context.ts
@@ -21,6 +21,8 @@
   PeerCaller,
 } from '@primrosewick/transport';
 
+import type {JournalRecorder} from '../recorder.js';
+
 /** What the routes need of the daemon. */
 export interface RouteContext {
   readonly settings: Settings;
@@ -36,6 +38,7 @@
   readonly authority: AuthorityTask;
   /** The voter of this VM, once it takes part. */
   readonly consensus: () => ConsensusTask | null;
+  readonly recorder: JournalRecorder;
   readonly ownStatus: () => VmStatus;
   readonly isStopping: () => boolean;
 }
--- a/packages/daemon/src/routes/operator.ts
+++ b/packages/daemon/src/routes/operator.ts
@@ -11,9 +11,13 @@
 import {
   CellError,
   asId,
+  type CoreName,
   type ProfileName,
   type ServiceName,
+  type TimedNote,
+  type VmId,
 } from '@primrosewick/state';
+import {journalPage} from '../peer_handlers.js';
 import type {
   HttpContext,
   HttpHandler,
@@ -110,9 +114,60 @@
     pattern: '/v1/quotas/:team',
     handler: http => setQuota(context, http),
   },
+  {
+    method: 'GET',
+    pattern: '/v1/explain/:subject',
+    handler: http => explain(context, http),
+  },
+  {
+    method: 'GET',
+    pattern: '/v1/journal/:vm/:core',
+    handler: http => journal(context, http),
+  },
   ...jobRoutes(context),
 ];
 
+/** Cores whose journal can be read. */
+const CORES: readonly CoreName[] = ['requests', 'placement', 'shares'];
+
+const explain = async (
+  context: RouteContext,
+  http: HttpContext,
+): Promise<HttpReply> => {
+  const subject = http.params['subject'] ?? '';
+  const {settings, peers, recorder} = context;
+  const ask = async (vm: VmId): Promise<Array<TimedNote & {vm: VmId}>> => {
+    const reply =
+      vm === settings.vm
+        ? {notes: recorder.explain(subject)}
+        : await peers.call(vm, 'explain', {subject}).catch(() => ({notes: []}));
+    return reply.notes.map(note => ({...note, vm}));
+  };
+  const notes = (await Promise.all(settings.vms.map(({vm}) => ask(vm)))).flat();
+  return {
+    status: 200,
+    body: {subject, notes: notes.sort((a, b) => a.at - b.at)},
+  };
+};
+
+const journal = async (
+  context: RouteContext,
+  http: HttpContext,
+): Promise<HttpReply> => {
+  const core = CORES.find(name => name === http.params['core']);
+  const vm = context.settings.vms.find(
+    other => other.vm === http.params['vm'],
+  )?.vm;
+  if (!core || !vm)
+    throw new CellError({code: 'unknown_path', step: 'read-journal'});
+  const fromLine = Number(http.query.get('fromLine') ?? 0);
+  const page =
+    vm === context.settings.vm
+      ? journalPage(context.recorder, core, fromLine)
+      : await context.peers.call(vm, 'journal', {core, fromLine});
+  return {status: 200, body: page};
+};
+
 const stateOf = (context: RouteContext) => context.replica.replica.state;
 
 const readiness = (context: RouteContext): HttpReply => {
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -2,7 +2,6 @@
   AuthorityTask,
   EntryTask,
   KeyedRequests,
-  NO_RECORDER,
   ReplicaTask,
   ZoneLeaderPort,
   ZoneTask,
@@ -23,6 +22,7 @@
 import {Metrics} from '@primrosewick/transport';
 import {FakePeers, type PeerPlace} from '../world/fake_peers.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
+import {JournalKeeper} from './journal_keeper.js';
 import type {ZoneWorld} from './zone_world.js';
 
 const FEED_MS = 100;
@@ -45,6 +45,7 @@
 /** The daemon of one VM: the real tasks behind fake ports. */
 export class SimVm implements PeerPlace {
   readonly process = new SimProcess();
+  readonly journal = new JournalKeeper();
   readonly holder: HolderId;
   readonly authority: AuthorityTask;
   readonly zone: ZoneTask;
@@ -96,7 +97,7 @@
       workers: this.workerPort(),
       clock,
       metrics,
-      recorder: world.recorder ?? NO_RECORDER,
+      recorder: this.journal,
       shareTiming: {
         shareMs: SIM_TIMING.shareMs,
         marginMs: SIM_TIMING.shareMarginMs,
@@ -119,7 +120,7 @@
       upstreams: this.upstreamPort(),
       clock,
       metrics,
-      recorder: world.recorder ?? NO_RECORDER,
+      recorder: this.journal,
       limits: {maxRequests: 100},
       syncMs: 300,
       connectionsOf: () => 100,
--- a/packages/proofs/src/zone/zone_world.ts
+++ b/packages/proofs/src/zone/zone_world.ts
@@ -1,4 +1,4 @@
-import type {ClientRequest, Recorder} from '@primrosewick/coordination';
+import type {ClientRequest} from '@primrosewick/coordination';
 import type {VmSettings} from '@primrosewick/protocol';
 import {
   asId,
@@ -21,6 +21,7 @@
   type NetworkFaults,
 } from '../world/fake_network.js';
 import {FakeLog} from './fake_log.js';
+import type {JournalKeeper} from './journal_keeper.js';
 import {ZoneOracle, type ClientRecord} from './oracle.js';
 import {makeVms, profileOf} from './fixtures.js';
 import {SimVm} from './sim_vm.js';
@@ -68,6 +69,7 @@
   readonly upstreams: SimUpstream[];
   readonly workers: SimWorker[];
   private readonly running = new Map<VmId, SimVm>();
+  private readonly journals: JournalKeeper[] = [];
   private boots = 0;
   private requests = 0;
   /** Whether nothing is broken, so that bounds on time hold as well. */
@@ -77,7 +79,6 @@
     seed: number,
     /** VMs of the zone: 3, or 2 and a witness. */
     zoneVms: number,
-    readonly recorder?: Recorder,
   ) {
     this.random = seededRandom(seed);
     this.network = new FakeNetwork(this.queue, this.random);
@@ -153,7 +154,9 @@
     this.running.get(vm)?.process.kill();
     this.boots++;
     const own = this.vms.find(other => other.vm === vm)!;
-    this.running.set(vm, new SimVm(own, this.boots, this.drift(), this));
+    const started = new SimVm(own, this.boots, this.drift(), this);
+    this.running.set(vm, started);
+    this.journals.push(started.journal);
   }
 
   /** Kills the daemon of a VM. */
@@ -238,6 +241,7 @@
     this.oracle.checkEnd();
     this.checkJobs();
     this.checkProgress();
+    for (const journal of this.journals) journal.check();
   }
 
   /** Lets time pass until all jobs have ended, or until they should have. */
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -4,6 +4,8 @@
  */
 import type {
   CellCommand,
+  CoreName,
+  TimedNote,
   CellId,
   CellImage,
   CellResult,
@@ -139,6 +141,14 @@
     reply: LeaderReply<WorkerOrders>;
   };
   status: {request: {readonly boot: string}; reply: VmStatus};
+  explain: {
+    request: {readonly subject: string};
+    reply: {readonly notes: readonly TimedNote[]};
+  };
+  journal: {
+    request: {readonly core: CoreName; readonly fromLine: number};
+    reply: JournalPage;
+  };
 }
 
 /** Name of a method. */
@@ -158,6 +168,8 @@
   announceUpstream: {deadlineMs: 1000},
   announceWorker: {deadlineMs: 2000},
   status: {deadlineMs: 1500},
+  explain: {deadlineMs: 1500},
+  journal: {deadlineMs: 5000},
 };
 
 /** A request or reply on the wire. */
@@ -169,6 +181,12 @@
   readonly body: T;
 }
 
+/** A part of the kept lines of a journal. */
+export interface JournalPage {
+  readonly lines: readonly string[];
+  readonly hasMore: boolean;
+}
+
 /** State of one VM as other VMs and operators see it. */
 export interface VmStatus {
   readonly vm: VmId;
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -72,8 +72,8 @@
     ),
     proposals: count(1000, 'Writes that may wait for the cell log at once.'),
     journalBytes: count(
-      33_554_432,
-      'Largest journal file, in bytes; one older file is kept.',
+      4_194_304,
+      'Bytes of journal kept in memory for each decision core.',
     ),
   })
   .prefault({})
--- a/packages/standins/src/cell/cell.ts
+++ b/packages/standins/src/cell/cell.ts
@@ -145,7 +145,12 @@
       '--author',
       'demo',
     ];
-    return runNode(CLI, [...args, ...common]);
+    return this.runCli([...args, ...common]);
+  }
+
+  /** Runs the operators' command line without an entry. */
+  runCli(args: readonly string[]): Promise<CommandResult> {
+    return runNode(CLI, args);
   }
 
   /** Runs the stand-in for clients. */
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -3,6 +3,8 @@
  * seven daemons, upstreams and workers. Exits with 1 when an expectation
  * fails. `--stop SIGKILL` breaks the expectation of a planned stop.
  */
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
 import {callJson} from '@primrosewick/transport';
 import {readArgs} from '../utils/args.js';
 import {Cell, freePorts, waitUntil, type CommandResult} from '../cell/cell.js';
@@ -143,10 +145,13 @@
   }
 };
 
+let depositJob = '';
+
 const runDeposits = async (): Promise<void> => {
   const job = cell.writeDocument('job.jsonc', DEPOSIT_JOB);
   const result = await cell.operate('nt-1', ['job', 'submit', job, '--wait']);
   expectDone('a deposit run is placed, runs and ends', result);
+  depositJob = /job-\d+/.exec(result.stdout)?.[0] ?? '';
   say(result.stdout.trim());
 };
 
@@ -208,6 +213,27 @@
   );
 };
 
+const explainAndReplay = async (): Promise<void> => {
+  const why = await cell.operate('tar-2', ['explain', depositJob]);
+  expect(
+    'explain tells why a deposit task went where it did',
+    why.code === 0 && why.stdout.includes('starts on'),
+    why.stderr,
+  );
+  say(why.stdout.split('\n').slice(0, 3).join('\n'));
+  for (const core of ['requests', 'placement', 'shares']) {
+    const {stdout} = await cell.operate('tar-2', ['journal', 'nt-1', core]);
+    const file = path.join(cell.root, `${core}.jsonl`);
+    writeFileSync(file, stdout);
+    const result = await cell.runCli(['replay', file]);
+    expect(
+      `a replay of ${core} reaches the same decisions`,
+      result.code === 0,
+      result.stdout + result.stderr,
+    );
+  }
+};
+
 const showStatus = async (): Promise<void> => {
   const {code, stdout} = await cell.operate('tar-2', ['status']);
   expect('status shows the cell', code === 0);
@@ -222,6 +248,7 @@
   await runDeposits();
   await stopOneEntry();
   await checkStandins();
+  await explainAndReplay();
   await showStatus();
 } finally {
   if (args.has('keep')) say(`kept: ${cell.root}`);
--- /dev/null
+++ b/packages/state/src/journal/core.ts
@@ -0,0 +1,118 @@
+/** Runs a journal again and compares every decision with the recorded one. */
+import {
+  PlacementCore,
+  revivePlacementCore,
+  type PlacementOptions,
+} from '../placement/core.js';
+import type {PlacementEvent} from '../placement/types.js';
+import {RequestCore, reviveRequestCore} from '../requests/core.js';
+import type {
+  DecisionNote,
+  RequestEvent,
+  RequestLimits,
+} from '../requests/types.js';
+import {
+  ShareLedger,
+  reviveShareLedger,
+  type ShareLedgerOptions,
+} from '../shares/core.js';
+import type {ShareEvent} from '../shares/types.js';
+import {assertNever} from '../utils/assert_never.js';
+import {fromImage} from '../utils/image.js';
+import type {CoreName, JournalLine, ReplayResult} from './types.js';
+
+/** Outcome of one step, whatever the core. */
+interface Stepped {
+  readonly outcome: unknown;
+  readonly notes: readonly DecisionNote[];
+}
+
+/** A core that takes the events of a journal. */
+interface Steppable {
+  step(event: unknown): Stepped;
+}
+
+const stepRequests = (core: RequestCore): Steppable => ({
+  step: event => {
+    const {effects, notes} = core.step(event as RequestEvent);
+    return {outcome: effects, notes};
+  },
+});
+
+const stepPlacement = (core: PlacementCore): Steppable => ({
+  step: event => {
+    const {effects, notes} = core.step(event as PlacementEvent);
+    return {outcome: effects, notes};
+  },
+});
+
+const stepShares = (core: ShareLedger): Steppable => ({
+  step: event => ({outcome: core.step(event as ShareEvent), notes: []}),
+});
+
+const startCore = (name: CoreName, options: unknown): Steppable => {
+  switch (name) {
+    case 'requests':
+      return stepRequests(new RequestCore(options as Partial<RequestLimits>));
+    case 'placement':
+      return stepPlacement(new PlacementCore(options as PlacementOptions));
+    case 'shares':
+      return stepShares(new ShareLedger(options as ShareLedgerOptions));
+    default:
+      return assertNever(name);
+  }
+};
+
+const resumeCore = (name: CoreName, image: string): Steppable => {
+  switch (name) {
+    case 'requests':
+      return stepRequests(fromImage(image, reviveRequestCore));
+    case 'placement':
+      return stepPlacement(fromImage(image, revivePlacementCore));
+    case 'shares':
+      return stepShares(fromImage(image, reviveShareLedger));
+    default:
+      return assertNever(name);
+  }
+};
+
+/**
+ * Replays a journal. Lines before the first start or image of their core are
+ * passed over, as a rotated journal may begin in the middle.
+ * @param lines - the lines as they were written, each one JSON text.
+ */
+export const replayJournal = (lines: Iterable<string>): ReplayResult => {
+  const cores = new Map<CoreName, Steppable>();
+  let steps = 0;
+  let number = 0;
+  for (const text of lines) {
+    number++;
+    const line = JSON.parse(text) as JournalLine;
+    if (line.kind === 'start')
+      cores.set(line.core, startCore(line.core, line.options));
+    else if (line.kind === 'resume')
+      cores.set(line.core, resumeCore(line.core, line.image));
+    else {
+      const core = cores.get(line.core);
+      if (!core) continue;
+      steps++;
+      const difference = compareStep(core, line);
+      if (difference)
+        return {kind: 'different', steps, line: number, ...difference};
+    }
+  }
+  return {kind: 'same', steps};
+};
+
+const compareStep = (
+  core: Steppable,
+  {event, outcome, notes}: Extract<JournalLine, {kind: 'step'}>,
+): {recorded: string; replayed: string} | undefined => {
+  const stepped = core.step(event);
+  const recorded = JSON.stringify({outcome, notes});
+  const replayed = JSON.stringify({
+    outcome: stepped.outcome,
+    notes: stepped.notes,
+  });
+  return recorded === replayed ? undefined : {recorded, replayed};
+};
--- a/packages/state/src/placement/context.ts
+++ b/packages/state/src/placement/context.ts
@@ -1,22 +1,24 @@
+import {reviverOf} from '../utils/image.js';
 import {jobOfTask} from '../cell/jobs.js';
 import type {TaskEnd} from '../cell/types.js';
 import type {TaskOutcome} from '../documents/job.js';
 import type {Epoch, TaskId} from '../ids/types.js';
 import type {DecisionNote} from '../requests/types.js';
-import {JobQueue} from './job_queue.js';
+import {JobQueue, reviveJobQueue} from './job_queue.js';
 import {
   JobTable,
+  reviveJobTable,
   type JobView,
   type PlacedTask,
   type TaskState,
 } from './job_table.js';
-import {TeamQuotas} from './team_quotas.js';
+import {TeamQuotas, reviveTeamQuotas} from './team_quotas.js';
 import {
   attemptKeyOf,
   type PlacementEffect,
   type PlacementLimits,
 } from './types.js';
-import {WorkerTable} from './worker_table.js';
+import {WorkerTable, reviveWorkerTable} from './worker_table.js';
 
 /** Options shared by the parts of the core. */
 export interface ContextOptions {
@@ -198,3 +200,11 @@
     return ends;
   }
 }
+
+/** Makes a context from its plain state. */
+export const revivePlacementContext = reviverOf(PlacementContext.prototype, {
+  workers: reviveWorkerTable,
+  jobs: reviveJobTable,
+  queue: reviveJobQueue,
+  quotas: reviveTeamQuotas,
+});
--- a/packages/state/src/placement/core.ts
+++ b/packages/state/src/placement/core.ts
@@ -2,13 +2,14 @@
  * Placement of one zone in one epoch: which task runs on which worker, which
  * waits, and what follows the end or the loss of an attempt.
  */
+import {reviverOf} from '../utils/image.js';
 import type {JobRecord} from '../cell/types.js';
 import type {Epoch, TaskId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
-import {PlacementContext} from './context.js';
+import {PlacementContext, revivePlacementContext} from './context.js';
 import type {JobView, PlacedTask} from './job_table.js';
-import {ReportHandler} from './reports.js';
-import {Scheduler} from './scheduler.js';
+import {ReportHandler, reviveReportHandler} from './reports.js';
+import {Scheduler, reviveScheduler} from './scheduler.js';
 import {
   DEFAULT_PLACEMENT_LIMITS,
   attemptKeyOf,
@@ -243,3 +244,10 @@
   task: TaskId;
   attempt: AttemptName;
 }): AttemptKey => attemptKeyOf(order.task, order.attempt);
+
+/** Makes a core from its plain state. */
+export const revivePlacementCore = reviverOf(PlacementCore.prototype, {
+  context: revivePlacementContext,
+  scheduler: reviveScheduler,
+  reports: reviveReportHandler,
+});
--- a/packages/state/src/placement/job_queue.ts
+++ b/packages/state/src/placement/job_queue.ts
@@ -1,3 +1,4 @@
+import {reviverOf} from '../utils/image.js';
 import type {JobId} from '../ids/types.js';
 import type {JobView} from './job_table.js';
 import {URGENT_PRIORITY} from './types.js';
@@ -56,3 +57,6 @@
     return this.levels.reduce((sum, level) => sum + level.size, 0);
   }
 }
+
+/** Makes a queue from its plain state. */
+export const reviveJobQueue = reviverOf(JobQueue.prototype);
--- a/packages/state/src/placement/reports.ts
+++ b/packages/state/src/placement/reports.ts
@@ -1,3 +1,4 @@
+import {reviverOf} from '../utils/image.js';
 import {jobOfTask} from '../cell/jobs.js';
 import type {TaskId} from '../ids/types.js';
 import type {PlacementContext} from './context.js';
@@ -242,3 +243,6 @@
   memoryMb: view.usedMemoryMb,
   accelerators: 0,
 });
+
+/** Makes a handler from its plain state. */
+export const reviveReportHandler = reviverOf(ReportHandler.prototype);
--- a/packages/state/src/placement/scheduler.ts
+++ b/packages/state/src/placement/scheduler.ts
@@ -1,3 +1,4 @@
+import {reviverOf} from '../utils/image.js';
 import type {Size} from '../documents/job.js';
 import {asId, type TaskId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
@@ -295,3 +296,6 @@
     this.context.note(view.record.id, `waits: ${reason}`);
   }
 }
+
+/** Makes a scheduler from its plain state. */
+export const reviveScheduler = reviverOf(Scheduler.prototype);
--- a/packages/state/src/placement/team_quotas.ts
+++ b/packages/state/src/placement/team_quotas.ts
@@ -1,3 +1,4 @@
+import {reviverOf} from '../utils/image.js';
 import type {QuotaRecord} from '../cell/types.js';
 import type {TeamName} from '../ids/types.js';
 
@@ -26,3 +27,6 @@
     return this.used.get(team) ?? 0;
   }
 }
+
+/** Makes the quotas from their plain state. */
+export const reviveTeamQuotas = reviverOf(TeamQuotas.prototype);
--- a/packages/state/src/placement/worker_index.ts
+++ b/packages/state/src/placement/worker_index.ts
@@ -1,3 +1,4 @@
+import {reviverOf} from '../utils/image.js';
 import type {Size} from '../documents/job.js';
 import {fits} from './sizes.js';
 
@@ -119,3 +120,11 @@
     return best;
   }
 }
+
+const reviveBuckets = reviverOf(Buckets.prototype);
+
+/** Makes an index from its plain state. */
+export const reviveWorkerIndex = reviverOf(WorkerIndex.prototype, {
+  plain: reviveBuckets,
+  accelerated: reviveBuckets,
+});
--- a/packages/state/src/placement/worker_table.ts
+++ b/packages/state/src/placement/worker_table.ts
@@ -1,8 +1,9 @@
+import {reviverOf} from '../utils/image.js';
 import type {Size} from '../documents/job.js';
 import type {JobId, WorkerId} from '../ids/types.js';
 import {addSizes, maxSizes, subtractSizes, ZERO_SIZE} from './sizes.js';
 import type {AttemptKey, PlacementLimits, WorkerReport} from './types.js';
-import {WorkerIndex, type Indexed} from './worker_index.js';
+import {WorkerIndex, reviveWorkerIndex, type Indexed} from './worker_index.js';
 
 /** At most one worker in this many is set aside. */
 const MIN_WORKERS_PER_ASIDE = 3;
@@ -185,3 +186,8 @@
   reserved: new Map(),
   evidence: {failedJobs: new Set(), rounds: 0, until: 0},
 });
+
+/** Makes a table from its plain state. */
+export const reviveWorkerTable = reviverOf(WorkerTable.prototype, {
+  index: reviveWorkerIndex,
+});
--- a/packages/state/src/requests/class_queue.ts
+++ b/packages/state/src/requests/class_queue.ts
@@ -1,4 +1,5 @@
 import type {RequestId} from '../ids/types.js';
+import {reviverOf} from '../utils/image.js';
 
 /** A request that waits. */
 export interface Waiting {
@@ -70,3 +71,6 @@
     return line;
   }
 }
+
+/** Makes a queue from its plain state. */
+export const reviveClassQueue = reviverOf(ClassQueue.prototype);
--- a/packages/state/src/requests/core.spec.ts
+++ b/packages/state/src/requests/core.spec.ts
@@ -63,6 +63,18 @@
     return [...this.core.step({kind: 'arrive', now, arrival}).effects];
   }
 
+  renew(now: number) {
+    const {effects} = this.core.step({
+      kind: 'renew',
+      now,
+      lender: 'z',
+      services: [DESK],
+    });
+    return effects.flatMap(effect =>
+      effect.kind === 'sync' ? effect.held : [],
+    );
+  }
+
   answered(now: number, attempt: string): RequestEffect[] {
     return [...this.core.step({kind: 'answered', now, attempt}).effects];
   }
@@ -190,16 +202,12 @@
     const trial = new Trial({spareSlots: 1});
     trial.share(0, {x: 5});
     trial.arrive(1, 'r1');
-    expect(trial.core.reportHeld('z', 2)).to.deep.equal([
-      {upstream: 'x', slots: 2},
-    ]);
+    expect(trial.renew(2)).to.deep.equal([{upstream: 'x', slots: 2}]);
   });
   it('of a share that has run out only the slots in use are reported', () => {
     const trial = new Trial();
     trial.share(0, {x: 5}, 1000);
     trial.arrive(1, 'r1');
-    expect(trial.core.reportHeld('z', 1000)).to.deep.equal([
-      {upstream: 'x', slots: 1},
-    ]);
+    expect(trial.renew(1000)).to.deep.equal([{upstream: 'x', slots: 1}]);
   });
 });
--- a/packages/state/src/requests/core.ts
+++ b/packages/state/src/requests/core.ts
@@ -6,9 +6,10 @@
 import {REASONS} from '../errors/reasons.js';
 import type {RequestId, ServiceName, UpstreamId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
-import {ClassQueue} from './class_queue.js';
-import {RetryBudget} from './retry_budget.js';
-import {ShareTable, type HeldReport, type HeldSlots} from './share_table.js';
+import {mapReviver, reviverOf} from '../utils/image.js';
+import {ClassQueue, reviveClassQueue} from './class_queue.js';
+import {RetryBudget, reviveRetryBudget} from './retry_budget.js';
+import {ShareTable, reviveShareTable, type HeldSlots} from './share_table.js';
 import {
   DEFAULT_REQUEST_LIMITS,
   type Arrival,
@@ -20,7 +21,7 @@
   type RequestLimits,
   type RequestStep,
 } from './types.js';
-import {ServiceTimes} from './service_times.js';
+import {ServiceTimes, reviveServiceTimes} from './service_times.js';
 
 interface OpenRequest {
   readonly arrival: Arrival;
@@ -82,21 +83,15 @@
     return this.shares.list();
   }
 
-  /** Reports what is held of a lender, and returns idle slots. */
-  reportHeld(lender: string, now: number): HeldReport[] {
-    return this.shares.report(lender, now, service => this.wantOf(service));
-  }
-
-  /** Services with demand, and the slots that each wants. */
-  listWants(): Array<{service: ServiceName; slots: number}> {
-    const services = new Set([
-      ...this.queues.keys(),
-      ...this.shares.list().map(share => share.service),
-    ]);
-    return [...services].map(service => ({
+  private onRenew(lender: string, services: readonly ServiceName[]): void {
+    const held = this.shares.report(lender, this.now, service =>
+      this.wantOf(service),
+    );
+    const wants = services.map(service => ({
       service,
       slots: this.wantOf(service),
     }));
+    this.effects.push({kind: 'sync', lender, held, wants});
   }
 
   private wantOf(service: ServiceName): number {
@@ -121,6 +116,8 @@
         return this.onCancel(event.id);
       case 'close_service':
         return this.onCloseService(event.service);
+      case 'renew':
+        return this.onRenew(event.lender, event.services);
       case 'tick':
         return this.onTick();
       default:
@@ -406,3 +403,11 @@
     return share.roundTripMs < best.roundTripMs;
   return share.slots - share.attempts.size > best.slots - best.attempts.size;
 };
+
+/** Makes a core from its plain state. */
+export const reviveRequestCore = reviverOf(RequestCore.prototype, {
+  shares: reviveShareTable,
+  queues: mapReviver(reviveClassQueue),
+  times: reviveServiceTimes,
+  budget: reviveRetryBudget,
+});
--- a/packages/state/src/requests/retry_budget.ts
+++ b/packages/state/src/requests/retry_budget.ts
@@ -1,3 +1,5 @@
+import {reviverOf} from '../utils/image.js';
+
 /** Options of a retry budget. */
 export interface RetryBudgetOptions {
   /** Retries earned by one arrival. */
@@ -32,3 +34,6 @@
     return true;
   }
 }
+
+/** Makes a budget from its plain state. */
+export const reviveRetryBudget = reviverOf(RetryBudget.prototype);
--- a/packages/state/src/requests/service_times.ts
+++ b/packages/state/src/requests/service_times.ts
@@ -1,4 +1,5 @@
 import type {ServiceName} from '../ids/types.js';
+import {reviverOf} from '../utils/image.js';
 
 /** Weight of the newest sample in the moving mean. */
 const SAMPLE_WEIGHT = 0.1;
@@ -30,3 +31,6 @@
     this.means.set(key, next);
   }
 }
+
+/** Makes the means from their plain state. */
+export const reviveServiceTimes = reviverOf(ServiceTimes.prototype);
--- a/packages/state/src/requests/share_table.ts
+++ b/packages/state/src/requests/share_table.ts
@@ -1,5 +1,6 @@
 import type {ServiceName, UpstreamId} from '../ids/types.js';
-import type {AttemptId, ShareUpdate} from './types.js';
+import {reviverOf} from '../utils/image.js';
+import type {AttemptId, HeldReport, ShareUpdate} from './types.js';
 
 /** Slots of one upstream that the entry may use. */
 export interface HeldSlots {
@@ -15,12 +16,6 @@
   readonly attempts: Set<AttemptId>;
 }
 
-/** A share to be reported to its lender. */
-export interface HeldReport {
-  readonly upstream: UpstreamId;
-  readonly slots: number;
-}
-
 /** Shares of all services at one entry. */
 export class ShareTable {
   private readonly held = new Map<UpstreamId, HeldSlots>();
@@ -142,3 +137,6 @@
     }
   }
 }
+
+/** Makes a table from its plain state. */
+export const reviveShareTable = reviverOf(ShareTable.prototype);
--- a/packages/state/src/requests/types.ts
+++ b/packages/state/src/requests/types.ts
@@ -42,6 +42,18 @@
   readonly roundTripMs: number;
 }
 
+/** A share as it is reported to its lender. */
+export interface HeldReport {
+  readonly upstream: UpstreamId;
+  readonly slots: number;
+}
+
+/** Slots that a service could use. */
+export interface ServiceWant {
+  readonly service: ServiceName;
+  readonly slots: number;
+}
+
 /** Inputs of the core. */
 export type RequestEvent =
   | {readonly kind: 'arrive'; readonly now: number; readonly arrival: Arrival}
@@ -69,6 +81,13 @@
       readonly now: number;
       readonly service: ServiceName;
     }
+  /** The shares of a lender are to be renewed; idle slots are returned. */
+  | {
+      readonly kind: 'renew';
+      readonly now: number;
+      readonly lender: string;
+      readonly services: readonly ServiceName[];
+    }
   | {readonly kind: 'tick'; readonly now: number};
 
 /** Id of one attempt, as "request/number". */
@@ -112,6 +131,13 @@
       readonly why: 'unreachable' | 'refused_by_upstream' | 'lost_idempotent';
     }
   | {readonly kind: 'drop_answer'; readonly attempt: AttemptId}
+  /** What to tell the lender. */
+  | {
+      readonly kind: 'sync';
+      readonly lender: string;
+      readonly held: readonly HeldReport[];
+      readonly wants: readonly ServiceWant[];
+    }
   /** Demand exceeds the shares; ask the leader now. */
   | {readonly kind: 'borrow'};
 
--- a/packages/state/src/shares/core.ts
+++ b/packages/state/src/shares/core.ts
@@ -5,6 +5,7 @@
  */
 import type {ServiceName, UpstreamId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {reviverOf} from '../utils/image.js';
 import {
   DEFAULT_SHARE_TIMING,
   type HolderId,
@@ -347,3 +348,6 @@
   slots,
   connections: report.connections,
 });
+
+/** Makes a ledger from its plain state. */
+export const reviveShareLedger = reviverOf(ShareLedger.prototype);
