Borrow from other zones with hysteresis; refuse jobs that can never run

Change: an entry borrows from another zone's leader while the expected wait for a slot of its own zone is beyond round trip and margin, and stops below the round trip; a leader lends to other zones what its own leaves. A submission asks the zones' leaders whether their empty workers could hold it. Renewals at one zone never overlap, as an overtaken answer could hold slots that were returned. The renewal and the choice of a share are modules of their own.

--- a/packages/coordination/src/entry/task.ts
+++ b/packages/coordination/src/entry/task.ts
@@ -16,12 +16,12 @@
   type RequestEvent,
   type RequestId,
   type RequestLimits,
-  type ServiceName,
   type ZoneId,
 } from '@primrosewick/state';
 import type {Clock, Metrics} from '@primrosewick/transport';
 import type {ReplicaTask} from '../replica/task.js';
 import type {Recorder} from '../zone/types.js';
+import {ShareRenewal} from './share_renewal.js';
 import type {
   AttemptResult,
   ClientRequest,
@@ -33,6 +33,8 @@
 /** Options of the task. */
 export interface EntryTaskOptions {
   readonly zone: ZoneId;
+  /** Other zones, from which slots may be borrowed. */
+  readonly foreignZones: readonly ZoneId[];
   readonly holder: HolderId;
   readonly replica: ReplicaTask;
   readonly leader: LeaderPort;
@@ -47,8 +49,6 @@
 }
 
 const TICK_MS = 20;
-/** Least time between two syncs, however great the demand, in ms. */
-const MIN_SYNC_GAP_MS = 20;
 const IDEMPOTENT_METHODS = new Set([
   'GET',
   'HEAD',
@@ -75,13 +75,14 @@
   private readonly pending = new Map<RequestId, Pending>();
   private readonly answers = new Map<AttemptId, UpstreamAnswer>();
   private readonly timers = new Subscription();
-  private syncSeq = 0;
-  private lastSyncAt = Number.NEGATIVE_INFINITY;
-  private isSyncing = false;
-  private isBorrowDue = false;
+  private readonly renewal: ShareRenewal;
 
   constructor(private readonly options: EntryTaskOptions) {
     this.core = new RequestCore(options.limits);
+    this.renewal = new ShareRenewal({
+      ...options,
+      step: event => this.step(event),
+    });
     options.recorder.start('requests', options.limits);
     options.replica.changes.subscribe(() => this.closeServices());
   }
@@ -94,22 +95,13 @@
         .every(TICK_MS)
         .subscribe(() => void this.step({kind: 'tick', now: clock.now()})),
     );
-    this.timers.add(clock.every(syncMs).subscribe(() => void this.sync()));
+    this.renewal.start(syncMs);
   }
 
   /** Stops the clock and returns what is held. */
   async stop(): Promise<void> {
     this.timers.unsubscribe();
-    this.syncSeq++;
-    const request = {
-      holder: this.options.holder,
-      seq: this.syncSeq,
-      held: [],
-      wants: [],
-      isForeign: false,
-    };
-    if (this.core.open === 0)
-      await this.options.leader.syncShares(request).catch(() => undefined);
+    await this.renewal.stop(this.core.open === 0);
   }
 
   /** Requests held, waiting or running. */
@@ -237,7 +229,7 @@
         this.answers.delete(effect.attempt);
         return metrics.addDrop('late_answer');
       case 'borrow':
-        return this.borrow();
+        return this.renewal.borrow();
       case 'sync':
         return;
     }
@@ -320,75 +312,6 @@
         this.step({kind: 'close_service', now, service: service.name});
     }
   }
-
-  // Shares.
-
-  private borrow(): void {
-    if (this.isBorrowDue) return;
-    this.isBorrowDue = true;
-    const {clock} = this.options;
-    const pauseMs = Math.max(
-      0,
-      this.lastSyncAt + MIN_SYNC_GAP_MS - clock.now(),
-    );
-    this.timers.add(clock.after(pauseMs).subscribe(() => void this.sync()));
-  }
-
-  private async sync(): Promise<void> {
-    if (this.isSyncing || !this.options.replica.isReady) return;
-    this.isSyncing = true;
-    this.isBorrowDue = false;
-    try {
-      await this.syncOnce();
-    } catch {
-      // The shares held run on until their deadline.
-    } finally {
-      this.isSyncing = false;
-    }
-  }
-
-  private async syncOnce(): Promise<void> {
-    const {zone, holder, leader, clock, connectionsOf} = this.options;
-    const sentAt = clock.now();
-    this.lastSyncAt = sentAt;
-    this.syncSeq++;
-    const effects = this.step({
-      kind: 'renew',
-      now: sentAt,
-      lender: zone,
-      services: this.openServices(),
-    });
-    const sync = effects.find(effect => effect.kind === 'sync');
-    if (!sync) return;
-    const {held, wants} = sync;
-    const grant = await leader.syncShares({
-      holder,
-      seq: this.syncSeq,
-      held,
-      wants,
-      isForeign: false,
-    });
-    const {shares, leaseMs, isComplete} = grant;
-    const capped = shares.map(share => ({
-      ...share,
-      slots: Math.min(share.slots, connectionsOf(share.connections)),
-    }));
-    const update = {
-      lender: zone,
-      shares: capped,
-      deadline: sentAt + leaseMs,
-      isComplete,
-      roundTripMs: 0,
-    };
-    this.step({kind: 'shares', now: clock.now(), update});
-  }
-
-  private openServices(): ServiceName[] {
-    const services = this.options.replica.replica.state.listServices();
-    return services
-      .filter(({state}) => state === 'running')
-      .map(({service}) => service.name);
-  }
 }
 
 /** Builds the id of a request, unique over VMs and restarts. */
--- a/packages/coordination/src/entry/types.ts
+++ b/packages/coordination/src/entry/types.ts
@@ -6,6 +6,7 @@
   ServiceName,
   ShareRequest,
   UpstreamId,
+  ZoneId,
 } from '@primrosewick/state';
 import type {ShareGrant} from '@primrosewick/protocol';
 
@@ -64,5 +65,8 @@
 
 /** Reaches the leaders of zones. */
 export interface LeaderPort {
+  /** Renews the shares of the own zone. */
   syncShares(request: ShareRequest): Promise<ShareGrant>;
+  /** Renews the shares of another zone. */
+  syncForeign(zone: ZoneId, request: ShareRequest): Promise<ShareGrant>;
 }
--- a/packages/coordination/src/zone/leader_port.ts
+++ b/packages/coordination/src/zone/leader_port.ts
@@ -1,4 +1,4 @@
-/** Reaches the leader of the own zone, wherever it is. */
+/** Reaches the leader of a zone, wherever it is. */
 import {
   CellError,
   type Epoch,
@@ -6,6 +6,8 @@
   type VmId,
 } from '@primrosewick/state';
 import type {
+  CanHoldReply,
+  CanHoldRequest,
   LeaderReply,
   PeerMethods,
   ShareGrant,
@@ -17,7 +19,8 @@
 import type {ZoneTask} from './task.js';
 
 /** Methods that only a zone's leader answers. */
-type LeaderMethod = 'announceUpstream' | 'announceWorker' | 'syncShares';
+type LeaderMethod =
+  'announceUpstream' | 'announceWorker' | 'syncShares' | 'canHold';
 type Value<M extends LeaderMethod> = Extract<
   PeerMethods[M]['reply'],
   {kind: 'ok'}
@@ -27,67 +30,111 @@
 export interface ZoneLeaderPortOptions {
   readonly own: VmId;
   readonly peers: PeerCaller;
-  readonly zone: ZoneTask;
+  /** The VM's part in the zone; null when the zone is not its own. */
+  readonly zone: ZoneTask | null;
+  /** VMs of the zone. */
+  readonly vms: readonly VmId[];
 }
 
 const MAX_HOPS = 2;
 
-/** Asks the zone's leader: here when this VM leads, else at the VM that does. */
+/** Asks a zone's leader: here when this VM leads, else at the VM that does. */
 export class ZoneLeaderPort {
+  private known: VmId | null = null;
+  private next = 0;
+
   constructor(private readonly options: ZoneLeaderPortOptions) {}
 
   /**
    * Renews the shares of an entry.
-   * @throws CellError `no_zone_leader`.
+   * @throws CellError `no_zone_leader`, or that of the call.
    */
   syncShares(request: ShareRequest): Promise<ShareGrant> {
-    return this.ask('syncShares', request, () =>
-      this.options.zone.syncShares(request),
-    );
+    return this.ask('syncShares', request, zone => zone.syncShares(request));
   }
 
   /**
    * Passes an announcement of an upstream on.
-   * @throws CellError `no_zone_leader`.
+   * @throws CellError `no_zone_leader`, or that of the call.
    */
   announceUpstream(
     report: UpstreamAnnouncement,
   ): Promise<{readonly epoch: Epoch}> {
-    return this.ask('announceUpstream', report, () =>
-      this.options.zone.announceUpstream(report),
+    return this.ask('announceUpstream', report, zone =>
+      zone.announceUpstream(report),
     );
   }
 
   /**
    * Passes an announcement of a worker on.
-   * @throws CellError `no_zone_leader`.
+   * @throws CellError `no_zone_leader`, or that of the call.
    */
   announceWorker(report: WorkerAnnouncement): Promise<WorkerOrders> {
-    return this.ask('announceWorker', report, () =>
-      this.options.zone.announceWorker(report),
+    return this.ask('announceWorker', report, zone =>
+      zone.announceWorker(report),
     );
   }
 
+  /**
+   * Asks whether the zone's workers could hold tasks of a size, were they empty.
+   * @throws CellError `no_zone_leader`, or that of the call.
+   */
+  canHold(request: CanHoldRequest): Promise<CanHoldReply> {
+    return this.ask('canHold', request, zone => zone.canHold(request));
+  }
+
   private async ask<M extends LeaderMethod>(
     method: M,
     request: PeerMethods[M]['request'],
-    here: () => LeaderReply<Value<M>>,
+    here: (zone: ZoneTask) => LeaderReply<Value<M>>,
   ): Promise<Value<M>> {
-    const {own, peers} = this.options;
-    const ownReply = here();
-    if (ownReply.kind === 'ok') return ownReply.value;
-    let {leader} = ownReply;
-    for (let hop = 0; hop < MAX_HOPS && leader && leader !== own; hop++) {
-      const reply = (await peers.call(leader, method, request)) as LeaderReply<
-        Value<M>
-      >;
-      if (reply.kind === 'ok') return reply.value;
-      leader = reply.leader === leader ? null : reply.leader;
+    const {own, peers, zone} = this.options;
+    const ownReply = zone && here(zone);
+    if (ownReply?.kind === 'ok') return ownReply.value;
+    let vm = zone ? (ownReply?.leader ?? null) : this.firstChoice();
+    for (let hop = 0; hop < MAX_HOPS && vm && vm !== own; hop++) {
+      const reply = (await this.callAt(
+        peers,
+        vm,
+        method,
+        request,
+      )) as LeaderReply<Value<M>>;
+      if (reply.kind === 'ok') {
+        this.known = vm;
+        return reply.value;
+      }
+      vm = reply.leader === vm ? null : reply.leader;
     }
+    this.forget();
     throw new CellError({
       code: 'no_zone_leader',
       step: method,
-      peer: leader ?? 'zone',
+      peer: vm ?? 'zone',
     });
   }
+
+  private async callAt<M extends LeaderMethod>(
+    peers: PeerCaller,
+    vm: VmId,
+    method: M,
+    request: PeerMethods[M]['request'],
+  ): Promise<PeerMethods[M]['reply']> {
+    try {
+      return await peers.call(vm, method, request);
+    } catch (err) {
+      this.forget();
+      throw err;
+    }
+  }
+
+  /** The leader of last time, or the zone's VMs in turn. */
+  private firstChoice(): VmId | null {
+    const {vms} = this.options;
+    return this.known ?? vms[this.next % Math.max(1, vms.length)] ?? null;
+  }
+
+  private forget(): void {
+    this.known = null;
+    this.next++;
+  }
 }
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -3,6 +3,7 @@
 import {
   PlacementCore,
   ShareLedger,
+  countFits,
   fromImage,
   revivePlacementCore,
   reviveShareLedger,
@@ -28,6 +29,8 @@
   type ZoneId,
 } from '@primrosewick/state';
 import type {
+  CanHoldReply,
+  CanHoldRequest,
   LeaderReply,
   ShareGrant,
   UpstreamAnnouncement,
@@ -60,12 +63,16 @@
 /** State of one epoch. */
 interface Reign {
   readonly epoch: Epoch;
+  /** Monotonic time of the election, in ms. */
+  readonly beganAt: number;
   ledger: ShareLedger;
   placement: PlacementCore;
 }
 
 const TICK_MS = 100;
 const EXPIRE_MS = 1000;
+/** Time within which every worker has announced itself to a new leader, in ms. */
+const NEW_REIGN_MS = 6000;
 const LOG_RETRY_MS = 500;
 
 /** Leads a zone while this VM holds its lease. */
@@ -145,6 +152,21 @@
     };
   }
 
+  /** Whether the zone's workers could hold tasks of a size, were they empty. */
+  canHold({size, taskCount, gang}: CanHoldRequest): LeaderReply<CanHoldReply> {
+    const reign = this.currentReign();
+    if (!reign) return this.notLeader();
+    const totals = reign.placement.listWorkers().map(({total}) => total);
+    const isNew = this.now < reign.beganAt + NEW_REIGN_MS;
+    const fits = totals.reduce((sum, total) => sum + countFits(size, total), 0);
+    if (fits >= (gang ? taskCount : 1))
+      return {kind: 'ok', value: {verdict: 'yes'}};
+    return {
+      kind: 'ok',
+      value: {verdict: isNew || totals.length === 0 ? 'unknown' : 'no'},
+    };
+  }
+
   /** Upstreams known to this leader. */
   listUpstreams(): UpstreamStatus[] {
     return this.currentReign()?.ledger.list(this.now) ?? [];
@@ -186,8 +208,9 @@
     const startedAt = this.now;
     const placementOptions = {epoch, startedAt, limits: placementLimits};
     const ledgerOptions = {startedAt, timing: shareTiming};
-    const reign = {
+    const reign: Reign = {
       epoch,
+      beganAt: startedAt,
       ledger: new ShareLedger(ledgerOptions),
       placement: new PlacementCore(placementOptions),
     };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,10 +11,13 @@
   ZoneLeaderPort,
   ZoneTask,
   followSources,
+  type LeaderPort,
   type LogPort,
 } from '@primrosewick/coordination';
 import {
   ownVm,
+  vmsOfZone,
+  zonesOf,
   type Settings,
   type VmSettings,
   type VmStatus,
@@ -24,6 +27,7 @@
   DEFAULT_SHARE_TIMING,
   asId,
   type HolderId,
+  type ZoneId,
 } from '@primrosewick/state';
 import {
   HttpServer,
@@ -68,7 +72,7 @@
   private readonly voter: Voter | null;
   private readonly log: LogPort;
   private readonly zone: ZoneTask;
-  private readonly leader: ZoneLeaderPort;
+  private readonly leaders: ReadonlyMap<ZoneId, ZoneLeaderPort>;
   private readonly upstreams: HttpUpstreamPort;
   private readonly entry: EntryTask;
   private readonly follow: FollowTask | null;
@@ -92,11 +96,7 @@
     this.voter = this.makeVoter();
     this.log = this.makeLog();
     this.zone = this.makeZone();
-    this.leader = new ZoneLeaderPort({
-      own: this.own.vm,
-      peers: this.peers,
-      zone: this.zone,
-    });
+    this.leaders = this.makeLeaders();
     this.upstreams = this.makeUpstreams();
     this.entry = this.makeEntry();
     this.follow = this.makeFollow();
@@ -214,6 +214,35 @@
     });
   }
 
+  private makeLeaders(): ReadonlyMap<ZoneId, ZoneLeaderPort> {
+    const {own, peers, settings} = this;
+    const portOf = (zone: ZoneId): ZoneLeaderPort =>
+      new ZoneLeaderPort({
+        own: own.vm,
+        peers,
+        zone: zone === own.zone ? this.zone : null,
+        vms: vmsOfZone(settings, zone).map(({vm}) => vm),
+      });
+    return new Map(zonesOf(settings).map(zone => [zone, portOf(zone)]));
+  }
+
+  private entryPort(): LeaderPort {
+    const portOf = (zone: ZoneId): ZoneLeaderPort => {
+      const port = this.leaders.get(zone);
+      if (!port)
+        throw new CellError({
+          code: 'no_zone_leader',
+          step: 'find-zone',
+          peer: zone,
+        });
+      return port;
+    };
+    return {
+      syncShares: request => portOf(this.own.zone).syncShares(request),
+      syncForeign: (zone, request) => portOf(zone).syncShares(request),
+    };
+  }
+
   private makeUpstreams(): HttpUpstreamPort {
     return new HttpUpstreamPort({
       clock: this.clock,
@@ -226,9 +255,10 @@
     const {settings} = this;
     return new EntryTask({
       zone: this.own.zone,
+      foreignZones: zonesOf(settings).filter(zone => zone !== this.own.zone),
       holder: this.holder,
       replica: this.replica,
-      leader: this.leader,
+      leader: this.entryPort(),
       upstreams: this.upstreams,
       clock: this.clock,
       metrics: this.metrics,
@@ -280,7 +310,7 @@
       log,
       entry,
       keyed,
-      leader: this.leader,
+      leaders: this.leaders,
       authority,
       consensus: () => this.voter?.task ?? null,
       recorder: this.recorder,
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -55,6 +55,7 @@
   syncShares: async request => zone.syncShares(request),
   announceUpstream: async report => zone.announceUpstream(report),
   announceWorker: async report => zone.announceWorker(report),
+  canHold: async request => zone.canHold(request),
   status: async () => status(),
   explain: async ({subject}) => ({notes: recorder.explain(subject)}),
   journal: async ({core, fromLine}) => journalPage(recorder, core, fromLine),
--- a/packages/daemon/src/routes/context.ts
+++ b/packages/daemon/src/routes/context.ts
@@ -13,6 +13,7 @@
   type CellResult,
   type HolderId,
   type WriteCommand,
+  type ZoneId,
 } from '@primrosewick/state';
 import type {
   Clock,
@@ -34,7 +35,8 @@
   readonly log: LogPort;
   readonly entry: EntryTask;
   readonly keyed: KeyedRequests;
-  readonly leader: ZoneLeaderPort;
+  /** Leaders of all zones. */
+  readonly leaders: ReadonlyMap<ZoneId, ZoneLeaderPort>;
   readonly authority: AuthorityTask;
   /** The voter of this VM, once it takes part. */
   readonly consensus: () => ConsensusTask | null;
@@ -121,3 +123,16 @@
     detail: `the path names "${inPath}", the body "${inBody}"`,
   });
 };
+
+/**
+ * Leader of a zone.
+ * @throws CellError `no_zone_leader` for a zone that the cell does not have.
+ */
+export const leaderOf = (
+  context: RouteContext,
+  zone: ZoneId,
+): ZoneLeaderPort => {
+  const port = context.leaders.get(zone);
+  if (port) return port;
+  throw new CellError({code: 'no_zone_leader', step: 'find-zone', peer: zone});
+};
--- a/packages/daemon/src/routes/jobs.ts
+++ b/packages/daemon/src/routes/jobs.ts
@@ -1,6 +1,19 @@
 /** Routes for jobs, on the addresses for clients and for operators. */
-import {cancelJobSchema, ownVm, submitJobSchema} from '@primrosewick/protocol';
-import {CellError, asId, type JobId, type JobRecord} from '@primrosewick/state';
+import {
+  cancelJobSchema,
+  ownVm,
+  submitJobSchema,
+  zonesOf,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  asId,
+  describeSize,
+  type JobId,
+  type JobRecord,
+  type JobSpec,
+  type ZoneId,
+} from '@primrosewick/state';
 import {
   sleep,
   type HttpContext,
@@ -8,7 +21,12 @@
   type HttpReply,
   type Route,
 } from '@primrosewick/transport';
-import {commitWrite, readReply, type RouteContext} from './context.js';
+import {
+  commitWrite,
+  leaderOf,
+  readReply,
+  type RouteContext,
+} from './context.js';
 
 const MAX_WAIT_MS = 30_000;
 const WAIT_STEP_MS = 50;
@@ -31,10 +49,50 @@
   http: HttpContext,
 ): Promise<HttpReply> => {
   const {write, spec} = await http.readJson(submitJobSchema);
-  const homeZone = ownVm(context.settings).zone;
+  const homeZone = await findHomeZone(context, spec);
   return commitWrite(context, write, {kind: 'submit_job', spec, homeZone});
 };
 
+/**
+ * Finds the zone for a job: the own one, unless only another could ever hold it.
+ * @throws CellError `never_fits` when every zone has said that it could not.
+ */
+const findHomeZone = async (
+  context: RouteContext,
+  spec: JobSpec,
+): Promise<ZoneId> => {
+  const own = ownVm(context.settings).zone;
+  if ((await askZone(context, own, spec)) !== 'no') return own;
+  const others = zonesOf(context.settings).filter(zone => zone !== own);
+  const verdicts = await Promise.all(
+    others.map(zone => askZone(context, zone, spec)),
+  );
+  const able = others.find((_zone, i) => verdicts[i] === 'yes');
+  if (able) return able;
+  if (verdicts.includes('unknown')) return own;
+  const {size, taskCount, gang} = spec;
+  const what = gang ? `${taskCount} tasks at once` : 'a task';
+  throw new CellError({
+    code: 'never_fits',
+    step: 'find-zone',
+    detail: `no zone has workers that hold ${what} of ${describeSize(size)}`,
+  });
+};
+
+const askZone = async (
+  context: RouteContext,
+  zone: ZoneId,
+  spec: JobSpec,
+): Promise<'yes' | 'no' | 'unknown'> => {
+  const {size, taskCount, gang} = spec;
+  try {
+    return (await leaderOf(context, zone).canHold({size, taskCount, gang}))
+      .verdict;
+  } catch {
+    return 'unknown';
+  }
+};
+
 const cancel = async (
   context: RouteContext,
   http: HttpContext,
--- a/packages/daemon/src/routes/platform.ts
+++ b/packages/daemon/src/routes/platform.ts
@@ -11,7 +11,7 @@
   HttpReply,
   Route,
 } from '@primrosewick/transport';
-import type {RouteContext} from './context.js';
+import {leaderOf, type RouteContext} from './context.js';
 
 /** Routes on the address for upstreams and workers. */
 export const platformRoutes = (
@@ -35,7 +35,10 @@
 ): Promise<HttpReply> => {
   const report = await http.readJson(upstreamAnnouncementSchema);
   checkZone(context, report.zone);
-  return {status: 200, body: await context.leader.announceUpstream(report)};
+  return {
+    status: 200,
+    body: await leaderOf(context, report.zone).announceUpstream(report),
+  };
 };
 
 const announceWorker = async (
@@ -44,7 +47,10 @@
 ): Promise<HttpReply> => {
   const report = await http.readJson(workerAnnouncementSchema);
   checkZone(context, report.zone);
-  return {status: 200, body: await context.leader.announceWorker(report)};
+  return {
+    status: 200,
+    body: await leaderOf(context, report.zone).announceWorker(report),
+  };
 };
 
 const checkZone = ({settings}: RouteContext, zone: string): void => {
--- a/packages/proofs/src/process/input.spec.ts
+++ b/packages/proofs/src/process/input.spec.ts
@@ -2,7 +2,12 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {expect} from 'chai';
-import {Cell, DAEMON_SCRIPT, freePorts} from '@primrosewick/standins';
+import {
+  Cell,
+  DAEMON_SCRIPT,
+  freePorts,
+  waitUntil,
+} from '@primrosewick/standins';
 import {call, errorCode, profileNamed, sendRaw, waitStatus} from './helpers.js';
 
 const START_MS = 40_000;
@@ -29,7 +34,12 @@
     const file = cell.writeDocument('desk.jsonc', profileNamed('desk'));
     await cell.operate('a1', ['profile', 'put', file]);
     await cell.operate('a1', ['service', 'put', 'desk', '--profile', 'desk']);
-    const [port] = await freePorts(1);
+    const [port, workerPort] = await freePorts(2);
+    cell.startStandin('wk', 'worker', {
+      zone: 'a',
+      entries: cell.platformsOf('a'),
+      address: `127.0.0.1:${workerPort}`,
+    });
     cell.startStandin('up', 'upstream', {
       zone: 'a',
       entries: cell.platformsOf('a'),
@@ -106,6 +116,12 @@
       'invalid_input',
       post({write, spec: {...spec, size: {cpuMillis: 1e12, memoryMb: 1}}}),
     ));
+  it('a job that no worker could ever hold', async () => {
+    const size = {cpuMillis: 64_000, memoryMb: 1};
+    const submit = async (): Promise<boolean> =>
+      errorCode(await post({write, spec: {...spec, size}})) === 'never_fits';
+    expect(await waitUntil(15_000, submit)).to.equal(true);
+  });
   it('an unknown field', () =>
     refuses('invalid_input', post({write, spec, color: 'red'})));
   it('a write from the future', () =>
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -111,12 +111,21 @@
       },
       taskLeaseMs: SIM_TIMING.taskLeaseMs,
     });
-    this.leader = new ZoneLeaderPort({own: own.vm, peers, zone: this.zone});
+    this.leader = new ZoneLeaderPort({
+      own: own.vm,
+      peers,
+      zone: this.zone,
+      vms: [],
+    });
     this.entry = new EntryTask({
       zone: own.zone,
       holder: this.holder,
       replica: this.replica,
-      leader: this.leader,
+      leader: {
+        syncShares: request => this.leader.syncShares(request),
+        syncForeign: () => Promise.reject(new Error('there is one zone')),
+      },
+      foreignZones: [],
       upstreams: this.upstreamPort(),
       clock,
       metrics,
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -4,6 +4,7 @@
  */
 import type {
   CellCommand,
+  Size,
   CoreName,
   TimedNote,
   CellId,
@@ -140,6 +141,7 @@
     request: WorkerAnnouncement;
     reply: LeaderReply<WorkerOrders>;
   };
+  canHold: {request: CanHoldRequest; reply: LeaderReply<CanHoldReply>};
   status: {request: {readonly boot: string}; reply: VmStatus};
   explain: {
     request: {readonly subject: string};
@@ -167,6 +169,7 @@
   syncShares: {deadlineMs: 1000},
   announceUpstream: {deadlineMs: 1000},
   announceWorker: {deadlineMs: 2000},
+  canHold: {deadlineMs: 1000},
   status: {deadlineMs: 1500},
   explain: {deadlineMs: 1500},
   journal: {deadlineMs: 5000},
@@ -181,6 +184,19 @@
   readonly body: T;
 }
 
+/** Asks whether the workers of a zone could hold tasks, were they empty. */
+export interface CanHoldRequest {
+  readonly size: Size;
+  readonly taskCount: number;
+  readonly gang: boolean;
+}
+
+/** Whether the workers of a zone could hold tasks. */
+export interface CanHoldReply {
+  /** `unknown` while the leader may not know all workers yet. */
+  readonly verdict: 'yes' | 'no' | 'unknown';
+}
+
 /** A part of the kept lines of a journal. */
 export interface JournalPage {
   readonly lines: readonly string[];
--- a/packages/state/src/placement/sizes.ts
+++ b/packages/state/src/placement/sizes.ts
@@ -30,6 +30,16 @@
   size.memoryMb <= room.memoryMb &&
   size.accelerators <= room.accelerators;
 
+/** How many tasks of a size fit into a room. */
+export const countFits = (size: Size, room: Size): number => {
+  const parts = [
+    room.cpuMillis / size.cpuMillis,
+    room.memoryMb / size.memoryMb,
+  ];
+  if (size.accelerators > 0) parts.push(room.accelerators / size.accelerators);
+  return Math.floor(Math.min(...parts));
+};
+
 /** A size in words, for reasons. */
 export const describeSize = ({
   cpuMillis,
--- a/packages/state/src/requests/core.spec.ts
+++ b/packages/state/src/requests/core.spec.ts
@@ -210,4 +210,33 @@
     trial.arrive(1, 'r1');
     expect(trial.renew(1000)).to.deep.equal([{upstream: 'x', slots: 1}]);
   });
+  it('another zone serves only while the wait here is longer than the way there', () => {
+    const trial = new Trial({spareSlots: 0});
+    trial.share(0, {x: 1});
+    trial.arrive(0, 'r1');
+    trial.answered(100, 'r1/1');
+    const wants = (now: number): number => {
+      const foreign = {
+        roundTripMs: 20,
+        margins: [{service: DESK, marginMs: 60}],
+      };
+      const {effects} = trial.core.step({
+        kind: 'renew',
+        now,
+        lender: 'far',
+        services: [DESK],
+        foreign,
+      });
+      return (
+        effects.flatMap(effect =>
+          effect.kind === 'sync' ? effect.wants : [],
+        )[0]?.slots ?? 0
+      );
+    };
+    expect(wants(101)).to.equal(0);
+    for (const id of ['r2', 'r3']) trial.arrive(102, id);
+    expect(wants(103)).to.equal(1);
+    trial.answered(104, 'r2/1');
+    expect(wants(105)).to.equal(0);
+  });
 });
--- a/packages/state/src/requests/core.ts
+++ b/packages/state/src/requests/core.ts
@@ -9,6 +9,7 @@
 import {mapReviver, reviverOf} from '../utils/image.js';
 import {ClassQueue, reviveClassQueue} from './class_queue.js';
 import {RetryBudget, reviveRetryBudget} from './retry_budget.js';
+import {pickShare} from './pick_share.js';
 import {ShareTable, reviveShareTable, type HeldSlots} from './share_table.js';
 import {
   DEFAULT_REQUEST_LIMITS,
@@ -16,11 +17,13 @@
   type AttemptFailure,
   type AttemptId,
   type DecisionNote,
+  type ForeignTerms,
   type RequestEffect,
   type RequestEvent,
   type RequestLimits,
   type RequestStep,
 } from './types.js';
+import {SpillChoice, reviveSpillChoice} from './spill_choice.js';
 import {ServiceTimes, reviveServiceTimes} from './service_times.js';
 
 interface OpenRequest {
@@ -35,6 +38,8 @@
   readonly tried: Set<UpstreamId>;
 }
 
+type RenewEvent = Extract<RequestEvent, {kind: 'renew'}>;
+
 /** The request path of one entry. */
 export class RequestCore {
   private readonly limits: RequestLimits;
@@ -43,6 +48,7 @@
   private readonly requestOfAttempt = new Map<AttemptId, RequestId>();
   private readonly queues = new Map<ServiceName, ClassQueue>();
   private readonly times = new ServiceTimes();
+  private readonly spill = new SpillChoice();
   private readonly budget: RetryBudget;
   private now = 0;
   private effects: RequestEffect[] = [];
@@ -83,20 +89,57 @@
     return this.shares.list();
   }
 
-  private onRenew(lender: string, services: readonly ServiceName[]): void {
-    const held = this.shares.report(lender, this.now, service =>
-      this.wantOf(service),
-    );
-    const wants = services.map(service => ({
+  private onRenew({lender, services, foreign}: RenewEvent): void {
+    const wantOf = (service: ServiceName): number =>
+      foreign
+        ? this.foreignWant(service, lender, foreign)
+        : this.wantOf(service, lender);
+    const wants = services.map(service => ({service, slots: wantOf(service)}));
+    const held = this.shares.report(lender, this.now, wantOf);
+    const isNeeded =
+      !foreign || held.length > 0 || wants.some(({slots}) => slots > 0);
+    if (isNeeded) this.effects.push({kind: 'sync', lender, held, wants});
+  }
+
+  /** Slots wanted of another zone: none unless the wait here is longer than the way there. */
+  private foreignWant(
+    service: ServiceName,
+    lender: string,
+    foreign: ForeignTerms,
+  ): number {
+    const marginMs = foreign.margins.find(
+      margin => margin.service === service,
+    )?.marginMs;
+    const busy = this.shares.countBusyOf(service, lender);
+    if (marginMs === undefined) return busy;
+    const queued = this.queues.get(service)?.size ?? 0;
+    const choice = {
       service,
-      slots: this.wantOf(service),
-    }));
-    this.effects.push({kind: 'sync', lender, held, wants});
+      lender,
+      waitMs: this.localWait(service),
+      roundTripMs: foreign.roundTripMs,
+      marginMs,
+    };
+    const {isSpilling, note} = this.spill.decide(choice);
+    if (note) this.notes.push(note);
+    return isSpilling ? busy + queued : busy;
+  }
+
+  /** Expected wait for a slot of the own zone, in ms. */
+  private localWait(service: ServiceName): number {
+    const queued = this.queues.get(service)?.size ?? 0;
+    if (queued === 0) return 0;
+    const slots = this.shares.countLocalSlots(service, this.now);
+    return slots === 0
+      ? Number.POSITIVE_INFINITY
+      : (queued * this.times.mean(service)) / slots;
   }
 
-  private wantOf(service: ServiceName): number {
+  private wantOf(service: ServiceName, lender: string): number {
     const queued = this.queues.get(service)?.size ?? 0;
-    return this.shares.countBusy(service) + queued + this.limits.spareSlots;
+    return (
+      this.shares.countBusyOf(service, lender) + queued + this.limits.spareSlots
+    );
   }
 
   private handle(event: RequestEvent): void {
@@ -117,7 +160,7 @@
       case 'close_service':
         return this.onCloseService(event.service);
       case 'renew':
-        return this.onRenew(event.lender, event.services);
+        return this.onRenew(event);
       case 'tick':
         return this.onTick();
       default:
@@ -211,7 +254,6 @@
     }
   }
 
-  /** The share with most free slots among those nearest, untried ones first. */
   private findShare(
     service: ServiceName,
     tried: ReadonlySet<UpstreamId>,
@@ -220,10 +262,7 @@
       service,
       this.now + this.limits.shareSafetyMs,
     );
-    return free.reduce<HeldSlots | undefined>(
-      (best, share) => (best && !isBetter(share, best, tried) ? best : share),
-      undefined,
-    );
+    return pickShare(free, tried);
   }
 
   private send(request: OpenRequest, share: HeldSlots): void {
@@ -392,22 +431,11 @@
   }
 }
 
-const isBetter = (
-  share: HeldSlots,
-  best: HeldSlots,
-  tried: ReadonlySet<UpstreamId>,
-): boolean => {
-  const isTried = tried.has(share.upstream);
-  if (isTried !== tried.has(best.upstream)) return !isTried;
-  if (share.roundTripMs !== best.roundTripMs)
-    return share.roundTripMs < best.roundTripMs;
-  return share.slots - share.attempts.size > best.slots - best.attempts.size;
-};
-
 /** Makes a core from its plain state. */
 export const reviveRequestCore = reviverOf(RequestCore.prototype, {
   shares: reviveShareTable,
   queues: mapReviver(reviveClassQueue),
   times: reviveServiceTimes,
   budget: reviveRetryBudget,
+  spill: reviveSpillChoice,
 });
--- a/packages/state/src/requests/share_table.ts
+++ b/packages/state/src/requests/share_table.ts
@@ -69,12 +69,18 @@
       .reduce((sum, share) => sum + share.slots, 0);
   }
 
-  /** Attempts of a service whose end is not known. */
-  countBusy(service: ServiceName): number {
-    return this.ofService(service).reduce(
-      (sum, share) => sum + share.attempts.size,
-      0,
-    );
+  /** Slots of a service in the own zone whose shares last beyond a time. */
+  countLocalSlots(service: ServiceName, until: number): number {
+    return this.ofService(service)
+      .filter(share => share.roundTripMs === 0 && share.deadline > until)
+      .reduce((sum, share) => sum + share.slots, 0);
+  }
+
+  /** Attempts of a service with upstreams of one lender whose end is not known. */
+  countBusyOf(service: ServiceName, lender: string): number {
+    return this.ofService(service)
+      .filter(share => share.lender === lender)
+      .reduce((sum, share) => sum + share.attempts.size, 0);
   }
 
   /** Takes a slot for an attempt. */
--- a/packages/state/src/requests/types.ts
+++ b/packages/state/src/requests/types.ts
@@ -87,9 +87,22 @@
       readonly now: number;
       readonly lender: string;
       readonly services: readonly ServiceName[];
+      /** Present when the lender belongs to another zone. */
+      readonly foreign?: ForeignTerms;
     }
   | {readonly kind: 'tick'; readonly now: number};
 
+/** What a lender in another zone costs, for the choice whether to borrow there. */
+export interface ForeignTerms {
+  /** Round trip to the zone, in ms. */
+  readonly roundTripMs: number;
+  /** Services that may be served there, and the gain in wait that is worth it, in ms. */
+  readonly margins: ReadonlyArray<{
+    readonly service: ServiceName;
+    readonly marginMs: number;
+  }>;
+}
+
 /** Id of one attempt, as "request/number". */
 export type AttemptId = string;
 
