--- a/packages/state/src/placement/job_table.ts
+++ b/packages/state/src/placement/job_table.ts
@@ -49,8 +49,8 @@
   readonly ran: Set<TaskId>;
   /** Workers on which tasks of the job have failed. */
   readonly failedOn: Set<WorkerId>;
-  /** Time until which the job waits for tasks that it preempts. */
-  preemptingUntil: number;
+  /** Tasks for which others were stopped, and the time until which they wait for the room. */
+  readonly preempting: Map<TaskId, number>;
   /** Whether a reason for waiting was given since the last start. */
   hasWaitNote: boolean;
 }
@@ -138,7 +138,7 @@
   again: new Set(),
   ran: new Set(),
   failedOn: new Set(),
-  preemptingUntil: 0,
+  preempting: new Map(),
   hasWaitNote: false,
 });
 
--- a/packages/state/src/placement/scheduler.ts
+++ b/packages/state/src/placement/scheduler.ts
@@ -12,6 +12,9 @@
 /** Most tasks of one job that one pass starts. */
 const MAX_STARTS_PER_JOB = 256;
 
+/** Most searches for tasks to stop in one pass; the next pass goes on. */
+const MAX_SEARCHES_PER_PASS = 8;
+
 /** Why the tasks of a job did not all start. */
 type Blocked = 'none' | 'room' | 'quota' | 'recording';
 
@@ -20,6 +23,8 @@
   private attemptCount = 0;
   /** Sizes that found no room in the present pass. */
   private tooLarge: Size[] = [];
+  /** Searches for tasks to stop in the present pass. */
+  private searches = 0;
 
   constructor(private readonly context: PlacementContext) {}
 
@@ -29,6 +34,7 @@
     context.isDirty = false;
     context.queue.age(context.now);
     this.tooLarge = [];
+    this.searches = 0;
     let looked = 0;
     for (const view of context.queue.list()) {
       if (looked === context.limits.maxJobsPerPass) break;
@@ -81,7 +87,7 @@
       const worker = this.findWorker(view);
       if (!worker) {
         this.tooLarge.push(view.record.spec.size);
-        this.preempt(view, task);
+        this.preemptFor(view, tasks.slice(tasks.indexOf(task)));
         return this.record(view, unrecorded, 'room');
       }
       if (this.needsRecord(view, task)) unrecorded.push(task);
@@ -262,24 +268,30 @@
     return used;
   }
 
-  private preempt(view: JobView, task: TaskId): void {
+  /** Stops lower tasks to make room for urgent ones that found none. */
+  private preemptFor(view: JobView, tasks: readonly TaskId[]): void {
+    const {context} = this;
+    if (view.record.spec.priority < URGENT_PRIORITY) return;
+    for (const task of tasks) {
+      if (context.now < (view.preempting.get(task) ?? 0)) continue;
+      if (this.searches === MAX_SEARCHES_PER_PASS) return;
+      this.searches++;
+      if (!this.preempt(view, task)) return;
+    }
+  }
+
+  /** @returns whether tasks could be stopped to make room. */
+  private preempt(view: JobView, task: TaskId): boolean {
     const {context} = this;
     const {priority, size} = view.record.spec;
-    if (priority < URGENT_PRIORITY || context.now < view.preemptingUntil)
-      return;
     const found = findVictims(context, size, priority);
-    if (!found) return;
-    view.preemptingUntil = context.now + context.limits.preemptMs;
+    if (!found) return false;
+    view.preempting.set(task, context.now + context.limits.preemptMs);
     for (const victim of found.victims) {
-      context.setState(victim.view, victim.task, {
-        ...victim.state,
-        stop: 'preempt',
-      });
-      context.note(
-        victim.task,
-        `stops with a checkpoint to make room for ${task}`,
-      );
+      context.setState(victim.view, victim.task, {...victim.state, stop: 'preempt'});
+      context.note(victim.task, `stops with a checkpoint to make room for ${task}`);
     }
+    return true;
   }
 
   private noteWait(view: JobView, blocked: Blocked): void {
