Pack by the larger leftover of processor and memory

Cause: packing filled 85.7 % of the processors before the first refusal, first fit 86.1 %: the fit looked at memory only within one bucket of free processors. Change: among up to 32 workers from the tightest bucket on, the one on which the larger of the two leftovers is smallest.

--- a/packages/proofs/src/bench/entry.ts
+++ b/packages/proofs/src/bench/entry.ts
@@ -15,7 +15,10 @@
   readonly headers: Record<string, string>;
 }
 
-const measure = async ({name, address, path, headers}: Target, parallel: number): Promise<Array<string | number>> => {
+const measure = async (
+  {name, address, path, headers}: Target,
+  parallel: number,
+): Promise<Array<string | number>> => {
   const agent = new Agent({keepAlive: true, maxSockets: parallel});
   const tookMs: number[] = [];
   let left = CALLS;
@@ -23,28 +26,66 @@
   const work = async (): Promise<void> => {
     while (left-- > 0) {
       const before = performance.now();
-      await callHttp({address, method: 'GET', path, headers, agent, timeoutMs: 10_000, maxAnswerBytes: 1 << 20});
+      await callHttp({
+        address,
+        method: 'GET',
+        path,
+        headers,
+        agent,
+        timeoutMs: 10_000,
+        maxAnswerBytes: 1 << 20,
+      });
       tookMs.push(performance.now() - before);
     }
   };
   await Promise.all(Array.from({length: parallel}, work));
   const rate = (1000 * CALLS) / (performance.now() - startedAt);
   agent.destroy();
-  return [name, parallel, round(quantile(tookMs, 0.5), 2), round(quantile(tookMs, 0.99), 2), Math.round(rate)];
+  return [
+    name,
+    parallel,
+    round(quantile(tookMs, 0.5), 2),
+    round(quantile(tookMs, 0.99), 2),
+    Math.round(rate),
+  ];
 };
 
 /** Latency and requests a second, direct and through one entry. */
 export const benchEntry = async (): Promise<Table> => {
-  const cell = await Cell.create({cell: 'bench', vms: [{vm: 'a1', zone: 'a', disk: true}]});
+  const cell = await Cell.create({
+    cell: 'bench',
+    vms: [{vm: 'a1', zone: 'a', disk: true}],
+  });
   try {
     const address = await startCell(cell);
-    const {upstream} = await callJson<{upstream: string}>({address, method: 'GET', path: '/stats', timeoutMs: 2000});
-    const direct: Target = {name: 'direct', address, path: '/check?ms=0', headers: {'primrosewick-upstream': upstream}};
-    const entry: Target = {name: 'through an entry', address: cell.getVm('a1').client, path: '/v1/services/booking-desk/requests/check?ms=0', headers: {}};
+    const {upstream} = await callJson<{upstream: string}>({
+      address,
+      method: 'GET',
+      path: '/stats',
+      timeoutMs: 2000,
+    });
+    const direct: Target = {
+      name: 'direct',
+      address,
+      path: '/check?ms=0',
+      headers: {'primrosewick-upstream': upstream},
+    };
+    const entry: Target = {
+      name: 'through an entry',
+      address: cell.getVm('a1').client,
+      path: '/v1/services/booking-desk/requests/check?ms=0',
+      headers: {},
+    };
     for (const target of [direct, entry]) await measure(target, 8);
     const rows = [];
-    for (const parallel of PARALLEL) for (const target of [direct, entry]) rows.push(await measure(target, parallel));
-    return {heading: 'Cost of a request through an entry', columns: ['path', 'in parallel', 'p50 ms', 'p99 ms', 'requests a second'], rows};
+    for (const parallel of PARALLEL)
+      for (const target of [direct, entry])
+        rows.push(await measure(target, parallel));
+    return {
+      heading: 'Cost of a request through an entry',
+      columns: ['path', 'in parallel', 'p50 ms', 'p99 ms', 'requests a second'],
+      rows,
+    };
   } finally {
     await cell.destroy();
   }
@@ -55,13 +96,31 @@
   await cell.waitReady('a1', 30_000);
   const file = cell.writeDocument('desk.jsonc', DESK_PROFILE);
   await cell.operate('a1', ['profile', 'put', file]);
-  await cell.operate('a1', ['service', 'put', 'booking-desk', '--profile', 'booking-desk']);
+  await cell.operate('a1', [
+    'service',
+    'put',
+    'booking-desk',
+    '--profile',
+    'booking-desk',
+  ]);
   const [port] = await freePorts(1);
   const address = `127.0.0.1:${port}`;
-  cell.startStandin('up', 'upstream', {zone: 'a', entries: cell.platformsOf('a'), address, service: 'booking-desk', slots: '64'});
+  cell.startStandin('up', 'upstream', {
+    zone: 'a',
+    entries: cell.platformsOf('a'),
+    address,
+    service: 'booking-desk',
+    slots: '64',
+  });
   const path = '/v1/services/booking-desk/requests/check?ms=0';
   await waitUntil(30_000, async () => {
-    const answer = await callHttp({address: cell.getVm('a1').client, method: 'GET', path, timeoutMs: 3000, maxAnswerBytes: 4096}).catch(() => undefined);
+    const answer = await callHttp({
+      address: cell.getVm('a1').client,
+      method: 'GET',
+      path,
+      timeoutMs: 3000,
+      maxAnswerBytes: 4096,
+    }).catch(() => undefined);
     return answer?.status === 200;
   });
   return address;
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -17,7 +17,15 @@
   type Envelope,
 } from '@primrosewick/coordination';
 import type {PeerMethod, PeerMethods, VmSettings} from '@primrosewick/protocol';
-import {NodeFolder, asId, makeNodeId, type CellCommand, type ProfileName, type VmId, type ZoneId} from '@primrosewick/state';
+import {
+  NodeFolder,
+  asId,
+  makeNodeId,
+  type CellCommand,
+  type ProfileName,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
 import {sleep, systemClock, type PeerCaller} from '@primrosewick/transport';
 import {DESK_PROFILE} from './documents.js';
 import {quantile, round, type Table} from './report.js';
@@ -27,7 +35,11 @@
 
 const change = (name: string, baseRevision: number): CellCommand => ({
   at: Date.now(),
-  body: {kind: 'put_profile', baseRevision, profile: {...DESK_PROFILE, name: asId<ProfileName>(name)} as never},
+  body: {
+    kind: 'put_profile',
+    baseRevision,
+    profile: {...DESK_PROFILE, name: asId<ProfileName>(name)} as never,
+  },
 });
 
 interface BenchNode {
@@ -42,7 +54,9 @@
   readonly nodes = new Map<VmId, BenchNode>();
   private readonly stopped = new Set<VmId>();
   private readonly follows: FollowTask[] = [];
-  private readonly root = mkdtempSync(path.join(tmpdir(), 'primrosewick-bench-'));
+  private readonly root = mkdtempSync(
+    path.join(tmpdir(), 'primrosewick-bench-'),
+  );
 
   private constructor(readonly vms: readonly VmSettings[]) {}
 
@@ -61,7 +75,10 @@
   }
 
   get leader(): BenchNode | undefined {
-    return [...this.nodes.values()].find(({settings, voter}) => voter?.status.role === 'leader' && !this.stopped.has(settings.vm));
+    return [...this.nodes.values()].find(
+      ({settings, voter}) =>
+        voter?.status.role === 'leader' && !this.stopped.has(settings.vm),
+    );
   }
 
   /** Cuts a VM off, as if it had been killed. */
@@ -80,15 +97,22 @@
 
   private async startNode(settings: VmSettings): Promise<void> {
     const replica = new ReplicaTask(systemClock);
-    const started = settings.disk ? await this.startVoter(settings, replica) : {};
+    const started = settings.disk
+      ? await this.startVoter(settings, replica)
+      : {};
     this.nodes.set(settings.vm, {settings, replica, ...started});
   }
 
-  private async startVoter(settings: VmSettings, replica: ReplicaTask): Promise<{voter: ConsensusTask; folder: NodeFolder}> {
+  private async startVoter(
+    settings: VmSettings,
+    replica: ReplicaTask,
+  ): Promise<{voter: ConsensusTask; folder: NodeFolder}> {
     const folder = await NodeFolder.open(path.join(this.root, settings.vm));
     const node = makeNodeId(settings.vm, 'b');
     const isFounder = settings.vm === 'v0';
-    const restored = isFounder ? foundingState<CellCommand>(node) : emptyState<CellCommand>();
+    const restored = isFounder
+      ? foundingState<CellCommand>(node)
+      : emptyState<CellCommand>();
     if (isFounder) await replaceState(folder, restored);
     const voter = new ConsensusTask({
       node,
@@ -110,7 +134,14 @@
     const {replica} = this.nodes.get(settings.vm)!;
     const sources = followSources(this.vms, settings);
     const voters = this.vms.filter(({disk}) => disk).map(({vm}) => vm);
-    const follow = new FollowTask({replica, peers: this.peersOf(settings), clock: systemClock, boot: 'b', sources, voters});
+    const follow = new FollowTask({
+      replica,
+      peers: this.peersOf(settings),
+      clock: systemClock,
+      boot: 'b',
+      sources,
+      voters,
+    });
     this.follows.push(follow);
     void follow.run();
   }
@@ -119,7 +150,11 @@
   private async settle(): Promise<void> {
     for (;;) {
       const status = this.leader?.voter?.status;
-      if (status?.members.voters.length === 3 && status.commitIndex === status.lastIndex) return;
+      if (
+        status?.members.voters.length === 3 &&
+        status.commitIndex === status.lastIndex
+      )
+        return;
       await this.repair();
       await sleep(100);
     }
@@ -129,18 +164,28 @@
     const task = this.leader?.voter;
     if (!task) return;
     const {members, commitIndex, matches} = task.status;
-    const announced = this.vms.slice(0, 3).map(({vm}) => ({vm, node: makeNodeId(vm, 'b')}));
-    const caughtUp = new Set(matches.filter(({index}) => index >= commitIndex).map(({node}) => node));
+    const announced = this.vms
+      .slice(0, 3)
+      .map(({vm}) => ({vm, node: makeNodeId(vm, 'b')}));
+    const caughtUp = new Set(
+      matches.filter(({index}) => index >= commitIndex).map(({node}) => node),
+    );
     const next = nextMemberChange({members, announced, caughtUp});
     if (next) await task.changeMembers(next).catch(() => undefined);
   }
 
   private peersOf(from: VmSettings): PeerCaller {
     return {
-      call: async <M extends PeerMethod>(to: VmId, method: M, request: PeerMethods[M]['request']) => {
+      call: async <M extends PeerMethod>(
+        to: VmId,
+        method: M,
+        request: PeerMethods[M]['request'],
+      ) => {
         const target = this.nodes.get(to);
-        if (!target || this.stopped.has(to) || this.stopped.has(from.vm)) throw new Error('cut off');
-        const delayMs = target.settings.zone === from.zone ? IN_ZONE_MS : CROSS_ZONE_MS;
+        if (!target || this.stopped.has(to) || this.stopped.has(from.vm))
+          throw new Error('cut off');
+        const delayMs =
+          target.settings.zone === from.zone ? IN_ZONE_MS : CROSS_ZONE_MS;
         await sleep(delayMs);
         const reply = await this.answer(target, method, request);
         await sleep(delayMs);
@@ -149,14 +194,22 @@
     };
   }
 
-  private async answer(target: BenchNode, method: PeerMethod, request: unknown): Promise<unknown> {
+  private async answer(
+    target: BenchNode,
+    method: PeerMethod,
+    request: unknown,
+  ): Promise<unknown> {
     if (method === 'consensus') {
-      target.voter?.receive((request as {envelopes: Array<Envelope<CellCommand>>}).envelopes);
+      target.voter?.receive(
+        (request as {envelopes: Array<Envelope<CellCommand>>}).envelopes,
+      );
       return {taken: true};
     }
-    if (method === 'follow') return target.replica.follow(request as PeerMethods['follow']['request']);
+    if (method === 'follow')
+      return target.replica.follow(request as PeerMethods['follow']['request']);
     if (method !== 'readIndex') throw new Error(`no ${method} here`);
-    if (target.voter?.status.role !== 'leader') return {kind: 'not_leader', leader: null};
+    if (target.voter?.status.role !== 'leader')
+      return {kind: 'not_leader', leader: null};
     return {kind: 'ok', value: {index: await target.voter.readIndex()}};
   }
 }
@@ -165,7 +218,9 @@
 export const benchLog = async (): Promise<Table> => {
   const root = mkdtempSync(path.join(tmpdir(), 'primrosewick-bench-'));
   const folder = await NodeFolder.open(root);
-  const syncs = await times(200, () => folder.append('sync', Buffer.alloc(400)));
+  const syncs = await times(200, () =>
+    folder.append('sync', Buffer.alloc(400)),
+  );
   await folder.close();
   rmSync(root, {recursive: true, force: true});
   const cell = await BenchCell.create(3);
@@ -177,18 +232,36 @@
   let at = 0;
   const together: number[] = [];
   const work = async (lane: number): Promise<void> => {
-    for (let i = 0; at++ < commits; i++) together.push(await time(() => voter.propose(change(`lane${lane}`, i))));
+    for (let i = 0; at++ < commits; i++)
+      together.push(await time(() => voter.propose(change(`lane${lane}`, i))));
   };
-  await Promise.all(Array.from({length: parallel}, (_none, lane) => work(lane)));
+  await Promise.all(
+    Array.from({length: parallel}, (_none, lane) => work(lane)),
+  );
   const rate = Math.round((1000 * commits) / (performance.now() - startedAt));
   await cell.destroy();
   return {
     heading: `Commits of three voters, ${CROSS_ZONE_MS} ms apart one way`,
     columns: ['what', 'p50 ms', 'p99 ms', 'a second'],
     rows: [
-      ['one sync of the disk (baseline)', round(quantile(syncs, 0.5), 2), round(quantile(syncs, 0.99), 2), ''],
-      ['commit, one at a time', round(quantile(alone, 0.5), 2), round(quantile(alone, 0.99), 2), ''],
-      [`commit, ${parallel} in parallel`, round(quantile(together, 0.5), 2), round(quantile(together, 0.99), 2), rate],
+      [
+        'one sync of the disk (baseline)',
+        round(quantile(syncs, 0.5), 2),
+        round(quantile(syncs, 0.99), 2),
+        '',
+      ],
+      [
+        'commit, one at a time',
+        round(quantile(alone, 0.5), 2),
+        round(quantile(alone, 0.99), 2),
+        '',
+      ],
+      [
+        `commit, ${parallel} in parallel`,
+        round(quantile(together, 0.5), 2),
+        round(quantile(together, 0.99), 2),
+        rate,
+      ],
     ],
   };
 };
@@ -206,13 +279,22 @@
   return {
     heading: 'Recovery of the cell log after the loss of its leader',
     columns: ['losses', 'p50 ms', 'longest ms'],
-    rows: [[tookMs.length, Math.round(quantile(tookMs, 0.5)), Math.round(Math.max(...tookMs))]],
+    rows: [
+      [
+        tookMs.length,
+        Math.round(quantile(tookMs, 0.5)),
+        Math.round(Math.max(...tookMs)),
+      ],
+    ],
   };
 };
 
 const firstCommit = async (cell: BenchCell): Promise<void> => {
   for (;;) {
-    const isDone = await cell.leader?.voter?.propose(change('after', 0)).then(() => true, () => false);
+    const isDone = await cell.leader?.voter?.propose(change('after', 0)).then(
+      () => true,
+      () => false,
+    );
     if (isDone) return;
     await sleep(10);
   }
@@ -225,25 +307,41 @@
     const root = mkdtempSync(path.join(tmpdir(), 'primrosewick-bench-'));
     const folder = await NodeFolder.open(root);
     for (let from = 1; from <= count; from += 500) {
-      const entries = Array.from({length: 500}, (_none, i) => entryAt(from + i));
-      await persistWrites<CellCommand>(folder, [{kind: 'append', entries}], () => emptyState());
+      const entries = Array.from({length: 500}, (_none, i) =>
+        entryAt(from + i),
+      );
+      await persistWrites<CellCommand>(
+        folder,
+        [{kind: 'append', entries}],
+        () => emptyState(),
+      );
     }
     const tookMs = await time(async () => {
       const {entries} = await restoreState<CellCommand>(folder);
       const {replica} = new ReplicaTask(systemClock);
-      for (const {index, body} of entries) if (body.kind === 'command') replica.apply({index, command: body.command});
+      for (const {index, body} of entries)
+        if (body.kind === 'command')
+          replica.apply({index, command: body.command});
     });
     await folder.close();
     rmSync(root, {recursive: true, force: true});
     rows.push([count, Math.round(tookMs)]);
   }
-  return {heading: 'Restart from a log without a snapshot (a voter makes one every 4,000 entries)', columns: ['entries', 'ms'], rows};
+  return {
+    heading:
+      'Restart from a log without a snapshot (a voter makes one every 4,000 entries)',
+    columns: ['entries', 'ms'],
+    rows,
+  };
 };
 
 const entryAt = (index: number): Entry<CellCommand> => ({
   term: 1,
   index,
-  body: {kind: 'command', command: change(`p${index % 100}`, Math.floor((index - 1) / 100))},
+  body: {
+    kind: 'command',
+    command: change(`p${index % 100}`, Math.floor((index - 1) / 100)),
+  },
 });
 
 /** Time until a profile is in force on every VM. */
@@ -253,16 +351,32 @@
     const cell = await BenchCell.create(vmCount);
     await sleep(3000);
     const tookMs: number[] = [];
-    for (let i = 0; i < 20; i++) tookMs.push(await time(() => changeEverywhere(cell, i)));
-    rows.push([vmCount, Math.round(quantile(tookMs, 0.5)), Math.round(Math.max(...tookMs)), 14_000]);
+    for (let i = 0; i < 20; i++)
+      tookMs.push(await time(() => changeEverywhere(cell, i)));
+    rows.push([
+      vmCount,
+      Math.round(quantile(tookMs, 0.5)),
+      Math.round(Math.max(...tookMs)),
+      14_000,
+    ]);
     await cell.destroy();
   }
-  return {heading: 'Time until a profile is in force on every VM', columns: ['VMs', 'p50 ms', 'longest ms', 'target ms'], rows};
+  return {
+    heading: 'Time until a profile is in force on every VM',
+    columns: ['VMs', 'p50 ms', 'longest ms', 'target ms'],
+    rows,
+  };
 };
 
-const changeEverywhere = async (cell: BenchCell, base: number): Promise<void> => {
+const changeEverywhere = async (
+  cell: BenchCell,
+  base: number,
+): Promise<void> => {
   const result = await cell.leader!.voter!.propose(change('everywhere', base));
-  const isBehind = (): boolean => [...cell.nodes.values()].some(({replica}) => replica.replica.index < result.index);
+  const isBehind = (): boolean =>
+    [...cell.nodes.values()].some(
+      ({replica}) => replica.replica.index < result.index,
+    );
   while (isBehind()) await sleep(1);
 };
 
@@ -272,7 +386,10 @@
   return performance.now() - before;
 };
 
-const times = async (count: number, action: (i: number) => Promise<unknown>): Promise<number[]> => {
+const times = async (
+  count: number,
+  action: (i: number) => Promise<unknown>,
+): Promise<number[]> => {
   const tookMs: number[] = [];
   for (let i = 0; i < count; i++) tookMs.push(await time(() => action(i)));
   return tookMs;
--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -1,7 +1,12 @@
 /** `npm run bench`: all tables, each row beside its baseline from the same run. */
 import {cpus} from 'node:os';
 import {benchEntry} from './entry.js';
-import {benchLog, benchPropagation, benchRecovery, benchRestart} from './log.js';
+import {
+  benchLog,
+  benchPropagation,
+  benchRecovery,
+  benchRestart,
+} from './log.js';
 import {benchDecisions, benchPacking} from './placing.js';
 import {formatTable, type Table} from './report.js';
 import {benchUrgent} from './urgent.js';
@@ -30,5 +35,6 @@
 process.stdout.write(`Node ${process.version}, ${cpus().length} cores\n\n`);
 const wanted = process.argv[2] ?? '';
 const chosen = BENCHES.filter(bench => bench.name.includes(wanted));
-for (const bench of chosen) process.stdout.write(`${formatTable(await bench())}\n`);
+for (const bench of chosen)
+  process.stdout.write(`${formatTable(await bench())}\n`);
 process.exit(0);
--- a/packages/proofs/src/bench/placing.ts
+++ b/packages/proofs/src/bench/placing.ts
@@ -32,8 +32,23 @@
 const profile = (kind: 'pack' | 'spread', checkpoint: boolean): Profile => ({
   name: asId<ProfileName>('p'),
   placing: kind === 'pack' ? {kind} : {kind, over: 'rack'},
-  waiting: {classes: [{name: 'all', pathPrefix: '/', priority: 1, deadlineMs: 1000, queueBound: 1}], spill: {kind: 'never'}},
-  stopping: {graceMs: 0, checkpoint, repeat: {kind: 'again', maxAttempts: 3, backoffMs: 100}},
+  waiting: {
+    classes: [
+      {
+        name: 'all',
+        pathPrefix: '/',
+        priority: 1,
+        deadlineMs: 1000,
+        queueBound: 1,
+      },
+    ],
+    spill: {kind: 'never'},
+  },
+  stopping: {
+    graceMs: 0,
+    checkpoint,
+    repeat: {kind: 'again', maxAttempts: 3, backoffMs: 100},
+  },
 });
 
 /** A placement core with workers that answer at once. */
@@ -48,18 +63,36 @@
     readonly workers: number,
     private readonly size: Size = TOTAL,
   ) {
-    this.core = new PlacementCore({epoch: asEpoch(1), startedAt: -100_000, limits: {announceMs: 1e12, taskLeaseMs: 1e12}});
+    this.core = new PlacementCore({
+      epoch: asEpoch(1),
+      startedAt: -100_000,
+      limits: {announceMs: 1e12, taskLeaseMs: 1e12},
+    });
     this.core.step({kind: 'barrier', now: 0, index: 0});
     this.seqs = new Array<number>(workers).fill(0);
     for (let i = 0; i < workers; i++) this.report(i, []);
   }
 
   /** Submits a job of one task; @returns whether it started. */
-  submit(size: Size, priority = 4, kind: 'pack' | 'spread' = 'pack', checkpoint = false): boolean {
+  submit(
+    size: Size,
+    priority = 4,
+    kind: 'pack' | 'spread' = 'pack',
+    checkpoint = false,
+  ): boolean {
     this.jobs++;
     const job: JobRecord = {
       id: asId<JobId>(`job-${this.jobs}`),
-      spec: {team: asId<TeamName>('t'), profile: asId<ProfileName>('p'), taskCount: 1, gang: false, priority, size, command: 'run', runMs: 1000},
+      spec: {
+        team: asId<TeamName>('t'),
+        profile: asId<ProfileName>('p'),
+        taskCount: 1,
+        gang: false,
+        priority,
+        size,
+        command: 'run',
+        runMs: 1000,
+      },
       homeZone: ZONE,
       state: 'open',
       profile: profile(kind, checkpoint),
@@ -68,13 +101,20 @@
       started: [],
       ended: [],
     };
-    const {effects} = this.core.step({kind: 'job', now: this.now, job, index: this.jobs});
+    const {effects} = this.core.step({
+      kind: 'job',
+      now: this.now,
+      job,
+      index: this.jobs,
+    });
     return this.take(effects) > 0;
   }
 
   /** Reports of a worker with the tasks that run there. */
   report(i: number, ended: readonly TaskView[]): void {
-    const views = [...this.running.values()].filter(({worker}) => worker === i).map(({order}) => viewOf(order, 'running'));
+    const views = [...this.running.values()]
+      .filter(({worker}) => worker === i)
+      .map(({order}) => viewOf(order, 'running'));
     this.reportTasks(i, [...views, ...ended]);
   }
 
@@ -107,7 +147,10 @@
     for (const effect of effects) {
       if (effect.kind !== 'start') continue;
       starts++;
-      this.running.set(effect.order.task, {order: effect.order, worker: Number(effect.order.worker.slice(1))});
+      this.running.set(effect.order.task, {
+        order: effect.order,
+        worker: Number(effect.order.worker.slice(1)),
+      });
     }
     return starts;
   }
@@ -164,13 +207,20 @@
 
 const drawMixed = (random: Random): Size => {
   const cores = [500, 1000, 2000, 4000, 8000, 16_000][random.nextInt(0, 5)]!;
-  return {cpuMillis: cores, memoryMb: Math.ceil((cores / 1000) * random.nextInt(1000, 8000)), accelerators: 0};
+  return {
+    cpuMillis: cores,
+    memoryMb: Math.ceil((cores / 1000) * random.nextInt(1000, 8000)),
+    accelerators: 0,
+  };
 };
 
 type Fit = (size: Size) => boolean;
 
 /** A baseline that keeps its own account of the workers. */
-const baselineFit = (workers: number, choose: (able: readonly number[]) => number): {place: Fit; free: Size[]} => {
+const baselineFit = (
+  workers: number,
+  choose: (able: readonly number[]) => number,
+): {place: Fit; free: Size[]} => {
   const free = Array.from({length: workers}, () => TOTAL);
   const place = (size: Size): boolean => {
     const able = free.flatMap((room, i) => (fits(size, room) ? [i] : []));
@@ -197,22 +247,46 @@
   const workers = 30;
   const seeds = Array.from({length: 10}, (_none, i) => seed + i);
   const half: Size = {cpuMillis: 16_000, memoryMb: 65_536, accelerators: 0};
-  const measure = (name: string, make: (s: number) => {place: Fit; free: () => Size[]}): Array<string | number> => {
+  const measure = (
+    name: string,
+    make: (s: number) => {place: Fit; free: () => Size[]},
+  ): Array<string | number> => {
     const runs = seeds.map(s => {
       const {place, free} = make(s);
       const filled = fillWith(place, s) / (workers * TOTAL.cpuMillis);
-      return {filled: 100 * filled, holes: free().reduce((sum, room) => sum + Math.max(0, countFits(half, room)), 0)};
+      return {
+        filled: 100 * filled,
+        holes: free().reduce(
+          (sum, room) => sum + Math.max(0, countFits(half, room)),
+          0,
+        ),
+      };
     });
-    const mean = (read: (run: {filled: number; holes: number}) => number): number => runs.reduce((sum, run) => sum + read(run), 0) / runs.length;
-    return [name, round(mean(run => run.filled)), round(Math.min(...runs.map(run => run.filled))), round(mean(run => run.holes))];
+    const mean = (
+      read: (run: {filled: number; holes: number}) => number,
+    ): number => runs.reduce((sum, run) => sum + read(run), 0) / runs.length;
+    return [
+      name,
+      round(mean(run => run.filled)),
+      round(Math.min(...runs.map(run => run.filled))),
+      round(mean(run => run.holes)),
+    ];
   };
   return {
     heading: `Packing of ${workers} workers, mean of ${seeds.length} seeds from ${seed}`,
-    columns: ['policy', 'processors filled before the first refusal, %', 'lowest, %', 'places left for half a worker'],
+    columns: [
+      'policy',
+      'processors filled before the first refusal, %',
+      'lowest, %',
+      'places left for half a worker',
+    ],
     rows: [
       measure('pack (ours)', () => {
         const zone = new BenchZone(workers);
-        return {place: size => zone.submit(size), free: () => zone.core.listWorkers().map(worker => worker.free)};
+        return {
+          place: size => zone.submit(size),
+          free: () => zone.core.listWorkers().map(worker => worker.free),
+        };
       }),
       measure('first fit', () => {
         const {place, free} = baselineFit(workers, able => able[0]!);
@@ -220,7 +294,10 @@
       }),
       measure('random', s => {
         const random = seededRandom(s + 99);
-        const {place, free} = baselineFit(workers, able => able[random.nextInt(0, able.length - 1)]!);
+        const {place, free} = baselineFit(
+          workers,
+          able => able[random.nextInt(0, able.length - 1)]!,
+        );
         return {place, free: () => free};
       }),
     ],
--- a/packages/proofs/src/bench/urgent.ts
+++ b/packages/proofs/src/bench/urgent.ts
@@ -1,5 +1,15 @@
 /** Time until urgent tasks start in a zone that is full, on virtual time. */
-import {PlacementCore, asEpoch, asId, type JobId, type JobRecord, type ProfileName, type TeamName, type WorkerId, type ZoneId} from '@primrosewick/state';
+import {
+  PlacementCore,
+  asEpoch,
+  asId,
+  type JobId,
+  type JobRecord,
+  type ProfileName,
+  type TeamName,
+  type WorkerId,
+  type ZoneId,
+} from '@primrosewick/state';
 import {WorkerCore} from '@primrosewick/standins';
 import {EventQueue} from '../world/event_queue.js';
 import {quantile, round, type Table} from './report.js';
@@ -16,13 +26,22 @@
 /** A full zone whose tasks can save their progress. */
 class FullZone {
   readonly queue = new EventQueue();
-  private readonly core = new PlacementCore({epoch: EPOCH, startedAt: -100_000});
+  private readonly core = new PlacementCore({
+    epoch: EPOCH,
+    startedAt: -100_000,
+  });
   private readonly workers: WorkerCore[];
   private index = 0;
 
   constructor() {
-    this.workers = Array.from({length: WORKERS}, (_none, i) => this.makeWorker(i));
-    this.workers.forEach((worker, i) => this.queue.after((ANNOUNCE_MS * i) / WORKERS, () => this.announce(worker)));
+    this.workers = Array.from({length: WORKERS}, (_none, i) =>
+      this.makeWorker(i),
+    );
+    this.workers.forEach((worker, i) =>
+      this.queue.after((ANNOUNCE_MS * i) / WORKERS, () =>
+        this.announce(worker),
+      ),
+    );
     this.tick();
     this.queue.advance(2 * ANNOUNCE_MS);
     this.submit(4 * WORKERS, 4, 3_600_000);
@@ -34,12 +53,20 @@
     const submittedAt = this.queue.now;
     const job = this.submit(URGENT, 9, 60_000);
     this.queue.advance(20_000);
-    const runs = this.workers.flatMap(worker => worker.runs).filter(run => run.task.startsWith(`${job}.`));
+    const runs = this.workers
+      .flatMap(worker => worker.runs)
+      .filter(run => run.task.startsWith(`${job}.`));
     return runs.map(run => run.startedAt - submittedAt);
   }
 
   private makeWorker(i: number): WorkerCore {
-    return new WorkerCore({worker: asId<WorkerId>(`w${i}`), zone: asId<ZoneId>('z'), rack: `r${i % 4}`, address: String(i), size: TOTAL});
+    return new WorkerCore({
+      worker: asId<WorkerId>(`w${i}`),
+      zone: asId<ZoneId>('z'),
+      rack: `r${i % 4}`,
+      address: String(i),
+      size: TOTAL,
+    });
   }
 
   private announce(worker: WorkerCore): void {
@@ -48,8 +75,16 @@
       const effects = this.step({kind: 'report', now: this.queue.now, report});
       const answer = effects.find(effect => effect.kind === 'answer')?.answer;
       if (!answer) return;
-      const orders = {epoch: EPOCH, leaseMs: 15_000, renewed: [...answer.renewed], stop: [...answer.stop], acknowledged: [...answer.acknowledged]};
-      this.queue.after(HOP_MS, () => worker.onOrders(report.seq, orders, this.queue.now));
+      const orders = {
+        epoch: EPOCH,
+        leaseMs: 15_000,
+        renewed: [...answer.renewed],
+        stop: [...answer.stop],
+        acknowledged: [...answer.acknowledged],
+      };
+      this.queue.after(HOP_MS, () =>
+        worker.onOrders(report.seq, orders, this.queue.now),
+      );
     });
     this.queue.after(ANNOUNCE_MS, () => this.announce(worker));
   }
@@ -66,14 +101,38 @@
     const name = asId<ProfileName>('p');
     const job: JobRecord = {
       id,
-      spec: {team: asId<TeamName>('t'), profile: name, taskCount, gang: false, priority, size: SIZE, command: 'run', runMs},
+      spec: {
+        team: asId<TeamName>('t'),
+        profile: name,
+        taskCount,
+        gang: false,
+        priority,
+        size: SIZE,
+        command: 'run',
+        runMs,
+      },
       homeZone: asId<ZoneId>('z'),
       state: 'open',
       profile: {
         name,
         placing: {kind: 'pack'},
-        waiting: {classes: [{name: 'all', pathPrefix: '/', priority: 1, deadlineMs: 1000, queueBound: 1}], spill: {kind: 'never'}},
-        stopping: {graceMs: GRACE_MS, checkpoint: true, repeat: {kind: 'again', maxAttempts: 9, backoffMs: 100}},
+        waiting: {
+          classes: [
+            {
+              name: 'all',
+              pathPrefix: '/',
+              priority: 1,
+              deadlineMs: 1000,
+              queueBound: 1,
+            },
+          ],
+          spill: {kind: 'never'},
+        },
+        stopping: {
+          graceMs: GRACE_MS,
+          checkpoint: true,
+          repeat: {kind: 'again', maxAttempts: 9, backoffMs: 100},
+        },
       },
       acceptedAt: 0,
       acceptedIndex: this.index,
@@ -103,6 +162,14 @@
   return {
     heading: `Urgent tasks in a full zone of ${WORKERS} workers (virtual time, grace ${GRACE_MS} ms)`,
     columns: ['urgent tasks', 'started', 'p50 ms', 'p99 ms', 'target ms'],
-    rows: [[URGENT, waits.length, round(quantile(waits, 0.5)), round(quantile(waits, 0.99)), 3500]],
+    rows: [
+      [
+        URGENT,
+        waits.length,
+        round(quantile(waits, 0.5)),
+        round(quantile(waits, 0.99)),
+        3500,
+      ],
+    ],
   };
 };
--- a/packages/proofs/src/bench/waiting.ts
+++ b/packages/proofs/src/bench/waiting.ts
@@ -44,7 +44,13 @@
     upstreams: 10,
     entries: 3,
     kinds: [
-      {name: 'availability', part: 0.85, meanMs: 40, priority: 8, deadlineMs: 5000},
+      {
+        name: 'availability',
+        part: 0.85,
+        meanMs: 40,
+        priority: 8,
+        deadlineMs: 5000,
+      },
       {name: 'other', part: 0.15, meanMs: 400, priority: 4, deadlineMs: 30_000},
     ],
   },
@@ -53,8 +59,20 @@
     upstreams: 8,
     entries: 2,
     kinds: [
-      {name: 'certificate', part: 0.6, meanMs: 10, priority: 9, deadlineMs: 3000},
-      {name: 'moisture', part: 0.3, meanMs: 150, priority: 6, deadlineMs: 10_000},
+      {
+        name: 'certificate',
+        part: 0.6,
+        meanMs: 10,
+        priority: 9,
+        deadlineMs: 3000,
+      },
+      {
+        name: 'moisture',
+        part: 0.3,
+        meanMs: 150,
+        priority: 6,
+        deadlineMs: 10_000,
+      },
       {name: 'curve', part: 0.1, meanMs: 2000, priority: 2, deadlineMs: 60_000},
     ],
   },
@@ -81,7 +99,12 @@
   }
 }
 
-type Policy = (queue: EventQueue, user: User, random: Random, waits: Waits) => (entry: number, work: Work) => void;
+type Policy = (
+  queue: EventQueue,
+  user: User,
+  random: Random,
+  waits: Waits,
+) => (entry: number, work: Work) => void;
 
 /** An upstream that serves in the order of arrival, as the baselines use it. */
 class FifoUpstream {
@@ -114,7 +137,10 @@
 }
 
 const randomChoice: Policy = (queue, user, random, waits) => {
-  const upstreams = Array.from({length: user.upstreams}, () => new FifoUpstream(queue, waits));
+  const upstreams = Array.from(
+    {length: user.upstreams},
+    () => new FifoUpstream(queue, waits),
+  );
   return (_entry, work) => {
     const chosen = upstreams[random.nextInt(0, upstreams.length - 1)]!;
     queue.after(HOP_MS, () => chosen.offer(work, () => undefined));
@@ -122,13 +148,20 @@
 };
 
 const leastLoaded: Policy = (queue, user, _random, waits) => {
-  const upstreams = Array.from({length: user.upstreams}, () => new FifoUpstream(queue, waits));
-  const counts = Array.from({length: user.entries}, () => new Array<number>(user.upstreams).fill(0));
+  const upstreams = Array.from(
+    {length: user.upstreams},
+    () => new FifoUpstream(queue, waits),
+  );
+  const counts = Array.from({length: user.entries}, () =>
+    new Array<number>(user.upstreams).fill(0),
+  );
   return (entry, work) => {
     const own = counts[entry]!;
     const chosen = own.indexOf(Math.min(...own));
     own[chosen]!++;
-    queue.after(HOP_MS, () => upstreams[chosen]!.offer(work, () => own[chosen]!--));
+    queue.after(HOP_MS, () =>
+      upstreams[chosen]!.offer(work, () => own[chosen]!--),
+    );
   };
 };
 
@@ -136,7 +169,10 @@
 const shares: Policy = (queue, user, _random, waits) => {
   const ledger = new ShareLedger({startedAt: -100_000});
   for (let i = 0; i < user.upstreams; i++) announce(ledger, i);
-  const entries = Array.from({length: user.entries}, (_none, i) => new BenchEntry(queue, ledger, waits, asId<HolderId>(`e${i}`)));
+  const entries = Array.from(
+    {length: user.entries},
+    (_none, i) => new BenchEntry(queue, ledger, waits, asId<HolderId>(`e${i}`)),
+  );
   return (entry, work) => entries[entry]!.arrive(work);
 };
 
@@ -182,7 +218,9 @@
       deadline: work.arrivedAt + kind.deadlineMs,
       isIdempotent: true,
     };
-    this.carryOut(this.core.step({kind: 'arrive', now: this.queue.now, arrival}).effects);
+    this.carryOut(
+      this.core.step({kind: 'arrive', now: this.queue.now, arrival}).effects,
+    );
   }
 
   private carryOut(effects: readonly RequestEffect[]): void {
@@ -196,16 +234,24 @@
   private dispatch(id: RequestId, attempt: string): void {
     const work = this.works.get(id)!;
     this.works.delete(id);
-    this.queue.after(HOP_MS, () => this.waits.add(work, this.queue.now - work.arrivedAt));
+    this.queue.after(HOP_MS, () =>
+      this.waits.add(work, this.queue.now - work.arrivedAt),
+    );
     this.queue.after(2 * HOP_MS + work.serviceMs, () => {
-      this.carryOut(this.core.step({kind: 'answered', now: this.queue.now, attempt}).effects);
+      this.carryOut(
+        this.core.step({kind: 'answered', now: this.queue.now, attempt})
+          .effects,
+      );
     });
   }
 
   private borrow(): void {
     if (this.isBorrowDue) return;
     this.isBorrowDue = true;
-    this.queue.after(Math.max(0, this.lastSyncAt + BORROW_GAP_MS - this.queue.now), () => this.sync());
+    this.queue.after(
+      Math.max(0, this.lastSyncAt + BORROW_GAP_MS - this.queue.now),
+      () => this.sync(),
+    );
   }
 
   private syncLater(): void {
@@ -219,14 +265,38 @@
     this.isBorrowDue = false;
     this.lastSyncAt = this.queue.now;
     const sentAt = this.queue.now;
-    const {effects} = this.core.step({kind: 'renew', now: sentAt, lender: 'z', services: [SERVICE]});
+    const {effects} = this.core.step({
+      kind: 'renew',
+      now: sentAt,
+      lender: 'z',
+      services: [SERVICE],
+    });
     const sync = effects.find(effect => effect.kind === 'sync')!;
-    const request = {holder: this.holder, seq: ++this.seq, held: sync.held, wants: sync.wants, isForeign: false};
+    const request = {
+      holder: this.holder,
+      seq: ++this.seq,
+      held: sync.held,
+      wants: sync.wants,
+      isForeign: false,
+    };
     this.queue.after(HOP_MS, () => {
-      const answer = this.ledger.step({kind: 'sync', now: this.queue.now, request, openServices: [SERVICE]});
+      const answer = this.ledger.step({
+        kind: 'sync',
+        now: this.queue.now,
+        request,
+        openServices: [SERVICE],
+      });
       this.queue.after(HOP_MS, () => {
-        const update = {lender: 'z', shares: answer.shares, deadline: sentAt + 3000, isComplete: true, roundTripMs: 0};
-        this.carryOut(this.core.step({kind: 'shares', now: this.queue.now, update}).effects);
+        const update = {
+          lender: 'z',
+          shares: answer.shares,
+          deadline: sentAt + 3000,
+          isComplete: true,
+          roundTripMs: 0,
+        };
+        this.carryOut(
+          this.core.step({kind: 'shares', now: this.queue.now, update}).effects,
+        );
       });
     });
   }
@@ -237,7 +307,10 @@
   return -mean * Math.log(uniform);
 };
 
-const drawKind = (random: Random, kinds: readonly RequestKind[]): RequestKind => {
+const drawKind = (
+  random: Random,
+  kinds: readonly RequestKind[],
+): RequestKind => {
   let left = random.nextInt(0, 999_999) / 1_000_000;
   for (const kind of kinds) {
     left -= kind.part;
@@ -246,13 +319,21 @@
   return kinds.at(-1)!;
 };
 
-const simulate = (user: User, load: number, policy: Policy, seed: number): Waits => {
+const simulate = (
+  user: User,
+  load: number,
+  policy: Policy,
+  seed: number,
+): Waits => {
   const queue = new EventQueue();
   const random = seededRandom(seed);
   const waits = new Waits();
   const accept = policy(queue, user, seededRandom(seed + 1), waits);
   queue.advance(2 * SYNC_MS);
-  const meanMs = user.kinds.reduce((sum, kind) => sum + kind.part * kind.meanMs, 0);
+  const meanMs = user.kinds.reduce(
+    (sum, kind) => sum + kind.part * kind.meanMs,
+    0,
+  );
   const gapMs = meanMs / (load * user.upstreams * SLOTS);
   const end = queue.now + RUN_MS;
   const arriveNext = (): void => {
@@ -289,14 +370,30 @@
         for (const {name: kind} of user.kinds) {
           const samples = waits.byKind.get(kind) ?? [];
           const missed = round((100 * waits.missed) / waits.total);
-          rows.push([user.name, `${load * 100} %`, kind, name, round(quantile(samples, 0.5)), round(quantile(samples, 0.99)), missed]);
+          rows.push([
+            user.name,
+            `${load * 100} %`,
+            kind,
+            name,
+            round(quantile(samples, 0.5)),
+            round(quantile(samples, 0.99)),
+            missed,
+          ]);
         }
       }
     }
   }
   return {
     heading: `Waiting time by class (seed ${seed}, virtual time)`,
-    columns: ['user', 'load', 'class', 'policy', 'p50 ms', 'p99 ms', 'refused or late, % of all'],
+    columns: [
+      'user',
+      'load',
+      'class',
+      'policy',
+      'p50 ms',
+      'p99 ms',
+      'refused or late, % of all',
+    ],
     rows,
   };
 };
--- a/packages/state/src/placement/scheduler.ts
+++ b/packages/state/src/placement/scheduler.ts
@@ -288,8 +288,14 @@
     if (!found) return false;
     view.preempting.set(task, context.now + context.limits.preemptMs);
     for (const victim of found.victims) {
-      context.setState(victim.view, victim.task, {...victim.state, stop: 'preempt'});
-      context.note(victim.task, `stops with a checkpoint to make room for ${task}`);
+      context.setState(victim.view, victim.task, {
+        ...victim.state,
+        stop: 'preempt',
+      });
+      context.note(
+        victim.task,
+        `stops with a checkpoint to make room for ${task}`,
+      );
     }
     return true;
   }
--- a/packages/state/src/placement/worker_index.ts
+++ b/packages/state/src/placement/worker_index.ts
@@ -12,7 +12,7 @@
 
 const BUCKET_CPU_MILLIS = 1000;
 const BUCKET_COUNT = 129;
-const MAX_CANDIDATES = 8;
+const MAX_CANDIDATES = 32;
 
 const bucketOf = (cpuMillis: number): number =>
   Math.max(
@@ -62,6 +62,13 @@
   }
 }
 
+/** Larger part, of processor or memory, that a task would leave free. */
+const leftoverOf = ({free, total}: Indexed, size: Size): number =>
+  Math.max(
+    (free.cpuMillis - size.cpuMillis) / total.cpuMillis,
+    (free.memoryMb - size.memoryMb) / total.memoryMb,
+  );
+
 /** Workers of one kind by free processor share. */
 class Buckets<W extends Indexed> {
   private readonly buckets = Array.from(
@@ -86,11 +93,23 @@
   }
 
   findTightest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
-    for (let at = bucketOf(size.cpuMillis); at < BUCKET_COUNT; at++) {
-      const found = this.bestOf(at, size, isAllowed, (a, b) => a - b);
-      if (found) return found;
+    let best: W | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    let seen = 0;
+    for (
+      let at = bucketOf(size.cpuMillis);
+      at < BUCKET_COUNT && seen < MAX_CANDIDATES;
+      at++
+    ) {
+      for (const worker of this.buckets[at] ?? []) {
+        if (!fits(size, worker.free) || !isAllowed(worker)) continue;
+        const score = leftoverOf(worker, size);
+        if (score < bestScore) [best, bestScore] = [worker, score];
+        seen++;
+        if (seen === MAX_CANDIDATES) break;
+      }
     }
-    return undefined;
+    return best;
   }
 
   findLoosest(size: Size, isAllowed: (worker: W) => boolean): W | undefined {
