--- /dev/null
+++ b/packages/proofs/src/bench/capacity.ts
@@ -0,0 +1,313 @@
+/** `npm run capacity`: what a daemon uses, by the number of what it looks after. */
+import {
+  asId,
+  type UpstreamId,
+  type WorkerId,
+  type ZoneId,
+  type ServiceName,
+} from '@primrosewick/state';
+import type {WorkerOrders} from '@primrosewick/protocol';
+import {Cell, WorkerCore, freePorts} from '@primrosewick/standins';
+import {callJson, sleep} from '@primrosewick/transport';
+import {DESK_PROFILE} from './documents.js';
+import {measureUsage, type Usage} from './proc.js';
+import {formatTable, round, type Table} from './report.js';
+
+const MEASURE_MS = 8000;
+const SETTLE_MS = 4000;
+const ANNOUNCE_MS = 1000;
+const START_MS = 40_000;
+const ZONE = asId<ZoneId>('a');
+
+/** Announces many upstreams and workers from this one process. */
+class Announcers {
+  private isStopped = false;
+  bytes = 0;
+
+  constructor(private readonly entries: readonly string[]) {}
+
+  addWorkers(count: number): void {
+    for (let i = 0; i < count; i++) void this.runWorker(i);
+  }
+
+  addUpstreams(count: number): void {
+    for (let i = 0; i < count; i++) void this.runUpstream(i);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async runWorker(i: number): Promise<void> {
+    const size = {cpuMillis: 32_000, memoryMb: 131_072, accelerators: 0};
+    const core = new WorkerCore({
+      worker: asId<WorkerId>(`w${i}`),
+      zone: ZONE,
+      rack: `r${i % 10}`,
+      address: `127.0.0.1:${1000 + i}`,
+      size,
+    });
+    await this.loop(i, async entry => {
+      const report = core.announce(performance.now());
+      core.onOrders(
+        report.seq,
+        await this.post<WorkerOrders>(entry, '/v1/workers', report),
+        performance.now(),
+      );
+    });
+  }
+
+  private async runUpstream(i: number): Promise<void> {
+    let seq = 0;
+    await this.loop(i, async entry => {
+      seq++;
+      const report = {
+        upstream: asId<UpstreamId>(`u${i}`),
+        service: asId<ServiceName>('booking-desk'),
+        zone: ZONE,
+        address: `127.0.0.1:${30_000 + i}`,
+        slots: 8,
+        connections: 60,
+        state: 'serving',
+        seq,
+        inFlight: [],
+      };
+      await this.post(entry, '/v1/upstreams', report);
+    });
+  }
+
+  private async loop(
+    i: number,
+    announce: (entry: string) => Promise<void>,
+  ): Promise<void> {
+    await sleep((i * 37) % ANNOUNCE_MS);
+    while (!this.isStopped) {
+      await announce(this.entries[i % this.entries.length]!).catch(
+        () => undefined,
+      );
+      await sleep(ANNOUNCE_MS);
+    }
+  }
+
+  private post<T>(address: string, path: string, body: unknown): Promise<T> {
+    this.bytes += JSON.stringify(body).length;
+    return callJson<T>({address, method: 'POST', path, body, timeoutMs: 2000});
+  }
+}
+
+const startOneZone = async (): Promise<Cell> => {
+  const vms = ['a1', 'a2', 'a3'].map(vm => ({
+    vm,
+    zone: 'a',
+    disk: vm === 'a1',
+  }));
+  const cell = await Cell.create({cell: 'capacity', vms});
+  for (const {vm} of vms) cell.startDaemon(vm);
+  for (const {vm} of vms) await cell.waitReady(vm, START_MS);
+  const file = cell.writeDocument('desk.jsonc', DESK_PROFILE);
+  await cell.operate('a1', ['profile', 'put', file]);
+  await cell.operate('a1', [
+    'service',
+    'put',
+    'booking-desk',
+    '--profile',
+    'booking-desk',
+  ]);
+  await sleep(SETTLE_MS);
+  return cell;
+};
+
+const zoneLeader = async (cell: Cell): Promise<string> => {
+  const {stdout} = await cell.operate('a1', ['status', '--json']);
+  const {vms} = JSON.parse(stdout) as {
+    vms: Array<{vm: string; zoneLeader: {vm: string | null}}>;
+  };
+  return vms[0]?.zoneLeader.vm ?? 'a1';
+};
+
+const usageRow = (
+  name: string,
+  count: number,
+  role: string,
+  usage: Usage,
+): Array<string | number> => [
+  name,
+  count,
+  role,
+  round(usage.cpuPercent, 2),
+  round(usage.memoryMb),
+  Math.round(usage.inZoneBytes),
+  Math.round(usage.crossZoneBytes),
+];
+
+const COLUMNS = [
+  'what',
+  'count',
+  'role',
+  'CPU, % of a core',
+  'memory MiB',
+  'in-zone B/s',
+  'cross-zone B/s',
+];
+
+/** Slopes of one zone's leader and of another VM of the zone. */
+const measureZone = async (
+  what: 'workers' | 'upstreams',
+  counts: readonly number[],
+): Promise<Table> => {
+  const rows: Array<Array<string | number>> = [];
+  for (const count of counts) {
+    const cell = await startOneZone();
+    const announcers = new Announcers(cell.vms.map(({platform}) => platform));
+    if (what === 'workers') announcers.addWorkers(count);
+    else announcers.addUpstreams(count);
+    await sleep(SETTLE_MS);
+    const leader = await zoneLeader(cell);
+    const other =
+      ['a1', 'a2', 'a3'].find(vm => vm !== leader && vm !== 'a1') ?? 'a2';
+    const [led, followed] = await Promise.all([
+      measureUsage(cell, leader, MEASURE_MS),
+      measureUsage(cell, other, MEASURE_MS),
+    ]);
+    rows.push(
+      usageRow(what, count, 'zone leader', led),
+      usageRow(what, count, 'other VM', followed),
+    );
+    announcers.stop();
+    await cell.destroy();
+  }
+  return {
+    heading: `One zone of three VMs by its ${what}, each announced once a second`,
+    columns: COLUMNS,
+    rows,
+  };
+};
+
+const SEVEN = [
+  {vm: 'a1', zone: 'a', disk: true},
+  {vm: 'a2', zone: 'a', disk: false},
+  {vm: 'a3', zone: 'a', disk: false},
+  {vm: 'b1', zone: 'b', disk: true},
+  {vm: 'b2', zone: 'b', disk: false},
+  {vm: 'c1', zone: 'c', disk: true},
+  {vm: 'c2', zone: 'c', disk: false},
+];
+
+const CHANGES = 40;
+
+/** Seven VMs in three zones: idle, and with changes of a profile. */
+const measureSeven = async (): Promise<Table> => {
+  const cell = await Cell.create({cell: 'capacity', vms: SEVEN});
+  for (const {vm} of SEVEN) cell.startDaemon(vm);
+  for (const {vm} of SEVEN) await cell.waitReady(vm, START_MS);
+  await sleep(SETTLE_MS);
+  const rows: Array<Array<string | number>> = [];
+  const idle = await Promise.all(
+    SEVEN.map(({vm}) => measureUsage(cell, vm, MEASURE_MS)),
+  );
+  idle.forEach((usage, i) =>
+    rows.push(
+      usageRow(
+        'idle',
+        0,
+        `${SEVEN[i]!.vm}${SEVEN[i]!.disk ? ', voter' : ''}`,
+        usage,
+      ),
+    ),
+  );
+  const measured = Promise.all(
+    SEVEN.map(({vm}) => measureUsage(cell, vm, MEASURE_MS)),
+  );
+  for (let base = 0; base < CHANGES; base++) await putRevision(cell, base);
+  const changed = await measured;
+  changed.forEach((usage, i) =>
+    rows.push(
+      usageRow(
+        `${CHANGES} changes`,
+        CHANGES,
+        `${SEVEN[i]!.vm}${SEVEN[i]!.disk ? ', voter' : ''}`,
+        usage,
+      ),
+    ),
+  );
+  await cell.destroy();
+  return {
+    heading: `Seven VMs in three zones: idle, and with ${CHANGES} changes of a profile within ${MEASURE_MS / 1000} s`,
+    columns: COLUMNS,
+    rows,
+  };
+};
+
+const putRevision = async (cell: Cell, baseRevision: number): Promise<void> => {
+  const {operator} = cell.getVm('a2');
+  const profile = {...DESK_PROFILE, name: 'changing'};
+  const write = {
+    author: 'capacity',
+    requestId: `c${baseRevision}`,
+    firstSentAt: Date.now(),
+  };
+  const headers = {authorization: `Bearer ${cell.token}`};
+  const body = {write, baseRevision, profile};
+  await callJson({
+    address: operator,
+    method: 'PUT',
+    path: '/v1/profiles/changing',
+    headers,
+    body,
+    timeoutMs: 8000,
+  });
+};
+
+const STARTS = 600;
+
+/** Cost of starting tasks, with workers that answer. */
+const measureStarts = async (): Promise<Table> => {
+  const cell = await startOneZone();
+  const ports = await freePorts(6);
+  ports.forEach((port, i) =>
+    cell.startStandin(`w${i}`, 'worker', {
+      zone: 'a',
+      entries: cell.platformsOf('a'),
+      address: `127.0.0.1:${port}`,
+      rack: `r${i}`,
+    }),
+  );
+  await sleep(SETTLE_MS + 3000);
+  const leader = await zoneLeader(cell);
+  const idle = await measureUsage(cell, leader, SETTLE_MS);
+  const job = cell.writeDocument('job.jsonc', {
+    team: 't',
+    profile: 'booking-desk',
+    taskCount: STARTS,
+    size: {cpuMillis: 100, memoryMb: 10},
+    command: 'run',
+    runMs: 200,
+  });
+  const measured = measureUsage(cell, leader, MEASURE_MS);
+  const startedAt = performance.now();
+  await cell.operate('a1', ['job', 'submit', job, '--wait']);
+  const tookMs = performance.now() - startedAt;
+  const busy = await measured;
+  await cell.destroy();
+  const cpuMs = ((busy.cpuPercent - idle.cpuPercent) / 100) * MEASURE_MS;
+  return {
+    heading: `Starts of ${STARTS} tasks on 6 workers, each start recorded in the log before`,
+    columns: [
+      'tasks',
+      'time until all had ended, ms',
+      "leader's processor time for a start, ms",
+    ],
+    rows: [[STARTS, Math.round(tookMs), round(cpuMs / STARTS, 2)]],
+  };
+};
+
+const TABLES: ReadonlyArray<() => Promise<Table>> = [
+  measureSeven,
+  () => measureZone('workers', [0, 70, 140, 280]),
+  () => measureZone('upstreams', [0, 70, 140, 280]),
+  measureStarts,
+];
+
+for (const table of TABLES)
+  process.stdout.write(`${formatTable(await table())}\n`);
+process.exit(0);
--- /dev/null
+++ b/packages/proofs/src/bench/proc.ts
@@ -0,0 +1,83 @@
+/** What a daemon's process uses, as the system and its own metrics tell. */
+import {readFileSync} from 'node:fs';
+import {callHttp, sleep} from '@primrosewick/transport';
+import type {Cell} from '@primrosewick/standins';
+
+/** Use of one VM over a time. */
+export interface Usage {
+  /** Part of one core, in percent. */
+  readonly cpuPercent: number;
+  readonly memoryMb: number;
+  /** Bytes between daemons a second, sent and received, within the zone. */
+  readonly inZoneBytes: number;
+  /** Bytes between daemons a second, sent and received, to other zones. */
+  readonly crossZoneBytes: number;
+}
+
+interface Reading {
+  readonly cpuMs: number;
+  readonly memoryMb: number;
+  readonly inZone: number;
+  readonly crossZone: number;
+}
+
+const TICKS_PER_SECOND = 100;
+
+const read = async (cell: Cell, vm: string): Promise<Reading> => {
+  const pid = cell.pidOf(vm);
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8')
+    .split(') ')[1]!
+    .split(' ');
+  const cpuMs =
+    ((Number(fields[11]) + Number(fields[12])) * 1000) / TICKS_PER_SECOND;
+  const memoryKb = Number(
+    /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ??
+      0,
+  );
+  const answer = await callHttp({
+    address: cell.getVm(vm).operator,
+    method: 'GET',
+    path: '/metrics',
+    timeoutMs: 5000,
+    maxAnswerBytes: 1 << 22,
+  });
+  const text = answer.body.toString('utf8');
+  return {
+    cpuMs,
+    memoryMb: memoryKb / 1024,
+    inZone: bytesOf(text, 'in_zone'),
+    crossZone: bytesOf(text, 'cross_zone'),
+  };
+};
+
+const bytesOf = (metrics: string, scope: string): number => {
+  const lines = metrics
+    .split('\n')
+    .filter(
+      line =>
+        line.startsWith('primrosewick_peer_bytes_total') &&
+        line.includes(`"${scope}"`),
+    );
+  return lines.reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
+};
+
+/** Measures one VM over a time. */
+export const measureUsage = async (
+  cell: Cell,
+  vm: string,
+  ms: number,
+): Promise<Usage> => {
+  const before = await read(cell, vm);
+  const startedAt = performance.now();
+  await sleep(ms);
+  const after = await read(cell, vm);
+  const tookMs = performance.now() - startedAt;
+  const perSecond = (from: number, to: number): number =>
+    ((to - from) * 1000) / tookMs;
+  return {
+    cpuPercent: (100 * (after.cpuMs - before.cpuMs)) / tookMs,
+    memoryMb: after.memoryMb,
+    inZoneBytes: perSecond(before.inZone, after.inZone),
+    crossZoneBytes: perSecond(before.crossZone, after.crossZone),
+  };
+};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,3 +5,4 @@
 export * from './settings/core.js';
 export * from './settings/page.js';
 export * from './settings/types.js';
+export * from './api/description.js';
--- a/packages/standins/src/cell/cell.ts
+++ b/packages/standins/src/cell/cell.ts
@@ -1,7 +1,14 @@
 /** Settings and processes of a small cell on loopback, for the demo and the proofs. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {randomBytes} from 'node:crypto';
-import {mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  mkdirSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -82,6 +89,11 @@
     return path.join(this.root, 'token');
   }
 
+  /** The operators' token. */
+  get token(): string {
+    return readFileSync(this.tokenFile, 'utf8');
+  }
+
   /** Settings file of a VM. */
   settingsFile(vm: string): string {
     return path.join(this.root, `${vm}.jsonc`);
--- /dev/null
+++ b/scripts/known_red.js
@@ -0,0 +1,25 @@
+/**
+ * Reads KNOWN-RED.txt and prints its entries. Each entry is a block that
+ * begins with "test: TITLE"; CI passes over just these titles.
+ */
+import {existsSync, readFileSync} from 'node:fs';
+
+const FILE = 'KNOWN-RED.txt';
+
+/** Titles of the tests that are known to fail. */
+export const knownRedTitles = () => {
+  if (!existsSync(FILE)) return [];
+  const lines = readFileSync(FILE, 'utf8').split('\n');
+  return lines
+    .filter(line => line.startsWith('test: '))
+    .map(line => line.slice('test: '.length).trim());
+};
+
+const escapeRegExp = text => text.replace(/[.*+?^${}()|[\]\\]/g, '\\$&');
+
+/** Arguments for mocha that pass over the tests known to fail. */
+export const skipArguments = () => {
+  const titles = knownRedTitles();
+  if (titles.length === 0) return [];
+  return ['--invert', '--grep', titles.map(escapeRegExp).join('|')];
+};
--- /dev/null
+++ b/scripts/test.js
@@ -0,0 +1,17 @@
+/**
+ * Runs all tests. With CI set, the tests listed in KNOWN-RED.txt are printed
+ * and passed over; without it they run like the others.
+ */
+import {spawnSync} from 'node:child_process';
+import process from 'node:process';
+import {knownRedTitles, skipArguments} from './known_red.js';
+
+const isCi = process.env['CI'] === 'true';
+if (isCi)
+  for (const title of knownRedTitles()) console.log(`known red: ${title}`);
+const args = [
+  'node_modules/mocha/bin/mocha.js',
+  ...(isCi ? skipArguments() : []),
+];
+const {status} = spawnSync(process.execPath, args, {stdio: 'inherit'});
+process.exitCode = status ?? 1;
