Split the daemon and the request core; tick only while there is work

Timers woke them 90 times a second, the sampling of the event loop another 100. Change: an entry ticks only while it holds requests, the other tasks every 100 or 200 ms, the event loop is sampled once a second. Demand for shares, the daemon's servers and status are modules of their own; one recorder, one plain profile. A stopping daemon waits for its connections instead of for the request core, which did not see a write or a key on its way to the log; a client that waits for a job is answered at once.

--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -33,7 +33,7 @@
   readonly seed: number;
 }
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 
 /** Runs the authority of one zone. */
 export class AuthorityTask {
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -49,7 +49,7 @@
 const COMPACT_ENTRIES = 4000;
 /** Entries after which the log is compacted even if a member lags. */
 const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
-const TICK_MS = 50;
+const TICK_MS = 100;
 
 interface Waiter {
   readonly resolve: (result: CellResult | {readonly index: number}) => void;
--- a/packages/coordination/src/entry/task.ts
+++ b/packages/coordination/src/entry/task.ts
@@ -1,5 +1,5 @@
 /** The request path of one entry: carries out what the request core decides. */
-import {Subscription} from 'rxjs';
+import type {Subscription} from 'rxjs';
 import {
   CellError,
   RequestCore,
@@ -74,7 +74,7 @@
   private core: RequestCore;
   private readonly pending = new Map<RequestId, Pending>();
   private readonly answers = new Map<AttemptId, UpstreamAnswer>();
-  private readonly timers = new Subscription();
+  private ticker: Subscription | null = null;
   private readonly renewal: ShareRenewal;
 
   constructor(private readonly options: EntryTaskOptions) {
@@ -87,20 +87,13 @@
     options.replica.changes.subscribe(() => this.closeServices());
   }
 
-  /** Starts the clock and the renewal of shares. */
+  /** Starts the renewal of shares. */
   start(): void {
-    const {clock, syncMs} = this.options;
-    this.timers.add(
-      clock
-        .every(TICK_MS)
-        .subscribe(() => void this.step({kind: 'tick', now: clock.now()})),
-    );
-    this.renewal.start(syncMs);
+    this.renewal.start(this.options.syncMs);
   }
 
-  /** Stops the clock and returns what is held. */
+  /** Stops the renewal and returns what is held. */
   async stop(): Promise<void> {
-    this.timers.unsubscribe();
     await this.renewal.stop(this.core.open === 0);
   }
 
@@ -200,9 +193,23 @@
       recorder.record({core: 'requests', event, outcome: effects, notes});
     if (recorder.isFull('requests')) this.renewCore();
     for (const effect of effects) this.carryOut(effect);
+    this.keepTicking();
     return effects;
   }
 
+  /** Ticks only while requests are held, so that an idle entry costs nothing. */
+  private keepTicking(): void {
+    const {clock} = this.options;
+    if (this.core.open === 0) {
+      this.ticker?.unsubscribe();
+      this.ticker = null;
+      return;
+    }
+    this.ticker ??= clock
+      .every(TICK_MS)
+      .subscribe(() => void this.step({kind: 'tick', now: clock.now()}));
+  }
+
   /** Goes on from an image, from which a replay can start as well. */
   private renewCore(): void {
     const image = toImage(this.core);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -24,3 +24,4 @@
 export * from './zone/types.js';
 export * from './entry/keyed.js';
 export * from './zone/leader_port.js';
+export * from './journal/recorder.js';
--- a/packages/daemon/src/recorder.ts
+++ b/packages/coordination/src/journal/recorder.ts
@@ -1,7 +1,7 @@
-/** Keeps the decisions of this VM for `explain` and `replay`. */
-import type {DecisionRecord, Recorder} from '@primrosewick/coordination';
+/** Keeps the decisions of one VM for `explain` and `replay`. */
 import {JournalDb, type CoreName, type TimedNote} from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
+import type {DecisionRecord, Recorder} from '../zone/types.js';
 
 /** Options of the recorder. */
 export interface JournalRecorderOptions {
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -69,7 +69,7 @@
   placement: PlacementCore;
 }
 
-const TICK_MS = 100;
+const TICK_MS = 200;
 const EXPIRE_MS = 1000;
 /** Time within which every worker has announced itself to a new leader, in ms. */
 const NEW_REIGN_MS = 6000;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,29 +30,24 @@
   type ZoneId,
 } from '@primrosewick/state';
 import {
-  HttpServer,
   Metrics,
   PeerClient,
   PeerServer,
   sleep,
   systemClock,
-  type HttpHandler,
-  type Route,
+  type HttpServer,
 } from '@primrosewick/transport';
 import {makeLogPort, votersByDistance} from './log_port.js';
 import {peerHandlers} from './peer_handlers.js';
 import {httpWorkerPort} from './ports/worker_port.js';
-import {clientRoutes} from './routes/client.js';
 import type {RouteContext} from './routes/context.js';
-import {operatorRoutes, tokenGuard} from './routes/operator.js';
-import {platformRoutes} from './routes/platform.js';
-import {JournalRecorder} from './recorder.js';
-import {readToken} from './token.js';
+import {JournalRecorder} from '@primrosewick/coordination';
+import {makeServers} from './servers.js';
+import {vmStatus} from './vm_status.js';
 import {Voter} from './voter.js';
 
 const MAX_SEED = 2 ** 31 - 1;
 const BOOT_BYTES = 4;
-const DRAIN_STEP_MS = 20;
 /** Attempts without an end for this long count as lost, in ms. */
 const ATTEMPT_MS = 15 * 60 * 1000;
 
@@ -101,7 +96,7 @@
     this.entry = this.makeEntry();
     this.follow = this.makeFollow();
     const context = this.makeContext();
-    this.servers = this.makeServers(context);
+    this.servers = makeServers(context);
     this.peerServer = this.makePeerServer();
     this.logChanges();
   }
@@ -125,13 +120,12 @@
     this.isStopping = true;
     this.logger.info({change: 'stopping'}, 'stopping');
     const closed = Promise.all(this.servers.map(server => server.close()));
-    await this.drain();
+    await Promise.race([closed, sleep(this.settings.timing.stopMs)]);
     this.authority.resign();
     await this.entry.stop();
     this.zone.stop();
     this.follow?.stop();
     await this.voter?.close();
-    await Promise.race([closed, sleep(1000)]);
     for (const server of this.servers) server.destroy();
     this.peerServer.close();
     this.peers.close();
@@ -139,12 +133,6 @@
     this.logger.info({change: 'stopped'}, 'stopped');
   }
 
-  private async drain(): Promise<void> {
-    const deadline = this.clock.now() + this.settings.timing.stopMs;
-    while (this.entry.open > 0 && this.clock.now() < deadline)
-      await sleep(DRAIN_STEP_MS);
-  }
-
   private makePeers(): PeerClient {
     const {cell, vms} = this.settings;
     return new PeerClient({
@@ -319,36 +307,6 @@
     };
   }
 
-  private makeServers(context: RouteContext): HttpServer[] {
-    const {listen} = this.settings;
-    const token = readToken(this.settings.operatorTokenFile);
-    return [
-      this.makeServer(listen.client, clientRoutes(context)),
-      this.makeServer(listen.platform, platformRoutes(context)),
-      this.makeServer(
-        listen.operator,
-        operatorRoutes(context),
-        tokenGuard(token),
-      ),
-    ];
-  }
-
-  private makeServer(
-    address: string,
-    routes: Array<Route<HttpHandler>>,
-    guard?: ReturnType<typeof tokenGuard>,
-  ): HttpServer {
-    const onRefusal = (err: CellError): void =>
-      this.metrics.addRefusal(err.code, err.step);
-    return new HttpServer({
-      address,
-      routes,
-      guard,
-      onRefusal,
-      limits: this.settings.limits,
-    });
-  }
-
   private makePeerServer(): PeerServer {
     const handlers = peerHandlers({
       own: this.own,
@@ -370,28 +328,18 @@
   }
 
   private status(): VmStatus {
-    const {replica, authority, zone, entry} = this;
-    return {
-      vm: this.own.vm,
-      zone: this.own.zone,
-      boot: this.boot,
-      isReady: replica.isReady,
-      isStopping: this.isStopping,
-      appliedIndex: replica.replica.index,
-      staleMs: Number.isFinite(replica.staleMs)
-        ? Math.round(replica.staleMs)
-        : -1,
-      profiles: replica.replica.state
-        .listProfiles()
-        .map(({profile, revision}) => ({name: profile.name, revision})),
-      log: this.voter?.task?.logStatus ?? null,
-      zoneLeader: {vm: authority.leader, epoch: authority.highestEpoch},
-      upstreams: zone.listUpstreams(),
-      workers: zone.listWorkers(),
-      shares: entry.listShares(),
-      queued: entry.queued,
-      running: entry.open - entry.queued,
-    };
+    const {own, boot, isStopping, replica, authority, zone, entry, voter} =
+      this;
+    return vmStatus({
+      own,
+      boot,
+      isStopping,
+      replica,
+      authority,
+      zone,
+      entry,
+      voter,
+    });
   }
 
   private logChanges(): void {
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -7,7 +7,7 @@
 import type {CoreName} from '@primrosewick/state';
 import {proposeAt} from '@primrosewick/coordination';
 import type {PeerHandlers} from '@primrosewick/transport';
-import type {JournalRecorder} from './recorder.js';
+import type {JournalRecorder} from '@primrosewick/coordination';
 import type {Voter} from './voter.js';
 
 /** What the handlers need of the daemon. */
--- a/packages/daemon/src/routes/context.ts
+++ b/packages/daemon/src/routes/context.ts
@@ -22,7 +22,7 @@
   PeerCaller,
 } from '@primrosewick/transport';
 
-import type {JournalRecorder} from '../recorder.js';
+import type {JournalRecorder} from '@primrosewick/coordination';
 
 /** What the routes need of the daemon. */
 export interface RouteContext {
--- a/packages/daemon/src/routes/jobs.ts
+++ b/packages/daemon/src/routes/jobs.ts
@@ -111,7 +111,8 @@
     const isOver =
       job.state === 'done' ||
       context.clock.now() >= deadline ||
-      http.signal.aborted;
+      http.signal.aborted ||
+      context.isStopping();
     if (isOver) return readReply(context, {job: viewOf(job)});
     await sleep(WAIT_STEP_MS);
   }
--- a/packages/proofs/src/bench/capacity.ts
+++ b/packages/proofs/src/bench/capacity.ts
@@ -9,7 +9,7 @@
 import type {WorkerOrders} from '@primrosewick/protocol';
 import {Cell, WorkerCore, freePorts} from '@primrosewick/standins';
 import {callJson, sleep} from '@primrosewick/transport';
-import {DESK_PROFILE} from './documents.js';
+import {plainProfile} from '../world/profiles.js';
 import {measureUsage, type Usage} from './proc.js';
 import {formatTable, round, type Table} from './report.js';
 
@@ -104,7 +104,7 @@
   const cell = await Cell.create({cell: 'capacity', vms});
   for (const {vm} of vms) cell.startDaemon(vm);
   for (const {vm} of vms) await cell.waitReady(vm, START_MS);
-  const file = cell.writeDocument('desk.jsonc', DESK_PROFILE);
+  const file = cell.writeDocument('desk.jsonc', plainProfile('booking-desk'));
   await cell.operate('a1', ['profile', 'put', file]);
   await cell.operate('a1', [
     'service',
@@ -240,7 +240,7 @@
 
 const putRevision = async (cell: Cell, baseRevision: number): Promise<void> => {
   const {operator} = cell.getVm('a2');
-  const profile = {...DESK_PROFILE, name: 'changing'};
+  const profile = plainProfile('changing');
   const write = {
     author: 'capacity',
     requestId: `c${baseRevision}`,
--- a/packages/proofs/src/bench/entry.ts
+++ b/packages/proofs/src/bench/entry.ts
@@ -2,7 +2,7 @@
 import {Agent} from 'node:http';
 import {Cell, freePorts, waitUntil} from '@primrosewick/standins';
 import {callHttp, callJson} from '@primrosewick/transport';
-import {DESK_PROFILE} from './documents.js';
+import {plainProfile} from '../world/profiles.js';
 import {quantile, round, type Table} from './report.js';
 
 const CALLS = 3000;
@@ -94,7 +94,7 @@
 const startCell = async (cell: Cell): Promise<string> => {
   cell.startDaemon('a1');
   await cell.waitReady('a1', 30_000);
-  const file = cell.writeDocument('desk.jsonc', DESK_PROFILE);
+  const file = cell.writeDocument('desk.jsonc', plainProfile('booking-desk'));
   await cell.operate('a1', ['profile', 'put', file]);
   await cell.operate('a1', [
     'service',
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -22,12 +22,11 @@
   asId,
   makeNodeId,
   type CellCommand,
-  type ProfileName,
   type VmId,
   type ZoneId,
 } from '@primrosewick/state';
 import {sleep, systemClock, type PeerCaller} from '@primrosewick/transport';
-import {DESK_PROFILE} from './documents.js';
+import {plainProfile} from '../world/profiles.js';
 import {quantile, round, type Table} from './report.js';
 
 const IN_ZONE_MS = 0.3;
@@ -38,7 +37,7 @@
   body: {
     kind: 'put_profile',
     baseRevision,
-    profile: {...DESK_PROFILE, name: asId<ProfileName>(name)} as never,
+    profile: plainProfile(name),
   },
 });
 
--- a/packages/proofs/src/bench/placing.ts
+++ b/packages/proofs/src/bench/placing.ts
@@ -21,6 +21,7 @@
   type WorkerId,
   type ZoneId,
 } from '@primrosewick/state';
+import {plainProfile} from '../world/profiles.js';
 import {quantile, round, type Table} from './report.js';
 
 const ZONE = asId<ZoneId>('z');
@@ -31,27 +32,15 @@
 const MEASURED = 4000;
 const WORKERS_PER_RACK = 8;
 
-const profile = (kind: 'pack' | 'spread', checkpoint: boolean): Profile => ({
-  name: asId<ProfileName>('p'),
-  placing: kind === 'pack' ? {kind} : {kind, over: 'rack'},
-  waiting: {
-    classes: [
-      {
-        name: 'all',
-        pathPrefix: '/',
-        priority: 1,
-        deadlineMs: 1000,
-        queueBound: 1,
-      },
-    ],
-    spill: {kind: 'never'},
-  },
-  stopping: {
-    graceMs: 0,
-    checkpoint,
-    repeat: {kind: 'again', maxAttempts: 3, backoffMs: 100},
-  },
-});
+const profile = (kind: 'pack' | 'spread', checkpoint: boolean): Profile =>
+  plainProfile('p', {
+    placing: kind === 'pack' ? {kind} : {kind, over: 'rack'},
+    stopping: {
+      graceMs: 0,
+      checkpoint,
+      repeat: {kind: 'again', maxAttempts: 3, backoffMs: 100},
+    },
+  });
 
 /** A placement core with workers that answer at once. */
 export class BenchZone {
--- a/packages/proofs/src/bench/urgent.ts
+++ b/packages/proofs/src/bench/urgent.ts
@@ -12,6 +12,7 @@
 } from '@primrosewick/state';
 import {WorkerCore} from '@primrosewick/standins';
 import {EventQueue} from '../world/event_queue.js';
+import {plainProfile} from '../world/profiles.js';
 import {quantile, round, type Table} from './report.js';
 
 const WORKERS = 30;
@@ -113,27 +114,13 @@
       },
       homeZone: asId<ZoneId>('z'),
       state: 'open',
-      profile: {
-        name,
-        placing: {kind: 'pack'},
-        waiting: {
-          classes: [
-            {
-              name: 'all',
-              pathPrefix: '/',
-              priority: 1,
-              deadlineMs: 1000,
-              queueBound: 1,
-            },
-          ],
-          spill: {kind: 'never'},
-        },
+      profile: plainProfile('p', {
         stopping: {
           graceMs: GRACE_MS,
           checkpoint: true,
           repeat: {kind: 'again', maxAttempts: 9, backoffMs: 100},
         },
-      },
+      }),
       acceptedAt: 0,
       acceptedIndex: this.index,
       started: [],
--- a/packages/proofs/src/consensus/sim.ts
+++ b/packages/proofs/src/consensus/sim.ts
@@ -2,16 +2,15 @@
 import {
   asId,
   seededRandom,
-  vmOfNode,
   type CellCommand,
   type NodeId,
-  type Profile,
   type ProfileName,
   type Random,
   type VmId,
 } from '@primrosewick/state';
 import {EventQueue} from '../world/event_queue.js';
 import {FakeNetwork, NO_FAULTS} from '../world/fake_network.js';
+import {plainProfile} from '../world/profiles.js';
 import {ConsensusOracle} from './oracle.js';
 import {SimNode} from './sim_node.js';
 
@@ -76,7 +75,7 @@
     const command: CellCommand = {
       at: this.queue.now,
       write: {author: requestId, requestId, firstSentAt: this.queue.now + 1},
-      body: {kind: 'put_profile', baseRevision, profile: profileOf(profile)},
+      body: {kind: 'put_profile', baseRevision, profile: plainProfile(profile)},
     };
     this.sent.push({name: profile, command});
     this.send(node, {name: profile, command});
@@ -229,24 +228,3 @@
     }
   }
 }
-
-/** VM of a node, for tests. */
-export const vmOf = (node: NodeId): VmId => vmOfNode(node);
-
-const profileOf = (name: ProfileName): Profile => ({
-  name,
-  placing: {kind: 'pack'},
-  waiting: {
-    classes: [
-      {
-        name: 'all',
-        pathPrefix: '/',
-        priority: 1,
-        deadlineMs: 1000,
-        queueBound: 10,
-      },
-    ],
-    spill: {kind: 'never'},
-  },
-  stopping: {graceMs: 0, checkpoint: false, repeat: {kind: 'at_most_once'}},
-});
--- /dev/null
+++ b/packages/proofs/src/world/profiles.ts
@@ -0,0 +1,24 @@
+import {asId, type Profile, type ProfileName} from '@primrosewick/state';
+
+/** A profile with one class for all requests, and what a test changes of it. */
+export const plainProfile = (
+  name: string,
+  changes: Partial<Profile> = {},
+): Profile => ({
+  name: asId<ProfileName>(name),
+  placing: {kind: 'pack'},
+  waiting: {
+    classes: [
+      {
+        name: 'all',
+        pathPrefix: '/',
+        priority: 5,
+        deadlineMs: 5000,
+        queueBound: 500,
+      },
+    ],
+    spill: {kind: 'never'},
+  },
+  stopping: {graceMs: 0, checkpoint: false, repeat: {kind: 'at_most_once'}},
+  ...changes,
+});
--- a/packages/proofs/src/zone/fixtures.ts
+++ b/packages/proofs/src/zone/fixtures.ts
@@ -1,11 +1,6 @@
 import type {VmSettings} from '@primrosewick/protocol';
-import {
-  asId,
-  type Profile,
-  type ProfileName,
-  type VmId,
-  type ZoneId,
-} from '@primrosewick/state';
+import {asId, type Profile, type VmId, type ZoneId} from '@primrosewick/state';
+import {plainProfile} from '../world/profiles.js';
 
 /** VMs of a zone, with a witness where their number is even. */
 export const makeVms = (zoneVms: number): VmSettings[] => {
@@ -25,28 +20,28 @@
 /** Profiles of the jobs and of the service. */
 export const profileOf = (
   name: 'desk' | 'again' | 'once' | 'spread',
-): Profile => ({
-  name: asId<ProfileName>(name),
-  placing:
-    name === 'spread' ? {kind: 'spread', over: 'worker'} : {kind: 'pack'},
-  waiting: {
-    classes: [
-      {
-        name: 'all',
-        pathPrefix: '/',
-        priority: 1,
-        deadlineMs: 1000,
-        queueBound: 10,
-      },
-    ],
-    spill: {kind: 'never'},
-  },
-  stopping: {
-    graceMs: 100,
-    checkpoint: name === 'again',
-    repeat:
-      name === 'once'
-        ? {kind: 'at_most_once'}
-        : {kind: 'again', maxAttempts: 4, backoffMs: 100},
-  },
-});
+): Profile =>
+  plainProfile(name, {
+    placing:
+      name === 'spread' ? {kind: 'spread', over: 'worker'} : {kind: 'pack'},
+    waiting: {
+      classes: [
+        {
+          name: 'all',
+          pathPrefix: '/',
+          priority: 1,
+          deadlineMs: 1000,
+          queueBound: 10,
+        },
+      ],
+      spill: {kind: 'never'},
+    },
+    stopping: {
+      graceMs: 100,
+      checkpoint: name === 'again',
+      repeat:
+        name === 'once'
+          ? {kind: 'at_most_once'}
+          : {kind: 'again', maxAttempts: 4, backoffMs: 100},
+    },
+  });
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -7,6 +7,7 @@
   ZoneTask,
   type AttemptCall,
   type AttemptResult,
+  type JournalRecorder,
   type LogPort,
   type StartResult,
   type UpstreamPort,
@@ -22,7 +23,7 @@
 import {Metrics} from '@primrosewick/transport';
 import {FakePeers, type PeerPlace} from '../world/fake_peers.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
-import {JournalKeeper} from './journal_keeper.js';
+import {makeJournal} from './journal_keeper.js';
 import type {ZoneWorld} from './zone_world.js';
 
 const FEED_MS = 100;
@@ -45,7 +46,7 @@
 /** The daemon of one VM: the real tasks behind fake ports. */
 export class SimVm implements PeerPlace {
   readonly process = new SimProcess();
-  readonly journal = new JournalKeeper();
+  readonly journal: JournalRecorder;
   readonly holder: HolderId;
   readonly authority: AuthorityTask;
   readonly zone: ZoneTask;
@@ -71,6 +72,7 @@
       random,
       placeOf: vm => world.vmOf(vm),
     });
+    this.journal = makeJournal(clock);
     const metrics = new Metrics();
     const log: LogPort = {
       propose: command => world.log.propose(this.process, command),
--- a/packages/proofs/src/zone/zone_world.ts
+++ b/packages/proofs/src/zone/zone_world.ts
@@ -1,4 +1,4 @@
-import type {ClientRequest} from '@primrosewick/coordination';
+import type {ClientRequest, JournalRecorder} from '@primrosewick/coordination';
 import type {VmSettings} from '@primrosewick/protocol';
 import {
   asId,
@@ -21,7 +21,7 @@
   type NetworkFaults,
 } from '../world/fake_network.js';
 import {FakeLog} from './fake_log.js';
-import type {JournalKeeper} from './journal_keeper.js';
+import {checkJournal} from './journal_keeper.js';
 import {ZoneOracle, type ClientRecord} from './oracle.js';
 import {makeVms, profileOf} from './fixtures.js';
 import {SimVm} from './sim_vm.js';
@@ -69,7 +69,7 @@
   readonly upstreams: SimUpstream[];
   readonly workers: SimWorker[];
   private readonly running = new Map<VmId, SimVm>();
-  private readonly journals: JournalKeeper[] = [];
+  private readonly journals: JournalRecorder[] = [];
   private boots = 0;
   private requests = 0;
   /** Whether nothing is broken, so that bounds on time hold as well. */
@@ -241,7 +241,7 @@
     this.oracle.checkEnd();
     this.checkJobs();
     this.checkProgress();
-    for (const journal of this.journals) journal.check();
+    for (const journal of this.journals) checkJournal(journal);
   }
 
   /** Lets time pass until all jobs have ended, or until they should have. */
--- a/packages/state/src/requests/core.ts
+++ b/packages/state/src/requests/core.ts
@@ -17,13 +17,12 @@
   type AttemptFailure,
   type AttemptId,
   type DecisionNote,
-  type ForeignTerms,
   type RequestEffect,
   type RequestEvent,
   type RequestLimits,
   type RequestStep,
 } from './types.js';
-import {SpillChoice, reviveSpillChoice} from './spill_choice.js';
+import {ShareDemand, reviveShareDemand} from './share_demand.js';
 import {ServiceTimes, reviveServiceTimes} from './service_times.js';
 
 interface OpenRequest {
@@ -48,7 +47,7 @@
   private readonly requestOfAttempt = new Map<AttemptId, RequestId>();
   private readonly queues = new Map<ServiceName, ClassQueue>();
   private readonly times = new ServiceTimes();
-  private readonly spill = new SpillChoice();
+  private readonly demand: ShareDemand;
   private readonly budget: RetryBudget;
   private now = 0;
   private effects: RequestEffect[] = [];
@@ -56,6 +55,13 @@
 
   constructor(limits: Partial<RequestLimits> = {}) {
     this.limits = {...DEFAULT_REQUEST_LIMITS, ...limits};
+    const {shares, queues, times} = this;
+    this.demand = new ShareDemand({
+      shares,
+      queues,
+      times,
+      spareSlots: this.limits.spareSlots,
+    });
     this.budget = new RetryBudget({
       ratio: this.limits.retryRatio,
       burst: this.limits.retryBurst,
@@ -91,55 +97,13 @@
 
   private onRenew({lender, services, foreign}: RenewEvent): void {
     const wantOf = (service: ServiceName): number =>
-      foreign
-        ? this.foreignWant(service, lender, foreign)
-        : this.wantOf(service, lender);
+      this.demand.wantOf(service, lender, this.now, foreign);
     const wants = services.map(service => ({service, slots: wantOf(service)}));
     const held = this.shares.report(lender, this.now, wantOf);
     const isNeeded =
       !foreign || held.length > 0 || wants.some(({slots}) => slots > 0);
     if (isNeeded) this.effects.push({kind: 'sync', lender, held, wants});
-  }
-
-  /** Slots wanted of another zone: none unless the wait here is longer than the way there. */
-  private foreignWant(
-    service: ServiceName,
-    lender: string,
-    foreign: ForeignTerms,
-  ): number {
-    const marginMs = foreign.margins.find(
-      margin => margin.service === service,
-    )?.marginMs;
-    const busy = this.shares.countBusyOf(service, lender);
-    if (marginMs === undefined) return busy;
-    const queued = this.queues.get(service)?.size ?? 0;
-    const choice = {
-      service,
-      lender,
-      waitMs: this.localWait(service),
-      roundTripMs: foreign.roundTripMs,
-      marginMs,
-    };
-    const {isSpilling, note} = this.spill.decide(choice);
-    if (note) this.notes.push(note);
-    return isSpilling ? busy + queued : busy;
-  }
-
-  /** Expected wait for a slot of the own zone, in ms. */
-  private localWait(service: ServiceName): number {
-    const queued = this.queues.get(service)?.size ?? 0;
-    if (queued === 0) return 0;
-    const slots = this.shares.countLocalSlots(service, this.now);
-    return slots === 0
-      ? Number.POSITIVE_INFINITY
-      : (queued * this.times.mean(service)) / slots;
-  }
-
-  private wantOf(service: ServiceName, lender: string): number {
-    const queued = this.queues.get(service)?.size ?? 0;
-    return (
-      this.shares.countBusyOf(service, lender) + queued + this.limits.spareSlots
-    );
+    this.notes.push(...this.demand.takeNotes());
   }
 
   private handle(event: RequestEvent): void {
@@ -195,23 +159,22 @@
     if (queue.sizeOf(arrival.cls) >= arrival.queueBound) return 'queue_full';
     const canStartAt =
       this.now +
-      this.expectedWait(arrival.service, queue.sizeAhead(arrival.priority));
+      this.demand.expectedWait(
+        arrival.service,
+        queue.sizeAhead(arrival.priority),
+        this.now,
+      );
     return canStartAt + this.times.expected(arrival.service, arrival.cls) >
       arrival.deadline
       ? 'deadline_unreachable'
       : undefined;
   }
 
-  /** Time until a request with this many ahead of it gets a slot, in ms. */
-  private expectedWait(service: ServiceName, ahead: number): number {
-    const slots = this.shares.countSlots(service, this.now);
-    if (slots === 0) return 0;
-    return ((ahead + 1) * this.times.mean(service)) / slots;
-  }
-
   private waitHint(arrival: Arrival): number {
     const queue = this.queueOf(arrival.service);
-    return Math.ceil(this.expectedWait(arrival.service, queue.size));
+    return Math.ceil(
+      this.demand.expectedWait(arrival.service, queue.size, this.now),
+    );
   }
 
   private enqueue({id, service, cls, priority, deadline}: Arrival): void {
@@ -437,5 +400,5 @@
   queues: mapReviver(reviveClassQueue),
   times: reviveServiceTimes,
   budget: reviveRetryBudget,
-  spill: reviveSpillChoice,
+  demand: reviveShareDemand,
 });
--- /dev/null
+++ b/packages/state/src/requests/share_demand.ts
@@ -0,0 +1,93 @@
+import type {ServiceName} from '../ids/types.js';
+import {reviverOf} from '../utils/image.js';
+import type {ClassQueue} from './class_queue.js';
+import type {ServiceTimes} from './service_times.js';
+import type {ShareTable} from './share_table.js';
+import {SpillChoice, reviveSpillChoice} from './spill_choice.js';
+import type {DecisionNote, ForeignTerms} from './types.js';
+
+/** What the demand is worked out from. */
+export interface ShareDemandOptions {
+  readonly shares: ShareTable;
+  readonly queues: ReadonlyMap<ServiceName, ClassQueue>;
+  readonly times: ServiceTimes;
+  /** Slots wanted beyond those in use and waited for. */
+  readonly spareSlots: number;
+}
+
+/** Slots that an entry wants of each lender, and the waits behind that. */
+export class ShareDemand {
+  private readonly spill = new SpillChoice();
+  private notes: DecisionNote[] = [];
+
+  constructor(private readonly options: ShareDemandOptions) {}
+
+  /** Slots wanted of a lender. */
+  wantOf(
+    service: ServiceName,
+    lender: string,
+    now: number,
+    foreign: ForeignTerms | undefined,
+  ): number {
+    const busy = this.options.shares.countBusyOf(service, lender);
+    if (!foreign) return busy + this.queued(service) + this.options.spareSlots;
+    return busy + this.foreignWant(service, lender, now, foreign);
+  }
+
+  /** Time until a request with this many ahead of it gets a slot, in ms. */
+  expectedWait(service: ServiceName, ahead: number, now: number): number {
+    const {shares, times} = this.options;
+    const slots = shares.countSlots(service, now);
+    return slots === 0 ? 0 : ((ahead + 1) * times.mean(service)) / slots;
+  }
+
+  /** Reasons gathered since the last call. */
+  takeNotes(): DecisionNote[] {
+    const {notes} = this;
+    this.notes = [];
+    return notes;
+  }
+
+  /** Waiting requests that another zone should serve: none unless the wait here is longer than the way there. */
+  private foreignWant(
+    service: ServiceName,
+    lender: string,
+    now: number,
+    {roundTripMs, margins}: ForeignTerms,
+  ): number {
+    const marginMs = margins.find(
+      margin => margin.service === service,
+    )?.marginMs;
+    if (marginMs === undefined) return 0;
+    const waitMs = this.localWait(service, now);
+    const {isSpilling, note} = this.spill.decide({
+      service,
+      lender,
+      waitMs,
+      roundTripMs,
+      marginMs,
+    });
+    if (note) this.notes.push(note);
+    return isSpilling ? this.queued(service) : 0;
+  }
+
+  /** Expected wait for a slot of the own zone, in ms. */
+  private localWait(service: ServiceName, now: number): number {
+    const {shares, times} = this.options;
+    const queued = this.queued(service);
+    if (queued === 0) return 0;
+    const slots = shares.countLocalSlots(service, now);
+    return slots === 0
+      ? Number.POSITIVE_INFINITY
+      : (queued * times.mean(service)) / slots;
+  }
+
+  private queued(service: ServiceName): number {
+    return this.options.queues.get(service)?.size ?? 0;
+  }
+}
+
+/** Makes the demand from its plain state; its options are shared with the core. */
+export const reviveShareDemand = reviverOf(ShareDemand.prototype, {
+  spill: reviveSpillChoice,
+});
--- a/packages/transport/src/metrics/registry.ts
+++ b/packages/transport/src/metrics/registry.ts
@@ -29,6 +29,9 @@
 /** Why something that arrived is left unused. */
 export type DropReason = (typeof DROP_REASONS)[number];
 
+/** Interval at which the delay of the event loop is sampled, in ms. */
+const EVENT_LOOP_SAMPLE_MS = 1000;
+
 const WAIT_BUCKETS_MS = [
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000,
 ];
@@ -47,7 +50,10 @@
 
   constructor() {
     const registers = [this.registry];
-    collectDefaultMetrics({register: this.registry});
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
+    });
     this.refusals = new Counter({
       name: 'primrosewick_refusals_total',
       help: 'Refusals by reason code and step.',
