Test the placement core alone

Cause: gangs, quotas, ageing, preemption, use beyond the declared size and workers set aside had no proof but the zone fuzzing, which has no oracle for them.

--- /dev/null
+++ b/packages/state/src/placement/core.spec.ts
@@ -0,0 +1,315 @@
+import {expect} from 'chai';
+import type {JobRecord} from '../cell/types.js';
+import type {JobSpec, Size, TaskOutcome} from '../documents/job.js';
+import type {Profile} from '../documents/profile.js';
+import {
+  asEpoch,
+  asId,
+  type JobId,
+  type ProfileName,
+  type TaskId,
+  type TeamName,
+  type WorkerId,
+  type ZoneId,
+} from '../ids/types.js';
+import {PlacementCore} from './core.js';
+import type {
+  PlacementEffect,
+  PlacementLimits,
+  StartTask,
+  TaskView,
+} from './types.js';
+
+const TEAM = asId<TeamName>('team');
+const NAME = asId<ProfileName>('p');
+
+interface JobWish extends Partial<Omit<JobSpec, 'size'>> {
+  readonly cpu?: number;
+  readonly profile?: never;
+  readonly checkpoint?: boolean;
+  readonly spread?: boolean;
+}
+
+const profileOf = ({checkpoint = false, spread = false}: JobWish): Profile => ({
+  name: NAME,
+  placing: spread ? {kind: 'spread', over: 'rack'} : {kind: 'pack'},
+  waiting: {
+    classes: [
+      {name: 'all', pathPrefix: '/', priority: 1, deadlineMs: 1, queueBound: 1},
+    ],
+    spill: {kind: 'never'},
+  },
+  stopping: {
+    graceMs: 0,
+    checkpoint,
+    repeat: {kind: 'again', maxAttempts: 3, backoffMs: 100},
+  },
+});
+
+/** A placement core with workers of four cores, and short calls to it. */
+class Trial {
+  readonly core: PlacementCore;
+  private readonly seqs = new Map<string, number>();
+  private readonly tasks = new Map<string, StartTask>();
+  private jobs = 0;
+  now = 0;
+
+  constructor(workers: number, limits: Partial<PlacementLimits> = {}) {
+    this.core = new PlacementCore({
+      epoch: asEpoch(1),
+      startedAt: -100_000,
+      limits: {announceMs: 1e9, taskLeaseMs: 10_000, ...limits},
+    });
+    this.core.step({kind: 'barrier', now: 0, index: 0});
+    for (let i = 0; i < workers; i++) this.report(`w${i}`);
+  }
+
+  submit(wish: JobWish): string[] {
+    this.jobs++;
+    const {
+      cpu = 1000,
+      checkpoint: _checkpoint,
+      spread: _spread,
+      ...spec
+    } = wish;
+    const job: JobRecord = {
+      id: asId<JobId>(`job-${this.jobs}`),
+      spec: {
+        team: TEAM,
+        profile: NAME,
+        taskCount: 1,
+        gang: false,
+        priority: 4,
+        size: sizeOf(cpu),
+        command: 'run',
+        runMs: 1,
+        ...spec,
+      } as JobSpec,
+      homeZone: asId<ZoneId>('z'),
+      state: 'open',
+      profile: profileOf(wish),
+      acceptedAt: 0,
+      acceptedIndex: this.jobs,
+      started: [],
+      ended: [],
+    };
+    return this.take(
+      this.core.step({kind: 'job', now: this.now, job, index: this.jobs})
+        .effects,
+    );
+  }
+
+  /** Announces a worker with its running tasks, some of them ended or using more. */
+  report(
+    worker: string,
+    ended: Record<string, TaskOutcome> = {},
+    usedCpuMillis = 0,
+  ): string[] {
+    const seq = (this.seqs.get(worker) ?? 0) + 1;
+    this.seqs.set(worker, seq);
+    const own = [...this.tasks.values()].filter(
+      order => order.worker === worker,
+    );
+    const tasks = own.map(order =>
+      viewOf(order, ended[order.task], usedCpuMillis),
+    );
+    for (const order of own)
+      if (ended[order.task]) this.tasks.delete(order.task);
+    const report = {
+      worker: asId<WorkerId>(worker),
+      rack: worker === 'w0' ? 'r0' : 'r1',
+      address: worker,
+      size: {...sizeOf(4000), memoryMb: 10_000},
+      state: 'serving' as const,
+      seq,
+      fence: seq - 1,
+      epoch: asEpoch(1),
+      tasks,
+    };
+    return this.take(
+      this.core.step({kind: 'report', now: this.now, report}).effects,
+    );
+  }
+
+  tick(byMs: number): string[] {
+    this.now += byMs;
+    return this.take(this.core.step({kind: 'tick', now: this.now}).effects);
+  }
+
+  setQuota(cpuMillis: number): string[] {
+    return this.take(
+      this.core.step({
+        kind: 'quotas',
+        now: this.now,
+        quotas: [{team: TEAM, cpuMillis}],
+      }).effects,
+    );
+  }
+
+  placeOf(task: string): string | undefined {
+    return this.tasks.get(task)?.worker;
+  }
+
+  private take(effects: readonly PlacementEffect[]): string[] {
+    const starts = effects.flatMap(effect =>
+      effect.kind === 'start' ? [effect.order] : [],
+    );
+    for (const order of starts) this.tasks.set(order.task, order);
+    return starts.map(({task}) => task);
+  }
+}
+
+const sizeOf = (cpuMillis: number): Size => ({
+  cpuMillis,
+  memoryMb: 100,
+  accelerators: 0,
+});
+
+const viewOf = (
+  order: StartTask,
+  outcome: TaskOutcome | undefined,
+  usedCpuMillis: number,
+): TaskView => ({
+  task: order.task as TaskId,
+  attempt: order.attempt,
+  state: outcome ? 'ended' : 'running',
+  ...(outcome ? {outcome} : {}),
+  usedCpuMillis,
+  usedMemoryMb: 0,
+  size: order.size,
+});
+
+describe('placement core', () => {
+  it('a task that does not fit waits until there is room', () => {
+    const trial = new Trial(1);
+    expect(trial.submit({cpu: 3000})).to.deep.equal(['job-1.0']);
+    expect(trial.submit({cpu: 2000})).to.deep.equal([]);
+    expect(trial.report('w0', {'job-1.0': 'succeeded'})).to.deep.equal([
+      'job-2.0',
+    ]);
+  });
+  it('a gang starts whole or not at all', () => {
+    const trial = new Trial(2);
+    trial.submit({cpu: 2000});
+    expect(trial.submit({cpu: 3000, taskCount: 2, gang: true})).to.deep.equal(
+      [],
+    );
+    expect(trial.report('w0', {'job-1.0': 'succeeded'})).to.deep.equal([
+      'job-2.0',
+      'job-2.1',
+    ]);
+  });
+  it('two gangs that need the same workers do not block each other', () => {
+    const trial = new Trial(2);
+    expect(trial.submit({cpu: 3000, taskCount: 2, gang: true})).to.have.length(
+      2,
+    );
+    expect(trial.submit({cpu: 3000, taskCount: 2, gang: true})).to.have.length(
+      0,
+    );
+    trial.report('w0', {'job-1.0': 'succeeded'});
+    expect(trial.report('w1', {'job-1.1': 'succeeded'})).to.deep.equal([
+      'job-2.0',
+      'job-2.1',
+    ]);
+  });
+  it('a gang that has waited long holds lower jobs back', () => {
+    const trial = new Trial(2, {gangHoldMs: 1000});
+    trial.submit({cpu: 2000});
+    trial.submit({cpu: 3000, taskCount: 2, gang: true});
+    expect(trial.submit({cpu: 1000})).to.deep.equal(['job-3.0']);
+    trial.tick(1000);
+    expect(trial.submit({cpu: 1000})).to.deep.equal([]);
+  });
+  it('a higher priority goes first', () => {
+    const trial = new Trial(1);
+    trial.submit({cpu: 4000});
+    trial.submit({cpu: 4000, priority: 2});
+    trial.submit({cpu: 4000, priority: 7});
+    expect(trial.report('w0', {'job-1.0': 'succeeded'})).to.deep.equal([
+      'job-3.0',
+    ]);
+  });
+  it('a job that waits long enough goes before a later one of higher priority', () => {
+    const trial = new Trial(1, {ageingMs: 1000});
+    trial.submit({cpu: 4000});
+    trial.submit({cpu: 4000, priority: 2});
+    for (let i = 0; i < 6; i++) trial.tick(1000);
+    trial.submit({cpu: 4000, priority: 7});
+    expect(trial.report('w0', {'job-1.0': 'succeeded'})).to.deep.equal([
+      'job-2.0',
+    ]);
+  });
+  it('a team stays within its quota', () => {
+    const trial = new Trial(1);
+    trial.setQuota(2000);
+    expect(trial.submit({cpu: 1000, taskCount: 3})).to.have.length(2);
+    expect(trial.report('w0', {'job-1.0': 'succeeded'})).to.deep.equal([
+      'job-1.2',
+    ]);
+  });
+  it('a task is counted by what it uses when that is more than it declared', () => {
+    const trial = new Trial(1);
+    trial.submit({cpu: 1000});
+    trial.report('w0', {}, 3500);
+    expect(trial.submit({cpu: 1000})).to.deep.equal([]);
+  });
+  it('spread tasks go to different racks', () => {
+    const trial = new Trial(2);
+    trial.submit({cpu: 100, taskCount: 2, spread: true});
+    expect(
+      new Set([trial.placeOf('job-1.0'), trial.placeOf('job-1.1')]).size,
+    ).to.equal(2);
+  });
+  it('an urgent task stops one that can save its progress', () => {
+    const trial = new Trial(1);
+    trial.submit({cpu: 4000, checkpoint: true});
+    expect(trial.submit({cpu: 2000, priority: 9})).to.deep.equal([]);
+    expect(trial.report('w0', {'job-1.0': 'cancelled'})).to.deep.equal([
+      'job-2.0',
+    ]);
+    expect(trial.report('w0', {'job-2.0': 'succeeded'})).to.deep.equal([
+      'job-1.0',
+    ]);
+  });
+  it('an urgent task does not stop one that cannot', () => {
+    const trial = new Trial(1);
+    trial.submit({cpu: 4000});
+    trial.submit({cpu: 2000, priority: 9});
+    const {effects} = trial.core.step({kind: 'tick', now: 1});
+    expect(effects.filter(({kind}) => kind === 'answer')).to.have.length(0);
+    expect(trial.report('w0')).to.deep.equal([]);
+  });
+  it('a failed task runs again after its backoff, up to its cap', () => {
+    const trial = new Trial(1);
+    trial.submit({cpu: 1000});
+    expect(trial.report('w0', {'job-1.0': 'failed'})).to.deep.equal([]);
+    expect(trial.tick(100)).to.deep.equal(['job-1.0']);
+    trial.report('w0', {'job-1.0': 'failed'});
+    expect(trial.tick(200)).to.deep.equal(['job-1.0']);
+    trial.report('w0', {'job-1.0': 'failed'});
+    expect(trial.tick(10_000)).to.deep.equal([]);
+  });
+  it('a worker that fails everything is set aside, and tried again later', () => {
+    const trial = new Trial(3, {setAsideMs: 1000});
+    trial.submit({cpu: 2000, taskCount: 2, spread: true});
+    const free = ['w0', 'w1', 'w2'].find(
+      worker =>
+        worker !== trial.placeOf('job-1.0') &&
+        worker !== trial.placeOf('job-1.1'),
+    )!;
+    for (let i = 2; i <= 4; i++) {
+      expect(trial.submit({cpu: 3000})).to.have.length(1);
+      trial.report(free, {[`job-${i}.0`]: 'failed'});
+    }
+    expect(trial.submit({cpu: 3000})).to.deep.equal([]);
+    expect(trial.tick(1000)).to.have.length(1);
+  });
+  it('a job that fails everywhere sets no worker aside', () => {
+    const trial = new Trial(3, {setAsideMs: 1000});
+    trial.submit({cpu: 3000, taskCount: 3});
+    for (const i of [0, 1, 2])
+      trial.report(trial.placeOf(`job-1.${i}`)!, {[`job-1.${i}`]: 'failed'});
+    expect(trial.tick(100)).to.have.length(3);
+  });
+});
