--- a/packages/state/src/placement/core.spec.ts
+++ b/packages/state/src/placement/core.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import type {JobRecord} from '../cell/types.js';
-import type {JobSpec, Size, TaskOutcome} from '../documents/job.js';
+import type {Size, TaskOutcome} from '../documents/job.js';
 import type {Profile} from '../documents/profile.js';
 import {
   asEpoch,
@@ -23,9 +23,11 @@
 const TEAM = asId<TeamName>('team');
 const NAME = asId<ProfileName>('p');
 
-interface JobWish extends Partial<Omit<JobSpec, 'size'>> {
+interface JobWish {
   readonly cpu?: number;
-  readonly profile?: never;
+  readonly taskCount?: number;
+  readonly gang?: boolean;
+  readonly priority?: number;
   readonly checkpoint?: boolean;
   readonly spread?: boolean;
 }
@@ -53,6 +55,8 @@
   private readonly tasks = new Map<string, StartTask>();
   private jobs = 0;
   now = 0;
+  /** Attempts that the last answer told a worker to stop. */
+  stopped: readonly string[] = [];
 
   constructor(workers: number, limits: Partial<PlacementLimits> = {}) {
     this.core = new PlacementCore({
@@ -66,25 +70,20 @@
 
   submit(wish: JobWish): string[] {
     this.jobs++;
-    const {
-      cpu = 1000,
-      checkpoint: _checkpoint,
-      spread: _spread,
-      ...spec
-    } = wish;
+    const {cpu = 1000, taskCount = 1, gang = false, priority = 4} = wish;
+    const spec = {
+      team: TEAM,
+      profile: NAME,
+      taskCount,
+      gang,
+      priority,
+      size: sizeOf(cpu),
+      command: 'run',
+      runMs: 1,
+    };
     const job: JobRecord = {
       id: asId<JobId>(`job-${this.jobs}`),
-      spec: {
-        team: TEAM,
-        profile: NAME,
-        taskCount: 1,
-        gang: false,
-        priority: 4,
-        size: sizeOf(cpu),
-        command: 'run',
-        runMs: 1,
-        ...spec,
-      } as JobSpec,
+      spec,
       homeZone: asId<ZoneId>('z'),
       state: 'open',
       profile: profileOf(wish),
@@ -151,6 +150,8 @@
   }
 
   private take(effects: readonly PlacementEffect[]): string[] {
+    const answer = effects.find(effect => effect.kind === 'answer')?.answer;
+    this.stopped = answer?.stop ?? [];
     const starts = effects.flatMap(effect =>
       effect.kind === 'start' ? [effect.order] : [],
     );
@@ -265,6 +266,8 @@
     const trial = new Trial(1);
     trial.submit({cpu: 4000, checkpoint: true});
     expect(trial.submit({cpu: 2000, priority: 9})).to.deep.equal([]);
+    trial.report('w0');
+    expect(trial.stopped).to.deep.equal(['job-1.0#1.1']);
     expect(trial.report('w0', {'job-1.0': 'cancelled'})).to.deep.equal([
       'job-2.0',
     ]);
@@ -276,9 +279,8 @@
     const trial = new Trial(1);
     trial.submit({cpu: 4000});
     trial.submit({cpu: 2000, priority: 9});
-    const {effects} = trial.core.step({kind: 'tick', now: 1});
-    expect(effects.filter(({kind}) => kind === 'answer')).to.have.length(0);
-    expect(trial.report('w0')).to.deep.equal([]);
+    trial.report('w0');
+    expect(trial.stopped).to.deep.equal([]);
   });
   it('a failed task runs again after its backoff, up to its cap', () => {
     const trial = new Trial(1);
