Answer messages of the log in the call that brought them

Cause: idle voters used 5.1 to 5.6 % of a core (target 3.9): a heartbeat and its answer were two calls, every 300 ms, to each of two followers. Change: a voter answers a call with the messages that it led to; heartbeats come every 500 ms, a third of the shortest election timeout. Ruled out: streams, which would need their own deadlines and reconnection.

--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -56,6 +56,12 @@
   readonly reject: (err: CellError) => void;
 }
 
+/** A VM that waits for the messages that its own led to. */
+interface Collector {
+  readonly vm: VmId;
+  readonly resolve: (envelopes: ReadonlyArray<Envelope<CellCommand>>) => void;
+}
+
 interface Placed extends Waiter {
   readonly term: number;
 }
@@ -66,6 +72,7 @@
   readonly changes = new Subject<ConsensusStatus>();
   private readonly core: ConsensusCore<CellCommand>;
   private readonly pump: ConsensusPump<CellCommand>;
+  private collectors: Collector[] = [];
   private readonly byToken = new Map<number, Waiter>();
   private readonly byIndex = new Map<number, Placed>();
   private nextToken = 1;
@@ -131,8 +138,22 @@
     return leader && vmOfNode(leader);
   }
 
-  /** Takes messages of other nodes. */
-  receive(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
+  /**
+   * Takes messages of another VM.
+   * @returns the messages to that VM which they led to, so that a heartbeat
+   *   and its answer cost one call.
+   */
+  receive(
+    from: VmId,
+    envelopes: ReadonlyArray<Envelope<CellCommand>>,
+  ): Promise<ReadonlyArray<Envelope<CellCommand>>> {
+    return new Promise(resolve => {
+      this.collectors.push({vm: from, resolve});
+      this.offerMessages(envelopes);
+    });
+  }
+
+  private offerMessages(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
     const now = this.options.clock.now();
     for (const envelope of envelopes)
       this.pump.offer({kind: 'message', now, envelope});
@@ -215,26 +236,48 @@
   }
 
   private async runOnce(): Promise<void> {
+    const collectors = this.collectors;
+    this.collectors = [];
     const {writes, messages, deliveries, answers} = this.pump.run();
     const image = this.core.durable;
     if (writes.length > 0)
       await persistWrites(this.options.folder, writes, () => image);
-    this.sendAll(messages);
+    this.sendAll(messages, collectors);
     for (const answer of answers) this.onAnswer(answer);
     for (const delivery of deliveries) this.deliver(delivery);
     this.noteStatus();
     if (deliveries.length > 0) this.compactIfLong();
   }
 
-  private sendAll(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
-    const byNode = new Map<NodeId, Array<Envelope<CellCommand>>>();
+  /** Answers the VMs that wait for their messages, and calls the others. */
+  private sendAll(
+    envelopes: ReadonlyArray<Envelope<CellCommand>>,
+    collectors: readonly Collector[],
+  ): void {
+    const byVm = new Map<VmId, Array<Envelope<CellCommand>>>();
     for (const envelope of envelopes) {
-      byNode.set(envelope.to, [...(byNode.get(envelope.to) ?? []), envelope]);
+      const vm = vmOfNode(envelope.to);
+      byVm.set(vm, [...(byVm.get(vm) ?? []), envelope]);
+    }
+    for (const {vm, resolve} of collectors) {
+      resolve(byVm.get(vm) ?? []);
+      byVm.delete(vm);
     }
-    for (const [node, batch] of byNode) {
-      this.options.peers
-        .call(vmOfNode(node), 'consensus', {envelopes: batch})
-        .catch(() => undefined);
+    for (const [vm, batch] of byVm) void this.send(vm, batch);
+  }
+
+  private async send(
+    vm: VmId,
+    envelopes: ReadonlyArray<Envelope<CellCommand>>,
+  ): Promise<void> {
+    try {
+      const reply = await this.options.peers.call(vm, 'consensus', {envelopes});
+      if (reply.envelopes.length > 0)
+        this.offerMessages(
+          reply.envelopes as ReadonlyArray<Envelope<CellCommand>>,
+        );
+    } catch {
+      // The core sends again what is not answered.
     }
   }
 
@@ -330,6 +373,8 @@
 
   private fail(err: CellError): void {
     this.failure = err;
+    for (const {resolve} of this.collectors) resolve([]);
+    this.collectors = [];
     this.timer?.unsubscribe();
     this.refuseAll('storage_failed');
     this.options.onFailure(err);
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -204,7 +204,7 @@
 
 /** Timing used where none is given. */
 export const DEFAULT_CONSENSUS_TIMING: ConsensusTiming = {
-  heartbeatMs: 300,
+  heartbeatMs: 500,
   electionMs: 1500,
   maxEntriesPerMessage: 256,
   maxInFlight: 2048,
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -40,10 +40,9 @@
     node: voter?.node ?? null,
     hasState: (voter?.hasState ?? false) || replica.replica.index > 0,
   }),
-  consensus: async ({envelopes}) => {
-    voter?.receive(envelopes);
-    return {taken: voter !== null};
-  },
+  consensus: async ({envelopes}, from) => ({
+    envelopes: voter ? await voter.receive(from, envelopes) : [],
+  }),
   propose: async ({command}) =>
     voter
       ? proposeAt(voter.propose, () => voter.leaderVm, command)
--- a/packages/daemon/src/voter.ts
+++ b/packages/daemon/src/voter.ts
@@ -121,13 +121,16 @@
     return Promise.reject(new CellError({code: 'not_leader', step: 'propose'}));
   };
 
-  /** Takes messages of other nodes. */
-  receive(envelopes: readonly unknown[]): void {
+  /** Takes messages of another VM; @returns those to it which they led to. */
+  async receive(
+    from: VmId,
+    envelopes: readonly unknown[],
+  ): Promise<readonly unknown[]> {
     const own = envelopes as ReadonlyArray<Envelope<CellCommand>>;
     const meant = own.filter(({to}) => to === this.node);
     for (let i = meant.length; i < own.length; i++)
       this.options.metrics.addDrop('wrong_identity');
-    this.consensus?.receive(meant);
+    return this.consensus ? this.consensus.receive(from, meant) : [];
   }
 
   /** Index that a read must have reached, when this voter leads. */
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -186,7 +186,7 @@
         const delayMs =
           target.settings.zone === from.zone ? IN_ZONE_MS : CROSS_ZONE_MS;
         await sleep(delayMs);
-        const reply = await this.answer(target, method, request);
+        const reply = await this.answer(from.vm, target, method, request);
         await sleep(delayMs);
         return reply as PeerMethods[M]['reply'];
       },
@@ -194,15 +194,14 @@
   }
 
   private async answer(
+    from: VmId,
     target: BenchNode,
     method: PeerMethod,
     request: unknown,
   ): Promise<unknown> {
     if (method === 'consensus') {
-      target.voter?.receive(
-        (request as {envelopes: Array<Envelope<CellCommand>>}).envelopes,
-      );
-      return {taken: true};
+      const {envelopes} = request as {envelopes: Array<Envelope<CellCommand>>};
+      return {envelopes: (await target.voter?.receive(from, envelopes)) ?? []};
     }
     if (method === 'follow')
       return target.replica.follow(request as PeerMethods['follow']['request']);
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -123,7 +123,7 @@
   hello: {request: {readonly boot: string}; reply: HelloReply};
   consensus: {
     request: {readonly envelopes: readonly unknown[]};
-    reply: {readonly taken: boolean};
+    reply: {readonly envelopes: readonly unknown[]};
   };
   propose: {request: {readonly command: CellCommand}; reply: ProposeReply};
   readIndex: {
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -81,7 +81,7 @@
 
 const timingSchema = z
   .strictObject({
-    heartbeatMs: milliseconds(300, 'Interval of heartbeats of the cell log'),
+    heartbeatMs: milliseconds(500, 'Interval of heartbeats of the cell log'),
     electionMs: milliseconds(1500, 'Shortest election timeout of the cell log'),
     zoneLeaseMs: milliseconds(3000, "Length of a zone leader's lease"),
     zoneRenewMs: milliseconds(
