--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -1,6 +1,7 @@
 /** Runs the authority of the VM's own zone, and grants for the zones it witnesses. */
 import {Subject, type Subscription} from 'rxjs';
 import {
+  CellError,
   seededRandom,
   type Epoch,
   type VmId,
@@ -17,6 +18,7 @@
 import {authorityGroup} from './groups.js';
 import {
   DEFAULT_AUTHORITY_TIMING,
+  counterOf,
   type AuthorityChange,
   type AuthorityEffects,
   type AuthorityInput,
@@ -34,6 +36,8 @@
 }
 
 const TICK_MS = 100;
+/** How far an epoch's counter may be ahead of the wall clock, in seconds. */
+const MAX_EPOCH_AHEAD_S = 24 * 60 * 60;
 
 /** Runs the authority of one zone. */
 export class AuthorityTask {
@@ -96,9 +100,21 @@
     return this.ownGrantor.highestEpoch;
   }
 
-  /** Notes an epoch that an upstream or worker has seen. */
+  /**
+   * Notes an epoch that a worker has seen.
+   * @throws CellError `invalid_input` for an epoch that no leader can have had,
+   *   as it would depose every leader to come.
+   */
   noteEpoch(epoch: Epoch): void {
-    this.step({kind: 'saw_epoch', now: this.options.clock.now(), epoch});
+    const {clock} = this.options;
+    if (counterOf(epoch) > clock.wall() / 1000 + MAX_EPOCH_AHEAD_S) {
+      throw new CellError({
+        code: 'invalid_input',
+        step: 'note-epoch',
+        detail: `epoch ${epoch} lies in the future`,
+      });
+    }
+    this.step({kind: 'saw_epoch', now: clock.now(), epoch});
   }
 
   /** Answers a candidate or leader. */
--- a/packages/proofs/src/process/input.spec.ts
+++ b/packages/proofs/src/process/input.spec.ts
@@ -122,6 +122,31 @@
       errorCode(await post({write, spec: {...spec, size}})) === 'never_fits';
     expect(await waitUntil(15_000, submit)).to.equal(true);
   });
+  it('an epoch that no leader can have had', () => {
+    const size = {cpuMillis: 1, memoryMb: 1};
+    const worker = {
+      worker: 'evil',
+      zone: 'a',
+      rack: 'r',
+      address: '127.0.0.1:1',
+      size,
+      state: 'serving',
+      seq: 1,
+      fence: 0,
+      epoch: 2 ** 52,
+      tasks: [],
+    };
+    return refuses(
+      'invalid_input',
+      call(
+        cell.getVm('a1').platform,
+        'POST',
+        '/v1/workers',
+        {},
+        JSON.stringify(worker),
+      ),
+    );
+  });
   it('an unknown field', () =>
     refuses('invalid_input', post({write, spec, color: 'red'})));
   it('a write from the future', () =>
--- /dev/null
+++ b/packages/proofs/src/propagation/follow_world.ts
@@ -0,0 +1,131 @@
+import {FollowTask, ReplicaTask, followSources} from '@primrosewick/coordination';
+import type {PeerMethods, VmSettings} from '@primrosewick/protocol';
+import {asId, seededRandom, type ProfileName, type Random, type VmId, type ZoneId} from '@primrosewick/state';
+import {EventQueue} from '../world/event_queue.js';
+import {FakeNetwork, NO_FAULTS} from '../world/fake_network.js';
+import {FakePeers, type PeerPlace} from '../world/fake_peers.js';
+import {SimProcess, VirtualClock} from '../world/process.js';
+import {plainProfile} from '../world/profiles.js';
+import {FakeLog} from '../zone/fake_log.js';
+
+const NAME = asId<ProfileName>('desk');
+const VOTER_LAG_MS = 400;
+const SETTLE_MS = 30_000;
+
+/** One VM with a copy of the cell state. */
+interface Copy extends PeerPlace {
+  readonly settings: VmSettings;
+  readonly replica: ReplicaTask;
+}
+
+/** VMs of two zones that follow voters, or one another, on virtual time. */
+export class FollowWorld {
+  readonly queue = new EventQueue();
+  readonly network: FakeNetwork;
+  readonly vms: VmSettings[];
+  private readonly random: Random;
+  private readonly log: FakeLog;
+  private readonly copies = new Map<VmId, Copy>();
+  private readonly shown = new Map<Copy, number>();
+  private revision = 0;
+
+  constructor(seed: number) {
+    this.random = seededRandom(seed);
+    this.network = new FakeNetwork(this.queue, this.random);
+    this.log = new FakeLog(this.queue, this.random);
+    this.vms = [vmOf('a0', 'a', true), vmOf('a1', 'a', false), vmOf('a2', 'a', false), vmOf('b0', 'b', false), vmOf('b1', 'b', false), vmOf('b2', 'b', false)];
+    for (const {vm} of this.vms) this.boot(vm);
+  }
+
+  /** Lets virtual time pass, and checks that no copy goes back. */
+  async advance(ms: number): Promise<void> {
+    await this.queue.advanceAsync(ms);
+    for (const copy of this.copies.values()) this.check(copy);
+  }
+
+  /** Accepts revisions of a profile. */
+  change(count: number): void {
+    for (let i = 0; i < count; i++) {
+      this.log.commit({at: 0, body: {kind: 'put_profile', profile: plainProfile('desk'), baseRevision: this.revision++}});
+    }
+  }
+
+  /** Starts the process of a VM anew. */
+  boot(vm: VmId): void {
+    this.copies.get(vm)?.process.kill();
+    const settings = this.vms.find(other => other.vm === vm)!;
+    const process = new SimProcess();
+    const clock = new VirtualClock({queue: this.queue, process, rate: 1});
+    const replica = new ReplicaTask(clock);
+    const copy: Copy = {settings, process, replica, handlers: this.handlersOf(replica, settings)};
+    this.copies.set(vm, copy);
+    if (settings.disk) this.feedVoter(copy);
+    else this.follow(copy, clock);
+  }
+
+  /** Freezes a process for a time. */
+  async freeze(vm: VmId, ms: number): Promise<void> {
+    const {process} = this.copies.get(vm)!;
+    process.isFrozen = true;
+    await this.advance(ms);
+    process.thaw();
+  }
+
+  /** Mends everything; then every copy must show the latest revision. */
+  async settle(): Promise<void> {
+    this.network.heal();
+    this.network.faults = NO_FAULTS;
+    await this.advance(SETTLE_MS);
+    for (const {settings, replica} of this.copies.values()) {
+      const shown = replica.isReady ? replica.replica.index : -1;
+      if (shown !== this.log.index) throw new Error(`${settings.vm} shows ${shown} of ${this.log.index}`);
+    }
+  }
+
+  private handlersOf(replica: ReplicaTask, {disk}: VmSettings): Copy['handlers'] {
+    const readIndex = async (): Promise<PeerMethods['readIndex']['reply']> =>
+      disk ? {kind: 'ok', value: {index: this.log.index}} : {kind: 'not_leader', leader: null};
+    return {follow: request => replica.follow(request), readIndex};
+  }
+
+  /** The voter learns of entries a little late, and is current from its start. */
+  private feedVoter(copy: Copy): void {
+    const {replica, process} = copy;
+    replica.restore(this.log.image());
+    replica.open();
+    const feed = (): void => {
+      this.queue.after(this.random.nextInt(10, VOTER_LAG_MS), () =>
+        process.run(() => {
+          for (const entry of this.log.after(replica.replica.index)) replica.apply(entry);
+          replica.noteFresh(this.queue.now);
+          feed();
+        }),
+      );
+    };
+    feed();
+  }
+
+  private follow({settings, replica, process}: Copy, clock: VirtualClock): void {
+    const {queue, network, random} = this;
+    const peers = new FakePeers({vm: settings.vm, process, queue, network, random, placeOf: vm => this.copies.get(vm)});
+    const sources = followSources(this.vms, settings);
+    const voters = this.vms.filter(({disk}) => disk).map(({vm}) => vm);
+    void new FollowTask({replica, peers, clock, boot: 'b', sources, voters}).run();
+  }
+
+  private check(copy: Copy): void {
+    const {settings, replica} = copy;
+    if (!replica.isReady) return;
+    const revision = replica.replica.state.getProfile(NAME)?.revision ?? 0;
+    const before = this.shown.get(copy) ?? 0;
+    if (revision < before) throw new Error(`${settings.vm} showed revision ${before} and then ${revision}`);
+    this.shown.set(copy, revision);
+  }
+}
+
+const vmOf = (vm: string, zone: string, disk: boolean): VmSettings => ({
+  vm: asId<VmId>(vm),
+  zone: asId<ZoneId>(zone),
+  peer: '127.0.0.1:1',
+  disk,
+});
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -164,7 +164,7 @@
   consensus: {deadlineMs: 1000},
   propose: {deadlineMs: 5000},
   readIndex: {deadlineMs: 2000},
-  follow: {deadlineMs: 10_000},
+  follow: {deadlineMs: 4000},
   authority: {deadlineMs: 700},
   syncShares: {deadlineMs: 1000},
   announceUpstream: {deadlineMs: 1000},
--- a/packages/state/src/cell/types.ts
+++ b/packages/state/src/cell/types.ts
@@ -198,7 +198,7 @@
   maxOpenJobs: 20_000,
   maxEndedJobs: 1000,
   keyRetentionMs: 24 * 60 * 60 * 1000,
-  maxKeys: 100_000,
+  maxKeys: 30_000,
 };
 
 /** A team and the processor share its running tasks may take up. */
