Revert "Try: keep slots that a short lull leaves idle"

Change: the state before it; ruled out for good is idle slots as the entry's cost, which lies in HTTP on both sides.

--- a/packages/state/src/requests/share_demand.ts
+++ b/packages/state/src/requests/share_demand.ts
@@ -15,19 +15,9 @@
   readonly spareSlots: number;
 }
 
-/** Demand that is kept up until a time. */
-interface Peak {
-  readonly demand: number;
-  readonly until: number;
-}
-
-/** Time for which a peak of the demand is kept up, in ms. */
-const PEAK_HOLD_MS = 1000;
-
 /** Slots that an entry wants of each lender, and the waits behind that. */
 export class ShareDemand {
   private readonly spill = new SpillChoice();
-  private readonly peaks = new Map<ServiceName, Peak>();
   private notes: DecisionNote[] = [];
 
   constructor(private readonly options: ShareDemandOptions) {}
@@ -40,27 +30,8 @@
     foreign: ForeignTerms | undefined,
   ): number {
     const busy = this.options.shares.countBusyOf(service, lender);
-    if (foreign) return busy + this.foreignWant(service, lender, now, foreign);
-    return (
-      this.recentPeak(service, busy + this.queued(service), now) +
-      this.options.spareSlots
-    );
-  }
-
-  /**
-   * Highest demand of late. Slots that a short lull leaves idle are kept, as
-   * each would have to be borrowed again a moment later.
-   */
-  private recentPeak(
-    service: ServiceName,
-    demand: number,
-    now: number,
-  ): number {
-    const known = this.peaks.get(service);
-    if (known && demand < known.demand && now < known.until)
-      return known.demand;
-    this.peaks.set(service, {demand, until: now + PEAK_HOLD_MS});
-    return demand;
+    if (!foreign) return busy + this.queued(service) + this.options.spareSlots;
+    return busy + this.foreignWant(service, lender, now, foreign);
   }
 
   /** Time until a request with this many ahead of it gets a slot, in ms. */
