Remove what nothing uses

Cause: a reading of all exports found seven that nothing names, one module of transport among them, and two drop reasons that nothing counts. Change: they are gone; an oracle's record of sent writes, never read, as well.

--- a/packages/coordination/src/entry/upstream_port.ts
+++ b/packages/coordination/src/entry/upstream_port.ts
@@ -79,15 +79,6 @@
     this.agents.clear();
   }
 
-  /** Drops the connections to upstreams that are no longer held. */
-  keepOnly(upstreams: ReadonlySet<UpstreamId>): void {
-    for (const [id, agent] of this.agents) {
-      if (upstreams.has(id)) continue;
-      agent.destroy();
-      this.agents.delete(id);
-    }
-  }
-
   private async tryEnd(address: string, attempt: AttemptId): Promise<boolean> {
     try {
       const path = `/.primrosewick/attempts/${encodeURIComponent(attempt)}`;
--- a/packages/coordination/src/replica/core.ts
+++ b/packages/coordination/src/replica/core.ts
@@ -1,7 +1,6 @@
 /** Copy of the cell state on one VM, with the latest entries kept for others. */
 import {
   CellState,
-  type CellCommand,
   type CellImage,
   type CellLimits,
   type CellResult,
@@ -76,9 +75,3 @@
       this.tail = this.tail.slice(-MAX_TAIL_ENTRIES);
   }
 }
-
-/** A committed entry as it is sent to VMs that follow. */
-export const followEntry = (
-  index: number,
-  command: CellCommand | undefined,
-): FollowEntry => (command ? {index, command} : {index});
--- a/packages/coordination/src/zone/types.ts
+++ b/packages/coordination/src/zone/types.ts
@@ -41,11 +41,3 @@
   /** Whether the core should go on from its image, so that older lines can be dropped. */
   isFull(core: CoreName): boolean;
 }
-
-/** Recorder that keeps nothing. */
-export const NO_RECORDER: Recorder = {
-  start: () => undefined,
-  resume: () => undefined,
-  record: () => undefined,
-  isFull: () => false,
-};
--- a/packages/proofs/src/consensus/oracle.ts
+++ b/packages/proofs/src/consensus/oracle.ts
@@ -26,13 +26,6 @@
   private readonly accepted = new Map<ProfileName, Map<number, Accepted>>();
   private readonly answers = new Map<string, string>();
   private readonly shownRevision = new Map<string, number>();
-  private readonly sentAuthors = new Map<string, Set<string>>();
-
-  /** Notes that a write was sent, at least once. */
-  noteSent(name: ProfileName, requestId: string): void {
-    const sent = this.sentAuthors.get(name) ?? new Set<string>();
-    this.sentAuthors.set(name, sent.add(requestId));
-  }
 
   /** Notes the answer to a write; a resend must get the same. */
   noteAnswer(name: ProfileName, requestId: string, result: CellResult): void {
--- a/packages/proofs/src/consensus/sim.ts
+++ b/packages/proofs/src/consensus/sim.ts
@@ -153,7 +153,6 @@
 
   private send(node: SimNode, {name, command}: SentWrite): void {
     const requestId = command.write!.requestId;
-    this.oracle.noteSent(name, requestId);
     node.propose(command, result => {
       if (result) this.oracle.noteAnswer(name, requestId, result);
     });
--- a/packages/state/src/cell/types.ts
+++ b/packages/state/src/cell/types.ts
@@ -8,7 +8,6 @@
 import type {Service, ServiceState} from '../documents/service.js';
 import type {
   JobId,
-  ProfileName,
   ServiceName,
   TaskId,
   TeamName,
@@ -226,6 +225,3 @@
   /** Latest `firstSentAt` of the answers that were dropped. */
   readonly writeFloor: number;
 }
-
-/** Latest revision of a profile by name, as shown in listings. */
-export type ProfileIndex = ReadonlyMap<ProfileName, ProfileRevision>;
--- a/packages/state/src/placement/job_table.ts
+++ b/packages/state/src/placement/job_table.ts
@@ -1,5 +1,4 @@
 import {reviverOf} from '../utils/image.js';
-import {positionOfTask} from '../cell/jobs.js';
 import type {JobRecord, TaskEnd} from '../cell/types.js';
 import type {JobId, TaskId, WorkerId} from '../ids/types.js';
 import {makeTaskId} from '../cell/jobs.js';
@@ -146,9 +145,5 @@
   hasWaitNote: false,
 });
 
-/** Orders tasks of one job by their position. */
-export const byPosition = (a: TaskId, b: TaskId): number =>
-  positionOfTask(a) - positionOfTask(b);
-
 /** Makes a table from its plain state. */
 export const reviveJobTable = reviverOf(JobTable.prototype);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,4 +6,3 @@
 export * from './http/server.js';
 export * from './metrics/registry.js';
 export * from './tasks/clock.js';
-export * from './tasks/mailbox.js';
--- a/packages/transport/src/metrics/registry.ts
+++ b/packages/transport/src/metrics/registry.ts
@@ -20,12 +20,7 @@
 export type RetryReason = (typeof RETRY_REASONS)[number];
 
 /** Why something that arrived is left unused. */
-export const DROP_REASONS = [
-  'late_answer',
-  'stale_reply',
-  'wrong_identity',
-  'malformed_frame',
-] as const;
+export const DROP_REASONS = ['late_answer', 'wrong_identity'] as const;
 /** Why something that arrived is left unused. */
 export type DropReason = (typeof DROP_REASONS)[number];
 
