--- a/packages/state/src/cell/core.ts
+++ b/packages/state/src/cell/core.ts
@@ -14,6 +14,7 @@
 import {digestOf} from './digest.js';
 import {JobTable} from './jobs.js';
 import {KeyTable} from './keys.js';
+import {nextLogTime} from './log_time.js';
 import {
   DEFAULT_CELL_LIMITS,
   type CellCommand,
@@ -45,6 +46,8 @@
   private readonly keys: KeyTable;
   private readonly writes: WriteRecords;
   private appliedIndex = 0;
+  /** Time of the log, in ms since 1970. */
+  private time = 0;
 
   constructor(limits: Partial<CellLimits> = {}) {
     this.limits = {...DEFAULT_CELL_LIMITS, ...limits};
@@ -116,6 +119,7 @@
       throw new Error(`index ${index} was applied before`);
     }
     this.appliedIndex = index;
+    this.time = nextLogTime(this.time, command.at);
     if (!command.write) return this.run(index, command);
     return this.applyWrite(index, command, command.write);
   }
@@ -129,6 +133,7 @@
   toImage(): CellImage {
     return {
       index: this.appliedIndex,
+      time: this.time,
       profiles: [...this.profiles.values()],
       services: this.listServices(),
       quotas: this.listQuotas(),
@@ -151,6 +156,7 @@
     this.keys.restore(image.keys);
     this.writes.restore(image.writes, image.writeFloor);
     this.appliedIndex = image.index;
+    this.time = image.time;
   }
 
   private restoreProfile(revisions: readonly ProfileRevision[]): void {
@@ -218,7 +224,7 @@
         this.jobs.addEnds(body.ends);
         return {kind: 'done'};
       case 'claim_key':
-        return {kind: 'key', ...this.claimKey(command.at, body)};
+        return {kind: 'key', ...this.claimKey(this.time, body)};
       case 'settle_key':
         this.keys.settleKey(body.key, body.claimant, body.answer);
         return {kind: 'done'};
--- a/packages/state/src/cell/types.ts
+++ b/packages/state/src/cell/types.ts
@@ -216,6 +216,8 @@
 /** Serialized state, for snapshots and for VMs that catch up. */
 export interface CellImage {
   readonly index: number;
+  /** Time of the log, in ms since 1970. */
+  readonly time: number;
   readonly profiles: ReadonlyArray<readonly ProfileRevision[]>;
   readonly services: readonly ServiceRecord[];
   readonly quotas: readonly QuotaRecord[];
