--- /dev/null
+++ b/packages/proofs/src/zone/job_check.ts
@@ -0,0 +1,62 @@
+import {makeTaskId, type JobRecord, type TaskId} from '@primrosewick/state';
+
+/** One run of a task, in virtual time. */
+export interface TaskRun {
+  readonly task: string;
+  readonly startedAt: number;
+  readonly endedAt: number;
+  /** Worker on which it ran. */
+  readonly where: string;
+}
+
+/**
+ * Checks the ends of all jobs against what ran.
+ * @throws Error at the first contradiction.
+ */
+export const checkJobs = (
+  jobs: readonly JobRecord[],
+  runs: readonly TaskRun[],
+): void => {
+  for (const job of jobs) {
+    if (job.state !== 'done')
+      throw new Error(
+        `${job.id} has not ended: ${job.ended.length} of ${job.spec.taskCount}`,
+      );
+    for (let at = 0; at < job.spec.taskCount; at++) {
+      const task = makeTaskId(job.id, at);
+      checkTask(
+        job,
+        task,
+        runs.filter(run => run.task === task),
+      );
+    }
+  }
+};
+
+const checkTask = (
+  job: JobRecord,
+  task: TaskId,
+  runs: readonly TaskRun[],
+): void => {
+  checkApart(task, runs);
+  const outcome = job.ended.find(end => end.task === task)?.outcome;
+  const isOnce = job.profile.stopping.repeat.kind === 'at_most_once';
+  if (isOnce && runs.length > 1)
+    throw new Error(`${task} ran ${runs.length} times`);
+  if (outcome === 'not_run' && runs.length > 0)
+    throw new Error(`${task} was reported as never run, but ran`);
+  if (outcome === 'succeeded' && runs.length === 0)
+    throw new Error(`${task} succeeded without a run`);
+};
+
+/** Runs of one task must not overlap. */
+const checkApart = (task: TaskId, runs: readonly TaskRun[]): void => {
+  const ordered = [...runs].sort((a, b) => a.startedAt - b.startedAt);
+  for (const [i, run] of ordered.entries()) {
+    const before = ordered[i - 1];
+    if (before && run.startedAt < before.endedAt)
+      throw new Error(
+        `${task} ran on ${before.where} and ${run.where} at once`,
+      );
+  }
+};
--- a/packages/proofs/src/zone/zone_world.ts
+++ b/packages/proofs/src/zone/zone_world.ts
@@ -2,15 +2,12 @@
 import type {VmSettings} from '@primrosewick/protocol';
 import {
   asId,
-  makeTaskId,
   seededRandom,
-  type JobId,
   type JobSpec,
   type ProfileName,
   type Random,
   type RequestId,
   type ServiceName,
-  type TaskId,
   type VmId,
   type ZoneId,
 } from '@primrosewick/state';
@@ -21,6 +18,7 @@
   type NetworkFaults,
 } from '../world/fake_network.js';
 import {FakeLog} from './fake_log.js';
+import {checkJobs} from './job_check.js';
 import {checkJournal} from './journal_keeper.js';
 import {ZoneOracle, type ClientRecord} from './oracle.js';
 import {makeVms, profileOf} from './fixtures.js';
@@ -317,54 +315,10 @@
   }
 
   private checkJobs(): void {
-    const runsOf = new Map<
-      string,
-      Array<{startedAt: number; endedAt: number; where: string}>
-    >();
-    for (const worker of this.workers) {
-      for (const {task, startedAt, endedAt} of worker.allRuns()) {
-        runsOf.set(task, [
-          ...(runsOf.get(task) ?? []),
-          {startedAt, endedAt, where: worker.address},
-        ]);
-      }
-    }
-    for (const job of this.log.state.listJobs()) {
-      if (job.state !== 'done')
-        throw new Error(
-          `${job.id} has not ended: ${job.ended.length} of ${job.spec.taskCount}`,
-        );
-      for (let at = 0; at < job.spec.taskCount; at++)
-        this.checkTask(job.id, makeTaskId(job.id, at), runsOf);
-    }
-  }
-
-  private checkTask(
-    id: JobId,
-    task: TaskId,
-    runsOf: ReadonlyMap<
-      string,
-      ReadonlyArray<{startedAt: number; endedAt: number; where: string}>
-    >,
-  ): void {
-    const job = this.log.state.getJob(id)!;
-    const runs = [...(runsOf.get(task) ?? [])].sort(
-      (a, b) => a.startedAt - b.startedAt,
+    const runs = this.workers.flatMap(worker =>
+      worker.allRuns().map(run => ({...run, where: worker.address})),
     );
-    const end = job.ended.find(known => known.task === task);
-    for (let i = 1; i < runs.length; i++) {
-      const [before, after] = [runs[i - 1]!, runs[i]!];
-      if (after.startedAt < before.endedAt)
-        throw new Error(
-          `${task} ran on ${before.where} and ${after.where} at once`,
-        );
-    }
-    if (job.profile.stopping.repeat.kind === 'at_most_once' && runs.length > 1)
-      throw new Error(`${task} ran ${runs.length} times`);
-    if (end?.outcome === 'not_run' && runs.length > 0)
-      throw new Error(`${task} was reported as never run, but ran`);
-    if (end?.outcome === 'succeeded' && runs.length === 0)
-      throw new Error(`${task} succeeded without a run`);
+    checkJobs(this.log.state.listJobs(), runs);
   }
 
   /** After the faults a new request is served. */
