Record the start of a task for one epoch only

Change: the record names the epoch and the first one stands; a leader starts only what is recorded for its own epoch and ends the rest as unknown. The bound on announced epochs lets one pass that a grantor has seen, since its leader's clock may have jumped; a renewal tells its epoch also where it is not granted.

--- a/packages/coordination/src/authority/core.ts
+++ b/packages/coordination/src/authority/core.ts
@@ -97,6 +97,11 @@
       : undefined;
   }
 
+  /** Highest epoch of the zone that any grantor has told of. */
+  get highestEpoch(): Epoch {
+    return this.seenEpoch;
+  }
+
   private handle(input: AuthorityInput): void {
     switch (input.kind) {
       case 'tick':
--- a/packages/coordination/src/authority/grantor.ts
+++ b/packages/coordination/src/authority/grantor.ts
@@ -78,13 +78,16 @@
     return true;
   }
 
+  /** A renewal proves that its epoch had a leader, also where it is not granted. */
   private renew(
     from: VmId,
     epoch: Epoch,
     leaseMs: number,
     now: number,
   ): boolean {
-    if (!this.isFreeFor(from, now) || epoch < this.seenEpoch) return false;
+    if (epoch < this.seenEpoch) return false;
+    this.noteEpoch(epoch);
+    if (!this.isFreeFor(from, now)) return false;
     this.promise(from, epoch, leaseMs, now);
     return true;
   }
--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -103,11 +103,15 @@
   /**
    * Notes an epoch that a worker has seen.
    * @throws CellError `invalid_input` for an epoch that no leader can have had,
-   *   as it would depose every leader to come.
+   *   as it would depose every leader to come. One that a grantor has seen is
+   *   taken however high, as its leader's clock may have jumped.
    */
   noteEpoch(epoch: Epoch): void {
     const {clock} = this.options;
-    if (counterOf(epoch) > clock.wall() / 1000 + MAX_EPOCH_AHEAD_S) {
+    const isGranted =
+      epoch <= Math.max(this.highestEpoch, this.core.highestEpoch);
+    const isAhead = counterOf(epoch) > clock.wall() / 1000 + MAX_EPOCH_AHEAD_S;
+    if (isAhead && !isGranted) {
       throw new CellError({
         code: 'invalid_input',
         step: 'note-epoch',
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -13,6 +13,7 @@
   keyOfOrder,
   toCellError,
   type CellCommand,
+  type CellResult,
   type Epoch,
   type JobId,
   type PlacementEffect,
@@ -338,26 +339,36 @@
 
   private async recordStarts(
     reign: Reign,
-    tasks: readonly TaskId[],
+    wanted: readonly TaskId[],
   ): Promise<void> {
-    const isRecorded = await this.commit(reign, {kind: 'record_starts', tasks});
-    if (isRecorded)
-      this.stepPlacement(reign, {
-        kind: 'starts_recorded',
-        now: this.now,
-        tasks,
-      });
+    const result = await this.commit(reign, {
+      kind: 'record_starts',
+      tasks: wanted,
+      epoch: reign.epoch,
+    });
+    if (!result?.ok || result.value.kind !== 'starts') return;
+    const {tasks} = result.value;
+    const taken = wanted.filter(task => !tasks.includes(task));
+    this.stepPlacement(reign, {
+      kind: 'starts_recorded',
+      now: this.now,
+      tasks,
+      taken,
+    });
   }
 
   /** Commits a command, again and again until it succeeds or the reign ends. */
   private async commit(
     reign: Reign,
     body: CellCommand['body'],
-  ): Promise<boolean> {
+  ): Promise<CellResult | undefined> {
     while (this.reign === reign) {
       try {
-        await this.options.log.propose({at: this.options.clock.wall(), body});
-        return this.currentReign() === reign;
+        const result = await this.options.log.propose({
+          at: this.options.clock.wall(),
+          body,
+        });
+        return this.currentReign() === reign ? result : undefined;
       } catch (err) {
         this.options.metrics.addRefusal(
           toCellError(err, 'commit').code,
@@ -366,7 +377,7 @@
         await pause(this.options.clock, LOG_RETRY_MS);
       }
     }
-    return false;
+    return undefined;
   }
 }
 
--- a/packages/state/src/cell/core.ts
+++ b/packages/state/src/cell/core.ts
@@ -218,8 +218,10 @@
         this.jobs.cancelJob(body.job);
         return {kind: 'done'};
       case 'record_starts':
-        this.jobs.addStarts(body.tasks);
-        return {kind: 'done'};
+        return {
+          kind: 'starts',
+          tasks: this.jobs.addStarts(body.tasks, body.epoch),
+        };
       case 'finish_tasks':
         this.jobs.addEnds(body.ends);
         return {kind: 'done'};
--- a/packages/state/src/cell/jobs.ts
+++ b/packages/state/src/cell/jobs.ts
@@ -1,5 +1,5 @@
 import {CellError} from '../errors/cell_error.js';
-import {asId, type JobId, type TaskId} from '../ids/types.js';
+import {asId, type Epoch, type JobId, type TaskId} from '../ids/types.js';
 import type {CellLimits, JobRecord, TaskEnd} from './types.js';
 
 /** Id of a task from its job and position. */
@@ -58,16 +58,31 @@
     this.jobs.set(id, {...job, state: 'cancelling'});
   }
 
-  /** Records that tasks are about to start. */
-  addStarts(tasks: readonly TaskId[]): void {
-    for (const [id, own] of groupByJob(tasks, task => task)) {
-      const job = this.jobs.get(id);
-      if (job)
-        this.jobs.set(id, {
-          ...job,
-          started: [...new Set([...job.started, ...own])],
-        });
-    }
+  /**
+   * Records that tasks are about to start in an epoch; the first record stands.
+   * @returns the tasks that are recorded for this epoch.
+   */
+  addStarts(tasks: readonly TaskId[], epoch: Epoch): TaskId[] {
+    return [...groupByJob(tasks, task => task)].flatMap(([id, own]) =>
+      this.addStartsOf(id, own, epoch),
+    );
+  }
+
+  private addStartsOf(
+    id: JobId,
+    tasks: readonly TaskId[],
+    epoch: Epoch,
+  ): TaskId[] {
+    const job = this.jobs.get(id);
+    if (!job) return [];
+    const epochOf = new Map(
+      job.started.map(start => [start.task, start.epoch]),
+    );
+    const added = tasks
+      .filter(task => !epochOf.has(task))
+      .map(task => ({task, epoch}));
+    this.jobs.set(id, {...job, started: [...job.started, ...added]});
+    return tasks.filter(task => (epochOf.get(task) ?? epoch) === epoch);
   }
 
   /** Records the ends of tasks; the first recorded end of each stands. */
--- a/packages/state/src/cell/types.ts
+++ b/packages/state/src/cell/types.ts
@@ -7,6 +7,7 @@
 import type {Profile} from '../documents/profile.js';
 import type {Service, ServiceState} from '../documents/service.js';
 import type {
+  Epoch,
   JobId,
   ServiceName,
   TaskId,
@@ -68,6 +69,8 @@
       /** Recorded before a task that must not run twice is started. */
       readonly kind: 'record_starts';
       readonly tasks: readonly TaskId[];
+      /** Epoch of the zone's leader that will start them. */
+      readonly epoch: Epoch;
     }
   | {readonly kind: 'finish_tasks'; readonly ends: readonly TaskEnd[]}
   | {
@@ -126,6 +129,13 @@
   readonly state: ServiceState;
 }
 
+/** Record of the first start of a task that runs at most once. */
+export interface TaskStart {
+  readonly task: TaskId;
+  /** Epoch of the leader that may start it; no other may. */
+  readonly epoch: Epoch;
+}
+
 /** State of a job. */
 export type JobState = 'open' | 'cancelling' | 'done';
 
@@ -142,7 +152,7 @@
   /** Log index of acceptance. */
   readonly acceptedIndex: number;
   /** Tasks whose start was recorded, for work that runs at most once. */
-  readonly started: readonly TaskId[];
+  readonly started: readonly TaskStart[];
   /** Tasks that have ended. */
   readonly ended: readonly TaskEnd[];
 }
@@ -162,6 +172,8 @@
 export type CellValue =
   | {readonly kind: 'revision'; readonly revision: number}
   | {readonly kind: 'job'; readonly job: JobId}
+  /** Tasks that the proposing leader may start. */
+  | {readonly kind: 'starts'; readonly tasks: readonly TaskId[]}
   | {
       readonly kind: 'key';
       readonly record: KeyRecord;
--- a/packages/state/src/placement/core.ts
+++ b/packages/state/src/placement/core.ts
@@ -82,7 +82,8 @@
       case 'start_refused':
         return this.onStartRefused(event.key, event.isDefinite);
       case 'starts_recorded':
-        return this.onStartsRecorded(event.tasks);
+        this.onStartsRecorded(event.tasks);
+        return this.onStartsTaken(event.taken);
       case 'barrier':
         this.context.barrier = event.index;
         this.context.isDirty = true;
@@ -184,6 +185,17 @@
     }
   }
 
+  /** An earlier leader recorded these, and its time has run out without a report of them. */
+  private onStartsTaken(tasks: readonly TaskId[]): void {
+    const {context} = this;
+    for (const task of tasks) {
+      const view = context.jobOf(task);
+      const isOpen =
+        view && context.jobs.getState(view, task)?.kind === 'recording';
+      if (isOpen) context.end(view, task, 1, 'unknown');
+    }
+  }
+
   private onTick(): void {
     const {context} = this;
     context.workers.refresh(context.now);
--- a/packages/state/src/placement/job_table.ts
+++ b/packages/state/src/placement/job_table.ts
@@ -76,7 +76,7 @@
     const view = known ?? newView(record, index, now);
     view.record = record;
     this.jobs.set(record.id, view);
-    for (const task of record.started) view.started.add(task);
+    for (const {task} of record.started) view.started.add(task);
     for (const end of record.ended)
       this.setState(view, end.task, {kind: 'ended', end});
     return view;
--- a/packages/state/src/placement/types.ts
+++ b/packages/state/src/placement/types.ts
@@ -71,6 +71,8 @@
       readonly kind: 'starts_recorded';
       readonly now: number;
       readonly tasks: readonly TaskId[];
+      /** Tasks that an earlier leader had recorded, and may have started. */
+      readonly taken: readonly TaskId[];
     }
   /** Jobs above this log index were accepted in this leader's epoch. */
   | {readonly kind: 'barrier'; readonly now: number; readonly index: number}
