--- a/packages/state/src/cell/core.spec.ts
+++ b/packages/state/src/cell/core.spec.ts
@@ -1,4 +1,14 @@
 import {expect} from 'chai';
+import type {JobSpec} from '../documents/job.js';
+import type {Profile} from '../documents/profile.js';
+import {
+  asEpoch,
+  asId,
+  type ProfileName,
+  type TaskId,
+  type TeamName,
+  type ZoneId,
+} from '../ids/types.js';
 import {CellState} from './core.js';
 import type {CellCommand, CellResult} from './types.js';
 
@@ -71,3 +81,60 @@
     ).to.equal(false);
   });
 });
+
+describe('recorded starts in the cell state', () => {
+  it('a start is recorded for one epoch', () => {
+    const state = new CellState();
+    const profile = plainProfileBody();
+    state.apply(1, {
+      at: START,
+      body: {kind: 'put_profile', baseRevision: 0, profile},
+    });
+    state.apply(2, {
+      at: START,
+      body: {
+        kind: 'submit_job',
+        homeZone: asId<ZoneId>('z'),
+        spec: jobSpecOf(profile.name),
+      },
+    });
+    const task = asId<TaskId>('job-2.0');
+    const record = (index: number, epoch: number): CellResult =>
+      state.apply(index, {
+        at: START,
+        body: {kind: 'record_starts', tasks: [task], epoch: asEpoch(epoch)},
+      });
+    expect(record(3, 7))
+      .to.have.nested.property('value.tasks')
+      .that.deep.equals([task]);
+    expect(record(4, 7))
+      .to.have.nested.property('value.tasks')
+      .that.deep.equals([task]);
+    expect(record(5, 8))
+      .to.have.nested.property('value.tasks')
+      .that.deep.equals([]);
+  });
+});
+
+const jobSpecOf = (profile: ProfileName): JobSpec => ({
+  team: asId<TeamName>('t'),
+  profile,
+  taskCount: 1,
+  gang: false,
+  priority: 4,
+  size: {cpuMillis: 1, memoryMb: 1, accelerators: 0},
+  command: 'run',
+  runMs: 1,
+});
+
+const plainProfileBody = (): Profile => ({
+  name: asId<ProfileName>('p'),
+  placing: {kind: 'pack'},
+  waiting: {
+    classes: [
+      {name: 'all', pathPrefix: '/', priority: 1, deadlineMs: 1, queueBound: 1},
+    ],
+    spill: {kind: 'never'},
+  },
+  stopping: {graceMs: 0, checkpoint: false, repeat: {kind: 'at_most_once'}},
+});
