--- a/packages/coordination/src/consensus/members_task.ts
+++ b/packages/coordination/src/consensus/members_task.ts
@@ -40,7 +40,10 @@
 
 /** Options of the repair. */
 export interface RepairOptions {
-  readonly task: ConsensusTask;
+  readonly task: Pick<
+    ConsensusTask<unknown, unknown>,
+    'status' | 'changeMembers'
+  >;
   readonly own: AnnouncedNode;
   readonly voterVms: readonly VmId[];
   readonly peers: PeerCaller;
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -6,16 +6,12 @@
   seededRandom,
   toCellError,
   vmOfNode,
-  type CellCommand,
-  type CellImage,
-  type CellResult,
   type Folder,
   type NodeId,
   type VmId,
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
-import type {Clock, PeerCaller} from '@primrosewick/transport';
-import type {ReplicaTask} from '../replica/task.js';
+import type {Clock} from '@primrosewick/transport';
 import {ConsensusCore} from './core.js';
 import {persistWrites} from './persistence.js';
 import {ConsensusPump} from './pump.js';
@@ -30,13 +26,38 @@
   TokenAnswer,
 } from './types.js';
 
+/** The state machine that the log drives; its index never goes back. */
+export interface LogMachine<C, R> {
+  /** Index of the last entry applied. */
+  readonly index: number;
+  /** Applies one entry; an entry without a command only moves the index. */
+  apply(entry: {readonly index: number; readonly command?: C}): R | undefined;
+  /** Takes over an image made by `toImage` on any node. */
+  restore(image: unknown): void;
+  /** The whole state, as plain data. */
+  toImage(): {readonly index: number};
+  /** Allows the state to be shown from now on. */
+  open(): void;
+  /** Notes that the state was current at a time of the monotonic clock. */
+  noteFresh(at: number): void;
+}
+
+/** Carries messages of the log to other VMs. */
+export interface LogPeers {
+  call(
+    to: VmId,
+    method: 'consensus',
+    request: {readonly envelopes: readonly unknown[]},
+  ): Promise<{readonly envelopes: readonly unknown[]}>;
+}
+
 /** Options of the task. */
-export interface ConsensusTaskOptions {
+export interface ConsensusTaskOptions<C, R> {
   readonly node: NodeId;
   readonly folder: Folder;
-  readonly restored: Restored<CellCommand>;
-  readonly replica: ReplicaTask;
-  readonly peers: PeerCaller;
+  readonly restored: Restored<C>;
+  readonly replica: LogMachine<C, R>;
+  readonly peers: LogPeers;
   readonly clock: Clock;
   readonly timing: Partial<ConsensusTiming>;
   readonly seed: number;
@@ -49,41 +70,42 @@
 const COMPACT_ENTRIES = 4000;
 /** Entries after which the log is compacted even if a member lags. */
 const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
-const TICK_MS = 100;
+/** Longest time between two looks at the clock, in ms. */
+const MAX_TICK_MS = 100;
 
-interface Waiter {
-  readonly resolve: (result: CellResult | {readonly index: number}) => void;
+interface Waiter<R> {
+  readonly resolve: (result: R | {readonly index: number}) => void;
   readonly reject: (err: CellError) => void;
 }
 
 /** A VM that waits for the messages that its own led to. */
-interface Collector {
+interface Collector<C> {
   readonly vm: VmId;
-  readonly resolve: (envelopes: ReadonlyArray<Envelope<CellCommand>>) => void;
+  readonly resolve: (envelopes: ReadonlyArray<Envelope<C>>) => void;
 }
 
-interface Placed extends Waiter {
+interface Placed<R> extends Waiter<R> {
   readonly term: number;
 }
 
 /** Drives the consensus core: one sync at a time, then messages and deliveries. */
-export class ConsensusTask {
+export class ConsensusTask<C, R> {
   /** Emits when the role or the leader changes. */
   readonly changes = new Subject<ConsensusStatus>();
-  private readonly core: ConsensusCore<CellCommand>;
-  private readonly pump: ConsensusPump<CellCommand>;
-  private collectors: Collector[] = [];
-  private readonly byToken = new Map<number, Waiter>();
-  private readonly byIndex = new Map<number, Placed>();
+  private readonly core: ConsensusCore<C>;
+  private readonly pump: ConsensusPump<C>;
+  private collectors: Array<Collector<C>> = [];
+  private readonly byToken = new Map<number, Waiter<R>>();
+  private readonly byIndex = new Map<number, Placed<R>>();
   private nextToken = 1;
   private isRunning = false;
   private failure: CellError | null = null;
   private timer: Subscription | undefined;
   private lastStatus: ConsensusStatus;
 
-  constructor(private readonly options: ConsensusTaskOptions) {
+  constructor(private readonly options: ConsensusTaskOptions<C, R>) {
     const {node, restored, seed, clock, timing, replica} = options;
-    this.core = new ConsensusCore<CellCommand>({
+    this.core = new ConsensusCore<C>({
       id: node,
       restored,
       random: seededRandom(seed),
@@ -93,17 +115,23 @@
     this.pump = new ConsensusPump(this.core);
     this.lastStatus = this.core.status;
     if (restored.snapshot)
-      replica.restore(decode(restored.snapshot.data) as CellImage);
+      replica.restore(decode(restored.snapshot.data));
   }
 
   /** Starts the clock of the core. */
   start(): void {
     const {clock} = this.options;
     this.timer = clock
-      .every(TICK_MS)
+      .every(this.tickMs)
       .subscribe(() => this.offer({kind: 'tick', now: clock.now()}));
   }
 
+  /** Half a heartbeat, so that none is late by more than that. */
+  private get tickMs(): number {
+    const {heartbeatMs = MAX_TICK_MS} = this.options.timing;
+    return Math.min(MAX_TICK_MS, heartbeatMs / 2);
+  }
+
   /** Stops; what waits is refused. */
   stop(): void {
     this.timer?.unsubscribe();
@@ -145,15 +173,15 @@
    */
   receive(
     from: VmId,
-    envelopes: ReadonlyArray<Envelope<CellCommand>>,
-  ): Promise<ReadonlyArray<Envelope<CellCommand>>> {
+    envelopes: ReadonlyArray<Envelope<C>>,
+  ): Promise<ReadonlyArray<Envelope<C>>> {
     return new Promise(resolve => {
       this.collectors.push({vm: from, resolve});
       this.offerMessages(envelopes);
     });
   }
 
-  private offerMessages(envelopes: ReadonlyArray<Envelope<CellCommand>>): void {
+  private offerMessages(envelopes: ReadonlyArray<Envelope<C>>): void {
     const now = this.options.clock.now();
     for (const envelope of envelopes)
       this.pump.offer({kind: 'message', now, envelope});
@@ -165,7 +193,7 @@
    * @returns its answer once it is committed and applied here.
    * @throws CellError `not_leader`, `log_overloaded`, `log_outcome_unknown` or `storage_failed`.
    */
-  propose(command: CellCommand): Promise<CellResult> {
+  propose(command: C): Promise<R> {
     if (this.byToken.size + this.byIndex.size >= this.options.maxProposals) {
       return Promise.reject(
         new CellError({code: 'log_overloaded', step: 'propose'}),
@@ -177,7 +205,7 @@
       now,
       token,
       command,
-    })) as Promise<CellResult>;
+    })) as Promise<R>;
   }
 
   /** Proposes a change of the members. */
@@ -189,8 +217,8 @@
   /** @returns an index that every read from now on must have reached. */
   async readIndex(): Promise<number> {
     const now = this.options.clock.now();
-    const {index} = await this.ask(token => ({kind: 'read', now, token}));
-    return index;
+    const answer = await this.ask(token => ({kind: 'read', now, token}));
+    return (answer as {readonly index: number}).index;
   }
 
   /** Shows the copy of a node that began without a log once it holds an index. */
@@ -206,8 +234,8 @@
   private ask(
     makeInput: (
       token: number,
-    ) => Parameters<ConsensusPump<CellCommand>['offer']>[0],
-  ): Promise<CellResult | {readonly index: number}> {
+    ) => Parameters<ConsensusPump<C>['offer']>[0],
+  ): Promise<R | {readonly index: number}> {
     if (this.failure) return Promise.reject(this.failure);
     const token = this.nextToken++;
     return new Promise((resolve, reject) => {
@@ -217,7 +245,7 @@
   }
 
   private offer(
-    input: Parameters<ConsensusPump<CellCommand>['offer']>[0],
+    input: Parameters<ConsensusPump<C>['offer']>[0],
   ): void {
     this.pump.offer(input);
     void this.run();
@@ -251,10 +279,10 @@
 
   /** Answers the VMs that wait for their messages, and calls the others. */
   private sendAll(
-    envelopes: ReadonlyArray<Envelope<CellCommand>>,
-    collectors: readonly Collector[],
+    envelopes: ReadonlyArray<Envelope<C>>,
+    collectors: ReadonlyArray<Collector<C>>,
   ): void {
-    const byVm = new Map<VmId, Array<Envelope<CellCommand>>>();
+    const byVm = new Map<VmId, Array<Envelope<C>>>();
     for (const envelope of envelopes) {
       const vm = vmOfNode(envelope.to);
       byVm.set(vm, [...(byVm.get(vm) ?? []), envelope]);
@@ -268,13 +296,13 @@
 
   private async send(
     vm: VmId,
-    envelopes: ReadonlyArray<Envelope<CellCommand>>,
+    envelopes: ReadonlyArray<Envelope<C>>,
   ): Promise<void> {
     try {
       const reply = await this.options.peers.call(vm, 'consensus', {envelopes});
       if (reply.envelopes.length > 0)
         this.offerMessages(
-          reply.envelopes as ReadonlyArray<Envelope<CellCommand>>,
+          reply.envelopes as ReadonlyArray<Envelope<C>>,
         );
     } catch {
       // The core sends again what is not answered.
@@ -296,10 +324,10 @@
     }
   }
 
-  private deliver(delivery: Delivery<CellCommand>): void {
+  private deliver(delivery: Delivery<C>): void {
     const {replica} = this.options;
     if (delivery.kind === 'snapshot') {
-      replica.restore(decode(delivery.snapshot.data) as CellImage);
+      replica.restore(decode(delivery.snapshot.data));
       return this.dropWaiters(delivery.snapshot.index);
     }
     const {entry} = delivery;
@@ -312,8 +340,8 @@
   }
 
   private settle(
-    entry: Entry<CellCommand>,
-    result: CellResult | undefined,
+    entry: Entry<C>,
+    result: R | undefined,
   ): void {
     const waiter = this.byIndex.get(entry.index);
     this.byIndex.delete(entry.index);
@@ -342,7 +370,7 @@
   private noteStatus(): void {
     const status = this.core.status;
     const {clock, replica} = this.options;
-    if (status.isCurrent && replica.replica.index >= status.commitIndex)
+    if (status.isCurrent && replica.index >= status.commitIndex)
       replica.open();
     replica.noteFresh(Math.min(status.lastContactAt, clock.now()));
     const before = this.lastStatus;
@@ -362,7 +390,7 @@
     if (held < COMPACT_ENTRIES) return;
     const isLagging = matches.some(({index}) => index < commitIndex);
     if (isLagging && held < COMPACT_ALWAYS_ENTRIES) return;
-    const image = this.options.replica.replica.state.toImage();
+    const image = this.options.replica.toImage();
     this.pump.offer({
       kind: 'compact',
       now: this.options.clock.now(),
--- /dev/null
+++ b/packages/coordination/src/gateway/task.ts
@@ -0,0 +1,209 @@
+/**
+ * Knows which VMs there are and which one leads, and carries calls to the
+ * leader. Every VM of the cell runs one.
+ */
+import {Subject, type Subscription} from 'rxjs';
+import type {
+  FromLeader,
+  LinkHello,
+  LinkMethod,
+  LinkMethods,
+  LinkWelcome,
+} from '@primrosewick/protocol';
+import {CellError, toCellError, type VmId} from '@primrosewick/state';
+import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
+
+/** Methods that only the leader answers. */
+type LeaderMethod = {
+  [M in LinkMethod]: LinkMethods[M]['reply'] extends FromLeader<unknown>
+    ? M
+    : never;
+}[LinkMethod];
+
+/** The leader's part of a reply. */
+type LeaderValue<M extends LeaderMethod> = Extract<
+  LinkMethods[M]['reply'],
+  {kind: 'ok'}
+>['value'];
+
+/** Options of the task. */
+export interface GatewayOptions {
+  readonly peers: LinkCaller;
+  readonly clock: Clock;
+  /** VMs that the settings name. */
+  readonly seeds: readonly VmId[];
+  /** What this VM says of itself. */
+  readonly hello: () => LinkHello;
+  /** Called when contact with a serving leader is lost or regained. */
+  readonly onContact: (hasContact: boolean, leader: VmId | null) => void;
+}
+
+/** Interval of the questions to the leader, in ms. */
+const GREET_INTERVAL_MS = 300;
+/** Age at which the last answer of a serving leader no longer counts, in ms. */
+const CONTACT_MS = 1000;
+/** Pause before a call is tried again, in ms. */
+const RETRY_PAUSE_MS = 60;
+/** Time for which a call that no leader has taken is kept, in ms: about one election. */
+const MAX_UNSENT_MS = 900;
+/** Times that a call is led on to another VM at once. */
+const MAX_HOPS = 3;
+
+/** Finds the leader and calls it. */
+export class GatewayTask {
+  /** Emits each answer of another VM. */
+  readonly welcomes = new Subject<LinkWelcome>();
+  private readonly known = new Set<VmId>();
+  private leader: VmId | null = null;
+  private servingAt = Number.NEGATIVE_INFINITY;
+  private hadContact = false;
+  private timer: Subscription | undefined;
+
+  constructor(private readonly options: GatewayOptions) {
+    for (const vm of options.seeds) this.known.add(vm);
+  }
+
+  /** Begins to look for the leader. */
+  start(): void {
+    this.timer = this.options.clock
+      .every(GREET_INTERVAL_MS)
+      .subscribe(() => void this.greet());
+    void this.greet();
+  }
+
+  /** Ends. */
+  stop(): void {
+    this.timer?.unsubscribe();
+  }
+
+  /** Adds VMs named by changed settings. */
+  addSeeds(seeds: readonly VmId[]): void {
+    for (const vm of seeds) this.known.add(vm);
+  }
+
+  /** Whether a serving leader answered lately. */
+  get hasContact(): boolean {
+    return this.options.clock.now() < this.servingAt + CONTACT_MS;
+  }
+
+  /** The VM that leads as far as is known. */
+  get leaderVm(): VmId | null {
+    return this.leader;
+  }
+
+  /** All VMs with a disk that were ever heard of. */
+  get vms(): readonly VmId[] {
+    return [...this.known];
+  }
+
+  /**
+   * Calls the leader, wherever it is, until a time of the monotonic clock.
+   * @throws CellError with outcome `unknown` when a call may have been
+   *   executed, and with `not_run` when none was sent.
+   */
+  async callLeader<M extends LeaderMethod>(
+    method: M,
+    request: LinkMethods[M]['request'],
+    deadline: number,
+  ): Promise<LeaderValue<M>> {
+    const {clock} = this.options;
+    const unsentDeadline = Math.min(deadline, clock.now() + MAX_UNSENT_MS);
+    let mayHaveRun = false;
+    let last = new CellError({code: 'log_unavailable', step: method});
+    while (clock.now() < (mayHaveRun ? deadline : unsentDeadline)) {
+      const outcome = await this.tryLeader(method, request, deadline);
+      if (outcome.kind === 'ok') return outcome.value;
+      last = outcome.err;
+      if (isFinal(last) && !mayHaveRun) throw last;
+      mayHaveRun ||= last.outcome === 'unknown';
+      await pause(clock, RETRY_PAUSE_MS);
+    }
+    throw mayHaveRun
+      ? new CellError({code: 'log_outcome_unknown', step: method, peer: last.peer, detail: last.message})
+      : new CellError({code: 'log_unavailable', step: method, peer: last.peer, detail: last.message});
+  }
+
+  private async tryLeader<M extends LeaderMethod>(
+    method: M,
+    request: LinkMethods[M]['request'],
+    deadline: number,
+  ): Promise<
+    | {readonly kind: 'ok'; readonly value: LeaderValue<M>}
+    | {readonly kind: 'failed'; readonly err: CellError}
+  > {
+    const {peers, clock} = this.options;
+    let next = this.leader;
+    for (let hop = 0; next && hop < MAX_HOPS; hop++) {
+      const target: VmId = next;
+      const timeoutMs = deadline - clock.now();
+      try {
+        const reply = (await peers.call(target, method, request, {
+          timeoutMs,
+        })) as FromLeader<LeaderValue<M>>;
+        if (reply.kind === 'ok') return reply;
+        if (this.leader === target) this.leader = reply.leader;
+        next = reply.leader === target ? null : reply.leader;
+      } catch (thrown) {
+        const err = toCellError(thrown, method, target);
+        if (err.code === 'peer_unreachable') this.loseLeader(target);
+        return {kind: 'failed', err};
+      }
+    }
+    const err = new CellError({code: 'log_unavailable', step: method});
+    return {kind: 'failed', err};
+  }
+
+  private loseLeader(vm: VmId): void {
+    if (this.leader === vm) this.leader = null;
+  }
+
+  /** Asks the leader, or every known VM while none is known. */
+  private async greet(): Promise<void> {
+    const {leader, known} = this;
+    const targets = leader && this.hasContact ? [leader] : [...known];
+    await Promise.all(targets.map(vm => this.greetOne(vm)));
+    this.noteContact();
+  }
+
+  private async greetOne(vm: VmId): Promise<void> {
+    const {peers, hello} = this.options;
+    try {
+      this.take(await peers.call(vm, 'hello', hello()));
+    } catch {
+      // Silence shows in the age of the last answer.
+    }
+    this.noteContact();
+  }
+
+  private take(welcome: LinkWelcome): void {
+    for (const vm of welcome.members) this.known.add(vm);
+    if (welcome.leader) this.leader = welcome.leader;
+    if (welcome.isServing) {
+      this.leader = welcome.vm;
+      this.servingAt = this.options.clock.now();
+    }
+    this.welcomes.next(welcome);
+  }
+
+  private noteContact(): void {
+    if (this.hadContact === this.hasContact) return;
+    this.hadContact = this.hasContact;
+    this.options.onContact(this.hadContact, this.leader);
+  }
+}
+
+/** Whether trying again cannot help. */
+const isFinal = ({code}: CellError): boolean => {
+  switch (code) {
+    case 'peer_unreachable':
+    case 'peer_timeout':
+    case 'log_unavailable':
+    case 'log_outcome_unknown':
+    case 'not_leader':
+    case 'stopping':
+    case 'storage_failed':
+      return false;
+    default:
+      return true;
+  }
+};
--- /dev/null
+++ b/packages/coordination/src/membership/founding.ts
@@ -0,0 +1,50 @@
+/** Decides whether a VM with an empty disk may found the cell. */
+import type {LinkHello} from '@primrosewick/protocol';
+import type {NodeId, VmId} from '@primrosewick/state';
+import type {Members, Restored} from '../consensus/types.js';
+
+/** What a VM with an empty disk weighs. */
+export interface FoundingQuestion {
+  readonly own: LinkHello;
+  /** First VMs, as the settings of all VMs name them at the first start. */
+  readonly seeds: readonly VmId[];
+  /** Answers of other VMs. */
+  readonly replies: readonly LinkHello[];
+  /** Whether the seeds have had time to start. */
+  readonly isPatient: boolean;
+}
+
+/**
+ * Finds the first voters. Only the first seed founds, only where the settings
+ * say that the whole cell is new, and only while no VM holds any state; a VM
+ * that lost its disk therefore never founds a second cell.
+ * @returns undefined when this VM may not found the cell now.
+ */
+export const findFounders = ({
+  own,
+  seeds,
+  replies,
+  isPatient,
+}: FoundingQuestion): NodeId[] | undefined => {
+  const [first] = [...seeds].sort();
+  if (!own.mayFound || !own.node || own.vm !== first) return undefined;
+  if (replies.some(reply => reply.hasState || !reply.mayFound))
+    return undefined;
+  const others = replies.filter(
+    ({vm, node}) => vm !== own.vm && seeds.includes(vm) && node !== null,
+  );
+  const isWhole = others.length >= seeds.length - 1;
+  const isMajority = 2 * (others.length + 1) > seeds.length;
+  if (!isWhole && !(isPatient && isMajority)) return undefined;
+  return [own.node, ...others.map(({node}) => node!)];
+};
+
+/** A new log whose first entry names its voters. */
+export const foundingStateOf = <C>(voters: readonly NodeId[]): Restored<C> => {
+  const members: Members = {voters, learners: []};
+  return {
+    hardState: {term: 1, votedFor: null},
+    snapshot: null,
+    entries: [{term: 1, index: 1, body: {kind: 'members', members}}],
+  };
+};
--- a/packages/coordination/src/replica/task.ts
+++ b/packages/coordination/src/replica/task.ts
@@ -3,6 +3,7 @@
   asId,
   assertNever,
   jobOfTask,
+  type CellCommand,
   type CellImage,
   type CellResult,
   type JobId,
@@ -13,6 +14,7 @@
   FollowRequest,
 } from '@primrosewick/protocol';
 import type {Clock} from '@primrosewick/transport';
+import type {LogMachine} from '../consensus/task.js';
 import {Replica} from './core.js';
 
 /** What a change of the copy touched. */
@@ -23,7 +25,7 @@
 }
 
 /** Owns the copy of the cell state and tells the other tasks when it changes. */
-export class ReplicaTask {
+export class ReplicaTask implements LogMachine<CellCommand, CellResult> {
   readonly replica = new Replica();
   /** Emits after each change. */
   readonly changes = new Subject<ReplicaChange>();
@@ -32,6 +34,16 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** Log index of the copy. */
+  get index(): number {
+    return this.replica.index;
+  }
+
+  /** The whole copy, as plain data. */
+  toImage(): CellImage {
+    return this.replica.state.toImage();
+  }
+
   /** Whether the copy may be shown and used for decisions. */
   get isReady(): boolean {
     return this.isOpen;
@@ -62,8 +74,8 @@
   }
 
   /** Takes over an image. */
-  restore(image: CellImage): void {
-    if (!this.replica.restore(image)) return;
+  restore(image: unknown): void {
+    if (!this.replica.restore(image as CellImage)) return;
     this.changes.next({index: this.replica.index, jobs: 'all'});
   }
 
--- /dev/null
+++ b/packages/coordination/src/workflow/advice_callers.ts
@@ -0,0 +1,39 @@
+/**
+ * Chooses the VM that makes a call for advice. Load pattern: a few queues have
+ * calls that take hundreds of milliseconds, and one has many short calls whose
+ * tasks are awaited by people; each VM's calls are served one at a time.
+ */
+import type {VmId} from '@primrosewick/state';
+
+/** Calls of one VM that are under way. */
+export interface CallerLoad {
+  readonly vm: VmId;
+  /** Expected time of the calls under way, in ms. */
+  backlogMs: number;
+}
+
+/** Calls up to this time may queue behind each other at a VM, in ms. */
+const SHORT_CALL_MS = 50;
+/** Backlog up to which a VM takes another short call, in ms. */
+const MAX_SHORT_BACKLOG_MS = 150;
+/** Share of the VMs that is kept for short calls. */
+const SHORT_SHARE = 0.3;
+
+/** @returns the VM for a call, or undefined when the call should wait. */
+export const chooseCaller = (
+  callers: readonly CallerLoad[],
+  costMs: number,
+): CallerLoad | undefined => {
+  let best: CallerLoad | undefined;
+  for (const caller of callers)
+    if (!best || caller.backlogMs < best.backlogMs) best = caller;
+  if (!best) return undefined;
+  if (costMs <= SHORT_CALL_MS)
+    return best.backlogMs < MAX_SHORT_BACKLOG_MS ? best : undefined;
+  if (best.backlogMs > 0) return undefined;
+  const busyLong = callers.filter(({backlogMs}) => backlogMs > SHORT_CALL_MS);
+  const reserved = Math.floor(callers.length * SHORT_SHARE);
+  const isFree =
+    callers.length === 1 || busyLong.length < callers.length - reserved;
+  return isFree ? best : undefined;
+};
--- /dev/null
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -0,0 +1,168 @@
+/**
+ * Keeps what the placement advisers have said, and spreads the calls to them
+ * over VMs, as an adviser serves one call at a time for each calling VM.
+ */
+import type Logger from 'bunyan';
+import type {AdviceReply} from '@primrosewick/protocol';
+import {
+  stepKey,
+  type AdviceTerms,
+  type AdviceWish,
+  type StepAdvice,
+  type StepKey,
+  type StepRef,
+  type Ticket,
+  type VmId,
+  type WorkerId,
+  type WorkflowDb,
+} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import {chooseCaller, type CallerLoad} from './advice_callers.js';
+
+/** Options of the desk. */
+export interface AdviceDeskOptions {
+  readonly db: WorkflowDb;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** VMs that can make calls now. */
+  readonly callers: () => readonly VmId[];
+  /** Asks from a VM. */
+  readonly ask: (
+    vm: VmId,
+    step: StepRef,
+    workers: readonly WorkerId[],
+  ) => Promise<AdviceReply>;
+  readonly onChange: () => void;
+}
+
+interface StepRecord {
+  readonly asked: Set<WorkerId>;
+  readonly allowed: Set<WorkerId>;
+  readonly tickets: Map<WorkerId, Ticket>;
+  isAsking: boolean;
+}
+
+interface QueuedCall extends AdviceWish {
+  readonly costMs: number;
+  readonly validMs: number;
+}
+
+/** Pause before a step is asked about again after a failure, in ms. */
+const RETRY_PAUSE_MS = 150;
+
+/** Asks for advice while this VM leads. */
+export class AdviceDesk {
+  private readonly steps = new Map<StepKey, StepRecord>();
+  private readonly loads = new Map<VmId, CallerLoad>();
+  private waiting: QueuedCall[] = [];
+  private isClosed = false;
+
+  constructor(private readonly options: AdviceDeskOptions) {}
+
+  /** What is known of a step. */
+  adviceOf(key: StepKey): StepAdvice | undefined {
+    return this.steps.get(key);
+  }
+
+  /** Asks about workers, now or once a VM is free for the call. */
+  want({step, workers}: AdviceWish, terms: AdviceTerms): void {
+    const key = stepKey(step);
+    const record = this.steps.get(key) ?? freshRecord();
+    this.steps.set(key, record);
+    if (record.isAsking || workers.length === 0) return;
+    record.isAsking = true;
+    const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
+    this.waiting.push({step, workers, costMs, validMs: terms.validMs});
+    this.dispatch();
+  }
+
+  /** Drops what is known of steps that are over. */
+  prune(): void {
+    for (const key of this.steps.keys()) {
+      const id = key.slice(0, key.indexOf('.'));
+      if (!this.options.db.open.has(id as never)) this.steps.delete(key);
+    }
+  }
+
+  /** Ends; answers that still come are dropped. */
+  close(): void {
+    this.isClosed = true;
+    this.waiting = [];
+  }
+
+  private dispatch(): void {
+    const left: QueuedCall[] = [];
+    const callers = this.options.callers().map(vm => this.loadOf(vm));
+    // Short calls first, so that none waits behind a long one.
+    this.waiting.sort((a, b) => a.costMs - b.costMs);
+    for (const call of this.waiting) {
+      const caller = chooseCaller(callers, call.costMs);
+      if (caller) void this.send(caller, call);
+      else left.push(call);
+    }
+    this.waiting = left;
+  }
+
+  private loadOf(vm: VmId): CallerLoad {
+    const load = this.loads.get(vm) ?? {vm, backlogMs: 0};
+    this.loads.set(vm, load);
+    return load;
+  }
+
+  private async send(caller: CallerLoad, call: QueuedCall): Promise<void> {
+    caller.backlogMs += call.costMs;
+    const {clock, logger, onChange} = this.options;
+    const sentAt = clock.now();
+    const reply = await this.options
+      .ask(caller.vm, call.step, call.workers)
+      .catch((err: unknown) => {
+        logger.info(
+          {change: 'advice_failed', step: stepKey(call.step), vm: caller.vm, err: String(err)},
+          'a call for advice failed',
+        );
+        return undefined;
+      });
+    caller.backlogMs -= call.costMs;
+    if (this.isClosed) return;
+    if (reply?.kind === 'allowed') this.take(call, reply.workers);
+    else this.retryLater(call);
+    logger.debug(
+      {decision: 'advice', step: stepKey(call.step), vm: caller.vm, asked: call.workers.length, tookMs: clock.now() - sentAt},
+      'the adviser has answered',
+    );
+    this.dispatch();
+    onChange();
+  }
+
+  private take(
+    {step, workers, validMs}: QueuedCall,
+    allowed: ReadonlyArray<{readonly worker: WorkerId; readonly ticket: string}>,
+  ): void {
+    const record = this.steps.get(stepKey(step));
+    if (!record) return;
+    record.isAsking = false;
+    for (const worker of workers) record.asked.add(worker);
+    const validUntil = this.options.clock.now() + validMs;
+    for (const {worker, ticket} of allowed) {
+      const bornAt = this.options.db.workers.get(worker)?.report.bornAt;
+      if (bornAt === undefined) continue;
+      record.allowed.add(worker);
+      record.tickets.set(worker, {bornAt, text: ticket, validUntil});
+    }
+  }
+
+  private retryLater({step}: QueuedCall): void {
+    const record = this.steps.get(stepKey(step));
+    this.options.clock.after(RETRY_PAUSE_MS).subscribe(() => {
+      if (record) record.isAsking = false;
+      this.options.onChange();
+    });
+  }
+}
+
+const freshRecord = (): StepRecord => ({
+  asked: new Set(),
+  allowed: new Set(),
+  tickets: new Map(),
+  isAsking: false,
+});
--- /dev/null
+++ b/packages/coordination/src/workflow/replica.ts
@@ -0,0 +1,68 @@
+/** The replicated state of workflows, driven by the log. */
+import {Subject} from 'rxjs';
+import {
+  WorkflowDb,
+  type WorkflowCommand,
+  type WorkflowDbOptions,
+  type WorkflowImage,
+  type WorkflowResult,
+} from '@primrosewick/state';
+import type {LogMachine} from '../consensus/task.js';
+
+/** Applies the log to the state and tells when it changes. */
+export class WorkflowReplica implements LogMachine<
+  WorkflowCommand,
+  WorkflowResult
+> {
+  readonly db: WorkflowDb;
+  /** Emits each record after it is applied. */
+  readonly applied = new Subject<WorkflowCommand>();
+  private isOpen = false;
+
+  constructor(options: Partial<WorkflowDbOptions> = {}) {
+    this.db = new WorkflowDb(options);
+  }
+
+  get index(): number {
+    return this.db.index;
+  }
+
+  /** Whether the state may be shown. */
+  get isReady(): boolean {
+    return this.isOpen;
+  }
+
+  apply({
+    index,
+    command,
+  }: {
+    readonly index: number;
+    readonly command?: WorkflowCommand;
+  }): WorkflowResult | undefined {
+    if (index <= this.db.index) return undefined;
+    if (!command) {
+      this.db.skip(index);
+      return undefined;
+    }
+    const result = this.db.apply(index, command);
+    this.applied.next(command);
+    return result;
+  }
+
+  restore(image: unknown): void {
+    const state = image as WorkflowImage;
+    if (state.index > this.db.index) this.db.restore(state);
+  }
+
+  toImage(): WorkflowImage {
+    return this.db.toImage();
+  }
+
+  open(): void {
+    this.isOpen = true;
+  }
+
+  noteFresh(): void {
+    // Reads go through the leader, which proves that it is current each time.
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -0,0 +1,337 @@
+/**
+ * Places tasks while this VM leads the log: plans from the replicated state,
+ * records each start, and then orders it.
+ */
+import type Logger from 'bunyan';
+import type {Subscription} from 'rxjs';
+import {
+  NO_ROOM,
+  addRoom,
+  plan,
+  subtractRoom,
+  taskKey,
+  type Plan,
+  type PlannedStart,
+  type PlannedStop,
+  type TaskKey,
+  type WorkerId,
+  type WorkerState,
+  type WorkerView,
+  type WorkflowCommand,
+  type WorkflowDb,
+  type WorkflowResult,
+} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import {AdviceDesk, type AdviceDeskOptions} from './advice_desk.js';
+import type {OrderPort} from './ports.js';
+import type {WorkflowReplica} from './replica.js';
+import {WorkerChannel} from './worker_channel.js';
+
+/** Bounds that the workers' platform states. */
+export interface WorkerTerms {
+  /** Longest lease that a worker takes, in ms. */
+  readonly maxLeaseMs: number;
+  /** Interval of the workers' announcements, in ms. */
+  readonly announceMs: number;
+}
+
+/** Options of one leadership. */
+export interface SchedulerOptions {
+  readonly replica: WorkflowReplica;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly orders: OrderPort;
+  readonly terms: WorkerTerms;
+  /** Term of the log that this VM leads. */
+  readonly term: number;
+  /** Longest time that an earlier leader may go on unaware, in ms. */
+  readonly unawareMs: number;
+  readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
+  readonly callers: AdviceDeskOptions['callers'];
+  readonly ask: AdviceDeskOptions['ask'];
+}
+
+/** Shortest time between two passes of the planner, in ms. */
+const PLAN_PAUSE_MS = 8;
+/** Longest time between two passes, so that due times are met, in ms. */
+const PLAN_INTERVAL_MS = 100;
+/** Longest lease given, in ms: covers a cut and a change of the leader. */
+const LEASE_MS = 7000;
+/** Announcements that a worker without runs may miss before it gets no task. */
+const MISSED_ANNOUNCEMENTS = 3;
+
+/** One leadership over the workers. */
+export class SchedulerTask {
+  private readonly channels = new Map<WorkerId, WorkerChannel>();
+  private readonly lives = new Map<WorkerId, number>();
+  /** Monotonic time of each worker's last announcement, in ms. */
+  private readonly heardAt = new Map<WorkerId, number>();
+  private readonly desk: AdviceDesk;
+  private readonly startedAt: number;
+  private readonly subscriptions: Subscription[] = [];
+  private isPlanDue = false;
+  private isClosed = false;
+
+  constructor(private readonly options: SchedulerOptions) {
+    const {replica, clock, logger, callers, ask} = options;
+    this.startedAt = clock.now();
+    this.desk = new AdviceDesk({
+      db: replica.db,
+      clock,
+      logger,
+      callers,
+      ask,
+      onChange: () => this.planSoon(),
+    });
+  }
+
+  /** Begins to place. */
+  start(): void {
+    const {clock, replica} = this.options;
+    this.subscriptions.push(
+      replica.applied.subscribe(command => this.onApplied(command)),
+      clock.every(PLAN_INTERVAL_MS).subscribe(() => this.planSoon()),
+    );
+    this.syncChannels();
+    this.planSoon();
+  }
+
+  /** Ends; the next leader goes on from the log. */
+  close(): void {
+    this.isClosed = true;
+    this.desk.close();
+    for (const subscription of this.subscriptions) subscription.unsubscribe();
+    for (const channel of this.channels.values()) channel.close();
+    this.channels.clear();
+  }
+
+  /** Notes that a worker has announced itself. */
+  noteHeard(worker: WorkerId): void {
+    this.heardAt.set(worker, this.options.clock.now());
+  }
+
+  private get db(): WorkflowDb {
+    return this.options.replica.db;
+  }
+
+  private onApplied(command: WorkflowCommand): void {
+    switch (command.kind) {
+      case 'put_worker':
+      case 'remove_worker':
+        this.syncChannels();
+        break;
+      case 'start_runs':
+        // A worker whose first run is recorded must be listened to.
+        for (const {worker} of command.starts) this.channels.get(worker)?.kick();
+        break;
+      case 'end_runs':
+        this.desk.prune();
+        break;
+      default:
+    }
+    this.planSoon();
+  }
+
+  /** Keeps one channel for each registered life. */
+  private syncChannels(): void {
+    if (this.isClosed) return;
+    for (const [worker, channel] of this.channels) {
+      const life = this.db.workers.get(worker)?.report.bornAt;
+      if (life === this.lives.get(worker)) continue;
+      channel.close();
+      this.channels.delete(worker);
+    }
+    for (const [worker, {report}] of this.db.workers) {
+      if (this.channels.has(worker)) continue;
+      this.lives.set(worker, report.bornAt);
+      this.channels.set(worker, this.openChannel(report));
+    }
+  }
+
+  private openChannel(life: {
+    readonly worker: WorkerId;
+    readonly bornAt: number;
+  }): WorkerChannel {
+    const {orders, clock, logger, terms, term, unawareMs} = this.options;
+    const channel = new WorkerChannel({
+      life: {worker: life.worker, bornAt: life.bornAt},
+      db: this.db,
+      port: orders,
+      clock,
+      logger,
+      term,
+      leaseMs: Math.min(LEASE_MS, terms.maxLeaseMs),
+      maxLeaseMs: terms.maxLeaseMs,
+      othersUntil: this.startedAt + unawareMs,
+      record: command => this.record(command),
+      onChange: () => this.planSoon(),
+      onStartFailed: (task, why) =>
+        logger.info(
+          {decision: 'start_failed', task: taskKey(task), worker: life.worker, why},
+          'a start did not take place, or its outcome is unknown',
+        ),
+    });
+    channel.open();
+    return channel;
+  }
+
+  /** Records something; a refusal means that this VM no longer leads. */
+  private async record(command: WorkflowCommand): Promise<boolean> {
+    if (this.isClosed) return false;
+    try {
+      await this.options.propose(command);
+      return true;
+    } catch (err) {
+      this.options.logger.info(
+        {change: 'record_failed', kind: command.kind, err: String(err)},
+        'a record was not confirmed',
+      );
+      return false;
+    }
+  }
+
+  /** Plans after a short pause, so that changes that come together cost one pass. */
+  private planSoon(): void {
+    if (this.isPlanDue || this.isClosed) return;
+    this.isPlanDue = true;
+    this.options.clock.after(PLAN_PAUSE_MS).subscribe(() => {
+      this.isPlanDue = false;
+      if (!this.isClosed) this.planNow();
+    });
+  }
+
+  private planNow(): void {
+    const {clock} = this.options;
+    const pending = new Set<TaskKey>();
+    for (const channel of this.channels.values())
+      for (const {task} of channel.expectedStarts) pending.add(taskKey(task));
+    this.carryOut(
+      plan({
+        db: this.db,
+        now: clock.now(),
+        wall: clock.wall(),
+        workers: this.viewWorkers(),
+        pending,
+        adviceOf: key => this.desk.adviceOf(key),
+      }),
+    );
+  }
+
+  private carryOut({starts, stops, advice}: Plan): void {
+    for (const wish of advice) {
+      const workflow = this.db.open.get(wish.step.workflow);
+      const terms = workflow && this.db.queues.get(workflow.queue)?.advice;
+      if (terms) this.desk.want(wish, terms);
+    }
+    for (const stop of stops) this.stopRun(stop);
+    if (starts.length > 0) void this.startRuns(starts);
+  }
+
+  private stopRun({task, run, worker, why}: PlannedStop): void {
+    const {logger} = this.options;
+    logger.debug({decision: 'stop', task: taskKey(task), run, worker, why});
+    void this.channels.get(worker)?.stop(task, run);
+  }
+
+  private async startRuns(starts: readonly PlannedStart[]): Promise<void> {
+    for (const {task, run, worker} of starts)
+      this.channels.get(worker)?.expect(task, run);
+    const isRecorded = await this.record({
+      kind: 'start_runs',
+      starts: starts.map(({task, run, worker, bornAt}) => ({
+        task,
+        run,
+        worker,
+        bornAt,
+      })),
+    });
+    for (const start of starts) this.orderStart(start, isRecorded);
+  }
+
+  private orderStart(start: PlannedStart, isRecorded: boolean): void {
+    const {task, run, worker, checkpoint, ticket} = start;
+    const channel = this.channels.get(worker);
+    const workflow = this.db.open.get(task.workflow);
+    const isActive =
+      this.db
+        .findTask(task)
+        ?.active.some(
+          active => active.run === run && active.worker === worker,
+        ) === true;
+    if (!channel) return;
+    if (!isRecorded || !workflow || !isActive || this.isClosed)
+      return channel.forget(task);
+    this.options.logger.info(
+      {
+        decision: 'start',
+        task: taskKey(task),
+        run,
+        worker,
+        index: this.db.index,
+        free: this.freeOf(worker).cpuMillis,
+      },
+      'a task is started',
+    );
+    void channel.start({
+      task,
+      run,
+      payload: workflow.spec.payload,
+      checkpoint,
+      ...(ticket === undefined ? {} : {ticket}),
+    });
+  }
+
+  private viewWorkers(): Map<WorkerId, WorkerView> {
+    const views = new Map<WorkerId, WorkerView>();
+    for (const [worker, state] of this.db.workers)
+      views.set(worker, this.viewOf(worker, state));
+    // Starts that are proposed but not yet recorded hold room as well.
+    for (const [worker, channel] of this.channels) {
+      const view = views.get(worker);
+      const active = this.db.workers.get(worker)?.active;
+      if (!view) continue;
+      for (const {task, run} of channel.expectedStarts)
+        if (active?.get(taskKey(task))?.run !== run)
+          view.free = subtractRoom(view.free, this.sizeOf(task));
+    }
+    return views;
+  }
+
+  private viewOf(worker: WorkerId, state: WorkerState): WorkerView {
+    const {report} = state;
+    return {
+      worker,
+      bornAt: report.bornAt,
+      pool: report.pool,
+      room: report.room,
+      labels: new Set(report.labels),
+      free: this.freeOf(worker),
+      isUsable:
+        !report.isDraining &&
+        this.channels.get(worker)?.isUsable === true &&
+        this.isHeard(worker, state),
+    };
+  }
+
+  /** Whether a worker that no hold watches has announced itself lately. */
+  private isHeard(worker: WorkerId, state: WorkerState): boolean {
+    if (state.active.size > 0) return true;
+    const {clock, terms} = this.options;
+    const heardAt = this.heardAt.get(worker) ?? this.startedAt;
+    return clock.now() < heardAt + MISSED_ANNOUNCEMENTS * terms.announceMs;
+  }
+
+  private freeOf(worker: WorkerId) {
+    const state = this.db.workers.get(worker);
+    if (!state) return NO_ROOM;
+    let used = NO_ROOM;
+    for (const {task} of state.active.values())
+      used = addRoom(used, this.sizeOf(task));
+    return subtractRoom(state.report.room, used);
+  }
+
+  private sizeOf(task: PlannedStart['task']) {
+    const spec = this.db.workflows.get(task.workflow)?.spec.steps[task.step];
+    return !spec || spec.usesLeftover ? NO_ROOM : spec.room;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/workflow/service.ts
@@ -0,0 +1,303 @@
+/** Answers clients, workers and operators while this VM leads. */
+import type Logger from 'bunyan';
+import type {
+  FromLeader,
+  LinkMethods,
+  WorkflowReply,
+  WorkflowRequest,
+  WorkflowView,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  findBundleFault,
+  matchQueue,
+  type Bundle,
+  type QueueMatch,
+  type VmId,
+  type WorkerId,
+  type WorkerRegistration,
+  type WorkflowCommand,
+  type WorkflowDb,
+  type WorkflowId,
+  type WorkflowResult,
+  type WorkflowState,
+} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import {ReadGate} from './read_gate.js';
+import type {WorkflowReplica} from './replica.js';
+
+/** What the service needs of the log. */
+export interface LogAccess {
+  /** Whether this VM leads and has applied all that was committed before. */
+  readonly isLeading: boolean;
+  readonly leaderVm: VmId | null;
+  propose(command: WorkflowCommand): Promise<WorkflowResult>;
+  readIndex(): Promise<number>;
+}
+
+/** Options of the service. */
+export interface WorkflowServiceOptions {
+  readonly replica: WorkflowReplica;
+  readonly log: LogAccess;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called for each announcement of a worker. */
+  readonly onHeard: (worker: WorkerId) => void;
+}
+
+/** Workers whose last announcement is remembered. */
+const LATEST_KEPT = 4096;
+
+/** The leader's side of the calls of clients, workers and operators. */
+export class WorkflowService {
+  private readonly gate: ReadGate;
+  /** Submissions under way, so that a repeated one shares the outcome. */
+  private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
+  /** Number of the last announcement of each life. */
+  private readonly sequences = new Map<
+    WorkerId,
+    {readonly bornAt: number; readonly sequence: number}
+  >();
+
+  constructor(private readonly options: WorkflowServiceOptions) {
+    this.gate = new ReadGate(() => options.log.readIndex());
+  }
+
+  /** Handles a client's call. */
+  handle(request: WorkflowRequest): Promise<FromLeader<WorkflowReply>> {
+    return this.lead(async () => {
+      const match = await this.findQueue(request);
+      if (!match) return {kind: 'unknown_queue'};
+      switch (request.kind) {
+        case 'submit':
+          return this.submit(request, match);
+        case 'get':
+          return this.get(match);
+        case 'cancel':
+          return this.cancel(match);
+      }
+    });
+  }
+
+  /** Takes the announcement of a worker. */
+  announceWorker(
+    report: WorkerRegistration,
+  ): Promise<LinkMethods['announceWorker']['reply']> {
+    return this.lead(async () => {
+      const last = this.sequences.get(report.worker);
+      const isOld =
+        last !== undefined &&
+        (last.bornAt > report.bornAt ||
+          (last.bornAt === report.bornAt && last.sequence >= report.sequence));
+      if (isOld) return {isKnown: true};
+      this.sequences.set(report.worker, report);
+      this.options.onHeard(report.worker);
+      if (this.isNews(report)) await this.putWorker(report);
+      return {isKnown: true};
+    });
+  }
+
+  /** Takes the farewell of a worker. */
+  removeWorker({
+    worker,
+    bornAt,
+  }: LinkMethods['removeWorker']['request']): Promise<
+    LinkMethods['removeWorker']['reply']
+  > {
+    return this.lead(async () => {
+      const known = this.db.workers.get(worker);
+      const isMeant =
+        known && (bornAt === null || known.report.bornAt === bornAt);
+      if (!isMeant) return {isKnown: false};
+      const life = {worker, bornAt: known.report.bornAt};
+      await this.propose({kind: 'remove_worker', life});
+      this.options.logger.info(
+        {change: 'worker_gone', worker, why: 'deregistered'},
+        'a worker has left',
+      );
+      return {isKnown: true};
+    });
+  }
+
+  /** Puts a bundle in force, unless a higher one is. */
+  putBundle({
+    bundle,
+  }: LinkMethods['putBundle']['request']): Promise<
+    LinkMethods['putBundle']['reply']
+  > {
+    return this.lead(async () => {
+      const detail = findBundleFault(bundle);
+      if (detail)
+        throw new CellError({code: 'invalid_input', step: 'put-bundle', detail});
+      const result = await this.propose({kind: 'put_bundle', bundle});
+      this.options.logger.info(
+        {
+          decision: 'bundle',
+          version: bundle.version,
+          result: result.kind,
+          inForce: this.db.bundle?.version,
+        },
+        'a bundle was decided on',
+      );
+      return {version: this.db.bundle?.version ?? bundle.version};
+    });
+  }
+
+  /** The bundle in force. */
+  getBundle(): Promise<FromLeader<{readonly bundle: Bundle | null}>> {
+    return this.lead(async () => {
+      await this.confirm();
+      return {bundle: this.db.bundle};
+    });
+  }
+
+  private get db(): WorkflowDb {
+    return this.options.replica.db;
+  }
+
+  private async lead<T>(act: () => Promise<T>): Promise<FromLeader<T>> {
+    const {log} = this.options;
+    if (!log.isLeading) return {kind: 'not_leader', leader: log.leaderVm};
+    try {
+      return {kind: 'ok', value: await act()};
+    } catch (err) {
+      const isElsewhere = err instanceof CellError && err.code === 'not_leader';
+      if (isElsewhere) return {kind: 'not_leader', leader: log.leaderVm};
+      throw err;
+    }
+  }
+
+  private propose(command: WorkflowCommand): Promise<WorkflowResult> {
+    return this.options.log.propose(command);
+  }
+
+  /** Proves that this VM still leads and has applied all that is committed. */
+  private async confirm(): Promise<void> {
+    await this.gate.read();
+  }
+
+  private async findQueue({
+    host,
+    path,
+  }: WorkflowRequest): Promise<QueueMatch | undefined> {
+    if (!this.db.bundle) await this.confirm();
+    if (!this.db.bundle)
+      throw new CellError({code: 'starting', step: 'find-queue'});
+    const match = matchQueue(this.db.bundle, host, path);
+    if (match) return match;
+    await this.confirm();
+    return matchQueue(this.db.bundle, host, path);
+  }
+
+  private async submit(
+    {spec}: Extract<WorkflowRequest, {kind: 'submit'}>,
+    {queue, rest}: QueueMatch,
+  ): Promise<WorkflowReply> {
+    const id = rest as WorkflowId;
+    const {clock, logger} = this.options;
+    if (this.db.workflows.has(id)) return {kind: 'accepted'};
+    const known = this.submitting.get(id);
+    if (known) {
+      await known;
+      return {kind: 'accepted'};
+    }
+    const outcome = this.propose({
+      kind: 'submit',
+      id,
+      queue: queue.name,
+      spec,
+      at: clock.wall(),
+    });
+    this.submitting.set(id, outcome);
+    try {
+      await outcome;
+      logger.info(
+        {
+          decision: 'accept',
+          req: id,
+          queue: queue.name,
+          bundle: this.db.bundle?.version,
+          index: this.db.index,
+          open: this.db.open.size,
+        },
+        'a workflow is accepted',
+      );
+      return {kind: 'accepted'};
+    } finally {
+      this.submitting.delete(id);
+    }
+  }
+
+  private async get({queue, rest}: QueueMatch): Promise<WorkflowReply> {
+    await this.confirm();
+    if (rest === '') return {kind: 'pending', count: this.countPending(queue)};
+    const workflow = this.db.workflows.get(rest as WorkflowId);
+    if (!workflow) return {kind: 'unknown_workflow'};
+    return {kind: 'state', state: viewOf(workflow)};
+  }
+
+  private countPending(queue: QueueMatch['queue']): number {
+    let count = 0;
+    for (const workflow of this.db.open.values())
+      if (workflow.queue === queue.name && !workflow.hasStarted) count++;
+    return count;
+  }
+
+  private async cancel({rest}: QueueMatch): Promise<WorkflowReply> {
+    const id = rest as WorkflowId;
+    await this.submitting.get(id)?.catch(() => undefined);
+    await this.confirm();
+    if (!this.db.workflows.has(id)) return {kind: 'unknown_workflow'};
+    const at = this.options.clock.wall();
+    const result = await this.propose({kind: 'cancel', id, at});
+    this.options.logger.info(
+      {decision: 'cancel', req: id, result: result.kind, index: this.db.index},
+      'a workflow is cancelled',
+    );
+    return result.kind === 'no_workflow'
+      ? {kind: 'unknown_workflow'}
+      : {kind: 'cancelled'};
+  }
+
+  private isNews(report: WorkerRegistration): boolean {
+    const known = this.db.findLife(report)?.report;
+    if (!known) {
+      const other = this.db.workers.get(report.worker)?.report;
+      return !other || other.bornAt < report.bornAt;
+    }
+    return (
+      known.address !== report.address ||
+      known.pool !== report.pool ||
+      known.isDraining !== report.isDraining ||
+      JSON.stringify([known.room, known.labels]) !==
+        JSON.stringify([report.room, report.labels])
+    );
+  }
+
+  private async putWorker(report: WorkerRegistration): Promise<void> {
+    const {logger} = this.options;
+    try {
+      await this.propose({kind: 'put_worker', report});
+    } catch (err) {
+      // The next announcement must not count as seen already.
+      this.sequences.delete(report.worker);
+      throw err;
+    }
+    logger.info(
+      {
+        change: report.isDraining ? 'worker_draining' : 'worker_registered',
+        worker: report.worker,
+        bornAt: report.bornAt,
+        sequence: report.sequence,
+        address: report.address,
+      },
+      'a worker has announced itself',
+    );
+    if (this.sequences.size > LATEST_KEPT) this.sequences.clear();
+  }
+}
+
+const viewOf = ({phase, hasStarted}: WorkflowState): WorkflowView => {
+  if (phase !== 'open') return phase;
+  return hasStarted ? 'running' : 'queued';
+};
--- /dev/null
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -0,0 +1,421 @@
+/**
+ * All that the leader says to one life of a worker: orders, holds, and what
+ * follows from their answers. An order without an answer may be executed much
+ * later, so the fence is raised and the worker's lists are asked for before
+ * anything is concluded.
+ */
+import type Logger from 'bunyan';
+import {
+  taskKey,
+  type RunEnd,
+  type TaskKey,
+  type TaskRef,
+  type VoidReason,
+  type WorkerLife,
+  type WorkflowCommand,
+  type WorkflowDb,
+} from '@primrosewick/state';
+import {pause, type Clock} from '@primrosewick/transport';
+import type {
+  HoldAnswer,
+  ListedRun,
+  OrderAnswer,
+  OrderFailure,
+  OrderPort,
+  StartOrder,
+} from './ports.js';
+import {WorkerClock} from './worker_clock.js';
+
+/** Options of a channel. */
+export interface WorkerChannelOptions {
+  readonly life: WorkerLife;
+  readonly db: WorkflowDb;
+  readonly port: OrderPort;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Number of the leadership; fences of later ones are higher. */
+  readonly term: number;
+  /** Lease that each hold and start extends to, in ms. */
+  readonly leaseMs: number;
+  /** Longest lease that a worker takes, in ms. */
+  readonly maxLeaseMs: number;
+  /** Monotonic time until which an earlier leader may have extended leases, in ms. */
+  readonly othersUntil: number;
+  /** Records something; rejects when this VM no longer leads. */
+  readonly record: (command: WorkflowCommand) => Promise<unknown>;
+  /** Called when room, runs or reachability have changed. */
+  readonly onChange: () => void;
+  /** Called for the reason of each start that did not take place. */
+  readonly onStartFailed: (
+    task: TaskRef,
+    why: OrderFailure,
+    life: WorkerLife,
+  ) => void;
+}
+
+/** Fences that one leadership has for one worker. */
+export const FENCES_PER_TERM = 2 ** 20;
+/** How long a worker holds its answer back for a new end, in ms. */
+const HOLD_WAIT_MS = 1000;
+/** Shortest and longest pause after an unanswered hold, in ms. */
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
+/** Pause before the lists are asked for again while starts are not settled, in ms. */
+const SETTLE_PAUSE_MS = 20;
+/** Time after which a stop whose end is not listed is ordered again, in ms. */
+const STOP_RETRY_MS = 1500;
+
+/** A start ordered under this leadership. */
+type OrderedStart =
+  | (ExpectedStart & {readonly kind: 'in_flight'})
+  | {readonly kind: 'confirmed'; readonly run: number; readonly at: number};
+
+/** A start that is proposed or ordered. */
+export interface ExpectedStart {
+  readonly task: TaskRef;
+  readonly run: number;
+}
+
+/** What a worker last said of a run. */
+export interface RunProgress extends ListedRun {
+  /** Monotonic time of the answer, in ms. */
+  readonly at: number;
+}
+
+/** Speaks to one life of a worker while this VM leads. */
+export class WorkerChannel {
+  /** What the worker last listed as under way. */
+  readonly progress = new Map<TaskKey, RunProgress>();
+  private readonly starts = new Map<TaskKey, OrderedStart>();
+  private readonly stopsSentAt = new Map<TaskKey, number>();
+  private readonly workerClock: WorkerClock;
+  private fenceCounter = 0;
+  private isSynced = false;
+  private isGone = false;
+  private isClosed = false;
+  private isLapsed = false;
+  private lastAcked = 0;
+  private retryMs = MIN_RETRY_MS;
+  private wake: () => void = () => undefined;
+
+  constructor(private readonly options: WorkerChannelOptions) {
+    this.workerClock = new WorkerClock(options);
+  }
+
+  /** Whether the worker's lists are known under the present fence. */
+  get isUsable(): boolean {
+    return this.isSynced && !this.isGone && !this.isClosed;
+  }
+
+  /** Starts that are proposed or ordered here, and not yet settled. */
+  get expectedStarts(): ExpectedStart[] {
+    return [...this.starts.values()].filter(
+      start => start.kind === 'in_flight',
+    );
+  }
+
+  /** Begins to speak to the worker. */
+  open(): void {
+    void this.loop().catch((err: unknown) =>
+      this.options.logger.error(
+        {change: 'channel_failed', worker: this.options.life, err},
+        'the channel to a worker failed',
+      ),
+    );
+  }
+
+  /** Ends; orders under way are left to the next leader. */
+  close(): void {
+    this.isClosed = true;
+    this.wake();
+  }
+
+  /** Looks for something to do at once. */
+  kick(): void {
+    this.wake();
+  }
+
+  /** Notes a start that is about to be recorded. */
+  expect(task: TaskRef, run: number): void {
+    this.starts.set(taskKey(task), {kind: 'in_flight', task, run});
+  }
+
+  /** Forgets a start that was not recorded. */
+  forget(task: TaskRef): void {
+    this.starts.delete(taskKey(task));
+    this.wake();
+  }
+
+  /** Orders a start that is recorded. */
+  async start(
+    order: Omit<StartOrder, 'fence' | 'leaseEnd'>,
+  ): Promise<void> {
+    const key = taskKey(order.task);
+    const answer = await this.sendStart(order);
+    if (this.isClosed) return;
+    if (answer.kind === 'accepted') {
+      const at = this.options.clock.now();
+      this.workerClock.note(at, answer.clockMs);
+      this.starts.set(key, {kind: 'confirmed', run: order.run, at});
+    } else {
+      await this.onStartFailed(order, answer);
+      this.starts.delete(key);
+    }
+    this.options.onChange();
+    this.wake();
+  }
+
+  /** Orders a stop, unless one was ordered a moment ago. */
+  async stop(task: TaskRef, run: number): Promise<void> {
+    const key = taskKey(task);
+    const now = this.options.clock.now();
+    const sentAt = this.stopsSentAt.get(key);
+    if (!this.isUsable) return;
+    if (sentAt !== undefined && now < sentAt + STOP_RETRY_MS) return;
+    this.stopsSentAt.set(key, now);
+    const {port} = this.options;
+    const answer = await port.stop(this.target, {task, run, fence: this.fence});
+    if (answer.kind === 'accepted')
+      this.workerClock.note(this.options.clock.now(), answer.clockMs);
+    else this.onFailure(answer);
+    this.wake();
+  }
+
+  private get fence(): number {
+    return this.options.term * FENCES_PER_TERM + this.fenceCounter;
+  }
+
+  private get target() {
+    const {life, db} = this.options;
+    const address = db.findLife(life)?.report.address ?? '';
+    return {...life, address};
+  }
+
+  private async sendStart(
+    order: Omit<StartOrder, 'fence' | 'leaseEnd'>,
+  ): Promise<OrderAnswer> {
+    const {clock, leaseMs, port} = this.options;
+    const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
+    if (!this.isUsable || leaseEnd === undefined)
+      return {kind: 'refused', why: 'unhealthy'};
+    return port.start(this.target, {...order, leaseEnd, fence: this.fence});
+  }
+
+  private async onStartFailed(
+    {task, run}: {readonly task: TaskRef; readonly run: number},
+    failure: OrderFailure,
+  ): Promise<void> {
+    this.options.onStartFailed(task, failure, this.options.life);
+    if (failure.kind === 'refused') this.noteRefusalClock(failure);
+    if (failure.kind === 'refused' || failure.kind === 'not_sent')
+      await this.voidRuns([{task, run}], 'not_started');
+    this.onFailure(failure);
+  }
+
+  private noteRefusalClock({
+    clockMs,
+  }: Extract<OrderFailure, {kind: 'refused'}>): void {
+    if (clockMs !== undefined)
+      this.workerClock.note(this.options.clock.now(), clockMs);
+  }
+
+  private onFailure(failure: OrderFailure): void {
+    switch (failure.kind) {
+      case 'not_sent':
+      case 'no_answer':
+        return this.raiseFence(failure.detail);
+      case 'other_life':
+        void this.onOtherLife();
+        return;
+      case 'refused':
+        if (failure.why === 'stale_fence') this.raiseFence('stale fence');
+    }
+  }
+
+  /** Makes late orders void, and asks for the lists before anything else is sent. */
+  private raiseFence(why: string): void {
+    if (this.isSynced)
+      this.options.logger.info(
+        {change: 'worker_unsure', worker: this.options.life.worker, why},
+        'an order had no clear answer; its outcome is asked for',
+      );
+    this.fenceCounter++;
+    this.isSynced = false;
+    this.options.onChange();
+    this.wake();
+  }
+
+  /** The life spoken to is over, and so is all that ran in it. */
+  private async onOtherLife(): Promise<void> {
+    if (this.isGone) return;
+    this.isGone = true;
+    const {life, logger, record, onChange} = this.options;
+    logger.info(
+      {change: 'worker_gone', worker: life.worker, why: 'other_life'},
+      'another life of a worker answers at its address',
+    );
+    await record({kind: 'remove_worker', life});
+    onChange();
+  }
+
+  private async loop(): Promise<void> {
+    while (!this.isClosed && !this.isGone) {
+      if (this.hasNothingToAsk()) {
+        await this.waitForWork();
+        continue;
+      }
+      const sentAt = this.options.clock.now();
+      const fence = this.fence;
+      const answer = await this.sendHold(fence);
+      if (this.isClosed || this.isGone) return;
+      if (answer.kind === 'lists') await this.onLists(answer, sentAt, fence);
+      else await this.onHoldFailed(answer);
+    }
+  }
+
+  private hasNothingToAsk(): boolean {
+    const state = this.options.db.findLife(this.options.life);
+    if (!state) return true;
+    return (
+      this.isSynced &&
+      state.active.size === 0 &&
+      state.endsRecorded === this.lastAcked
+    );
+  }
+
+  private waitForWork(): Promise<void> {
+    return new Promise(resolve => {
+      this.wake = resolve;
+    });
+  }
+
+  private async sendHold(fence: number): Promise<HoldAnswer> {
+    const {db, life, clock, leaseMs, port} = this.options;
+    const endsRecorded = db.findLife(life)?.endsRecorded ?? 0;
+    const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
+    const answer = await port.hold(this.target, {
+      fence,
+      endsRecorded,
+      waitMs: this.isSynced ? HOLD_WAIT_MS : 0,
+      ...(leaseEnd === undefined ? {} : {leaseEnd}),
+    });
+    if (answer.kind === 'lists')
+      this.lastAcked = Math.max(this.lastAcked, endsRecorded);
+    return answer;
+  }
+
+  private async onLists(
+    answer: Extract<HoldAnswer, {kind: 'lists'}>,
+    sentAt: number,
+    fence: number,
+  ): Promise<void> {
+    const {clock, onChange} = this.options;
+    this.retryMs = MIN_RETRY_MS;
+    this.workerClock.note(clock.now(), answer.clockMs);
+    if (this.isLapsed)
+      this.options.logger.info(
+        {change: 'worker_back', worker: this.options.life.worker},
+        'a worker that was away answers again',
+      );
+    this.isLapsed = false;
+    this.noteProgress(answer.running);
+    await this.recordEnds(answer.ended);
+    if (fence !== this.fence) return;
+    await this.reconcile(answer, sentAt);
+    if (fence !== this.fence) return;
+    this.isSynced = true;
+    this.workerClock.noteSoleLeader(sentAt);
+    onChange();
+    if (this.expectedStarts.length > 0) await pause(clock, SETTLE_PAUSE_MS);
+  }
+
+  private noteProgress(running: readonly ListedRun[]): void {
+    const at = this.options.clock.now();
+    this.progress.clear();
+    for (const run of running)
+      this.progress.set(taskKey(run.task), {...run, at});
+  }
+
+  private async recordEnds(ended: readonly RunEnd[]): Promise<void> {
+    const {db, life, record, clock, logger} = this.options;
+    const recorded = db.findLife(life)?.endsRecorded ?? 0;
+    const ends = ended
+      .filter(end => end.sequence > recorded)
+      .sort((a, b) => a.sequence - b.sequence);
+    if (ends.length === 0) return;
+    for (const {task, run, outcome} of ends) {
+      this.starts.delete(taskKey(task));
+      this.stopsSentAt.delete(taskKey(task));
+      logger.info(
+        {decision: 'run_ended', task: taskKey(task), run, outcome, worker: life.worker},
+        'a run has ended',
+      );
+    }
+    await record({kind: 'end_runs', life, ends, at: clock.wall()});
+  }
+
+  /** Compares the worker's lists with the recorded runs. */
+  private async reconcile(
+    {running}: Extract<HoldAnswer, {kind: 'lists'}>,
+    sentAt: number,
+  ): Promise<void> {
+    const state = this.options.db.findLife(this.options.life);
+    if (!state) return;
+    const listed = new Map(running.map(run => [taskKey(run.task), run.run]));
+    const missing = [...state.active]
+      .filter(([key, {run}]) => listed.get(key) !== run)
+      .filter(([key, {run}]) => !this.isUnsettled(key, run, sentAt))
+      .map(([, run]) => run);
+    if (missing.length > 0) await this.voidRuns(missing, 'not_started');
+    for (const {task, run} of running) {
+      const key = taskKey(task);
+      const isKnown = state.active.get(key)?.run === run;
+      if (!isKnown && this.starts.get(key)?.run !== run)
+        void this.stop(task, run);
+    }
+  }
+
+  /** Whether the lists may be older than the answer to the run's start. */
+  private isUnsettled(key: TaskKey, run: number, sentAt: number): boolean {
+    const start = this.starts.get(key);
+    if (!start || start.run !== run) return false;
+    return start.kind === 'in_flight' || start.at >= sentAt;
+  }
+
+  private async voidRuns(
+    runs: ReadonlyArray<{readonly task: TaskRef; readonly run: number}>,
+    reason: VoidReason,
+  ): Promise<void> {
+    const {life, record, logger} = this.options;
+    for (const {task, run} of runs) {
+      const key = taskKey(task);
+      if (this.starts.get(key)?.run === run) this.starts.delete(key);
+      logger.info(
+        {decision: 'run_void', task: taskKey(task), run, worker: life.worker, reason},
+        'a recorded run is given up without an end',
+      );
+    }
+    const plain = runs.map(({task, run}) => ({task, run}));
+    await record({kind: 'void_runs', life, runs: plain, reason});
+  }
+
+  private async onHoldFailed(failure: OrderFailure): Promise<void> {
+    if (failure.kind === 'refused') this.noteRefusalClock(failure);
+    this.onFailure(failure);
+    if (failure.kind === 'no_answer' || failure.kind === 'not_sent')
+      await this.checkLapse();
+    await pause(this.options.clock, this.retryMs);
+    this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
+  }
+
+  /** Gives up what ran on a worker that was away for longer than its lease. */
+  private async checkLapse(): Promise<void> {
+    const {clock, db, life} = this.options;
+    if (clock.now() < this.workerClock.lapseAt) return;
+    this.isLapsed = true;
+    const runs = [...(db.findLife(life)?.active.values() ?? [])].filter(
+      ({task}) => this.starts.get(taskKey(task))?.kind !== 'in_flight',
+    );
+    if (runs.length > 0) await this.voidRuns(runs, 'lease_lapsed');
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/cluster/node.ts
@@ -0,0 +1,255 @@
+/** One VM of a cell that schedules workflows: an entry, or a voter. */
+import {randomInt} from 'node:crypto';
+import type Logger from 'bunyan';
+import {
+  GatewayTask,
+  SchedulerTask,
+  WorkflowReplica,
+  WorkflowService,
+  type AdvicePort,
+  type OrderPort,
+} from '@primrosewick/coordination';
+import {
+  LINK_METHODS,
+  type ClusterSettings,
+  type FromLeader,
+  type LinkHello,
+  type LinkWelcome,
+  type WorkflowReply,
+  type WorkflowRequest,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  type StepRef,
+  type VmId,
+  type WorkerId,
+} from '@primrosewick/state';
+import {
+  LinkClient,
+  LinkServer,
+  systemClock,
+  type LinkHandlers,
+} from '@primrosewick/transport';
+import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
+
+/** Options of a node. */
+export interface ClusterNodeOptions {
+  readonly settings: ClusterSettings;
+  readonly logger: Logger;
+  readonly orders: OrderPort;
+  readonly advice: AdvicePort;
+  readonly onFatal: (err: CellError) => void;
+}
+
+/** Age at which an entry no longer counts as able to ask for advice, in ms. */
+const CALLER_AGE_MS = 1500;
+/** Seeds of the random source of elections. */
+const MAX_SEED = 2 ** 31;
+
+/** A VM of the cell. */
+export class ClusterNode {
+  readonly gateway: GatewayTask;
+  private readonly peers: LinkClient;
+  private readonly server: LinkServer;
+  private readonly replica: WorkflowReplica;
+  private readonly log: VoterLog | null;
+  private readonly service: WorkflowService | null;
+  private scheduler: SchedulerTask | null = null;
+  /** Monotonic time of the last greeting of each VM that may ask for advice. */
+  private readonly callers = new Map<VmId, number>();
+  private isStopping = false;
+
+  constructor(private readonly options: ClusterNodeOptions) {
+    const {settings, logger} = options;
+    this.replica = new WorkflowReplica({keepEndedMs: settings.keepEndedMs});
+    this.peers = new LinkClient({
+      cell: CLUSTER_NAME,
+      vm: settings.peer,
+      onBytes: () => undefined,
+    });
+    this.log = this.makeLog();
+    this.service = this.log && this.makeService(this.log);
+    this.gateway = new GatewayTask({
+      peers: this.peers,
+      clock: systemClock,
+      seeds: settings.seeds,
+      hello: () => this.hello(),
+      onContact: (hasContact, leader) =>
+        logger.info(
+          {change: hasContact ? 'leader_found' : 'leader_lost', leader},
+          'contact with the leader changed',
+        ),
+    });
+    this.server = new LinkServer({
+      address: settings.peer,
+      cell: CLUSTER_NAME,
+      handlers: this.handlers(),
+      onRefusal: err => logger.info({decision: 'refuse', err: err.toBody()}),
+    });
+  }
+
+  /** Starts to listen and to take part. */
+  async start(): Promise<void> {
+    await this.log?.open();
+    await this.server.listen();
+    this.gateway.start();
+    void this.log?.run(() => this.askOthers(), this.options.settings.seeds);
+  }
+
+  /** Refuses readiness from now on. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  /** Hands over what this VM leads, and ends. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    this.gateway.stop();
+    await this.log?.close();
+    this.scheduler?.close();
+    this.peers.close();
+    this.server.close();
+  }
+
+  /** Whether clients' calls can be carried to a leader. */
+  get isReady(): boolean {
+    return !this.isStopping && this.gateway.hasContact;
+  }
+
+  private makeLog(): VoterLog | null {
+    const {settings, logger, onFatal} = this.options;
+    if (settings.dataFolder === null) return null;
+    return new VoterLog({
+      vm: settings.peer,
+      zone: settings.zone,
+      dataFolder: settings.dataFolder,
+      mayFound: settings.mayFound,
+      targetVoters: 2 * settings.toleratedVms + 1,
+      replica: this.replica,
+      peers: this.peers,
+      clock: systemClock,
+      seed: randomInt(MAX_SEED),
+      logger,
+      onLeading: term => this.onLeading(term),
+      onFailure: onFatal,
+    });
+  }
+
+  private makeService(log: VoterLog): WorkflowService {
+    return new WorkflowService({
+      replica: this.replica,
+      log,
+      clock: systemClock,
+      logger: this.options.logger,
+      onHeard: worker => this.scheduler?.noteHeard(worker),
+    });
+  }
+
+  private onLeading(term: number | null): void {
+    const {settings, logger, orders} = this.options;
+    this.scheduler?.close();
+    this.scheduler = null;
+    logger.info(
+      {change: term === null ? 'lead_ended' : 'lead_began', term},
+      'the leadership changed',
+    );
+    if (term === null || !this.log) return;
+    const {log} = this;
+    this.scheduler = new SchedulerTask({
+      replica: this.replica,
+      clock: systemClock,
+      logger,
+      orders,
+      terms: settings,
+      term,
+      unawareMs: 2 * ELECTION_MS,
+      propose: command => log.propose(command),
+      callers: () => this.liveCallers(),
+      ask: (vm, step, workers) => this.advise(vm, step, workers),
+    });
+    this.scheduler.start();
+  }
+
+  private liveCallers(): VmId[] {
+    const now = systemClock.now();
+    const live = [...this.callers]
+      .filter(([, at]) => now < at + CALLER_AGE_MS)
+      .map(([vm]) => vm);
+    return [this.options.settings.peer, ...live];
+  }
+
+  private advise(vm: VmId, step: StepRef, workers: readonly WorkerId[]) {
+    if (vm === this.options.settings.peer)
+      return this.options.advice.advise(step, workers);
+    return this.peers.call(vm, 'advise', {step, workers});
+  }
+
+  private hello(): LinkHello {
+    const {settings} = this.options;
+    return {
+      vm: settings.peer,
+      zone: settings.zone,
+      node: this.log?.node ?? null,
+      hasState: this.log?.hasState ?? false,
+      mayFound: settings.mayFound,
+    };
+  }
+
+  private welcome(from: LinkHello): LinkWelcome {
+    this.log?.noteHello(from);
+    if (from.vm !== this.options.settings.peer)
+      this.callers.set(from.vm, systemClock.now());
+    const isServing =
+      this.log?.isLeading === true && this.replica.db.bundle !== null;
+    return {
+      ...this.hello(),
+      leader: this.log?.leaderVm ?? null,
+      members: this.log?.memberVms ?? [],
+      isServing,
+    };
+  }
+
+  private async askOthers(): Promise<LinkWelcome[]> {
+    const others = this.gateway.vms.filter(
+      vm => vm !== this.options.settings.peer,
+    );
+    const replies = await Promise.all(
+      others.map(vm =>
+        this.peers.call(vm, 'hello', this.hello()).catch(() => undefined),
+      ),
+    );
+    return replies.filter(reply => reply !== undefined);
+  }
+
+  private handlers(): LinkHandlers {
+    const notHere = <T>(): Promise<FromLeader<T>> =>
+      Promise.resolve({kind: 'not_leader', leader: null});
+    const {log, service} = this;
+    return {
+      hello: async from => this.welcome(from),
+      consensus: async ({envelopes}, from) => ({
+        envelopes: log ? await log.receive(from, envelopes) : [],
+      }),
+      readIndex: async () =>
+        log?.isLeading
+          ? {kind: 'ok', value: {index: await log.readIndex()}}
+          : {kind: 'not_leader', leader: log?.leaderVm ?? null},
+      workflow: request => service?.handle(request) ?? notHere(),
+      announceWorker: report => service?.announceWorker(report) ?? notHere(),
+      removeWorker: request => service?.removeWorker(request) ?? notHere(),
+      putBundle: request => service?.putBundle(request) ?? notHere(),
+      getBundle: () => service?.getBundle() ?? notHere(),
+      advise: ({step, workers}) => this.options.advice.advise(step, workers),
+    };
+  }
+
+  /** Carries a client's call to the leader, until a time of the monotonic clock. */
+  request(request: WorkflowRequest, deadline: number): Promise<WorkflowReply> {
+    return this.gateway.callLeader('workflow', request, deadline);
+  }
+
+  /** Deadline of a call that no client has set one for. */
+  static defaultDeadline(): number {
+    return systemClock.now() + LINK_METHODS.workflow.deadlineMs;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -0,0 +1,331 @@
+/** The log of a VM with a disk: opens the folder, founds or joins, and repairs. */
+import type Logger from 'bunyan';
+import {
+  ConsensusTask,
+  findFounders,
+  foundingStateOf,
+  nextMembershipChange,
+  openIdentity,
+  replaceState,
+  restoreState,
+  type Announced,
+  type ConsensusStatus,
+  type Envelope,
+  type LogAccess,
+  type Restored,
+  type WorkflowReplica,
+} from '@primrosewick/coordination';
+import type {LinkHello, LinkWelcome} from '@primrosewick/protocol';
+import {
+  CellError,
+  NodeFolder,
+  asId,
+  toCellError,
+  vmOfNode,
+  type CellId,
+  type NodeId,
+  type VmId,
+  type WorkflowCommand,
+  type WorkflowResult,
+  type ZoneId,
+} from '@primrosewick/state';
+import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
+
+/** Name that the VMs of one cell give each other. */
+export const CLUSTER_NAME = 'primrosewick';
+
+/** Options of the log. */
+export interface VoterLogOptions {
+  readonly vm: VmId;
+  readonly zone: ZoneId;
+  readonly dataFolder: string;
+  readonly mayFound: boolean;
+  readonly targetVoters: number;
+  readonly replica: WorkflowReplica;
+  readonly peers: LinkCaller;
+  readonly clock: Clock;
+  readonly seed: number;
+  readonly logger: Logger;
+  /** Called when this VM begins to lead a term with all earlier entries applied, or ends. */
+  readonly onLeading: (term: number | null) => void;
+  /** Called when the data folder fails; the process cannot go on. */
+  readonly onFailure: (err: CellError) => void;
+}
+
+/** Interval of heartbeats between voters, in ms: several fit in an election timeout. */
+const HEARTBEAT_MS = 120;
+/** Shortest election timeout, in ms: longer than a pause of a slowed VM. */
+export const ELECTION_MS = 700;
+/** Entries that a learner may lack when it is promoted. */
+const CAUGHT_UP_ENTRIES = 64;
+/** Proposals that may wait at once. */
+const MAX_PROPOSALS = 4096;
+const REPAIR_INTERVAL_MS = 200;
+const FOUND_PAUSE_MS = 100;
+/** Time after which a cell is founded without a seed that does not answer, in ms. */
+const FOUND_PATIENCE_MS = 4000;
+
+type Task = ConsensusTask<WorkflowCommand, WorkflowResult>;
+
+/** The log as one VM with a disk takes part in it. */
+export class VoterLog implements LogAccess {
+  private task: Task | null = null;
+  private folder: NodeFolder | null = null;
+  private identity: NodeId | null = null;
+  private restored: Restored<WorkflowCommand> | null = null;
+  private leadingTerm: number | null = null;
+  private confirmingTerm: number | null = null;
+  private isClosed = false;
+  private readonly heard = new Map<
+    VmId,
+    {readonly node: NodeId; readonly zone: ZoneId; readonly at: number}
+  >();
+
+  constructor(private readonly options: VoterLogOptions) {}
+
+  /** Opens the data folder. */
+  async open(): Promise<void> {
+    const {dataFolder, vm, logger} = this.options;
+    this.folder = await NodeFolder.open(dataFolder, {lock: 'none'});
+    const cell = asId<CellId>(CLUSTER_NAME);
+    const {node} = await openIdentity(this.folder, cell, vm);
+    this.identity = node;
+    this.restored = await restoreState<WorkflowCommand>(this.folder);
+    logger.info(
+      {
+        change: 'folder_opened',
+        node,
+        hasState: this.hasState,
+        entries: this.restored.entries.length,
+        snapshot: this.restored.snapshot?.index ?? 0,
+      },
+      'the data folder is open',
+    );
+  }
+
+  /** Takes part in the log; an empty folder first founds the cell or waits to be added. */
+  async run(askOthers: () => Promise<LinkWelcome[]>, seeds: readonly VmId[]): Promise<void> {
+    if (!this.hasState) await this.foundIfAllowed(askOthers, seeds);
+    if (this.isClosed) return;
+    this.startTask();
+    if (this.task?.status.needsIndex) void this.requireCurrent(askOthers);
+    while (!this.isClosed) {
+      await this.repair();
+      await pause(this.options.clock, REPAIR_INTERVAL_MS);
+    }
+  }
+
+  /** Hands the leadership over and releases the folder. */
+  async close(): Promise<void> {
+    this.isClosed = true;
+    this.task?.transferAway();
+    await pause(this.options.clock, 50);
+    this.setLeading(null);
+    this.task?.stop();
+    await this.folder?.close();
+  }
+
+  /** Identity of the data folder. */
+  get node(): NodeId | null {
+    return this.identity;
+  }
+
+  /** Whether the data folder holds a log. */
+  get hasState(): boolean {
+    return (
+      this.task !== null ||
+      (this.restored !== null &&
+        (this.restored.hardState.term > 0 || this.restored.snapshot !== null))
+    );
+  }
+
+  get isLeading(): boolean {
+    return this.leadingTerm !== null && this.task?.status.role === 'leader';
+  }
+
+  get leaderVm(): VmId | null {
+    const leader = this.task?.status.leader;
+    return leader ? vmOfNode(leader) : null;
+  }
+
+  /** VMs that take part in the log. */
+  get memberVms(): VmId[] {
+    const members = this.task?.status.members;
+    if (!members) return [];
+    return [...members.voters, ...members.learners].map(vmOfNode);
+  }
+
+  propose(command: WorkflowCommand): Promise<WorkflowResult> {
+    if (this.task && this.leadingTerm !== null)
+      return this.task.propose(command);
+    return Promise.reject(new CellError({code: 'not_leader', step: 'propose'}));
+  }
+
+  async readIndex(): Promise<number> {
+    if (!this.task || this.leadingTerm === null)
+      throw new CellError({code: 'not_leader', step: 'read-index'});
+    return this.task.readIndex();
+  }
+
+  /** Takes messages of another VM; @returns those to it which they led to. */
+  async receive(
+    from: VmId,
+    envelopes: readonly unknown[],
+  ): Promise<readonly unknown[]> {
+    const own = (envelopes as ReadonlyArray<Envelope<WorkflowCommand>>).filter(
+      ({to}) => to === this.identity,
+    );
+    return this.task ? this.task.receive(from, own) : [];
+  }
+
+  /** Notes that a VM with a disk has announced itself. */
+  noteHello({vm, node, zone}: LinkHello): void {
+    if (node) this.heard.set(vm, {node, zone, at: this.options.clock.now()});
+  }
+
+  private async foundIfAllowed(
+    askOthers: () => Promise<LinkWelcome[]>,
+    seeds: readonly VmId[],
+  ): Promise<void> {
+    const {vm, zone, mayFound, clock, logger} = this.options;
+    if (!mayFound || [...seeds].sort()[0] !== vm) return;
+    const patientAt = clock.now() + FOUND_PATIENCE_MS;
+    while (!this.isClosed && this.folder) {
+      const replies = await askOthers();
+      if (replies.some(({hasState}) => hasState)) return;
+      const voters = findFounders({
+        own: {vm, zone, node: this.identity, hasState: false, mayFound},
+        seeds,
+        replies,
+        isPatient: clock.now() >= patientAt,
+      });
+      if (voters) {
+        this.restored = foundingStateOf<WorkflowCommand>(voters);
+        await replaceState(this.folder, this.restored);
+        logger.info({change: 'founded', voters}, 'founded the cell');
+        return;
+      }
+      await pause(clock, FOUND_PAUSE_MS);
+    }
+  }
+
+  /** A new folder remembers nothing that was shown, so its copy waits for an index read now. */
+  private async requireCurrent(
+    askOthers: () => Promise<LinkWelcome[]>,
+  ): Promise<void> {
+    const {peers, clock} = this.options;
+    while (!this.isClosed) {
+      const replies = await askOthers();
+      for (const {vm, isServing} of replies) {
+        if (!isServing) continue;
+        const reply = await peers
+          .call(vm, 'readIndex', {})
+          .catch(() => undefined);
+        if (reply?.kind === 'ok') return this.task?.require(reply.value.index);
+      }
+      await pause(clock, FOUND_PAUSE_MS);
+    }
+  }
+
+  private startTask(): void {
+    const {replica, peers, clock, seed, logger, onFailure} = this.options;
+    if (!this.folder || !this.identity || !this.restored) return;
+    this.task = new ConsensusTask<WorkflowCommand, WorkflowResult>({
+      node: this.identity,
+      folder: this.folder,
+      restored: this.restored,
+      replica,
+      peers,
+      clock,
+      seed,
+      timing: {heartbeatMs: HEARTBEAT_MS, electionMs: ELECTION_MS},
+      maxProposals: MAX_PROPOSALS,
+      onFailure: err => {
+        logger.error({change: 'log_failed', err: err.toBody()});
+        onFailure(err);
+      },
+    });
+    this.task.changes.subscribe(status => this.onStatus(status));
+    this.task.start();
+  }
+
+  private onStatus({role, leader, term, members}: ConsensusStatus): void {
+    this.options.logger.info(
+      {change: 'log', role, leader, term, members},
+      'role, leader or members of the log changed',
+    );
+    if (role !== 'leader') this.setLeading(null);
+    else if (this.leadingTerm !== term) void this.confirmLeading(term);
+  }
+
+  /** Begins to lead once an index read proves that all earlier entries are applied. */
+  private async confirmLeading(term: number): Promise<void> {
+    if (this.confirmingTerm === term) return;
+    this.confirmingTerm = term;
+    const {clock, replica} = this.options;
+    while (this.isTermLed(term) && this.task) {
+      const index = await this.task.readIndex().catch(() => undefined);
+      if (
+        index !== undefined &&
+        replica.index >= index &&
+        this.isTermLed(term)
+      ) {
+        this.setLeading(term);
+        break;
+      }
+      await pause(clock, 10);
+    }
+    this.confirmingTerm = null;
+  }
+
+  private isTermLed(term: number): boolean {
+    const status = this.task?.status;
+    return (
+      !this.isClosed && status?.role === 'leader' && status.term === term
+    );
+  }
+
+  private setLeading(term: number | null): void {
+    if (this.leadingTerm === term) return;
+    this.leadingTerm = term;
+    this.options.onLeading(term);
+  }
+
+  private async repair(): Promise<void> {
+    const {task, identity} = this;
+    if (!task || !identity || !this.isLeading) return;
+    const {members, commitIndex, matches} = task.status;
+    const change = nextMembershipChange({
+      members,
+      own: identity,
+      announced: this.announced(),
+      caughtUp: new Set(
+        matches
+          .filter(({index}) => index >= commitIndex - CAUGHT_UP_ENTRIES)
+          .map(({node}) => node),
+      ),
+      targetVoters: this.options.targetVoters,
+    });
+    if (!change) return;
+    this.options.logger.info(
+      {decision: 'members', change, members},
+      'the members of the log are changed',
+    );
+    try {
+      await task.changeMembers(change);
+    } catch (err) {
+      const {code} = toCellError(err, 'repair');
+      this.options.logger.info({change: 'repair_failed', code});
+    }
+  }
+
+  private announced(): Announced[] {
+    const now = this.options.clock.now();
+    return [...this.heard].map(([vm, {node, zone, at}]) => ({
+      vm,
+      node,
+      zone,
+      silentMs: now - at,
+    }));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export * from './cluster/node.js';
--- a/packages/daemon/src/routes/context.ts
+++ b/packages/daemon/src/routes/context.ts
@@ -10,6 +10,7 @@
 import type {Settings, VmStatus, WriteIdInput} from '@primrosewick/protocol';
 import {
   CellError,
+  type CellCommand,
   type CellResult,
   type HolderId,
   type WriteCommand,
@@ -39,7 +40,7 @@
   readonly leaders: ReadonlyMap<ZoneId, ZoneLeaderPort>;
   readonly authority: AuthorityTask;
   /** The voter of this VM, once it takes part. */
-  readonly consensus: () => ConsensusTask | null;
+  readonly consensus: () => ConsensusTask<CellCommand, CellResult> | null;
   readonly recorder: JournalRecorder;
   readonly ownStatus: () => VmStatus;
   readonly isStopping: () => boolean;
--- a/packages/daemon/src/voter.ts
+++ b/packages/daemon/src/voter.ts
@@ -53,7 +53,7 @@
 
 /** The voter of a VM with a disk. */
 export class Voter {
-  private consensus: ConsensusTask | null = null;
+  private consensus: ConsensusTask<CellCommand, CellResult> | null = null;
   private folder: NodeFolder | null = null;
   private identity: FolderIdentity | null = null;
   private restored: Restored<CellCommand> | null = null;
@@ -93,7 +93,7 @@
   }
 
   /** The driver of the log, once it takes part. */
-  get task(): ConsensusTask | null {
+  get task(): ConsensusTask<CellCommand, CellResult> | null {
     return this.consensus;
   }
 
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -22,6 +22,7 @@
   asId,
   makeNodeId,
   type CellCommand,
+  type CellResult,
   type VmId,
   type ZoneId,
 } from '@primrosewick/state';
@@ -44,7 +45,7 @@
 interface BenchNode {
   readonly settings: VmSettings;
   readonly replica: ReplicaTask;
-  readonly voter?: ConsensusTask;
+  readonly voter?: ConsensusTask<CellCommand, CellResult>;
   readonly folder?: NodeFolder;
 }
 
@@ -105,7 +106,7 @@
   private async startVoter(
     settings: VmSettings,
     replica: ReplicaTask,
-  ): Promise<{voter: ConsensusTask; folder: NodeFolder}> {
+  ): Promise<{voter: ConsensusTask<CellCommand, CellResult>; folder: NodeFolder}> {
     const folder = await NodeFolder.open(path.join(this.root, settings.vm));
     const node = makeNodeId(settings.vm, 'b');
     const isFounder = settings.vm === 'v0';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,3 +6,6 @@
 export * from './settings/page.js';
 export * from './settings/types.js';
 export * from './api/description.js';
+export * from './link/codec.js';
+export * from './link/types.js';
+export * from './settings/cluster.js';
--- /dev/null
+++ b/packages/protocol/src/settings/cluster.ts
@@ -0,0 +1,52 @@
+/** Settings of a VM that schedules workflows, as an entry or as a voter. */
+import {nameSchema, type VmId, type ZoneId} from '@primrosewick/state';
+import {z} from 'zod';
+import {addressSchema} from './types.js';
+
+const vmAddress = addressSchema.transform(text => text as VmId);
+
+/** Schema of the settings; types, defaults and checks come from it. */
+export const clusterSettingsSchema = z.object({
+  name: z.string().min(1).describe('Name of the VM in log lines.'),
+  zone: nameSchema<ZoneId>().describe('Availability zone of the VM.'),
+  peer: vmAddress.describe('Address for other VMs; it is the id of the VM.'),
+  seeds: z
+    .array(vmAddress)
+    .min(1)
+    .describe('Addresses of VMs to ask for the others.'),
+  mayFound: z
+    .boolean()
+    .describe('Whether the whole cell starts for the first time.'),
+  dataFolder: z
+    .string()
+    .nullable()
+    .describe('Folder of a voter; null for an entry.'),
+  toleratedVms: z
+    .int()
+    .min(0)
+    .max(3)
+    .default(1)
+    .describe('Voters that may be lost at once.'),
+  maxLeaseMs: z
+    .int()
+    .min(100)
+    .default(10_000)
+    .describe('Longest lease that a worker takes, in ms.'),
+  announceMs: z
+    .int()
+    .min(10)
+    .default(1500)
+    .describe('Interval of the announcements of workers, in ms.'),
+  keepEndedMs: z
+    .int()
+    .min(1000)
+    .default(180_000)
+    .describe('How long an ended workflow can be asked for, in ms.'),
+  logLevel: z
+    .enum(['debug', 'info', 'warn', 'error'])
+    .default('info')
+    .describe('Least level of the lines that are written.'),
+});
+
+/** Checked settings. */
+export type ClusterSettings = z.infer<typeof clusterSettingsSchema>;
--- /dev/null
+++ b/packages/state/src/bundle/core.spec.ts
@@ -0,0 +1,32 @@
+import {expect} from 'chai';
+import {findBundleFault, matchQueue} from './core.js';
+import {testBundle, testQueue} from './fixtures.js';
+
+describe('bundle', () => {
+  it('the longest prefix of the host wins', () => {
+    const bundle = testBundle({
+      queues: [
+        testQueue({name: 'short', host: 'h', prefix: '/a/'}),
+        testQueue({name: 'long', host: 'h', prefix: '/a/b/'}),
+        testQueue({name: 'other', host: 'g', prefix: '/a/b/c/'}),
+      ],
+    });
+    const match = matchQueue(bundle, 'h', '/a/b/c/1');
+    expect(match?.queue.name).to.equal('long');
+    expect(match?.rest).to.equal('c/1');
+    expect(matchQueue(bundle, 'h', '/b')).to.equal(undefined);
+  });
+  it('an unknown pool is a fault', () => {
+    const bundle = testBundle({queues: [testQueue({pool: 'none'})]});
+    expect(findBundleFault(bundle)).to.contain('unknown pool');
+  });
+  it('two queues in one place are a fault', () => {
+    const bundle = testBundle({
+      queues: [testQueue({name: 'a'}), testQueue({name: 'b'})],
+    });
+    expect(findBundleFault(bundle)).to.contain('share host');
+  });
+  it('a sound bundle has no fault', () => {
+    expect(findBundleFault(testBundle({}))).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/state/src/bundle/core.ts
@@ -0,0 +1,43 @@
+/** Looks up the queue that a client addresses. */
+import type {Bundle, Queue} from './types.js';
+
+/** A queue and the rest of the path behind its prefix. */
+export interface QueueMatch {
+  readonly queue: Queue;
+  /** Path behind the prefix; empty for the queue itself. */
+  readonly rest: string;
+}
+
+/**
+ * Finds the queue with the longest prefix of a path.
+ * @returns undefined when no queue of the host has such a prefix.
+ */
+export const matchQueue = (
+  bundle: Bundle,
+  host: string,
+  path: string,
+): QueueMatch | undefined => {
+  let best: Queue | undefined;
+  for (const queue of bundle.queues) {
+    if (queue.host !== host || !path.startsWith(queue.prefix)) continue;
+    if (!best || queue.prefix.length > best.prefix.length) best = queue;
+  }
+  return best && {queue: best, rest: path.slice(best.prefix.length)};
+};
+
+/**
+ * Finds what makes a bundle unusable.
+ * @returns a sentence for the operator, or undefined when the bundle is sound.
+ */
+export const findBundleFault = (bundle: Bundle): string | undefined => {
+  const pools = new Set(bundle.pools.map(({name}) => name));
+  const places = new Set<string>();
+  for (const {name, host, prefix, pool} of bundle.queues) {
+    if (!pools.has(pool)) return `queue ${name} names an unknown pool ${pool}`;
+    const place = JSON.stringify([host, prefix]);
+    if (places.has(place))
+      return `two queues share host ${host} and prefix ${prefix}`;
+    places.add(place);
+  }
+  return undefined;
+};
--- /dev/null
+++ b/packages/state/src/bundle/types.ts
@@ -0,0 +1,69 @@
+/**
+ * The versioned bundle: queues, pools and limits that an operator replaces as
+ * a whole. The highest version is in force.
+ */
+import type {Branded, ServiceName} from '../ids/types.js';
+
+/** Name of a queue of workflows. */
+export type QueueName = Branded<string, 'QueueName'>;
+
+/** How long the placement adviser of a queue takes, and how long it binds. */
+export interface AdviceTerms {
+  /** Fixed time of one call, in ms. */
+  readonly baseMs: number;
+  /** Time for each worker named in a call, in ms. */
+  readonly perWorkerMs: number;
+  /** How long a ticket is valid, in ms. */
+  readonly validMs: number;
+}
+
+/** A queue that clients submit workflows to. */
+export interface Queue {
+  readonly name: QueueName;
+  /** Host under which clients reach the queue. */
+  readonly host: string;
+  /** Path prefix under which clients reach the queue. */
+  readonly prefix: string;
+  /** Pool whose workers run the tasks. */
+  readonly pool: ServiceName;
+  /** 0 is served first. */
+  readonly priority: number;
+  /** Runs of one task, or of one gang, that may fail. */
+  readonly maxAttempts: number;
+  /** Factor on the longest chain of work within the latency objective. */
+  readonly stretch: number;
+  /** Fixed part of the latency objective, in ms. */
+  readonly objectiveMs: number;
+  /** Absent where every worker of the pool may run every step. */
+  readonly advice?: AdviceTerms;
+}
+
+/** A pool of workers. */
+export interface Pool {
+  readonly name: ServiceName;
+  /** Connections that one worker takes. */
+  readonly maxConnections: number;
+  /** Whether its workers refuse what does not fit. */
+  readonly guardsAdmission: boolean;
+  /** Whether its VMs are switched off. */
+  readonly isStandby: boolean;
+  readonly healthPath: string;
+}
+
+/** Bounds on what clients send. */
+export interface ClientLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** Queues, pools and limits of one version. */
+export interface Bundle {
+  readonly version: number;
+  readonly queues: readonly Queue[];
+  readonly pools: readonly Pool[];
+  readonly limits: ClientLimits;
+  /** The bundle as the operator sent it; not interpreted here. */
+  readonly source: string;
+}
--- a/packages/state/src/storage/node_disk.ts
+++ b/packages/state/src/storage/node_disk.ts
@@ -18,22 +18,30 @@
 
   private constructor(
     private readonly root: string,
-    private readonly lock: Server,
+    private readonly lock: Server | null,
   ) {}
 
   /**
    * Opens a folder and takes its lock.
    * @param root - path of the folder; made when absent.
+   * @param options - `lock: 'none'` where the platform gives each folder to one
+   *   process and has no abstract sockets.
    * @throws CellError `folder_locked` or `storage_failed`.
    */
-  static async open(root: string): Promise<NodeFolder> {
+  static async open(
+    root: string,
+    {lock = 'socket'}: {readonly lock?: 'socket' | 'none'} = {},
+  ): Promise<NodeFolder> {
     const resolved = path.resolve(root);
     try {
       await mkdir(resolved, {recursive: true});
     } catch (err) {
       throw storageError('make-folder', resolved, err);
     }
-    return new NodeFolder(resolved, await lockFolder(resolved));
+    return new NodeFolder(
+      resolved,
+      lock === 'socket' ? await lockFolder(resolved) : null,
+    );
   }
 
   async read(file: string): Promise<Uint8Array | undefined> {
@@ -79,7 +87,7 @@
 
   async close(): Promise<void> {
     for (const file of [...this.handles.keys()]) await this.closeHandle(file);
-    this.lock.close();
+    this.lock?.close();
   }
 
   private pathOf(file: string): string {
--- /dev/null
+++ b/packages/state/src/workflow/db.ts
@@ -0,0 +1,364 @@
+/**
+ * The replicated state of workflows and workers. Every voter applies the same
+ * records in the same order; nothing here reads a clock or draws a number.
+ */
+import type {Bundle, Queue, QueueName} from '../bundle/types.js';
+import type {WorkerId} from '../ids/types.js';
+import {assertNever} from '../utils/assert_never.js';
+import {taskKey} from './refs.js';
+import type {
+  RecordedStart,
+  RunEnd,
+  StepState,
+  TaskRef,
+  TaskState,
+  WorkerLife,
+  WorkerRegistration,
+  WorkerState,
+  WorkflowCommand,
+  WorkflowId,
+  WorkflowImage,
+  WorkflowPhase,
+  WorkflowResult,
+  WorkflowSpec,
+  WorkflowState,
+} from './types.js';
+
+/** Options of the state. */
+export interface WorkflowDbOptions {
+  /** How long an ended workflow is kept for questions, in ms. */
+  readonly keepEndedMs: number;
+}
+
+const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
+
+const APPLIED: WorkflowResult = {kind: 'applied'};
+const NO_WORKFLOW: WorkflowResult = {kind: 'no_workflow'};
+
+/** Workflows, workers and the bundle in force. */
+export class WorkflowDb {
+  bundle: Bundle | null = null;
+  /** Queues by name; one that the bundle dropped keeps its last terms. */
+  readonly queues = new Map<QueueName, Queue>();
+  readonly workflows = new Map<WorkflowId, WorkflowState>();
+  readonly workers = new Map<WorkerId, WorkerState>();
+  /** Workflows that go on, in the order of acceptance. */
+  readonly open = new Map<WorkflowId, WorkflowState>();
+  private ended: Array<{readonly id: WorkflowId; readonly at: number}> = [];
+  private lastIndex = 0;
+  private readonly options: WorkflowDbOptions;
+
+  constructor(options: Partial<WorkflowDbOptions> = {}) {
+    this.options = {...DEFAULT_OPTIONS, ...options};
+  }
+
+  /** Index of the last record applied. */
+  get index(): number {
+    return this.lastIndex;
+  }
+
+  /** Moves past an index that holds no record. */
+  skip(index: number): void {
+    this.lastIndex = index;
+  }
+
+  /** Applies one record. */
+  apply(index: number, command: WorkflowCommand): WorkflowResult {
+    this.lastIndex = index;
+    switch (command.kind) {
+      case 'put_bundle':
+        return this.putBundle(command.bundle);
+      case 'submit':
+        this.submit(command);
+        return APPLIED;
+      case 'cancel':
+        return this.cancel(command.id, command.at);
+      case 'put_worker':
+        this.putWorker(command.report);
+        return APPLIED;
+      case 'remove_worker':
+        this.removeWorker(command.life);
+        return APPLIED;
+      case 'start_runs':
+        for (const start of command.starts) this.startRun(start);
+        return APPLIED;
+      case 'end_runs':
+        this.endRuns(command.life, command.ends, command.at);
+        return APPLIED;
+      case 'void_runs':
+        for (const {task, run} of command.runs)
+          this.takeActive(command.life, task, run);
+        return APPLIED;
+      default:
+        return assertNever(command);
+    }
+  }
+
+  /** Steps of an occurrence; fresh ones where none has started yet. */
+  stepsOf(workflow: WorkflowState, occurrence: number): StepState[] {
+    return (
+      workflow.occurrences.get(occurrence) ?? freshOccurrence(workflow.spec)
+    );
+  }
+
+  /** State of a task, or undefined when its workflow is not known. */
+  findTask(ref: TaskRef): TaskState | undefined {
+    const workflow = this.workflows.get(ref.workflow);
+    return workflow?.occurrences.get(ref.occurrence)?.[ref.step]?.tasks[
+      ref.index
+    ];
+  }
+
+  /** The life of a worker that is registered now, if it is the one named. */
+  findLife({worker, bornAt}: WorkerLife): WorkerState | undefined {
+    const state = this.workers.get(worker);
+    return state?.report.bornAt === bornAt ? state : undefined;
+  }
+
+  /** The whole state as plain data. */
+  toImage(): WorkflowImage {
+    return {
+      index: this.lastIndex,
+      bundle: this.bundle,
+      queues: [...this.queues.values()],
+      workflows: [...this.workflows.values()].map(workflow => ({
+        ...workflow,
+        occurrences: [...workflow.occurrences],
+      })),
+      workers: [...this.workers.values()].map(worker => ({
+        ...worker,
+        active: [...worker.active.values()],
+      })),
+    };
+  }
+
+  /** Takes over an image. */
+  restore(image: WorkflowImage): void {
+    this.lastIndex = image.index;
+    this.bundle = image.bundle;
+    this.queues.clear();
+    for (const queue of image.queues) this.queues.set(queue.name, queue);
+    this.workflows.clear();
+    this.open.clear();
+    this.ended = [];
+    for (const kept of image.workflows)
+      this.addWorkflow({...kept, occurrences: new Map(kept.occurrences)});
+    this.ended.sort((a, b) => a.at - b.at);
+    this.workers.clear();
+    for (const kept of image.workers)
+      this.workers.set(kept.report.worker, {
+        ...kept,
+        active: new Map(kept.active.map(run => [taskKey(run.task), run])),
+      });
+  }
+
+  private addWorkflow(workflow: WorkflowState): void {
+    this.workflows.set(workflow.id, workflow);
+    if (workflow.phase === 'open') this.open.set(workflow.id, workflow);
+    else this.ended.push({id: workflow.id, at: workflow.endedAt});
+  }
+
+  private putBundle(bundle: Bundle): WorkflowResult {
+    if (this.bundle && bundle.version <= this.bundle.version)
+      return {kind: 'superseded', version: this.bundle.version};
+    this.bundle = bundle;
+    for (const queue of bundle.queues) this.queues.set(queue.name, queue);
+    return APPLIED;
+  }
+
+  private submit(command: Extract<WorkflowCommand, {kind: 'submit'}>): void {
+    const {id, queue, spec, at} = command;
+    this.forgetEnded(at);
+    if (this.workflows.has(id)) return;
+    this.addWorkflow({
+      id,
+      queue,
+      spec,
+      acceptedAt: at,
+      phase: 'open',
+      endedAt: 0,
+      hasStarted: false,
+      occurrences: new Map(),
+      doneOccurrences: 0,
+    });
+  }
+
+  private cancel(id: WorkflowId, at: number): WorkflowResult {
+    const workflow = this.workflows.get(id);
+    if (!workflow) return NO_WORKFLOW;
+    if (workflow.phase === 'open') this.finish(workflow, 'cancelled', at);
+    return APPLIED;
+  }
+
+  private putWorker(report: WorkerRegistration): void {
+    const known = this.workers.get(report.worker);
+    if (known && known.report.bornAt > report.bornAt) return;
+    if (known?.report.bornAt === report.bornAt) {
+      // A worker that leaves does not come back in the same life.
+      const isDraining = known.report.isDraining || report.isDraining;
+      known.report = {...report, isDraining};
+      return;
+    }
+    if (known) this.removeWorker(known.report);
+    this.workers.set(report.worker, {
+      report,
+      endsRecorded: 0,
+      active: new Map(),
+    });
+  }
+
+  /** Drops a worker; whatever ran there has ended with it. */
+  private removeWorker(life: WorkerLife): void {
+    const known = this.findLife(life);
+    if (!known) return;
+    for (const {task, run} of [...known.active.values()])
+      this.takeActive(life, task, run);
+    this.workers.delete(life.worker);
+  }
+
+  private startRun({task, run, worker, bornAt}: RecordedStart): void {
+    const workflow = this.open.get(task.workflow);
+    const place = this.findLife({worker, bornAt});
+    if (!workflow || !place) return;
+    let steps = workflow.occurrences.get(task.occurrence);
+    if (!steps) {
+      steps = freshOccurrence(workflow.spec);
+      workflow.occurrences.set(task.occurrence, steps);
+    }
+    const state = steps[task.step]?.tasks[task.index];
+    if (!state || state.isDone || run <= state.lastRun) return;
+    workflow.hasStarted = true;
+    state.lastRun = run;
+    state.active.push({run, worker, bornAt});
+    place.active.set(taskKey(task), {task, run});
+  }
+
+  private endRuns(
+    life: WorkerLife,
+    ends: readonly RunEnd[],
+    at: number,
+  ): void {
+    const place = this.findLife(life);
+    if (!place) return;
+    for (const end of ends) {
+      if (end.sequence <= place.endsRecorded) continue;
+      place.endsRecorded = end.sequence;
+      if (this.takeActive(life, end.task, end.run)) this.noteEnd(end, at);
+    }
+  }
+
+  /**
+   * Removes a run from those under way.
+   * @returns whether it was under way.
+   */
+  private takeActive(life: WorkerLife, task: TaskRef, run: number): boolean {
+    const place = this.findLife(life);
+    const key = taskKey(task);
+    if (place?.active.get(key)?.run === run) place.active.delete(key);
+    const state = this.findTask(task);
+    const at = state?.active.findIndex(
+      active =>
+        active.run === run &&
+        active.worker === life.worker &&
+        active.bornAt === life.bornAt,
+    );
+    if (!state || at === undefined || at < 0) return false;
+    state.active.splice(at, 1);
+    return true;
+  }
+
+  private noteEnd({task, run, outcome, checkpoint}: RunEnd, at: number): void {
+    const workflow = this.open.get(task.workflow);
+    const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
+    const state = step?.tasks[task.index];
+    const spec = workflow?.spec.steps[task.step];
+    if (!workflow || !step || !state || !spec) return;
+    if (checkpoint !== '') state.checkpoint = checkpoint;
+    if (outcome === 'done' && !spec.isLongRunning) {
+      // The members of a gang end as done together.
+      if (spec.isGang) for (const member of step.tasks) markDone(step, member);
+      else markDone(step, state);
+      this.finishIfDone(workflow, task.occurrence, at);
+    } else if (outcome === 'failed') {
+      this.noteFailure(workflow, step, task, run, at);
+    }
+  }
+
+  private noteFailure(
+    workflow: WorkflowState,
+    step: StepState,
+    task: TaskRef,
+    run: number,
+    at: number,
+  ): void {
+    const spec = workflow.spec.steps[task.step];
+    const state = step.tasks[task.index];
+    if (!spec || !state || spec.isLongRunning) return;
+    state.failures++;
+    if (spec.isGang && run > step.lastFailedRun) {
+      step.lastFailedRun = run;
+      step.gangFailures++;
+    }
+    const failures = spec.isGang ? step.gangFailures : state.failures;
+    const maxAttempts = this.queues.get(workflow.queue)?.maxAttempts ?? 1;
+    if (!state.isDone && failures >= maxAttempts)
+      this.finish(workflow, 'failed', at);
+  }
+
+  private finishIfDone(
+    workflow: WorkflowState,
+    occurrence: number,
+    at: number,
+  ): void {
+    const steps = workflow.occurrences.get(occurrence) ?? [];
+    if (!steps.every(step => step.doneCount === step.tasks.length)) return;
+    workflow.doneOccurrences++;
+    if (workflow.doneOccurrences >= occurrenceCount(workflow.spec))
+      this.finish(workflow, 'done', at);
+  }
+
+  private finish(
+    workflow: WorkflowState,
+    phase: Exclude<WorkflowPhase, 'open'>,
+    at: number,
+  ): void {
+    workflow.phase = phase;
+    workflow.endedAt = at;
+    this.open.delete(workflow.id);
+    this.ended.push({id: workflow.id, at});
+  }
+
+  /** Forgets workflows that ended long ago and have nothing under way. */
+  private forgetEnded(now: number): void {
+    while (this.ended[0] && this.ended[0].at + this.options.keepEndedMs < now) {
+      const {id} = this.ended.shift()!;
+      this.workflows.delete(id);
+    }
+  }
+}
+
+/** How often the steps of a workflow run. */
+export const occurrenceCount = (spec: WorkflowSpec): number =>
+  Math.max(1, spec.occurrences);
+
+const freshTask = (): TaskState => ({
+  isDone: false,
+  lastRun: 0,
+  failures: 0,
+  checkpoint: '',
+  active: [],
+});
+
+const freshOccurrence = (spec: WorkflowSpec): StepState[] =>
+  spec.steps.map(({taskCount}) => ({
+    tasks: Array.from({length: taskCount}, freshTask),
+    doneCount: 0,
+    gangFailures: 0,
+    lastFailedRun: 0,
+  }));
+
+const markDone = (step: StepState, task: TaskState): void => {
+  if (task.isDone) return;
+  task.isDone = true;
+  step.doneCount++;
+};
--- /dev/null
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -0,0 +1,271 @@
+/** Places the tasks of one step after the other on the room that is left. */
+import type {Queue} from '../../bundle/types.js';
+import type {WorkerId} from '../../ids/types.js';
+import {taskKey} from '../refs.js';
+import {
+  fitsInto,
+  leftoverShare,
+  subtractRoom,
+  NO_ROOM,
+} from '../room.js';
+import type {StepSpec, StepState, WorkflowState} from '../types.js';
+import type {
+  AdviceWish,
+  PlanInput,
+  PlannedStart,
+  ReadyStep,
+  StepAdvice,
+  Ticket,
+  WorkerView,
+} from './types.js';
+
+/** Most workers named in one call to an adviser. */
+export const MAX_ADVISED_WORKERS = 100;
+/** A ticket is used only while it is valid for longer than an order may take. */
+const TICKET_MARGIN_MS = 250;
+
+/** A step with all that is known of it. */
+interface StepWork {
+  readonly ready: ReadyStep;
+  readonly workflow: WorkflowState;
+  readonly queue: Queue;
+  readonly spec: StepSpec;
+  readonly state: StepState;
+  readonly advice: StepAdvice | undefined;
+  /** Tasks of the step on each worker, where a bound applies. */
+  readonly countOn: Map<WorkerId, number>;
+}
+
+/** One task put on a worker. */
+interface Placement {
+  readonly index: number;
+  readonly worker: WorkerView;
+}
+
+/** Places steps in the order in which it is given them. */
+export class StepPlacer {
+  private readonly byPool = new Map<string, WorkerView[]>();
+
+  constructor(
+    private readonly input: PlanInput,
+    private readonly starts: PlannedStart[],
+    private readonly advice: AdviceWish[],
+  ) {
+    for (const worker of input.workers.values()) {
+      const pool = this.byPool.get(worker.pool) ?? [];
+      pool.push(worker);
+      this.byPool.set(worker.pool, pool);
+    }
+  }
+
+  /** Places what fits of a step. */
+  place(ready: ReadyStep): void {
+    const work = this.gather(ready);
+    const waiting = work && this.waitingTasks(work);
+    if (!work || !waiting || waiting.length === 0) return;
+    if (work.queue.advice && this.mustAskFirst(work)) return;
+    if (work.spec.isGang) this.placeGang(work, waiting);
+    else this.placeEach(work, waiting);
+  }
+
+  private gather(ready: ReadyStep): StepWork | undefined {
+    const {db} = this.input;
+    const workflow = db.open.get(ready.ref.workflow);
+    const queue = workflow && db.queues.get(workflow.queue);
+    const spec = workflow?.spec.steps[ready.ref.step];
+    if (!workflow || !queue || !spec) return undefined;
+    const state = db.stepsOf(workflow, ready.ref.occurrence)[ready.ref.step];
+    if (!state) return undefined;
+    return {
+      ready,
+      workflow,
+      queue,
+      spec,
+      state,
+      advice: this.input.adviceOf(ready.key),
+      countOn: countByWorker(spec, state),
+    };
+  }
+
+  /** Indexes of the tasks that nothing runs; none while a gang is not all gone. */
+  private waitingTasks({ready, spec, state}: StepWork): number[] {
+    const waiting: number[] = [];
+    for (const [index, task] of state.tasks.entries()) {
+      if (task.isDone) continue;
+      const isPending = this.input.pending.has(taskKey({...ready.ref, index}));
+      if (isPending || task.active.length > 0) {
+        if (spec.isGang) return [];
+        continue;
+      }
+      waiting.push(index);
+    }
+    return waiting;
+  }
+
+  /**
+   * Asks the adviser about workers that it was not asked about.
+   * @returns whether nothing can be placed before its answer.
+   */
+  private mustAskFirst({ready, queue, spec, advice}: StepWork): boolean {
+    if (advice?.isAsking) return advice.allowed.size === 0;
+    const unasked = this.suitable(queue, spec)
+      .filter(({worker}) => !advice?.asked.has(worker))
+      .slice(0, MAX_ADVISED_WORKERS);
+    if (unasked.length > 0)
+      this.advice.push({
+        step: ready.ref,
+        workers: unasked.map(({worker}) => worker),
+      });
+    return !advice || advice.allowed.size === 0;
+  }
+
+  /** Workers of the pool with the label that a step requires. */
+  private suitable({pool}: Queue, spec: StepSpec): WorkerView[] {
+    const {requiredLabel} = spec;
+    return (this.byPool.get(pool) ?? []).filter(
+      worker =>
+        worker.isUsable &&
+        (requiredLabel === undefined || worker.labels.has(requiredLabel)),
+    );
+  }
+
+  private placeEach(work: StepWork, waiting: readonly number[]): void {
+    const expired = new Set<WorkerId>();
+    const candidates = this.candidatesOf(work);
+    for (const index of waiting) {
+      const worker = this.choose(work, candidates);
+      if (!worker) break;
+      if (work.queue.advice && !this.ticketFor(work, worker)) {
+        expired.add(worker.worker);
+        // The room is kept for the task until the ticket is renewed.
+        this.take(work, worker);
+        continue;
+      }
+      this.start(work, {index, worker});
+    }
+    this.renew(work, expired);
+  }
+
+  private placeGang(work: StepWork, waiting: readonly number[]): void {
+    const placements: Placement[] = [];
+    const expired = new Set<WorkerId>();
+    const candidates = this.candidatesOf(work);
+    for (const index of waiting) {
+      const worker = this.choose(work, candidates);
+      if (!worker) return this.giveBack(work, placements);
+      if (work.queue.advice && !this.ticketFor(work, worker))
+        expired.add(worker.worker);
+      this.take(work, worker);
+      placements.push({index, worker});
+    }
+    if (expired.size > 0) return this.renew(work, expired);
+    const run = 1 + Math.max(0, ...work.state.tasks.map(task => task.lastRun));
+    const checkpoint =
+      work.state.tasks.map(task => task.checkpoint).find(text => text !== '') ??
+      '';
+    for (const placement of placements)
+      this.emit(work, placement, run, checkpoint);
+  }
+
+  private candidatesOf(work: StepWork): WorkerView[] {
+    const suitable = this.suitable(work.queue, work.spec);
+    if (!work.queue.advice) return suitable;
+    return suitable.filter(({worker}) => work.advice?.allowed.has(worker));
+  }
+
+  /** The worker whose room is used up most by the task. */
+  private choose(
+    {spec, countOn}: StepWork,
+    candidates: readonly WorkerView[],
+  ): WorkerView | undefined {
+    const size = spec.usesLeftover ? NO_ROOM : spec.room;
+    let best: WorkerView | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const worker of candidates) {
+      if (!fitsInto(size, worker.free)) continue;
+      if (
+        spec.maxPerWorker > 0 &&
+        (countOn.get(worker.worker) ?? 0) >= spec.maxPerWorker
+      )
+        continue;
+      const isFar =
+        spec.preferredRack !== undefined &&
+        !worker.labels.has(spec.preferredRack);
+      const score =
+        leftoverShare(subtractRoom(worker.free, size), worker.room) +
+        (isFar ? 1 : 0);
+      if (score >= bestScore) continue;
+      best = worker;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  private ticketFor(
+    {advice}: StepWork,
+    {worker, bornAt}: WorkerView,
+  ): Ticket | undefined {
+    const ticket = advice?.tickets.get(worker);
+    const isValid =
+      ticket !== undefined &&
+      ticket.bornAt === bornAt &&
+      ticket.validUntil > this.input.now + TICKET_MARGIN_MS;
+    return isValid ? ticket : undefined;
+  }
+
+  private take({spec, countOn}: StepWork, worker: WorkerView): void {
+    const size = spec.usesLeftover ? NO_ROOM : spec.room;
+    worker.free = subtractRoom(worker.free, size);
+    countOn.set(worker.worker, (countOn.get(worker.worker) ?? 0) + 1);
+  }
+
+  private giveBack({spec}: StepWork, placements: readonly Placement[]): void {
+    const size = spec.usesLeftover ? NO_ROOM : spec.room;
+    for (const {worker} of placements)
+      worker.free = subtractRoom(worker.free, {
+        cpuMillis: -size.cpuMillis,
+        memMb: -size.memMb,
+        gpus: -size.gpus,
+      });
+  }
+
+  private start(work: StepWork, placement: Placement): void {
+    const task = work.state.tasks[placement.index];
+    if (!task) return;
+    this.take(work, placement.worker);
+    this.emit(work, placement, task.lastRun + 1, task.checkpoint);
+  }
+
+  private emit(
+    work: StepWork,
+    {index, worker}: Placement,
+    run: number,
+    checkpoint: string,
+  ): void {
+    const ticket = this.ticketFor(work, worker)?.text;
+    this.starts.push({
+      task: {...work.ready.ref, index},
+      run,
+      worker: worker.worker,
+      bornAt: worker.bornAt,
+      checkpoint,
+      ...(ticket === undefined ? {} : {ticket}),
+    });
+  }
+
+  private renew({ready, advice}: StepWork, workers: Set<WorkerId>): void {
+    if (workers.size === 0 || advice?.isAsking) return;
+    this.advice.push({step: ready.ref, workers: [...workers]});
+  }
+}
+
+const countByWorker = (
+  spec: StepSpec,
+  state: StepState,
+): Map<WorkerId, number> => {
+  const counts = new Map<WorkerId, number>();
+  if (spec.maxPerWorker === 0) return counts;
+  for (const {worker} of state.tasks.flatMap(task => task.active))
+    counts.set(worker, (counts.get(worker) ?? 0) + 1);
+  return counts;
+};
--- /dev/null
+++ b/packages/state/src/workflow/planner/types.ts
@@ -0,0 +1,87 @@
+/** What the planner weighs, and what it decides. */
+import type {WorkerId} from '../../ids/types.js';
+import type {WorkflowDb} from '../db.js';
+import type {
+  RecordedStart,
+  Room,
+  StepKey,
+  StepRef,
+  TaskKey,
+  WorkerLife,
+} from '../types.js';
+
+/** A worker as the leader sees it at present. */
+export interface WorkerView extends WorkerLife {
+  readonly pool: string;
+  readonly room: Room;
+  readonly labels: ReadonlySet<string>;
+  /** Room that nothing holds, with what is stopping counted as held. */
+  free: Room;
+  /** Whether new tasks may be sent to it now. */
+  readonly isUsable: boolean;
+}
+
+/** Permission of a queue's adviser to run a step on one life of a worker. */
+export interface Ticket {
+  readonly bornAt: number;
+  readonly text: string;
+  /** Monotonic time until which the worker takes it, in ms. */
+  readonly validUntil: number;
+}
+
+/** What the adviser has said of one step. */
+export interface StepAdvice {
+  /** Workers asked about so far. */
+  readonly asked: ReadonlySet<WorkerId>;
+  /** Workers that may run the step. The answer does not change. */
+  readonly allowed: ReadonlySet<WorkerId>;
+  readonly tickets: ReadonlyMap<WorkerId, Ticket>;
+  /** Whether a call about the step is under way. */
+  readonly isAsking: boolean;
+}
+
+/** Inputs of one pass. */
+export interface PlanInput {
+  readonly db: WorkflowDb;
+  /** Monotonic time, in ms. */
+  readonly now: number;
+  /** Wall time, in ms since 1970. */
+  readonly wall: number;
+  readonly workers: ReadonlyMap<WorkerId, WorkerView>;
+  /** Tasks whose start is proposed or ordered, and not yet settled. */
+  readonly pending: ReadonlySet<TaskKey>;
+  readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
+}
+
+/** A start to record and order. */
+export interface PlannedStart extends RecordedStart {
+  readonly checkpoint: string;
+  readonly ticket?: string;
+}
+
+/** A step whose adviser must be asked. */
+export interface AdviceWish {
+  readonly step: StepRef;
+  readonly workers: readonly WorkerId[];
+}
+
+/** A run to stop. */
+export interface PlannedStop extends RecordedStart {
+  readonly why: 'workflow_ended' | 'task_done' | 'gang_broken';
+}
+
+/** Decisions of one pass. */
+export interface Plan {
+  readonly starts: readonly PlannedStart[];
+  readonly stops: readonly PlannedStop[];
+  readonly advice: readonly AdviceWish[];
+}
+
+/** A step whose tasks may start. */
+export interface ReadyStep {
+  readonly ref: StepRef;
+  readonly key: StepKey;
+  readonly priority: number;
+  /** Wall time by which the workflow should be done, in ms since 1970. */
+  readonly dueAt: number;
+}
--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -52,6 +52,8 @@
   readonly address: string;
   readonly limits: HttpLimits;
   readonly routes: ReadonlyArray<Route<HttpHandler>>;
+  /** Handles what no route names. */
+  readonly fallback?: HttpHandler;
   /** Called before the route is looked up; throws to refuse. */
   readonly guard?: (req: IncomingMessage, path: string) => void;
   /** Called for each refusal. */
@@ -122,6 +124,9 @@
     const url = parseUrl(req.url);
     this.options.guard?.(req, url.pathname);
     const lookup = this.router.find(req.method ?? 'GET', url.pathname);
+    const {fallback} = this.options;
+    if (lookup.kind === 'unknown_path' && fallback)
+      return fallback(this.makeContext(req, res, {}, url.searchParams));
     if (lookup.kind === 'unknown_path')
       throw new CellError({code: 'unknown_path', step: 'route'});
     if (lookup.kind === 'wrong_method')
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,3 +6,5 @@
 export * from './http/server.js';
 export * from './metrics/registry.js';
 export * from './tasks/clock.js';
+export * from './link/client.js';
+export * from './link/server.js';
--- /dev/null
+++ b/packages/transport/src/link/client.ts
@@ -0,0 +1,69 @@
+import {
+  LINK_METHODS,
+  type LinkMethod,
+  type LinkMethods,
+} from '@primrosewick/protocol';
+import type {VmId} from '@primrosewick/state';
+import {LinkConnection} from './connection.js';
+
+/** Calls other VMs; the seam at which tests put a fake network. */
+export interface LinkCaller {
+  /**
+   * Calls a method of another VM, whose id is its address.
+   * @throws CellError `peer_unreachable`, `peer_timeout` or the peer's reason.
+   */
+  call<M extends LinkMethod>(
+    to: VmId,
+    method: M,
+    request: LinkMethods[M]['request'],
+    options?: {readonly timeoutMs?: number},
+  ): Promise<LinkMethods[M]['reply']>;
+}
+
+/** Options of the client. */
+export interface LinkClientOptions {
+  readonly cell: string;
+  readonly vm: VmId;
+  readonly onBytes: (direction: 'sent' | 'received', bytes: number) => void;
+}
+
+/** Keeps one stream to each VM that is called. */
+export class LinkClient implements LinkCaller {
+  private readonly connections = new Map<VmId, LinkConnection>();
+
+  constructor(private readonly options: LinkClientOptions) {}
+
+  async call<M extends LinkMethod>(
+    to: VmId,
+    method: M,
+    request: LinkMethods[M]['request'],
+    {timeoutMs = LINK_METHODS[method].deadlineMs} = {},
+  ): Promise<LinkMethods[M]['reply']> {
+    const reply = await this.connectionTo(to).call(method, request, timeoutMs);
+    return reply as LinkMethods[M]['reply'];
+  }
+
+  /** Closes all streams. */
+  close(): void {
+    for (const connection of this.connections.values())
+      connection.close('stopping');
+  }
+
+  private connectionTo(to: VmId): LinkConnection {
+    const known = this.connections.get(to);
+    if (known) return known;
+    const {cell, vm, onBytes} = this.options;
+    const connection: LinkConnection = new LinkConnection({
+      cell,
+      from: vm,
+      to,
+      onBytes,
+      onClosed: () => {
+        if (this.connections.get(to) === connection)
+          this.connections.delete(to);
+      },
+    });
+    this.connections.set(to, connection);
+    return connection;
+  }
+}
--- /dev/null
+++ b/packages/transport/src/link/connection.ts
@@ -0,0 +1,171 @@
+/** One stream to another VM, with the calls that wait on it. */
+import {
+  Client,
+  Metadata,
+  credentials,
+  type ClientDuplexStream,
+} from '@grpc/grpc-js';
+import {
+  MAX_LINK_FRAME_BYTES,
+  decodeLinkFrame,
+  encodeLinkFrame,
+  type LinkFrame,
+} from '@primrosewick/protocol';
+import {CellError, asId, type VmId} from '@primrosewick/state';
+import {LINK_PATH} from './service.js';
+
+/** Options of a connection. */
+export interface LinkConnectionOptions {
+  readonly cell: string;
+  readonly from: VmId;
+  /** The other VM; its id is its address. */
+  readonly to: VmId;
+  readonly onClosed: () => void;
+  readonly onBytes: (direction: 'sent' | 'received', bytes: number) => void;
+}
+
+interface PendingCall {
+  readonly step: string;
+  readonly resolve: (body: unknown) => void;
+  readonly reject: (err: CellError) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Time until the other VM must have answered the first frame, in ms. */
+const OPEN_TIMEOUT_MS = 700;
+/** Interval of the look at a silent stream, in ms. */
+const PROBE_INTERVAL_MS = 300;
+/** Silence after which a stream with calls under way is given up, in ms. */
+const SILENCE_LIMIT_MS = 1000;
+
+/** A stream; once closed it is not opened again. */
+export class LinkConnection {
+  private readonly client: Client;
+  private readonly stream: ClientDuplexStream<LinkFrame, LinkFrame>;
+  private readonly pending = new Map<number, PendingCall>();
+  private readonly opened: Promise<void>;
+  private onOpened: (err?: CellError) => void = () => undefined;
+  private nextId = 1;
+  private heardAt = performance.now();
+  private isOpen = false;
+  private isClosed = false;
+  private readonly openTimer: NodeJS.Timeout;
+  private readonly probe: NodeJS.Timeout;
+
+  constructor(private readonly options: LinkConnectionOptions) {
+    this.client = new Client(options.to, credentials.createInsecure(), {
+      'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
+      'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
+      'grpc.enable_retries': 0,
+      'grpc.use_local_subchannel_pool': 1,
+    });
+    this.stream = this.client.makeBidiStreamRequest(
+      LINK_PATH,
+      frame => this.encode(frame),
+      bytes => this.decode(bytes),
+      new Metadata(),
+    );
+    this.opened = new Promise((resolve, reject) => {
+      this.onOpened = err => (err ? reject(err) : resolve());
+    });
+    // A connection that nobody waits for may fail as well.
+    this.opened.catch(() => undefined);
+    this.stream.on('data', frame => this.take(frame));
+    this.stream.on('error', err => this.close(err.message));
+    this.stream.on('end', () => this.close('the peer ended the stream'));
+    this.stream.write({kind: 'open', cell: options.cell, from: options.from});
+    this.openTimer = setTimeout(
+      () => this.close('no answer to the first frame'),
+      OPEN_TIMEOUT_MS,
+    );
+    this.probe = setInterval(() => this.look(), PROBE_INTERVAL_MS);
+  }
+
+  /**
+   * Sends a call.
+   * @throws CellError `peer_unreachable` when it was not sent, `peer_timeout`
+   *   when its outcome is unknown, or the peer's reason.
+   */
+  async call(
+    step: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    if (!this.isOpen) await this.opened;
+    if (this.isClosed) throw this.unreachable(step, 'the stream is closed');
+    return new Promise((resolve, reject) => {
+      const id = this.nextId++;
+      const timer = setTimeout(() => {
+        this.pending.delete(id);
+        reject(this.timeout(step, 'no answer before the deadline'));
+      }, timeoutMs);
+      this.pending.set(id, {step, resolve, reject, timer});
+      this.stream.write({kind: 'call', id, method: step, body} as LinkFrame);
+    });
+  }
+
+  /** Gives the stream up; calls under way have an unknown outcome. */
+  close(why: string): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    clearTimeout(this.openTimer);
+    clearInterval(this.probe);
+    this.onOpened(this.unreachable('open-link', why));
+    for (const {step, reject, timer} of this.pending.values()) {
+      clearTimeout(timer);
+      reject(this.timeout(step, why));
+    }
+    this.pending.clear();
+    this.stream.cancel();
+    this.client.close();
+    this.options.onClosed();
+  }
+
+  private take(frame: LinkFrame): void {
+    this.heardAt = performance.now();
+    if (!this.isOpen) {
+      this.isOpen = true;
+      clearTimeout(this.openTimer);
+      this.onOpened();
+    }
+    if (frame.kind !== 'reply' && frame.kind !== 'error') return;
+    const call = this.pending.get(frame.id);
+    if (!call) return;
+    this.pending.delete(frame.id);
+    clearTimeout(call.timer);
+    if (frame.kind === 'reply') call.resolve(frame.body);
+    else
+      call.reject(
+        CellError.fromBody({...frame.error, peer: this.options.to}),
+      );
+  }
+
+  /** Probes a silent stream, and gives it up when the probe is not answered. */
+  private look(): void {
+    const silentMs = performance.now() - this.heardAt;
+    if (!this.isOpen || silentMs < PROBE_INTERVAL_MS) return;
+    if (silentMs > SILENCE_LIMIT_MS) this.close('the stream went silent');
+    else this.stream.write({kind: 'ping'});
+  }
+
+  private encode(frame: LinkFrame): Buffer {
+    const bytes = encodeLinkFrame(frame);
+    this.options.onBytes('sent', bytes.length);
+    return bytes;
+  }
+
+  private decode(bytes: Buffer): LinkFrame {
+    this.options.onBytes('received', bytes.length);
+    return decodeLinkFrame(bytes);
+  }
+
+  private unreachable(step: string, detail: string): CellError {
+    const peer = asId<VmId>(this.options.to);
+    return new CellError({code: 'peer_unreachable', step, peer, detail});
+  }
+
+  private timeout(step: string, detail: string): CellError {
+    const peer = asId<VmId>(this.options.to);
+    return new CellError({code: 'peer_timeout', step, peer, detail});
+  }
+}
--- /dev/null
+++ b/packages/transport/src/link/server.ts
@@ -0,0 +1,137 @@
+/** Serves the calls that other VMs send on their streams. */
+import {
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+  type UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {
+  MAX_LINK_FRAME_BYTES,
+  type LinkFrame,
+  type LinkMethod,
+  type LinkMethods,
+} from '@primrosewick/protocol';
+import {
+  CellError,
+  assertNever,
+  toCellError,
+  type VmId,
+} from '@primrosewick/state';
+import {LINK_SERVICE} from './service.js';
+
+/** Handler of each method. */
+export type LinkHandlers = {
+  readonly [M in LinkMethod]: (
+    request: LinkMethods[M]['request'],
+    from: VmId,
+  ) => Promise<LinkMethods[M]['reply']>;
+};
+
+/** Options of the server. */
+export interface LinkServerOptions {
+  readonly address: string;
+  /** Name of the cell; streams of other cells are ended. */
+  readonly cell: string;
+  readonly handlers: LinkHandlers;
+  readonly onRefusal: (err: CellError) => void;
+}
+
+type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
+
+/** Listens for streams of other VMs. */
+export class LinkServer {
+  private readonly server = new Server({
+    'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
+    'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
+  });
+
+  constructor(private readonly options: LinkServerOptions) {
+    this.server.addService(LINK_SERVICE, {
+      open: (stream: Stream) => this.accept(stream),
+    } as UntypedServiceImplementation);
+  }
+
+  /** Starts to listen. */
+  listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(
+        this.options.address,
+        ServerCredentials.createInsecure(),
+        err => (err ? reject(err) : resolve()),
+      );
+    });
+  }
+
+  /** Ends all streams and stops. */
+  close(): void {
+    this.server.forceShutdown();
+  }
+
+  private accept(stream: Stream): void {
+    let from: VmId | undefined;
+    stream.on('data', (frame: LinkFrame) => {
+      if (frame.kind === 'open') {
+        if (frame.cell !== this.options.cell) return void stream.end();
+        from = frame.from;
+        stream.write({kind: 'pong'});
+      } else if (from !== undefined) this.take(stream, from, frame);
+    });
+    stream.on('end', () => stream.end());
+    // The peer notices the lost stream itself and opens another.
+    stream.on('error', () => undefined);
+  }
+
+  private take(stream: Stream, from: VmId, frame: LinkFrame): void {
+    switch (frame.kind) {
+      case 'ping':
+        stream.write({kind: 'pong'});
+        return;
+      case 'call':
+        void this.serve(stream, from, frame.id, frame.method, frame.body);
+        return;
+      case 'open':
+      case 'reply':
+      case 'error':
+      case 'pong':
+        return;
+      default:
+        assertNever(frame);
+    }
+  }
+
+  private async serve(
+    stream: Stream,
+    from: VmId,
+    id: number,
+    method: LinkMethod,
+    body: unknown,
+  ): Promise<void> {
+    const reply = await this.run(from, id, method, body);
+    if (!stream.destroyed && !stream.cancelled) stream.write(reply);
+  }
+
+  private async run(
+    from: VmId,
+    id: number,
+    method: LinkMethod,
+    body: unknown,
+  ): Promise<LinkFrame> {
+    try {
+      const handler = this.options.handlers[method] as
+        | ((request: unknown, from: VmId) => Promise<unknown>)
+        | undefined;
+      if (!handler)
+        throw new CellError({
+          code: 'unknown_path',
+          step: 'link-call',
+          peer: from,
+          detail: `no method ${String(method)}`,
+        });
+      return {kind: 'reply', id, body: await handler(body, from)};
+    } catch (thrown) {
+      const err = toCellError(thrown, method);
+      this.options.onRefusal(err);
+      return {kind: 'error', id, error: err.toBody()};
+    }
+  }
+}
