Found the cell from seeds whose empty voters already listen

Cause: an empty voter that waits to be added reported that it holds state, so the first seed never founded; ruled out: links (a direct call worked). Change: a running log counts as state once it has an entry.

--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -132,10 +132,10 @@
 
   /** Whether the data folder holds a log. */
   get hasState(): boolean {
+    if (this.task) return this.task.status.lastIndex > 0;
     return (
-      this.task !== null ||
-      (this.restored !== null &&
-        (this.restored.hardState.term > 0 || this.restored.snapshot !== null))
+      this.restored !== null &&
+      (this.restored.hardState.term > 0 || this.restored.snapshot !== null)
     );
   }
 
