--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -188,4 +188,40 @@
       why: 'change_pending',
     });
   });
+  it('one chunk of a snapshot is under way at a time, whatever is committed', () => {
+    const core = makeCore(A, 3, [members]);
+    const term = elect(core, A);
+    const message = (from: NodeId, index: number) =>
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, index),
+      });
+    for (const from of [B, C, D]) message(from, 2);
+    core.step({
+      kind: 'compact',
+      now: 10_003,
+      index: 2,
+      data: new Uint8Array(600_000),
+    });
+    core.step({
+      kind: 'message',
+      now: 10_003,
+      envelope: {
+        from: E,
+        to: A,
+        message: {kind: 'append_reply', term, isAccepted: false, index: 1, round: 1},
+      },
+    });
+    let chunks = 0;
+    for (let index = 3; index < 30; index++) {
+      const command = `${index}`;
+      core.step({kind: 'propose', now: 10_004, token: index, command});
+      for (const from of [B, C, D])
+        chunks += message(from, index).messages.filter(
+          ({message: sent}) => sent.kind === 'snapshot_chunk',
+        ).length;
+    }
+    expect(chunks).to.equal(0);
+  });
 });
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -181,7 +181,10 @@
     };
     this.context.log.compact(snapshot);
     for (const progress of this.context.progress.values())
+{
       progress.snapshotOffset = 0;
+      progress.chunkResendAt = Number.NEGATIVE_INFINITY;
+    }
     this.context.effects.writes.push({kind: 'snapshot', snapshot});
   }
 
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -97,6 +97,7 @@
       lastHeardAt: this.context.now,
       lastRound: 0,
       snapshotOffset: 0,
+      chunkResendAt: Number.NEGATIVE_INFINITY,
     };
   }
 
@@ -119,9 +120,8 @@
 
   private canSendMore(progress: Progress): boolean {
     const inFlight = progress.nextIndex - 1 - progress.matchIndex;
-    const isBehindSnapshot = progress.nextIndex <= this.context.log.baseIndex;
     return (
-      !isBehindSnapshot &&
+      !this.isBehindSnapshot(progress) &&
       progress.nextIndex <= this.context.log.lastIndex &&
       inFlight < this.context.timing.maxInFlight
     );
@@ -130,7 +130,9 @@
   private sendAppend(node: NodeId, progress: Progress): void {
     const snapshot = this.context.log.snapshot;
     if (snapshot && progress.nextIndex <= snapshot.index) {
-      return this.sendChunk(node, progress, snapshot);
+      return this.context.now < progress.chunkResendAt
+        ? this.sendHeartbeat(node)
+        : this.sendChunk(node, progress, snapshot);
     }
     const prevIndex = progress.nextIndex - 1;
     const count = this.canSendMore(progress)
@@ -149,6 +151,19 @@
     });
   }
 
+  /** Proves the leadership to a node whose next chunk is under way. */
+  private sendHeartbeat(node: NodeId): void {
+    this.context.send(node, {
+      kind: 'append',
+      term: this.context.term,
+      prevIndex: 0,
+      prevTerm: 0,
+      entries: [],
+      commitIndex: 0,
+      round: this.context.round,
+    });
+  }
+
   /** Takes the answer to an append. */
   onAppendReply(from: NodeId, message: MessageOf<C, 'append_reply'>): void {
     const progress = this.hear(from, message.round);
@@ -182,7 +197,11 @@
 
   private announceCommit(): void {
     for (const [node, progress] of this.context.progress)
-      this.sendAppend(node, progress);
+      if (!this.isBehindSnapshot(progress)) this.sendAppend(node, progress);
+  }
+
+  private isBehindSnapshot(progress: Progress): boolean {
+    return progress.nextIndex <= this.context.log.baseIndex;
   }
 
   private advanceCommit(): void {
@@ -255,6 +274,7 @@
     snapshot: Snapshot,
   ): void {
     const offset = Math.min(progress.snapshotOffset, snapshot.data.length);
+    progress.chunkResendAt = this.context.now + this.context.timing.electionMs;
     const end = Math.min(
       offset + this.context.timing.chunkBytes,
       snapshot.data.length,
@@ -277,6 +297,8 @@
     const progress = this.hear(from, message.round);
     if (!progress || message.index !== this.context.log.baseIndex) return;
     if (progress.nextIndex > this.context.log.baseIndex) return;
+    if (progress.snapshotOffset !== message.nextOffset)
+      progress.chunkResendAt = Number.NEGATIVE_INFINITY;
     progress.snapshotOffset = message.nextOffset;
     this.sendAppend(from, progress);
   }
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -222,6 +222,8 @@
   lastRound: number;
   /** Next byte of the snapshot to send, while one is being sent. */
   snapshotOffset: number;
+  /** Time before which the same chunk is not sent again, in ms. */
+  chunkResendAt: number;
 }
 
 /** Role of a node. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -202,9 +202,10 @@
 
   private planNow(): void {
     const {clock} = this.options;
-    const pending = new Set<TaskKey>();
-    for (const channel of this.channels.values())
-      for (const {task} of channel.expectedStarts) pending.add(taskKey(task));
+    const pending = new Map<TaskKey, WorkerId>();
+    for (const [worker, channel] of this.channels)
+      for (const {task} of channel.expectedStarts)
+        pending.set(taskKey(task), worker);
     this.carryOut(
       plan({
         db: this.db,
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -83,7 +83,7 @@
       spec,
       state,
       advice: this.input.adviceOf(ready.key),
-      countOn: countByWorker(spec, state),
+      countOn: this.countByWorker(ready, spec, state),
     };
   }
 
@@ -257,15 +257,23 @@
     if (workers.size === 0 || advice?.isAsking) return;
     this.advice.push({step: ready.ref, workers: [...workers]});
   }
-}
 
-const countByWorker = (
-  spec: StepSpec,
-  state: StepState,
-): Map<WorkerId, number> => {
-  const counts = new Map<WorkerId, number>();
-  if (spec.maxPerWorker === 0) return counts;
-  for (const {worker} of state.tasks.flatMap(task => task.active))
-    counts.set(worker, (counts.get(worker) ?? 0) + 1);
-  return counts;
-};
+  /** Tasks of a step on each worker, with the starts that are under way. */
+  private countByWorker(
+    {ref}: ReadyStep,
+    spec: StepSpec,
+    state: StepState,
+  ): Map<WorkerId, number> {
+    const counts = new Map<WorkerId, number>();
+    if (spec.maxPerWorker === 0) return counts;
+    const add = (worker: WorkerId): void =>
+      void counts.set(worker, (counts.get(worker) ?? 0) + 1);
+    state.tasks.forEach((task, index) => {
+      for (const {worker} of task.active) add(worker);
+      const pendingOn = this.input.pending.get(taskKey({...ref, index}));
+      const isCounted = task.active.some(({worker}) => worker === pendingOn);
+      if (pendingOn !== undefined && !isCounted) add(pendingOn);
+    });
+    return counts;
+  }
+}
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -48,8 +48,8 @@
   /** Wall time, in ms since 1970. */
   readonly wall: number;
   readonly workers: ReadonlyMap<WorkerId, WorkerView>;
-  /** Tasks whose start is proposed or ordered, and not yet settled. */
-  readonly pending: ReadonlySet<TaskKey>;
+  /** Workers of the tasks whose start is proposed or ordered, and not yet settled. */
+  readonly pending: ReadonlyMap<TaskKey, WorkerId>;
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
 }
 
