Keep room for gangs that wait

Change: the planner reserves room on the allowed workers with the most free room, where empty ones could hold the gang.

--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -210,7 +210,13 @@
       envelope: {
         from: E,
         to: A,
-        message: {kind: 'append_reply', term, isAccepted: false, index: 1, round: 1},
+        message: {
+          kind: 'append_reply',
+          term,
+          isAccepted: false,
+          index: 1,
+          round: 1,
+        },
       },
     });
     let chunks = 0;
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -180,8 +180,7 @@
       data,
     };
     this.context.log.compact(snapshot);
-    for (const progress of this.context.progress.values())
-{
+    for (const progress of this.context.progress.values()) {
       progress.snapshotOffset = 0;
       progress.chunkResendAt = Number.NEGATIVE_INFINITY;
     }
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -114,8 +114,7 @@
     });
     this.pump = new ConsensusPump(this.core);
     this.lastStatus = this.core.status;
-    if (restored.snapshot)
-      replica.restore(decode(restored.snapshot.data));
+    if (restored.snapshot) replica.restore(decode(restored.snapshot.data));
   }
 
   /** Starts the clock of the core. */
@@ -232,9 +231,7 @@
   }
 
   private ask(
-    makeInput: (
-      token: number,
-    ) => Parameters<ConsensusPump<C>['offer']>[0],
+    makeInput: (token: number) => Parameters<ConsensusPump<C>['offer']>[0],
   ): Promise<R | {readonly index: number}> {
     if (this.failure) return Promise.reject(this.failure);
     const token = this.nextToken++;
@@ -244,9 +241,7 @@
     });
   }
 
-  private offer(
-    input: Parameters<ConsensusPump<C>['offer']>[0],
-  ): void {
+  private offer(input: Parameters<ConsensusPump<C>['offer']>[0]): void {
     this.pump.offer(input);
     void this.run();
   }
@@ -301,9 +296,7 @@
     try {
       const reply = await this.options.peers.call(vm, 'consensus', {envelopes});
       if (reply.envelopes.length > 0)
-        this.offerMessages(
-          reply.envelopes as ReadonlyArray<Envelope<C>>,
-        );
+        this.offerMessages(reply.envelopes as ReadonlyArray<Envelope<C>>);
     } catch {
       // The core sends again what is not answered.
     }
@@ -339,10 +332,7 @@
     this.settle(entry, result);
   }
 
-  private settle(
-    entry: Entry<C>,
-    result: R | undefined,
-  ): void {
+  private settle(entry: Entry<C>, result: R | undefined): void {
     const waiter = this.byIndex.get(entry.index);
     this.byIndex.delete(entry.index);
     if (waiter?.term === entry.term)
@@ -370,8 +360,7 @@
   private noteStatus(): void {
     const status = this.core.status;
     const {clock, replica} = this.options;
-    if (status.isCurrent && replica.index >= status.commitIndex)
-      replica.open();
+    if (status.isCurrent && replica.index >= status.commitIndex) replica.open();
     replica.noteFresh(Math.min(status.lastContactAt, clock.now()));
     const before = this.lastStatus;
     const isChanged =
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -119,8 +119,18 @@
       await pause(clock, RETRY_PAUSE_MS);
     }
     throw mayHaveRun
-      ? new CellError({code: 'log_outcome_unknown', step: method, peer: last.peer, detail: last.message})
-      : new CellError({code: 'log_unavailable', step: method, peer: last.peer, detail: last.message});
+      ? new CellError({
+          code: 'log_outcome_unknown',
+          step: method,
+          peer: last.peer,
+          detail: last.message,
+        })
+      : new CellError({
+          code: 'log_unavailable',
+          step: method,
+          peer: last.peer,
+          detail: last.message,
+        });
   }
 
   private async tryLeader<M extends LeaderMethod>(
--- a/packages/coordination/src/membership/core.ts
+++ b/packages/coordination/src/membership/core.ts
@@ -3,7 +3,12 @@
  * announce themselves. VMs need not be listed anywhere; the id of a VM is its
  * address.
  */
-import {vmOfNode, type NodeId, type VmId, type ZoneId} from '@primrosewick/state';
+import {
+  vmOfNode,
+  type NodeId,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
 import {allMembers} from '../consensus/members.js';
 import type {MemberChange, Members} from '../consensus/types.js';
 
@@ -83,9 +88,7 @@
 
 /** Whether the VM of a node announces another identity, so that its disk is lost. */
 const isReplaced = ({announced}: MembershipInput, node: NodeId): boolean =>
-  announced.some(
-    other => other.vm === vmOfNode(node) && other.node !== node,
-  );
+  announced.some(other => other.vm === vmOfNode(node) && other.node !== node);
 
 const silenceOf = ({announced, own}: MembershipInput, node: NodeId): number => {
   if (node === own) return 0;
--- a/packages/coordination/src/workflow/advice_desk.spec.ts
+++ b/packages/coordination/src/workflow/advice_desk.spec.ts
@@ -7,7 +7,8 @@
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal'});
 const step = (index: number): StepRef =>
   ({workflow: `w${index}`, occurrence: 0, step: 0}) as never;
-const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+const settle = (): Promise<void> =>
+  new Promise(resolve => setImmediate(resolve));
 
 /** A desk whose calls end when the spec says so. */
 const makeDesk = (callers: readonly string[]) => {
--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -17,7 +17,12 @@
   type WorkflowDb,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
-import {beginCall, chooseCaller, endCall, type CallerLoad} from './advice_callers.js';
+import {
+  beginCall,
+  chooseCaller,
+  endCall,
+  type CallerLoad,
+} from './advice_callers.js';
 
 /** Options of the desk. */
 export interface AdviceDeskOptions {
@@ -118,7 +123,12 @@
       .ask(caller.vm, call.step, call.workers)
       .catch((err: unknown) => {
         logger.info(
-          {change: 'advice_failed', step: stepKey(call.step), vm: caller.vm, err: String(err)},
+          {
+            change: 'advice_failed',
+            step: stepKey(call.step),
+            vm: caller.vm,
+            err: String(err),
+          },
           'a call for advice failed',
         );
         return undefined;
@@ -128,7 +138,13 @@
     if (reply?.kind === 'allowed') this.take(call, reply.workers);
     else this.retryLater(call);
     logger.debug(
-      {decision: 'advice', step: stepKey(call.step), vm: caller.vm, asked: call.workers.length, tookMs: clock.now() - sentAt},
+      {
+        decision: 'advice',
+        step: stepKey(call.step),
+        vm: caller.vm,
+        asked: call.workers.length,
+        tookMs: clock.now() - sentAt,
+      },
       'the adviser has answered',
     );
     this.dispatch();
@@ -137,7 +153,10 @@
 
   private take(
     {step, workers, validMs}: QueuedCall,
-    allowed: ReadonlyArray<{readonly worker: WorkerId; readonly ticket: string}>,
+    allowed: ReadonlyArray<{
+      readonly worker: WorkerId;
+      readonly ticket: string;
+    }>,
   ): void {
     const record = this.steps.get(stepKey(step));
     if (!record) return;
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -125,7 +125,8 @@
         break;
       case 'start_runs':
         // A worker whose first run is recorded must be listened to.
-        for (const {worker} of command.starts) this.channels.get(worker)?.kick();
+        for (const {worker} of command.starts)
+          this.channels.get(worker)?.kick();
         break;
       case 'end_runs':
         this.desk.prune();
@@ -170,7 +171,12 @@
       onChange: () => this.planSoon(),
       onStartFailed: (task, why) =>
         logger.info(
-          {decision: 'start_failed', task: taskKey(task), worker: life.worker, why},
+          {
+            decision: 'start_failed',
+            task: taskKey(task),
+            worker: life.worker,
+            why,
+          },
           'a start did not take place, or its outcome is unknown',
         ),
     });
@@ -310,6 +316,7 @@
       room: report.room,
       labels: new Set(report.labels),
       free: this.freeOf(worker),
+      unreserved: report.room,
       isUsable:
         !report.isDraining &&
         this.channels.get(worker)?.isUsable === true &&
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -128,7 +128,11 @@
     return this.lead(async () => {
       const detail = findBundleFault(bundle);
       if (detail)
-        throw new CellError({code: 'invalid_input', step: 'put-bundle', detail});
+        throw new CellError({
+          code: 'invalid_input',
+          step: 'put-bundle',
+          detail,
+        });
       const result = await this.propose({kind: 'put_bundle', bundle});
       this.options.logger.info(
         {
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -147,9 +147,7 @@
   }
 
   /** Orders a start that is recorded. */
-  async start(
-    order: Omit<StartOrder, 'fence' | 'leaseEnd'>,
-  ): Promise<void> {
+  async start(order: Omit<StartOrder, 'fence' | 'leaseEnd'>): Promise<void> {
     const key = taskKey(order.task);
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
@@ -347,7 +345,13 @@
       this.starts.delete(taskKey(task));
       this.stopsSentAt.delete(taskKey(task));
       logger.info(
-        {decision: 'run_ended', task: taskKey(task), run, outcome, worker: life.worker},
+        {
+          decision: 'run_ended',
+          task: taskKey(task),
+          run,
+          outcome,
+          worker: life.worker,
+        },
         'a run has ended',
       );
     }
@@ -391,7 +395,13 @@
       const key = taskKey(task);
       if (this.starts.get(key)?.run === run) this.starts.delete(key);
       logger.info(
-        {decision: 'run_void', task: taskKey(task), run, worker: life.worker, reason},
+        {
+          decision: 'run_void',
+          task: taskKey(task),
+          run,
+          worker: life.worker,
+          reason,
+        },
         'a recorded run is given up without an end',
       );
     }
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -104,7 +104,10 @@
   }
 
   /** Takes part in the log; an empty folder first founds the cell or waits to be added. */
-  async run(askOthers: () => Promise<LinkWelcome[]>, seeds: readonly VmId[]): Promise<void> {
+  async run(
+    askOthers: () => Promise<LinkWelcome[]>,
+    seeds: readonly VmId[],
+  ): Promise<void> {
     if (!this.hasState) await this.foundIfAllowed(askOthers, seeds);
     if (this.isClosed) return;
     this.startTask();
@@ -280,9 +283,7 @@
 
   private isTermLed(term: number): boolean {
     const status = this.task?.status;
-    return (
-      !this.isClosed && status?.role === 'leader' && status.term === term
-    );
+    return !this.isClosed && status?.role === 'leader' && status.term === term;
   }
 
   private setLeading(term: number | null): void {
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -106,7 +106,10 @@
   private async startVoter(
     settings: VmSettings,
     replica: ReplicaTask,
-  ): Promise<{voter: ConsensusTask<CellCommand, CellResult>; folder: NodeFolder}> {
+  ): Promise<{
+    voter: ConsensusTask<CellCommand, CellResult>;
+    folder: NodeFolder;
+  }> {
     const folder = await NodeFolder.open(path.join(this.root, settings.vm));
     const node = makeNodeId(settings.vm, 'b');
     const isFounder = settings.vm === 'v0';
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -10,7 +10,6 @@
   StepRef,
   VmId,
   WorkerId,
-
   WorkerRegistration,
   WorkflowSpec,
   ZoneId,
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -233,11 +233,7 @@
     place.active.set(taskKey(task), {task, run});
   }
 
-  private endRuns(
-    life: WorkerLife,
-    ends: readonly RunEnd[],
-    at: number,
-  ): void {
+  private endRuns(life: WorkerLife, ends: readonly RunEnd[], at: number): void {
     const place = this.findLife(life);
     if (!place) return;
     for (const end of ends) {
--- a/packages/state/src/workflow/planner/core.spec.ts
+++ b/packages/state/src/workflow/planner/core.spec.ts
@@ -1,11 +1,27 @@
 import {expect} from 'chai';
+import {testQueue} from '../../bundle/fixtures.js';
 import {TestLog, testSpec, testStep, testTask} from '../fixtures.js';
 import {taskKey} from '../refs.js';
-import type {TaskKey} from '../types.js';
+import {subtractRoom} from '../room.js';
+import type {Room, TaskKey} from '../types.js';
 import {plan} from './core.js';
 import type {PlanInput, WorkerView} from './types.js';
 
-const viewsOf = ({db}: TestLog): Map<never, WorkerView> => {
+/** Room of a worker without the runs that are recorded on it. */
+const freeOf = ({db}: TestLog, worker: string): Room => {
+  const {report, active} = db.workers.get(worker as never)!;
+  return [...active.values()].reduce(
+    (free, {task}) =>
+      subtractRoom(
+        free,
+        db.workflows.get(task.workflow)!.spec.steps[task.step]!.room,
+      ),
+    report.room,
+  );
+};
+
+const viewsOf = (log: TestLog): Map<never, WorkerView> => {
+  const {db} = log;
   const views = new Map<never, WorkerView>();
   for (const [worker, {report}] of db.workers)
     views.set(worker as never, {
@@ -14,7 +30,8 @@
       pool: report.pool,
       room: report.room,
       labels: new Set(report.labels),
-      free: report.room,
+      free: freeOf(log, worker),
+      unreserved: report.room,
       isUsable: !report.isDraining,
     });
   return views;
@@ -104,4 +121,32 @@
     log.submit('a', testSpec([testStep({requiredLabel: 'kind'})]));
     expect(plan(inputOf(log)).starts).to.have.length(0);
   });
+  it('room is kept for a gang that waits, against a stream of small tasks', () => {
+    const log = new TestLog({
+      queues: [
+        testQueue({name: 'wide', prefix: '/wide/', priority: 1}),
+        testQueue({name: 'small', prefix: '/small/', priority: 2}),
+      ],
+    });
+    log.addWorker('w1');
+    log.submit('old', testSpec([testStep({taskCount: 2})]), 'small');
+    log.start('w1', testTask('old', 0, 0));
+    log.start('w1', testTask('old', 0, 1));
+    const gang = testStep({taskCount: 4, isGang: true});
+    log.submit('gang', testSpec([gang]), 'wide');
+    log.submit('new', testSpec([testStep({taskCount: 9})]), 'small');
+    expect(plan(inputOf(log)).starts).to.have.length(0);
+    log.end('w1', testTask('old', 0, 0), 'done');
+    expect(plan(inputOf(log)).starts).to.have.length(0);
+    log.end('w1', testTask('old', 0, 1), 'done');
+    const {starts} = plan(inputOf(log));
+    expect(starts.map(({task}) => task.workflow)).to.eql(Array(4).fill('gang'));
+  });
+  it('no room is kept for a gang that could never fit', () => {
+    const log = new TestLog();
+    log.addWorker('w1');
+    log.submit('gang', testSpec([testStep({taskCount: 5, isGang: true})]));
+    log.submit('small', testSpec([testStep()]));
+    expect(plan(inputOf(log)).starts).to.have.length(1);
+  });
 });
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -3,6 +3,7 @@
 import type {WorkerId} from '../../ids/types.js';
 import {taskKey} from '../refs.js';
 import {
+  addRoom,
   fitsInto,
   leftoverShare,
   subtractRoom,
@@ -152,7 +153,10 @@
     const candidates = this.candidatesOf(work);
     for (const index of waiting) {
       const worker = this.choose(work, candidates);
-      if (!worker) return this.giveBack(work, placements);
+      if (!worker) {
+        this.giveBack(work, placements);
+        return this.reserve(work, waiting.length, candidates);
+      }
       if (work.queue.advice && !this.ticketFor(work, worker))
         expired.add(worker.worker);
       this.take(work, worker);
@@ -167,6 +171,39 @@
       this.emit(work, placement, run, checkpoint);
   }
 
+  /**
+   * Keeps room for a gang that does not fit yet, so that later steps do not
+   * take each part of it as it becomes free. Load pattern: wide gangs of high
+   * worth beside a steady stream of small tasks of lower priority.
+   */
+  private reserve(
+    {spec}: StepWork,
+    taskCount: number,
+    candidates: readonly WorkerView[],
+  ): void {
+    const size = spec.usesLeftover ? NO_ROOM : spec.room;
+    const reserved: WorkerView[] = [];
+    const byFree = [...candidates].sort(
+      (a, b) => b.free.cpuMillis - a.free.cpuMillis,
+    );
+    for (const worker of byFree) {
+      let count = 0;
+      const bound = spec.maxPerWorker || taskCount;
+      while (reserved.length < taskCount && count < bound) {
+        if (!fitsInto(size, worker.unreserved)) break;
+        worker.unreserved = subtractRoom(worker.unreserved, size);
+        reserved.push(worker);
+        count++;
+      }
+    }
+    // Nothing is kept for a gang that even empty workers could not hold.
+    const isPossible = reserved.length === taskCount;
+    for (const worker of reserved) {
+      if (isPossible) worker.free = subtractRoom(worker.free, size);
+      else worker.unreserved = addRoom(worker.unreserved, size);
+    }
+  }
+
   private candidatesOf(work: StepWork): WorkerView[] {
     const suitable = this.suitable(work.queue, work.spec);
     if (!work.queue.advice) return suitable;
@@ -221,12 +258,7 @@
 
   private giveBack({spec}: StepWork, placements: readonly Placement[]): void {
     const size = spec.usesLeftover ? NO_ROOM : spec.room;
-    for (const {worker} of placements)
-      worker.free = subtractRoom(worker.free, {
-        cpuMillis: -size.cpuMillis,
-        memMb: -size.memMb,
-        gpus: -size.gpus,
-      });
+    for (const {worker} of placements) worker.free = addRoom(worker.free, size);
   }
 
   private start(work: StepWork, placement: Placement): void {
--- a/packages/state/src/workflow/planner/stops.ts
+++ b/packages/state/src/workflow/planner/stops.ts
@@ -30,9 +30,9 @@
   run: number,
 ): PlannedStop['why'] | undefined => {
   const workflow = db.open.get(task.workflow);
-  const step = db.workflows.get(task.workflow)?.occurrences.get(task.occurrence)?.[
-    task.step
-  ];
+  const step = db.workflows
+    .get(task.workflow)
+    ?.occurrences.get(task.occurrence)?.[task.step];
   const isGang =
     db.workflows.get(task.workflow)?.spec.steps[task.step]?.isGang === true;
   const isDone = step?.tasks[task.index]?.isDone === true;
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -17,6 +17,8 @@
   readonly labels: ReadonlySet<string>;
   /** Room that nothing holds, with what is stopping counted as held. */
   free: Room;
+  /** Room of the empty worker that no waiting gang has reserved. */
+  unreserved: Room;
   /** Whether new tasks may be sent to it now. */
   readonly isUsable: boolean;
 }
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -86,11 +86,7 @@
    * @throws CellError `peer_unreachable` when it was not sent, `peer_timeout`
    *   when its outcome is unknown, or the peer's reason.
    */
-  async call(
-    step: string,
-    body: unknown,
-    timeoutMs: number,
-  ): Promise<unknown> {
+  async call(step: string, body: unknown, timeoutMs: number): Promise<unknown> {
     if (!this.isOpen) await this.opened;
     if (this.isClosed) throw this.unreachable(step, 'the stream is closed');
     return new Promise((resolve, reject) => {
@@ -135,9 +131,7 @@
     clearTimeout(call.timer);
     if (frame.kind === 'reply') call.resolve(frame.body);
     else
-      call.reject(
-        CellError.fromBody({...frame.error, peer: this.options.to}),
-      );
+      call.reject(CellError.fromBody({...frame.error, peer: this.options.to}));
   }
 
   /** Probes a silent stream, and gives it up when the probe is not answered. */
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -118,8 +118,7 @@
   ): Promise<LinkFrame> {
     try {
       const handler = this.options.handlers[method] as
-        | ((request: unknown, from: VmId) => Promise<unknown>)
-        | undefined;
+        ((request: unknown, from: VmId) => Promise<unknown>) | undefined;
       if (!handler)
         throw new CellError({
           code: 'unknown_path',
