--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,6 +19,12 @@
   proofs: ['daemon', 'cli'],
 };
 
+/** No layer of the product knows the platform. */
+const PLATFORM_BAN = {
+  group: ['@primrosewick/platform', '@primrosewick/platform/*'],
+  message: 'Nothing outside platform/ knows the platform.',
+};
+
 const layerRule = layer => {
   const above = LAYERS.slice(LAYERS.indexOf(layer) + 1);
   const banned = [...above, ...(EXTRA_BANS[layer] ?? [])];
@@ -28,10 +34,13 @@
       'no-restricted-imports': [
         'error',
         {
-          patterns: banned.map(name => ({
-            group: [`@primrosewick/${name}`, `@primrosewick/${name}/*`],
-            message: `The layer "${layer}" must not import "${name}".`,
-          })),
+          patterns: [
+            PLATFORM_BAN,
+            ...banned.map(name => ({
+              group: [`@primrosewick/${name}`, `@primrosewick/${name}/*`],
+              message: `The layer "${layer}" must not import "${name}".`,
+            })),
+          ],
         },
       ],
     },
@@ -60,7 +69,7 @@
 };
 
 export default [
-  {ignores: ['**/dist/', '**/node_modules/']},
+  {ignores: ['**/dist/', '**/node_modules/', 'target/']},
   ...gts,
   ...LAYERS.map(layerRule),
   PURE_CORE,
@@ -72,10 +81,10 @@
     },
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: './packages/*/tsconfig.json',
+        project: ['./packages/*/tsconfig.json', './platform/tsconfig.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
@@ -110,6 +119,7 @@
   {
     files: [
       'packages/daemon/src/main.ts',
+      'platform/src/main.ts',
       'packages/cli/src/**/*.ts',
       'packages/standins/src/**/*.ts',
       'scripts/*.js',
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -10,7 +10,12 @@
   LinkMethods,
   LinkWelcome,
 } from '@primrosewick/protocol';
-import {CellError, toCellError, type VmId} from '@primrosewick/state';
+import {
+  CellError,
+  toCellError,
+  type ReasonCode,
+  type VmId,
+} from '@primrosewick/state';
 import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
 
 /** Methods that only the leader answers. */
@@ -202,18 +207,16 @@
   }
 }
 
+/** Reasons after which another try, or another leader, may help. */
+const PASSING_CODES: ReadonlySet<ReasonCode> = new Set([
+  'peer_unreachable',
+  'peer_timeout',
+  'log_unavailable',
+  'log_outcome_unknown',
+  'not_leader',
+  'stopping',
+  'storage_failed',
+]);
+
 /** Whether trying again cannot help. */
-const isFinal = ({code}: CellError): boolean => {
-  switch (code) {
-    case 'peer_unreachable':
-    case 'peer_timeout':
-    case 'log_unavailable':
-    case 'log_outcome_unknown':
-    case 'not_leader':
-    case 'stopping':
-    case 'storage_failed':
-      return false;
-    default:
-      return true;
-  }
-};
+const isFinal = ({code}: CellError): boolean => !PASSING_CODES.has(code);
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -131,7 +131,10 @@
       case 'end_runs':
         this.desk.prune();
         break;
-      default:
+      case 'put_bundle':
+      case 'submit':
+      case 'cancel':
+      case 'void_runs':
     }
     this.planSoon();
   }
