--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -14,6 +14,7 @@
   type PlannedStart,
   type PlannedStop,
   type TaskKey,
+  type VoidedRun,
   type WorkerId,
   type WorkerState,
   type WorkerView,
@@ -57,6 +58,12 @@
 const PLAN_INTERVAL_MS = 100;
 /** Longest lease given, in ms: covers a cut and a change of the leader. */
 const LEASE_MS = 7000;
+/**
+ * Time for which a start that was under way to a life that is over holds its
+ * task back, in ms: the next life may have taken the order, and is then told
+ * to stop it.
+ */
+const STRAY_HOLD_MS = 2500;
 /** Announcements that a worker without runs may miss before it gets no task. */
 const MISSED_ANNOUNCEMENTS = 3;
 
@@ -69,6 +76,11 @@
   private readonly desk: AdviceDesk;
   private readonly startedAt: number;
   private readonly subscriptions: Subscription[] = [];
+  /** Tasks whose order may have reached the next life of a worker. */
+  private readonly strays = new Map<
+    TaskKey,
+    {readonly worker: WorkerId; readonly until: number}
+  >();
   private isPlanDue = false;
   private isClosed = false;
 
@@ -113,6 +125,11 @@
     this.heardAt.set(worker, this.options.clock.now());
   }
 
+  /** What is known of the runs on a worker. */
+  runsOf(worker: WorkerId): readonly VoidedRun[] {
+    return this.channels.get(worker)?.activeRuns() ?? [];
+  }
+
   private get db(): WorkflowDb {
     return this.options.replica.db;
   }
@@ -145,6 +162,7 @@
     for (const [worker, channel] of this.channels) {
       const life = this.db.workers.get(worker)?.report.bornAt;
       if (life === this.lives.get(worker)) continue;
+      this.noteStrays(worker, channel);
       channel.close();
       this.channels.delete(worker);
     }
@@ -155,6 +173,25 @@
     }
   }
 
+  private noteStrays(worker: WorkerId, channel: WorkerChannel): void {
+    const until = this.options.clock.now() + STRAY_HOLD_MS;
+    for (const {task} of channel.expectedStarts)
+      this.strays.set(taskKey(task), {worker, until});
+  }
+
+  /** Workers of the tasks that must not be placed at present. */
+  private pendingStarts(now: number): Map<TaskKey, WorkerId> {
+    const pending = new Map<TaskKey, WorkerId>();
+    for (const [key, {worker, until}] of this.strays) {
+      if (now < until) pending.set(key, worker);
+      else this.strays.delete(key);
+    }
+    for (const [worker, channel] of this.channels)
+      for (const {task} of channel.expectedStarts)
+        pending.set(taskKey(task), worker);
+    return pending;
+  }
+
   private openChannel(life: {
     readonly worker: WorkerId;
     readonly bornAt: number;
@@ -214,10 +251,7 @@
 
   private planNow(): void {
     const {clock} = this.options;
-    const pending = new Map<TaskKey, WorkerId>();
-    for (const [worker, channel] of this.channels)
-      for (const {task} of channel.expectedStarts)
-        pending.set(taskKey(task), worker);
+    const pending = this.pendingStarts(clock.now());
     this.carryOut(
       plan({
         db: this.db,
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -14,6 +14,7 @@
   type Bundle,
   type QueueMatch,
   type VmId,
+  type VoidedRun,
   type WorkerId,
   type WorkerRegistration,
   type WorkflowCommand,
@@ -43,6 +44,8 @@
   readonly logger: Logger;
   /** Called for each announcement of a worker. */
   readonly onHeard: (worker: WorkerId) => void;
+  /** What is known of the runs on a worker. */
+  readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
 }
 
 /** Workers whose last announcement is remembered. */
@@ -110,7 +113,8 @@
         known && (bornAt === null || known.report.bornAt === bornAt);
       if (!isMeant) return {isKnown: false};
       const life = {worker, bornAt: known.report.bornAt};
-      await this.propose({kind: 'remove_worker', life});
+      const runs = this.options.runsOf(worker);
+      await this.propose({kind: 'remove_worker', life, runs});
       this.options.logger.info(
         {change: 'worker_gone', worker, why: 'deregistered'},
         'a worker has left',
@@ -280,7 +284,14 @@
 
   private async putWorker(report: WorkerRegistration): Promise<void> {
     const {logger} = this.options;
+    const older = this.db.workers.get(report.worker)?.report;
     try {
+      if (older && older.bornAt < report.bornAt)
+        await this.propose({
+          kind: 'remove_worker',
+          life: {worker: older.worker, bornAt: older.bornAt},
+          runs: this.options.runsOf(older.worker),
+        });
       await this.propose({kind: 'put_worker', report});
     } catch (err) {
       // The next announcement must not count as seen already.
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -11,6 +11,7 @@
   type TaskKey,
   type TaskRef,
   type VoidReason,
+  type VoidedRun,
   type WorkerLife,
   type WorkflowCommand,
   type WorkflowDb,
@@ -24,6 +25,7 @@
   OrderPort,
   StartOrder,
 } from './ports.js';
+import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {WorkerClock} from './worker_clock.js';
 
 /** Options of a channel. */
@@ -65,17 +67,6 @@
 /** Time after which a stop whose end is not listed is ordered again, in ms. */
 const STOP_RETRY_MS = 1500;
 
-/** A start ordered under this leadership. */
-type OrderedStart =
-  | (ExpectedStart & {readonly kind: 'in_flight'})
-  | {readonly kind: 'confirmed'; readonly run: number; readonly at: number};
-
-/** A start that is proposed or ordered. */
-export interface ExpectedStart {
-  readonly task: TaskRef;
-  readonly run: number;
-}
-
 /** What a worker last said of a run. */
 export interface RunProgress extends ListedRun {
   /** Monotonic time of the answer, in ms. */
@@ -86,7 +77,7 @@
 export class WorkerChannel {
   /** What the worker last listed as under way. */
   readonly progress = new Map<TaskKey, RunProgress>();
-  private readonly starts = new Map<TaskKey, OrderedStart>();
+  private readonly starts = new StartLedger();
   private readonly stopsSentAt = new Map<TaskKey, number>();
   private readonly workerClock: WorkerClock;
   private fenceCounter = 0;
@@ -109,9 +100,7 @@
 
   /** Starts that are proposed or ordered here, and not yet settled. */
   get expectedStarts(): ExpectedStart[] {
-    return [...this.starts.values()].filter(
-      start => start.kind === 'in_flight',
-    );
+    return this.starts.expected;
   }
 
   /** Begins to speak to the worker. */
@@ -137,27 +126,26 @@
 
   /** Notes a start that is about to be recorded. */
   expect(task: TaskRef, run: number): void {
-    this.starts.set(taskKey(task), {kind: 'in_flight', task, run});
+    this.starts.expect(task, run);
   }
 
   /** Forgets a start that was not recorded. */
   forget(task: TaskRef): void {
-    this.starts.delete(taskKey(task));
+    this.starts.forget(task);
     this.wake();
   }
 
   /** Orders a start that is recorded. */
   async start(order: Omit<StartOrder, 'fence' | 'leaseEnd'>): Promise<void> {
-    const key = taskKey(order.task);
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
       const at = this.options.clock.now();
       this.workerClock.note(at, answer.clockMs);
-      this.starts.set(key, {kind: 'confirmed', run: order.run, at});
+      this.starts.confirm(order.task, order.run, at);
     } else {
       await this.onStartFailed(order, answer);
-      this.starts.delete(key);
+      this.starts.forget(order.task);
     }
     this.options.onChange();
     this.wake();
@@ -252,7 +240,7 @@
       {change: 'worker_gone', worker: life.worker, why: 'other_life'},
       'another life of a worker answers at its address',
     );
-    await record({kind: 'remove_worker', life});
+    await record({kind: 'remove_worker', life, runs: this.activeRuns()});
     onChange();
   }
 
@@ -342,7 +330,7 @@
       .sort((a, b) => a.sequence - b.sequence);
     if (ends.length === 0) return;
     for (const {task, run, outcome} of ends) {
-      this.starts.delete(taskKey(task));
+      this.starts.forgetRun(task, run);
       this.stopsSentAt.delete(taskKey(task));
       logger.info(
         {
@@ -368,32 +356,24 @@
     const listed = new Map(running.map(run => [taskKey(run.task), run.run]));
     const missing = [...state.active]
       .filter(([key, {run}]) => listed.get(key) !== run)
-      .filter(([key, {run}]) => !this.isUnsettled(key, run, sentAt))
+      .filter(([key, {run}]) => !this.starts.isUnsettled(key, run, sentAt))
       .map(([, run]) => run);
     if (missing.length > 0) await this.voidRuns(missing, 'not_started');
     for (const {task, run} of running) {
       const key = taskKey(task);
       const isKnown = state.active.get(key)?.run === run;
-      if (!isKnown && this.starts.get(key)?.run !== run)
+      if (!isKnown && !this.starts.isOrdered(key, run))
         void this.stop(task, run);
     }
   }
 
-  /** Whether the lists may be older than the answer to the run's start. */
-  private isUnsettled(key: TaskKey, run: number, sentAt: number): boolean {
-    const start = this.starts.get(key);
-    if (!start || start.run !== run) return false;
-    return start.kind === 'in_flight' || start.at >= sentAt;
-  }
-
   private async voidRuns(
     runs: ReadonlyArray<{readonly task: TaskRef; readonly run: number}>,
     reason: VoidReason,
   ): Promise<void> {
     const {life, record, logger} = this.options;
     for (const {task, run} of runs) {
-      const key = taskKey(task);
-      if (this.starts.get(key)?.run === run) this.starts.delete(key);
+      this.starts.forgetRun(task, run);
       logger.info(
         {
           decision: 'run_void',
@@ -405,8 +385,25 @@
         'a recorded run is given up without an end',
       );
     }
-    const plain = runs.map(({task, run}) => ({task, run}));
-    await record({kind: 'void_runs', life, runs: plain, reason});
+    await record({
+      kind: 'void_runs',
+      life,
+      runs: runs.map(({task, run}) => this.withCheckpoint(task, run)),
+      reason,
+    });
+  }
+
+  /** All recorded runs of the worker, with the checkpoints last listed. */
+  activeRuns(): VoidedRun[] {
+    const {db, life} = this.options;
+    const active = db.findLife(life)?.active.values() ?? [];
+    return [...active].map(({task, run}) => this.withCheckpoint(task, run));
+  }
+
+  private withCheckpoint(task: TaskRef, run: number): VoidedRun {
+    const listed = this.progress.get(taskKey(task));
+    const checkpoint = listed?.run === run ? listed.checkpoint : '';
+    return {task, run, checkpoint};
   }
 
   private async onHoldFailed(failure: OrderFailure): Promise<void> {
@@ -424,7 +421,7 @@
     if (clock.now() < this.workerClock.lapseAt) return;
     this.isLapsed = true;
     const runs = [...(db.findLife(life)?.active.values() ?? [])].filter(
-      ({task}) => this.starts.get(taskKey(task))?.kind !== 'in_flight',
+      ({task}) => !this.starts.isInFlight(taskKey(task)),
     );
     if (runs.length > 0) await this.voidRuns(runs, 'lease_lapsed');
   }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -142,6 +142,7 @@
       clock: systemClock,
       logger: this.options.logger,
       onHeard: worker => this.scheduler?.noteHeard(worker),
+      runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
     });
   }
 
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -91,11 +91,12 @@
     log.apply({
       kind: 'void_runs',
       life: {worker: 'w1' as never, bornAt: 1},
-      runs: [{task: testTask('a', 0, 0), run: 1}],
+      runs: [{task: testTask('a', 0, 0), run: 1, checkpoint: 'cp'}],
       reason: 'lease_lapsed',
     });
     log.end('w1', testTask('a', 0, 0), 'done');
     expect(phaseOf(log, 'a')).to.equal('open');
+    expect(log.db.findTask(testTask('a', 0, 0))?.checkpoint).to.equal('cp');
   });
   it('a new life of a worker ends what ran in the old one', () => {
     const log = oneTask();
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -12,6 +12,7 @@
   StepState,
   TaskRef,
   TaskState,
+  VoidedRun,
   WorkerLife,
   WorkerRegistration,
   WorkerState,
@@ -77,6 +78,7 @@
         this.putWorker(command.report);
         return APPLIED;
       case 'remove_worker':
+        this.noteCheckpoints(command.life, command.runs);
         this.removeWorker(command.life);
         return APPLIED;
       case 'start_runs':
@@ -86,6 +88,7 @@
         this.endRuns(command.life, command.ends, command.at);
         return APPLIED;
       case 'void_runs':
+        this.noteCheckpoints(command.life, command.runs);
         for (const {task, run} of command.runs)
           this.takeActive(command.life, task, run);
         return APPLIED;
@@ -263,13 +266,23 @@
     return true;
   }
 
+  /** Keeps the checkpoints of runs that are still under way on a worker. */
+  private noteCheckpoints(life: WorkerLife, runs: readonly VoidedRun[]): void {
+    for (const {task, run, checkpoint} of runs) {
+      const isActive =
+        this.findLife(life)?.active.get(taskKey(task))?.run === run;
+      const state = this.findTask(task);
+      if (isActive && state) keepCheckpoint(state, run, checkpoint);
+    }
+  }
+
   private noteEnd({task, run, outcome, checkpoint}: RunEnd, at: number): void {
     const workflow = this.open.get(task.workflow);
     const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
     const state = step?.tasks[task.index];
     const spec = workflow?.spec.steps[task.step];
     if (!workflow || !step || !state || !spec) return;
-    if (checkpoint !== '') state.checkpoint = checkpoint;
+    keepCheckpoint(state, run, checkpoint);
     if (outcome === 'done' && !spec.isLongRunning) {
       // The members of a gang end as done together.
       if (spec.isGang) for (const member of step.tasks) markDone(step, member);
@@ -342,6 +355,7 @@
   lastRun: 0,
   failures: 0,
   checkpoint: '',
+  checkpointRun: 0,
   active: [],
 });
 
@@ -353,6 +367,17 @@
     lastFailedRun: 0,
   }));
 
+/** A later run goes on from the checkpoint of an earlier one, so its own is newer. */
+const keepCheckpoint = (
+  task: TaskState,
+  run: number,
+  checkpoint: string,
+): void => {
+  if (checkpoint === '' || run < task.checkpointRun) return;
+  task.checkpoint = checkpoint;
+  task.checkpointRun = run;
+};
+
 const markDone = (step: StepState, task: TaskState): void => {
   if (task.isDone) return;
   task.isDone = true;
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -164,9 +164,7 @@
     }
     if (expired.size > 0) return this.renew(work, expired);
     const run = 1 + Math.max(0, ...work.state.tasks.map(task => task.lastRun));
-    const checkpoint =
-      work.state.tasks.map(task => task.checkpoint).find(text => text !== '') ??
-      '';
+    const checkpoint = latestCheckpoint(work.state);
     for (const placement of placements)
       this.emit(work, placement, run, checkpoint);
   }
@@ -309,3 +307,10 @@
     return counts;
   }
 }
+
+/** The checkpoint of any member is valid for its gang; the latest saves most. */
+const latestCheckpoint = ({tasks}: StepState): string => {
+  const saved = tasks.filter(({checkpoint}) => checkpoint !== '');
+  saved.sort((a, b) => b.checkpointRun - a.checkpointRun);
+  return saved[0]?.checkpoint ?? '';
+};
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -140,6 +140,8 @@
   failures: number;
   /** Latest checkpoint; empty without one. */
   checkpoint: string;
+  /** Number of the run that wrote the checkpoint; 0 without one. */
+  checkpointRun: number;
   active: ActiveRun[];
 }
 
@@ -188,6 +190,14 @@
   readonly task: TaskRef;
 }
 
+/** A run that is given up without an end. */
+export interface VoidedRun {
+  readonly task: TaskRef;
+  readonly run: number;
+  /** Last checkpoint that its worker listed; empty without one. */
+  readonly checkpoint: string;
+}
+
 /** Why a run that was recorded is given up without an end. */
 export type VoidReason =
   /** The worker refused the order, or proved never to have taken it. */
@@ -207,7 +217,12 @@
     }
   | {readonly kind: 'cancel'; readonly id: WorkflowId; readonly at: number}
   | {readonly kind: 'put_worker'; readonly report: WorkerRegistration}
-  | {readonly kind: 'remove_worker'; readonly life: WorkerLife}
+  | {
+      readonly kind: 'remove_worker';
+      readonly life: WorkerLife;
+      /** What is known of the runs that end with the worker. */
+      readonly runs: readonly VoidedRun[];
+    }
   | {readonly kind: 'start_runs'; readonly starts: readonly RecordedStart[]}
   | {
       readonly kind: 'end_runs';
@@ -218,10 +233,7 @@
   | {
       readonly kind: 'void_runs';
       readonly life: WorkerLife;
-      readonly runs: ReadonlyArray<{
-        readonly task: TaskRef;
-        readonly run: number;
-      }>;
+      readonly runs: readonly VoidedRun[];
       readonly reason: VoidReason;
     };
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,3 +8,4 @@
 export * from './tasks/clock.js';
 export * from './link/client.js';
 export * from './link/server.js';
+export * from './logs/sink.js';
--- /dev/null
+++ b/packages/transport/src/logs/sink.spec.ts
@@ -0,0 +1,37 @@
+import {expect} from 'chai';
+import {LogSink, type WriteBytes} from './sink.js';
+
+const turn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+describe('log sink', () => {
+  it('a reader that does not read costs lines, not time', async () => {
+    const written: string[] = [];
+    let finish: () => void = () => undefined;
+    const write: WriteBytes = (bytes, done) => {
+      written.push(bytes.toString());
+      finish = () => done(null, bytes.length);
+    };
+    const sink = new LogSink({write, maxWaitingBytes: 10});
+    sink.write('first\n');
+    await turn();
+    for (let i = 0; i < 100; i++) sink.write('line\n');
+    expect(written).to.eql(['first\n']);
+    expect(sink.droppedCount).to.equal(98);
+    finish();
+    expect(written[1]).to.contain('line\nline\n');
+    expect(written[1]).to.contain('"lines":98');
+  });
+  it('lines of one turn go out together, and what was not taken goes again', async () => {
+    const written: string[] = [];
+    const write: WriteBytes = (bytes, done) => {
+      const part = bytes.subarray(0, 4);
+      written.push(part.toString());
+      setImmediate(() => done(null, part.length));
+    };
+    const sink = new LogSink({write});
+    sink.write('one\n');
+    sink.write('two\n');
+    for (let i = 0; i < 4; i++) await turn();
+    expect(written).to.eql(['one\n', 'two\n']);
+  });
+});
--- /dev/null
+++ b/packages/transport/src/logs/sink.ts
@@ -0,0 +1,98 @@
+/**
+ * Writes log lines without ever waiting for the reader: lines are kept up to
+ * a bound while a write is under way, and those beyond it are counted.
+ */
+import {write} from 'node:fs';
+
+/** Writes bytes and calls back with the number written. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (err: Error | null, written: number) => void,
+) => void;
+
+/** Options of a sink. */
+export interface LogSinkOptions {
+  readonly write: WriteBytes;
+  /** Bytes of lines that may wait. */
+  readonly maxWaitingBytes?: number;
+  /** Makes the line that tells how many were dropped. */
+  readonly droppedLine?: (count: number) => string;
+}
+
+const DEFAULT_MAX_WAITING_BYTES = 512 * 1024;
+/** Pause before a failed write is tried again, in ms. */
+const RETRY_PAUSE_MS = 50;
+
+/** A stream for a logger. */
+export class LogSink {
+  private waiting: string[] = [];
+  private waitingBytes = 0;
+  private dropped = 0;
+  private isWriting = false;
+  private readonly maxWaitingBytes: number;
+
+  constructor(private readonly options: LogSinkOptions) {
+    this.maxWaitingBytes = options.maxWaitingBytes ?? DEFAULT_MAX_WAITING_BYTES;
+  }
+
+  /** Takes a line, or drops it where too many wait. */
+  write(line: string): boolean {
+    if (this.waitingBytes + line.length > this.maxWaitingBytes) {
+      this.dropped++;
+      return false;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length;
+    if (!this.isWriting) {
+      this.isWriting = true;
+      // Lines of one turn go out in one call.
+      setImmediate(() => this.flush());
+    }
+    return true;
+  }
+
+  /** Lines dropped since the last that was told. */
+  get droppedCount(): number {
+    return this.dropped;
+  }
+
+  private flush(): void {
+    const lines = this.waiting;
+    if (this.dropped > 0) {
+      lines.push(this.tellDropped(this.dropped));
+      this.dropped = 0;
+    }
+    this.waiting = [];
+    this.waitingBytes = 0;
+    if (lines.length === 0) {
+      this.isWriting = false;
+      return;
+    }
+    this.send(Buffer.from(lines.join('')));
+  }
+
+  private tellDropped(count: number): string {
+    const tell =
+      this.options.droppedLine ??
+      ((n: number) => JSON.stringify({change: 'log_dropped', lines: n}) + '\n');
+    return tell(count);
+  }
+
+  private send(bytes: Buffer): void {
+    this.options.write(bytes, (err, written) => {
+      const rest = err ? bytes : bytes.subarray(written);
+      if (rest.length === 0) return this.flush();
+      if (!err) return this.send(rest);
+      setTimeout(() => this.send(rest), RETRY_PAUSE_MS).unref();
+    });
+  }
+}
+
+const STDOUT_FD = 1;
+
+/** A sink on standard output; a reader that does not read blocks no event loop. */
+export const stdoutSink = (): LogSink =>
+  new LogSink({
+    write: (bytes, done) =>
+      write(STDOUT_FD, bytes, (err, written) => done(err, written)),
+  });
