Let a lease that may have been given end; stateful fuzzing of the scheduler

Ruled out: membership of the worker (its lists were never trusted) and the planner. Change: an unsure worker is asked for its lists without an extension. New: SchedulerTask under fuzzing with late orders, cuts, crashes, drains and changes of the leader, against what the workers see. Seen to fail: with the extension (open at the end), without raised fences (a start after done).

--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -278,7 +278,10 @@
   private async sendHold(fence: number): Promise<HoldAnswer> {
     const {db, life, clock, leaseMs, port} = this.options;
     const endsRecorded = db.findLife(life)?.endsRecorded ?? 0;
-    const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
+    // A hold that may never be answered must not put the end of the lease off.
+    const leaseEnd = this.isSynced
+      ? this.workerClock.leaseFor(clock.now(), leaseMs)
+      : undefined;
     const answer = await port.hold(this.target, {
       fence,
       endsRecorded,
--- a/packages/proofs/src/fuzz/main.ts
+++ b/packages/proofs/src/fuzz/main.ts
@@ -4,6 +4,7 @@
  */
 import {consensusPlan} from '../consensus/plans.js';
 import {followPlan} from '../propagation/plans.js';
+import {workflowPlan} from '../workflow/plans.js';
 import {zonePlan} from '../zone/plans.js';
 import {runFuzz, runFuzzAsync} from './run_fuzz.js';
 
@@ -34,6 +35,10 @@
     name: 'propagation',
     run: seed => runFuzzAsync(followPlan(seed, ROUND_RUNS)),
   },
+  {
+    name: 'workflow',
+    run: seed => runFuzzAsync(workflowPlan(seed, ROUND_RUNS)),
+  },
   {name: 'zone-3', run: seed => runFuzzAsync(zonePlan(3, seed, ROUND_RUNS))},
   {name: 'zone-2', run: seed => runFuzzAsync(zonePlan(2, seed, ROUND_RUNS))},
 ];
--- /dev/null
+++ b/packages/proofs/src/workflow/gang_board.ts
@@ -0,0 +1,70 @@
+/** Lets the members of a gang's run work together across workers. */
+import {
+  stepKey,
+  taskKey,
+  type RunOutcome,
+  type TaskKey,
+  type TaskRef,
+} from '@primrosewick/state';
+import type {EventQueue} from '../world/event_queue.js';
+
+type EndMember = (outcome: RunOutcome) => void;
+
+interface GangRun {
+  readonly members: Map<TaskKey, EndMember>;
+  isWhole: boolean;
+  isOver: boolean;
+}
+
+/** All runs of gangs. */
+export class GangBoard {
+  private readonly runs = new Map<string, GangRun>();
+
+  constructor(private readonly queue: EventQueue) {}
+
+  /** Adds a member; the run begins to work once all are there. */
+  join(
+    task: TaskRef,
+    run: number,
+    options: {
+      readonly taskCount: number;
+      readonly runMs: number;
+      readonly end: EndMember;
+    },
+  ): void {
+    const gang = this.gangOf(task, run);
+    gang.members.set(taskKey(task), options.end);
+    if (gang.isOver || gang.members.size < options.taskCount) return;
+    gang.isWhole = true;
+    this.queue.after(options.runMs, () => this.finish(gang, 'done'));
+  }
+
+  /** Removes a member; a run that lost one is broken. */
+  leave(task: TaskRef, run: number): void {
+    const gang = this.gangOf(task, run);
+    gang.members.delete(taskKey(task));
+    if (gang.isWhole) this.finish(gang, 'broken');
+  }
+
+  /** Whether all members have come. */
+  isWhole(task: TaskRef, run: number): boolean {
+    return this.gangOf(task, run).isWhole;
+  }
+
+  private finish(gang: GangRun, outcome: RunOutcome): void {
+    if (gang.isOver) return;
+    gang.isOver = true;
+    for (const end of [...gang.members.values()]) end(outcome);
+  }
+
+  private gangOf(task: TaskRef, run: number): GangRun {
+    const name = `${stepKey(task)}#${run}`;
+    const gang = this.runs.get(name) ?? {
+      members: new Map(),
+      isWhole: false,
+      isOver: false,
+    };
+    this.runs.set(name, gang);
+    return gang;
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/workflow/oracle.ts
@@ -0,0 +1,84 @@
+/** What workers saw, and whether it contradicts a promise. */
+import {
+  stepKey,
+  taskKey,
+  type RunOutcome,
+  type StepKey,
+  type TaskKey,
+  type TaskRef,
+  type WorkerId,
+  type WorkflowSpec,
+} from '@primrosewick/state';
+
+/** Notes starts and ends where they happen. */
+export class WorkflowOracle {
+  readonly violations: string[] = [];
+  private readonly running = new Map<TaskKey, Map<WorkerId, number>>();
+  private readonly done = new Set<TaskKey>();
+  private readonly doneCounts = new Map<StepKey, number>();
+
+  constructor(
+    private readonly specOf: (id: string) => WorkflowSpec | undefined,
+  ) {}
+
+  /** Notes a contradiction. */
+  blame(what: string): void {
+    this.violations.push(what);
+  }
+
+  /** Throws at the first contradiction. */
+  check(): void {
+    const [first] = this.violations;
+    if (first) throw new Error(first);
+  }
+
+  /** Whether a task has ended as done. */
+  isDone(task: TaskRef): boolean {
+    return this.done.has(taskKey(task));
+  }
+
+  noteStart(task: TaskRef, run: number, worker: WorkerId): void {
+    const key = taskKey(task);
+    const places = this.running.get(key) ?? new Map<WorkerId, number>();
+    if (places.size > 0)
+      this.blame(`${key} run ${run} on ${worker} starts beside ${[...places]}`);
+    if (this.done.has(key)) this.blame(`${key} starts after it was done`);
+    this.checkOrder(task);
+    this.checkSpread(task, worker);
+    places.set(worker, run);
+    this.running.set(key, places);
+  }
+
+  noteEnd(task: TaskRef, worker: WorkerId, outcome: RunOutcome): void {
+    const key = taskKey(task);
+    this.running.get(key)?.delete(worker);
+    if (outcome !== 'done' || this.done.has(key)) return;
+    this.done.add(key);
+    const step = stepKey(task);
+    this.doneCounts.set(step, (this.doneCounts.get(step) ?? 0) + 1);
+  }
+
+  /** All that ran on a worker is gone with it. */
+  noteGone(worker: WorkerId): void {
+    for (const places of this.running.values()) places.delete(worker);
+  }
+
+  private checkOrder(task: TaskRef): void {
+    const spec = this.specOf(task.workflow);
+    for (const step of spec?.steps[task.step]?.after ?? []) {
+      const count = this.doneCounts.get(stepKey({...task, step})) ?? 0;
+      if (count < (spec?.steps[step]?.taskCount ?? 0))
+        this.blame(`${taskKey(task)} starts before step ${step} is done`);
+    }
+  }
+
+  private checkSpread(task: TaskRef, worker: WorkerId): void {
+    const step = this.specOf(task.workflow)?.steps[task.step];
+    if (!step || step.maxPerWorker === 0) return;
+    const beside = Array.from({length: step.taskCount}, (_, index) =>
+      this.running.get(taskKey({...task, index})),
+    ).filter(places => places?.has(worker)).length;
+    if (beside >= step.maxPerWorker)
+      this.blame(`${taskKey(task)} is beside ${beside} others on ${worker}`);
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/workflow/plans.ts
@@ -0,0 +1,109 @@
+/** Commands of the stateful fuzzing of the scheduler. */
+import fc from 'fast-check';
+import type {StepSpec, WorkflowSpec} from '@primrosewick/state';
+import type {AsyncFuzzPlan} from '../fuzz/run_fuzz.js';
+import {WorkflowWorld} from './workflow_world.js';
+
+type EmptyModel = Record<string, never>;
+type Command = fc.AsyncCommand<EmptyModel, WorkflowWorld>;
+
+const command = (
+  name: string,
+  run: (world: WorkflowWorld) => Promise<void> | void,
+): Command => ({
+  check: () => true,
+  run: async (_model, world) => run(world),
+  toString: () => name,
+});
+
+const WORKER = fc.nat({max: 4});
+
+const step: fc.Arbitrary<StepSpec> = fc
+  .record({
+    taskCount: fc.integer({min: 1, max: 5}),
+    cpuMillis: fc.constantFrom(500, 1500, 4000),
+    isGang: fc.boolean(),
+    maxPerWorker: fc.constantFrom(0, 0, 1, 2),
+    follows: fc.boolean(),
+  })
+  .map(({taskCount, cpuMillis, isGang, maxPerWorker, follows}) => ({
+    taskCount,
+    room: {cpuMillis, memMb: 100, gpus: 0},
+    estimateMs: 500,
+    after: follows ? [0] : [],
+    isCheckpointable: false,
+    isGang,
+    isRackLocal: false,
+    maxPerWorker,
+    isSpeculative: false,
+    isLongRunning: false,
+    latencyTargetMs: 0,
+    usesLeftover: false,
+    maxUnavailable: 0,
+  }));
+
+const spec: fc.Arbitrary<WorkflowSpec> = fc
+  .array(step, {minLength: 1, maxLength: 3})
+  .map(([first, ...rest]) => ({
+    payload: 'x',
+    steps: [{...first!, after: []}, ...rest],
+    occurrences: 0,
+    firstDueAt: 0,
+    intervalMs: 0,
+  }));
+
+const commands: Array<fc.Arbitrary<Command>> = [
+  spec.map(value =>
+    command(`submit(${JSON.stringify(value.steps)})`, world =>
+      world.submit(value),
+    ),
+  ),
+  spec.map(value =>
+    command(`submit(${JSON.stringify(value.steps)})`, world =>
+      world.submit(value),
+    ),
+  ),
+  fc
+    .integer({min: 1, max: 4000})
+    .map(ms => command(`advance(${ms})`, world => world.advance(ms))),
+  fc
+    .integer({min: 1, max: 4000})
+    .map(ms => command(`advance(${ms})`, world => world.advance(ms))),
+  fc.nat({max: 9}).map(i => command(`cancel(${i})`, w => w.cancel(i))),
+  fc
+    .boolean()
+    .map(isUnaware =>
+      command(`changeLeader(${isUnaware})`, w => w.changeLeader(isUnaware)),
+    ),
+  WORKER.map(i => command(`crash(${i})`, w => w.crashWorker(i))),
+  WORKER.map(i => command(`restart(${i})`, w => w.restartWorker(i))),
+  WORKER.map(i => command(`cut(${i})`, w => w.cutWorker(i))),
+  WORKER.map(i => command(`drain(${i})`, w => w.drainWorker(i))),
+  fc.constant(command('heal', w => w.heal())),
+  fc
+    .record({
+      lossPercent: fc.constantFrom(0, 5, 20),
+      latePercent: fc.constantFrom(0, 5, 20),
+    })
+    .map(faults =>
+      command(`faults(${JSON.stringify(faults)})`, w => w.setFaults(faults)),
+    ),
+];
+
+/** Fuzzing of one leadership after the other over a few workers. */
+export const workflowPlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  name: 'workflow',
+  seed,
+  runs,
+  commands,
+  maxCommands: 60,
+  setUp: async worldSeed => {
+    const world = new WorkflowWorld(worldSeed);
+    await world.start();
+    return world;
+  },
+  finish: world => world.settle(),
+});
--- /dev/null
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -0,0 +1,241 @@
+/** A worker on virtual time: obeys fences, runs tasks under a lease, lists ends. */
+import type {
+  HoldAnswer,
+  HoldOrder,
+  OrderAnswer,
+  StartOrder,
+  StopOrder,
+} from '@primrosewick/coordination';
+import {
+  addRoom,
+  fitsInto,
+  subtractRoom,
+  taskKey,
+  type Room,
+  type RunEnd,
+  type RunOutcome,
+  type StepSpec,
+  type TaskKey,
+  type TaskRef,
+  type WorkerId,
+} from '@primrosewick/state';
+import type {EventQueue} from '../world/event_queue.js';
+import type {GangBoard} from './gang_board.js';
+import type {WorkflowOracle} from './oracle.js';
+
+/** Options of a worker. */
+export interface SimWorkerOptions {
+  readonly id: WorkerId;
+  readonly queue: EventQueue;
+  readonly oracle: WorkflowOracle;
+  readonly gangs: GangBoard;
+  readonly room: Room;
+  /** Speed of its own clock, 0.98 to 1. */
+  readonly rate: number;
+  readonly stepOf: (task: TaskRef) => StepSpec | undefined;
+  /** How long a run takes, and how it ends. */
+  readonly fateOf: (task: TaskRef) => {
+    readonly runMs: number;
+    readonly fails: boolean;
+  };
+}
+
+interface Run {
+  readonly task: TaskRef;
+  readonly run: number;
+  readonly room: Room;
+  readonly token: object;
+}
+
+const STOP_MS = 300;
+const GANG_WAIT_MS = 3000;
+const MAX_LEASE_MS = 8000;
+
+/** One worker through all its lives. */
+export class SimWorker {
+  bornAt = 1;
+  isUp = true;
+  isDraining = false;
+  private fence = 0;
+  private leaseEnd = 0;
+  private bornTime = 0;
+  private ended: RunEnd[] = [];
+  private endCount = 0;
+  private free: Room;
+  private readonly running = new Map<TaskKey, Run>();
+  /** Highest run that ended or was stopped, by task. */
+  private readonly barred = new Map<TaskKey, number>();
+  private waiters: Array<() => void> = [];
+
+  constructor(private readonly options: SimWorkerOptions) {
+    this.free = options.room;
+  }
+
+  get id(): WorkerId {
+    return this.options.id;
+  }
+
+  /** Ends all at once; the next life knows nothing. */
+  crash(): void {
+    const runs = [...this.running.values()];
+    for (const run of runs) this.remove(run);
+    this.options.oracle.noteGone(this.id);
+    this.isUp = false;
+    this.waiters = [];
+    for (const {task, run} of runs) this.options.gangs.leave(task, run);
+  }
+
+  /** Begins the next life. */
+  restart(): void {
+    if (this.isUp) return;
+    this.isUp = true;
+    this.isDraining = false;
+    this.bornAt++;
+    this.fence = 0;
+    this.bornTime = this.options.queue.now;
+    this.leaseEnd = 0;
+    this.ended = [];
+    this.endCount = 0;
+    this.barred.clear();
+    this.free = this.options.room;
+  }
+
+  start(order: StartOrder): OrderAnswer {
+    const key = taskKey(order.task);
+    const known = this.running.get(key);
+    if (!this.obey(order.fence)) return this.refuse('stale_fence');
+    if (known?.run === order.run) return this.accept();
+    if (order.leaseEnd <= this.clockMs) return this.refuse('late');
+    this.extend(order.leaseEnd);
+    if (known || order.run <= (this.barred.get(key) ?? 0))
+      return this.refuse('old_run');
+    this.begin(order);
+    return this.accept();
+  }
+
+  stop({task, run, fence}: StopOrder): OrderAnswer {
+    if (!this.obey(fence)) return this.refuse('stale_fence');
+    const key = taskKey(task);
+    this.barred.set(key, Math.max(run, this.barred.get(key) ?? 0));
+    const known = this.running.get(key);
+    if (known?.run === run)
+      this.later(STOP_MS, known, () => this.end(known, 'stopped'));
+    return this.accept();
+  }
+
+  hold(order: HoldOrder, reply: (answer: HoldAnswer) => void): void {
+    if (!this.obey(order.fence)) return reply(this.refuse('stale_fence'));
+    if (order.leaseEnd !== undefined) this.extend(order.leaseEnd);
+    this.ended = this.ended.filter(
+      ({sequence}) => sequence > order.endsRecorded,
+    );
+    if (this.ended.length > 0 || order.waitMs === 0) return reply(this.lists());
+    let isDone = false;
+    const answer = (): void => {
+      if (isDone) return;
+      isDone = true;
+      reply(this.lists());
+    };
+    this.waiters.push(answer);
+    this.options.queue.after(order.waitMs, answer);
+  }
+
+  private get clockMs(): number {
+    const {queue, rate} = this.options;
+    return Math.floor((queue.now - this.bornTime) * rate);
+  }
+
+  private obey(fence: number): boolean {
+    if (fence < this.fence) return false;
+    this.fence = fence;
+    return true;
+  }
+
+  private extend(leaseEnd: number): void {
+    const bound = Math.min(leaseEnd, this.clockMs + MAX_LEASE_MS);
+    if (bound <= this.leaseEnd) return;
+    this.leaseEnd = bound;
+    const life = this.bornAt;
+    const waitMs = (bound - this.clockMs) / this.options.rate + 1;
+    this.options.queue.after(waitMs, () => {
+      if (this.bornAt !== life || !this.isUp) return;
+      if (this.clockMs < this.leaseEnd) return;
+      for (const run of [...this.running.values()]) this.end(run, 'lapsed');
+    });
+  }
+
+  private begin({task, run}: StartOrder): void {
+    const {oracle, gangs, stepOf, fateOf} = this.options;
+    const step = stepOf(task);
+    const room = step?.room ?? {cpuMillis: 0, memMb: 0, gpus: 0};
+    if (!fitsInto(room, this.free))
+      oracle.blame(`${this.id} was given more than its room`);
+    oracle.noteStart(task, run, this.id);
+    const entry: Run = {task, run, room, token: {}};
+    this.running.set(taskKey(task), entry);
+    this.free = subtractRoom(this.free, room);
+    const {runMs, fails} = fateOf(task);
+    if (!step?.isGang || fails)
+      return this.later(runMs, entry, () =>
+        this.end(entry, fails ? 'failed' : 'done'),
+      );
+    gangs.join(task, run, {
+      taskCount: step.taskCount,
+      runMs,
+      end: outcome => this.end(entry, outcome),
+    });
+    this.later(GANG_WAIT_MS, entry, () => {
+      if (!gangs.isWhole(task, run)) this.end(entry, 'alone');
+    });
+  }
+
+  /** Ends a run that is still under way. */
+  end(entry: Run, outcome: RunOutcome): void {
+    if (this.running.get(taskKey(entry.task)) !== entry) return;
+    this.remove(entry);
+    const {task, run} = entry;
+    this.barred.set(taskKey(task), run);
+    this.endCount++;
+    const sequence = this.endCount;
+    this.ended.push({sequence, task, run, outcome, checkpoint: ''});
+    this.options.oracle.noteEnd(task, this.id, outcome);
+    if (outcome !== 'done') this.options.gangs.leave(task, run);
+    const {waiters} = this;
+    this.waiters = [];
+    for (const wake of waiters) wake();
+  }
+
+  private remove(entry: Run): void {
+    this.running.delete(taskKey(entry.task));
+    this.free = addRoom(this.free, entry.room);
+  }
+
+  private later(ms: number, entry: Run, act: () => void): void {
+    this.options.queue.after(ms, () => {
+      if (this.running.get(taskKey(entry.task)) === entry) act();
+    });
+  }
+
+  private accept(): OrderAnswer {
+    return {kind: 'accepted', clockMs: this.clockMs};
+  }
+
+  private refuse(why: 'stale_fence' | 'late' | 'old_run') {
+    return {kind: 'refused' as const, why, clockMs: this.clockMs};
+  }
+
+  private lists(): HoldAnswer {
+    return {
+      kind: 'lists',
+      clockMs: this.clockMs,
+      ended: [...this.ended],
+      running: [...this.running.values()].map(({task, run}) => ({
+        task,
+        run,
+        checkpoint: '',
+        percent: 0,
+        load: 0,
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -0,0 +1,44 @@
+import {expect} from 'chai';
+import {runFuzzAsync} from '../fuzz/run_fuzz.js';
+import {workflowPlan} from './plans.js';
+import {WorkflowWorld} from './workflow_world.js';
+
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60);
+
+const oneTask = {
+  payload: 'x',
+  steps: [
+    {
+      taskCount: 5,
+      room: {cpuMillis: 4000, memMb: 1, gpus: 0},
+      estimateMs: 1,
+      after: [],
+      isCheckpointable: false,
+      isGang: false,
+      isRackLocal: false,
+      maxPerWorker: 0,
+      isSpeculative: false,
+      isLongRunning: false,
+      latencyTargetMs: 0,
+      usesLeftover: false,
+      maxUnavailable: 0,
+    },
+  ],
+  occurrences: 0,
+  firstDueAt: 0,
+  intervalMs: 0,
+};
+
+describe('scheduler under faults', () => {
+  it('work on a worker that never comes back is done elsewhere', async () => {
+    const world = new WorkflowWorld(1);
+    await world.start();
+    world.submit(oneTask);
+    await world.advance(80);
+    world.crashWorker(0);
+    await world.advance(40_000);
+    expect(world.phases()).to.eql(['done']);
+  }).timeout(60_000);
+  it('one leadership after the other keeps every promise', () =>
+    runFuzzAsync(workflowPlan(7101, RUNS))).timeout(600_000);
+});
--- /dev/null
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -0,0 +1,353 @@
+/** The scheduler's tasks on virtual time, behind a log that commits and workers that run. */
+import bunyan from 'bunyan';
+import {
+  SchedulerTask,
+  WorkflowReplica,
+  type HoldAnswer,
+  type OrderAnswer,
+  type OrderPort,
+  type WorkerTarget,
+} from '@primrosewick/coordination';
+import {
+  CellError,
+  occurrenceCount,
+  seededRandom,
+  taskKey,
+  type Bundle,
+  type Random,
+  type StepSpec,
+  type TaskRef,
+  type VmId,
+  type WorkerId,
+  type WorkerRegistration,
+  type WorkflowCommand,
+  type WorkflowId,
+  type WorkflowResult,
+  type WorkflowSpec,
+} from '@primrosewick/state';
+import {EventQueue} from '../world/event_queue.js';
+import {SimProcess, VirtualClock} from '../world/process.js';
+import {GangBoard} from './gang_board.js';
+import {WorkflowOracle} from './oracle.js';
+import {SimWorker} from './sim_worker.js';
+
+/** How calls to workers go wrong. */
+export interface CallFaults {
+  readonly lossPercent: number;
+  /** Calls without an answer that are executed seconds later. */
+  readonly latePercent: number;
+}
+
+const WORKER_COUNT = 5;
+const ROOM = {cpuMillis: 4000, memMb: 4000, gpus: 0};
+const MAX_LEASE_MS = 8000;
+const ANNOUNCE_MS = 1000;
+const CALL_TIMEOUT_MS = 1000;
+const UNAWARE_MS = 1400;
+const SETTLE_MS = 120_000;
+
+const logger = bunyan.createLogger({name: 'proof', level: 'fatal' as never});
+
+/** One leadership, and whether the log still takes its records. */
+interface Leadership {
+  readonly term: number;
+  readonly scheduler: SchedulerTask;
+  readonly process: SimProcess;
+}
+
+/** A cell of one leader at a time and a few workers. */
+export class WorkflowWorld {
+  readonly queue = new EventQueue();
+  readonly oracle: WorkflowOracle;
+  private readonly replica = new WorkflowReplica();
+  private readonly workers: SimWorker[] = [];
+  private readonly cut = new Set<WorkerId>();
+  private readonly random: Random;
+  private readonly specs = new Map<string, WorkflowSpec>();
+  private faults: CallFaults = {lossPercent: 0, latePercent: 0};
+  private leadership: Leadership | undefined;
+  private term = 0;
+  private sequence = 0;
+
+  constructor(seed: number) {
+    this.random = seededRandom(seed);
+    this.oracle = new WorkflowOracle(id => this.specs.get(id));
+    const gangs = new GangBoard(this.queue);
+    for (let i = 0; i < WORKER_COUNT; i++)
+      this.workers.push(
+        new SimWorker({
+          id: `w${i}` as WorkerId,
+          queue: this.queue,
+          oracle: this.oracle,
+          gangs,
+          room: ROOM,
+          rate: 1 - this.random.nextInt(0, 20) / 1000,
+          stepOf: task => this.stepOf(task),
+          fateOf: () => ({
+            runMs: this.random.nextInt(20, 3000),
+            fails: this.random.nextInt(0, 19) === 0,
+          }),
+        }),
+      );
+  }
+
+  /** Puts a bundle in force, elects the first leader and lets workers announce. */
+  async start(): Promise<void> {
+    this.commit({kind: 'put_bundle', bundle: BUNDLE});
+    this.changeLeader(false);
+    this.announceLater();
+    await this.advance(200);
+  }
+
+  /** Lets time pass, and looks for contradictions. */
+  async advance(ms: number): Promise<void> {
+    await this.queue.advanceAsync(ms);
+    this.oracle.check();
+  }
+
+  /** Hands a workflow in. */
+  submit(spec: WorkflowSpec): void {
+    const id = `f${this.specs.size}` as WorkflowId;
+    this.specs.set(id, spec);
+    const at = this.clockOf(new SimProcess()).wall();
+    this.commit({
+      kind: 'submit',
+      id,
+      queue: BUNDLE.queues[0]!.name,
+      spec,
+      at,
+    });
+  }
+
+  /** Cancels a workflow. */
+  cancel(index: number): void {
+    const id = `f${index % Math.max(1, this.specs.size)}` as WorkflowId;
+    this.commit({kind: 'cancel', id, at: 1});
+  }
+
+  /** Ends a leadership; an unaware leader goes on giving orders for a while. */
+  changeLeader(isUnaware: boolean): void {
+    const before = this.leadership;
+    if (before && isUnaware)
+      this.queue.after(UNAWARE_MS - 1, () => before.scheduler.close());
+    else before?.scheduler.close();
+    this.term++;
+    const {term} = this;
+    const process = new SimProcess();
+    const clock = this.clockOf(process);
+    const scheduler = new SchedulerTask({
+      replica: this.replica,
+      clock,
+      logger,
+      orders: this.orders(),
+      terms: {maxLeaseMs: MAX_LEASE_MS, announceMs: ANNOUNCE_MS},
+      term,
+      unawareMs: UNAWARE_MS,
+      propose: command => this.propose(term, command),
+      callers: () => ['vm' as VmId],
+      ask: () => Promise.resolve({kind: 'busy'}),
+    });
+    this.leadership = {term, scheduler, process};
+    scheduler.start();
+  }
+
+  setFaults(faults: CallFaults): void {
+    this.faults = faults;
+  }
+
+  crashWorker(index: number): void {
+    this.workerAt(index).crash();
+  }
+
+  restartWorker(index: number): void {
+    this.workerAt(index).restart();
+  }
+
+  cutWorker(index: number): void {
+    this.cut.add(this.workerAt(index).id);
+  }
+
+  drainWorker(index: number): void {
+    this.workerAt(index).isDraining = true;
+  }
+
+  /** Ends all faults. */
+  heal(): void {
+    this.faults = {lossPercent: 0, latePercent: 0};
+    this.cut.clear();
+    for (const worker of this.workers) {
+      if (worker.isDraining && worker.isUp) worker.crash();
+      worker.restart();
+    }
+  }
+
+  /** Ends all faults, and checks that every workflow ends truly. */
+  async settle(): Promise<void> {
+    this.heal();
+    await this.advance(SETTLE_MS);
+    for (const [id, spec] of this.specs) this.checkEnd(id as WorkflowId, spec);
+    this.oracle.check();
+    this.leadership?.scheduler.close();
+  }
+
+  /** Phases of all workflows, in the order in which they were handed in. */
+  phases(): Array<string | undefined> {
+    return [...this.specs.keys()].map(
+      id => this.replica.db.workflows.get(id as WorkflowId)?.phase,
+    );
+  }
+
+  private checkEnd(id: WorkflowId, spec: WorkflowSpec): void {
+    const phase = this.replica.db.workflows.get(id)?.phase;
+    if (phase === 'open') this.oracle.blame(`${id} is still open at the end`);
+    if (phase !== 'done') return;
+    for (let occurrence = 0; occurrence < occurrenceCount(spec); occurrence++)
+      spec.steps.forEach(({taskCount}, step) => {
+        for (let index = 0; index < taskCount; index++) {
+          const task = {workflow: id, occurrence, step, index};
+          if (!this.oracle.isDone(task))
+            this.oracle.blame(`${id} is done without ${taskKey(task)}`);
+        }
+      });
+  }
+
+  private workerAt(index: number): SimWorker {
+    return this.workers[index % this.workers.length]!;
+  }
+
+  private clockOf(process: SimProcess): VirtualClock {
+    return new VirtualClock({queue: this.queue, process, rate: 1});
+  }
+
+  private stepOf(task: TaskRef): StepSpec | undefined {
+    return this.specs.get(task.workflow)?.steps[task.step];
+  }
+
+  private commit(command: WorkflowCommand): WorkflowResult | undefined {
+    return this.replica.apply({index: this.replica.index + 1, command});
+  }
+
+  private propose(
+    term: number,
+    command: WorkflowCommand,
+  ): Promise<WorkflowResult> {
+    return new Promise((resolve, reject) => {
+      this.queue.after(this.random.nextInt(5, 40), () => {
+        if (term !== this.term)
+          reject(new CellError({code: 'not_leader', step: 'propose'}));
+        else resolve(this.commit(command) ?? {kind: 'applied'});
+      });
+    });
+  }
+
+  private orders(): OrderPort {
+    return {
+      start: (target, order) =>
+        this.call(target, worker => worker.start(order)),
+      stop: (target, order) => this.call(target, worker => worker.stop(order)),
+      hold: (target, order) =>
+        new Promise(resolve => {
+          void this.call<HoldAnswer | undefined>(
+            target,
+            worker => {
+              worker.hold(order, answer =>
+                this.queue.after(this.random.nextInt(1, 20), () =>
+                  resolve(answer),
+                ),
+              );
+              return undefined;
+            },
+            CALL_TIMEOUT_MS + order.waitMs,
+          ).then(answer => answer && resolve(answer));
+          this.queue.after(CALL_TIMEOUT_MS + order.waitMs, () =>
+            resolve({kind: 'no_answer', detail: 'time'}),
+          );
+        }),
+    };
+  }
+
+  /** Calls a worker: on time, late, or not at all. */
+  private call<T = OrderAnswer>(
+    {worker: id, bornAt}: WorkerTarget,
+    act: (worker: SimWorker) => T,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<T | {kind: 'no_answer'; detail: string} | {kind: 'other_life'}> {
+    return new Promise(resolve => {
+      const worker = this.workers.find(other => other.id === id)!;
+      const roll = this.random.nextInt(0, 99);
+      const {lossPercent, latePercent} = this.faults;
+      const isLost = this.cut.has(id) || roll < lossPercent;
+      const isLate = !isLost && roll < lossPercent + latePercent;
+      this.queue.after(timeoutMs, () =>
+        resolve({kind: 'no_answer', detail: 'time'}),
+      );
+      if (isLost) return;
+      const delayMs = isLate
+        ? this.random.nextInt(2000, 12_000)
+        : this.random.nextInt(1, 20);
+      this.queue.after(delayMs, () => {
+        if (!worker.isUp) return;
+        const answer =
+          worker.bornAt === bornAt ? act(worker) : {kind: 'other_life' as const};
+        if (!isLate && answer !== undefined) resolve(answer);
+      });
+    });
+  }
+
+  private announceLater(): void {
+    for (const worker of this.workers) this.announce(worker);
+    this.queue.after(ANNOUNCE_MS, () => this.announceLater());
+  }
+
+  private announce(worker: SimWorker): void {
+    if (!worker.isUp || this.cut.has(worker.id)) return;
+    const report: WorkerRegistration = {
+      worker: worker.id,
+      bornAt: worker.bornAt,
+      address: '10.0.0.1:1',
+      pool: BUNDLE.pools[0]!.name,
+      zone: 'z' as never,
+      room: ROOM,
+      labels: [],
+      isDraining: worker.isDraining,
+      remainingMs: 0,
+      sequence: ++this.sequence,
+    };
+    this.leadership?.scheduler.noteHeard(worker.id);
+    const known = this.replica.db.findLife(report)?.report;
+    if (known?.isDraining !== report.isDraining)
+      this.commit({kind: 'put_worker', report});
+  }
+}
+
+const BUNDLE = {
+  version: 1,
+  queues: [
+    {
+      name: 'queue',
+      host: 'host',
+      prefix: '/queue/',
+      pool: 'pool',
+      priority: 1,
+      maxAttempts: 3,
+      stretch: 2,
+      objectiveMs: 500,
+    },
+  ],
+  pools: [
+    {
+      name: 'pool',
+      maxConnections: 8,
+      guardsAdmission: false,
+      isStandby: false,
+      healthPath: '/health',
+    },
+  ],
+  limits: {
+    headerBytes: 1,
+    bodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  source: '{}',
+} as never as Bundle;
