--- a/packages/proofs/src/workflow/oracle.ts
+++ b/packages/proofs/src/workflow/oracle.ts
@@ -14,7 +14,11 @@
 export class WorkflowOracle {
   readonly violations: string[] = [];
   private readonly running = new Map<TaskKey, Map<WorkerId, number>>();
+  /** Tasks of which a run has ended as done, whether it was noted or not. */
   private readonly done = new Set<TaskKey>();
+  /** Tasks whose end as done was acknowledged to its worker; that stands. */
+  private readonly noted = new Set<TaskKey>();
+  private readonly lastStartAt = new Map<TaskKey, number>();
   private readonly doneCounts = new Map<StepKey, number>();
 
   constructor(
@@ -37,12 +41,13 @@
     return this.done.has(taskKey(task));
   }
 
-  noteStart(task: TaskRef, run: number, worker: WorkerId): void {
+  noteStart(task: TaskRef, run: number, worker: WorkerId, at: number): void {
     const key = taskKey(task);
     const places = this.running.get(key) ?? new Map<WorkerId, number>();
     if (places.size > 0)
       this.blame(`${key} run ${run} on ${worker} starts beside ${[...places]}`);
-    if (this.done.has(key)) this.blame(`${key} starts after it was done`);
+    if (this.noted.has(key)) this.blame(`${key} starts after it was done`);
+    this.lastStartAt.set(key, at);
     this.checkOrder(task);
     this.checkSpread(task, worker);
     places.set(worker, run);
@@ -58,6 +63,17 @@
     this.doneCounts.set(step, (this.doneCounts.get(step) ?? 0) + 1);
   }
 
+  /**
+   * Notes that an end as done is acknowledged to its worker. An end that was
+   * never acknowledged may be lost with its worker, and its task runs again.
+   */
+  noteAcknowledged(task: TaskRef, endedAt: number): void {
+    const key = taskKey(task);
+    if ((this.lastStartAt.get(key) ?? 0) > endedAt)
+      this.blame(`${key} was started after an end that is noted as done`);
+    this.noted.add(key);
+  }
+
   /** All that ran on a worker is gone with it. */
   noteGone(worker: WorkerId): void {
     for (const places of this.running.values()) places.delete(worker);
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -288,7 +288,9 @@
       this.queue.after(delayMs, () => {
         if (!worker.isUp) return;
         const answer =
-          worker.bornAt === bornAt ? act(worker) : {kind: 'other_life' as const};
+          worker.bornAt === bornAt
+            ? act(worker)
+            : {kind: 'other_life' as const};
         if (!isLate && answer !== undefined) resolve(answer);
       });
     });
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -131,4 +131,14 @@
     expect(copy.toImage()).to.eql(log.db.toImage());
     expect(copy.open.size).to.equal(1);
   });
+  it('a workflow is not forgotten while a run holds room', () => {
+    const log = oneTask();
+    log.apply({kind: 'cancel', id: 'a' as never, at: 1});
+    const late = {kind: 'submit' as const, queue: 'queue' as never, at: 1e12};
+    log.apply({...late, id: 'b' as never, spec: testSpec([testStep()])});
+    expect(phaseOf(log, 'a')).to.equal('cancelled');
+    log.end('w1', testTask('a', 0, 0), 'stopped');
+    log.apply({...late, id: 'c' as never, spec: testSpec([testStep()])});
+    expect(phaseOf(log, 'a')).to.equal(undefined);
+  });
 });
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -339,13 +339,24 @@
 
   /** Forgets workflows that ended long ago and have nothing under way. */
   private forgetEnded(now: number): void {
-    while (this.ended[0] && this.ended[0].at + this.options.keepEndedMs < now) {
-      const {id} = this.ended.shift()!;
-      this.workflows.delete(id);
-    }
+    const isOld = ({at}: {readonly at: number}): boolean =>
+      at + this.options.keepEndedMs < now;
+    if (!this.ended[0] || !isOld(this.ended[0])) return;
+    this.ended = this.ended.filter(entry => {
+      const workflow = this.workflows.get(entry.id);
+      if (!isOld(entry) || (workflow && hasActiveRuns(workflow))) return true;
+      this.workflows.delete(entry.id);
+      return false;
+    });
   }
 }
 
+/** Whether any run of a workflow may be under way; its room is held until then. */
+const hasActiveRuns = ({occurrences}: WorkflowState): boolean =>
+  [...occurrences.values()].some(steps =>
+    steps.some(({tasks}) => tasks.some(({active}) => active.length > 0)),
+  );
+
 /** How often the steps of a workflow run. */
 export const occurrenceCount = (spec: WorkflowSpec): number =>
   Math.max(1, spec.occurrences);
