Metrics address, counters made from the lines, one line for each answer to a client

Change: a raw stream counts each line's decision and outcome, so that counters and lines agree; an entry tells each answer with its path, status, reason, leader and the age of its contact (successful questions only at debug); a failed data folder is opened again after a pause instead of in a loop.

--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -91,6 +91,12 @@
     return this.options.clock.now() < this.servingAt + CONTACT_MS;
   }
 
+  /** Age of the last answer of a serving leader, in ms; null before the first. */
+  get contactAgeMs(): number | null {
+    const ageMs = this.options.clock.now() - this.servingAt;
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : null;
+  }
+
   /** The VM that leads as far as is known. */
   get leaderVm(): VmId | null {
     return this.leader;
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -315,6 +315,7 @@
         run,
         worker,
         index: this.db.index,
+        waitMs: this.options.clock.wall() - workflow.acceptedAt,
         free: this.freeOf(worker).cpuMillis,
       },
       'a task is started',
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -10,7 +10,6 @@
   type OrderPort,
 } from '@primrosewick/coordination';
 import {
-  LINK_METHODS,
   type ClusterSettings,
   type FromLeader,
   type LinkHello,
@@ -43,6 +42,8 @@
 
 /** Age at which an entry no longer counts as able to ask for advice, in ms. */
 const CALLER_AGE_MS = 1500;
+/** Pause after a failure of the data folder before the process ends, in ms. */
+const REOPEN_PAUSE_MS = 1500;
 /** Seeds of the random source of elections. */
 const MAX_SEED = 2 ** 31;
 
@@ -131,7 +132,10 @@
       seed: randomInt(MAX_SEED),
       logger,
       onLeading: term => this.onLeading(term),
-      onFailure: onFatal,
+      onFailure: err => {
+        // The other VMs go on; a folder that still fails is not tried in a loop.
+        setTimeout(() => onFatal(err), REOPEN_PAUSE_MS);
+      },
     });
   }
 
@@ -248,9 +252,4 @@
   request(request: WorkflowRequest, deadline: number): Promise<WorkflowReply> {
     return this.gateway.callLeader('workflow', request, deadline);
   }
-
-  /** Deadline of a call that no client has set one for. */
-  static defaultDeadline(): number {
-    return systemClock.now() + LINK_METHODS.workflow.deadlineMs;
-  }
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -9,3 +9,4 @@
 export * from './link/client.js';
 export * from './link/server.js';
 export * from './logs/sink.js';
+export * from './logs/line_metrics.js';
--- /dev/null
+++ b/packages/transport/src/logs/line_metrics.ts
@@ -0,0 +1,67 @@
+/** Counts log lines by what they tell, so that counters and lines always agree. */
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+/** Fields of a line that are counted. */
+export interface CountedLine {
+  readonly decision?: string;
+  readonly change?: string;
+  readonly outcome?: string;
+  readonly result?: string;
+  readonly reason?: string;
+  readonly status?: number;
+  readonly err?: {readonly code?: string};
+  /** How long the subject of the line waited or took, in ms. */
+  readonly waitMs?: number;
+}
+
+const WAIT_BUCKETS_MS = [
+  5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 30_000,
+];
+
+/** A stream of records for a logger. */
+export class LineMetrics {
+  private readonly decisions: Counter<'decision' | 'outcome'>;
+  private readonly changes: Counter<'change'>;
+  private readonly waits: Histogram<'decision'>;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.decisions = new Counter({
+      name: 'primrosewick_decisions_total',
+      help: 'Decisions by kind and by outcome or reason.',
+      labelNames: ['decision', 'outcome'],
+      registers,
+    });
+    this.changes = new Counter({
+      name: 'primrosewick_changes_total',
+      help: 'Changes of what the process believes, by kind.',
+      labelNames: ['change'],
+      registers,
+    });
+    this.waits = new Histogram({
+      name: 'primrosewick_decision_wait_ms',
+      help: 'Time that the subject of a decision waited or took, in ms.',
+      labelNames: ['decision'],
+      buckets: WAIT_BUCKETS_MS,
+      registers,
+    });
+  }
+
+  /** Counts one line. */
+  write(line: CountedLine): void {
+    if (line.change !== undefined) this.changes.inc({change: line.change});
+    if (line.decision === undefined) return;
+    const {decision} = line;
+    this.decisions.inc({decision, outcome: outcomeOf(line)});
+    if (line.waitMs !== undefined) this.waits.observe({decision}, line.waitMs);
+  }
+}
+
+const outcomeOf = ({
+  outcome,
+  result,
+  reason,
+  status,
+  err,
+}: CountedLine): string =>
+  outcome ?? result ?? reason ?? err?.code ?? String(status ?? 'done');
