Reservations that last and that urgent tasks avoid; calls for advice sized by need

Ruled out: refused starts (1 of 16,302 tasks) and the leader (one leadership, 0.7 of a core). Change: workers with valid tickets go first; room is kept on the same workers from pass to pass, and other steps use them last; a call names as many workers as its fixed time is worth and the step needs; each wait tells its reason.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -8,11 +8,14 @@
   NO_ROOM,
   addRoom,
   plan,
+  stepKey,
   subtractRoom,
   taskKey,
   type Plan,
   type PlannedStart,
   type PlannedStop,
+  type PlannedWait,
+  type StepKey,
   type TaskKey,
   type VoidedRun,
   type WorkerId,
@@ -67,6 +70,17 @@
 /** Announcements that a worker without runs may miss before it gets no task. */
 const MISSED_ANNOUNCEMENTS = 3;
 
+/** Interval at which a lasting wait is told again, in ms. */
+const TELL_WAIT_MS = 2000;
+/** Steps whose last told wait is remembered. */
+const MAX_TOLD_WAITS = 5000;
+
+interface ToldWait {
+  readonly why: PlannedWait['why'];
+  readonly at: number;
+  readonly nextAt: number;
+}
+
 /** One leadership over the workers. */
 export class SchedulerTask {
   private readonly channels = new Map<WorkerId, WorkerChannel>();
@@ -81,6 +95,9 @@
     TaskKey,
     {readonly worker: WorkerId; readonly until: number}
   >();
+  private reserved: Plan['reserved'] = new Map();
+  /** What was last told of each step that waits. */
+  private readonly toldWaits = new Map<StepKey, ToldWait>();
   private isPlanDue = false;
   private isClosed = false;
 
@@ -259,12 +276,15 @@
         wall: clock.wall(),
         workers: this.viewWorkers(),
         pending,
+        reserved: this.reserved,
         adviceOf: key => this.desk.adviceOf(key),
       }),
     );
   }
 
-  private carryOut({starts, stops, advice}: Plan): void {
+  private carryOut({starts, stops, advice, waits, reserved}: Plan): void {
+    this.reserved = reserved;
+    for (const wait of waits) this.tellWait(wait);
     for (const wish of advice) {
       const workflow = this.db.open.get(wish.step.workflow);
       const terms = workflow && this.db.queues.get(workflow.queue)?.advice;
@@ -274,6 +294,23 @@
     if (starts.length > 0) void this.startRuns(starts);
   }
 
+  /** Tells why a step waits: when the reason changes, and then now and again. */
+  private tellWait({step, why, taskCount, candidateCount}: PlannedWait): void {
+    const key = stepKey(step);
+    const now = this.options.clock.now();
+    const told = this.toldWaits.get(key);
+    if (told && now < told.nextAt && (told.why === why || now < told.at + 500))
+      return;
+    if (this.toldWaits.size > MAX_TOLD_WAITS) this.toldWaits.clear();
+    this.toldWaits.set(key, {why, at: now, nextAt: now + TELL_WAIT_MS});
+    // Most waits are over before they are worth a line.
+    if (!told) return;
+    this.options.logger.info(
+      {decision: 'wait', step: key, reason: why, taskCount, candidateCount},
+      'tasks of a step wait',
+    );
+  }
+
   private stopRun({task, run, worker, why}: PlannedStop): void {
     const {logger} = this.options;
     logger.debug({decision: 'stop', task: taskKey(task), run, worker, why});
--- /dev/null
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -0,0 +1,90 @@
+/**
+ * Chooses the workers to ask an adviser about. Load pattern: hundreds of
+ * workers, calls that cost time for each worker named, and tickets that lapse
+ * soon, so that asking about all workers makes the first answers useless.
+ */
+import type {AdviceTerms} from '../../bundle/types.js';
+import type {WorkerId} from '../../ids/types.js';
+import {fitsInto, subtractRoom} from '../room.js';
+import type {Room, StepSpec} from '../types.js';
+import type {StepAdvice, WorkerView} from './types.js';
+
+/** Most workers named in one call to an adviser. */
+export const MAX_ADVISED_WORKERS = 100;
+/** Share of the workers that an adviser is expected to allow. */
+const EXPECTED_SHARE = 0.35;
+/** Part of the room that a busy worker counts with. */
+const BUSY_SHARE = 0.25;
+/** Free places wanted for each task, so that one worker more or less is not waited for. */
+const PLACES_PER_TASK = 1.5;
+/** Most tasks of one step that are counted on one worker. */
+const MAX_COUNTED = 64;
+
+/** How many tasks of a step a room holds. */
+export const countFitting = (
+  {room: size, maxPerWorker}: StepSpec,
+  room: Room,
+): number => {
+  const bound = maxPerWorker > 0 ? maxPerWorker : MAX_COUNTED;
+  let left = room;
+  let count = 0;
+  while (count < bound && fitsInto(size, left)) {
+    left = subtractRoom(left, size);
+    count++;
+  }
+  return count;
+};
+
+/** Places that a step has now on the workers that it may run on. */
+const placesOf = (
+  spec: StepSpec,
+  workers: readonly WorkerView[],
+  advice: StepAdvice,
+): number =>
+  workers
+    .filter(({worker}) => advice.allowed.has(worker))
+    .reduce((sum, {free}) => sum + countFitting(spec, free), 0);
+
+/** Workers whose time in a call equals the fixed time of the call. */
+const balancedCount = ({baseMs, perWorkerMs}: AdviceTerms): number =>
+  perWorkerMs > 0 ? Math.ceil(baseMs / perWorkerMs) : MAX_ADVISED_WORKERS;
+
+/**
+ * Workers to ask about next: those with the most room first, as many as are
+ * expected to give enough places, and no fewer than the fixed time of a call
+ * is worth.
+ * @param workers - workers of the pool that could run the step.
+ * @param taskCount - tasks of the step that wait.
+ * @returns none where the answers so far give enough places.
+ */
+export const workersToAsk = (
+  spec: StepSpec,
+  workers: readonly WorkerView[],
+  taskCount: number,
+  terms: AdviceTerms,
+  advice: StepAdvice | undefined,
+): WorkerId[] => {
+  const known = advice ? placesOf(spec, workers, advice) : 0;
+  const missing = PLACES_PER_TASK * taskCount - known;
+  if (missing <= 0) return [];
+  const unasked = workers
+    .filter(({worker}) => !advice?.asked.has(worker))
+    .map(view => ({
+      worker: view.worker,
+      now: countFitting(spec, view.free),
+      empty: countFitting(spec, view.room),
+    }))
+    .filter(({empty}) => empty > 0)
+    .sort((a, b) => b.now - a.now || b.empty - a.empty);
+  const chosen: WorkerId[] = [];
+  let expected = 0;
+  for (const {worker, now, empty} of unasked) {
+    const isEnough =
+      expected >= missing && chosen.length >= balancedCount(terms);
+    if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) break;
+    // A busy worker has room only now and then.
+    expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
+    chosen.push(worker);
+  }
+  return chosen;
+};
--- a/packages/state/src/workflow/planner/core.spec.ts
+++ b/packages/state/src/workflow/planner/core.spec.ts
@@ -43,6 +43,7 @@
   wall: 5000,
   workers: viewsOf(log),
   pending: new Map(),
+  reserved: new Map(),
   adviceOf: () => undefined,
   ...part,
 });
@@ -149,4 +150,70 @@
     log.submit('small', testSpec([testStep()]));
     expect(plan(inputOf(log)).starts).to.have.length(1);
   });
+  it('a worker with a valid ticket goes before one that must be asked about again', () => {
+    const advice = {baseMs: 1, perWorkerMs: 1, validMs: 1000};
+    const log = new TestLog({queues: [testQueue({advice})]});
+    for (const worker of ['w1', 'w2', 'w3']) log.addWorker(worker);
+    log.submit('a', testSpec([testStep({taskCount: 2, isGang: true})]));
+    const ticket = (validUntil: number) => ({bornAt: 1, text: 't', validUntil});
+    const all = new Set(['w1', 'w2', 'w3'] as never[]);
+    const adviceOf = () => ({
+      asked: all,
+      allowed: all,
+      tickets: new Map([
+        ['w1' as never, ticket(0)],
+        ['w2' as never, ticket(9000)],
+        ['w3' as never, ticket(0)],
+      ]),
+      isAsking: false,
+    });
+    const {starts} = plan(inputOf(log, {adviceOf}));
+    expect(starts.map(({worker}) => worker)).to.eql(['w2', 'w2']);
+  });
+  it('an adviser is asked about as many workers as a step needs', () => {
+    const advice = {baseMs: 12, perWorkerMs: 1, validMs: 1000};
+    const log = new TestLog({queues: [testQueue({advice})]});
+    for (let i = 0; i < 90; i++) log.addWorker(`w${i}`);
+    log.submit('a', testSpec([testStep({taskCount: 2})]));
+    log.submit('b', testSpec([testStep({taskCount: 90})]));
+    const asked = plan(inputOf(log)).advice.map(({workers}) => workers.length);
+    expect(asked[0]).to.equal(12);
+    expect(asked[1]).to.be.greaterThan(70);
+  });
+  it('tasks of higher priority avoid the workers that are kept for a gang', () => {
+    const log = new TestLog({
+      queues: [
+        testQueue({name: 'urgent', prefix: '/urgent/', priority: 0}),
+        testQueue({name: 'wide', prefix: '/wide/', priority: 1}),
+      ],
+    });
+    for (const worker of ['w1', 'w2', 'w3']) log.addWorker(worker);
+    for (const [i, worker] of ['w1', 'w2', 'w3'].entries()) {
+      log.submit(`old${i}`, testSpec([testStep()]), 'urgent');
+      log.start(worker, testTask(`old${i}`, 0, 0));
+    }
+    const gang = testStep({
+      taskCount: 4,
+      isGang: true,
+      room: {cpuMillis: 2000, memMb: 100, gpus: 0},
+    });
+    log.submit('gang', testSpec([gang]), 'wide');
+    const first = plan(inputOf(log));
+    const kept = [...first.reserved.values()].flatMap(workers => [...workers]);
+    expect(kept).to.have.length(2);
+    log.submit('new', testSpec([testStep({taskCount: 3})]), 'urgent');
+    const {starts} = plan(inputOf(log, {reserved: first.reserved}));
+    expect(starts).to.have.length(3);
+    for (const {worker} of starts) expect(kept).not.to.include(worker);
+  });
+  it('a step that waits says why', () => {
+    const log = new TestLog();
+    log.addWorker('w1');
+    log.submit('gang', testSpec([testStep({taskCount: 5, isGang: true})]));
+    log.submit('wide', testSpec([testStep({taskCount: 5})]));
+    expect(plan(inputOf(log)).waits.map(({why}) => why)).to.eql([
+      'never_fits_now',
+      'room',
+    ]);
+  });
 });
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -5,13 +5,12 @@
 import {findReadySteps} from './ready.js';
 import {findStops} from './stops.js';
 import {StepPlacer} from './placer.js';
-import type {AdviceWish, Plan, PlanInput, PlannedStart} from './types.js';
+import type {Plan, PlanInput} from './types.js';
 
 /** Decides one pass over everything that waits. */
 export const plan = (input: PlanInput): Plan => {
-  const starts: PlannedStart[] = [];
-  const advice: AdviceWish[] = [];
-  const placer = new StepPlacer(input, starts, advice);
+  const placer = new StepPlacer(input);
   for (const step of findReadySteps(input.db, input.wall)) placer.place(step);
-  return {starts, advice, stops: findStops(input)};
+  const {starts, advice, waits, reserved} = placer;
+  return {starts, advice, waits, reserved, stops: findStops(input)};
 };
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -9,22 +9,32 @@
   subtractRoom,
   NO_ROOM,
 } from '../room.js';
-import type {StepSpec, StepState, WorkflowState} from '../types.js';
+import type {StepKey, StepSpec, StepState, WorkflowState} from '../types.js';
+import {workersToAsk} from './advice.js';
 import type {
   AdviceWish,
   PlanInput,
   PlannedStart,
+  PlannedWait,
   ReadyStep,
   StepAdvice,
   Ticket,
+  WaitReason,
   WorkerView,
 } from './types.js';
 
-/** Most workers named in one call to an adviser. */
-export const MAX_ADVISED_WORKERS = 100;
 /** A ticket is used only while it is valid for longer than an order may take. */
 const TICKET_MARGIN_MS = 250;
 
+/** Score of a worker without the data, against 1 for a whole free worker. */
+const FAR_PENALTY = 1;
+/** Score of a worker on which room is kept for a gang of lower priority. */
+const KEPT_PENALTY = 1.5;
+/** Score of a worker whose ticket must be renewed first. */
+const TICKET_PENALTY = 2;
+
+const NO_TERMS = {baseMs: 0, perWorkerMs: 0, validMs: 0};
+
 /** A step with all that is known of it. */
 interface StepWork {
   readonly ready: ReadyStep;
@@ -45,13 +55,17 @@
 
 /** Places steps in the order in which it is given them. */
 export class StepPlacer {
+  readonly starts: PlannedStart[] = [];
+  readonly advice: AdviceWish[] = [];
+  readonly waits: PlannedWait[] = [];
+  readonly reserved = new Map<StepKey, Set<WorkerId>>();
   private readonly byPool = new Map<string, WorkerView[]>();
+  /** Gangs for which the last pass kept room, by worker. */
+  private readonly keptFor = new Map<WorkerId, StepKey>();
 
-  constructor(
-    private readonly input: PlanInput,
-    private readonly starts: PlannedStart[],
-    private readonly advice: AdviceWish[],
-  ) {
+  constructor(private readonly input: PlanInput) {
+    for (const [step, workers] of input.reserved)
+      for (const worker of workers) this.keptFor.set(worker, step);
     for (const worker of input.workers.values()) {
       const pool = this.byPool.get(worker.pool) ?? [];
       pool.push(worker);
@@ -64,7 +78,8 @@
     const work = this.gather(ready);
     const waiting = work && this.waitingTasks(work);
     if (!work || !waiting || waiting.length === 0) return;
-    if (work.queue.advice && this.mustAskFirst(work)) return;
+    if (work.queue.advice && this.mustAskFirst(work, waiting.length))
+      return this.wait(work, 'advice', waiting.length, 0);
     if (work.spec.isGang) this.placeGang(work, waiting);
     else this.placeEach(work, waiting);
   }
@@ -104,20 +119,24 @@
   }
 
   /**
-   * Asks the adviser about workers that it was not asked about.
+   * Asks the adviser about more workers where too few are known to be allowed.
    * @returns whether nothing can be placed before its answer.
    */
-  private mustAskFirst({ready, queue, spec, advice}: StepWork): boolean {
-    if (advice?.isAsking) return advice.allowed.size === 0;
-    const unasked = this.suitable(queue, spec)
-      .filter(({worker}) => !advice?.asked.has(worker))
-      .slice(0, MAX_ADVISED_WORKERS);
-    if (unasked.length > 0)
-      this.advice.push({
-        step: ready.ref,
-        workers: unasked.map(({worker}) => worker),
-      });
-    return !advice || advice.allowed.size === 0;
+  private mustAskFirst(
+    {ready, queue, spec, advice}: StepWork,
+    taskCount: number,
+  ): boolean {
+    const isNoneAllowed = !advice || advice.allowed.size === 0;
+    if (advice?.isAsking) return isNoneAllowed;
+    const workers = workersToAsk(
+      spec,
+      this.suitable(queue, spec),
+      taskCount,
+      queue.advice ?? NO_TERMS,
+      advice,
+    );
+    if (workers.length > 0) this.advice.push({step: ready.ref, workers});
+    return isNoneAllowed;
   }
 
   /** Workers of the pool with the label that a step requires. */
@@ -135,7 +154,10 @@
     const candidates = this.candidatesOf(work);
     for (const index of waiting) {
       const worker = this.choose(work, candidates);
-      if (!worker) break;
+      if (!worker) {
+        this.wait(work, 'room', waiting.length, candidates.length);
+        break;
+      }
       if (work.queue.advice && !this.ticketFor(work, worker)) {
         expired.add(worker.worker);
         // The room is kept for the task until the ticket is renewed.
@@ -155,14 +177,19 @@
       const worker = this.choose(work, candidates);
       if (!worker) {
         this.giveBack(work, placements);
-        return this.reserve(work, waiting.length, candidates);
+        const isKept = this.reserve(work, waiting.length, candidates);
+        const why = isKept ? 'room' : 'never_fits_now';
+        return this.wait(work, why, waiting.length, candidates.length);
       }
       if (work.queue.advice && !this.ticketFor(work, worker))
         expired.add(worker.worker);
       this.take(work, worker);
       placements.push({index, worker});
     }
-    if (expired.size > 0) return this.renew(work, expired);
+    if (expired.size > 0) {
+      this.wait(work, 'tickets', waiting.length, candidates.length);
+      return this.renew(work, expired);
+    }
     const run = 1 + Math.max(0, ...work.state.tasks.map(task => task.lastRun));
     const checkpoint = latestCheckpoint(work.state);
     for (const placement of placements)
@@ -175,14 +202,17 @@
    * worth beside a steady stream of small tasks of lower priority.
    */
   private reserve(
-    {spec}: StepWork,
+    {spec, ready}: StepWork,
     taskCount: number,
     candidates: readonly WorkerView[],
-  ): void {
+  ): boolean {
     const size = spec.usesLeftover ? NO_ROOM : spec.room;
     const reserved: WorkerView[] = [];
+    const before = this.input.reserved.get(ready.key);
+    const rank = ({worker}: WorkerView): number =>
+      before?.has(worker) ? 0 : 1;
     const byFree = [...candidates].sort(
-      (a, b) => b.free.cpuMillis - a.free.cpuMillis,
+      (a, b) => rank(a) - rank(b) || b.free.cpuMillis - a.free.cpuMillis,
     );
     for (const worker of byFree) {
       let count = 0;
@@ -200,6 +230,18 @@
       if (isPossible) worker.free = subtractRoom(worker.free, size);
       else worker.unreserved = addRoom(worker.unreserved, size);
     }
+    if (isPossible)
+      this.reserved.set(ready.key, new Set(reserved.map(({worker}) => worker)));
+    return isPossible;
+  }
+
+  private wait(
+    {ready}: StepWork,
+    why: WaitReason,
+    taskCount: number,
+    candidateCount: number,
+  ): void {
+    this.waits.push({step: ready.ref, why, taskCount, candidateCount});
   }
 
   private candidatesOf(work: StepWork): WorkerView[] {
@@ -210,9 +252,10 @@
 
   /** The worker whose room is used up most by the task. */
   private choose(
-    {spec, countOn}: StepWork,
+    work: StepWork,
     candidates: readonly WorkerView[],
   ): WorkerView | undefined {
+    const {spec, countOn, queue, ready} = work;
     const size = spec.usesLeftover ? NO_ROOM : spec.room;
     let best: WorkerView | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
@@ -228,7 +271,9 @@
         !worker.labels.has(spec.preferredRack);
       const score =
         leftoverShare(subtractRoom(worker.free, size), worker.room) +
-        (isFar ? 1 : 0);
+        (isFar ? FAR_PENALTY : 0) +
+        (this.isKeptForOther(worker, ready) ? KEPT_PENALTY : 0) +
+        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0);
       if (score >= bestScore) continue;
       best = worker;
       bestScore = score;
@@ -236,6 +281,12 @@
     return best;
   }
 
+  /** Whether the last pass kept room on a worker for another step. */
+  private isKeptForOther({worker}: WorkerView, {key}: ReadyStep): boolean {
+    const kept = this.keptFor.get(worker);
+    return kept !== undefined && kept !== key;
+  }
+
   private ticketFor(
     {advice}: StepWork,
     {worker, bornAt}: WorkerView,
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -52,6 +52,8 @@
   readonly workers: ReadonlyMap<WorkerId, WorkerView>;
   /** Workers of the tasks whose start is proposed or ordered, and not yet settled. */
   readonly pending: ReadonlyMap<TaskKey, WorkerId>;
+  /** Workers on which the last pass kept room. */
+  readonly reserved: Plan['reserved'];
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
 }
 
@@ -72,11 +74,34 @@
   readonly why: 'workflow_ended' | 'task_done' | 'gang_broken';
 }
 
+/** Why tasks of a step wait. */
+export type WaitReason =
+  /** The adviser has not answered, or allows no worker that is usable. */
+  | 'advice'
+  /** Tickets of the chosen workers have lapsed and are asked for again. */
+  | 'tickets'
+  /** No worker has room now; room is kept where the step is a gang. */
+  | 'room'
+  /** Even empty workers could not hold the gang. */
+  | 'never_fits_now';
+
+/** A step whose tasks wait. */
+export interface PlannedWait {
+  readonly step: StepRef;
+  readonly why: WaitReason;
+  readonly taskCount: number;
+  /** Workers that may run the step and can be used now. */
+  readonly candidateCount: number;
+}
+
 /** Decisions of one pass. */
 export interface Plan {
   readonly starts: readonly PlannedStart[];
   readonly stops: readonly PlannedStop[];
   readonly advice: readonly AdviceWish[];
+  readonly waits: readonly PlannedWait[];
+  /** Workers on which room is kept, by the gang that waits for it. */
+  readonly reserved: ReadonlyMap<StepKey, ReadonlySet<WorkerId>>;
 }
 
 /** A step whose tasks may start. */
