Set workers aside on evidence; restart runs that stand still

Cause: a worker that fails, refuses or stalls all that it is given is free at once, so best fit gives it the next task too, and workflows lose their attempts there; nothing told such workers apart. Change: a pure judgement (three workflows failed and six in ten ends failed within 6 s; a refusal or a stall speaks for itself; a third of the workers at most), and a run without progress for 2.5 s or half its estimate is stopped and goes on elsewhere; gangs and lasting tasks are left alone.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -30,5 +30,6 @@
 export * from './membership/founding.js';
 export * from './workflow/ports.js';
 export * from './workflow/replica.js';
+export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
 export * from './workflow/service.js';
--- /dev/null
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -0,0 +1,31 @@
+/** What a leadership over the workers needs. */
+import type Logger from 'bunyan';
+import type {WorkflowCommand, WorkflowResult} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import type {AdviceDeskOptions} from './advice_desk.js';
+import type {OrderPort} from './ports.js';
+import type {WorkflowReplica} from './replica.js';
+
+/** Bounds that the workers' platform states. */
+export interface WorkerTerms {
+  /** Longest lease that a worker takes, in ms. */
+  readonly maxLeaseMs: number;
+  /** Interval of the workers' announcements, in ms. */
+  readonly announceMs: number;
+}
+
+/** Options of one leadership. */
+export interface SchedulerOptions {
+  readonly replica: WorkflowReplica;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly orders: OrderPort;
+  readonly terms: WorkerTerms;
+  /** Term of the log that this VM leads. */
+  readonly term: number;
+  /** Longest time that an earlier leader may go on unaware, in ms. */
+  readonly unawareMs: number;
+  readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
+  readonly callers: AdviceDeskOptions['callers'];
+  readonly ask: AdviceDeskOptions['ask'];
+}
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -2,20 +2,20 @@
  * Places tasks while this VM leads the log: plans from the replicated state,
  * records each start, and then orders it.
  */
-import type Logger from 'bunyan';
 import type {Subscription} from 'rxjs';
 import {
   NO_ROOM,
+  WorkerHealth,
   addRoom,
+  isStalled,
   plan,
-  stepKey,
   subtractRoom,
   taskKey,
   type Plan,
   type PlannedStart,
   type PlannedStop,
-  type PlannedWait,
-  type StepKey,
+  type RunEvidence,
+  type StepSpec,
   type TaskKey,
   type VoidedRun,
   type WorkerId,
@@ -23,64 +23,23 @@
   type WorkerView,
   type WorkflowCommand,
   type WorkflowDb,
-  type WorkflowResult,
+  type WorkflowId,
 } from '@primrosewick/state';
-import type {Clock} from '@primrosewick/transport';
-import {AdviceDesk, type AdviceDeskOptions} from './advice_desk.js';
-import type {OrderPort} from './ports.js';
-import type {WorkflowReplica} from './replica.js';
+import {AdviceDesk} from './advice_desk.js';
+import type {SchedulerOptions} from './scheduler_options.js';
+import {StrayBoard} from './stray_board.js';
+import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
 
-/** Bounds that the workers' platform states. */
-export interface WorkerTerms {
-  /** Longest lease that a worker takes, in ms. */
-  readonly maxLeaseMs: number;
-  /** Interval of the workers' announcements, in ms. */
-  readonly announceMs: number;
-}
-
-/** Options of one leadership. */
-export interface SchedulerOptions {
-  readonly replica: WorkflowReplica;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly orders: OrderPort;
-  readonly terms: WorkerTerms;
-  /** Term of the log that this VM leads. */
-  readonly term: number;
-  /** Longest time that an earlier leader may go on unaware, in ms. */
-  readonly unawareMs: number;
-  readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
-  readonly callers: AdviceDeskOptions['callers'];
-  readonly ask: AdviceDeskOptions['ask'];
-}
-
 /** Shortest time between two passes of the planner, in ms. */
 const PLAN_PAUSE_MS = 8;
 /** Longest time between two passes, so that due times are met, in ms. */
 const PLAN_INTERVAL_MS = 100;
 /** Longest lease given, in ms: covers a cut and a change of the leader. */
 const LEASE_MS = 7000;
-/**
- * Time for which a start that was under way to a life that is over holds its
- * task back, in ms: the next life may have taken the order, and is then told
- * to stop it.
- */
-const STRAY_HOLD_MS = 2500;
 /** Announcements that a worker without runs may miss before it gets no task. */
 const MISSED_ANNOUNCEMENTS = 3;
 
-/** Interval at which a lasting wait is told again, in ms. */
-const TELL_WAIT_MS = 2000;
-/** Steps whose last told wait is remembered. */
-const MAX_TOLD_WAITS = 5000;
-
-interface ToldWait {
-  readonly why: PlannedWait['why'];
-  readonly at: number;
-  readonly nextAt: number;
-}
-
 /** One leadership over the workers. */
 export class SchedulerTask {
   private readonly channels = new Map<WorkerId, WorkerChannel>();
@@ -90,20 +49,17 @@
   private readonly desk: AdviceDesk;
   private readonly startedAt: number;
   private readonly subscriptions: Subscription[] = [];
-  /** Tasks whose order may have reached the next life of a worker. */
-  private readonly strays = new Map<
-    TaskKey,
-    {readonly worker: WorkerId; readonly until: number}
-  >();
+  private readonly strays = new StrayBoard();
+  private readonly health = new WorkerHealth();
   private reserved: Plan['reserved'] = new Map();
-  /** What was last told of each step that waits. */
-  private readonly toldWaits = new Map<StepKey, ToldWait>();
+  private readonly waitLog: WaitLog;
   private isPlanDue = false;
   private isClosed = false;
 
   constructor(private readonly options: SchedulerOptions) {
     const {replica, clock, logger, callers, ask} = options;
     this.startedAt = clock.now();
+    this.waitLog = new WaitLog(logger);
     this.desk = new AdviceDesk({
       db: replica.db,
       clock,
@@ -121,6 +77,7 @@
       replica.applied.subscribe(command => this.onApplied(command)),
       clock.every(PLAN_INTERVAL_MS).subscribe(() => {
         this.desk.dispatch();
+        this.stopStalled();
         this.planSoon();
       }),
     );
@@ -164,6 +121,9 @@
         break;
       case 'end_runs':
         this.desk.prune();
+        for (const {task, outcome} of command.ends)
+          if (outcome === 'done' || outcome === 'failed')
+            this.noteEvidence(command.life.worker, task.workflow, outcome);
         break;
       case 'put_bundle':
       case 'submit':
@@ -179,7 +139,11 @@
     for (const [worker, channel] of this.channels) {
       const life = this.db.workers.get(worker)?.report.bornAt;
       if (life === this.lives.get(worker)) continue;
-      this.noteStrays(worker, channel);
+      this.strays.note(
+        worker,
+        channel.expectedStarts,
+        this.options.clock.now(),
+      );
       channel.close();
       this.channels.delete(worker);
     }
@@ -190,19 +154,10 @@
     }
   }
 
-  private noteStrays(worker: WorkerId, channel: WorkerChannel): void {
-    const until = this.options.clock.now() + STRAY_HOLD_MS;
-    for (const {task} of channel.expectedStarts)
-      this.strays.set(taskKey(task), {worker, until});
-  }
-
   /** Workers of the tasks that must not be placed at present. */
   private pendingStarts(now: number): Map<TaskKey, WorkerId> {
     const pending = new Map<TaskKey, WorkerId>();
-    for (const [key, {worker, until}] of this.strays) {
-      if (now < until) pending.set(key, worker);
-      else this.strays.delete(key);
-    }
+    this.strays.addTo(pending, now);
     for (const [worker, channel] of this.channels)
       for (const {task} of channel.expectedStarts)
         pending.set(taskKey(task), worker);
@@ -226,7 +181,9 @@
       othersUntil: this.startedAt + unawareMs,
       record: command => this.record(command),
       onChange: () => this.planSoon(),
-      onStartFailed: (task, why) =>
+      onStartFailed: (task, why) => {
+        if (why.kind === 'refused' && why.why === 'unhealthy')
+          this.noteEvidence(life.worker, task.workflow, 'refused');
         logger.info(
           {
             decision: 'start_failed',
@@ -235,12 +192,48 @@
             why,
           },
           'a start did not take place, or its outcome is unknown',
-        ),
+        );
+      },
     });
     channel.open();
     return channel;
   }
 
+  private noteEvidence(
+    worker: WorkerId,
+    workflow: WorkflowId,
+    kind: RunEvidence,
+  ): void {
+    const now = this.options.clock.now();
+    if (!this.health.note(worker, workflow, kind, now)) return;
+    this.options.logger.info(
+      {change: 'worker_aside', worker, why: kind, workflow},
+      'a worker is set aside on evidence',
+    );
+  }
+
+  /** Stops runs that stand still, so that they go on elsewhere. */
+  private stopStalled(): void {
+    const now = this.options.clock.now();
+    for (const [worker, channel] of this.channels) {
+      if (!channel.isUsable) continue;
+      for (const progress of channel.progress.values()) {
+        const {task, run} = progress;
+        const spec = this.specOf(task);
+        // A gang stands still while one of its members does.
+        if (!spec || spec.isLongRunning || spec.isGang) continue;
+        if (!isStalled(progress, spec.estimateMs, now)) continue;
+        this.noteEvidence(worker, task.workflow, 'stalled');
+        const {bornAt} = this.db.workers.get(worker)?.report ?? {bornAt: 0};
+        this.stopRun({task, run, worker, bornAt, why: 'stalled'});
+      }
+    }
+  }
+
+  private specOf(task: PlannedStart['task']): StepSpec | undefined {
+    return this.db.workflows.get(task.workflow)?.spec.steps[task.step];
+  }
+
   /** Records something; a refusal means that this VM no longer leads. */
   private async record(command: WorkflowCommand): Promise<boolean> {
     if (this.isClosed) return false;
@@ -284,7 +277,8 @@
 
   private carryOut({starts, stops, advice, waits, reserved}: Plan): void {
     this.reserved = reserved;
-    for (const wait of waits) this.tellWait(wait);
+    const now = this.options.clock.now();
+    for (const wait of waits) this.waitLog.note(wait, now);
     for (const wish of advice) {
       const workflow = this.db.open.get(wish.step.workflow);
       const terms = workflow && this.db.queues.get(workflow.queue)?.advice;
@@ -294,23 +288,6 @@
     if (starts.length > 0) void this.startRuns(starts);
   }
 
-  /** Tells why a step waits: when the reason changes, and then now and again. */
-  private tellWait({step, why, taskCount, candidateCount}: PlannedWait): void {
-    const key = stepKey(step);
-    const now = this.options.clock.now();
-    const told = this.toldWaits.get(key);
-    if (told && now < told.nextAt && (told.why === why || now < told.at + 500))
-      return;
-    if (this.toldWaits.size > MAX_TOLD_WAITS) this.toldWaits.clear();
-    this.toldWaits.set(key, {why, at: now, nextAt: now + TELL_WAIT_MS});
-    // Most waits are over before they are worth a line.
-    if (!told) return;
-    this.options.logger.info(
-      {decision: 'wait', step: key, reason: why, taskCount, candidateCount},
-      'tasks of a step wait',
-    );
-  }
-
   private stopRun({task, run, worker, why}: PlannedStop): void {
     const {logger} = this.options;
     logger.debug({decision: 'stop', task: taskKey(task), run, worker, why});
@@ -368,8 +345,12 @@
 
   private viewWorkers(): Map<WorkerId, WorkerView> {
     const views = new Map<WorkerId, WorkerView>();
+    const aside = this.health.asideOf(
+      [...this.db.workers.keys()],
+      this.options.clock.now(),
+    );
     for (const [worker, state] of this.db.workers)
-      views.set(worker, this.viewOf(worker, state));
+      views.set(worker, this.viewOf(worker, state, !aside.has(worker)));
     // Starts that are proposed but not yet recorded hold room as well.
     for (const [worker, channel] of this.channels) {
       const view = views.get(worker);
@@ -382,7 +363,11 @@
     return views;
   }
 
-  private viewOf(worker: WorkerId, state: WorkerState): WorkerView {
+  private viewOf(
+    worker: WorkerId,
+    state: WorkerState,
+    isSound: boolean,
+  ): WorkerView {
     const {report} = state;
     return {
       worker,
@@ -393,6 +378,7 @@
       free: this.freeOf(worker),
       unreserved: report.room,
       isUsable:
+        isSound &&
         !report.isDraining &&
         this.channels.get(worker)?.isUsable === true &&
         this.isHeard(worker, state),
@@ -417,7 +403,7 @@
   }
 
   private sizeOf(task: PlannedStart['task']) {
-    const spec = this.db.workflows.get(task.workflow)?.spec.steps[task.step];
+    const spec = this.specOf(task);
     return !spec || spec.usesLeftover ? NO_ROOM : spec.room;
   }
 }
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -19,12 +19,12 @@
 import {pause, type Clock} from '@primrosewick/transport';
 import type {
   HoldAnswer,
-  ListedRun,
   OrderAnswer,
   OrderFailure,
   OrderPort,
   StartOrder,
 } from './ports.js';
+import {ProgressBoard} from './progress_board.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {WorkerClock} from './worker_clock.js';
 
@@ -67,16 +67,10 @@
 /** Time after which a stop whose end is not listed is ordered again, in ms. */
 const STOP_RETRY_MS = 1500;
 
-/** What a worker last said of a run. */
-export interface RunProgress extends ListedRun {
-  /** Monotonic time of the answer, in ms. */
-  readonly at: number;
-}
-
 /** Speaks to one life of a worker while this VM leads. */
 export class WorkerChannel {
   /** What the worker last listed as under way. */
-  readonly progress = new Map<TaskKey, RunProgress>();
+  readonly progress = new ProgressBoard();
   private readonly starts = new StartLedger();
   private readonly stopsSentAt = new Map<TaskKey, number>();
   private readonly workerClock: WorkerClock;
@@ -307,7 +301,7 @@
         'a worker that was away answers again',
       );
     this.isLapsed = false;
-    this.noteProgress(answer.running);
+    this.progress.note(answer.running, clock.now());
     await this.recordEnds(answer.ended);
     if (fence !== this.fence) return;
     await this.reconcile(answer, sentAt);
@@ -318,13 +312,6 @@
     if (this.expectedStarts.length > 0) await pause(clock, SETTLE_PAUSE_MS);
   }
 
-  private noteProgress(running: readonly ListedRun[]): void {
-    const at = this.options.clock.now();
-    this.progress.clear();
-    for (const run of running)
-      this.progress.set(taskKey(run.task), {...run, at});
-  }
-
   private async recordEnds(ended: readonly RunEnd[]): Promise<void> {
     const {db, life, record, clock, logger} = this.options;
     const recorded = db.findLife(life)?.endsRecorded ?? 0;
@@ -404,8 +391,7 @@
   }
 
   private withCheckpoint(task: TaskRef, run: number): VoidedRun {
-    const listed = this.progress.get(taskKey(task));
-    const checkpoint = listed?.run === run ? listed.checkpoint : '';
+    const checkpoint = this.progress.checkpointOf(taskKey(task), run);
     return {task, run, checkpoint};
   }
 
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -71,7 +71,7 @@
 
 /** A run to stop. */
 export interface PlannedStop extends RecordedStart {
-  readonly why: 'workflow_ended' | 'task_done' | 'gang_broken';
+  readonly why: 'workflow_ended' | 'task_done' | 'gang_broken' | 'stalled';
 }
 
 /** Why tasks of a step wait. */
