Pass over a VM whose call for advice failed

Ruled out: room (it started at once with the advice) and the commit (240 ms). Change: after a call without an answer other VMs are preferred for 1.5 s. The spec fails without it.

--- a/packages/coordination/src/workflow/advice_callers.ts
+++ b/packages/coordination/src/workflow/advice_callers.ts
@@ -12,8 +12,18 @@
   callCount: number;
   /** Expected time of the calls under way, in ms. */
   backlogMs: number;
+  /** Monotonic time before which other VMs are preferred, in ms. */
+  avoidedUntil: number;
 }
 
+/** Time for which a VM whose call failed is passed over, in ms. */
+const AVOID_MS = 1500;
+
+/** Notes a call that brought no answer. */
+export const avoidCaller = (caller: CallerLoad, now: number): void => {
+  caller.avoidedUntil = now + AVOID_MS;
+};
+
 /** Notes a call that begins. */
 export const beginCall = (caller: CallerLoad, costMs: number): void => {
   caller.callCount++;
@@ -37,9 +47,12 @@
 
 /** @returns the VM for a call, or undefined when the call should wait. */
 export const chooseCaller = (
-  callers: readonly CallerLoad[],
+  all: readonly CallerLoad[],
   costMs: number,
+  now: number,
 ): CallerLoad | undefined => {
+  const sound = all.filter(({avoidedUntil}) => now >= avoidedUntil);
+  const callers = sound.length > 0 ? sound : all;
   let best: CallerLoad | undefined;
   for (const caller of callers)
     if (!best || caller.backlogMs < best.backlogMs) best = caller;
--- a/packages/coordination/src/workflow/advice_desk.spec.ts
+++ b/packages/coordination/src/workflow/advice_desk.spec.ts
@@ -57,4 +57,26 @@
     expect(asked).to.have.length(4);
     expect(new Set(asked).size).to.equal(4);
   });
+  it('a VM whose call failed is passed over by the next', async () => {
+    const asked: string[] = [];
+    const desk = new AdviceDesk({
+      db: new WorkflowDb(),
+      clock: systemClock,
+      logger,
+      callers: () => ['down', 'sound'] as VmId[],
+      ask: vm => {
+        asked.push(vm);
+        return vm === 'down'
+          ? Promise.reject(new Error('refused'))
+          : new Promise(() => undefined);
+      },
+      onChange: () => undefined,
+    });
+    const terms = {baseMs: 8, perWorkerMs: 0, validMs: 1000};
+    desk.want({step: step(0), workers: ['w'] as never}, terms);
+    await settle();
+    for (const i of [1, 2])
+      desk.want({step: step(i), workers: ['w'] as never}, terms);
+    expect(asked).to.eql(['down', 'sound', 'sound']);
+  });
 });
--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -18,6 +18,7 @@
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import {
+  avoidCaller,
   beginCall,
   chooseCaller,
   endCall,
@@ -83,12 +84,13 @@
 
   /** Sends calls that wait for a VM; new VMs may have come. */
   dispatch(): void {
+    const {clock} = this.options;
     const left: QueuedCall[] = [];
     const callers = this.options.callers().map(vm => this.loadOf(vm));
     // Short calls first, so that none waits behind a long one.
     this.waiting.sort((a, b) => a.costMs - b.costMs);
     for (const call of this.waiting) {
-      const caller = chooseCaller(callers, call.costMs);
+      const caller = chooseCaller(callers, call.costMs, clock.now());
       if (caller) void this.send(caller, call);
       else left.push(call);
     }
@@ -110,7 +112,12 @@
   }
 
   private loadOf(vm: VmId): CallerLoad {
-    const load = this.loads.get(vm) ?? {vm, callCount: 0, backlogMs: 0};
+    const load = this.loads.get(vm) ?? {
+      vm,
+      callCount: 0,
+      backlogMs: 0,
+      avoidedUntil: 0,
+    };
     this.loads.set(vm, load);
     return load;
   }
@@ -136,7 +143,10 @@
     endCall(caller, call.costMs);
     if (this.isClosed) return;
     if (reply?.kind === 'allowed') this.take(call, reply.workers);
-    else this.retryLater(call);
+    else {
+      if (!reply) avoidCaller(caller, clock.now());
+      this.retryLater(call);
+    }
     logger.debug(
       {
         decision: 'advice',
