--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -229,5 +229,13 @@
         ).length;
     }
     expect(chunks).to.equal(0);
+    const chunksAt = (now: number): number =>
+      core
+        .step({kind: 'tick', now})
+        .messages.filter(({message: sent}) => sent.kind === 'snapshot_chunk')
+        .length;
+    expect(chunksAt(10_900)).to.equal(0);
+    for (const from of [B, C, D]) message(from, 29);
+    expect(chunksAt(11_600)).to.equal(1);
   });
 });
