A zone leader that stops hands on what it has lent

Ruled out: the release being lost (mended before).

Change: the release carries the ledger; grantors tell it to the next candidate, which goes on from it where its majority proves that nobody led in between. An entry refuses as not run what has too little time left for an attempt.

--- a/packages/coordination/src/authority/core.spec.ts
+++ b/packages/coordination/src/authority/core.spec.ts
@@ -34,7 +34,7 @@
     };
     Object.entries(randoms).forEach(([name, random], ordinal) => {
       const vm = name as VmId;
-      const grantor = new Grantor({silentUntil: 0, driftMs: 200});
+      const grantor = new Grantor({startedAt: 0, silentUntil: 0, driftMs: 200});
       this.grantors.set(vm, grantor);
       const options = {vm, ordinal, group, grantor, random, now: 0};
       this.cores.set(vm, new AuthorityCore(options));
--- a/packages/coordination/src/authority/core.ts
+++ b/packages/coordination/src/authority/core.ts
@@ -3,10 +3,16 @@
   NO_EPOCH,
   assertNever,
   type Epoch,
+  type InheritedShares,
   type Random,
+  type ShareHandover,
   type VmId,
 } from '@primrosewick/state';
-import type {AuthorityMessage, AuthorityReply} from '@primrosewick/protocol';
+import type {
+  AuthorityMessage,
+  AuthorityReply,
+  KnownPast,
+} from '@primrosewick/protocol';
 import type {Grantor} from './grantor.js';
 import {
   DEFAULT_AUTHORITY_TIMING,
@@ -46,6 +52,8 @@
       readonly epoch: Epoch;
       readonly sentAt: number;
       readonly granted: Set<VmId>;
+      /** What each grantor told of the reign before. */
+      readonly pasts: KnownPast[];
     }
   | {readonly kind: 'leading'; readonly epoch: Epoch};
 
@@ -112,7 +120,7 @@
       case 'saw_epoch':
         return this.onSeenEpoch(input.epoch);
       case 'resign':
-        return this.onResign();
+        return this.onResign(input.handover);
       default:
         return assertNever(input);
     }
@@ -155,6 +163,7 @@
       epoch,
       sentAt: this.now,
       granted: new Set(),
+      pasts: [],
     };
     this.broadcast({
       kind: 'vote',
@@ -170,7 +179,12 @@
    */
   private giveUpVote(epoch: Epoch): void {
     this.idle();
-    this.broadcast({kind: 'release', zone: this.options.group.zone, epoch});
+    this.broadcast({
+      kind: 'release',
+      zone: this.options.group.zone,
+      epoch,
+      why: {kind: 'not_led'},
+    });
   }
 
   private renew(epoch: Epoch): void {
@@ -212,8 +226,10 @@
           this.vote();
         return;
       case 'voting':
-        if (phase.round === round && this.addGrant(phase.granted, from, reply))
-          this.lead(phase.epoch, phase.sentAt);
+        if (phase.round !== round) return;
+        if (reply.isGranted) phase.pasts.push(reply.past ?? {upMs: 0});
+        if (this.addGrant(phase.granted, from, reply))
+          this.lead(phase.epoch, phase.sentAt, phase.pasts);
         return;
       case 'leading':
         return this.onRenewReply(phase.epoch, from, round, reply);
@@ -250,13 +266,22 @@
     );
   }
 
-  private lead(epoch: Epoch, sentAt: number): void {
+  private lead(
+    epoch: Epoch,
+    sentAt: number,
+    pasts: readonly KnownPast[],
+  ): void {
     this.leaseDeadline = sentAt + this.timing.leaseMs;
     if (this.now >= this.leaseDeadline - this.timing.safetyMs)
       return this.idle();
     this.phase = {kind: 'leading', epoch};
     this.renewals.clear();
-    this.changes.push({kind: 'elected', epoch});
+    const inherited = inheritedOf(pasts, this.now);
+    this.changes.push({
+      kind: 'elected',
+      epoch,
+      ...(inherited ? {inherited} : {}),
+    });
     this.renew(epoch);
   }
 
@@ -267,12 +292,17 @@
       this.depose(`epoch ${epoch} was seen`);
   }
 
-  private onResign(): void {
+  private onResign(handover: ShareHandover): void {
     if (this.phase.kind !== 'leading') return;
     const {epoch} = this.phase;
     this.depose('the VM is shutting down');
     this.nextAttemptAt = Number.POSITIVE_INFINITY;
-    this.broadcast({kind: 'release', zone: this.options.group.zone, epoch});
+    this.broadcast({
+      kind: 'release',
+      zone: this.options.group.zone,
+      epoch,
+      why: {kind: 'stopped', handover},
+    });
   }
 
   private depose(why: string): void {
@@ -293,3 +323,28 @@
     return this.options.random.nextInt(Math.ceil(renewMs / 4), renewMs);
   }
 }
+
+/** A grantor's clock may be this much slower than that of another. */
+const MAX_DRIFT = 0.02;
+
+/**
+ * The shares that the leader before handed over. Each leader had the grants of
+ * a majority, so the latest reign that any majority of grantors knows of is the
+ * last one. A grantor that remembers no vote counts only where it has been up
+ * since the hand-over, and so has granted nothing after it.
+ * @returns undefined when loans may be in use that nobody has told of.
+ */
+const inheritedOf = (
+  pasts: readonly KnownPast[],
+  now: number,
+): InheritedShares | undefined => {
+  const known = pasts.flatMap(({lastReign}) => lastReign ?? []);
+  const lastEpoch = Math.max(...known.map(({epoch}) => epoch));
+  const last = known.find(({epoch, handed}) => epoch === lastEpoch && handed);
+  if (!last?.handed) return undefined;
+  const {handover, heldMs} = last.handed;
+  const isWitnessed = pasts.every(
+    ({lastReign, upMs}) => lastReign || upMs > heldMs * (1 + MAX_DRIFT),
+  );
+  return isWitnessed ? {handover, at: now - heldMs} : undefined;
+};
--- a/packages/coordination/src/authority/grantor.spec.ts
+++ b/packages/coordination/src/authority/grantor.spec.ts
@@ -16,7 +16,9 @@
   epoch: asEpoch(epoch),
   leaseMs: 1000,
 });
-const make = (silentUntil = 0) => new Grantor({silentUntil, driftMs: 100});
+const NOT_LED = {kind: 'not_led' as const};
+const make = (silentUntil = 0) =>
+  new Grantor({startedAt: 0, silentUntil, driftMs: 100});
 
 describe('grantor', () => {
   it('promises the lease to one VM at a time', () => {
@@ -48,16 +50,65 @@
       kind: 'release' as const,
       zone,
       epoch: asEpoch(epoch),
+      why: NOT_LED,
     });
     expect(grantor.handle(B, release(5), 1).isGranted).to.equal(false);
     expect(grantor.handle(A, release(4), 1).isGranted).to.equal(false);
     expect(grantor.handle(A, release(5), 1).isGranted).to.equal(true);
     expect(grantor.handle(B, vote(6), 2).isGranted).to.equal(true);
   });
+  const HANDOVER = {ageMs: 0, upstreams: [], holders: []};
+  const stopped = (epoch: number) => ({
+    kind: 'release' as const,
+    zone,
+    epoch: asEpoch(epoch),
+    why: {kind: 'stopped' as const, handover: HANDOVER},
+  });
+  it('tells the next leader what the one before handed over', () => {
+    const grantor = make();
+    grantor.handle(A, vote(5), 0);
+    grantor.handle(A, stopped(5), 10);
+    expect(grantor.handle(B, vote(6), 30).past?.lastReign).to.deep.equal({
+      epoch: 5,
+      handed: {handover: HANDOVER, heldMs: 20},
+    });
+  });
+  it('a vote that was not won leaves the hand-over for the next', () => {
+    const grantor = make();
+    grantor.handle(A, vote(5), 0);
+    grantor.handle(A, stopped(5), 10);
+    grantor.handle(B, vote(6), 20);
+    grantor.handle(
+      B,
+      {kind: 'release', zone, epoch: asEpoch(6), why: NOT_LED},
+      30,
+    );
+    const lastReign = grantor.handle(A, vote(7), 40).past?.lastReign;
+    expect(lastReign?.epoch).to.equal(5);
+    expect(lastReign?.handed?.heldMs).to.equal(30);
+  });
+  it('a hand-over is not told once another leader was granted the lease', () => {
+    const grantor = make();
+    grantor.handle(A, vote(5), 0);
+    grantor.handle(A, stopped(5), 10);
+    grantor.handle(B, vote(6), 20);
+    expect(grantor.handle(A, vote(7), 2000).past?.lastReign).to.deep.equal({
+      epoch: 6,
+    });
+  });
+  it('knows of no reign after a restart, though a late release arrives', () => {
+    const grantor = make();
+    grantor.handle(A, stopped(5), 0);
+    expect(grantor.handle(B, vote(6), 1).past).to.deep.equal({upMs: 1});
+  });
   it('a renewal or vote that arrives after its release promises nothing', () => {
     for (const late of [renew(5), vote(5)]) {
       const grantor = make();
-      grantor.handle(A, {kind: 'release', zone, epoch: asEpoch(5)}, 0);
+      grantor.handle(
+        A,
+        {kind: 'release', zone, epoch: asEpoch(5), why: NOT_LED},
+        0,
+      );
       expect(grantor.handle(A, late, 1).isGranted).to.equal(false);
       expect(grantor.handle(B, vote(6), 2).isGranted).to.equal(true);
     }
--- a/packages/coordination/src/authority/grantor.ts
+++ b/packages/coordination/src/authority/grantor.ts
@@ -1,15 +1,34 @@
-import {NO_EPOCH, type Epoch, type VmId} from '@primrosewick/state';
-import type {AuthorityMessage, AuthorityReply} from '@primrosewick/protocol';
+import {
+  NO_EPOCH,
+  type Epoch,
+  type ShareHandover,
+  type VmId,
+} from '@primrosewick/state';
+import type {
+  AuthorityMessage,
+  AuthorityReply,
+  KnownPast,
+  LastReign,
+  ReleaseReason,
+} from '@primrosewick/protocol';
 import {assertNever} from '@primrosewick/state';
 
 /** Options of a grantor. */
 export interface GrantorOptions {
+  /** Monotonic time of the start, in ms. */
+  readonly startedAt: number;
   /** Time before which nothing is granted, as promises of before a restart may last until then. */
   readonly silentUntil: number;
   /** Added to each lease for drift of the clocks, in ms. */
   readonly driftMs: number;
 }
 
+/** The latest epoch for which a lease was promised. */
+interface Reign {
+  readonly epoch: Epoch;
+  readonly handed?: {readonly handover: ShareHandover; readonly at: number};
+}
+
 /**
  * Grants the lease of one zone to one VM at a time. A promise is kept until
  * its time has passed here, whatever the holder does.
@@ -21,18 +40,32 @@
   private deadline = Number.NEGATIVE_INFINITY;
   /** Highest epoch that its leader or candidate has given up. */
   private releasedEpoch: Epoch = NO_EPOCH;
+  /** Unknown after a restart, until a vote is granted again. */
+  private reign: Reign | undefined;
+  /** What `reign` was before the last vote that was granted. */
+  private reignBefore: Reign | undefined;
 
   constructor(private readonly options: GrantorOptions) {}
 
   /** Answers a message. */
   handle(from: VmId, message: AuthorityMessage, now: number): AuthorityReply {
+    const isGranted = this.grants(from, message, now);
+    const past =
+      isGranted && message.kind === 'vote' ? this.pastAt(now) : undefined;
     return {
-      isGranted: this.grants(from, message, now),
+      isGranted,
       seenEpoch: this.seenEpoch,
       leader: this.leaderAt(now),
+      ...(past ? {past} : {}),
     };
   }
 
+  private pastAt(now: number): KnownPast {
+    const lastReign = lastReignOf(this.reignBefore, now);
+    const upMs = now - this.options.startedAt;
+    return lastReign ? {lastReign, upMs} : {upMs};
+  }
+
   /** Notes an epoch seen elsewhere, such as in a report of a worker. */
   noteEpoch(epoch: Epoch): void {
     if (epoch > this.seenEpoch) this.seenEpoch = epoch;
@@ -57,7 +90,7 @@
       case 'renew':
         return this.renew(from, message.epoch, message.leaseMs, now);
       case 'release':
-        return this.release(from, message.epoch, now);
+        return this.release(from, message.epoch, message.why, now);
       default:
         return assertNever(message);
     }
@@ -78,6 +111,8 @@
     const isOver = epoch <= this.seenEpoch || epoch <= this.releasedEpoch;
     if (!this.isFreeFor(from, now) || isOver) return false;
     this.promise(from, epoch, leaseMs, now);
+    this.reignBefore = this.reign;
+    this.reign = {epoch};
     return true;
   }
 
@@ -92,17 +127,39 @@
     this.noteEpoch(epoch);
     if (!this.isFreeFor(from, now)) return false;
     this.promise(from, epoch, leaseMs, now);
+    if (this.reign && this.reign.epoch !== epoch) this.reign = {epoch};
     return true;
   }
 
   /** A vote or renewal that was sent before the release may arrive after it. */
-  private release(from: VmId, epoch: Epoch, now: number): boolean {
+  private release(
+    from: VmId,
+    epoch: Epoch,
+    why: ReleaseReason,
+    now: number,
+  ): boolean {
+    this.noteEnd(epoch, why, now);
     if (epoch > this.releasedEpoch) this.releasedEpoch = epoch;
     if (this.holder !== from || this.epoch !== epoch) return false;
     this.deadline = now;
     return true;
   }
 
+  private noteEnd(epoch: Epoch, why: ReleaseReason, now: number): void {
+    const isLast = this.reign !== undefined && epoch >= this.reign.epoch;
+    switch (why.kind) {
+      case 'stopped':
+        if (!isLast) return;
+        this.reign = {epoch, handed: {handover: why.handover, at: now}};
+        return;
+      case 'not_led':
+        if (this.reign?.epoch === epoch) this.reign = this.reignBefore;
+        return;
+      default:
+        return assertNever(why);
+    }
+  }
+
   private promise(
     holder: VmId,
     epoch: Epoch,
@@ -115,3 +172,14 @@
     this.deadline = now + leaseMs + this.options.driftMs;
   }
 }
+
+const lastReignOf = (
+  reign: Reign | undefined,
+  now: number,
+): LastReign | undefined => {
+  if (!reign) return undefined;
+  const {epoch, handed} = reign;
+  return handed
+    ? {epoch, handed: {handover: handed.handover, heldMs: now - handed.at}}
+    : {epoch};
+};
--- a/packages/coordination/src/authority/task.spec.ts
+++ b/packages/coordination/src/authority/task.spec.ts
@@ -58,6 +58,8 @@
   return task;
 };
 
+const NOTHING_LENT = {ageMs: 0, upstreams: [], holders: []};
+
 const epochAhead = (days: number) =>
   makeEpoch(Math.floor(systemClock.wall() / 1000) + days * DAY_S, 1);
 
@@ -82,7 +84,7 @@
   it('has told every grantor of its release before it has resigned', async () => {
     const released: VmId[] = [];
     const task = await electedTask(grantingPeers(released, () => sleep(50)));
-    await task.resign();
+    await task.resign(NOTHING_LENT);
     expect(released).to.have.members(['b', 'c']);
   });
   it('does not wait for a grantor that never answers its release', async () => {
@@ -90,7 +92,7 @@
       grantingPeers([], () => new Promise(() => undefined)),
     );
     const startedAt = systemClock.now();
-    await task.resign();
+    await task.resign(NOTHING_LENT);
     expect(systemClock.now() - startedAt).to.be.lessThan(2000);
   });
 });
--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -4,6 +4,7 @@
   CellError,
   seededRandom,
   type Epoch,
+  type ShareHandover,
   type VmId,
   type ZoneId,
 } from '@primrosewick/state';
@@ -52,12 +53,13 @@
   constructor(private readonly options: AuthorityTaskOptions) {
     const {own, vms, clock, seed} = options;
     const timing = {...DEFAULT_AUTHORITY_TIMING, ...options.timing};
-    const silentUntil = clock.now() + timing.leaseMs + timing.driftMs;
+    const startedAt = clock.now();
+    const silentUntil = startedAt + timing.leaseMs + timing.driftMs;
     for (const zone of new Set(vms.map(vm => vm.zone))) {
       if (!authorityGroup(vms, zone).grantors.includes(own.vm)) continue;
       this.grantors.set(
         zone,
-        new Grantor({silentUntil, driftMs: timing.driftMs}),
+        new Grantor({startedAt, silentUntil, driftMs: timing.driftMs}),
       );
     }
     this.core = new AuthorityCore({
@@ -82,16 +84,17 @@
   }
 
   /**
-   * Gives up the leadership, if held, and stops. Resolves when the grantors
+   * Gives up the leadership, if held, hands on what was lent, and stops. Resolves when the grantors
    * have answered the release, or after RELEASE_MS: a grantor that has not
    * heard it keeps its promise until the lease ends, and nobody leads until then.
    */
-  async resign(): Promise<void> {
+  async resign(handover: ShareHandover): Promise<void> {
     this.timer?.unsubscribe();
     const {clock} = this.options;
     const {sends, changes} = this.core.step({
       kind: 'resign',
       now: clock.now(),
+      handover,
     });
     for (const change of changes) this.changes.next(change);
     const answers = sends.map(({to, message}) => this.call(to, message));
--- a/packages/coordination/src/authority/types.ts
+++ b/packages/coordination/src/authority/types.ts
@@ -2,7 +2,14 @@
  * Authority over the capacity of one zone: a leader elected by the VMs of the
  * zone, holding a lease on the grants of a majority of them.
  */
-import {asEpoch, type Epoch, type VmId, type ZoneId} from '@primrosewick/state';
+import {
+  asEpoch,
+  type Epoch,
+  type InheritedShares,
+  type ShareHandover,
+  type VmId,
+  type ZoneId,
+} from '@primrosewick/state';
 import type {AuthorityMessage, AuthorityReply} from '@primrosewick/protocol';
 
 /** Lease lengths of the authority. */
@@ -46,7 +53,12 @@
     }
   /** A receiver has seen a later epoch than the leader's own. */
   | {readonly kind: 'saw_epoch'; readonly now: number; readonly epoch: Epoch}
-  | {readonly kind: 'resign'; readonly now: number};
+  | {
+      readonly kind: 'resign';
+      readonly now: number;
+      /** What the leader has lent. */
+      readonly handover: ShareHandover;
+    };
 
 /** A message to a grantor. */
 export interface AuthoritySend {
@@ -57,7 +69,12 @@
 
 /** Change of the own role. */
 export type AuthorityChange =
-  | {readonly kind: 'elected'; readonly epoch: Epoch}
+  | {
+      readonly kind: 'elected';
+      readonly epoch: Epoch;
+      /** Shares of the leader before, where that one handed them over. */
+      readonly inherited?: InheritedShares;
+    }
   | {readonly kind: 'deposed'; readonly epoch: Epoch; readonly why: string};
 
 /** Effects of one input. */
--- a/packages/coordination/src/zone/task.ts
+++ b/packages/coordination/src/zone/task.ts
@@ -15,12 +15,14 @@
   type CellCommand,
   type CellResult,
   type Epoch,
+  type InheritedShares,
   type JobId,
   type PlacementEffect,
   type PlacementEvent,
   type PlacementLimits,
   type ShareAnswer,
   type ShareEvent,
+  type ShareHandover,
   type ShareRequest,
   type ShareTiming,
   type StartTask,
@@ -83,7 +85,7 @@
 
   constructor(private readonly options: ZoneTaskOptions) {
     options.authority.changes.subscribe(change => {
-      if (change.kind === 'elected') this.begin(change.epoch);
+      if (change.kind === 'elected') this.begin(change.epoch, change.inherited);
       else this.reign = null;
     });
     options.replica.changes.subscribe(change => this.onReplicaChange(change));
@@ -102,6 +104,13 @@
     this.reign = null;
   }
 
+  /** Stops to lend, and tells what the next leader must know of the loans. */
+  handOver(): ShareHandover {
+    const {now, reign} = this;
+    this.reign = null;
+    return (reign?.ledger ?? new ShareLedger({startedAt: now})).handOver(now);
+  }
+
   /** Renews the shares of an entry. */
   syncShares(request: ShareRequest): LeaderReply<ShareGrant> {
     const reign = this.currentReign();
@@ -204,11 +213,15 @@
     return {kind: 'not_leader', leader: this.options.authority.leader};
   }
 
-  private begin(epoch: Epoch): void {
+  private begin(epoch: Epoch, inherited?: InheritedShares): void {
     const {shareTiming, placementLimits, recorder} = this.options;
     const startedAt = this.now;
     const placementOptions = {epoch, startedAt, limits: placementLimits};
-    const ledgerOptions = {startedAt, timing: shareTiming};
+    const ledgerOptions = {
+      startedAt,
+      timing: shareTiming,
+      ...(inherited ? {inherited} : {}),
+    };
     const reign: Reign = {
       epoch,
       beganAt: startedAt,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -121,7 +121,7 @@
     this.logger.info({change: 'stopping'}, 'stopping');
     const closed = Promise.all(this.servers.map(server => server.close()));
     await Promise.race([closed, sleep(this.settings.timing.stopMs)]);
-    await this.authority.resign();
+    await this.authority.resign(this.zone.handOver());
     await this.entry.stop();
     this.zone.stop();
     this.follow?.stop();
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -167,7 +167,7 @@
     if (this.isStopping) return;
     this.isStopping = true;
     while (this.entry.open > 0) await pause(this.clock, DRAIN_POLL_MS);
-    await this.authority.resign();
+    await this.authority.resign(this.zone.handOver());
     await this.entry.stop();
     this.zone.stop();
     this.process.kill();
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -14,6 +14,7 @@
   ErrorBody,
   NodeId,
   ShareAnswer,
+  ShareHandover,
   ShareRequest,
   VmId,
   ZoneId,
@@ -96,7 +97,37 @@
       readonly epoch: Epoch;
       readonly leaseMs: number;
     }
-  | {readonly kind: 'release'; readonly zone: ZoneId; readonly epoch: Epoch};
+  | {
+      readonly kind: 'release';
+      readonly zone: ZoneId;
+      readonly epoch: Epoch;
+      readonly why: ReleaseReason;
+    };
+
+/** Why an epoch is given up. */
+export type ReleaseReason =
+  /** Its leader stops; the next goes on with what it has lent. */
+  | {readonly kind: 'stopped'; readonly handover: ShareHandover}
+  /** Its candidate never led under it. */
+  | {readonly kind: 'not_led'};
+
+/** The latest epoch that may have had a leader, as far as a grantor knows. */
+export interface LastReign {
+  readonly epoch: Epoch;
+  /** What its leader handed over when it stopped, and how long ago, in ms. */
+  readonly handed?: {
+    readonly handover: ShareHandover;
+    readonly heldMs: number;
+  };
+}
+
+/** What a grantor knows of the reigns before a vote. */
+export interface KnownPast {
+  /** Absent where it has granted no vote since its start. */
+  readonly lastReign?: LastReign;
+  /** Time since its start, in ms; what it granted earlier it does not remember. */
+  readonly upMs: number;
+}
 
 /** Answer to an authority message. */
 export interface AuthorityReply {
@@ -105,6 +136,8 @@
   readonly seenEpoch: Epoch;
   /** Leader that the VM follows at present. */
   readonly leader: VmId | null;
+  /** For a granted vote: what the grantor knows of reigns before. */
+  readonly past?: KnownPast;
 }
 
 /** Shares that an entry now has, valid from the send time of its sync on. */
--- a/packages/state/src/requests/core.spec.ts
+++ b/packages/state/src/requests/core.spec.ts
@@ -100,6 +100,22 @@
   );
 
 describe('request core', () => {
+  it('a request that waited until too little time is left is not sent', () => {
+    const trial = new Trial();
+    trial.arrive(0, 'r1', {deadline: 6000});
+    const effects = trial.share(5960, {a: 2});
+    expect(dispatched(effects)).to.deep.equal([]);
+    expect(refused(effects)).to.deep.equal(['r1 deadline_unreachable not_run']);
+  });
+  it('a request is sent while the usual time of its class is left', () => {
+    const trial = new Trial();
+    trial.share(0, {a: 1});
+    trial.arrive(0, 'r1');
+    trial.answered(100, 'r1/1');
+    trial.share(200, {});
+    trial.arrive(200, 'r2', {deadline: 6200});
+    expect(dispatched(trial.share(6000, {a: 1}))).to.have.length(1);
+  });
   it('a request goes to the upstream with most free slots', () => {
     const trial = new Trial();
     trial.share(0, {x: 1, y: 2});
--- a/packages/state/src/requests/core.ts
+++ b/packages/state/src/requests/core.ts
@@ -25,6 +25,9 @@
 import {ShareDemand, reviveShareDemand} from './share_demand.js';
 import {ServiceTimes, reviveServiceTimes} from './service_times.js';
 
+/** Part of a request's whole time that must be left for an attempt whose time is uncertain. */
+const RESERVED_SHARE = 0.1;
+
 interface OpenRequest {
   readonly arrival: Arrival;
   readonly arrivedAt: number;
@@ -212,11 +215,30 @@
       }
       const share = this.findShare(service, request.tried);
       if (!share) return;
+      if (this.isTooLate(request)) {
+        this.refuse(next.id, 'deadline_unreachable', 0);
+        continue;
+      }
       queue.remove(next.id);
       this.send(request, share);
     }
   }
 
+  /**
+   * Whether an attempt could still run at the deadline; a request that was
+   * never sent is then refused, as its outcome would be unknown. Who may repeat
+   * a request loses less by an attempt in vain than who may not.
+   */
+  private isTooLate({arrival, arrivedAt}: OpenRequest): boolean {
+    const {service, cls, deadline, isIdempotent} = arrival;
+    const usualMs =
+      this.times.expected(service, cls) || this.times.mean(service);
+    const reserveMs = (deadline - arrivedAt) * RESERVED_SHARE;
+    const neededMs =
+      isIdempotent && usualMs > 0 ? usualMs : Math.max(usualMs, reserveMs);
+    return deadline - this.now < neededMs;
+  }
+
   private findShare(
     service: ServiceName,
     tried: ReadonlySet<UpstreamId>,
--- a/packages/state/src/shares/core.spec.ts
+++ b/packages/state/src/shares/core.spec.ts
@@ -1,7 +1,12 @@
 import {expect} from 'chai';
 import {asId, type ServiceName, type UpstreamId} from '../ids/types.js';
 import {ShareLedger} from './core.js';
-import type {HolderId, InFlight, ShareAnswer} from './types.js';
+import type {
+  HolderId,
+  InFlight,
+  InheritedShares,
+  ShareAnswer,
+} from './types.js';
 
 const DESK = asId<ServiceName>('desk');
 const UP = asId<UpstreamId>('up');
@@ -16,8 +21,22 @@
   readonly ledger: ShareLedger;
   private seq = 0;
 
-  constructor(startedAt: number) {
-    this.ledger = new ShareLedger({startedAt, timing: TIMING});
+  constructor(startedAt: number, inherited?: InheritedShares) {
+    this.ledger = new ShareLedger({
+      startedAt,
+      timing: TIMING,
+      ...(inherited ? {inherited} : {}),
+    });
+    // Holders go on counting through a change of the leader.
+    if (inherited) this.seq = 100;
+  }
+
+  /** An announcement with a number of its own. */
+  announceAs(now: number, seq: number): void {
+    const before = this.seq;
+    this.seq = seq - 1;
+    this.announce(now);
+    this.seq = before;
   }
 
   announce(
@@ -190,4 +209,34 @@
     expect(trial.sync(0, A, 0, 3)).to.equal(3);
     expect(trial.sync(1, B, 0, 4, true)).to.equal(1);
   });
+  it('a ledger that was handed over is lent from at once, and no slot twice', () => {
+    const before = settled();
+    expect(before.sync(0, A, 0, 3)).to.equal(3);
+    const handover = before.ledger.handOver(100);
+    const next = new Trial(5100, {handover, at: 5100});
+    expect(next.sync(5110, B, 0, 1)).to.equal(1);
+    expect(next.sync(5120, A, 3, 3)).to.equal(3);
+  });
+  it('a loan that was handed over ends when it would have ended', () => {
+    const before = settled();
+    before.sync(0, A, 0, 3);
+    const next = new Trial(100, {
+      handover: before.ledger.handOver(100),
+      at: 100,
+    });
+    next.announceAs(1190, 1000);
+    expect(next.sync(1195, B, 0, 4)).to.equal(1);
+    next.announceAs(1201, 1001);
+    expect(next.sync(1210, B, 1, 4)).to.equal(4);
+  });
+  it('a leader that stops while it waits out hands on what is left of the wait', () => {
+    const first = new Trial(0);
+    first.announce(10);
+    const next = new Trial(500, {
+      handover: first.ledger.handOver(500),
+      at: 500,
+    });
+    expect(next.sync(1190, B, 0, 2)).to.equal(0);
+    expect(next.sync(1200, B, 0, 2)).to.equal(2);
+  });
 });
--- a/packages/state/src/shares/core.ts
+++ b/packages/state/src/shares/core.ts
@@ -9,9 +9,11 @@
 import {
   DEFAULT_SHARE_TIMING,
   type HolderId,
+  type InheritedShares,
   type Share,
   type ShareAnswer,
   type ShareEvent,
+  type ShareHandover,
   type ShareRequest,
   type ShareTiming,
   type UpstreamReport,
@@ -24,6 +26,8 @@
   /** Time at which this leader's epoch began, in ms. */
   readonly startedAt: number;
   readonly timing?: Partial<ShareTiming>;
+  /** Ledger of the leader before, where that one handed it over. */
+  readonly inherited?: InheritedShares;
 }
 
 interface Loan {
@@ -59,6 +63,37 @@
   constructor(options: ShareLedgerOptions) {
     this.timing = {...DEFAULT_SHARE_TIMING, ...options.timing};
     this.startedAt = options.startedAt;
+    if (!options.inherited) return;
+    const {handover, at} = options.inherited;
+    this.startedAt = at - handover.ageMs;
+    this.takeOver(handover, at);
+  }
+
+  /** The whole ledger, for the next leader; nothing may be lent afterwards. */
+  handOver(now: number): ShareHandover {
+    return {
+      ageMs: now - this.startedAt,
+      upstreams: [...this.upstreams.values()].map(
+        ({report, reportedAt, loans}) => ({
+          report,
+          ageMs: now - reportedAt,
+          loans: [...loans].map(([holder, {slots, deadline}]) => ({
+            holder,
+            slots,
+            leftMs: deadline - now,
+          })),
+        }),
+      ),
+      holders: [...this.holders].map(
+        ([holder, {seq, deadline, isForeign, wants}]) => ({
+          holder,
+          seq,
+          leftMs: deadline - now,
+          isForeign,
+          wants: [...wants].map(([service, slots]) => ({service, slots})),
+        }),
+      ),
+    };
   }
 
   /**
@@ -96,6 +131,27 @@
     }));
   }
 
+  private takeOver({upstreams, holders}: ShareHandover, at: number): void {
+    for (const {report, ageMs, loans} of upstreams)
+      this.upstreams.set(report.upstream, {
+        report,
+        reportedAt: at - ageMs,
+        loans: new Map(
+          loans.map(({holder, slots, leftMs}) => [
+            holder,
+            {slots, deadline: at + leftMs},
+          ]),
+        ),
+      });
+    for (const {holder, seq, leftMs, isForeign, wants} of holders)
+      this.holders.set(holder, {
+        seq,
+        deadline: at + leftMs,
+        isForeign,
+        wants: new Map(wants.map(({service, slots}) => [service, slots])),
+      });
+  }
+
   private addReport(report: UpstreamReport, now: number): void {
     const known = this.upstreams.get(report.upstream);
     if (known && report.seq <= known.report.seq) return;
--- a/packages/state/src/shares/types.ts
+++ b/packages/state/src/shares/types.ts
@@ -83,6 +83,40 @@
     }
   | {readonly kind: 'expire'; readonly now: number};
 
+/**
+ * What a leader that stops hands on to the next: its whole ledger. Clocks of
+ * two VMs differ, so times are given relative to the moment of the hand-over, in ms.
+ */
+export interface ShareHandover {
+  /** Age of the ledger: loans of before it may last that much less. */
+  readonly ageMs: number;
+  readonly upstreams: ReadonlyArray<{
+    readonly report: UpstreamReport;
+    /** Age of the report. */
+    readonly ageMs: number;
+    readonly loans: ReadonlyArray<{
+      readonly holder: HolderId;
+      readonly slots: number;
+      /** Time until the holder has stopped dispatching; negative once it has. */
+      readonly leftMs: number;
+    }>;
+  }>;
+  readonly holders: ReadonlyArray<{
+    readonly holder: HolderId;
+    readonly seq: number;
+    /** Time until the holder is forgotten. */
+    readonly leftMs: number;
+    readonly isForeign: boolean;
+    readonly wants: ShareRequest['wants'];
+  }>;
+}
+
+/** A ledger that was handed over at a time of this VM's monotonic clock, in ms. */
+export interface InheritedShares {
+  readonly handover: ShareHandover;
+  readonly at: number;
+}
+
 /** Lease lengths of the ledger. */
 export interface ShareTiming {
   /** Length of a share, in ms. */
