--- a/packages/coordination/src/consensus/context.ts
+++ b/packages/coordination/src/consensus/context.ts
@@ -67,6 +67,8 @@
   electionDeadline = 0;
   heartbeatDeadline = 0;
   quorumDeadline = 0;
+  /** Time at which followers are told of a commit that they may not know of. */
+  commitNoticeAt = Number.POSITIVE_INFINITY;
   leaderContactAt = Number.NEGATIVE_INFINITY;
   /** Whether no leader was followed yet, or the connection from it broke. */
   isLeaderMissing = true;
--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {asId, seededRandom, type NodeId} from '@primrosewick/state';
 import {ConsensusCore} from './core.js';
+import {ConsensusPump} from './pump.js';
 import type {Entry, Envelope, Members} from './types.js';
 
 const [A, B, C, D, E] = ['a', 'b', 'c', 'd', 'e'].map(name =>
@@ -283,4 +284,40 @@
     for (const from of [B, C, D]) message(from, 29);
     expect(chunksAt(11_600)).to.equal(1);
   });
+  it('proposals that come together are one message for each follower', () => {
+    const core = makeCore(A, 3, [members]);
+    const term = elect(core, A);
+    for (const from of [B, C, D, E])
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, 2),
+      });
+    const pump = new ConsensusPump(core);
+    for (let token = 1; token <= 20; token++)
+      pump.offer({kind: 'propose', now: 10_004, token, command: `${token}`});
+    const appends = pump
+      .run()
+      .messages.flatMap(({message}) =>
+        message.kind === 'append' ? [message.entries.length] : [],
+      );
+    expect(appends).to.eql([20, 20, 20, 20]);
+  });
+  it('a commit is told by the next entries, or soon without any', () => {
+    const core = makeCore(A, 3, [members]);
+    const term = elect(core, A);
+    const ack = (from: NodeId, index: number) =>
+      core.step({
+        kind: 'message',
+        now: 10_003,
+        envelope: accept(from, A, term, index),
+      }).messages;
+    for (const from of [B, C]) expect(ack(from, 2)).to.eql([]);
+    expect(core.status.commitNoticeAt).to.equal(10_013);
+    const told = core.step({kind: 'tick', now: 10_013}).messages;
+    expect(
+      told.map(({message}) => message.kind === 'append' && message.commitIndex),
+    ).to.eql([2, 2, 2, 2]);
+    expect(core.status.commitNoticeAt).to.equal(Number.POSITIVE_INFINITY);
+  });
 });
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -58,6 +58,7 @@
       isCurrent:
         requiredIndex !== null && commitIndex >= Math.max(1, requiredIndex),
       needsIndex: requiredIndex === null,
+      commitNoticeAt: context.commitNoticeAt,
       lastContactAt:
         role === 'leader' ? context.quorumContactAt() : context.leaderContactAt,
       matches: [...context.progress].map(([node, {matchIndex}]) => ({
@@ -84,10 +85,11 @@
       case 'message':
         return this.onMessage(input.envelope);
       case 'propose':
-        return this.leadership.onPropose(input.token, {
-          kind: 'command',
-          command: input.command,
-        });
+        return this.leadership.onPropose(
+          input.token,
+          {kind: 'command', command: input.command},
+          input.isMore === true,
+        );
       case 'change_members':
         return this.leadership.onChangeMembers(input.token, input.change);
       case 'read':
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -14,6 +14,7 @@
     this.context.leader = this.context.id;
     this.context.quorumDeadline =
       this.context.now + this.context.timing.electionMs;
+    this.context.commitNoticeAt = Number.POSITIVE_INFINITY;
     this.context.progress.clear();
     this.trackMembers();
     this.appendOwn({kind: 'noop'});
@@ -32,15 +33,19 @@
       this.context.quorumDeadline =
         this.context.now + this.context.timing.electionMs;
     if (this.context.now >= this.context.heartbeatDeadline) this.broadcast();
+    if (this.context.now >= this.context.commitNoticeAt) this.announceCommit();
   }
 
   /** Appends an entry for a token. */
-  onPropose(token: number, body: EntryBody<C>): void {
+  onPropose(token: number, body: EntryBody<C>, isMore = false): void {
     if (this.context.role !== 'leader')
       return this.context.refuse(token, 'not_leader');
     const uncommitted = this.context.log.lastIndex - this.context.commitIndex;
-    if (uncommitted >= this.context.timing.maxUncommitted)
-      return this.context.refuse(token, 'overloaded');
+    if (uncommitted >= this.context.timing.maxUncommitted) {
+      this.context.refuse(token, 'overloaded');
+      if (!isMore) this.replicate();
+      return;
+    }
     const index = this.appendOwn(body);
     this.context.effects.answers.push({
       kind: 'appended',
@@ -48,7 +53,7 @@
       index,
       term: this.context.term,
     });
-    this.replicate();
+    if (!isMore) this.replicate();
   }
 
   /** Appends a change of the members. */
@@ -94,6 +99,7 @@
     return {
       nextIndex: this.context.log.lastIndex + 1,
       matchIndex: 0,
+      sentCommit: 0,
       lastHeardAt: this.context.now,
       lastRound: 0,
       snapshotOffset: 0,
@@ -140,6 +146,7 @@
       : 0;
     const entries = this.context.log.slice(progress.nextIndex, count);
     progress.nextIndex += entries.length;
+    progress.sentCommit = this.context.commitIndex;
     this.context.send(node, {
       kind: 'append',
       term: this.context.term,
@@ -179,8 +186,8 @@
     progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
     const before = this.context.commitIndex;
     this.advanceCommit();
-    if (this.context.commitIndex > before) this.announceCommit();
-    else if (this.canSendMore(progress)) this.sendAppend(from, progress);
+    if (this.context.commitIndex > before) this.noteCommit();
+    if (this.canSendMore(progress)) this.sendAppend(from, progress);
   }
 
   private hear(from: NodeId, round: number): Progress | undefined {
@@ -195,9 +202,21 @@
     return progress;
   }
 
+  private noteCommit(): void {
+    const {context} = this;
+    context.commitNoticeAt = Math.min(
+      context.commitNoticeAt,
+      context.now + context.timing.commitNoticeMs,
+    );
+  }
+
+  /** Tells followers of a commit, but for those that entries have told of it. */
   private announceCommit(): void {
-    for (const [node, progress] of this.context.progress)
-      if (!this.isBehindSnapshot(progress)) this.sendAppend(node, progress);
+    const {progress, commitIndex} = this.context;
+    this.context.commitNoticeAt = Number.POSITIVE_INFINITY;
+    for (const [node, known] of progress)
+      if (!this.isBehindSnapshot(known) && known.sentCommit < commitIndex)
+        this.sendAppend(node, known);
   }
 
   private isBehindSnapshot(progress: Progress): boolean {
--- a/packages/coordination/src/consensus/pump.ts
+++ b/packages/coordination/src/consensus/pump.ts
@@ -30,7 +30,12 @@
       deliveries: [],
       answers: [],
     };
-    for (const input of inputs) mergeInto(merged, this.core.step(input));
+    const last = inputs.findLastIndex(({kind}) => kind === 'propose');
+    inputs.forEach((input, index) => {
+      const isMore = input.kind === 'propose' && index < last;
+      const step = isMore ? {...input, isMore} : input;
+      mergeInto(merged, this.core.step(step));
+    });
     return merged;
   }
 }
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -12,20 +12,19 @@
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
 import type {Clock} from '@primrosewick/transport';
-import {ConsensusCore} from './core.js';
+import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
 import {persistWrites} from './persistence.js';
 import {ConsensusPump} from './pump.js';
+import {Waiters} from './waiters.js';
 import type {
   ConsensusStatus,
   ConsensusTiming,
   Delivery,
   Envelope,
-  Entry,
   MemberChange,
   Restored,
   StorageWrite,
-  TokenAnswer,
 } from './types.js';
 
 /** The state machine that the log drives; its index never goes back. */
@@ -75,21 +74,12 @@
 /** Longest time between two looks at the clock, in ms. */
 const MAX_TICK_MS = 100;
 
-interface Waiter<R> {
-  readonly resolve: (result: R | {readonly index: number}) => void;
-  readonly reject: (err: CellError) => void;
-}
-
 /** A VM that waits for the messages that its own led to. */
 interface Collector<C> {
   readonly vm: VmId;
   readonly resolve: (envelopes: ReadonlyArray<Envelope<C>>) => void;
 }
 
-interface Placed<R> extends Waiter<R> {
-  readonly term: number;
-}
-
 /** Drives the consensus core: one sync at a time, then messages and deliveries. */
 export class ConsensusTask<C, R> {
   /** Emits when the role or the leader changes. */
@@ -98,11 +88,10 @@
   private readonly pump: ConsensusPump<C>;
   private readonly diskGuard = new DiskGuard();
   private collectors: Array<Collector<C>> = [];
-  private readonly byToken = new Map<number, Waiter<R>>();
-  private readonly byIndex = new Map<number, Placed<R>>();
-  private nextToken = 1;
+  private readonly waiters = new Waiters<R>();
   private isRunning = false;
   private failure: CellError | null = null;
+  private isNoticeDue = false;
   private timer: Subscription | undefined;
   private lastStatus: ConsensusStatus;
 
@@ -137,7 +126,7 @@
   /** Stops; what waits is refused. */
   stop(): void {
     this.timer?.unsubscribe();
-    this.refuseAll('stopping');
+    this.waiters.refuseAll('stopping');
   }
 
   /** State of the core. */
@@ -196,7 +185,7 @@
    * @throws CellError `not_leader`, `log_overloaded`, `log_outcome_unknown` or `storage_failed`.
    */
   propose(command: C): Promise<R> {
-    if (this.byToken.size + this.byIndex.size >= this.options.maxProposals) {
+    if (this.waiters.size >= this.options.maxProposals) {
       return Promise.reject(
         new CellError({code: 'log_overloaded', step: 'propose'}),
       );
@@ -243,10 +232,8 @@
     makeInput: (token: number) => Parameters<ConsensusPump<C>['offer']>[0],
   ): Promise<R | {readonly index: number}> {
     if (this.failure) return Promise.reject(this.failure);
-    const token = this.nextToken++;
     return new Promise((resolve, reject) => {
-      this.byToken.set(token, {resolve, reject});
-      this.offer(makeInput(token));
+      this.offer(makeInput(this.waiters.add({resolve, reject})));
     });
   }
 
@@ -271,21 +258,34 @@
     const collectors = this.collectors;
     this.collectors = [];
     const {writes, messages, deliveries, answers} = this.pump.run();
-    const image = this.core.durable;
-    if (writes.length > 0) await this.persist(writes, image);
+    if (writes.length > 0) await this.persist(writes);
     this.sendAll(messages, collectors);
-    for (const answer of answers) this.onAnswer(answer);
+    for (const answer of answers) this.waiters.answer(answer);
     for (const delivery of deliveries) this.deliver(delivery);
     this.noteStatus();
+    this.scheduleCommitNotice();
     if (deliveries.length > 0) this.compactIfLong();
   }
 
-  private async persist(
-    writes: ReadonlyArray<StorageWrite<C>>,
-    image: Restored<C>,
-  ): Promise<void> {
+  /** Ticks when followers must learn of a commit, however long the tick is. */
+  private scheduleCommitNotice(): void {
+    const {commitNoticeAt} = this.lastStatus;
+    if (!Number.isFinite(commitNoticeAt) || this.isNoticeDue) return;
+    const {clock} = this.options;
+    this.isNoticeDue = true;
+    clock.after(Math.max(0, commitNoticeAt - clock.now())).subscribe(() => {
+      this.isNoticeDue = false;
+      this.offer({kind: 'tick', now: clock.now()});
+    });
+  }
+
+  private async persist(writes: ReadonlyArray<StorageWrite<C>>): Promise<void> {
     const {clock, folder} = this.options;
     const beganAt = clock.now();
+    // Inputs that come during the write must not be in the image; it is costly.
+    const image = writes.some(({kind}) => kind === 'snapshot')
+      ? this.core.durable
+      : emptyState<C>();
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
     const isSlow = this.diskGuard.note(now - beganAt, now);
@@ -322,26 +322,11 @@
     }
   }
 
-  private onAnswer(answer: TokenAnswer): void {
-    const waiter = this.byToken.get(answer.token);
-    this.byToken.delete(answer.token);
-    if (!waiter) return;
-    switch (answer.kind) {
-      case 'appended':
-        this.byIndex.set(answer.index, {...waiter, term: answer.term});
-        return;
-      case 'read_ready':
-        return waiter.resolve({index: answer.index});
-      case 'refused':
-        return waiter.reject(refusalOf(answer.why));
-    }
-  }
-
   private deliver(delivery: Delivery<C>): void {
     const {replica} = this.options;
     if (delivery.kind === 'snapshot') {
       replica.restore(decode(delivery.snapshot.data));
-      return this.dropWaiters(delivery.snapshot.index);
+      return this.waiters.dropUpTo(delivery.snapshot.index);
     }
     const {entry} = delivery;
     const command =
@@ -349,32 +334,7 @@
     const result = replica.apply(
       command ? {index: entry.index, command} : {index: entry.index},
     );
-    this.settle(entry, result);
-  }
-
-  private settle(entry: Entry<C>, result: R | undefined): void {
-    const waiter = this.byIndex.get(entry.index);
-    this.byIndex.delete(entry.index);
-    if (waiter?.term === entry.term)
-      waiter.resolve(result ?? {index: entry.index});
-    else
-      waiter?.reject(
-        new CellError({
-          code: 'log_outcome_unknown',
-          step: 'commit',
-          detail: 'another leader took over; the write was not committed',
-        }),
-      );
-  }
-
-  private dropWaiters(upToIndex: number): void {
-    for (const [index, waiter] of this.byIndex) {
-      if (index > upToIndex) continue;
-      this.byIndex.delete(index);
-      waiter.reject(
-        new CellError({code: 'log_outcome_unknown', step: 'commit'}),
-      );
-    }
+    this.waiters.settle(entry, result);
   }
 
   private noteStatus(): void {
@@ -389,7 +349,7 @@
       status.members !== before.members;
     this.lastStatus = status;
     if (status.role !== 'leader' && before.role === 'leader')
-      this.refuseAll('log_outcome_unknown');
+      this.waiters.refuseAll('log_outcome_unknown');
     if (isChanged) this.changes.next(status);
   }
 
@@ -413,24 +373,7 @@
     for (const {resolve} of this.collectors) resolve([]);
     this.collectors = [];
     this.timer?.unsubscribe();
-    this.refuseAll('storage_failed');
+    this.waiters.refuseAll('storage_failed');
     this.options.onFailure(err);
   }
-
-  private refuseAll(
-    code: 'stopping' | 'storage_failed' | 'log_outcome_unknown',
-  ): void {
-    const waiters = [...this.byToken.values(), ...this.byIndex.values()];
-    this.byToken.clear();
-    this.byIndex.clear();
-    for (const waiter of waiters)
-      waiter.reject(new CellError({code, step: 'propose', outcome: 'unknown'}));
-  }
 }
-
-const refusalOf = (
-  why: 'not_leader' | 'change_pending' | 'overloaded',
-): CellError => {
-  const code = why === 'overloaded' ? 'log_overloaded' : 'not_leader';
-  return new CellError({code, step: 'propose', detail: why});
-};
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -126,6 +126,8 @@
       readonly now: number;
       readonly token: number;
       readonly command: C;
+      /** Whether more proposals follow at once, so that one message carries them all. */
+      readonly isMore?: boolean;
     }
   | {
       readonly kind: 'change_members';
@@ -200,6 +202,11 @@
    * is there connects again and sends a heartbeat in less.
    */
   readonly quickElectionMs: number;
+  /**
+   * Time after which followers are told of a commit that no message has told
+   * them of, in ms: under load the next entries carry it.
+   */
+  readonly commitNoticeMs: number;
   /** Most entries in one message. */
   readonly maxEntriesPerMessage: number;
   /** Most entries sent beyond the last acknowledged one. */
@@ -215,6 +222,7 @@
   heartbeatMs: 500,
   electionMs: 1500,
   quickElectionMs: 700,
+  commitNoticeMs: 10,
   maxEntriesPerMessage: 256,
   maxInFlight: 2048,
   maxUncommitted: 4096,
@@ -227,6 +235,8 @@
   matchIndex: number;
   /** Latest time at which the node answered, in ms. */
   lastHeardAt: number;
+  /** Commit index that the node was last told of. */
+  sentCommit: number;
   /** Latest heartbeat round that the node has answered. */
   lastRound: number;
   /** Next byte of the snapshot to send, while one is being sent. */
@@ -251,6 +261,8 @@
   readonly isCurrent: boolean;
   /** Whether the node waits to be told an index by `require`. */
   readonly needsIndex: boolean;
+  /** Time at which a leader must tick so that followers learn of a commit, in ms. */
+  readonly commitNoticeAt: number;
   /** Time of the last contact with the leader, or with a quorum, in ms. */
   readonly lastContactAt: number;
   /** Acknowledged index of each other node; empty unless leader. */
--- /dev/null
+++ b/packages/coordination/src/consensus/waiters.ts
@@ -0,0 +1,91 @@
+/** Who waits for proposals, member changes and reads of one node. */
+import {CellError} from '@primrosewick/state';
+import type {Entry, TokenAnswer} from './types.js';
+
+/** One caller that waits. */
+export interface Waiter<R> {
+  readonly resolve: (result: R | {readonly index: number}) => void;
+  readonly reject: (err: CellError) => void;
+}
+
+interface PlacedWaiter<R> extends Waiter<R> {
+  readonly term: number;
+}
+
+/** Callers by token, and by index once their entry is appended. */
+export class Waiters<R> {
+  private readonly byToken = new Map<number, Waiter<R>>();
+  private readonly byIndex = new Map<number, PlacedWaiter<R>>();
+  private nextToken = 1;
+
+  /** Callers that wait. */
+  get size(): number {
+    return this.byToken.size + this.byIndex.size;
+  }
+
+  /** @returns the token under which a caller waits from now on. */
+  add(waiter: Waiter<R>): number {
+    const token = this.nextToken++;
+    this.byToken.set(token, waiter);
+    return token;
+  }
+
+  /** Takes what the core says of a token. */
+  answer(answer: TokenAnswer): void {
+    const waiter = this.byToken.get(answer.token);
+    this.byToken.delete(answer.token);
+    if (!waiter) return;
+    switch (answer.kind) {
+      case 'appended':
+        this.byIndex.set(answer.index, {...waiter, term: answer.term});
+        return;
+      case 'read_ready':
+        return waiter.resolve({index: answer.index});
+      case 'refused':
+        return waiter.reject(refusalOf(answer.why));
+    }
+  }
+
+  /** Answers who waits for an entry that is committed and applied. */
+  settle<C>(entry: Entry<C>, result: R | undefined): void {
+    const waiter = this.byIndex.get(entry.index);
+    this.byIndex.delete(entry.index);
+    if (waiter?.term === entry.term)
+      waiter.resolve(result ?? {index: entry.index});
+    else
+      waiter?.reject(
+        new CellError({
+          code: 'log_outcome_unknown',
+          step: 'commit',
+          detail: 'another leader took over; the write was not committed',
+        }),
+      );
+  }
+
+  /** Ends the waits for entries that a snapshot has replaced. */
+  dropUpTo(index: number): void {
+    for (const [at, waiter] of this.byIndex) {
+      if (at > index) continue;
+      this.byIndex.delete(at);
+      waiter.reject(
+        new CellError({code: 'log_outcome_unknown', step: 'commit'}),
+      );
+    }
+  }
+
+  /** Ends all waits; whether they were committed is not known. */
+  refuseAll(code: 'stopping' | 'storage_failed' | 'log_outcome_unknown'): void {
+    const waiters = [...this.byToken.values(), ...this.byIndex.values()];
+    this.byToken.clear();
+    this.byIndex.clear();
+    for (const waiter of waiters)
+      waiter.reject(new CellError({code, step: 'propose', outcome: 'unknown'}));
+  }
+}
+
+const refusalOf = (
+  why: 'not_leader' | 'change_pending' | 'overloaded',
+): CellError => {
+  const code = why === 'overloaded' ? 'log_overloaded' : 'not_leader';
+  return new CellError({code, step: 'propose', detail: why});
+};
--- a/packages/coordination/src/gateway/task.spec.ts
+++ b/packages/coordination/src/gateway/task.spec.ts
@@ -34,6 +34,7 @@
     clock: systemClock,
     seeds: [A],
     hello: () => HELLO,
+    zone: 'z' as ZoneId,
     onContact: () => undefined,
   });
   gateway.start();
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -15,6 +15,7 @@
   toCellError,
   type ReasonCode,
   type VmId,
+  type ZoneId,
 } from '@primrosewick/state';
 import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
 
@@ -39,16 +40,22 @@
   readonly seeds: readonly VmId[];
   /** What this VM says of itself. */
   readonly hello: () => LinkHello;
+  /** Zone of this VM, whose copies of the log are asked first. */
+  readonly zone: ZoneId;
   /** Called when contact with a serving leader is lost or regained. */
   readonly onContact: (hasContact: boolean, leader: VmId | null) => void;
 }
 
 /** Interval of the questions to the leader, in ms. */
-const GREET_INTERVAL_MS = 300;
+const GREET_INTERVAL_MS = 500;
 /** Interval of the questions while no VM is known to lead, in ms. */
 const SEEK_INTERVAL_MS = 100;
 /** Age at which the last answer of a serving leader no longer counts, in ms. */
-const CONTACT_MS = 1000;
+const CONTACT_MS = 1300;
+/** Age at which a VM with a copy of the log is greeted again, in ms. */
+const READER_GREET_MS = 10_000;
+/** Time for which a copy that failed to answer is passed over, in ms. */
+const READER_AVOID_MS = 1500;
 /** Pause before a call is tried again, in ms. */
 const RETRY_PAUSE_MS = 60;
 /** Time for which a call that no leader has taken is kept, in ms: a leader that ended is replaced in less. */
@@ -58,6 +65,15 @@
 /** Times that a call is led on to another VM at once. */
 const MAX_HOPS = 3;
 
+/** A VM that may have a copy of the log. */
+interface Reader {
+  readonly vm: VmId;
+  readonly zone: ZoneId;
+  readonly isReadable: boolean;
+  /** Monotonic time before which others are asked, in ms. */
+  avoidedUntil: number;
+}
+
 /** Finds the leader and calls it. */
 export class GatewayTask {
   /** Emits each answer of another VM. */
@@ -68,6 +84,10 @@
   private greetedAt = Number.NEGATIVE_INFINITY;
   private hadContact = false;
   private timer: Subscription | undefined;
+  /** VMs with a copy of the log, as they last said. */
+  private readonly readers = new Map<VmId, Reader>();
+  /** Monotonic time of the last greeting of each VM, in ms. */
+  private readonly askedAt = new Map<VmId, number>();
 
   constructor(private readonly options: GatewayOptions) {
     for (const vm of options.seeds) this.known.add(vm);
@@ -108,6 +128,29 @@
     return Number.isFinite(ageMs) ? Math.round(ageMs) : null;
   }
 
+  /** The VM whose copy of the log should be read: one of this zone that does not lead. */
+  get readerVm(): VmId | null {
+    const now = this.options.clock.now();
+    let best: Reader | undefined;
+    for (const reader of this.readers.values()) {
+      if (!reader.isReadable || now < reader.avoidedUntil) continue;
+      if (!best || this.readerRank(reader) < this.readerRank(best))
+        best = reader;
+    }
+    return best?.vm ?? null;
+  }
+
+  /** Passes over a VM whose copy did not answer. */
+  avoidReader(vm: VmId): void {
+    const reader = this.readers.get(vm);
+    if (reader)
+      reader.avoidedUntil = this.options.clock.now() + READER_AVOID_MS;
+  }
+
+  private readerRank({vm, zone}: Reader): number {
+    return (zone === this.options.zone ? 0 : 2) + (vm === this.leader ? 1 : 0);
+  }
+
   /** The VM that leads as far as is known. */
   get leaderVm(): VmId | null {
     return this.leader;
@@ -194,13 +237,25 @@
   private async greet(): Promise<void> {
     const {leader, known} = this;
     this.greetedAt = this.options.clock.now();
-    const targets = leader && this.hasContact ? [leader] : [...known];
+    const targets =
+      leader && this.hasContact
+        ? [leader, ...this.staleReaders(leader)]
+        : [...known];
     await Promise.all(targets.map(vm => this.greetOne(vm)));
     this.noteContact();
   }
 
+  /** One of the VMs that were not greeted for long: copies are many, calls are dear. */
+  private staleReaders(leader: VmId): VmId[] {
+    const staleAt = this.options.clock.now() - READER_GREET_MS;
+    const isStale = (vm: VmId): boolean =>
+      vm !== leader && (this.askedAt.get(vm) ?? staleAt) <= staleAt;
+    return [...this.known].filter(isStale).slice(0, 1);
+  }
+
   private async greetOne(vm: VmId): Promise<void> {
-    const {peers, hello} = this.options;
+    const {peers, hello, clock} = this.options;
+    this.askedAt.set(vm, clock.now());
     try {
       this.take(await peers.call(vm, 'hello', hello()));
     } catch {
@@ -211,6 +266,9 @@
 
   private take(welcome: LinkWelcome): void {
     for (const vm of welcome.members) this.known.add(vm);
+    const {vm, zone, isReadable} = welcome;
+    const avoidedUntil = this.readers.get(vm)?.avoidedUntil ?? 0;
+    this.readers.set(vm, {vm, zone, isReadable, avoidedUntil});
     if (welcome.leader) this.leader = welcome.leader;
     if (welcome.isServing) {
       this.leader = welcome.vm;
--- /dev/null
+++ b/packages/coordination/src/workflow/copies_of_log.spec.ts
@@ -0,0 +1,133 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import {
+  TestLog,
+  testSpec,
+  testStep,
+  testTask,
+  testWorker,
+} from '@primrosewick/state/fixtures';
+import {Subject} from 'rxjs';
+import type {Clock} from '@primrosewick/transport';
+import {AnnouncementDesk} from './announcements.js';
+import {WorkflowReplica} from './replica.js';
+import {ReplicaReader} from './replica_reader.js';
+
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const [QUEUE] = new TestLog().db.bundle!.queues;
+const address = (rest: string) => ({
+  host: QUEUE!.host,
+  path: `${QUEUE!.prefix}${rest}`,
+});
+
+/** A copy of the log in which one workflow has one task under way. */
+const copyOf = (log: TestLog): WorkflowReplica => {
+  const replica = new WorkflowReplica();
+  replica.restore(log.db.toImage());
+  replica.open();
+  return replica;
+};
+const startedLog = (): TestLog => {
+  const log = new TestLog();
+  log.addWorker('w1');
+  log.submit('a', testSpec([testStep()]));
+  log.submit('b', testSpec([testStep()]));
+  log.start('w1', testTask('a', 0, 0));
+  return log;
+};
+const readerOf = (log: TestLog, ageMs = 0) =>
+  new ReplicaReader({replica: copyOf(log), ageMs: () => ageMs});
+
+describe('reader of a copy', () => {
+  it('tells the state of what it knows, and how much waits', () => {
+    const reader = readerOf(startedLog());
+    expect(reader.read(address('a'))).to.eql({kind: 'state', state: 'running'});
+    expect(reader.read(address('b'))).to.eql({kind: 'state', state: 'queued'});
+    expect(reader.read(address(''))).to.eql({kind: 'pending', count: 1});
+  });
+  it('never says that there is nothing: it may only lag', () => {
+    const reader = readerOf(startedLog());
+    expect(reader.read(address('unheard'))).to.equal(undefined);
+    expect(reader.read({host: 'other', path: '/'})).to.equal(undefined);
+  });
+  it('answers nothing once the leader was not heard of for a while', () => {
+    expect(readerOf(startedLog(), 251).read(address('a'))).to.equal(undefined);
+  });
+  it('still tells how a workflow ended after its details are dropped', () => {
+    const log = startedLog();
+    log.end('w1', testTask('a', 0, 0), 'done');
+    expect(log.db.workflows.get('a' as never)?.spec.steps).to.eql([]);
+    expect(readerOf(log).read(address('a'))).to.eql({
+      kind: 'state',
+      state: 'done',
+    });
+  });
+});
+
+/** A desk beside a copy that knows the worker w1. */
+const makeDesk = ({canAnswer = true, fails = false} = {}) => {
+  const log = new TestLog();
+  log.addWorker('w1', {sequence: 1});
+  const ticks = new Subject<number>();
+  const told: string[][] = [];
+  const desk = new AnnouncementDesk({
+    db: log.db,
+    clock: {every: () => ticks} as unknown as Clock,
+    logger,
+    canAnswer: () => canAnswer,
+    tell: async workers => {
+      if (fails) throw new Error('no leader');
+      told.push([...workers]);
+    },
+  });
+  desk.start();
+  return {desk, told, tick: () => ticks.next(0), log};
+};
+
+describe('announcements at any VM', () => {
+  it('many announcements without news are one message to the leader', () => {
+    const {desk, told, tick, log} = makeDesk();
+    log.addWorker('w2', {sequence: 1});
+    for (let sequence = 2; sequence < 12; sequence++)
+      for (const worker of ['w1', 'w2'])
+        expect(desk.take(testWorker(worker, {sequence}))).to.equal(true);
+    tick();
+    tick();
+    expect(told).to.eql([['w1', 'w2']]);
+  });
+  it('what the log does not know is left to the leader', () => {
+    const {desk} = makeDesk();
+    const take = (worker: string, part: object) =>
+      desk.take(testWorker(worker, {sequence: 9, ...part}));
+    expect(take('w1', {isDraining: true})).to.equal(false);
+    expect(take('w1', {bornAt: 2})).to.equal(false);
+    expect(take('w1', {address: '10.0.0.9:80'})).to.equal(false);
+    expect(take('unknown', {})).to.equal(false);
+  });
+  it('an announcement of an earlier life is not taken for the present one', () => {
+    const {desk, told, tick, log} = makeDesk();
+    log.addWorker('w1', {bornAt: 5, sequence: 1});
+    expect(desk.take(testWorker('w1', {bornAt: 1, sequence: 9}))).to.equal(
+      false,
+    );
+    tick();
+    expect(told).to.eql([]);
+  });
+  it('one that arrives late is acknowledged, and proves nothing', () => {
+    const {desk, told, tick} = makeDesk();
+    desk.take(testWorker('w1', {sequence: 8}));
+    tick();
+    expect(desk.take(testWorker('w1', {sequence: 7}))).to.equal(true);
+    tick();
+    expect(told).to.have.length(1);
+  });
+  it('without contact nothing is acknowledged here', () => {
+    const {desk} = makeDesk({canAnswer: false});
+    expect(desk.take(testWorker('w1', {sequence: 2}))).to.equal(false);
+  });
+  it('a leader that cannot be told ends nothing', () => {
+    const {desk, tick} = makeDesk({fails: true});
+    desk.take(testWorker('w1', {sequence: 2}));
+    expect(tick).to.not.throw();
+  });
+});
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -5,7 +5,6 @@
   LinkMethods,
   WorkflowReply,
   WorkflowRequest,
-  WorkflowView,
 } from '@primrosewick/protocol';
 import {
   CellError,
@@ -23,11 +22,12 @@
   type WorkflowId,
   type WorkflowResult,
   type WorkflowSpec,
-  type WorkflowState,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
+import {AnnouncementSequences, isNews} from './announcements.js';
 import {ReadGate} from './read_gate.js';
 import type {WorkflowReplica} from './replica.js';
+import {countPending, viewOf} from './workflow_view.js';
 
 /** What the service needs of the log. */
 export interface LogAccess {
@@ -50,19 +50,12 @@
   readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
 }
 
-/** Workers whose last announcement is remembered. */
-const LATEST_KEPT = 4096;
-
 /** The leader's side of the calls of clients, workers and operators. */
 export class WorkflowService {
   private readonly gate: ReadGate;
   /** Submissions under way, so that a repeated one shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
-  /** Number of the last announcement of each life. */
-  private readonly sequences = new Map<
-    WorkerId,
-    {readonly bornAt: number; readonly sequence: number}
-  >();
+  private readonly sequences = new AnnouncementSequences();
 
   constructor(private readonly options: WorkflowServiceOptions) {
     this.gate = new ReadGate(() => options.log.readIndex());
@@ -89,19 +82,25 @@
     report: WorkerRegistration,
   ): Promise<LinkMethods['announceWorker']['reply']> {
     return this.lead(async () => {
-      const last = this.sequences.get(report.worker);
-      const isOld =
-        last !== undefined &&
-        (last.bornAt > report.bornAt ||
-          (last.bornAt === report.bornAt && last.sequence >= report.sequence));
-      if (isOld) return {isKnown: true};
-      this.sequences.set(report.worker, report);
+      if (this.sequences.note(report)) return {isKnown: true};
       this.options.onHeard(report.worker);
-      if (this.isNews(report)) await this.putWorker(report);
+      if (isNews(this.db, report)) await this.putWorker(report);
       return {isKnown: true};
     });
   }
 
+  /** Notes workers that announced themselves to other VMs, with nothing new. */
+  hearWorkers({
+    workers,
+  }: LinkMethods['heardWorkers']['request']): Promise<
+    LinkMethods['heardWorkers']['reply']
+  > {
+    return this.lead(async () => {
+      for (const worker of workers) this.options.onHeard(worker);
+      return {count: workers.length};
+    });
+  }
+
   /** Takes the farewell of a worker. */
   removeWorker({
     worker,
@@ -265,19 +264,13 @@
 
   private async get({queue, rest}: QueueMatch): Promise<WorkflowReply> {
     await this.confirm();
-    if (rest === '') return {kind: 'pending', count: this.countPending(queue)};
+    if (rest === '')
+      return {kind: 'pending', count: countPending(this.db, queue)};
     const workflow = this.db.workflows.get(rest as WorkflowId);
     if (!workflow) return {kind: 'unknown_workflow'};
     return {kind: 'state', state: viewOf(workflow)};
   }
 
-  private countPending(queue: QueueMatch['queue']): number {
-    let count = 0;
-    for (const workflow of this.db.open.values())
-      if (workflow.queue === queue.name && !workflow.hasStarted) count++;
-    return count;
-  }
-
   private async cancel({rest}: QueueMatch): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
     await this.submitting.get(id)?.catch(() => undefined);
@@ -294,21 +287,6 @@
       : {kind: 'cancelled'};
   }
 
-  private isNews(report: WorkerRegistration): boolean {
-    const known = this.db.findLife(report)?.report;
-    if (!known) {
-      const other = this.db.workers.get(report.worker)?.report;
-      return !other || other.bornAt < report.bornAt;
-    }
-    return (
-      known.address !== report.address ||
-      known.pool !== report.pool ||
-      known.isDraining !== report.isDraining ||
-      JSON.stringify([known.room, known.labels, known.rack]) !==
-        JSON.stringify([report.room, report.labels, report.rack])
-    );
-  }
-
   private async putWorker(report: WorkerRegistration): Promise<void> {
     const {logger} = this.options;
     const older = this.db.workers.get(report.worker)?.report;
@@ -322,7 +300,7 @@
       await this.propose({kind: 'put_worker', report});
     } catch (err) {
       // The next announcement must not count as seen already.
-      this.sequences.delete(report.worker);
+      this.sequences.forget(report.worker);
       throw err;
     }
     logger.info(
@@ -335,11 +313,5 @@
       },
       'a worker has announced itself',
     );
-    if (this.sequences.size > LATEST_KEPT) this.sequences.clear();
   }
 }
-
-const viewOf = ({phase, hasStarted}: WorkflowState): WorkflowView => {
-  if (phase !== 'open') return phase;
-  return hasStarted ? 'running' : 'queued';
-};
--- a/packages/coordination/src/workflow/worker_views.ts
+++ b/packages/coordination/src/workflow/worker_views.ts
@@ -52,7 +52,7 @@
   freeOf(worker: WorkerId): Room {
     const {db} = this.options;
     const state = db.workers.get(worker);
-    return state ? freeRoomOf(db, state) : NO_ROOM;
+    return state ? freeRoomOf(state) : NO_ROOM;
   }
 
   private isUsable(state: WorkerState): boolean {
--- /dev/null
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -0,0 +1,20 @@
+/** What clients are shown of workflows. */
+import type {WorkflowView} from '@primrosewick/protocol';
+import type {Queue, WorkflowDb, WorkflowState} from '@primrosewick/state';
+
+/** State of a workflow as its client sees it. */
+export const viewOf = ({
+  phase,
+  hasStarted,
+}: Pick<WorkflowState, 'phase' | 'hasStarted'>): WorkflowView => {
+  if (phase !== 'open') return phase;
+  return hasStarted ? 'running' : 'queued';
+};
+
+/** Accepted workflows of a queue of which no task has started. */
+export const countPending = (db: WorkflowDb, {name}: Queue): number => {
+  let count = 0;
+  for (const {queue, hasStarted} of db.open.values())
+    if (queue === name && !hasStarted) count++;
+  return count;
+};
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -2,8 +2,10 @@
 import {randomInt} from 'node:crypto';
 import type Logger from 'bunyan';
 import {
+  AnnouncementDesk,
   GatewayTask,
   JournalRecorder,
+  ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
   WorkflowService,
@@ -24,6 +26,7 @@
   type StepRef,
   type VmId,
   type WorkerId,
+  type WorkerRegistration,
 } from '@primrosewick/state';
 import {
   LinkClient,
@@ -31,6 +34,7 @@
   systemClock,
   type LinkHandlers,
 } from '@primrosewick/transport';
+import {WorkflowCalls} from './workflow_calls.js';
 import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
 
 /** Options of a node. */
@@ -43,11 +47,13 @@
 }
 
 /** Age at which an entry no longer counts as able to ask for advice, in ms. */
-const CALLER_AGE_MS = 1500;
+const CALLER_AGE_MS = 2000;
 /** Pause after a failure of the data folder before the process ends, in ms. */
 const REOPEN_PAUSE_MS = 1500;
 /** Bytes of the scheduler's journal: some minutes under load. */
 const JOURNAL_BYTES = 6 * 1024 * 1024;
+/** Time for telling the leader of announcements, in ms. */
+const TELL_WITHIN_MS = 900;
 /** Seeds of the random source of elections. */
 const MAX_SEED = 2 ** 31;
 
@@ -59,6 +65,9 @@
   private readonly replica: WorkflowReplica;
   private readonly log: VoterLog | null;
   private readonly service: WorkflowService | null;
+  private readonly reader: ReplicaReader | null;
+  private readonly announcements: AnnouncementDesk | null;
+  private readonly calls: WorkflowCalls;
   private scheduler: SchedulerTask | null = null;
   /** Monotonic time of the last greeting of each VM that may ask for advice. */
   private readonly callers = new Map<VmId, number>();
@@ -79,17 +88,27 @@
     });
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
+    this.reader = this.log && this.makeReader(this.log);
+    this.announcements = this.reader && this.makeAnnouncements(this.reader);
     this.gateway = new GatewayTask({
       peers: this.peers,
       clock: systemClock,
       seeds: settings.seeds,
       hello: () => this.hello(),
+      zone: settings.zone,
       onContact: (hasContact, leader) =>
         logger.info(
           {change: hasContact ? 'leader_found' : 'leader_lost', leader},
           'contact with the leader changed',
         ),
     });
+    this.calls = new WorkflowCalls({
+      gateway: this.gateway,
+      peers: this.peers,
+      clock: systemClock,
+      logger,
+      reader: this.reader,
+    });
     this.server = new LinkServer({
       address: settings.peer,
       cell: CLUSTER_NAME,
@@ -114,6 +133,7 @@
     await this.log?.open();
     await this.server.listen();
     this.gateway.start();
+    this.announcements?.start();
     this.log
       ?.run(() => this.askOthers(), this.options.settings.seeds)
       .catch((err: unknown) =>
@@ -130,6 +150,7 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     this.gateway.stop();
+    this.announcements?.stop();
     await this.log?.close();
     this.scheduler?.close();
     this.peers.close();
@@ -174,6 +195,26 @@
     });
   }
 
+  private makeReader(log: VoterLog): ReplicaReader {
+    return new ReplicaReader({
+      replica: this.replica,
+      ageMs: () => log.contactAgeMs,
+    });
+  }
+
+  private makeAnnouncements(reader: ReplicaReader): AnnouncementDesk {
+    return new AnnouncementDesk({
+      db: this.replica.db,
+      clock: systemClock,
+      logger: this.options.logger,
+      canAnswer: () => reader.isFresh && this.gateway.hasContact,
+      tell: async workers => {
+        const deadline = systemClock.now() + TELL_WITHIN_MS;
+        await this.gateway.callLeader('heardWorkers', {workers}, deadline);
+      },
+    });
+  }
+
   private onLeading(term: number | null): void {
     const {settings, logger, orders} = this.options;
     this.scheduler?.close();
@@ -236,6 +277,7 @@
       leader: this.log?.leaderVm ?? null,
       members: this.log?.memberVms ?? [],
       isServing,
+      isReadable: this.reader?.isFresh === true,
     };
   }
 
@@ -264,8 +306,12 @@
         log?.isLeading
           ? {kind: 'ok', value: {index: await log.readIndex()}}
           : {kind: 'not_leader', leader: log?.leaderVm ?? null},
+      readWorkflow: async address => ({
+        answer: this.reader?.read(address) ?? null,
+      }),
       workflow: request => service?.handle(request) ?? notHere(),
       announceWorker: report => service?.announceWorker(report) ?? notHere(),
+      heardWorkers: request => service?.hearWorkers(request) ?? notHere(),
       removeWorker: request => service?.removeWorker(request) ?? notHere(),
       putBundle: request => service?.putBundle(request) ?? notHere(),
       getBundle: () => service?.getBundle() ?? notHere(),
@@ -273,8 +319,14 @@
     };
   }
 
-  /** Carries a client's call to the leader, until a time of the monotonic clock. */
+  /** Carries a client's call to who can answer it, until a time of the monotonic clock. */
   request(request: WorkflowRequest, deadline: number): Promise<WorkflowReply> {
-    return this.gateway.callLeader('workflow', request, deadline);
+    return this.calls.request(request, deadline);
+  }
+
+  /** Takes the announcement of a worker, until a time of the monotonic clock. */
+  async announce(report: WorkerRegistration, deadline: number): Promise<void> {
+    if (this.announcements?.take(report)) return;
+    await this.gateway.callLeader('announceWorker', report, deadline);
   }
 }
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -160,6 +160,13 @@
     return [...members.voters, ...members.learners].map(vmOfNode);
   }
 
+  /** Time since the leader, or a majority where this VM leads, was heard of, in ms. */
+  get contactAgeMs(): number {
+    const {task, options} = this;
+    if (!task?.status.isCurrent) return Number.POSITIVE_INFINITY;
+    return options.clock.now() - task.status.lastContactAt;
+  }
+
   propose(command: WorkflowCommand): Promise<WorkflowResult> {
     if (this.task && this.leadingTerm !== null)
       return this.task.propose(command);
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -34,6 +34,8 @@
   readonly members: readonly VmId[];
   /** Whether the VM leads, is current, and has a bundle. */
   readonly isServing: boolean;
+  /** Whether the VM has a copy of the log that is fresh enough to be read. */
+  readonly isReadable: boolean;
 }
 
 /** Where a client's call is addressed. */
@@ -88,11 +90,21 @@
     request: Record<string, never>;
     reply: FromLeader<{readonly index: number}>;
   };
+  /** Asks a copy of the log; it answers only what it is sure of. */
+  readWorkflow: {
+    request: QueueAddress;
+    reply: {readonly answer: WorkflowReply | null};
+  };
   workflow: {request: WorkflowRequest; reply: FromLeader<WorkflowReply>};
   announceWorker: {
     request: WorkerRegistration;
     reply: FromLeader<{readonly isKnown: boolean}>;
   };
+  /** Workers that have announced themselves with nothing new. */
+  heardWorkers: {
+    request: {readonly workers: readonly WorkerId[]};
+    reply: FromLeader<{readonly count: number}>;
+  };
   removeWorker: {
     request: {readonly worker: WorkerId; readonly bornAt: number | null};
     reply: FromLeader<{readonly isKnown: boolean}>;
@@ -121,8 +133,10 @@
   hello: {deadlineMs: 700},
   consensus: {deadlineMs: 1000},
   readIndex: {deadlineMs: 1000},
+  readWorkflow: {deadlineMs: 300},
   workflow: {deadlineMs: 2500},
   announceWorker: {deadlineMs: 900},
+  heardWorkers: {deadlineMs: 900},
   removeWorker: {deadlineMs: 900},
   putBundle: {deadlineMs: 1500},
   getBundle: {deadlineMs: 1000},
--- /dev/null
+++ b/packages/state/src/fixtures.ts
@@ -0,0 +1,3 @@
+/** Workflows, workers and planner inputs for specs of any package. */
+export * from './workflow/fixtures.js';
+export * from './workflow/planner/fixtures.js';
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -141,4 +141,24 @@
     log.apply({...late, id: 'c' as never, spec: testSpec([testStep()])});
     expect(phaseOf(log, 'a')).to.equal(undefined);
   });
+  it('room that runs hold is told without counting them', () => {
+    const log = oneTask();
+    const used = () => log.db.workers.get('w1' as never)?.used.cpuMillis;
+    expect(used()).to.equal(1000);
+    const copy = new WorkflowDb();
+    copy.restore(log.db.toImage());
+    expect(copy.workers.get('w1' as never)?.used.cpuMillis).to.equal(1000);
+    log.end('w1', testTask('a', 0, 0), 'done');
+    expect(used()).to.equal(0);
+  });
+  it('a cancelled workflow holds its room until its runs have ended', () => {
+    const log = oneTask();
+    log.apply({kind: 'cancel', id: 'a' as WorkflowId, at: 2});
+    const used = () => log.db.workers.get('w1' as never)?.used.cpuMillis;
+    expect(used()).to.equal(1000);
+    log.end('w1', testTask('a', 0, 0), 'stopped');
+    expect(used()).to.equal(0);
+    expect(log.db.workflows.get('a' as WorkflowId)?.spec.steps).to.eql([]);
+    expect(phaseOf(log, 'a')).to.equal('cancelled');
+  });
 });
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,9 +5,24 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {imageOf} from './image.js';
 import {taskKey} from './refs.js';
+import {NO_ROOM, addRoom, subtractRoom} from './room.js';
+import {RunIndex} from './run_index.js';
+import {
+  countActiveRuns,
+  dropDetails,
+  freshOccurrence,
+  keepCheckpoint,
+  hasRuns,
+  markDone,
+  occurrenceCount,
+  untouchedSteps,
+  withIdleCount,
+} from './task_state.js';
 import type {
   RecordedStart,
+  Room,
   RunEnd,
   StepState,
   TaskRef,
@@ -17,20 +32,14 @@
   WorkerRegistration,
   WorkerState,
   WorkflowCommand,
+  WorkflowDbOptions,
   WorkflowId,
   WorkflowImage,
   WorkflowPhase,
   WorkflowResult,
-  WorkflowSpec,
   WorkflowState,
 } from './types.js';
 
-/** Options of the state. */
-export interface WorkflowDbOptions {
-  /** How long an ended workflow is kept for questions, in ms. */
-  readonly keepEndedMs: number;
-}
-
 const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
 
 const APPLIED: WorkflowResult = {kind: 'applied'};
@@ -45,6 +54,8 @@
   readonly workers = new Map<WorkerId, WorkerState>();
   /** Workflows that go on, in the order of acceptance. */
   readonly open = new Map<WorkflowId, WorkflowState>();
+  /** Runs that may have to be stopped. */
+  readonly running = new RunIndex();
   private ended: Array<{readonly id: WorkflowId; readonly at: number}> = [];
   private lastIndex = 0;
   private readonly options: WorkflowDbOptions;
@@ -97,10 +108,10 @@
     }
   }
 
-  /** Steps of an occurrence; fresh ones where none has started yet. */
-  stepsOf(workflow: WorkflowState, occurrence: number): StepState[] {
+  /** Steps of an occurrence, also where none has started yet. */
+  stepsOf(workflow: WorkflowState, occurrence: number): readonly StepState[] {
     return (
-      workflow.occurrences.get(occurrence) ?? freshOccurrence(workflow.spec)
+      workflow.occurrences.get(occurrence) ?? untouchedSteps(workflow.spec)
     );
   }
 
@@ -120,19 +131,7 @@
 
   /** The whole state as plain data. */
   toImage(): WorkflowImage {
-    return {
-      index: this.lastIndex,
-      bundle: this.bundle,
-      queues: [...this.queues.values()],
-      workflows: [...this.workflows.values()].map(workflow => ({
-        ...workflow,
-        occurrences: [...workflow.occurrences],
-      })),
-      workers: [...this.workers.values()].map(worker => ({
-        ...worker,
-        active: [...worker.active.values()],
-      })),
-    };
+    return imageOf(this);
   }
 
   /** Takes over an image. */
@@ -145,14 +144,51 @@
     this.open.clear();
     this.ended = [];
     for (const kept of image.workflows)
-      this.addWorkflow({...kept, occurrences: new Map(kept.occurrences)});
+      this.addWorkflow({
+        ...kept,
+        occurrences: new Map(
+          kept.occurrences.map(([at, steps]) => [at, steps.map(withIdleCount)]),
+        ),
+        activeRuns: 0,
+      });
     this.ended.sort((a, b) => a.at - b.at);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, {
         ...kept,
         active: new Map(kept.active.map(run => [taskKey(run.task), run])),
+        used: kept.active.reduce(
+          (sum, {task}) => addRoom(sum, this.roomOf(task)),
+          NO_ROOM,
+        ),
       });
+    this.rebuildRunning();
+  }
+
+  /** Finds what is under way anew, from the whole state. */
+  private rebuildRunning(): void {
+    this.running.clear();
+    for (const workflow of this.workflows.values()) {
+      workflow.activeRuns = countActiveRuns(workflow);
+      if (workflow.phase !== 'open' && workflow.activeRuns > 0)
+        this.running.ending.add(workflow.id);
+    }
+    for (const {active} of this.workers.values())
+      for (const {task} of active.values()) this.noteRunning(task);
+  }
+
+  /** Room that a task holds on its worker. */
+  roomOf({workflow, step}: TaskRef): Room {
+    const spec = this.workflows.get(workflow)?.spec.steps[step];
+    return !spec || spec.usesLeftover ? NO_ROOM : spec.room;
+  }
+
+  private noteRunning(task: TaskRef): void {
+    const spec = this.workflows.get(task.workflow)?.spec.steps[task.step];
+    this.running.add(task, {
+      isGang: spec?.isGang === true,
+      isDone: this.findTask(task)?.isDone === true,
+    });
   }
 
   private addWorkflow(workflow: WorkflowState): void {
@@ -183,6 +219,7 @@
       hasStarted: false,
       occurrences: new Map(),
       doneOccurrences: 0,
+      activeRuns: 0,
     });
   }
 
@@ -207,6 +244,7 @@
       report,
       endsRecorded: 0,
       active: new Map(),
+      used: NO_ROOM,
     });
   }
 
@@ -232,8 +270,15 @@
     if (!state || state.isDone || run <= state.lastRun) return;
     workflow.hasStarted = true;
     state.lastRun = run;
+    const step = steps[task.step];
+    if (step && state.active.length === 0) step.idleCount--;
     state.active.push({run, worker, bornAt});
-    place.active.set(taskKey(task), {task, run});
+    workflow.activeRuns++;
+    this.noteRunning(task);
+    const key = taskKey(task);
+    if (!place.active.has(key))
+      place.used = addRoom(place.used, this.roomOf(task));
+    place.active.set(key, {task, run});
   }
 
   private endRuns(life: WorkerLife, ends: readonly RunEnd[], at: number): void {
@@ -253,7 +298,10 @@
   private takeActive(life: WorkerLife, task: TaskRef, run: number): boolean {
     const place = this.findLife(life);
     const key = taskKey(task);
-    if (place?.active.get(key)?.run === run) place.active.delete(key);
+    if (place?.active.get(key)?.run === run) {
+      place.active.delete(key);
+      place.used = subtractRoom(place.used, this.roomOf(task));
+    }
     const state = this.findTask(task);
     const at = state?.active.findIndex(
       active =>
@@ -263,6 +311,7 @@
     );
     if (!state || at === undefined || at < 0) return false;
     state.active.splice(at, 1);
+    this.noteRunGone(task, state);
     return true;
   }
 
@@ -287,6 +336,7 @@
       // The members of a gang end as done together.
       if (spec.isGang) for (const member of step.tasks) markDone(step, member);
       else markDone(step, state);
+      if (state.active.length > 0) this.noteRunning(task);
       this.finishIfDone(workflow, task.occurrence, at);
     } else if (outcome === 'failed') {
       this.noteFailure(workflow, step, task, run, at);
@@ -335,6 +385,22 @@
     workflow.endedAt = at;
     this.open.delete(workflow.id);
     this.ended.push({id: workflow.id, at});
+    if (workflow.activeRuns === 0) dropDetails(workflow);
+    else this.running.ending.add(workflow.id);
+  }
+
+  private noteRunGone(task: TaskRef, state: TaskState): void {
+    const workflow = this.workflows.get(task.workflow);
+    const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
+    if (!workflow || !step) return;
+    workflow.activeRuns--;
+    if (state.active.length === 0) {
+      if (!state.isDone) step.idleCount++;
+      this.running.remove(task, !hasRuns(step));
+    }
+    if (workflow.activeRuns > 0 || workflow.phase === 'open') return;
+    this.running.ending.delete(workflow.id);
+    dropDetails(workflow);
   }
 
   /** Forgets workflows that ended long ago and have nothing under way. */
@@ -344,53 +410,9 @@
     if (!this.ended[0] || !isOld(this.ended[0])) return;
     this.ended = this.ended.filter(entry => {
       const workflow = this.workflows.get(entry.id);
-      if (!isOld(entry) || (workflow && hasActiveRuns(workflow))) return true;
+      if (!isOld(entry) || (workflow && workflow.activeRuns > 0)) return true;
       this.workflows.delete(entry.id);
       return false;
     });
   }
 }
-
-/** Whether any run of a workflow may be under way; its room is held until then. */
-const hasActiveRuns = ({occurrences}: WorkflowState): boolean =>
-  [...occurrences.values()].some(steps =>
-    steps.some(({tasks}) => tasks.some(({active}) => active.length > 0)),
-  );
-
-/** How often the steps of a workflow run. */
-export const occurrenceCount = (spec: WorkflowSpec): number =>
-  Math.max(1, spec.occurrences);
-
-const freshTask = (): TaskState => ({
-  isDone: false,
-  lastRun: 0,
-  failures: 0,
-  checkpoint: '',
-  checkpointRun: 0,
-  active: [],
-});
-
-const freshOccurrence = (spec: WorkflowSpec): StepState[] =>
-  spec.steps.map(({taskCount}) => ({
-    tasks: Array.from({length: taskCount}, freshTask),
-    doneCount: 0,
-    gangFailures: 0,
-    lastFailedRun: 0,
-  }));
-
-/** A later run goes on from the checkpoint of an earlier one, so its own is newer. */
-const keepCheckpoint = (
-  task: TaskState,
-  run: number,
-  checkpoint: string,
-): void => {
-  if (checkpoint === '' || run < task.checkpointRun) return;
-  task.checkpoint = checkpoint;
-  task.checkpointRun = run;
-};
-
-const markDone = (step: StepState, task: TaskState): void => {
-  if (task.isDone) return;
-  task.isDone = true;
-  step.doneCount++;
-};
--- /dev/null
+++ b/packages/state/src/workflow/image.ts
@@ -0,0 +1,32 @@
+/** The state of workflows as plain data, without what can be told from the rest. */
+import type {WorkflowDb} from './db.js';
+import type {WorkflowImage} from './types.js';
+
+/** Plain image of the whole state. */
+export const imageOf = ({
+  index,
+  bundle,
+  queues,
+  workflows,
+  workers,
+}: WorkflowDb): WorkflowImage => ({
+  index,
+  bundle,
+  queues: [...queues.values()],
+  workflows: [...workflows.values()].map(workflow => ({
+    id: workflow.id,
+    queue: workflow.queue,
+    spec: workflow.spec,
+    acceptedAt: workflow.acceptedAt,
+    phase: workflow.phase,
+    endedAt: workflow.endedAt,
+    hasStarted: workflow.hasStarted,
+    doneOccurrences: workflow.doneOccurrences,
+    occurrences: [...workflow.occurrences],
+  })),
+  workers: [...workers.values()].map(worker => ({
+    report: worker.report,
+    endsRecorded: worker.endsRecorded,
+    active: [...worker.active.values()],
+  })),
+});
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -11,7 +11,9 @@
 import type {Plan, PlanInput, StepAdvice} from '../planner/types.js';
 import {viewWorkers} from '../planner/views.js';
 import {stepKey, taskKey} from '../refs.js';
-import type {StepKey, StepState, TaskKey, WorkflowSpec} from '../types.js';
+import {RunIndex} from '../run_index.js';
+import {hasRuns} from '../task_state.js';
+import type {StepKey, TaskKey, WorkflowSpec} from '../types.js';
 import {toldTimes} from './remaining.js';
 import {fromAdviceLine, type PassEvent, type PlannerEvent} from './types.js';
 
@@ -128,8 +130,7 @@
   const image = db.toImage();
   const kept = image.workflows.filter(
     ({id, occurrences}) =>
-      db.open.has(id) ||
-      occurrences.some(([, steps]) => steps.some(hasActiveTask)),
+      db.open.has(id) || occurrences.some(([, steps]) => steps.some(hasRuns)),
   );
   const pruned = new WorkflowDb();
   pruned.restore({
@@ -142,9 +143,6 @@
   return {db: pruned, advice};
 };
 
-const hasActiveTask = ({tasks}: StepState): boolean =>
-  tasks.some(({active}) => active.length > 0);
-
 /** A specification without what is only passed on to the tasks. */
 export const withoutPayload = (spec: WorkflowSpec): WorkflowSpec => ({
   ...spec,
@@ -153,5 +151,7 @@
 
 /** Makes a planner from its plain state. */
 export const revivePlannerCore = reviverOf(PlannerCore.prototype, {
-  db: reviverOf(WorkflowDb.prototype),
+  db: reviverOf(WorkflowDb.prototype, {
+    running: reviverOf(RunIndex.prototype),
+  }),
 });
--- a/packages/state/src/workflow/planner/ready.ts
+++ b/packages/state/src/workflow/planner/ready.ts
@@ -1,6 +1,7 @@
 /** Finds the steps whose tasks may start, in the order in which they are served. */
 import type {Queue} from '../../bundle/types.js';
-import {occurrenceCount, type WorkflowDb} from '../db.js';
+import type {WorkflowDb} from '../db.js';
+import {occurrenceCount} from '../task_state.js';
 import {stepKey} from '../refs.js';
 import type {StepState, WorkflowSpec, WorkflowState} from '../types.js';
 import type {ReadyStep} from './types.js';
@@ -68,7 +69,7 @@
     return earlier !== undefined && earlier.doneCount === earlier.tasks.length;
   });
 
-/** All steps that may start now, most urgent first. */
+/** All steps of which tasks or copies may start now, most urgent first. */
 export const findReadySteps = (db: WorkflowDb, wall: number): ReadyStep[] => {
   const ready: ReadyStep[] = [];
   for (const workflow of db.open.values()) {
@@ -118,7 +119,10 @@
     const dueAt = dueAtOf(workflow, queue, occurrence);
     const steps = db.stepsOf(workflow, occurrence);
     steps.forEach((step, index) => {
+      const isWaiting = step.idleCount > 0;
+      const mayNeedCopies = spec.steps[index]?.isSpeculative === true;
       if (step.doneCount === step.tasks.length) return;
+      if (!isWaiting && !mayNeedCopies) return;
       if (!hasPredecessorsDone(spec, steps, index)) return;
       const ref = {workflow: id, occurrence, step: index};
       ready.push({
--- a/packages/state/src/workflow/planner/views.ts
+++ b/packages/state/src/workflow/planner/views.ts
@@ -2,7 +2,7 @@
 import type {WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
 import {taskKey} from '../refs.js';
-import {NO_ROOM, addRoom, subtractRoom} from '../room.js';
+import {NO_ROOM, subtractRoom} from '../room.js';
 import type {Room, TaskRef, WorkerState} from '../types.js';
 import type {WorkerView} from './types.js';
 
@@ -13,20 +13,19 @@
   readonly run: number;
 }
 
-/** Room that a task holds on its worker. */
-const sizeOf = (db: WorkflowDb, {workflow, step}: TaskRef): Room => {
-  const spec = db.workflows.get(workflow)?.spec.steps[step];
-  return !spec || spec.usesLeftover ? NO_ROOM : spec.room;
-};
-
 /** Room of a worker that no recorded run holds. */
-export const freeRoomOf = (
-  db: WorkflowDb,
-  {report, active}: WorkerState,
-): Room => {
-  let used = NO_ROOM;
-  for (const {task} of active.values()) used = addRoom(used, sizeOf(db, task));
-  return subtractRoom(report.room, used);
+export const freeRoomOf = ({report, used}: WorkerState): Room =>
+  subtractRoom(report.room, used);
+
+const LABEL_SETS = new WeakMap<readonly string[], ReadonlySet<string>>();
+
+/** Labels for look-ups; those of one report are the same in each pass. */
+const labelSet = (labels: readonly string[]): ReadonlySet<string> => {
+  const known = LABEL_SETS.get(labels);
+  if (known) return known;
+  const set = new Set(labels);
+  LABEL_SETS.set(labels, set);
+  return set;
 };
 
 /** All workers; starts that are not recorded yet hold room as well. */
@@ -43,9 +42,9 @@
       bornAt,
       pool,
       room,
-      labels: new Set(labels),
+      labels: labelSet(labels),
       ...(rack === undefined ? {} : {rack}),
-      free: freeRoomOf(db, state),
+      free: freeRoomOf(state),
       unreserved: room,
       kept: NO_ROOM,
       keptPriority: Number.POSITIVE_INFINITY,
@@ -56,7 +55,7 @@
     const view = views.get(worker);
     const recorded = db.workers.get(worker)?.active.get(taskKey(task));
     if (view && recorded?.run !== run)
-      view.free = subtractRoom(view.free, sizeOf(db, task));
+      view.free = subtractRoom(view.free, db.roomOf(task));
   }
   return views;
 };
--- a/packages/state/src/workflow/refs.ts
+++ b/packages/state/src/workflow/refs.ts
@@ -5,6 +5,13 @@
 export const stepKey = ({workflow, occurrence, step}: StepRef): StepKey =>
   `${workflow}.${occurrence}.${step}` as StepKey;
 
+/** The step of a task. */
+export const stepRefOf = ({workflow, occurrence, step}: StepRef): StepRef => ({
+  workflow,
+  occurrence,
+  step,
+});
+
 /** Key of a task. */
 export const taskKey = (task: TaskRef): TaskKey =>
   taskKeyIn(stepKey(task), task.index);
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -151,6 +151,8 @@
 export interface StepState {
   tasks: TaskState[];
   doneCount: number;
+  /** Tasks that are not done and that nothing runs. */
+  idleCount: number;
   /** Runs of the whole gang that failed. */
   gangFailures: number;
   /** Number of the gang's last run that was counted as failed. */
@@ -164,7 +166,8 @@
 export interface WorkflowState {
   readonly id: WorkflowId;
   readonly queue: QueueName;
-  readonly spec: WorkflowSpec;
+  /** Without steps once the workflow has ended and runs nothing. */
+  spec: WorkflowSpec;
   /** Wall time of the acceptance, in ms since 1970. */
   readonly acceptedAt: number;
   phase: WorkflowPhase;
@@ -176,6 +179,8 @@
   occurrences: Map<number, StepState[]>;
   /** Occurrences whose steps are all done. */
   doneOccurrences: number;
+  /** Runs of its tasks that may be under way. */
+  activeRuns: number;
 }
 
 /** A worker that has announced itself. */
@@ -185,6 +190,8 @@
   endsRecorded: number;
   /** Runs that may be under way, by task. */
   active: Map<TaskKey, {readonly task: TaskRef; readonly run: number}>;
+  /** Room that these runs hold. */
+  used: Room;
 }
 
 /** A start that is recorded before it is ordered. */
@@ -250,18 +257,26 @@
   /** No workflow has this id. */
   | {readonly kind: 'no_workflow'};
 
+/** Options of the state. */
+export interface WorkflowDbOptions {
+  /** How long an ended workflow is kept for questions, in ms. */
+  readonly keepEndedMs: number;
+}
+
 /** Plain image of the whole state. */
 export interface WorkflowImage {
   readonly index: number;
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   readonly workflows: ReadonlyArray<
-    Omit<WorkflowState, 'occurrences'> & {
-      readonly occurrences: ReadonlyArray<readonly [number, StepState[]]>;
+    Omit<WorkflowState, 'occurrences' | 'activeRuns'> & {
+      readonly occurrences: ReadonlyArray<
+        readonly [number, ReadonlyArray<Omit<StepState, 'idleCount'>>]
+      >;
     }
   >;
   readonly workers: ReadonlyArray<
-    Omit<WorkerState, 'active'> & {
+    Omit<WorkerState, 'active' | 'used'> & {
       readonly active: ReadonlyArray<{
         readonly task: TaskRef;
         readonly run: number;
