A pass looks at what changed: runs to stop and workers to ask about

Cause: a pass of the planner with nothing to place walked every run under way (stops), built a set of labels for each worker, looked at every step of every open workflow and at the starts and stops of every worker's channel; records of ended runs walked all steps that the adviser was asked about.

Change: the state keeps, as records are applied, the runs that may have to be stopped (of ended workflows, of done tasks, of gangs), the tasks of a step that nothing runs, and the room that a worker's runs hold. Labels are kept for each report; candidates are taken from what the adviser allowed; places are counted by division, and workers to ask about are put into lists by their places in place of being sorted. Stalls are looked for every 0.5 s in place of 0.1.

--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -15,6 +15,7 @@
   type VmId,
   type WorkerId,
   type WorkflowDb,
+  type WorkflowId,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import {
@@ -61,6 +62,8 @@
 /** Asks for advice while this VM leads. */
 export class AdviceDesk {
   private readonly steps = new Map<StepKey, StepRecord>();
+  /** Steps that are asked about, by workflow. */
+  private readonly keysOf = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
   private waiting: QueuedCall[] = [];
   private isClosed = false;
@@ -77,6 +80,8 @@
     const key = stepKey(step);
     const record = this.steps.get(key) ?? freshRecord();
     this.steps.set(key, record);
+    const keys = this.keysOf.get(step.workflow) ?? new Set();
+    this.keysOf.set(step.workflow, keys.add(key));
     if (record.isAsking || workers.length === 0) return;
     record.isAsking = true;
     this.tell(key, record);
@@ -113,12 +118,11 @@
     }
   }
 
-  /** Drops what is known of steps that are over. */
-  prune(): void {
-    for (const key of this.steps.keys()) {
-      const id = key.slice(0, key.indexOf('.'));
-      if (!this.options.db.open.has(id as never)) this.steps.delete(key);
-    }
+  /** Drops what is known of the steps of a workflow, if it is over. */
+  prune(workflow: WorkflowId): void {
+    if (this.options.db.open.has(workflow)) return;
+    for (const key of this.keysOf.get(workflow) ?? []) this.steps.delete(key);
+    this.keysOf.delete(workflow);
   }
 
   /** Ends; answers that still come are dropped. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -36,6 +36,8 @@
 const PLAN_PAUSE_FACTOR = 2;
 /** Longest time between two passes, so that due times are met, in ms. */
 const PLAN_INTERVAL_MS = 100;
+/** Interval of the look at runs that stand still, in ms: a stall takes seconds to tell. */
+const STALL_INTERVAL_MS = 500;
 /** Longest lease given, in ms: covers a cut and a change of the leader. */
 const LEASE_MS = 7000;
 
@@ -91,9 +93,9 @@
       replica.applied.subscribe(command => this.onApplied(command)),
       clock.every(PLAN_INTERVAL_MS).subscribe(() => {
         this.desk.dispatch();
-        this.stopStalled();
         this.planSoon();
       }),
+      clock.every(STALL_INTERVAL_MS).subscribe(() => this.stopStalled()),
     );
     this.syncChannels();
     this.planSoon();
@@ -135,14 +137,17 @@
           this.channels.get(worker)?.kick();
         break;
       case 'end_runs':
-        this.desk.prune();
-        for (const {task, outcome} of command.ends)
+        for (const {task, outcome} of command.ends) {
+          this.desk.prune(task.workflow);
           if (outcome === 'done' || outcome === 'failed')
             this.noteEvidence(command.life.worker, task.workflow, outcome);
+        }
+        break;
+      case 'cancel':
+        this.desk.prune(command.id);
         break;
       case 'put_bundle':
       case 'submit':
-      case 'cancel':
       case 'void_runs':
     }
     this.planSoon();
--- a/packages/coordination/src/workflow/start_ledger.ts
+++ b/packages/coordination/src/workflow/start_ledger.ts
@@ -11,23 +11,35 @@
   | (ExpectedStart & {readonly kind: 'in_flight'})
   | (ExpectedStart & {readonly kind: 'confirmed'; readonly at: number});
 
+const NONE: readonly ExpectedStart[] = [];
+
 /** Remembers which starts are settled, so that a list is compared with what it can know. */
 export class StartLedger {
   private readonly starts = new Map<TaskKey, OrderedStart>();
+  private inFlightCount = 0;
+
+  private put(start: OrderedStart): void {
+    const key = taskKey(start.task);
+    if (this.isInFlight(key)) this.inFlightCount--;
+    if (start.kind === 'in_flight') this.inFlightCount++;
+    this.starts.set(key, start);
+  }
 
   /** Notes a start that is about to be recorded. */
   expect(task: TaskRef, run: number): void {
-    this.starts.set(taskKey(task), {kind: 'in_flight', task, run});
+    this.put({kind: 'in_flight', task, run});
   }
 
   /** Notes that the worker has taken a start, at a monotonic time in ms. */
   confirm(task: TaskRef, run: number, at: number): void {
-    this.starts.set(taskKey(task), {kind: 'confirmed', task, run, at});
+    this.put({kind: 'confirmed', task, run, at});
   }
 
   /** Drops a start that did not take place, or whose run has ended. */
   forget(task: TaskRef): void {
-    this.starts.delete(taskKey(task));
+    const key = taskKey(task);
+    if (this.isInFlight(key)) this.inFlightCount--;
+    this.starts.delete(key);
   }
 
   /** Drops a start unless a later run of the task is meant. */
@@ -36,7 +48,8 @@
   }
 
   /** Starts that are not settled. */
-  get expected(): ExpectedStart[] {
+  get expected(): readonly ExpectedStart[] {
+    if (this.inFlightCount === 0) return NONE;
     return [...this.starts.values()].filter(({kind}) => kind === 'in_flight');
   }
 
--- a/packages/coordination/src/workflow/stop_ledger.ts
+++ b/packages/coordination/src/workflow/stop_ledger.ts
@@ -45,6 +45,7 @@
 
   /** Tasks whose active run was told to stop. */
   stoppingOf(active: WorkerState['active'] | undefined): TaskKey[] {
+    if (this.stops.size === 0) return [];
     return [...this.stops]
       .filter(([key, {run}]) => active?.get(key)?.run === run)
       .map(([key]) => key);
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -68,7 +68,7 @@
   }
 
   /** Starts that are proposed or ordered here, and not yet settled. */
-  get expectedStarts(): ExpectedStart[] {
+  get expectedStarts(): readonly ExpectedStart[] {
     return this.starts.expected;
   }
 
--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -5,7 +5,6 @@
  */
 import type {AdviceTerms} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
-import {fitsInto, subtractRoom} from '../room.js';
 import type {Room, StepSpec} from '../types.js';
 import type {StepAdvice, WorkerView} from './types.js';
 
@@ -25,14 +24,23 @@
   {room: size, maxPerWorker}: StepSpec,
   room: Room,
 ): number => {
-  const bound = maxPerWorker > 0 ? maxPerWorker : MAX_COUNTED;
-  let left = room;
-  let count = 0;
-  while (count < bound && fitsInto(size, left)) {
-    left = subtractRoom(left, size);
-    count++;
-  }
-  return count;
+  const bound =
+    maxPerWorker > 0 ? Math.min(maxPerWorker, MAX_COUNTED) : MAX_COUNTED;
+  return Math.max(
+    0,
+    Math.min(
+      bound,
+      timesIn(size.cpuMillis, room.cpuMillis),
+      timesIn(size.memMb, room.memMb),
+      timesIn(size.gpus, room.gpus),
+    ),
+  );
+};
+
+/** How often an amount is in a whole; of nothing there is any number, but not in less than nothing. */
+const timesIn = (amount: number, whole: number): number => {
+  if (amount > 0) return Math.floor(whole / amount);
+  return whole >= 0 ? Number.POSITIVE_INFINITY : 0;
 };
 
 /** Places that a step has now on the workers that it may run on. */
@@ -41,14 +49,47 @@
   workers: readonly WorkerView[],
   advice: StepAdvice,
 ): number =>
-  workers
-    .filter(({worker}) => advice.allowed.has(worker))
-    .reduce((sum, {free}) => sum + countFitting(spec, free), 0);
+  workers.reduce(
+    (sum, {worker, free}) =>
+      advice.allowed.has(worker) ? sum + countFitting(spec, free) : sum,
+    0,
+  );
 
 /** Workers whose time in a call equals the fixed time of the call. */
 const balancedCount = ({baseMs, perWorkerMs}: AdviceTerms): number =>
   perWorkerMs > 0 ? Math.ceil(baseMs / perWorkerMs) : MAX_ADVISED_WORKERS;
 
+/** Places of a step on one worker. */
+interface Places {
+  readonly worker: WorkerId;
+  /** Places now, and on the empty worker. */
+  readonly now: number;
+  readonly empty: number;
+}
+
+/**
+ * Workers that could hold a task, those with most places now first, and of
+ * these the largest. Counts are small, so they are put into one list for each
+ * pair of counts in place of being compared with each other.
+ */
+const byPlaces = (
+  spec: StepSpec,
+  workers: readonly WorkerView[],
+): readonly Places[] => {
+  const lists = new Map<number, Places[]>();
+  for (const {worker, free, room} of workers) {
+    const empty = countFitting(spec, room);
+    if (empty === 0) continue;
+    const now = countFitting(spec, free);
+    const rank = now * (MAX_COUNTED + 1) + empty;
+    const list = lists.get(rank);
+    if (list) list.push({worker, now, empty});
+    else lists.set(rank, [{worker, now, empty}]);
+  }
+  const ranks = [...lists.keys()].sort((a, b) => b - a);
+  return ranks.flatMap(rank => lists.get(rank) ?? []);
+};
+
 /**
  * Workers to ask about next: those with the most room first, as many as are
  * expected to give enough places, and no fewer than the fixed time of a call
@@ -67,15 +108,10 @@
   const known = advice ? placesOf(spec, workers, advice) : 0;
   const missing = PLACES_PER_TASK * taskCount - known;
   if (missing <= 0) return [];
-  const unasked = workers
-    .filter(({worker}) => !advice?.asked.has(worker))
-    .map(view => ({
-      worker: view.worker,
-      now: countFitting(spec, view.free),
-      empty: countFitting(spec, view.room),
-    }))
-    .filter(({empty}) => empty > 0)
-    .sort((a, b) => b.now - a.now || b.empty - a.empty);
+  const unasked = byPlaces(
+    spec,
+    workers.filter(({worker}) => !advice?.asked.has(worker)),
+  );
   const chosen: WorkerId[] = [];
   let expected = 0;
   for (const {worker, now, empty} of unasked) {
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,13 +2,14 @@
 import type {AdviceTerms, Queue} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import {taskKeyIn} from '../refs.js';
-import {fitsInto, leftoverShare, subtractRoom} from '../room.js';
+import {NO_ROOM, fitsInto, leftoverShare, subtractRoom} from '../room.js';
 import type {StepKey, StepSpec} from '../types.js';
 import {MAX_ADVISED_WORKERS, workersToAsk} from './advice.js';
 import {AdviceTurns, renewBelowMs} from './advice_turns.js';
 import {findStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
 import {PlaceMaker} from './place_maker.js';
+import {canGiveWay} from './preemption.js';
 import {
   countByWorker,
   findTicket,
@@ -58,6 +59,10 @@
   private readonly places: PlaceMaker;
   private readonly turns: AdviceTurns;
   private readonly byPool = new Map<string, WorkerView[]>();
+  /** Usable workers by pool and required label. */
+  private readonly suitableBy = new Map<string, WorkerView[]>();
+  /** Steps with starts that are not settled. */
+  private readonly pendingSteps = new Set<string>();
   /** Steps that this pass asks about. */
   private readonly asked = new Set<StepKey>();
   /** Steps of which this pass starts tasks. */
@@ -70,6 +75,8 @@
     this.turns = new AdviceTurns(input.callerCount);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.keptFor.set(worker, step);
+    for (const key of input.pending.keys())
+      this.pendingSteps.add(key.slice(0, key.lastIndexOf('.')));
     for (const worker of input.workers.values()) {
       const pool = this.byPool.get(worker.pool) ?? [];
       pool.push(worker);
@@ -165,11 +172,13 @@
   /** Indexes of the tasks that nothing runs; none while a gang is not all gone. */
   private waitingTasks({ready, spec, state}: StepWork): number[] {
     const waiting: number[] = [];
+    if (state.idleCount === 0) return waiting;
+    const hasPending = this.pendingSteps.has(ready.key);
     for (const [index, task] of state.tasks.entries()) {
       if (task.isDone) continue;
       const isUnderWay =
         task.active.length > 0 ||
-        this.input.pending.has(taskKeyIn(ready.key, index));
+        (hasPending && this.input.pending.has(taskKeyIn(ready.key, index)));
       if (isUnderWay) {
         if (spec.isGang) return [];
         continue;
@@ -206,11 +215,14 @@
   /** Workers of the pool with the label that a step requires. */
   private suitable({pool}: Queue, spec: StepSpec): WorkerView[] {
     const {requiredLabel} = spec;
-    return (this.byPool.get(pool) ?? []).filter(
-      worker =>
-        worker.isUsable &&
-        (requiredLabel === undefined || worker.labels.has(requiredLabel)),
+    const key = `${pool}\n${requiredLabel ?? ''}`;
+    const known = this.suitableBy.get(key);
+    if (known) return known;
+    const suitable = (this.byPool.get(pool) ?? []).filter(worker =>
+      isSuitable(worker, requiredLabel),
     );
+    this.suitableBy.set(key, suitable);
+    return suitable;
   }
 
   private placeEach(work: StepWork, waiting: readonly number[]): void {
@@ -286,9 +298,15 @@
   }
 
   private candidatesOf(work: StepWork): WorkerView[] {
-    const suitable = this.suitable(work.queue, work.spec);
-    if (!work.queue.advice) return suitable;
-    return suitable.filter(({worker}) => work.advice?.allowed.has(worker));
+    const {queue, spec, advice} = work;
+    if (!queue.advice) return this.suitable(queue, spec);
+    const allowed: WorkerView[] = [];
+    for (const worker of advice?.allowed ?? []) {
+      const view = this.input.workers.get(worker);
+      if (view?.pool === queue.pool && isSuitable(view, spec.requiredLabel))
+        allowed.push(view);
+    }
+    return allowed;
   }
 
   /** The worker whose room is used up most by the task. */
@@ -300,8 +318,13 @@
     const size = sizeOf(work);
     let best: WorkerView | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
+    const mayUseKept = canGiveWay(spec);
     for (const worker of candidates) {
-      const free = usableRoom(work, worker);
+      // Most workers are full; those with nothing kept need no sum.
+      const free =
+        mayUseKept && worker.kept !== NO_ROOM
+          ? usableRoom(work, worker)
+          : worker.free;
       if (!fitsInto(size, free)) continue;
       if (!hasSpreadRoom(work, worker)) continue;
       const score =
@@ -363,3 +386,9 @@
     this.advice.push({step: ready.ref, workers: named});
   }
 }
+
+const isSuitable = (
+  {isUsable, labels}: WorkerView,
+  requiredLabel: string | undefined,
+): boolean =>
+  isUsable && (requiredLabel === undefined || labels.has(requiredLabel));
--- a/packages/state/src/workflow/planner/stops.ts
+++ b/packages/state/src/workflow/planner/stops.ts
@@ -1,57 +1,102 @@
 /** Finds runs that nobody needs any more. */
 import type {WorkflowDb} from '../db.js';
-import {taskKey} from '../refs.js';
-import type {StepState, TaskRef} from '../types.js';
+import {stepKey, taskKeyIn} from '../refs.js';
+import type {StepRef, StepState, TaskRef, WorkflowState} from '../types.js';
 import type {PlanInput, PlannedStop} from './types.js';
 
-/** Runs to stop; those whose start is not settled are left for a later pass. */
-export const findStops = ({db, pending}: PlanInput): PlannedStop[] => {
+type StopReason = PlannedStop['why'];
+type Inputs = Pick<PlanInput, 'db' | 'pending'>;
+
+/**
+ * Runs to stop; those whose start is not settled are left for a later pass.
+ * Only what the state marks as ended, done or a gang is looked at, so that a
+ * pass costs nothing for the runs that simply go on.
+ */
+export const findStops = (input: Inputs): PlannedStop[] => {
+  const {db} = input;
   const stops: PlannedStop[] = [];
-  for (const {report, active} of db.workers.values()) {
-    for (const [key, {task, run}] of active) {
-      const why = whyStop(db, pending, task, run);
-      if (why && !pending.has(key))
-        stops.push({
-          task,
-          run,
-          worker: report.worker,
-          bornAt: report.bornAt,
-          why,
-        });
-    }
+  for (const id of db.running.ending) {
+    const workflow = db.workflows.get(id);
+    if (workflow) addEnded(input, workflow, stops);
+  }
+  for (const [key, task] of db.running.doneWithRuns) {
+    const isOpen = db.open.has(task.workflow);
+    if (isOpen && !input.pending.has(key))
+      addRuns(db, task, 'task_done', stops);
   }
-  return stops;
+  for (const gang of db.running.gangs.values()) addBroken(input, gang, stops);
+  // A replay finds them in another order.
+  return stops.sort(byTask);
+};
+
+/** Stops for all runs of a workflow that has ended. */
+const addEnded = (
+  {db, pending}: Inputs,
+  {id, spec, occurrences}: WorkflowState,
+  stops: PlannedStop[],
+): void => {
+  for (const [occurrence, steps] of occurrences)
+    steps.forEach((state, step) => {
+      const ref = {workflow: id, occurrence, step};
+      const key = stepKey(ref);
+      const isGang = spec.steps[step]?.isGang === true;
+      state.tasks.forEach(({active, isDone}, index) => {
+        // The members of a gang that is done end by themselves.
+        if (active.length === 0 || (isDone && isGang)) return;
+        if (!pending.has(taskKeyIn(key, index)))
+          addRuns(db, {...ref, index}, 'workflow_ended', stops);
+      });
+    });
 };
 
-const whyStop = (
+/** Stops for the runs of a gang of which a member is missing for good. */
+const addBroken = (
+  {db, pending}: Inputs,
+  gang: StepRef,
+  stops: PlannedStop[],
+): void => {
+  const state = db.open.get(gang.workflow)?.occurrences.get(gang.occurrence)?.[
+    gang.step
+  ];
+  if (!state) return;
+  const key = stepKey(gang);
+  const isPending = (index: number): boolean =>
+    pending.has(taskKeyIn(key, index));
+  for (const run of runsOf(state)) {
+    const isWhole = state.tasks.every(
+      ({active}, index) =>
+        active.some(other => other.run === run) || isPending(index),
+    );
+    if (isWhole) continue;
+    state.tasks.forEach(({active, isDone}, index) => {
+      const member = active.find(other => other.run === run);
+      if (!member || isDone || isPending(index)) return;
+      stops.push({...member, task: {...gang, index}, why: 'gang_broken'});
+    });
+  }
+};
+
+const runsOf = ({tasks}: StepState): Set<number> =>
+  new Set(tasks.flatMap(({active}) => active.map(({run}) => run)));
+
+const addRuns = (
   db: WorkflowDb,
-  pending: PlanInput['pending'],
   task: TaskRef,
-  run: number,
-): PlannedStop['why'] | undefined => {
-  const workflow = db.open.get(task.workflow);
-  const step = db.workflows
-    .get(task.workflow)
-    ?.occurrences.get(task.occurrence)?.[task.step];
-  const isGang =
-    db.workflows.get(task.workflow)?.spec.steps[task.step]?.isGang === true;
-  const isDone = step?.tasks[task.index]?.isDone === true;
-  // The members of a gang that is done end by themselves.
-  if (isDone) return isGang ? undefined : 'task_done';
-  if (!workflow || !step) return 'workflow_ended';
-  if (isGang && isGangBroken(step, pending, task, run)) return 'gang_broken';
-  return undefined;
+  why: StopReason,
+  stops: PlannedStop[],
+): void => {
+  for (const {run, worker, bornAt} of db.findTask(task)?.active ?? [])
+    stops.push({task, run, worker, bornAt, why});
 };
 
-/** Whether a member of a gang's run is missing for good. */
-const isGangBroken = (
-  step: StepState,
-  pending: PlanInput['pending'],
-  task: TaskRef,
-  run: number,
-): boolean =>
-  step.tasks.some(
-    (member, index) =>
-      !member.active.some(active => active.run === run) &&
-      !pending.has(taskKey({...task, index})),
-  );
+const byTask = (a: PlannedStop, b: PlannedStop): number =>
+  compare(a.task.workflow, b.task.workflow) ||
+  a.task.occurrence - b.task.occurrence ||
+  a.task.step - b.task.step ||
+  a.task.index - b.task.index ||
+  a.run - b.run;
+
+const compare = (a: string, b: string): number => {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+};
