--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -59,35 +59,36 @@
 const balancedCount = ({baseMs, perWorkerMs}: AdviceTerms): number =>
   perWorkerMs > 0 ? Math.ceil(baseMs / perWorkerMs) : MAX_ADVISED_WORKERS;
 
-/** Places of a step on one worker. */
-interface Places {
-  readonly worker: WorkerId;
-  /** Places now, and on the empty worker. */
+/** Workers with the same number of places for a step. */
+interface EqualWorkers {
+  /** Places on each now, and on each when it is empty. */
   readonly now: number;
   readonly empty: number;
+  readonly workers: WorkerId[];
 }
 
 /**
- * Workers that could hold a task, those with most places now first, and of
- * these the largest. Counts are small, so they are put into one list for each
- * pair of counts in place of being compared with each other.
+ * Workers not asked about that could hold a task, those with most places now
+ * first, and of these the largest. Counts are small, so workers are put into
+ * one list for each pair of counts in place of being compared with each other.
  */
 const byPlaces = (
   spec: StepSpec,
-  workers: readonly WorkerView[],
-): readonly Places[] => {
-  const lists = new Map<number, Places[]>();
-  for (const {worker, free, room} of workers) {
+  views: readonly WorkerView[],
+  asked: ReadonlySet<WorkerId> | undefined,
+): readonly EqualWorkers[] => {
+  const lists = new Map<number, EqualWorkers>();
+  for (const {worker, free, room} of views) {
+    if (asked?.has(worker)) continue;
     const empty = countFitting(spec, room);
     if (empty === 0) continue;
     const now = countFitting(spec, free);
     const rank = now * (MAX_COUNTED + 1) + empty;
     const list = lists.get(rank);
-    if (list) list.push({worker, now, empty});
-    else lists.set(rank, [{worker, now, empty}]);
+    if (list) list.workers.push(worker);
+    else lists.set(rank, {now, empty, workers: [worker]});
   }
-  const ranks = [...lists.keys()].sort((a, b) => b - a);
-  return ranks.flatMap(rank => lists.get(rank) ?? []);
+  return [...lists.values()].sort((a, b) => b.now - a.now || b.empty - a.empty);
 };
 
 /**
@@ -108,19 +109,18 @@
   const known = advice ? placesOf(spec, workers, advice) : 0;
   const missing = PLACES_PER_TASK * taskCount - known;
   if (missing <= 0) return [];
-  const unasked = byPlaces(
-    spec,
-    workers.filter(({worker}) => !advice?.asked.has(worker)),
-  );
   const chosen: WorkerId[] = [];
+  const wantedCount = balancedCount(terms);
   let expected = 0;
-  for (const {worker, now, empty} of unasked) {
-    const isEnough =
-      expected >= missing && chosen.length >= balancedCount(terms);
-    if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) break;
-    // A busy worker has room only now and then.
-    expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
-    chosen.push(worker);
+  for (const equals of byPlaces(spec, workers, advice?.asked)) {
+    const {now, empty} = equals;
+    for (const worker of equals.workers) {
+      const isEnough = expected >= missing && chosen.length >= wantedCount;
+      if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) return chosen;
+      // A busy worker has room only now and then.
+      expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
+      chosen.push(worker);
+    }
   }
   return chosen;
 };
