Fewer writes, messages and parses at a leader

Each sync of a leader is a message to every follower, which began as soon as one proposal was there; the entries were encoded anew for each follower; a list from a worker was parsed twice; log lines of each turn were a write of their own through the thread pool.

Change: a leader begins a write 9 ms after the one before at the soonest (a first proposal does not wait); entries are encoded once for all followers; one parse; lines are gathered for 20 ms, and written when the process ends, so that its last line is no longer lost.

--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -43,6 +43,11 @@
     return context.effects;
   }
 
+  /** Whether the node leads. */
+  get isLeader(): boolean {
+    return this.context.role === 'leader';
+  }
+
   /** A look at the state. */
   get status(): ConsensusStatus {
     const {context} = this;
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -11,11 +11,12 @@
   type VmId,
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
-import type {Clock} from '@primrosewick/transport';
+import {pause, type Clock} from '@primrosewick/transport';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
 import {persistWrites} from './persistence.js';
 import {ConsensusPump} from './pump.js';
+import {EntryPacker, unpackEnvelope, type PackedEnvelope} from './packing.js';
 import {Waiters} from './waiters.js';
 import type {
   ConsensusStatus,
@@ -71,13 +72,15 @@
 const COMPACT_ENTRIES = 4000;
 /** Entries after which the log is compacted even if a member lags. */
 const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
+/** Shortest time between the beginnings of two writes of a leader, in ms. */
+const WRITE_INTERVAL_MS = 9;
 /** Longest time between two looks at the clock, in ms. */
 const MAX_TICK_MS = 100;
 
 /** A VM that waits for the messages that its own led to. */
 interface Collector<C> {
   readonly vm: VmId;
-  readonly resolve: (envelopes: ReadonlyArray<Envelope<C>>) => void;
+  readonly resolve: (envelopes: ReadonlyArray<PackedEnvelope<C>>) => void;
 }
 
 /** Drives the consensus core: one sync at a time, then messages and deliveries. */
@@ -89,6 +92,9 @@
   private readonly diskGuard = new DiskGuard();
   private collectors: Array<Collector<C>> = [];
   private readonly waiters = new Waiters<R>();
+  private readonly packer = new EntryPacker<C>();
+  /** Monotonic time before which a leader begins no other write, in ms. */
+  private nextWriteAt = Number.NEGATIVE_INFINITY;
   private isRunning = false;
   private failure: CellError | null = null;
   private isNoticeDue = false;
@@ -164,18 +170,22 @@
    */
   receive(
     from: VmId,
-    envelopes: ReadonlyArray<Envelope<C>>,
-  ): Promise<ReadonlyArray<Envelope<C>>> {
+    envelopes: ReadonlyArray<PackedEnvelope<C>>,
+  ): Promise<ReadonlyArray<PackedEnvelope<C>>> {
     return new Promise(resolve => {
       this.collectors.push({vm: from, resolve});
       this.offerMessages(envelopes);
     });
   }
 
-  private offerMessages(envelopes: ReadonlyArray<Envelope<C>>): void {
+  private offerMessages(envelopes: ReadonlyArray<PackedEnvelope<C>>): void {
     const now = this.options.clock.now();
     for (const envelope of envelopes)
-      this.pump.offer({kind: 'message', now, envelope});
+      this.pump.offer({
+        kind: 'message',
+        now,
+        envelope: unpackEnvelope(envelope),
+      });
     void this.run();
   }
 
@@ -246,7 +256,10 @@
     if (this.isRunning || this.failure) return;
     this.isRunning = true;
     try {
-      while (this.pump.hasInput) await this.runOnce();
+      while (this.pump.hasInput) {
+        await this.gatherProposals();
+        await this.runOnce();
+      }
     } catch (err) {
       this.fail(toCellError(err, 'persist'));
     } finally {
@@ -254,6 +267,16 @@
     }
   }
 
+  /**
+   * Lets proposals gather while a leader writes often: each write is a message
+   * to every follower, whatever it holds. A first proposal is not kept waiting.
+   */
+  private async gatherProposals(): Promise<void> {
+    const waitMs = this.nextWriteAt - this.options.clock.now();
+    if (waitMs > 0 && this.core.isLeader)
+      await pause(this.options.clock, waitMs);
+  }
+
   private async runOnce(): Promise<void> {
     const collectors = this.collectors;
     this.collectors = [];
@@ -288,6 +311,7 @@
       : emptyState<C>();
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
+    this.nextWriteAt = beganAt + WRITE_INTERVAL_MS;
     const isSlow = this.diskGuard.note(now - beganAt, now);
     if (isSlow && this.core.status.role === 'leader') this.transferAway();
   }
@@ -297,10 +321,13 @@
     envelopes: ReadonlyArray<Envelope<C>>,
     collectors: ReadonlyArray<Collector<C>>,
   ): void {
-    const byVm = new Map<VmId, Array<Envelope<C>>>();
+    const byVm = new Map<VmId, Array<PackedEnvelope<C>>>();
     for (const envelope of envelopes) {
       const vm = vmOfNode(envelope.to);
-      byVm.set(vm, [...(byVm.get(vm) ?? []), envelope]);
+      const batch = byVm.get(vm);
+      const packed = this.packer.pack(envelope);
+      if (batch) batch.push(packed);
+      else byVm.set(vm, [packed]);
     }
     for (const {vm, resolve} of collectors) {
       resolve(byVm.get(vm) ?? []);
@@ -311,12 +338,12 @@
 
   private async send(
     vm: VmId,
-    envelopes: ReadonlyArray<Envelope<C>>,
+    envelopes: ReadonlyArray<PackedEnvelope<C>>,
   ): Promise<void> {
     try {
       const reply = await this.options.peers.call(vm, 'consensus', {envelopes});
       if (reply.envelopes.length > 0)
-        this.offerMessages(reply.envelopes as ReadonlyArray<Envelope<C>>);
+        this.offerMessages(reply.envelopes as ReadonlyArray<PackedEnvelope<C>>);
     } catch {
       // The core sends again what is not answered.
     }
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -10,7 +10,7 @@
   restoreState,
   type Announced,
   type ConsensusStatus,
-  type Envelope,
+  type PackedEnvelope,
   type LogAccess,
   type Restored,
   type WorkflowReplica,
@@ -184,9 +184,9 @@
     from: VmId,
     envelopes: readonly unknown[],
   ): Promise<readonly unknown[]> {
-    const own = (envelopes as ReadonlyArray<Envelope<WorkflowCommand>>).filter(
-      ({to}) => to === this.identity,
-    );
+    const own = (
+      envelopes as ReadonlyArray<PackedEnvelope<WorkflowCommand>>
+    ).filter(({to}) => to === this.identity);
     return this.task ? this.task.receive(from, own) : [];
   }
 
--- a/packages/daemon/src/voter.ts
+++ b/packages/daemon/src/voter.ts
@@ -9,7 +9,7 @@
   repairMembers,
   replaceState,
   restoreState,
-  type Envelope,
+  type PackedEnvelope,
   type FolderIdentity,
   type ReplicaTask,
   type Restored,
@@ -126,7 +126,7 @@
     from: VmId,
     envelopes: readonly unknown[],
   ): Promise<readonly unknown[]> {
-    const own = envelopes as ReadonlyArray<Envelope<CellCommand>>;
+    const own = envelopes as ReadonlyArray<PackedEnvelope<CellCommand>>;
     const meant = own.filter(({to}) => to === this.node);
     for (let i = meant.length; i < own.length; i++)
       this.options.metrics.addDrop('wrong_identity');
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -14,7 +14,7 @@
   replaceState,
   restoreState,
   type Entry,
-  type Envelope,
+  type PackedEnvelope,
 } from '@primrosewick/coordination';
 import type {PeerMethod, PeerMethods, VmSettings} from '@primrosewick/protocol';
 import {
@@ -204,7 +204,9 @@
     request: unknown,
   ): Promise<unknown> {
     if (method === 'consensus') {
-      const {envelopes} = request as {envelopes: Array<Envelope<CellCommand>>};
+      const {envelopes} = request as {
+        envelopes: Array<PackedEnvelope<CellCommand>>;
+      };
       return {envelopes: (await target.voter?.receive(from, envelopes)) ?? []};
     }
     if (method === 'follow')
--- a/packages/transport/src/logs/sink.spec.ts
+++ b/packages/transport/src/logs/sink.spec.ts
@@ -11,7 +11,7 @@
       written.push(bytes.toString());
       finish = () => done(null, bytes.length);
     };
-    const sink = new LogSink({write, maxWaitingBytes: 10});
+    const sink = new LogSink({write, maxWaitingBytes: 10, gatherMs: 0});
     sink.write('first\n');
     await turn();
     for (let i = 0; i < 100; i++) sink.write('line\n');
@@ -28,10 +28,21 @@
       written.push(part.toString());
       setImmediate(() => done(null, part.length));
     };
-    const sink = new LogSink({write});
+    const sink = new LogSink({write, gatherMs: 0});
     sink.write('one\n');
     sink.write('two\n');
     for (let i = 0; i < 4; i++) await turn();
     expect(written).to.eql(['one\n', 'two\n']);
   });
+  it('lines that wait when the process ends are written then', () => {
+    const last: string[] = [];
+    const sink = new LogSink({
+      write: () => undefined,
+      writeLast: bytes => last.push(bytes.toString()),
+    });
+    sink.write('stopped\n');
+    sink.end();
+    sink.end();
+    expect(last).to.eql(['stopped\n']);
+  });
 });
--- a/packages/transport/src/logs/sink.ts
+++ b/packages/transport/src/logs/sink.ts
@@ -2,7 +2,7 @@
  * Writes log lines without ever waiting for the reader: lines are kept up to
  * a bound while a write is under way, and those beyond it are counted.
  */
-import {write} from 'node:fs';
+import {write, writeSync} from 'node:fs';
 
 /** Writes bytes and calls back with the number written. */
 export type WriteBytes = (
@@ -15,11 +15,16 @@
   readonly write: WriteBytes;
   /** Bytes of lines that may wait. */
   readonly maxWaitingBytes?: number;
+  /** Writes what waits when the process ends; lines are lost without it. */
+  readonly writeLast?: (bytes: Buffer) => void;
+  /** Time for which lines are gathered before they go out together, in ms. */
+  readonly gatherMs?: number;
   /** Makes the line that tells how many were dropped. */
   readonly droppedLine?: (count: number) => string;
 }
 
 const DEFAULT_MAX_WAITING_BYTES = 512 * 1024;
+const DEFAULT_GATHER_MS = 20;
 /** Pause before a failed write is tried again, in ms. */
 const RETRY_PAUSE_MS = 50;
 
@@ -45,8 +50,8 @@
     this.waitingBytes += line.length;
     if (!this.isWriting) {
       this.isWriting = true;
-      // Lines of one turn go out in one call.
-      setImmediate(() => this.flush());
+      // Lines that come together go out in one call.
+      this.gather(() => this.flush());
     }
     return true;
   }
@@ -56,6 +61,20 @@
     return this.dropped;
   }
 
+  /** Writes what waits, as the process is about to end. */
+  end(): void {
+    const bytes = Buffer.from(this.waiting.join(''));
+    this.waiting = [];
+    this.waitingBytes = 0;
+    if (bytes.length > 0) this.options.writeLast?.(bytes);
+  }
+
+  private gather(then: () => void): void {
+    const {gatherMs = DEFAULT_GATHER_MS} = this.options;
+    if (gatherMs === 0) setImmediate(then);
+    else setTimeout(then, gatherMs);
+  }
+
   private flush(): void {
     const lines = this.waiting;
     if (this.dropped > 0) {
@@ -95,4 +114,11 @@
   new LogSink({
     write: (bytes, done) =>
       write(STDOUT_FD, bytes, (err, written) => done(err, written)),
+    writeLast: bytes => {
+      try {
+        writeSync(STDOUT_FD, bytes);
+      } catch {
+        // A reader that does not read must not keep the process from ending.
+      }
+    },
   });
