One line and a histogram tell where the time to a first start went

A workflow's way from its acceptance to its first running task is told by stages: wanted (until its adviser is to be asked), asked (turn and queue), advised (the call), planned (a pass with room and tickets), recorded (the log), started (the order).

--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -40,6 +40,11 @@
     workers: readonly WorkerId[],
   ) => Promise<AdviceReply>;
   readonly onChange: () => void;
+  /** Called as a step's adviser is to be asked, is asked and has answered. */
+  readonly onCall?: (
+    step: StepRef,
+    moment: 'wanted' | 'asked' | 'advised',
+  ) => void;
   /** Called with what is known of a step from now on. */
   readonly onAdvice?: (step: StepKey, advice: StepAdvice) => void;
 }
@@ -84,6 +89,7 @@
     this.keysOf.set(step.workflow, keys.add(key));
     if (record.isAsking || workers.length === 0) return;
     record.isAsking = true;
+    this.options.onCall?.(step, 'wanted');
     this.tell(key, record);
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
     this.waiting.push({step, workers, costMs, validMs: terms.validMs});
@@ -158,6 +164,7 @@
 
   private async send(caller: CallerLoad, call: QueuedCall): Promise<void> {
     beginCall(caller, call.costMs);
+    this.options.onCall?.(call.step, 'asked');
     const {clock, logger, onChange} = this.options;
     const sentAt = clock.now();
     const lives = new Map(
@@ -209,6 +216,7 @@
     const record = this.steps.get(stepKey(step));
     if (!record) return;
     record.isAsking = false;
+    this.options.onCall?.(step, 'advised');
     // What was said of a life that has ended meanwhile tells nothing of the next.
     const isSame = (worker: WorkerId): boolean =>
       lives.get(worker) === this.lifeOf(worker);
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -25,6 +25,7 @@
 import {AdviceDesk} from './advice_desk.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
+import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {StrayBoard} from './stray_board.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
@@ -54,6 +55,7 @@
   private reserved: Plan['reserved'] = new Map();
   private readonly journal: PassJournal | undefined;
   private readonly waitLog: WaitLog;
+  private readonly timeline = new StartTimeline();
   private isPlanDue = false;
   /** Time that the last pass took, in ms. */
   private lastPassMs = 0;
@@ -78,6 +80,7 @@
       ask,
       onChange: () => this.planSoon(),
       onAdvice: (step, advice) => this.journal?.noteAdvice(step, advice),
+      onCall: (step, moment) => this.noteMoment(step.workflow, moment),
     });
     this.journal = options.recorder
       ? new PassJournal(options.recorder, () =>
@@ -145,14 +148,31 @@
         break;
       case 'cancel':
         this.desk.prune(command.id);
+        this.timeline.forget(command.id);
         break;
-      case 'put_bundle':
       case 'submit':
+        this.timeline.begin(command.id, this.options.clock.now());
+        break;
+      case 'put_bundle':
       case 'void_runs':
     }
     this.planSoon();
   }
 
+  private noteMoment(id: WorkflowId, moment: StartMoment): void {
+    this.timeline.note(id, moment, this.options.clock.now());
+  }
+
+  /** Tells where the time until a workflow's first start went. */
+  private tellFirstStart(id: WorkflowId): void {
+    const stages = this.timeline.finish(id, this.options.clock.now());
+    if (!stages) return;
+    this.options.logger.info(
+      {decision: 'first_start', req: id, stages},
+      'a first task of a workflow runs',
+    );
+  }
+
   /** Keeps one channel for each registered life. */
   private syncChannels(): void {
     if (this.isClosed) return;
@@ -192,6 +212,7 @@
       othersUntil: this.startedAt + unawareMs,
       record: command => this.record(command),
       onChange: () => this.planSoon(),
+      onStarted: task => this.tellFirstStart(task.workflow),
       onStartFailed: (task, why) => {
         if (why.kind === 'refused' && why.why === 'unhealthy')
           this.noteEvidence(life.worker, task.workflow, 'refused');
@@ -332,8 +353,10 @@
   }
 
   private async startRuns(starts: readonly PlannedStart[]): Promise<void> {
-    for (const {task, run, worker} of starts)
+    for (const {task, run, worker} of starts) {
       this.channels.get(worker)?.expect(task, run);
+      this.noteMoment(task.workflow, 'planned');
+    }
     const isRecorded = await this.record({
       kind: 'start_runs',
       starts: starts.map(({task, run, worker, bornAt}) => ({
@@ -371,6 +394,7 @@
       },
       'a task is started',
     );
+    this.noteMoment(task.workflow, 'recorded');
     void channel.start({
       task,
       run,
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -126,6 +126,7 @@
       const at = this.options.clock.now();
       this.workerClock.note(at, answer.clockMs);
       this.starts.confirm(order.task, order.run, at);
+      this.options.onStarted(order.task);
     } else {
       await this.onStartFailed(order, answer);
       this.starts.forget(order.task);
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -28,6 +28,8 @@
   readonly record: (command: WorkflowCommand) => Promise<unknown>;
   /** Called when room, runs or reachability have changed. */
   readonly onChange: () => void;
+  /** Called when the worker has taken a start. */
+  readonly onStarted: (task: TaskRef) => void;
   /** Called for the reason of each start that did not take place. */
   readonly onStartFailed: (
     task: TaskRef,
--- a/packages/transport/src/logs/line_metrics.ts
+++ b/packages/transport/src/logs/line_metrics.ts
@@ -12,6 +12,8 @@
   readonly err?: {readonly code?: string};
   /** How long the subject of the line waited or took, in ms. */
   readonly waitMs?: number;
+  /** Parts of the time that the subject of the line took, in ms, by name. */
+  readonly stages?: Readonly<Record<string, number>>;
 }
 
 const WAIT_BUCKETS_MS = [
@@ -23,6 +25,7 @@
   private readonly decisions: Counter<'decision' | 'outcome'>;
   private readonly changes: Counter<'change'>;
   private readonly waits: Histogram<'decision'>;
+  private readonly stages: Histogram<'decision' | 'stage'>;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -45,6 +48,13 @@
       buckets: WAIT_BUCKETS_MS,
       registers,
     });
+    this.stages = new Histogram({
+      name: 'primrosewick_stage_ms',
+      help: 'Parts of the time that the subject of a decision took, in ms.',
+      labelNames: ['decision', 'stage'],
+      buckets: WAIT_BUCKETS_MS,
+      registers,
+    });
   }
 
   /** Counts one line. */
@@ -54,6 +64,8 @@
     const {decision} = line;
     this.decisions.inc({decision, outcome: outcomeOf(line)});
     if (line.waitMs !== undefined) this.waits.observe({decision}, line.waitMs);
+    for (const [stage, ms] of Object.entries(line.stages ?? {}))
+      this.stages.observe({decision, stage}, ms);
   }
 }
 
