--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -5,13 +5,14 @@
 import type Logger from 'bunyan';
 import type {AdviceReply} from '@primrosewick/protocol';
 import {
+  AdviceRecord,
   stepKey,
+  type AdviceChange,
   type AdviceTerms,
   type AdviceWish,
   type StepAdvice,
   type StepKey,
   type StepRef,
-  type Ticket,
   type VmId,
   type WorkerId,
   type WorkflowDb,
@@ -45,15 +46,8 @@
     step: StepRef,
     moment: 'wanted' | 'asked' | 'advised',
   ) => void;
-  /** Called with what is known of a step from now on. */
-  readonly onAdvice?: (step: StepKey, advice: StepAdvice) => void;
-}
-
-interface StepRecord {
-  readonly asked: Set<WorkerId>;
-  readonly allowed: Set<WorkerId>;
-  readonly tickets: Map<WorkerId, Ticket>;
-  isAsking: boolean;
+  /** Called with what has changed of a step's advice. */
+  readonly onAdvice?: (step: StepKey, change: AdviceChange) => void;
 }
 
 interface QueuedCall extends AdviceWish {
@@ -66,7 +60,7 @@
 
 /** Asks for advice while this VM leads. */
 export class AdviceDesk {
-  private readonly steps = new Map<StepKey, StepRecord>();
+  private readonly steps = new Map<StepKey, AdviceRecord>();
   /** Steps that are asked about, by workflow. */
   private readonly keysOf = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
@@ -83,14 +77,13 @@
   /** Asks about workers, now or once a VM is free for the call. */
   want({step, workers}: AdviceWish, terms: AdviceTerms): void {
     const key = stepKey(step);
-    const record = this.steps.get(key) ?? freshRecord();
+    const record = this.steps.get(key) ?? new AdviceRecord();
     this.steps.set(key, record);
     const keys = this.keysOf.get(step.workflow) ?? new Set();
     this.keysOf.set(step.workflow, keys.add(key));
     if (record.isAsking || workers.length === 0) return;
-    record.isAsking = true;
     this.options.onCall?.(step, 'wanted');
-    this.tell(key, record);
+    this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
     this.waiting.push({step, workers, costMs, validMs: terms.validMs});
     this.dispatch();
@@ -116,12 +109,8 @@
    * another kind, and the adviser may have left out one that was down.
    */
   forget(worker: WorkerId): void {
-    for (const [key, record] of this.steps) {
-      const wasAsked = record.asked.delete(worker);
-      const wasAllowed = record.allowed.delete(worker);
-      record.tickets.delete(worker);
-      if (wasAsked || wasAllowed) this.tell(key, record);
-    }
+    for (const [key, record] of this.steps)
+      this.change(key, record, {forgotten: worker});
   }
 
   /** Drops what is known of the steps of a workflow, if it is over. */
@@ -147,8 +136,15 @@
     return this.options.db.workers.get(worker)?.report.bornAt;
   }
 
-  private tell(key: StepKey, record: StepRecord): void {
-    if (this.steps.get(key) === record) this.options.onAdvice?.(key, record);
+  /** Changes what is known of a step, and tells of it where it still matters. */
+  private change(
+    key: StepKey,
+    record: AdviceRecord,
+    change: AdviceChange,
+  ): void {
+    const hasChanged = record.apply(change);
+    if (hasChanged && this.steps.get(key) === record)
+      this.options.onAdvice?.(key, change);
   }
 
   private loadOf(vm: VmId): CallerLoad {
@@ -215,35 +211,27 @@
   ): void {
     const record = this.steps.get(stepKey(step));
     if (!record) return;
-    record.isAsking = false;
     this.options.onCall?.(step, 'advised');
     // What was said of a life that has ended meanwhile tells nothing of the next.
     const isSame = (worker: WorkerId): boolean =>
       lives.get(worker) === this.lifeOf(worker);
-    for (const worker of workers) if (isSame(worker)) record.asked.add(worker);
     const validUntil = this.options.clock.now() + validMs;
-    for (const {worker, ticket} of allowed) {
-      const bornAt = this.lifeOf(worker);
-      if (bornAt === undefined || !isSame(worker)) continue;
-      record.allowed.add(worker);
-      record.tickets.set(worker, {bornAt, text: ticket, validUntil});
-    }
-    this.tell(stepKey(step), record);
+    this.change(stepKey(step), record, {
+      isAsking: false,
+      asked: workers.filter(isSame),
+      tickets: allowed.flatMap(({worker, ticket}) => {
+        const bornAt = this.lifeOf(worker);
+        if (bornAt === undefined || !isSame(worker)) return [];
+        return [[worker, {bornAt, text: ticket, validUntil}] as const];
+      }),
+    });
   }
 
   private retryLater({step}: QueuedCall): void {
     const record = this.steps.get(stepKey(step));
     this.options.clock.after(RETRY_PAUSE_MS).subscribe(() => {
-      if (record) record.isAsking = false;
-      if (record) this.tell(stepKey(step), record);
+      if (record) this.change(stepKey(step), record, {isAsking: false});
       this.options.onChange();
     });
   }
 }
-
-const freshRecord = (): StepRecord => ({
-  asked: new Set(),
-  allowed: new Set(),
-  tickets: new Map(),
-  isAsking: false,
-});
--- a/packages/coordination/src/workflow/pass_journal.ts
+++ b/packages/coordination/src/workflow/pass_journal.ts
@@ -2,13 +2,12 @@
 import {
   notesOf,
   outcomeOf,
-  toAdviceLine,
   toImage,
   withoutPayload,
+  type AdviceChange,
   type PassEvent,
   type Plan,
   type PlannerEvent,
-  type StepAdvice,
   type StepKey,
   type WorkflowCommand,
 } from '@primrosewick/state';
@@ -44,9 +43,9 @@
     this.add({kind: 'record', index, command: kept});
   }
 
-  /** Notes what is known of a step's advice from now on. */
-  noteAdvice(step: StepKey, advice: StepAdvice): void {
-    this.add({kind: 'advice', step, advice: toAdviceLine(advice)});
+  /** Notes what has changed of a step's advice. */
+  noteAdvice(step: StepKey, change: AdviceChange): void {
+    this.add({kind: 'advice', step, change});
   }
 
   /** Notes a pass and its decisions; of those without any, one now and then. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -79,7 +79,7 @@
       callers,
       ask,
       onChange: () => this.planSoon(),
-      onAdvice: (step, advice) => this.journal?.noteAdvice(step, advice),
+      onAdvice: (step, change) => this.journal?.noteAdvice(step, change),
       onCall: (step, moment) => this.noteMoment(step.workflow, moment),
     });
     this.journal = options.recorder
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -34,6 +34,7 @@
 export {occurrenceCount} from './workflow/task_state.js';
 export * from './workflow/refs.js';
 export * from './workflow/admission/core.js';
+export {AdviceRecord} from './workflow/journal/advice_record.js';
 export * from './workflow/journal/core.js';
 export * from './workflow/journal/remaining.js';
 export * from './workflow/journal/types.js';
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -5,7 +5,7 @@
 import type {WorkerId} from '../../ids/types.js';
 import type {DecisionNote} from '../../requests/types.js';
 import {assertNever} from '../../utils/assert_never.js';
-import {reviverOf} from '../../utils/image.js';
+import {mapReviver, reviverOf} from '../../utils/image.js';
 import {WorkflowDb} from '../db.js';
 import {plan} from '../planner/core.js';
 import type {Plan, PlanInput, StepAdvice} from '../planner/types.js';
@@ -15,7 +15,8 @@
 import {hasRuns} from '../task_state.js';
 import type {StepKey, TaskKey, WorkflowSpec} from '../types.js';
 import {toldTimes} from './remaining.js';
-import {fromAdviceLine, type PassEvent, type PlannerEvent} from './types.js';
+import {AdviceRecord, reviveAdviceRecord} from './advice_record.js';
+import type {AdviceChange, PassEvent, PlannerEvent} from './types.js';
 
 /** Decisions of a pass in the form in which they are compared. */
 export interface PassOutcome {
@@ -85,7 +86,7 @@
 
 /** The planner as it is replayed. */
 export class PlannerCore {
-  private readonly advice = new Map<StepKey, StepAdvice>();
+  private readonly advice = new Map<StepKey, AdviceRecord>();
 
   constructor(private readonly db = new WorkflowDb()) {}
 
@@ -99,7 +100,7 @@
         this.db.apply(event.index, event.command);
         return {outcome: null, notes: []};
       case 'advice':
-        this.advice.set(event.step, fromAdviceLine(event.advice));
+        this.applyAdvice(event.step, event.change);
         return {outcome: null, notes: []};
       case 'pass':
         return this.decide(event);
@@ -108,6 +109,12 @@
     }
   }
 
+  private applyAdvice(step: StepKey, change: AdviceChange): void {
+    const record = this.advice.get(step) ?? new AdviceRecord();
+    record.apply(change);
+    this.advice.set(step, record);
+  }
+
   private decide(pass: PassEvent) {
     const times = toldTimes(pass);
     const plan = decidePass(pass, {
@@ -154,4 +161,5 @@
   db: reviverOf(WorkflowDb.prototype, {
     running: reviverOf(RunIndex.prototype),
   }),
+  advice: mapReviver(reviveAdviceRecord),
 });
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -1,15 +1,18 @@
 /** What the planner is told, in the form in which it is journaled. */
 import type {WorkerId} from '../../ids/types.js';
 import type {ExpectedRun} from '../planner/views.js';
-import type {StepAdvice, Ticket} from '../planner/types.js';
+import type {Ticket} from '../planner/types.js';
 import type {StepKey, TaskKey, WorkflowCommand} from '../types.js';
 
-/** What the adviser has said of one step, as plain data. */
-export interface AdviceLine {
-  readonly asked: readonly WorkerId[];
-  readonly allowed: readonly WorkerId[];
-  readonly tickets: ReadonlyArray<readonly [WorkerId, Ticket]>;
-  readonly isAsking: boolean;
+/** What was learnt or forgotten of one step's advice; what is left out stays. */
+export interface AdviceChange {
+  readonly isAsking?: boolean;
+  /** Workers asked about, in addition to those before. */
+  readonly asked?: readonly WorkerId[];
+  /** Workers that may run the step, with their tickets. */
+  readonly tickets?: ReadonlyArray<readonly [WorkerId, Ticket]>;
+  /** Worker whose life is over, with all that was said of it. */
+  readonly forgotten?: WorkerId;
 }
 
 /** One pass with all that it weighs beside the state. */
@@ -43,22 +46,6 @@
   | {
       readonly kind: 'advice';
       readonly step: StepKey;
-      readonly advice: AdviceLine;
+      readonly change: AdviceChange;
     }
   | PassEvent;
-
-/** Plain data of an advice. */
-export const toAdviceLine = (advice: StepAdvice): AdviceLine => ({
-  asked: [...advice.asked],
-  allowed: [...advice.allowed],
-  tickets: [...advice.tickets],
-  isAsking: advice.isAsking,
-});
-
-/** An advice from its plain data. */
-export const fromAdviceLine = (line: AdviceLine): StepAdvice => ({
-  asked: new Set(line.asked),
-  allowed: new Set(line.allowed),
-  tickets: new Map(line.tickets),
-  isAsking: line.isAsking,
-});
