A leader that is late with everything does not blame its disk

Ruled out: election timeouts (no pre-candidate before either change) and garbage collection (38 ms of scavenges and 26 ms of mark-compact in ten seconds, traced).

Change: a timer that is due during the sync tells how late the process is; a sync counts as slow only where that explains less than a quarter of it.

Failing first: 'a leader that a burst makes late with everything keeps its place' (the guard before knew no lateness).

--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -13,7 +13,7 @@
 import type {LogStatus} from '@primrosewick/protocol';
 import {pause, type Clock} from '@primrosewick/transport';
 import {ConsensusCore, emptyState} from './core.js';
-import {DiskGuard} from './disk_guard.js';
+import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
 import {persistWrites} from './persistence.js';
 import {ConsensusPump} from './pump.js';
 import {EntryPacker, unpackEnvelope, type PackedEnvelope} from './packing.js';
@@ -302,9 +302,27 @@
     });
   }
 
+  /**
+   * Watches a timer that is due when a sync would be slow.
+   * @returns how late it was, at a time at which the sync has ended, in ms.
+   */
+  private watchLag(): (now: number) => number {
+    const {clock} = this.options;
+    const dueAt = clock.now() + SLOW_SYNC_MS;
+    let firedAt: number | undefined;
+    const timer = clock.after(SLOW_SYNC_MS).subscribe(() => {
+      firedAt = clock.now();
+    });
+    return now => {
+      timer.unsubscribe();
+      return Math.max(0, (firedAt ?? now) - dueAt);
+    };
+  }
+
   private async persist(writes: ReadonlyArray<StorageWrite<C>>): Promise<void> {
     const {clock, folder} = this.options;
     const beganAt = clock.now();
+    const lagAt = this.watchLag();
     // Inputs that come during the write must not be in the image; it is costly.
     const image = writes.some(({kind}) => kind === 'snapshot')
       ? this.core.durable
@@ -312,7 +330,8 @@
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
     this.nextWriteAt = beganAt + WRITE_INTERVAL_MS;
-    const isSlow = this.diskGuard.note(now - beganAt, now);
+    const sync = {tookMs: now - beganAt, lagMs: lagAt(now)};
+    const isSlow = this.diskGuard.note(sync, now);
     if (isSlow && this.core.status.role === 'leader') this.transferAway();
   }
 
