--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -12,6 +12,8 @@
 export const MAX_ADVISED_WORKERS = 100;
 /** Share of the workers that an adviser is expected to allow. */
 const EXPECTED_SHARE = 0.35;
+/** Multiple of the expected places beyond which a longer call is not worth its time. */
+const AMPLE_FACTOR = 2.5;
 /** Part of the room that a busy worker counts with. */
 const BUSY_SHARE = 0.25;
 /** Free places wanted for each task, so that one worker more or less is not waited for. */
@@ -93,8 +95,8 @@
 
 /**
  * Workers to ask about next: those with the most room first, as many as are
- * expected to give enough places, and no fewer than the fixed time of a call
- * is worth.
+ * expected to give enough places. Beyond that the fixed time of a call is made
+ * use of, but not once places are ample: somebody waits for the answer.
  * @param workers - workers of the pool that could run the step.
  * @param taskCount - tasks of the step that wait.
  * @returns none where the answers so far give enough places.
@@ -115,7 +117,9 @@
   for (const equals of byPlaces(spec, workers, advice?.asked)) {
     const {now, empty} = equals;
     for (const worker of equals.workers) {
-      const isEnough = expected >= missing && chosen.length >= wantedCount;
+      const isEnough =
+        expected >= missing &&
+        (chosen.length >= wantedCount || expected >= AMPLE_FACTOR * missing);
       if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) return chosen;
       // A busy worker has room only now and then.
       expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
