Idle streams are probed every two seconds, not three times a second

Cause: every VM keeps a stream to each voter it has greeted; each was probed after 0.3 s of silence: with 97 entries and five voters over a thousand probes a second, and as many answers. Change: 0.3 s while calls are under way, 2 s otherwise; a stream is given up 1 s after a call or probe that brought nothing, as before. Headers of an answer are read only by who looks at them. Failing first: 'an idle stream costs next to nothing'.

--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -124,11 +124,7 @@
 
   private succeed(res: IncomingMessage, body: Buffer): void {
     if (!this.settle()) return;
-    this.resolve({
-      status: res.statusCode ?? 0,
-      headers: flatHeaders(res),
-      body,
-    });
+    this.resolve(new ReceivedAnswer(res, body));
   }
 
   private fail(kind: HttpFailureKind, detail: string): void {
@@ -145,6 +141,22 @@
   }
 }
 
+/** An answer; most callers never look at its headers. */
+class ReceivedAnswer implements HttpAnswer {
+  readonly status: number;
+
+  constructor(
+    private readonly res: IncomingMessage,
+    readonly body: Buffer,
+  ) {
+    this.status = res.statusCode ?? 0;
+  }
+
+  get headers(): Readonly<Record<string, string>> {
+    return flatHeaders(this.res);
+  }
+}
+
 const flatHeaders = (res: IncomingMessage): Record<string, string> => {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(res.headers)) {
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -35,7 +35,9 @@
 const OPEN_TIMEOUT_MS = 700;
 /** Interval of the look at a silent stream, in ms. */
 const PROBE_INTERVAL_MS = 300;
-/** Silence after which a stream with calls under way is given up, in ms. */
+/** Silence after which a stream without calls under way is probed, in ms. */
+const IDLE_PROBE_MS = 2000;
+/** Silence after a call or probe from which a stream is given up, in ms. */
 const SILENCE_LIMIT_MS = 1000;
 
 /** A stream; once closed it is not opened again. */
@@ -47,6 +49,8 @@
   private onOpened: (err?: CellError) => void = () => undefined;
   private nextId = 1;
   private heardAt = performance.now();
+  /** When the first call or probe since the last answer was sent, in ms. */
+  private askedAt: number | undefined;
   private isOpen = false;
   private isClosed = false;
   private readonly openTimer: NodeJS.Timeout;
@@ -96,7 +100,7 @@
         reject(this.timeout(step, 'no answer before the deadline'));
       }, timeoutMs);
       this.pending.set(id, {step, resolve, reject, timer});
-      this.stream.write({kind: 'call', id, method: step, body} as LinkFrame);
+      this.ask({kind: 'call', id, method: step, body} as LinkFrame);
     });
   }
 
@@ -119,6 +123,7 @@
 
   private take(frame: LinkFrame): void {
     this.heardAt = performance.now();
+    this.askedAt = undefined;
     if (!this.isOpen) {
       this.isOpen = true;
       clearTimeout(this.openTimer);
@@ -134,12 +139,23 @@
       call.reject(CellError.fromBody({...frame.error, peer: this.options.to}));
   }
 
-  /** Probes a silent stream, and gives it up when the probe is not answered. */
+  private ask(frame: LinkFrame): void {
+    this.askedAt ??= performance.now();
+    this.stream.write(frame);
+  }
+
+  /**
+   * Probes a silent stream, and gives it up when nothing is answered. Hundreds of
+   * streams to one VM lie idle most of the time, so those are probed seldom.
+   */
   private look(): void {
-    const silentMs = performance.now() - this.heardAt;
+    const now = performance.now();
+    const silentMs = now - this.heardAt;
+    const probeMs = this.pending.size > 0 ? PROBE_INTERVAL_MS : IDLE_PROBE_MS;
     if (!this.isOpen || silentMs < PROBE_INTERVAL_MS) return;
-    if (silentMs > SILENCE_LIMIT_MS) this.close('the stream went silent');
-    else this.stream.write({kind: 'ping'});
+    if (this.askedAt !== undefined && now - this.askedAt > SILENCE_LIMIT_MS)
+      this.close('the stream went silent');
+    else if (silentMs >= probeMs) this.ask({kind: 'ping'});
   }
 
   private encode(frame: LinkFrame): Buffer {
--- a/packages/transport/src/link/link.spec.ts
+++ b/packages/transport/src/link/link.spec.ts
@@ -1,4 +1,4 @@
-import {createServer, type AddressInfo} from 'node:net';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {asId, type VmId, type ZoneId} from '@primrosewick/state';
 import {LinkClient} from './client.js';
@@ -51,6 +51,37 @@
   return {address, lost};
 };
 
+/** A relay to a server; connections that are open when it goes silent stay so. */
+const relayTo = async (target: VmId) => {
+  const address = await freeAddress();
+  const relay = {address, isSilent: false, bytes: 0, close: () => {}};
+  const [host, port] = target.split(':') as [string, string];
+  const sockets: Socket[] = [];
+  const server = createServer(near => {
+    const far = connect(Number(port), host);
+    let wasSilent = false;
+    const forward = (to: Socket) => (bytes: Buffer) => {
+      wasSilent ||= relay.isSilent;
+      relay.bytes += bytes.length;
+      if (!wasSilent) to.write(bytes);
+    };
+    sockets.push(near, far);
+    near.on('data', forward(far)).on('error', () => far.destroy());
+    far.on('data', forward(near)).on('error', () => near.destroy());
+    near.on('close', () => far.destroy());
+  });
+  relay.close = () => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  };
+  open.push(relay);
+  const [, ownPort] = address.split(':') as [string, string];
+  await new Promise<void>(resolve =>
+    server.listen(Number(ownPort), '127.0.0.1', resolve),
+  );
+  return relay;
+};
+
 const until = async (isDone: () => boolean): Promise<void> => {
   for (let i = 0; i < 100 && !isDone(); i++)
     await new Promise(resolve => setTimeout(resolve, 20));
@@ -96,4 +127,33 @@
     );
     expect(code).to.equal('peer_unreachable');
   });
+  it('a stream that goes silent is given up, and the next call opens another', async () => {
+    const {address} = await listen();
+    const relay = await relayTo(address);
+    const client = newClient('a');
+    await client.call(relay.address, 'hello', HELLO);
+    relay.isSilent = true;
+    const startedAt = performance.now();
+    const outcome = await client
+      .call(relay.address, 'hello', HELLO, {timeoutMs: 5000})
+      .then(
+        () => 'answered',
+        (err: {readonly code: string; readonly outcome: string}) =>
+          `${err.code} ${err.outcome}`,
+      );
+    expect(outcome).to.equal('peer_timeout unknown');
+    expect(performance.now() - startedAt).to.be.lessThan(2000);
+    relay.isSilent = false;
+    expect(await client.call(relay.address, 'hello', HELLO)).to.eql(WELCOME);
+  }).timeout(10_000);
+  it('an idle stream costs next to nothing', async () => {
+    const {address} = await listen();
+    const relay = await relayTo(address);
+    const client = newClient('a');
+    await client.call(relay.address, 'hello', HELLO);
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const before = relay.bytes;
+    await new Promise(resolve => setTimeout(resolve, 1200));
+    expect(relay.bytes).to.equal(before);
+  }).timeout(10_000);
 });
