A pass asks which runs end soon by worker, and rejects workers that could make no room

Change: the set of runs that end soon is asked for once a worker and journaled alone; a worker is passed over by one comparison where all its victims and ending runs free too little.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -298,17 +298,19 @@
   private planNow(): void {
     const {clock} = this.options;
     const beganAt = clock.now();
-    const times = new RemainingTimes((worker, key) =>
-      this.channels.get(worker)?.remainingMs(key),
-    );
+    const times = new RemainingTimes({
+      remainingMs: (worker, key) => this.channels.get(worker)?.remainingMs(key),
+      runsOn: worker => this.db.workers.get(worker)?.active.keys() ?? [],
+    });
     const pass = this.gatherPass();
     const decided = decidePass(pass, {
       db: this.db,
       adviceOf: key => this.desk.adviceOf(key),
       remainingMs: (worker, key) => times.get(worker, key),
+      endsSoon: worker => times.endsSoon(worker),
     });
     this.reserved = decided.reserved;
-    this.journal?.notePass({...pass, remaining: times.lines}, decided);
+    this.journal?.notePass({...pass, ...times.lines}, decided);
     this.carryOut(decided);
     this.lastPassMs = clock.now() - beganAt;
   }
@@ -328,6 +330,7 @@
       heldBack: this.strays.heldBack(clock.now()),
       stopping: channels.flatMap(([, {stopping}]) => stopping),
       remaining: [],
+      endingSoon: [],
       callerCount: callers().length,
       reserved: [...this.reserved].map(([step, workers]) => [
         step,
--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -1,5 +1,6 @@
 /** A cluster on virtual time that carries out the plans of one policy. */
 import {
+  SOON_MS,
   NO_ROOM,
   WorkflowDb,
   seededRandom,
@@ -190,6 +191,13 @@
     });
   }
 
+  private endingOn(worker: WorkerId): ReadonlySet<TaskKey> {
+    const keys = [...(this.db.workers.get(worker)?.active.keys() ?? [])];
+    return new Set(
+      keys.filter(key => (this.remainingOf(key) ?? Infinity) < SOON_MS),
+    );
+  }
+
   private planNow(): void {
     const {starts, stops, advice, reserved} = this.policy({
       db: this.db,
@@ -199,6 +207,7 @@
       pending: this.pending,
       stopping: this.stopping,
       remainingMs: (_worker, key) => this.remainingOf(key),
+      endsSoon: worker => this.endingOn(worker),
       reserved: this.reserved,
       adviceOf: key => this.adviser.adviceOf(key),
       callerCount: CALLER_COUNT,
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -42,6 +42,7 @@
 export * from './workflow/admission/types.js';
 export * from './workflow/types.js';
 export * from './workflow/planner/core.js';
+export {SOON_MS} from './workflow/planner/preemption.js';
 export * from './workflow/planner/ready.js';
 export * from './workflow/planner/stall.js';
 export * from './workflow/planner/types.js';
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -33,6 +33,7 @@
   readonly db: WorkflowDb;
   readonly adviceOf: PlanInput['adviceOf'];
   readonly remainingMs: PlanInput['remainingMs'];
+  readonly endsSoon: PlanInput['endsSoon'];
 }
 
 /** Decides one pass. */
@@ -121,6 +122,7 @@
       db: this.db,
       adviceOf: key => this.advice.get(key),
       remainingMs: (worker, key) => times.get(worker, key),
+      endsSoon: worker => times.endsSoon(worker),
     });
     return {outcome: outcomeOf(plan), notes: notesOf(plan)};
   }
--- a/packages/state/src/workflow/journal/remaining.spec.ts
+++ b/packages/state/src/workflow/journal/remaining.spec.ts
@@ -2,29 +2,41 @@
 import type {WorkerId} from '../../ids/types.js';
 import type {TaskKey} from '../types.js';
 import {RemainingTimes, toldTimes} from './remaining.js';
-import type {PassEvent} from './types.js';
 
 const KEY = 'a.0.0.0' as TaskKey;
 const OTHER = 'a.0.0.1' as TaskKey;
 const [SLOW, FAST] = ['slow', 'fast'] as WorkerId[] as [WorkerId, WorkerId];
 
+/** Times of a worker that runs both tasks. */
+const timesOf = (
+  remainingMs: (worker: WorkerId, key: TaskKey) => number | undefined,
+) => new RemainingTimes({remainingMs, runsOn: () => [KEY, OTHER]});
+
 describe('remaining times', () => {
   it('a run and its copy are told apart, also when replayed', () => {
-    const times = new RemainingTimes(worker => (worker === SLOW ? 900 : 100));
+    const times = timesOf(worker => (worker === SLOW ? 900 : 100));
     times.get(SLOW, KEY);
     times.get(FAST, KEY);
-    const replayed = toldTimes({remaining: times.lines} as PassEvent);
+    const replayed = toldTimes(times.lines);
     expect(replayed.get(SLOW, KEY)).to.equal(900);
     expect(replayed.get(FAST, KEY)).to.equal(100);
   });
   it('a pass that asks twice gets the same answer', () => {
     let ms = 500;
-    const times = new RemainingTimes(() => ms--);
+    const times = timesOf(() => ms--);
     expect([times.get(SLOW, KEY), times.get(SLOW, KEY)]).to.eql([500, 500]);
   });
   it('what is not known stays unknown when replayed', () => {
-    const times = new RemainingTimes(() => undefined);
+    const times = timesOf(() => undefined);
     expect(times.get(SLOW, OTHER)).to.equal(undefined);
-    expect(times.lines).to.eql([]);
+    expect(times.lines.remaining).to.eql([]);
+  });
+  it('which runs end soon is told alike when replayed, without their times', () => {
+    const times = timesOf((_, key) => (key === KEY ? 100 : 5000));
+    expect([...times.endsSoon(SLOW)]).to.eql([KEY]);
+    expect(times.lines.remaining).to.eql([]);
+    const replayed = toldTimes(times.lines);
+    expect([...replayed.endsSoon(SLOW)]).to.eql([KEY]);
+    expect([...replayed.endsSoon(FAST)]).to.eql([]);
   });
 });
--- a/packages/state/src/workflow/journal/remaining.ts
+++ b/packages/state/src/workflow/journal/remaining.ts
@@ -1,49 +1,86 @@
 /** Expected times until runs end, as one pass asks for them. */
 import type {WorkerId} from '../../ids/types.js';
+import {SOON_MS} from '../planner/preemption.js';
 import type {PlanInput} from '../planner/types.js';
 import type {TaskKey} from '../types.js';
 import type {PassEvent} from './types.js';
 
+/** Tells the times of one pass. */
+export interface RemainingSource {
+  readonly remainingMs: PlanInput['remainingMs'];
+  /** Runs on a worker. */
+  readonly runsOn: (worker: WorkerId) => Iterable<TaskKey>;
+}
+
 /**
  * Answers a pass about each run once: a pass that asked again a moment later
  * would weigh another time than its journal holds. A task and its copy are
- * two runs, so times are kept by worker and task.
+ * two runs, so times are kept by worker and task. Where a pass asks only which
+ * runs of a worker end soon, the journal holds these and not the times of all.
  */
 export class RemainingTimes {
   private readonly known = new Map<
-    string,
-    {
-      readonly worker: WorkerId;
-      readonly key: TaskKey;
-      readonly ms: number | undefined;
-    }
+    WorkerId,
+    Map<TaskKey, number | undefined>
   >();
+  private readonly soon = new Map<WorkerId, ReadonlySet<TaskKey>>();
 
-  /** @param ask - tells the time of a run that was not asked about yet. */
-  constructor(private readonly ask: PlanInput['remainingMs']) {}
+  constructor(private readonly source: RemainingSource) {}
 
   /** The time until a run ends, in ms; undefined when it is not known. */
   get(worker: WorkerId, key: TaskKey): number | undefined {
-    const id = `${worker} ${key}`;
-    const known = this.known.get(id);
-    if (known) return known.ms;
-    const ms = this.ask(worker, key);
-    this.known.set(id, {worker, key, ms});
+    const times = this.known.get(worker) ?? new Map<TaskKey, undefined>();
+    this.known.set(worker, times);
+    if (times.has(key)) return times.get(key);
+    const ms = this.source.remainingMs(worker, key);
+    times.set(key, ms);
     return ms;
   }
 
+  /** Runs on a worker that end within SOON_MS. */
+  endsSoon(worker: WorkerId): ReadonlySet<TaskKey> {
+    const known = this.soon.get(worker);
+    if (known) return known;
+    const ending = new Set<TaskKey>();
+    for (const key of this.source.runsOn(worker)) {
+      const ms = this.source.remainingMs(worker, key);
+      if (ms !== undefined && ms < SOON_MS) ending.add(key);
+    }
+    this.soon.set(worker, ending);
+    return ending;
+  }
+
   /** What was told, for the journal. */
-  get lines(): PassEvent['remaining'] {
-    return [...this.known.values()].flatMap(({worker, key, ms}) =>
-      ms === undefined ? [] : [[worker, key, ms] as const],
-    );
+  get lines(): Pick<PassEvent, 'remaining' | 'endingSoon'> {
+    return {
+      remaining: [...this.known].flatMap(([worker, times]) =>
+        [...times].flatMap(([key, ms]) =>
+          ms === undefined ? [] : [[worker, key, ms] as const],
+        ),
+      ),
+      endingSoon: [...this.soon].flatMap(([worker, keys]) =>
+        [...keys].map(key => [worker, key] as const),
+      ),
+    };
   }
 }
 
 /** The times that a journaled pass was told. */
-export const toldTimes = ({remaining}: PassEvent): RemainingTimes => {
-  const told = new Map(
+export const toldTimes = ({
+  remaining,
+  endingSoon,
+}: Pick<PassEvent, 'remaining' | 'endingSoon'>): Pick<
+  RemainingTimes,
+  'get' | 'endsSoon'
+> => {
+  const times = new Map(
     remaining.map(([worker, key, ms]) => [`${worker} ${key}`, ms]),
   );
-  return new RemainingTimes((worker, key) => told.get(`${worker} ${key}`));
+  const soon = new Map<WorkerId, Set<TaskKey>>();
+  for (const [worker, key] of endingSoon)
+    soon.set(worker, (soon.get(worker) ?? new Set()).add(key));
+  return {
+    get: (worker, key) => times.get(`${worker} ${key}`),
+    endsSoon: worker => soon.get(worker) ?? new Set(),
+  };
 };
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -31,6 +31,8 @@
   readonly stopping: readonly TaskKey[];
   /** Expected time until runs end, of those that were asked about, in ms. */
   readonly remaining: ReadonlyArray<readonly [WorkerId, TaskKey, number]>;
+  /** Runs that are expected to end soon, of workers that were asked about. */
+  readonly endingSoon: ReadonlyArray<readonly [WorkerId, TaskKey]>;
   readonly callerCount: number;
   /** Workers on which the pass before kept room, by step. */
   readonly reserved: ReadonlyArray<readonly [StepKey, readonly WorkerId[]]>;
--- a/packages/state/src/workflow/planner/fixtures.ts
+++ b/packages/state/src/workflow/planner/fixtures.ts
@@ -52,6 +52,7 @@
   pending: new Map(),
   stopping: new Set(),
   remainingMs: () => undefined,
+  endsSoon: () => new Set(),
   reserved: new Map(),
   adviceOf: () => undefined,
   callerCount: 12,
--- a/packages/state/src/workflow/planner/place_maker.ts
+++ b/packages/state/src/workflow/planner/place_maker.ts
@@ -162,11 +162,11 @@
 
   private placeOn(work: StepWork, worker: WorkerView): MadePlace | undefined {
     const {ready, queue} = work;
-    const room = addRoom(worker.free, this.victims.soonOf(worker.worker));
-    const victims = this.victims.find(worker, sizeOf(work), room, ready);
+    const victims = this.victims.find(worker, sizeOf(work), ready);
+    if (!victims) return undefined;
     const hasTicket =
       !queue.advice || findTicket(work, worker, this.input.now) !== undefined;
-    return victims && {worker, victims, hasTicket};
+    return {worker, victims, hasTicket};
   }
 
   private giveBack(work: StepWork, {worker, victims}: MadePlace): void {
--- a/packages/state/src/workflow/planner/preemption.spec.ts
+++ b/packages/state/src/workflow/planner/preemption.spec.ts
@@ -69,9 +69,8 @@
       'wide',
     );
     const ending = taskKey(testTask('small', 0, 1));
-    const remainingMs = (_: unknown, key: TaskKey) =>
-      key === ending ? 300 : 2000;
-    const {stops} = plan(inputOf(log, {...SOON, remainingMs}));
+    const endsSoon = () => new Set<TaskKey>([ending]);
+    const {stops} = plan(inputOf(log, {...SOON, endsSoon}));
     expect(stops).to.have.length(2);
     expect(stops.map(({task}) => task.index)).not.to.include(1);
   });
--- a/packages/state/src/workflow/planner/preemption.ts
+++ b/packages/state/src/workflow/planner/preemption.ts
@@ -31,7 +31,7 @@
 const PATIENT_SLACK_MS = 2000;
 
 /** A run that ends by itself within this time is waited for, in ms: a stop takes as long. */
-const SOON_MS = 900;
+export const SOON_MS = 900;
 
 /** A run that can give way at no more than the time of a restart. */
 export interface Victim {
@@ -50,96 +50,108 @@
   readonly isLate: boolean;
 }
 
+/** Runs of one worker, as they bear on making room there. */
+interface WorkerVictims {
+  /** Runs that can give way: the least urgent first, then the patient, and of these the largest. */
+  readonly victims: readonly Victim[];
+  /** Room that runs on their way out will free. */
+  readonly soon: Room;
+  /** Room that is free once these and all victims are gone, beside what is free now. */
+  readonly most: Room;
+}
+
 /** Runs that can give way, and those that are on their way out. */
 export class VictimTable {
-  private readonly byWorker = new Map<WorkerId, Victim[]>();
-  private readonly soon = new Map<WorkerId, Room>();
+  private readonly byWorker = new Map<WorkerId, WorkerVictims>();
   /** Runs that were chosen in this pass. */
   private readonly chosen = new Set<TaskKey>();
 
   constructor(
     private readonly input: Pick<
       PlanInput,
-      'db' | 'pending' | 'stopping' | 'wall' | 'remainingMs'
+      'db' | 'pending' | 'stopping' | 'wall' | 'endsSoon'
     >,
   ) {}
 
-  /** Room that the runs being stopped on a worker will free. */
-  soonOf(worker: WorkerId): Room {
-    this.load(worker);
-    return this.soon.get(worker) ?? NO_ROOM;
-  }
-
   /**
-   * The runs on a worker that must give way so that a size fits.
-   * @param room - what is free there, with what is coming free.
+   * The runs on a worker that must give way so that a size fits, beside what is
+   * free there and what is coming free.
    * @returns undefined when the size would not fit without all of them either.
    */
   find(
-    {worker}: WorkerView,
+    {worker, free}: WorkerView,
     size: Room,
-    room: Room,
     {priority, isLate}: Beneficiary,
   ): Victim[] | undefined {
-    this.load(worker);
-    const victims: Victim[] = [];
-    let freed = room;
-    for (const victim of this.byWorker.get(worker) ?? []) {
+    const {victims, soon, most} = this.of(worker);
+    // Most workers could not make the room at all.
+    if (!fitsBeside(size, free, most)) return undefined;
+    const chosen: Victim[] = [];
+    let freed = addRoom(free, soon);
+    for (const victim of victims) {
       if (fitsInto(size, freed)) break;
-      if (victim.priority <= priority) continue;
+      // The rest is as urgent, or more.
+      if (victim.priority <= priority) break;
       if (isLate && !victim.isPatient) continue;
-      victims.push(victim);
+      chosen.push(victim);
       freed = addRoom(freed, victim.room);
     }
-    return fitsInto(size, freed) ? victims : undefined;
+    return fitsInto(size, freed) ? chosen : undefined;
   }
 
   /** Counts chosen runs of a worker as on their way out. */
   take(worker: WorkerId, victims: readonly Victim[]): void {
+    if (victims.length === 0) return;
     for (const {task} of victims) this.chosen.add(taskKey(task));
     this.byWorker.delete(worker);
   }
 
   /** Leaves chosen runs of a worker alone after all. */
   giveBack(worker: WorkerId, victims: readonly Victim[]): void {
+    if (victims.length === 0) return;
     for (const {task} of victims) this.chosen.delete(taskKey(task));
     this.byWorker.delete(worker);
   }
 
-  private load(worker: WorkerId): void {
-    if (this.byWorker.has(worker)) return;
-    const {db} = this.input;
+  private of(worker: WorkerId): WorkerVictims {
+    const known = this.byWorker.get(worker);
+    if (known) return known;
+    const loaded = this.load(worker);
+    this.byWorker.set(worker, loaded);
+    return loaded;
+  }
+
+  private load(worker: WorkerId): WorkerVictims {
+    const {db, stopping, pending} = this.input;
+    const ending = this.input.endsSoon(worker);
     const victims: Victim[] = [];
     let soon = NO_ROOM;
+    let most = NO_ROOM;
     for (const [key, {task, run}] of db.workers.get(worker)?.active ?? []) {
       const workflow = db.workflows.get(task.workflow);
       const spec = workflow?.spec.steps[task.step];
       if (!workflow || !spec) continue;
       const room = spec.usesLeftover ? NO_ROOM : spec.room;
-      if (this.isEnding(worker, key)) soon = addRoom(soon, room);
-      else if (
+      const isEnding =
+        stopping.has(key) || this.chosen.has(key) || ending.has(key);
+      const isVictim =
+        !isEnding &&
         canGiveWay(spec) &&
         workflow.phase === 'open' &&
         run < MAX_RUNS &&
-        !this.input.pending.has(key)
-      )
-        victims.push(this.victimOf(workflow, task, run, room));
+        !pending.has(key);
+      if (!isEnding && !isVictim) continue;
+      most = addRoom(most, room);
+      if (isEnding) soon = addRoom(soon, room);
+      else victims.push(this.victimOf(workflow, task, run, room));
     }
-    // The least urgent give way first, then the patient, and of these the largest.
     victims.sort(
       (a, b) =>
         b.priority - a.priority ||
         Number(b.isPatient) - Number(a.isPatient) ||
         b.room.cpuMillis - a.room.cpuMillis,
     );
-    this.byWorker.set(worker, victims);
-    this.soon.set(worker, soon);
-  }
-
-  private isEnding(worker: WorkerId, key: TaskKey): boolean {
-    const {stopping, remainingMs} = this.input;
-    if (stopping.has(key) || this.chosen.has(key)) return true;
-    return (remainingMs(worker, key) ?? Number.POSITIVE_INFINITY) < SOON_MS;
+    return {victims, soon, most};
   }
 
   private victimOf(
@@ -168,3 +180,9 @@
     return dueAt - this.input.wall - chainFromMs(workflow.spec, step);
   }
 }
+
+/** Whether a size fits into two rooms together. */
+const fitsBeside = (size: Room, a: Room, b: Room): boolean =>
+  size.cpuMillis <= a.cpuMillis + b.cpuMillis &&
+  size.memMb <= a.memMb + b.memMb &&
+  size.gpus <= a.gpus + b.gpus;
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -61,6 +61,8 @@
   readonly stopping: ReadonlySet<TaskKey>;
   /** Expected time until a run ends by itself, in ms; undefined when unknown. */
   readonly remainingMs: (worker: WorkerId, task: TaskKey) => number | undefined;
+  /** Runs on a worker that are expected to end within SOON_MS. */
+  readonly endsSoon: (worker: WorkerId) => ReadonlySet<TaskKey>;
   /** Workers on which the last pass kept room. */
   readonly reserved: Plan['reserved'];
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
