No answer from a copy that is older than what the leader has told

Change: the leader tells its index with each answer and greeting; an entry shows no copy below the highest index that it was told or has shown, and asks the leader. Failing first: 'a copy that was suspended and does not know it is not shown' and 'nothing older is shown than what was shown before' (the answer was 'running').

--- a/packages/coordination/src/gateway/task.spec.ts
+++ b/packages/coordination/src/gateway/task.spec.ts
@@ -26,6 +26,8 @@
             leader: A,
             members: [A, B],
             isServing: true,
+            isReadable: true,
+            index: 0,
           })
         : answer(to, ++count),
   } as unknown as LinkCaller;
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -83,6 +83,7 @@
   private servingAt = Number.NEGATIVE_INFINITY;
   private greetedAt = Number.NEGATIVE_INFINITY;
   private hadContact = false;
+  private highestIndex = 0;
   private timer: Subscription | undefined;
   /** VMs with a copy of the log, as they last said. */
   private readonly readers = new Map<VmId, Reader>();
@@ -140,6 +141,20 @@
     return best?.vm ?? null;
   }
 
+  /**
+   * Highest index of the log that the leader, or a copy that was shown, has told
+   * of. A copy below it is old, whatever its own VM believes: the clock of a VM
+   * that was suspended does not count that time.
+   */
+  get knownIndex(): number {
+    return this.highestIndex;
+  }
+
+  /** Notes an index that was told or shown. */
+  noteIndex(index: number): void {
+    this.highestIndex = Math.max(this.highestIndex, index);
+  }
+
   /** Passes over a VM whose copy did not answer. */
   avoidReader(vm: VmId): void {
     const reader = this.readers.get(vm);
@@ -216,7 +231,10 @@
         const reply = (await peers.call(target, method, request, {
           timeoutMs,
         })) as FromLeader<LeaderValue<M>>;
-        if (reply.kind === 'ok') return reply;
+        if (reply.kind === 'ok') {
+          this.noteIndex(reply.index ?? 0);
+          return reply;
+        }
         if (this.leader === target) this.leader = reply.leader;
         next = reply.leader === target ? null : reply.leader;
       } catch (thrown) {
@@ -271,6 +289,7 @@
     this.readers.set(vm, {vm, zone, isReadable, avoidedUntil});
     if (welcome.leader) this.leader = welcome.leader;
     if (welcome.isServing) {
+      this.noteIndex(welcome.index);
       this.leader = welcome.vm;
       this.servingAt = this.options.clock.now();
     }
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -168,7 +168,8 @@
     const {log} = this.options;
     if (!log.isLeading) return {kind: 'not_leader', leader: log.leaderVm};
     try {
-      return {kind: 'ok', value: await act()};
+      const value = await act();
+      return {kind: 'ok', value, index: this.db.index};
     } catch (err) {
       const isElsewhere = err instanceof CellError && err.code === 'not_leader';
       if (isElsewhere) return {kind: 'not_leader', leader: log.leaderVm};
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -278,6 +278,7 @@
       members: this.log?.memberVms ?? [],
       isServing,
       isReadable: this.reader?.isFresh === true,
+      index: this.replica.index,
     };
   }
 
@@ -308,6 +309,7 @@
           : {kind: 'not_leader', leader: log?.leaderVm ?? null},
       readWorkflow: async address => ({
         answer: this.reader?.read(address) ?? null,
+        index: this.replica.index,
       }),
       workflow: request => service?.handle(request) ?? notHere(),
       announceWorker: report => service?.announceWorker(report) ?? notHere(),
--- /dev/null
+++ b/packages/daemon/src/cluster/workflow_calls.spec.ts
@@ -0,0 +1,83 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import {GatewayTask} from '@primrosewick/coordination';
+import type {LinkWelcome} from '@primrosewick/protocol';
+import type {VmId, ZoneId} from '@primrosewick/state';
+import {systemClock, type LinkCaller} from '@primrosewick/transport';
+import {WorkflowCalls} from './workflow_calls.js';
+
+const [LEADER, COPY] = ['leader', 'copy'] as VmId[] as [VmId, VmId];
+const ZONE = 'z' as ZoneId;
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const get = {kind: 'get' as const, host: 'h', path: '/q/a'};
+
+/** Calls of an entry beside a leader at an index and a copy at another. */
+const makeCalls = async (leaderIndex: number, copy: () => Promise<number>) => {
+  const welcome = (vm: VmId, isServing: boolean): LinkWelcome => ({
+    vm,
+    zone: ZONE,
+    node: null,
+    hasState: true,
+    mayFound: false,
+    leader: LEADER,
+    members: [LEADER, COPY],
+    isServing,
+    isReadable: true,
+    index: isServing ? leaderIndex : 0,
+  });
+  const peers = {
+    call: async (to: VmId, method: string) => {
+      if (method === 'hello') return welcome(to, to === LEADER);
+      if (method === 'readWorkflow')
+        return {answer: {kind: 'state', state: 'running'}, index: await copy()};
+      return {
+        kind: 'ok',
+        value: {kind: 'state', state: 'done'},
+        index: leaderIndex,
+      };
+    },
+  } as unknown as LinkCaller;
+  const gateway = new GatewayTask({
+    peers,
+    clock: systemClock,
+    seeds: [LEADER, COPY],
+    hello: () => welcome('own' as VmId, false),
+    zone: ZONE,
+    onContact: () => undefined,
+  });
+  gateway.start();
+  await new Promise(resolve => setTimeout(resolve, 20));
+  gateway.stop();
+  return new WorkflowCalls({
+    gateway,
+    peers,
+    clock: systemClock,
+    logger,
+    reader: null,
+  });
+};
+const stateOf = async (calls: WorkflowCalls): Promise<string> => {
+  const reply = await calls.request(get, systemClock.now() + 1000);
+  return reply.kind === 'state' ? reply.state : reply.kind;
+};
+
+describe('calls of clients', () => {
+  it('a question is answered by a copy that is as far as the leader was', async () => {
+    const calls = await makeCalls(50, async () => 50);
+    expect(await stateOf(calls)).to.equal('running');
+  });
+  it('a copy that was suspended and does not know it is not shown', async () => {
+    const calls = await makeCalls(50, async () => 49);
+    expect(await stateOf(calls)).to.equal('done');
+  });
+  it('nothing older is shown than what was shown before', async () => {
+    const indexes = [60, 55];
+    const calls = await makeCalls(50, async () => indexes.shift() ?? 0);
+    expect(await stateOf(calls)).to.equal('running');
+    expect(await stateOf(calls)).to.equal('done');
+  });
+  it('the leader answers where a copy does not', async () => {
+    const calls = await makeCalls(50, () => Promise.reject(new Error('gone')));
+    expect(await stateOf(calls)).to.equal('done');
+  });
+});
--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -1,10 +1,12 @@
 /** Carries clients' calls: questions to a copy of the log nearby, all else to the leader. */
 import type {GatewayTask, ReplicaReader} from '@primrosewick/coordination';
 import type {
+  LinkMethods,
   QueueAddress,
   WorkflowReply,
   WorkflowRequest,
 } from '@primrosewick/protocol';
+import type {VmId} from '@primrosewick/state';
 import type {Clock, LinkCaller} from '@primrosewick/transport';
 import type Logger from 'bunyan';
 
@@ -53,12 +55,12 @@
   }: QueueAddress): Promise<WorkflowReply | null> {
     const {gateway, peers, clock, reader, logger} = this.options;
     if (clock.now() < (this.cancelledUntil.get(path) ?? 0)) return null;
-    const own = reader?.read({host, path});
+    if (reader) return reader.read({host, path}) ?? null;
     const vm = gateway.readerVm;
-    if (own || vm === null) return own ?? null;
+    if (vm === null) return null;
     try {
-      const {answer} = await peers.call(vm, 'readWorkflow', {host, path});
-      return answer;
+      const reply = await peers.call(vm, 'readWorkflow', {host, path});
+      return this.check(vm, reply);
     } catch (err) {
       logger.info(
         {change: 'reader_avoided', peer: vm, err: String(err)},
@@ -69,6 +71,24 @@
     }
   }
 
+  /** Takes an answer that is no older than anything the leader or a copy has told. */
+  private check(
+    vm: VmId,
+    {answer, index}: LinkMethods['readWorkflow']['reply'],
+  ): WorkflowReply | null {
+    const {gateway, logger} = this.options;
+    // A copy is often a few entries behind; the next question may find it level.
+    if (index < gateway.knownIndex) {
+      logger.debug(
+        {change: 'reader_behind', peer: vm, index, known: gateway.knownIndex},
+        'a copy of the log is behind; the leader is asked instead',
+      );
+      return null;
+    }
+    gateway.noteIndex(index);
+    return answer;
+  }
+
   private noteCancel({path}: QueueAddress): void {
     if (this.cancelledUntil.size >= MAX_CANCELLED) this.cancelledUntil.clear();
     this.cancelledUntil.set(path, this.options.clock.now() + CANCELLED_MS);
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -36,6 +36,8 @@
   readonly isServing: boolean;
   /** Whether the VM has a copy of the log that is fresh enough to be read. */
   readonly isReadable: boolean;
+  /** Index of the log up to which its state is applied; 0 without a disk. */
+  readonly index: number;
 }
 
 /** Where a client's call is addressed. */
@@ -76,7 +78,8 @@
 
 /** A reply of the leader, or the way to it. */
 export type FromLeader<T> =
-  | {readonly kind: 'ok'; readonly value: T}
+  /** `index` is that of the leader's state when it answered. */
+  | {readonly kind: 'ok'; readonly value: T; readonly index?: number}
   | {readonly kind: 'not_leader'; readonly leader: VmId | null};
 
 /** Requests and replies by method. */
@@ -93,7 +96,8 @@
   /** Asks a copy of the log; it answers only what it is sure of. */
   readWorkflow: {
     request: QueueAddress;
-    reply: {readonly answer: WorkflowReply | null};
+    /** The answer, and the index of the state that it was read from. */
+    reply: {readonly answer: WorkflowReply | null; readonly index: number};
   };
   workflow: {request: WorkflowRequest; reply: FromLeader<WorkflowReply>};
   announceWorker: {
