--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -25,6 +25,7 @@
 import {AdviceDesk} from './advice_desk.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
+import {PassLoad} from './pass_load.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {StrayBoard} from './stray_board.js';
 import {WaitLog} from './wait_log.js';
@@ -56,6 +57,7 @@
   private readonly journal: PassJournal | undefined;
   private readonly waitLog: WaitLog;
   private readonly timeline = new StartTimeline();
+  private readonly passLoad: PassLoad;
   private isPlanDue = false;
   /** Time that the last pass took, in ms. */
   private lastPassMs = 0;
@@ -72,6 +74,7 @@
       announceMs: options.terms.announceMs,
     });
     this.waitLog = new WaitLog(logger);
+    this.passLoad = new PassLoad(logger, this.startedAt);
     this.desk = new AdviceDesk({
       db: replica.db,
       clock,
@@ -312,7 +315,15 @@
     this.reserved = decided.reserved;
     this.journal?.notePass({...pass, ...times.lines}, decided);
     this.carryOut(decided);
-    this.lastPassMs = clock.now() - beganAt;
+    const endedAt = clock.now();
+    this.lastPassMs = endedAt - beganAt;
+    this.passLoad.note({
+      endedAt,
+      tookMs: this.lastPassMs,
+      starts: decided.starts.length,
+      stops: decided.stops.length,
+      waits: decided.waits.length,
+    });
   }
 
   /** What a pass weighs beside the state. */
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -39,6 +39,7 @@
 /** Decides one pass. */
 export const decidePass = (pass: PassEvent, state: PassState): Plan => {
   const unusable = new Set(pass.unusable);
+  let views: PlanInput['workers'] | undefined;
   const pending = new Map<TaskKey, WorkerId>(pass.heldBack);
   for (const {task, worker} of pass.expected)
     pending.set(taskKey(task), worker);
@@ -49,7 +50,10 @@
     ),
     now: pass.now,
     wall: pass.wall,
-    workers: viewWorkers(state.db, pass.expected, id => !unusable.has(id)),
+    get workers() {
+      views ??= viewWorkers(state.db, pass.expected, id => !unusable.has(id));
+      return views;
+    },
     pending,
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
