--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -47,11 +47,11 @@
 }
 
 /** Interval of the questions to the leader, in ms. */
-const GREET_INTERVAL_MS = 500;
+const GREET_INTERVAL_MS = 400;
 /** Interval of the questions while no VM is known to lead, in ms. */
 const SEEK_INTERVAL_MS = 100;
 /** Age at which the last answer of a serving leader no longer counts, in ms. */
-const CONTACT_MS = 1300;
+const CONTACT_MS = 1000;
 /** Age at which a VM with a copy of the log is greeted again, in ms. */
 const READER_GREET_MS = 10_000;
 /** Time for which a copy that failed to answer is passed over, in ms. */
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -47,7 +47,7 @@
 }
 
 /** Age at which an entry no longer counts as able to ask for advice, in ms. */
-const CALLER_AGE_MS = 2000;
+const CALLER_AGE_MS = 1500;
 /** Pause after a failure of the data folder before the process ends, in ms. */
 const REOPEN_PAUSE_MS = 1500;
 /** Bytes of the scheduler's journal: some minutes under load. */
--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -12,7 +12,7 @@
 export const MAX_ADVISED_WORKERS = 100;
 /** Share of the workers that an adviser is expected to allow. */
 const EXPECTED_SHARE = 0.35;
-/** Multiple of the expected places beyond which a longer call is not worth its time. */
+/** Multiple of the wanted places that must be free before a longer call is not worth its time. */
 const AMPLE_FACTOR = 2.5;
 /** Part of the room that a busy worker counts with. */
 const BUSY_SHARE = 0.25;
@@ -96,7 +96,8 @@
 /**
  * Workers to ask about next: those with the most room first, as many as are
  * expected to give enough places. Beyond that the fixed time of a call is made
- * use of, but not once places are ample: somebody waits for the answer.
+ * use of, but not where free places are ample: somebody waits for the answer.
+ * Where workers are full, whoever waits for room should know them all.
  * @param workers - workers of the pool that could run the step.
  * @param taskCount - tasks of the step that wait.
  * @returns none where the answers so far give enough places.
@@ -114,15 +115,18 @@
   const chosen: WorkerId[] = [];
   const wantedCount = balancedCount(terms);
   let expected = 0;
+  /** Of these, the places that are free now. */
+  let free = 0;
   for (const equals of byPlaces(spec, workers, advice?.asked)) {
     const {now, empty} = equals;
     for (const worker of equals.workers) {
       const isEnough =
         expected >= missing &&
-        (chosen.length >= wantedCount || expected >= AMPLE_FACTOR * missing);
+        (chosen.length >= wantedCount || free >= AMPLE_FACTOR * missing);
       if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) return chosen;
       // A busy worker has room only now and then.
       expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
+      free += now * EXPECTED_SHARE;
       chosen.push(worker);
     }
   }
