No copy is shown without a recent word of the leader

Cause: found by reading: an entry that has just started, or has lost the leader, knows no index to judge a copy by. Failing first: 'an entry that no leader has told of its index shows no copy'.

--- a/packages/daemon/src/cluster/workflow_calls.spec.ts
+++ b/packages/daemon/src/cluster/workflow_calls.spec.ts
@@ -12,7 +12,11 @@
 const get = {kind: 'get' as const, host: 'h', path: '/q/a'};
 
 /** Calls of an entry beside a leader at an index and a copy at another. */
-const makeCalls = async (leaderIndex: number, copy: () => Promise<number>) => {
+const makeCalls = async (
+  leaderIndex: number,
+  copy: () => Promise<number>,
+  isLed = true,
+) => {
   const welcome = (vm: VmId, isServing: boolean): LinkWelcome => ({
     vm,
     zone: ZONE,
@@ -27,7 +31,7 @@
   });
   const peers = {
     call: async (to: VmId, method: string) => {
-      if (method === 'hello') return welcome(to, to === LEADER);
+      if (method === 'hello') return welcome(to, isLed && to === LEADER);
       if (method === 'readWorkflow')
         return {answer: {kind: 'state', state: 'running'}, index: await copy()};
       return {
@@ -76,6 +80,10 @@
     expect(await stateOf(calls)).to.equal('running');
     expect(await stateOf(calls)).to.equal('done');
   });
+  it('an entry that no leader has told of its index shows no copy', async () => {
+    const calls = await makeCalls(50, async () => 3, false);
+    expect(await stateOf(calls)).to.equal('done');
+  });
   it('the leader answers where a copy does not', async () => {
     const calls = await makeCalls(50, () => Promise.reject(new Error('gone')));
     expect(await stateOf(calls)).to.equal('done');
--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -56,7 +56,8 @@
     const {gateway, peers, clock, reader, logger} = this.options;
     if (clock.now() < (this.cancelledUntil.get(path) ?? 0)) return null;
     if (reader) return reader.read({host, path}) ?? null;
-    const vm = gateway.readerVm;
+    // Only a word of the leader tells how old a copy is.
+    const vm = gateway.hasContact ? gateway.readerVm : null;
     if (vm === null) return null;
     try {
       const reply = await peers.call(vm, 'readWorkflow', {host, path});
