--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -12,8 +12,8 @@
 export const MAX_ADVISED_WORKERS = 100;
 /** Share of the workers that an adviser is expected to allow. */
 const EXPECTED_SHARE = 0.35;
-/** Multiple of the wanted places that must be free before a longer call is not worth its time. */
-const AMPLE_FACTOR = 2.5;
+/** Workers beyond which a longer call gives little choice more: somebody waits for the answer. */
+const MAX_BALANCED = 36;
 /** Part of the room that a busy worker counts with. */
 const BUSY_SHARE = 0.25;
 /** Free places wanted for each task, so that one worker more or less is not waited for. */
@@ -95,9 +95,8 @@
 
 /**
  * Workers to ask about next: those with the most room first, as many as are
- * expected to give enough places. Beyond that the fixed time of a call is made
- * use of, but not where free places are ample: somebody waits for the answer.
- * Where workers are full, whoever waits for room should know them all.
+ * expected to give enough places, and no fewer than the fixed time of a call is
+ * worth: a step that knows few workers has others give way where it need not.
  * @param workers - workers of the pool that could run the step.
  * @param taskCount - tasks of the step that wait.
  * @returns none where the answers so far give enough places.
@@ -113,20 +112,15 @@
   const missing = PLACES_PER_TASK * taskCount - known;
   if (missing <= 0) return [];
   const chosen: WorkerId[] = [];
-  const wantedCount = balancedCount(terms);
+  const wantedCount = Math.min(MAX_BALANCED, balancedCount(terms));
   let expected = 0;
-  /** Of these, the places that are free now. */
-  let free = 0;
   for (const equals of byPlaces(spec, workers, advice?.asked)) {
     const {now, empty} = equals;
     for (const worker of equals.workers) {
-      const isEnough =
-        expected >= missing &&
-        (chosen.length >= wantedCount || free >= AMPLE_FACTOR * missing);
+      const isEnough = expected >= missing && chosen.length >= wantedCount;
       if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) return chosen;
       // A busy worker has room only now and then.
       expected += (now + (empty - now) * BUSY_SHARE) * EXPECTED_SHARE;
-      free += now * EXPECTED_SHARE;
       chosen.push(worker);
     }
   }
--- a/packages/state/src/workflow/planner/core.spec.ts
+++ b/packages/state/src/workflow/planner/core.spec.ts
@@ -131,20 +131,16 @@
     log.submit('a', testSpec([testStep({taskCount: 2})]));
     log.submit('b', testSpec([testStep({taskCount: 90})]));
     const asked = plan(inputOf(log)).advice.map(({workers}) => workers.length);
-    // Each worker is expected to give 1.4 of the 3 places wanted; 7.5 are ample.
-    expect(asked[0]).to.equal(6);
+    expect(asked[0]).to.equal(12);
     expect(asked[1]).to.be.greaterThan(70);
   });
-  it('where workers are full an adviser is asked about as many as its call is worth', () => {
-    const advice = {baseMs: 12, perWorkerMs: 1, validMs: 1000};
+  it('a call whose fixed time is long names no more than give a choice', () => {
+    const advice = {baseMs: 70, perWorkerMs: 1, validMs: 1000};
     const log = new TestLog({queues: [testQueue({advice})]});
     for (let i = 0; i < 90; i++) log.addWorker(`w${i}`);
-    log.submit('full', testSpec([testStep({taskCount: 360})]));
-    for (let i = 0; i < 360; i++)
-      log.start(`w${i % 90}`, testTask('full', 0, i));
     log.submit('a', testSpec([testStep({taskCount: 2})]));
     const asked = plan(inputOf(log)).advice.map(({workers}) => workers.length);
-    expect(asked).to.eql([12]);
+    expect(asked).to.eql([36]);
   });
   it('tasks of higher priority avoid the workers that are kept for a gang', () => {
     const log = new TestLog({
