--- a/packages/coordination/src/workflow/copies_of_log.spec.ts
+++ b/packages/coordination/src/workflow/copies_of_log.spec.ts
@@ -53,6 +53,13 @@
   it('answers nothing once the leader was not heard of for a while', () => {
     expect(readerOf(startedLog(), 251).read(address('a'))).to.equal(undefined);
   });
+  it('how a workflow ended is told however late the leader is: that does not change', () => {
+    const log = startedLog();
+    log.end('w1', testTask('a', 0, 0), 'done');
+    const reader = readerOf(log, 5000);
+    expect(reader.read(address('a'))).to.eql({kind: 'state', state: 'done'});
+    expect(reader.read(address('b'))).to.equal(undefined);
+  });
   it('still tells how a workflow ended after its details are dropped', () => {
     const log = startedLog();
     log.end('w1', testTask('a', 0, 0), 'done');
--- a/packages/daemon/src/cluster/workflow_calls.spec.ts
+++ b/packages/daemon/src/cluster/workflow_calls.spec.ts
@@ -11,11 +11,14 @@
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
 const get = {kind: 'get' as const, host: 'h', path: '/q/a'};
 
+/** Index of a copy, and the state that it tells. */
+type CopyAnswer = number | {readonly index: number; readonly state: string};
+
 /** Calls of an entry beside a leader at an index and a copy at another. */
 const makeCalls = async (
   leaderIndex: number,
-  copy: () => Promise<number>,
-  isLed = true,
+  copy: (atLeast: number) => Promise<CopyAnswer>,
+  {isLed = true, askLeader = async (): Promise<void> => undefined} = {},
 ) => {
   const welcome = (vm: VmId, isServing: boolean): LinkWelcome => ({
     vm,
@@ -30,10 +33,15 @@
     index: isServing ? leaderIndex : 0,
   });
   const peers = {
-    call: async (to: VmId, method: string) => {
+    call: async (to: VmId, method: string, {atLeast = 0} = {}) => {
       if (method === 'hello') return welcome(to, isLed && to === LEADER);
-      if (method === 'readWorkflow')
-        return {answer: {kind: 'state', state: 'running'}, index: await copy()};
+      if (method === 'readWorkflow') {
+        const told = await copy(atLeast);
+        const {index, state} =
+          typeof told === 'number' ? {index: told, state: 'running'} : told;
+        return {answer: {kind: 'state', state}, index};
+      }
+      await askLeader();
       return {
         kind: 'ok',
         value: {kind: 'state', state: 'done'},
@@ -81,9 +89,30 @@
     expect(await stateOf(calls)).to.equal('done');
   });
   it('an entry that no leader has told of its index shows no copy', async () => {
-    const calls = await makeCalls(50, async () => 3, false);
+    const calls = await makeCalls(50, async () => 3, {isLed: false});
     expect(await stateOf(calls)).to.equal('done');
   });
+  it('a question is answered at the end although the leader is late', async () => {
+    const calls = await makeCalls(
+      50,
+      async () => ({index: 49, state: 'done'}),
+      {
+        askLeader: () => new Promise(() => undefined),
+      },
+    );
+    const late = new Promise<string>(resolve =>
+      setTimeout(() => resolve('no answer in time'), 300),
+    );
+    expect(await Promise.race([stateOf(calls), late])).to.equal('done');
+  });
+  it('a copy that is a moment behind is waited for, and the leader is spared', async () => {
+    let asked = 0;
+    const calls = await makeCalls(50, async atLeast => Math.max(45, atLeast), {
+      askLeader: async () => void asked++,
+    });
+    expect(await stateOf(calls)).to.equal('running');
+    expect(asked).to.equal(0);
+  });
   it('the leader answers where a copy does not', async () => {
     const calls = await makeCalls(50, () => Promise.reject(new Error('gone')));
     expect(await stateOf(calls)).to.equal('done');
