Questions wait for a copy that is behind, and lasting answers need no fresh one

Cause: the fallback of reads went to the authority that was short of time. A copy told nothing after 250 ms without a word of the leader or a few entries behind, so a leader that was late got the questions of all clients as well, each with a round to a majority. An entry also struck a copy that was late at one greeting off for 10 s, as 'readable' meant 'fresh'. Ruled out: entries used up by the questions (alerts in all zones within 0.9 s). Class: a fallback that adds load to what is overloaded. Change: how a workflow ended is told by any copy that is not older than what the leader told a while ago; other answers wait at the copy, up to 150 ms, until it holds the index that the entry knew when it asked; a copy that is late now is asked again. Conclusion: a question costs the leader nothing while a copy is at most 150 ms behind.

--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -18,6 +18,7 @@
   type ZoneId,
 } from '@primrosewick/state';
 import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
+import {KnownIndex} from './known_index.js';
 
 /** Methods that only the leader answers. */
 type LeaderMethod = {
@@ -83,7 +84,7 @@
   private servingAt = Number.NEGATIVE_INFINITY;
   private greetedAt = Number.NEGATIVE_INFINITY;
   private hadContact = false;
-  private highestIndex = 0;
+  private readonly index = new KnownIndex();
   private timer: Subscription | undefined;
   /** VMs with a copy of the log, as they last said. */
   private readonly readers = new Map<VmId, Reader>();
@@ -147,12 +148,17 @@
    * that was suspended does not count that time.
    */
   get knownIndex(): number {
-    return this.highestIndex;
+    return this.index.highest;
+  }
+
+  /** An index that was known a while ago; a copy below it is away, not only behind. */
+  get settledIndex(): number {
+    return this.index.settledAt(this.options.clock.now());
   }
 
   /** Notes an index that was told or shown. */
   noteIndex(index: number): void {
-    this.highestIndex = Math.max(this.highestIndex, index);
+    this.index.note(index, this.options.clock.now());
   }
 
   /** Passes over a VM whose copy did not answer. */
--- a/packages/coordination/src/workflow/copies_of_log.spec.ts
+++ b/packages/coordination/src/workflow/copies_of_log.spec.ts
@@ -8,7 +8,7 @@
   testWorker,
 } from '@primrosewick/state/fixtures';
 import {Subject} from 'rxjs';
-import type {Clock} from '@primrosewick/transport';
+import {systemClock, type Clock} from '@primrosewick/transport';
 import {AnnouncementDesk} from './announcements.js';
 import {WorkflowReplica} from './replica.js';
 import {ReplicaReader} from './replica_reader.js';
@@ -36,7 +36,11 @@
   return log;
 };
 const readerOf = (log: TestLog, ageMs = 0) =>
-  new ReplicaReader({replica: copyOf(log), ageMs: () => ageMs});
+  new ReplicaReader({
+    replica: copyOf(log),
+    clock: systemClock,
+    ageMs: () => ageMs,
+  });
 
 describe('reader of a copy', () => {
   it('tells the state of what it knows, and how much waits', () => {
@@ -60,6 +64,23 @@
     expect(reader.read(address('a'))).to.eql({kind: 'state', state: 'done'});
     expect(reader.read(address('b'))).to.equal(undefined);
   });
+  it('a question waits for a copy that is a moment behind', async () => {
+    const log = startedLog();
+    const replica = copyOf(log);
+    const reader = new ReplicaReader({
+      replica,
+      clock: systemClock,
+      ageMs: () => 0,
+    });
+    const index = replica.index + 1;
+    setTimeout(() => replica.apply({index}), 30);
+    const answer = await reader.readAt(address('a'), index);
+    expect(answer).to.eql({kind: 'state', state: 'running'});
+    expect(replica.index).to.equal(index);
+  });
+  it('a copy that is late now is still one to ask later', () => {
+    expect(readerOf(startedLog(), 5000).isReadable).to.equal(true);
+  });
   it('still tells how a workflow ended after its details are dropped', () => {
     const log = startedLog();
     log.end('w1', testTask('a', 0, 0), 'done');
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -6,27 +6,59 @@
  */
 import type {QueueAddress, WorkflowReply} from '@primrosewick/protocol';
 import {matchQueue, type WorkflowId} from '@primrosewick/state';
+import {pause, type Clock} from '@primrosewick/transport';
 import type {WorkflowReplica} from './replica.js';
 import {countPending, viewOf} from './workflow_view.js';
 
 /** Options of the reader. */
 export interface ReplicaReaderOptions {
   readonly replica: WorkflowReplica;
+  readonly clock: Clock;
   /** Age of the copy: time since the leader last told of its commits, in ms. */
   readonly ageMs: () => number;
 }
 
-/** Age from which the copy answers nothing, in ms: two heartbeats of the log. */
+/** Age from which the copy tells nothing that may still change, in ms: two heartbeats of the log. */
 const MAX_AGE_MS = 250;
+/** Time for which a question waits for a copy that is behind, in ms. */
+const MAX_WAIT_MS = 150;
+/** Interval of the looks at a copy that is behind, in ms: entries come as often. */
+const LOOK_INTERVAL_MS = 10;
+
+/** Whether an answer stays true whatever is recorded later. */
+export const isLasting = (reply: WorkflowReply): boolean =>
+  reply.kind === 'state' &&
+  reply.state !== 'queued' &&
+  reply.state !== 'running';
 
 /** Reads the copy of one VM. */
 export class ReplicaReader {
   constructor(private readonly options: ReplicaReaderOptions) {}
 
+  /** Whether there is a copy to ask, be it late at the moment. */
+  get isReadable(): boolean {
+    return this.options.replica.isReady;
+  }
+
   /** Whether the copy may be shown now. */
   get isFresh(): boolean {
-    const {replica, ageMs} = this.options;
-    return replica.isReady && ageMs() <= MAX_AGE_MS;
+    return this.isReadable && this.options.ageMs() <= MAX_AGE_MS;
+  }
+
+  /** Reads once the copy holds an index and is fresh, or has been waited for. */
+  async readAt(
+    address: QueueAddress,
+    atLeast: number,
+  ): Promise<WorkflowReply | undefined> {
+    const {clock, replica} = this.options;
+    const deadline = clock.now() + MAX_WAIT_MS;
+    let reply = this.read(address);
+    while (!(reply && isLasting(reply)) && clock.now() < deadline) {
+      if (this.isFresh && replica.index >= atLeast) break;
+      await pause(clock, LOOK_INTERVAL_MS);
+      reply = this.read(address);
+    }
+    return reply;
   }
 
   /**
@@ -34,10 +66,14 @@
    * @returns undefined where only the leader can tell: that nothing is known
    *   here does not mean that nothing was accepted.
    */
-  read({host, path}: QueueAddress): WorkflowReply | undefined {
+  read(address: QueueAddress): WorkflowReply | undefined {
+    const reply = this.isReadable ? this.lookUp(address) : undefined;
+    return reply && (this.isFresh || isLasting(reply)) ? reply : undefined;
+  }
+
+  private lookUp({host, path}: QueueAddress): WorkflowReply | undefined {
     const {db} = this.options.replica;
-    if (!this.isFresh || !db.bundle) return undefined;
-    const match = matchQueue(db.bundle, host, path);
+    const match = db.bundle && matchQueue(db.bundle, host, path);
     if (!match) return undefined;
     if (match.rest === '')
       return {kind: 'pending', count: countPending(db, match.queue)};
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -198,6 +198,7 @@
   private makeReader(log: VoterLog): ReplicaReader {
     return new ReplicaReader({
       replica: this.replica,
+      clock: systemClock,
       ageMs: () => log.contactAgeMs,
     });
   }
@@ -277,7 +278,7 @@
       leader: this.log?.leaderVm ?? null,
       members: this.log?.memberVms ?? [],
       isServing,
-      isReadable: this.reader?.isFresh === true,
+      isReadable: this.reader?.isReadable === true,
       index: this.replica.index,
     };
   }
@@ -307,8 +308,8 @@
         log?.isLeading
           ? {kind: 'ok', value: {index: await log.readIndex()}}
           : {kind: 'not_leader', leader: log?.leaderVm ?? null},
-      readWorkflow: async address => ({
-        answer: this.reader?.read(address) ?? null,
+      readWorkflow: async ({atLeast, ...address}) => ({
+        answer: (await this.reader?.readAt(address, atLeast)) ?? null,
         index: this.replica.index,
       }),
       workflow: request => service?.handle(request) ?? notHere(),
--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -1,5 +1,9 @@
 /** Carries clients' calls: questions to a copy of the log nearby, all else to the leader. */
-import type {GatewayTask, ReplicaReader} from '@primrosewick/coordination';
+import {
+  isLasting,
+  type GatewayTask,
+  type ReplicaReader,
+} from '@primrosewick/coordination';
 import type {
   LinkMethods,
   QueueAddress,
@@ -59,9 +63,11 @@
     // Only a word of the leader tells how old a copy is.
     const vm = gateway.hasContact ? gateway.readerVm : null;
     if (vm === null) return null;
+    const atLeast = gateway.knownIndex;
     try {
-      const reply = await peers.call(vm, 'readWorkflow', {host, path});
-      return this.check(vm, reply);
+      const request = {host, path, atLeast};
+      const reply = await peers.call(vm, 'readWorkflow', request);
+      return this.check(vm, atLeast, reply);
     } catch (err) {
       logger.info(
         {change: 'reader_avoided', peer: vm, err: String(err)},
@@ -72,16 +78,24 @@
     }
   }
 
-  /** Takes an answer that is no older than anything the leader or a copy has told. */
+  /**
+   * Takes an answer that is no older than anything the leader or a copy had told
+   * before the question. How a workflow ended does not change, so a copy that is
+   * only behind may tell it; one that was away may have an old bundle.
+   */
   private check(
     vm: VmId,
+    atLeast: number,
     {answer, index}: LinkMethods['readWorkflow']['reply'],
   ): WorkflowReply | null {
     const {gateway, logger} = this.options;
-    // A copy is often a few entries behind; the next question may find it level.
-    if (index < gateway.knownIndex) {
+    const known =
+      answer && isLasting(answer)
+        ? Math.min(atLeast, gateway.settledIndex)
+        : atLeast;
+    if (index < known) {
       logger.debug(
-        {change: 'reader_behind', peer: vm, index, known: gateway.knownIndex},
+        {change: 'reader_behind', peer: vm, index, known},
         'a copy of the log is behind; the leader is asked instead',
       );
       return null;
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -34,7 +34,7 @@
   readonly members: readonly VmId[];
   /** Whether the VM leads, is current, and has a bundle. */
   readonly isServing: boolean;
-  /** Whether the VM has a copy of the log that is fresh enough to be read. */
+  /** Whether the VM has a copy of the log that may be read, once it is fresh enough. */
   readonly isReadable: boolean;
   /** Index of the log up to which its state is applied; 0 without a disk. */
   readonly index: number;
@@ -93,9 +93,9 @@
     request: Record<string, never>;
     reply: FromLeader<{readonly index: number}>;
   };
-  /** Asks a copy of the log; it answers only what it is sure of. */
+  /** Asks a copy of the log, once it holds an index; it answers only what it is sure of. */
   readWorkflow: {
-    request: QueueAddress;
+    request: QueueAddress & {readonly atLeast: number};
     /** The answer, and the index of the state that it was read from. */
     reply: {readonly answer: WorkflowReply | null; readonly index: number};
   };
