A workflow too large for one process is refused before it is recorded

What callers would see: one request with count 2,000,000,000, or a billion occurrences, is accepted; the first start makes a record for each task on every voter, all of them end for lack of memory, replay the log and end again. Cause: nothing bounded the size of a workflow; only its payload was. Class: one malformed message takes whole processes down. Change: bounds of 1,000 steps, 20,000 tasks and 10,000 occurrences, checked by the leader before it proposes, as bundles are. Evidence: the new spec fails before ('accepted', proposed 'submit') and passes now.

--- /dev/null
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -0,0 +1,70 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import type {CellError, VmId, WorkflowSpec} from '@primrosewick/state';
+import {TestLog, testSpec, testStep} from '@primrosewick/state/fixtures';
+import {systemClock} from '@primrosewick/transport';
+import {WorkflowReplica} from './replica.js';
+import {WorkflowService} from './service.js';
+
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const [QUEUE] = new TestLog().db.bundle!.queues;
+
+/** A leader whose log takes everything, and what it was asked to take. */
+const makeService = () => {
+  const replica = new WorkflowReplica();
+  replica.restore(new TestLog().db.toImage());
+  const proposed: string[] = [];
+  const service = new WorkflowService({
+    replica,
+    log: {
+      isLeading: true,
+      leaderVm: 'own' as VmId,
+      propose: async ({kind}) => {
+        proposed.push(kind);
+        return {kind: 'applied'} as never;
+      },
+      readIndex: async () => replica.index,
+    },
+    clock: systemClock,
+    logger,
+    onHeard: () => undefined,
+    runsOf: () => [],
+  });
+  return {service, proposed};
+};
+
+/** What becomes of a workflow that is handed in: its answer, or the reason against it. */
+const submit = async (spec: WorkflowSpec) => {
+  const {service, proposed} = makeService();
+  const answer = await service
+    .handle({
+      kind: 'submit',
+      host: QUEUE!.host,
+      path: `${QUEUE!.prefix}5c0e7a21d94b36f8`,
+      spec,
+    })
+    .then(
+      reply => (reply.kind === 'ok' ? reply.value.kind : reply.kind),
+      (err: CellError) => err.code,
+    );
+  return {answer, proposed};
+};
+
+describe('workflow service', () => {
+  it('a workflow of some tasks is recorded', async () => {
+    const outcome = await submit(testSpec([testStep({taskCount: 100})]));
+    expect(outcome).to.eql({answer: 'accepted', proposed: ['submit']});
+  });
+  it('a workflow that would end every voter is refused before it is recorded', async () => {
+    const huge = [
+      testSpec([testStep({taskCount: 2_000_000_000})]),
+      {...testSpec([testStep()]), occurrences: 1e9, firstDueAt: 1},
+      testSpec(Array.from({length: 20_000}, () => testStep())),
+    ];
+    for (const spec of huge)
+      expect(await submit(spec)).to.eql({
+        answer: 'invalid_input',
+        proposed: [],
+      });
+  });
+});
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -10,6 +10,7 @@
   CellError,
   decideAdmission,
   findBundleFault,
+  findSpecFault,
   matchQueue,
   type Bundle,
   type QueueMatch,
@@ -131,13 +132,7 @@
     LinkMethods['putBundle']['reply']
   > {
     return this.lead(async () => {
-      const detail = findBundleFault(bundle);
-      if (detail)
-        throw new CellError({
-          code: 'invalid_input',
-          step: 'put-bundle',
-          detail,
-        });
+      refuseFault('put-bundle', findBundleFault(bundle));
       const result = await this.propose({kind: 'put_bundle', bundle});
       this.options.logger.info(
         {
@@ -211,6 +206,7 @@
       await known;
       return {kind: 'accepted'};
     }
+    refuseFault('submit', findSpecFault(spec));
     this.admit(id, queue, spec);
     const outcome = this.propose({
       kind: 'submit',
@@ -316,3 +312,9 @@
     );
   }
 }
+
+/** @throws CellError `invalid_input` where something is wrong with what was sent. */
+const refuseFault = (step: string, detail: string | undefined): void => {
+  if (detail === undefined) return;
+  throw new CellError({code: 'invalid_input', step, detail});
+};
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -39,6 +39,7 @@
 export * from './workflow/journal/remaining.js';
 export * from './workflow/journal/types.js';
 export * from './workflow/planner/views.js';
+export * from './workflow/admission/limits.js';
 export * from './workflow/admission/types.js';
 export * from './workflow/types.js';
 export * from './workflow/planner/core.js';
