--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -327,7 +327,7 @@
     });
     if (!change) return;
     this.options.logger.info(
-      {decision: 'members', change, members},
+      {decision: 'members', memberChange: change, members},
       'the members of the log are changed',
     );
     try {
