--- /dev/null
+++ b/packages/proofs/src/zone/oracle.spec.ts
@@ -0,0 +1,60 @@
+import {expect} from 'chai';
+import {CellError, type ReasonCode} from '@primrosewick/state';
+import {ZoneOracle, type ClientRecord, type Wait} from './oracle.js';
+
+const RUN_AT = 5600;
+const DEADLINE = 6000;
+const WAIT: Wait = {from: 0, to: RUN_AT};
+
+const recordOf = (id: string, isIdempotent: boolean): ClientRecord => ({
+  id,
+  isIdempotent,
+  key: undefined,
+  entry: 'a0.1',
+  sentAt: 0,
+  deadline: DEADLINE,
+});
+
+/** An oracle that saw an answer take a time, and then a request that was refused while it ran. */
+const oracleOf = (
+  code: ReasonCode,
+  isIdempotent: boolean,
+  tookMs: number,
+): ZoneOracle => {
+  const oracle = new ZoneOracle();
+  const [before, refused] = ['q1', 'q2'].map(id => recordOf(id, isIdempotent));
+  for (const record of [before!, refused!]) oracle.addRequest(record);
+  oracle.addRun('q1', 'up0', 100);
+  oracle.addAnswer(before!, 'q1', 100 + tookMs);
+  oracle.addRun('q2', 'up0', RUN_AT);
+  const err = new CellError({code, outcome: 'unknown', step: 'test'});
+  oracle.addRefusal(refused!, err);
+  return oracle;
+};
+
+describe('zone oracle', () => {
+  it('a request that may be repeated may time out after a wait that is allowed', () => {
+    const waits: Wait[] = [];
+    const oracle = oracleOf('upstream_timeout', true, 400);
+    expect(oracle.lostUnless(wait => waits.push(wait) > 0)).to.eql([]);
+    expect(waits).to.eql([WAIT]);
+  });
+  it('a timeout after any other wait is a loss', () => {
+    const oracle = oracleOf('upstream_timeout', true, 400);
+    expect(oracle.lostUnless(() => false)).to.eql(['q2 (upstream_timeout)']);
+  });
+  it('a timeout of a request that was sent too late is a loss', () => {
+    const oracle = oracleOf('upstream_timeout', true, 401);
+    expect(oracle.lostUnless(() => true)).to.eql(['q2 (upstream_timeout)']);
+  });
+  it('a request that must not run twice is lost by any unknown outcome', () => {
+    const oracle = oracleOf('upstream_timeout', false, 400);
+    expect(oracle.lostUnless(() => true)).to.eql(['q2 (upstream_timeout)']);
+  });
+  it('a broken connection is a loss after any wait', () => {
+    for (const code of ['upstream_lost', 'client_gone'] as const) {
+      const oracle = oracleOf(code, true, 400);
+      expect(oracle.lostUnless(() => true)).to.eql([`q2 (${code})`]);
+    }
+  });
+});
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -45,6 +45,9 @@
   zoneRenewMs: 500,
 };
 
+/** How often an entry renews its shares, in ms. */
+export const SIM_SYNC_MS = 300;
+
 /** The daemon of one VM: the real tasks behind fake ports. */
 export class SimVm implements PeerPlace {
   readonly process = new SimProcess();
@@ -139,7 +142,7 @@
       metrics,
       recorder: this.journal,
       limits: {maxRequests: 100},
-      syncMs: 300,
+      syncMs: SIM_SYNC_MS,
       connectionsOf: () => 100,
     });
     this.keyed = new KeyedRequests({
--- a/packages/proofs/src/zone/zone_world.ts
+++ b/packages/proofs/src/zone/zone_world.ts
@@ -1,4 +1,8 @@
-import type {ClientRequest, JournalRecorder} from '@primrosewick/coordination';
+import {
+  DEFAULT_AUTHORITY_TIMING,
+  type ClientRequest,
+  type JournalRecorder,
+} from '@primrosewick/coordination';
 import type {VmSettings} from '@primrosewick/protocol';
 import {
   asId,
@@ -21,8 +25,9 @@
 import {checkJobs} from './job_check.js';
 import {checkJournal} from './journal_keeper.js';
 import {ZoneOracle, type ClientRecord} from './oracle.js';
+import {QuorumRecord} from './quorum_record.js';
 import {makeVms, profileOf} from './fixtures.js';
-import {SimVm} from './sim_vm.js';
+import {SIM_SYNC_MS, SIM_TIMING, SimVm} from './sim_vm.js';
 import {SimUpstream} from './sim_upstream.js';
 import {SimWorker} from './sim_worker.js';
 
@@ -32,6 +37,16 @@
 const MAX_SETTLE_MS = 120_000;
 const START_MS = 6000;
 const WORKER_CPU_MILLIS = 4000;
+/** Time after its start during which a grantor promises nothing, in ms. */
+const GRANTOR_SILENT_MS =
+  SIM_TIMING.zoneLeaseMs + DEFAULT_AUTHORITY_TIMING.driftMs;
+const ELECTION_MS = 1500;
+/**
+ * Time from the return of a majority of grantors until every entry holds
+ * shares: an election, the wait for loans of before, and a renewal, in ms.
+ */
+const RECOVERY_MS =
+  ELECTION_MS + SIM_TIMING.shareMs + SIM_TIMING.shareMarginMs + SIM_SYNC_MS;
 /** Clocks run fast or slow by at most this many parts in a thousand. */
 const MAX_DRIFT = 5;
 
@@ -66,6 +81,7 @@
   readonly vms: VmSettings[];
   readonly upstreams: SimUpstream[];
   readonly workers: SimWorker[];
+  private readonly quorum: QuorumRecord;
   private readonly running = new Map<VmId, SimVm>();
   private readonly journals: JournalRecorder[] = [];
   private boots = 0;
@@ -82,6 +98,10 @@
     this.network = new FakeNetwork(this.queue, this.random);
     this.log = new FakeLog(this.queue, this.random);
     this.vms = makeVms(zoneVms);
+    this.quorum = new QuorumRecord({
+      grantors: this.vms.length,
+      silentMs: GRANTOR_SILENT_MS,
+    });
     this.configure();
     for (const {vm} of this.vms) this.boot(vm);
     this.upstreams = [2, 3].map(
@@ -149,22 +169,41 @@
 
   /** Starts the daemon of a VM anew. */
   boot(vm: VmId): void {
-    this.running.get(vm)?.process.kill();
+    this.crash(vm);
     this.boots++;
     const own = this.vms.find(other => other.vm === vm)!;
     const started = new SimVm(own, this.boots, this.drift(), this);
     this.running.set(vm, started);
+    this.quorum.addStart(vm, this.queue.now);
     this.journals.push(started.journal);
   }
 
   /** Kills the daemon of a VM. */
   crash(vm: VmId): void {
     this.running.get(vm)?.process.kill();
+    this.quorum.addEnd(vm, this.queue.now);
   }
 
   /** Has the daemon of a VM end in order. */
   stop(vm: VmId): void {
-    void this.running.get(vm)?.stop();
+    const daemon = this.running.get(vm);
+    void daemon?.stop().then(() => {
+      const hasEnded =
+        !daemon.process.isAlive && this.running.get(vm) === daemon;
+      if (hasEnded) this.quorum.addEnd(vm, this.queue.now);
+    });
+  }
+
+  /**
+   * Requests that planned stops have lost. One that may be repeated, and was
+   * sent in good time, may time out where its zone had no majority of grantors,
+   * and so no leader, while it waited.
+   */
+  get lost(): string[] {
+    return this.oracle.lostUnless(
+      ({from, to}) =>
+        !this.quorum.isWholeDuring(Math.max(from, to - RECOVERY_MS), to),
+    );
   }
 
   /** The VM that leads the zone now, if any. */
@@ -185,6 +224,9 @@
       id,
       isIdempotent: plan.isIdempotent,
       key: plan.key,
+      entry: vm.holder,
+      sentAt: this.queue.now,
+      deadline: this.queue.now + plan.deadlineMs,
     };
     const abort = new AbortController();
     const request = this.clientRequest(id, plan, abort.signal);
@@ -293,7 +335,11 @@
   ): void {
     served.then(
       answer =>
-        this.oracle.addAnswer(record, Buffer.from(answer.body).toString()),
+        this.oracle.addAnswer(
+          record,
+          Buffer.from(answer.body).toString(),
+          this.queue.now,
+        ),
       (err: unknown) => this.oracle.addRefusal(record, err),
     );
     this.watchDeath(vm, record);
