--- a/packages/coordination/src/journal/recorder.ts
+++ b/packages/coordination/src/journal/recorder.ts
@@ -8,6 +8,8 @@
   readonly clock: Clock;
   /** Bytes kept for each core; half of them are one segment. */
   readonly maxBytes: number;
+  /** Bytes of one segment that begins with a large image; as others when left out. */
+  readonly maxSegmentBytes?: number;
 }
 
 const MAX_NOTES = 20_000;
@@ -17,8 +19,10 @@
   private readonly db: JournalDb;
 
   constructor(private readonly options: JournalRecorderOptions) {
+    const {maxBytes, maxSegmentBytes = maxBytes / 2} = options;
     this.db = new JournalDb({
-      segmentBytes: options.maxBytes / 2,
+      segmentBytes: maxBytes / 2,
+      maxSegmentBytes,
       maxNotes: MAX_NOTES,
     });
   }
@@ -28,9 +32,8 @@
     this.db.addLine({kind: 'start', core, options});
   }
 
-  resume(core: CoreName, image: string): void {
-    this.db.rotate(core);
-    this.db.addLine({kind: 'resume', core, image});
+  resume(core: CoreName, image: Uint8Array): void {
+    this.db.rotate(core, image);
   }
 
   record({core, event, outcome, notes}: DecisionRecord): void {
@@ -47,6 +50,11 @@
     return this.db.getLines(core);
   }
 
+  /** The same lines as UTF-8, with newlines between them. */
+  getBytes(core: CoreName): Buffer {
+    return this.db.getBytes(core);
+  }
+
   /** Kept reasons about a request, job, task or worker. */
   explain(subject: string): TimedNote[] {
     return this.db.getNotes(subject);
--- a/packages/coordination/src/zone/types.ts
+++ b/packages/coordination/src/zone/types.ts
@@ -36,7 +36,7 @@
   /** Notes that a core was started anew with these options. */
   start(core: CoreName, options: unknown): void;
   /** Notes that a core goes on from its image. */
-  resume(core: CoreName, image: string): void;
+  resume(core: CoreName, image: Uint8Array): void;
   record(record: DecisionRecord): void;
   /** Whether the core should go on from its image, so that older lines can be dropped. */
   isFull(core: CoreName): boolean;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -26,6 +26,7 @@
 export type {Worker} from './placement/worker_table.js';
 export * from './journal/core.js';
 export * from './journal/db.js';
+export type {TimedNote} from './journal/note_store.js';
 export * from './journal/types.js';
 export * from './utils/image.js';
 export * from './bundle/core.js';
--- a/packages/state/src/journal/core.ts
+++ b/packages/state/src/journal/core.ts
@@ -71,7 +71,8 @@
   }
 };
 
-const resumeCore = (name: CoreName, image: string): Steppable => {
+const resumeCore = (name: CoreName, text: string): Steppable => {
+  const image = Buffer.from(text, 'base64');
   switch (name) {
     case 'requests':
       return stepRequests(fromImage(image, reviveRequestCore));
--- a/packages/state/src/journal/db.ts
+++ b/packages/state/src/journal/db.ts
@@ -1,79 +1,86 @@
 import type {DecisionNote} from '../requests/types.js';
+import {NoteStore, type TimedNote} from './note_store.js';
+import {Segment} from './segment.js';
 import type {CoreName, JournalLine} from './types.js';
 
 /** Bounds of a journal. */
 export interface JournalLimits {
-  /** Bytes of the lines of one core after which the next segment begins. */
+  /** Bytes of one core, its image included, after which the next segment begins. */
   readonly segmentBytes: number;
+  /** The same bound where images are large; `segmentBytes` when left out. */
+  readonly maxSegmentBytes?: number;
   /** Reasons kept for `explain`. */
   readonly maxNotes: number;
 }
 
-/** A reason with the time at which it was given. */
-export interface TimedNote extends DecisionNote {
-  /** Wall time, in ms since 1970. */
-  readonly at: number;
-}
+/** Size of a segment against its image, up to the bound. */
+const IMAGE_FACTOR = 5;
 
-/** Lines of one core: the present segment and the one before. */
+/** The present segment of one core and the one before. */
 interface Segments {
-  before: string[];
-  present: string[];
-  presentBytes: number;
+  readonly before: Segment;
+  readonly present: Segment;
 }
 
 /** Keeps the latest lines of each core, and the latest reasons by subject. */
 export class JournalDb {
   private readonly segments = new Map<CoreName, Segments>();
-  private readonly notes: TimedNote[] = [];
+  private readonly notes: NoteStore;
 
-  constructor(private readonly limits: JournalLimits) {}
+  constructor(private readonly limits: JournalLimits) {
+    this.notes = new NoteStore(limits.maxNotes);
+  }
 
   /** Adds a line. */
   addLine(line: JournalLine): void {
-    const text = JSON.stringify(line);
-    const segments = this.segmentsOf(line.core);
-    segments.present.push(text);
-    segments.presentBytes += text.length;
+    this.segmentsOf(line.core).present.add(line);
   }
 
   /** Adds the reasons of a step. */
   addNotes(notes: readonly DecisionNote[], at: number): void {
-    for (const note of notes) this.notes.push({...note, at});
-    const excess = this.notes.length - 2 * this.limits.maxNotes;
-    if (excess > 0)
-      this.notes.splice(0, this.notes.length - this.limits.maxNotes);
+    this.notes.add(notes, at);
   }
 
   /** Whether the present segment of a core has reached its bound. */
   isFull(core: CoreName): boolean {
-    return this.segmentsOf(core).presentBytes >= this.limits.segmentBytes;
+    const {present} = this.segmentsOf(core);
+    const {segmentBytes, maxSegmentBytes = segmentBytes} = this.limits;
+    const wanted = Math.max(segmentBytes, IMAGE_FACTOR * present.imageBytes);
+    return present.bytes >= Math.min(wanted, maxSegmentBytes);
   }
 
-  /** Begins a new segment and drops the one before the last. */
-  rotate(core: CoreName): void {
-    const {present} = this.segmentsOf(core);
-    this.segments.set(core, {before: present, present: [], presentBytes: 0});
+  /**
+   * Begins a new segment and drops the one before the last.
+   * @param image - what the core goes on from; the journal keeps it as it is.
+   */
+  rotate(core: CoreName, image: Uint8Array | null = null): void {
+    const {before, present} = this.segmentsOf(core);
+    before.begin(image);
+    this.segments.set(core, {before: present, present: before});
   }
 
   /** @returns the kept lines of a core, oldest first. */
   getLines(core: CoreName): string[] {
     const {before, present} = this.segmentsOf(core);
-    return [...before, ...present];
+    return [...before.getLines(), ...present.getLines()];
+  }
+
+  /** @returns the kept lines of a core as UTF-8, with newlines between them. */
+  getBytes(core: CoreName): Buffer {
+    const {before, present} = this.segmentsOf(core);
+    const all = Buffer.concat([...before.getBytes(), ...present.getBytes()]);
+    return all.subarray(0, -1);
   }
 
   /** @returns the kept reasons about a subject or anything that belongs to it. */
   getNotes(subject: string): TimedNote[] {
-    return this.notes.filter(
-      note =>
-        note.subject === subject || note.subject.startsWith(`${subject}.`),
-    );
+    return this.notes.find(subject);
   }
 
   private segmentsOf(core: CoreName): Segments {
     const known = this.segments.get(core);
     if (known) return known;
-    const segments = {before: [], present: [], presentBytes: 0};
+    const segments = {before: new Segment(core), present: new Segment(core)};
     this.segments.set(core, segments);
     return segments;
   }
--- /dev/null
+++ b/packages/state/src/journal/line_store.spec.ts
@@ -0,0 +1,92 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {LineStore} from './line_store.js';
+
+const CHUNK_BYTES = 64 * 1024;
+
+const storeOf = (lines: readonly string[]): LineStore => {
+  const store = new LineStore();
+  for (const line of lines) store.add(line);
+  return store;
+};
+
+describe('line store', () => {
+  it('an empty store has no lines', () => {
+    expect(new LineStore().getLines()).to.eql([]);
+    expect(new LineStore().find('a')).to.eql([]);
+  });
+  it('gives lines back in their order', () => {
+    const store = storeOf(['one', 'two', '', 'three']);
+    expect(store.getLines()).to.eql(['one', 'two', '', 'three']);
+    expect(store.count).to.equal(4);
+    expect(store.bytes).to.equal('one\ntwo\n\nthree\n'.length);
+  });
+  it('keeps order over many chunks', () => {
+    const lines = Array.from({length: 3000}, (_, i) => `${i} `.repeat(30));
+    const store = storeOf(lines);
+    expect(store.getLines()).to.eql(lines);
+    expect(store.getChunks().length).to.be.greaterThan(3);
+  });
+  for (const length of [CHUNK_BYTES - 2, CHUNK_BYTES - 1, CHUNK_BYTES])
+    it(`a line of ${length} bytes is whole beside others`, () => {
+      const lines = ['a', 'x'.repeat(length), 'b'];
+      expect(storeOf(lines).getLines()).to.eql(lines);
+    });
+  it('a chunk is filled to its last byte', () => {
+    const lines = ['x'.repeat(CHUNK_BYTES - 3), 'y'];
+    const store = storeOf(lines);
+    expect(store.getChunks().length).to.equal(1);
+    expect(store.getLines()).to.eql(lines);
+    store.add('');
+    expect(store.getChunks().length).to.equal(2);
+  });
+  it('a line of many chunks is whole', () => {
+    const lines = ['a', 'ü'.repeat(5 * CHUNK_BYTES), 'b'];
+    const store = storeOf(lines);
+    expect(store.getLines()).to.eql(lines);
+    expect(store.find('b')).to.eql(['b']);
+  });
+  it('wide characters at the end of a chunk are whole', () => {
+    for (const text of ['é', '€', '😀', 'a😀€é'])
+      for (let gap = 0; gap < 14; gap++) {
+        const lines = ['x'.repeat(CHUNK_BYTES - 1 - gap), text, 'z'];
+        expect(storeOf(lines).getLines()).to.eql(lines);
+      }
+  });
+  it('any lines come back', () => {
+    const line = fc
+      .string({unit: 'binary', maxLength: 40})
+      .map(text => text.replaceAll('\n', ''));
+    const repeated = fc
+      .tuple(line, fc.integer({min: 1, max: 2000}))
+      .map(([text, times]) => text.repeat(times));
+    fc.assert(
+      fc.property(fc.array(repeated), lines => {
+        expect(storeOf(lines).getLines()).to.eql(lines);
+      }),
+    );
+  });
+  it('finds the lines that contain a text once each', () => {
+    const filler = Array.from({length: 5000}, (_, i) => `filler ${i}`);
+    const store = storeOf(['ab', ...filler, 'ab ab', 'b', 'xab', ...filler]);
+    expect(store.find('ab')).to.eql(['ab', 'ab ab', 'xab']);
+  });
+  it('forgets everything when cleared, and takes new lines', () => {
+    const store = storeOf(['a', 'x'.repeat(2 * CHUNK_BYTES), 'b']);
+    store.clear();
+    expect(store.getLines()).to.eql([]);
+    expect([store.count, store.bytes]).to.eql([0, 0]);
+    store.add('c');
+    expect(store.getLines()).to.eql(['c']);
+    expect(store.find('b')).to.eql([]);
+  });
+  it('buffers are used again once cleared, long ones are given up', () => {
+    const store = storeOf(['a', 'x'.repeat(2 * CHUNK_BYTES)]);
+    const [before] = store.getChunks();
+    store.clear();
+    store.add('b');
+    expect(store.getChunks()[0]?.buffer).to.equal(before?.buffer);
+    store.add('y'.repeat(CHUNK_BYTES));
+    expect(store.getChunks()[1]?.length).to.equal(CHUNK_BYTES + 1);
+  });
+});
--- a/packages/state/src/journal/types.ts
+++ b/packages/state/src/journal/types.ts
@@ -15,7 +15,7 @@
   | {
       readonly kind: 'resume';
       readonly core: CoreName;
-      /** Image of the core at this point. */
+      /** Image of the core at this point, in base64. */
       readonly image: string;
     }
   | {
--- a/packages/state/src/utils/image.ts
+++ b/packages/state/src/utils/image.ts
@@ -1,5 +1,5 @@
 /**
- * Images of decision cores: the whole state of a core as text, from which an
+ * Images of decision cores: the whole state of a core as bytes, from which an
  * equal core is made. References within the state are kept.
  */
 import {deserialize, serialize} from 'node:v8';
@@ -7,13 +7,12 @@
 /** Gives a plain object, and the objects in its fields, their classes back. */
 export type Reviver<T> = (plain: unknown) => T;
 
-/** Text that holds the state of a core. */
-export const toImage = (core: object): string =>
-  serialize(core).toString('base64');
+/** Bytes that hold the state of a core. */
+export const toImage = (core: object): Uint8Array => serialize(core);
 
 /** Makes a core from its image. */
-export const fromImage = <T>(image: string, revive: Reviver<T>): T =>
-  revive(deserialize(Buffer.from(image, 'base64')));
+export const fromImage = <T>(image: Uint8Array, revive: Reviver<T>): T =>
+  revive(deserialize(image));
 
 /**
  * Makes a reviver for a class.
