Each process tells how late its event loop was

Change: LatenessWatch samples the clock every 100 ms into the histogram primrosewick_late_ms; a sample that is 200 ms late or more is told at once (change late: lateMs, totalMs, overMs, cpuMs, busyMs), later ones together after 5 s.

--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -10,3 +10,6 @@
 export * from './link/server.js';
 export * from './logs/sink.js';
 export * from './logs/line_metrics.js';
+export * from './logs/line_budget.js';
+export * from './lateness/core.js';
+export * from './lateness/task.js';
--- /dev/null
+++ b/packages/transport/src/lateness/task.ts
@@ -0,0 +1,67 @@
+/** Samples how late the event loop of this process is. */
+import {Histogram, type Registry} from 'prom-client';
+import type {Subscription} from 'rxjs';
+import type {Clock} from '../tasks/clock.js';
+import {
+  LatenessCore,
+  SAMPLE_INTERVAL_MS,
+  type Lateness,
+  type LatenessSample,
+} from './core.js';
+
+/** Options of the watch. */
+export interface LatenessWatchOptions {
+  readonly clock: Clock;
+  readonly registry: Registry;
+  /** Use of the processor so far. */
+  readonly usage?: () => Omit<LatenessSample, 'now'>;
+  /** Called when the process was late by more than the limit. */
+  readonly onLate: (lateness: Lateness) => void;
+}
+
+const LATE_BUCKETS_MS = [2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
+const MICROS_PER_MS = 1000;
+
+/** Watches the event loop of one process. */
+export class LatenessWatch {
+  private readonly histogram: Histogram;
+  private timer: Subscription | undefined;
+
+  constructor(private readonly options: LatenessWatchOptions) {
+    this.histogram = new Histogram({
+      name: 'primrosewick_late_ms',
+      help: 'How late the event loop took a sample that is due every 100 ms, in ms.',
+      buckets: LATE_BUCKETS_MS,
+      registers: [options.registry],
+    });
+  }
+
+  /** Begins to sample. */
+  start(): void {
+    const {clock, onLate} = this.options;
+    const core = new LatenessCore(this.sample());
+    this.timer = clock.every(SAMPLE_INTERVAL_MS).subscribe(() => {
+      const {lateMs, told} = core.note(this.sample());
+      this.histogram.observe(lateMs);
+      if (told) onLate(told);
+    });
+  }
+
+  /** Ends. */
+  stop(): void {
+    this.timer?.unsubscribe();
+  }
+
+  private sample(): LatenessSample {
+    const {clock, usage = processUsage} = this.options;
+    return {now: clock.now(), ...usage()};
+  }
+}
+
+const processUsage = (): Omit<LatenessSample, 'now'> => {
+  const {user, system} = process.cpuUsage();
+  return {
+    cpuMs: (user + system) / MICROS_PER_MS,
+    busyMs: performance.eventLoopUtilization().active,
+  };
+};
