Questions tell how they were answered, and leave their id where they were lost

Change: ReadLog counts each question (primrosewick_reads_total by source, reason and outcome; primrosewick_read_ms), tells the failed and the slow ones (decision read) and a sum each 10 s (change reads). The leader tells of proofs of leadership that failed or took 500 ms (confirm) and of answers whose asker had gone (drop). Conclusion: an id leads to the entry, the way and the leader's part.

--- /dev/null
+++ b/packages/coordination/src/workflow/confirm_log.spec.ts
@@ -0,0 +1,49 @@
+import {expect} from 'chai';
+import type Logger from 'bunyan';
+import {CellError} from '@primrosewick/state';
+import type {Clock} from '@primrosewick/transport';
+import {ConfirmLog} from './confirm_log.js';
+
+const makeLog = () => {
+  const lines: object[] = [];
+  const clock = {at: 0, now: () => clock.at};
+  const logger = {info: (line: object) => lines.push(line)};
+  const log = new ConfirmLog(
+    logger as unknown as Logger,
+    clock as unknown as Clock,
+  );
+  return {log, lines, clock};
+};
+
+describe('log of proofs', () => {
+  it('a proof that comes soon leaves no line', async () => {
+    const {log, lines} = makeLog();
+    await log.watch('a', Promise.resolve());
+    expect(lines).to.eql([]);
+  });
+  it('one that is slow is told with the id of the question', async () => {
+    const {log, lines, clock} = makeLog();
+    const proof = new Promise<void>(resolve => setImmediate(resolve));
+    const watched = log.watch('a', proof);
+    clock.at = 800;
+    await watched;
+    expect(lines).to.eql([
+      {
+        decision: 'confirm',
+        req: 'a',
+        waitMs: 800,
+        outcome: 'slow',
+        skipped: 0,
+      },
+    ]);
+  });
+  it('one that fails is told, and still fails', async () => {
+    const {log, lines} = makeLog();
+    const err = new CellError({code: 'not_leader', step: 'read-index'});
+    const thrown = await log
+      .watch('a', Promise.reject(err))
+      .catch((caught: unknown) => caught);
+    expect(thrown).to.equal(err);
+    expect(lines[0]).to.deep.include({req: 'a', outcome: 'failed'});
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/workflow/confirm_log.ts
@@ -0,0 +1,44 @@
+/** Tells of questions that waited long for the proof that this VM still leads. */
+import type Logger from 'bunyan';
+import {toCellError} from '@primrosewick/state';
+import {LineBudget, type Clock} from '@primrosewick/transport';
+
+/** Time from which a proof is told of, in ms: several rounds to a majority. */
+const SLOW_CONFIRM_MS = 500;
+/** Lines in a second. */
+const LINES_PER_SECOND = 10;
+
+/** Lines about proofs that failed or were slow. */
+export class ConfirmLog {
+  private readonly budget = new LineBudget(LINES_PER_SECOND, 1000);
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Waits for a proof that a question needs, and tells of it if it was not soon. */
+  async watch(req: string, proof: Promise<void>): Promise<void> {
+    const beganAt = this.clock.now();
+    try {
+      await proof;
+    } catch (thrown) {
+      const err = toCellError(thrown, 'confirm').toBody();
+      this.tell(req, beganAt, {outcome: 'failed', err});
+      throw thrown;
+    }
+    if (this.clock.now() >= beganAt + SLOW_CONFIRM_MS)
+      this.tell(req, beganAt, {outcome: 'slow'});
+  }
+
+  private tell(req: string, beganAt: number, facts: object): void {
+    const now = this.clock.now();
+    const line = this.budget.take(now);
+    if (!line) return;
+    const waitMs = Math.round(now - beganAt);
+    this.logger.info(
+      {decision: 'confirm', req, waitMs, ...facts, ...line},
+      'the proof that this VM leads came late, or not at all',
+    );
+  }
+}
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -24,6 +24,7 @@
   type WorkflowSpec,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
+import {ConfirmLog} from './confirm_log.js';
 import {AnnouncementSequences, isNews} from './announcements.js';
 import {ReadGate} from './read_gate.js';
 import type {WorkflowReplica} from './replica.js';
@@ -56,8 +57,10 @@
   /** Submissions under way, so that a repeated one shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly sequences = new AnnouncementSequences();
+  private readonly confirmLog: ConfirmLog;
 
   constructor(private readonly options: WorkflowServiceOptions) {
+    this.confirmLog = new ConfirmLog(options.logger, options.clock);
     this.gate = new ReadGate(() => options.log.readIndex());
   }
 
@@ -264,7 +267,7 @@
   }
 
   private async get({queue, rest}: QueueMatch): Promise<WorkflowReply> {
-    await this.confirm();
+    await this.confirmLog.watch(rest, this.confirm());
     if (rest === '')
       return {kind: 'pending', count: countPending(this.db, queue)};
     const workflow = this.db.workflows.get(rest as WorkflowId);
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -1,6 +1,7 @@
 /** One VM of a cell that schedules workflows: an entry, or a voter. */
 import {randomInt} from 'node:crypto';
 import type Logger from 'bunyan';
+import type {Registry} from 'prom-client';
 import {
   AnnouncementDesk,
   GatewayTask,
@@ -17,6 +18,7 @@
   type FromLeader,
   type LinkHello,
   type LinkWelcome,
+  type QueueAddress,
   type WorkflowReply,
   type WorkflowRequest,
 } from '@primrosewick/protocol';
@@ -31,9 +33,12 @@
 import {
   LinkClient,
   LinkServer,
+  LineBudget,
   systemClock,
   type LinkHandlers,
+  type UnsentReply,
 } from '@primrosewick/transport';
+import {ReadLog} from './read_log.js';
 import {WorkflowCalls} from './workflow_calls.js';
 import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
 
@@ -41,6 +46,8 @@
 export interface ClusterNodeOptions {
   readonly settings: ClusterSettings;
   readonly logger: Logger;
+  /** Takes the metrics of this VM. */
+  readonly registry: Registry;
   readonly orders: OrderPort;
   readonly advice: AdvicePort;
   readonly onFatal: (err: CellError) => void;
@@ -54,6 +61,8 @@
 const JOURNAL_BYTES = 6 * 1024 * 1024;
 /** Time for telling the leader of announcements, in ms. */
 const TELL_WITHIN_MS = 900;
+/** Lines in a second for answers that nobody waits for. */
+const UNSENT_PER_SECOND = 10;
 /** Seeds of the random source of elections. */
 const MAX_SEED = 2 ** 31;
 
@@ -76,6 +85,7 @@
     clock: systemClock,
     maxBytes: JOURNAL_BYTES,
   });
+  private readonly unsentLines = new LineBudget(UNSENT_PER_SECOND, 1000);
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -108,6 +118,7 @@
       clock: systemClock,
       logger,
       reader: this.reader,
+      reads: new ReadLog(logger, options.registry),
     });
     this.server = new LinkServer({
       address: settings.peer,
@@ -115,9 +126,29 @@
       handlers: this.handlers(),
       onRefusal: err => logger.info({decision: 'refuse', err: err.toBody()}),
       onLost: vm => this.onPeerLost(vm),
+      onUnsent: unsent => this.onUnsent(unsent),
     });
   }
 
+  /** The VM that carried a client's call has gone before its answer was made. */
+  private onUnsent({method, from, body, tookMs}: UnsentReply): void {
+    if (method !== 'workflow' && method !== 'readWorkflow') return;
+    const line = this.unsentLines.take(systemClock.now());
+    if (!line) return;
+    const {path} = body as QueueAddress;
+    this.options.logger.info(
+      {
+        decision: 'drop',
+        req: path,
+        method,
+        peer: from,
+        waitMs: Math.round(tookMs),
+        ...line,
+      },
+      'an answer was dropped: the stream of the VM that asked is gone',
+    );
+  }
+
   /** A VM whose stream broke may have ended, and may have led. */
   private onPeerLost(vm: VmId): void {
     if (this.isStopping) return;
--- /dev/null
+++ b/packages/daemon/src/cluster/read_log.ts
@@ -0,0 +1,134 @@
+/**
+ * Counts how questions were answered, and tells of those that were not in time.
+ * Load pattern: every client asks again and again, so nothing is told of a
+ * question that was answered soon.
+ */
+import type {CellError, VmId} from '@primrosewick/state';
+import {LineBudget} from '@primrosewick/transport';
+import type Logger from 'bunyan';
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+/** Why the leader is asked. */
+export const LEADER_REASONS = [
+  /** It was cancelled through this VM a moment ago. */
+  'cancelled_here',
+  /** No serving leader was heard of lately, so the age of a copy is not known. */
+  'no_contact',
+  /** No VM with a copy may be asked. */
+  'no_reader',
+  /** The copy is older than what was told or shown. */
+  'copy_behind',
+  /** The copy was not heard from lately, or does not know the subject. */
+  'copy_unsure',
+  /** The VM with the copy did not answer. */
+  'copy_failed',
+] as const;
+
+/** How a question was answered: from a copy, or by the leader for a reason. */
+export type ReadWay = 'copy' | (typeof LEADER_REASONS)[number];
+
+/** A question that has ended. */
+export interface ObservedRead {
+  readonly path: string;
+  readonly way: ReadWay;
+  /** The VM whose copy was asked. */
+  readonly peer: VmId | null;
+  /** Monotonic time at its end, in ms. */
+  readonly endedAt: number;
+  readonly waitMs: number;
+  /** Time until a copy had answered, or was known not to, in ms. */
+  readonly copyMs: number;
+  readonly err?: CellError;
+}
+
+const READ_BUCKETS_MS = [2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
+/** Time from which an answered question is told of, in ms. */
+const SLOW_READ_MS = 1000;
+/** Shortest time between two sums, in ms. */
+const SUM_INTERVAL_MS = 10_000;
+/** Lines of single questions in a second. */
+const LINES_PER_SECOND = 10;
+
+/** Keeps count of the questions of one VM's clients. */
+export class ReadLog {
+  private readonly reads: Counter<'source' | 'reason' | 'outcome'>;
+  private readonly times: Histogram<'source'>;
+  private readonly budget = new LineBudget(LINES_PER_SECOND, 1000);
+  private ways: Partial<Record<ReadWay, number>> = {};
+  private failed = 0;
+  private longestMs = 0;
+  private summedAt: number | undefined;
+
+  constructor(
+    private readonly logger: Logger,
+    registry: Registry,
+  ) {
+    const registers = [registry];
+    this.reads = new Counter({
+      name: 'primrosewick_reads_total',
+      help: 'Questions of clients by who answered, why, and how they ended.',
+      labelNames: ['source', 'reason', 'outcome'],
+      registers,
+    });
+    this.times = new Histogram({
+      name: 'primrosewick_read_ms',
+      help: 'Time from a question of a client to its answer, by who answered, in ms.',
+      labelNames: ['source'],
+      buckets: READ_BUCKETS_MS,
+      registers,
+    });
+  }
+
+  /** Notes a question that has ended. */
+  note(read: ObservedRead): void {
+    const {way, waitMs, err} = read;
+    const source = way === 'copy' ? 'copy' : 'leader';
+    const outcome = err ? 'failed' : 'answered';
+    this.reads.inc({source, reason: way, outcome});
+    this.times.observe({source}, waitMs);
+    this.ways[way] = (this.ways[way] ?? 0) + 1;
+    this.longestMs = Math.max(this.longestMs, waitMs);
+    if (err) this.failed++;
+    if (err || waitMs >= SLOW_READ_MS) this.tell(read);
+    this.sumUp(read.endedAt);
+  }
+
+  private tell({path, way, peer, endedAt, waitMs, copyMs, err}: ObservedRead) {
+    const line = this.budget.take(endedAt);
+    if (!line) return;
+    this.logger.info(
+      {
+        decision: 'read',
+        req: path,
+        outcome: err ? 'failed' : 'slow',
+        way,
+        peer,
+        waitMs: Math.round(waitMs),
+        copyMs: Math.round(copyMs),
+        ...(err ? {err: err.toBody()} : {}),
+        ...line,
+      },
+      'a question was answered late, or not at all',
+    );
+  }
+
+  private sumUp(now: number): void {
+    this.summedAt ??= now;
+    const overMs = now - this.summedAt;
+    if (overMs < SUM_INTERVAL_MS) return;
+    this.logger.info(
+      {
+        change: 'reads',
+        ways: this.ways,
+        failed: this.failed,
+        longestMs: Math.round(this.longestMs),
+        overMs: Math.round(overMs),
+      },
+      'how questions were answered',
+    );
+    this.summedAt = now;
+    this.ways = {};
+    this.failed = 0;
+    this.longestMs = 0;
+  }
+}
--- a/packages/daemon/src/cluster/workflow_calls.spec.ts
+++ b/packages/daemon/src/cluster/workflow_calls.spec.ts
@@ -1,9 +1,11 @@
 import bunyan from 'bunyan';
 import {expect} from 'chai';
+import {Registry} from 'prom-client';
 import {GatewayTask} from '@primrosewick/coordination';
 import type {LinkWelcome} from '@primrosewick/protocol';
 import type {VmId, ZoneId} from '@primrosewick/state';
 import {systemClock, type LinkCaller} from '@primrosewick/transport';
+import {ReadLog, type ObservedRead} from './read_log.js';
 import {WorkflowCalls} from './workflow_calls.js';
 
 const [LEADER, COPY] = ['leader', 'copy'] as VmId[] as [VmId, VmId];
@@ -11,6 +13,16 @@
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
 const get = {kind: 'get' as const, host: 'h', path: '/q/a'};
 
+/** Keeps the questions that were noted. */
+class RecordingLog extends ReadLog {
+  readonly seen: ObservedRead[] = [];
+
+  override note(read: ObservedRead): void {
+    this.seen.push(read);
+    super.note(read);
+  }
+}
+
 /** Calls of an entry beside a leader at an index and a copy at another. */
 const makeCalls = async (
   leaderIndex: number,
@@ -52,13 +64,16 @@
   gateway.start();
   await new Promise(resolve => setTimeout(resolve, 20));
   gateway.stop();
-  return new WorkflowCalls({
+  const reads = new RecordingLog(logger, new Registry());
+  const calls = new WorkflowCalls({
     gateway,
     peers,
     clock: systemClock,
     logger,
     reader: null,
+    reads,
   });
+  return Object.assign(calls, {seen: reads.seen});
 };
 const stateOf = async (calls: WorkflowCalls): Promise<string> => {
   const reply = await calls.request(get, systemClock.now() + 1000);
@@ -88,4 +103,34 @@
     const calls = await makeCalls(50, () => Promise.reject(new Error('gone')));
     expect(await stateOf(calls)).to.equal('done');
   });
+  it('each question is noted with the way that it was answered', async () => {
+    const wayOf = async (
+      copy: () => Promise<number>,
+      isLed?: boolean,
+    ): Promise<string> => {
+      const calls = await makeCalls(50, copy, isLed);
+      await stateOf(calls);
+      return calls.seen.map(({way, path}) => `${way} ${path}`).join();
+    };
+    expect(await wayOf(async () => 50)).to.equal('copy /q/a');
+    expect(await wayOf(async () => 49)).to.equal('copy_behind /q/a');
+    expect(await wayOf(() => Promise.reject(new Error('gone')))).to.equal(
+      'copy_failed /q/a',
+    );
+    expect(await wayOf(async () => 50, false)).to.equal('no_contact /q/a');
+  });
+  it('a question about what was cancelled here is noted as such', async () => {
+    const calls = await makeCalls(50, async () => 50);
+    await calls.request({...get, kind: 'cancel'}, systemClock.now() + 1000);
+    await stateOf(calls);
+    expect(calls.seen.map(({way}) => way)).to.eql(['cancelled_here']);
+  });
+  it('a question that nobody answered is noted with its error', async () => {
+    const calls = await makeCalls(50, () => Promise.reject(new Error('gone')));
+    const err = await calls
+      .request(get, systemClock.now() - 1)
+      .catch((thrown: {code: string}) => thrown);
+    expect(err).to.include({code: 'log_unavailable'});
+    expect(calls.seen[0]).to.include({way: 'copy_failed', err});
+  });
 });
--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -6,9 +6,10 @@
   WorkflowReply,
   WorkflowRequest,
 } from '@primrosewick/protocol';
-import type {VmId} from '@primrosewick/state';
+import {toCellError, type CellError, type VmId} from '@primrosewick/state';
 import type {Clock, LinkCaller} from '@primrosewick/transport';
 import type Logger from 'bunyan';
+import type {ReadLog, ReadWay} from './read_log.js';
 
 /** Options of the calls. */
 export interface WorkflowCallsOptions {
@@ -18,6 +19,14 @@
   readonly logger: Logger;
   /** The copy of this VM, where it has one. */
   readonly reader: ReplicaReader | null;
+  readonly reads: ReadLog;
+}
+
+/** What a copy told, or why the leader is asked. */
+interface CopyAnswer {
+  readonly way: ReadWay;
+  readonly peer: VmId | null;
+  readonly reply?: WorkflowReply;
 }
 
 /** Time for which questions about what was cancelled here go to the leader, in ms. */
@@ -40,54 +49,82 @@
     request: WorkflowRequest,
     deadline: number,
   ): Promise<WorkflowReply> {
-    if (request.kind === 'get') {
-      const answer = await this.readCopy(request);
-      if (answer) return answer;
-    } else if (request.kind === 'cancel') {
-      this.noteCancel(request);
-    }
+    if (request.kind === 'get') return this.read(request, deadline);
+    if (request.kind === 'cancel') this.noteCancel(request);
     return this.options.gateway.callLeader('workflow', request, deadline);
   }
 
-  private async readCopy({
-    host,
-    path,
-  }: QueueAddress): Promise<WorkflowReply | null> {
-    const {gateway, peers, clock, reader, logger} = this.options;
-    if (clock.now() < (this.cancelledUntil.get(path) ?? 0)) return null;
-    if (reader) return reader.read({host, path}) ?? null;
+  private async read(
+    request: Extract<WorkflowRequest, {kind: 'get'}>,
+    deadline: number,
+  ): Promise<WorkflowReply> {
+    const {gateway, clock, reads} = this.options;
+    const beganAt = clock.now();
+    const {reply, way, peer} = await this.readCopy(request);
+    const copyMs = clock.now() - beganAt;
+    const note = (err?: CellError): void => {
+      const endedAt = clock.now();
+      const waitMs = endedAt - beganAt;
+      const {path} = request;
+      reads.note({path, way, peer, endedAt, waitMs, copyMs, ...(err && {err})});
+    };
+    try {
+      const answer =
+        reply ?? (await gateway.callLeader('workflow', request, deadline));
+      note();
+      return answer;
+    } catch (thrown) {
+      note(toCellError(thrown, 'read'));
+      throw thrown;
+    }
+  }
+
+  private async readCopy({host, path}: QueueAddress): Promise<CopyAnswer> {
+    const {gateway, clock, reader} = this.options;
+    if (clock.now() < (this.cancelledUntil.get(path) ?? 0))
+      return {way: 'cancelled_here', peer: null};
+    if (reader) return answerOf(null, reader.read({host, path}));
     // Only a word of the leader tells how old a copy is.
-    const vm = gateway.hasContact ? gateway.readerVm : null;
-    if (vm === null) return null;
+    if (!gateway.hasContact) return {way: 'no_contact', peer: null};
+    const peer = gateway.readerVm;
+    if (peer === null) return {way: 'no_reader', peer};
+    return this.readPeer(peer, {host, path});
+  }
+
+  private async readPeer(
+    peer: VmId,
+    address: QueueAddress,
+  ): Promise<CopyAnswer> {
+    const {gateway, peers, logger} = this.options;
     try {
-      const reply = await peers.call(vm, 'readWorkflow', {host, path});
-      return this.check(vm, reply);
+      const reply = await peers.call(peer, 'readWorkflow', address);
+      return this.check(peer, reply);
     } catch (err) {
       logger.info(
-        {change: 'reader_avoided', peer: vm, err: String(err)},
+        {change: 'reader_avoided', req: address.path, peer, err: String(err)},
         'a copy of the log did not answer; the leader is asked instead',
       );
-      gateway.avoidReader(vm);
-      return null;
+      gateway.avoidReader(peer);
+      return {way: 'copy_failed', peer};
     }
   }
 
   /** Takes an answer that is no older than anything the leader or a copy has told. */
   private check(
-    vm: VmId,
+    peer: VmId,
     {answer, index}: LinkMethods['readWorkflow']['reply'],
-  ): WorkflowReply | null {
+  ): CopyAnswer {
     const {gateway, logger} = this.options;
     // A copy is often a few entries behind; the next question may find it level.
     if (index < gateway.knownIndex) {
       logger.debug(
-        {change: 'reader_behind', peer: vm, index, known: gateway.knownIndex},
+        {change: 'reader_behind', peer, index, known: gateway.knownIndex},
         'a copy of the log is behind; the leader is asked instead',
       );
-      return null;
+      return {way: 'copy_behind', peer};
     }
     gateway.noteIndex(index);
-    return answer;
+    return answerOf(peer, answer ?? undefined);
   }
 
   private noteCancel({path}: QueueAddress): void {
@@ -95,3 +132,9 @@
     this.cancelledUntil.set(path, this.options.clock.now() + CANCELLED_MS);
   }
 }
+
+const answerOf = (
+  peer: VmId | null,
+  reply: WorkflowReply | undefined,
+): CopyAnswer =>
+  reply ? {way: 'copy', peer, reply} : {way: 'copy_unsure', peer};
--- a/packages/transport/src/link/link.spec.ts
+++ b/packages/transport/src/link/link.spec.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {asId, type VmId, type ZoneId} from '@primrosewick/state';
 import {LinkClient} from './client.js';
-import {LinkServer, type LinkHandlers} from './server.js';
+import {LinkServer, type LinkHandlers, type UnsentReply} from './server.js';
 
 const CELL = 'cell';
 const HELLO = {
@@ -39,16 +39,21 @@
 const listen = async () => {
   const address = await freeAddress();
   const lost: VmId[] = [];
+  const unsent: UnsentReply[] = [];
   const server = new LinkServer({
     address,
     cell: CELL,
-    handlers: {hello: async () => WELCOME} as unknown as LinkHandlers,
+    handlers: {
+      hello: async () => WELCOME,
+      workflow: () => new Promise(resolve => setTimeout(resolve, 100)),
+    } as unknown as LinkHandlers,
     onRefusal: () => undefined,
     onLost: vm => lost.push(vm),
+    onUnsent: reply => unsent.push(reply),
   });
   open.push(server);
   await server.listen();
-  return {address, lost};
+  return {address, lost, unsent};
 };
 
 /** A relay to a server; connections that are open when it goes silent stay so. */
@@ -156,4 +161,18 @@
     await new Promise(resolve => setTimeout(resolve, 1200));
     expect(relay.bytes).to.equal(before);
   }).timeout(10_000);
+  it('an answer whose asker has gone is told with its request', async () => {
+    const {address, unsent} = await listen();
+    const client = newClient('127.0.0.1:1');
+    await client.call(address, 'hello', HELLO);
+    const request = {kind: 'get' as const, host: 'h', path: '/q/a'};
+    const call = client.call(address, 'workflow', request).catch(() => 'gone');
+    await new Promise(resolve => setTimeout(resolve, 30));
+    client.close();
+    expect(await call).to.equal('gone');
+    await new Promise(resolve => setTimeout(resolve, 150));
+    expect(unsent).to.have.length(1);
+    expect(unsent[0]).to.deep.include({method: 'workflow', body: request});
+    expect(unsent[0]!.tookMs).to.be.within(50, 1000);
+  });
 });
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -27,6 +27,16 @@
   ) => Promise<LinkMethods[M]['reply']>;
 };
 
+/** An answer that could not be sent. */
+export interface UnsentReply {
+  readonly method: LinkMethod;
+  readonly from: VmId;
+  /** The request, as it came. */
+  readonly body: unknown;
+  /** Time that the answer took, in ms. */
+  readonly tookMs: number;
+}
+
 /** Options of the server. */
 export interface LinkServerOptions {
   readonly address: string;
@@ -36,6 +46,8 @@
   readonly onRefusal: (err: CellError) => void;
   /** Called when the last stream of another VM breaks. */
   readonly onLost?: (vm: VmId) => void;
+  /** Called when the stream is gone before the answer to a call is made. */
+  readonly onUnsent?: (unsent: UnsentReply) => void;
 }
 
 type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
@@ -123,8 +135,11 @@
     method: LinkMethod,
     body: unknown,
   ): Promise<void> {
+    const beganAt = performance.now();
     const reply = await this.run(from, id, method, body);
-    if (!stream.destroyed && !stream.cancelled) stream.write(reply);
+    if (!stream.destroyed && !stream.cancelled) return void stream.write(reply);
+    const tookMs = performance.now() - beganAt;
+    this.options.onUnsent?.({method, from, body, tookMs});
   }
 
   private async run(
