--- /dev/null
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -0,0 +1,72 @@
+import {expect} from 'chai';
+import {asId, type Folder, type NodeId} from '@primrosewick/state';
+import {systemClock} from '@primrosewick/transport';
+import {foundingState} from './core.js';
+import {ConsensusTask, type Compaction, type LogMachine} from './task.js';
+
+const NODE = asId<NodeId>('a~1');
+const folder: Folder = {
+  read: async () => undefined,
+  append: async () => undefined,
+  truncate: async () => undefined,
+  replace: async () => undefined,
+  close: async () => undefined,
+};
+
+/** A machine that only counts. */
+class Counting implements LogMachine<string, number> {
+  index = 0;
+
+  apply({index}: {readonly index: number}): number {
+    this.index = index;
+    return index;
+  }
+
+  restore(): void {}
+
+  toImage() {
+    return {index: this.index};
+  }
+
+  open(): void {}
+
+  noteFresh(): void {}
+}
+
+describe('compaction of the log', () => {
+  it('each snapshot is told once, with what it took the place of', async () => {
+    const told: Compaction[] = [];
+    const replica = new Counting();
+    const task = new ConsensusTask<string, number>({
+      node: NODE,
+      folder,
+      restored: foundingState<string>(NODE),
+      replica,
+      peers: {call: async () => ({envelopes: []})},
+      clock: systemClock,
+      timing: {heartbeatMs: 10, electionMs: 20},
+      seed: 1,
+      maxProposals: 10_000,
+      onFailure: err => expect.fail(err.message),
+      onCompacted: compaction => told.push(compaction),
+    });
+    const elected = new Promise<void>(resolve =>
+      task.changes.subscribe(({role}) => role === 'leader' && resolve()),
+    );
+    task.start();
+    await elected;
+    for (let round = 0; round < 2; round++)
+      await Promise.all(Array.from({length: 4100}, () => task.propose('c')));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    task.stop();
+    expect(told).to.have.length(2);
+    expect(told[1]!.index).to.equal(replica.index);
+    expect(told[1]!.dropped).to.equal(told[1]!.index - told[0]!.index);
+    expect(told[0]!.dropped).to.equal(told[0]!.index);
+    for (const {bytes, tookMs, writeMs} of told) {
+      expect(bytes).to.be.greaterThan(0);
+      expect(tookMs).to.be.within(0, 5000);
+      expect(writeMs).to.be.within(0, 5000);
+    }
+  });
+});
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -45,6 +45,19 @@
   noteFresh(at: number): void;
 }
 
+/** A snapshot that has taken the place of entries. */
+export interface Compaction {
+  readonly index: number;
+  /** Size of the state in the snapshot. */
+  readonly bytes: number;
+  /** Entries that it takes the place of. */
+  readonly dropped: number;
+  /** Time for which nothing else ran while the state was encoded, in ms. */
+  readonly tookMs: number;
+  /** Time until it was on the disk, with the log after it, in ms. */
+  readonly writeMs: number;
+}
+
 /** Options of the task. */
 export interface ConsensusTaskOptions<C, R> {
   readonly node: NodeId;
@@ -58,6 +71,8 @@
   /** Proposals that may wait at once. */
   readonly maxProposals: number;
   readonly onFailure: (err: CellError) => void;
+  /** Called when a snapshot made here is on the disk. */
+  readonly onCompacted?: (compaction: Compaction) => void;
 }
 
 /** Entries after which the log is compacted. */
@@ -83,6 +98,8 @@
   private isRunning = false;
   private failure: CellError | null = null;
   private isNoticeDue = false;
+  /** Snapshot that is made, and not written yet. */
+  private compaction: Omit<Compaction, 'writeMs'> | undefined;
   private timer: Subscription | undefined;
   private lastStatus: ConsensusStatus;
 
@@ -326,11 +343,21 @@
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
     this.nextWriteAt = beganAt + WRITE_INTERVAL_MS;
+    this.tellCompaction(image.snapshot?.index, now - beganAt);
     const sync = {tookMs: now - beganAt, lagMs: lagAt(now)};
     const isSlow = this.diskGuard.note(sync, now);
     if (isSlow && this.core.status.role === 'leader') this.transferAway();
   }
 
+  /** Tells of the snapshot made here, once it is the one that was written. */
+  private tellCompaction(index: number | undefined, writeMs: number): void {
+    const {compaction} = this;
+    if (index === undefined) return;
+    this.compaction = undefined;
+    if (compaction?.index === index)
+      this.options.onCompacted?.({...compaction, writeMs});
+  }
+
   private deliver(delivery: Delivery<C>): void {
     const {replica} = this.options;
     if (delivery.kind === 'snapshot') {
@@ -368,13 +395,23 @@
     if (held < COMPACT_ENTRIES) return;
     const isLagging = matches.some(({index}) => index < commitIndex);
     if (isLagging && held < COMPACT_ALWAYS_ENTRIES) return;
-    const image = this.options.replica.toImage();
-    this.pump.offer({
-      kind: 'compact',
-      now: this.options.clock.now(),
-      index: image.index,
-      data: encode(image, {ignoreUndefined: true}),
-    });
+    this.compact();
+  }
+
+  private compact(): void {
+    const {clock, replica} = this.options;
+    const beganAt = clock.now();
+    const image = replica.toImage();
+    const data = encode(image, {ignoreUndefined: true});
+    const now = clock.now();
+    const {index} = image;
+    this.compaction = {
+      index,
+      bytes: data.length,
+      dropped: index - (this.core.durable.snapshot?.index ?? 0),
+      tookMs: now - beganAt,
+    };
+    this.pump.offer({kind: 'compact', now, index, data});
   }
 
   private fail(err: CellError): void {
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -9,6 +9,7 @@
   replaceState,
   restoreState,
   type Announced,
+  type Compaction,
   type ConsensusStatus,
   type PackedEnvelope,
   type LogAccess,
@@ -261,6 +262,7 @@
         quickElectionMs: QUICK_ELECTION_MS,
       },
       maxProposals: MAX_PROPOSALS,
+      onCompacted: compaction => this.tellCompaction(compaction),
       onFailure: err => {
         logger.error({change: 'log_failed', err: err.toBody()});
         onFailure(err);
@@ -270,6 +272,14 @@
     this.task.start();
   }
 
+  private tellCompaction({tookMs, writeMs, ...facts}: Compaction): void {
+    const times = {tookMs: Math.round(tookMs), writeMs: Math.round(writeMs)};
+    this.options.logger.info(
+      {change: 'compacted', ...facts, ...times},
+      'entries of the log were replaced by a snapshot',
+    );
+  }
+
   private onStatus({role, leader, term, members}: ConsensusStatus): void {
     this.options.logger.info(
       {change: 'log', role, leader, term, members},
--- a/packages/transport/src/logs/line_metrics.spec.ts
+++ b/packages/transport/src/logs/line_metrics.spec.ts
@@ -20,4 +20,14 @@
       'primrosewick_changes_total{change="leader_lost"} 1',
     );
   });
+  it('a change that kept the process is counted with its time', async () => {
+    const registry = new Registry();
+    const metrics = new LineMetrics(registry);
+    metrics.write({change: 'compacted', tookMs: 120});
+    const text = await registry.metrics();
+    expect(text).to.contain('primrosewick_changes_total{change="compacted"} 1');
+    expect(text).to.contain(
+      'primrosewick_change_took_ms_bucket{le="200",change="compacted"} 1',
+    );
+  });
 });
--- a/packages/transport/src/logs/line_metrics.ts
+++ b/packages/transport/src/logs/line_metrics.ts
@@ -12,6 +12,8 @@
   readonly err?: {readonly code?: string};
   /** How long the subject of the line waited or took, in ms. */
   readonly waitMs?: number;
+  /** How long this process was kept by a change, in ms. */
+  readonly tookMs?: number;
   /** Parts of the time that the subject of the line took, in ms, by name. */
   readonly stages?: Readonly<Record<string, number>>;
 }
@@ -24,6 +26,7 @@
 export class LineMetrics {
   private readonly decisions: Counter<'decision' | 'outcome'>;
   private readonly changes: Counter<'change'>;
+  private readonly changeTimes: Histogram<'change'>;
   private readonly waits: Histogram<'decision'>;
   private readonly stages: Histogram<'decision' | 'stage'>;
 
@@ -41,6 +44,13 @@
       labelNames: ['change'],
       registers,
     });
+    this.changeTimes = new Histogram({
+      name: 'primrosewick_change_took_ms',
+      help: 'Time for which the process was kept by a change, in ms.',
+      labelNames: ['change'],
+      buckets: WAIT_BUCKETS_MS,
+      registers,
+    });
     this.waits = new Histogram({
       name: 'primrosewick_decision_wait_ms',
       help: 'Time that the subject of a decision waited or took, in ms.',
@@ -59,7 +69,7 @@
 
   /** Counts one line. */
   write(line: CountedLine): void {
-    if (line.change !== undefined) this.changes.inc({change: line.change});
+    if (line.change !== undefined) this.countChange(line.change, line.tookMs);
     if (line.decision === undefined) return;
     const {decision} = line;
     this.decisions.inc({decision, outcome: outcomeOf(line)});
@@ -67,6 +77,11 @@
     for (const [stage, ms] of Object.entries(line.stages ?? {}))
       this.stages.observe({decision, stage}, ms);
   }
+
+  private countChange(change: string, tookMs: number | undefined): void {
+    this.changes.inc({change});
+    if (tookMs !== undefined) this.changeTimes.observe({change}, tookMs);
+  }
 }
 
 const outcomeOf = ({
