The end of a workflow tells when it was in the log, and how old it was in each copy

Cause: between the line of the last end of a run and a client's done nothing told where the time went. Change: the leader tells once for each workflow when its last end is applied (decision workflow_ended, with index and stages.recorded, the time from the worker's list to the record); the time is in primrosewick_stage_ms. Each VM with a copy observes the age of ends as it applies them: primrosewick_end_age_ms.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -23,6 +23,7 @@
   type WorkflowId,
 } from '@primrosewick/state';
 import {AdviceDesk} from './advice_desk.js';
+import {EndLog} from './end_log.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
 import {PassLoad} from './pass_load.js';
@@ -56,6 +57,7 @@
   private reserved: Plan['reserved'] = new Map();
   private readonly journal: PassJournal | undefined;
   private readonly waitLog: WaitLog;
+  private readonly endLog: EndLog;
   private readonly timeline = new StartTimeline();
   private readonly passLoad: PassLoad;
   private isPlanDue = false;
@@ -74,6 +76,7 @@
       announceMs: options.terms.announceMs,
     });
     this.waitLog = new WaitLog(logger);
+    this.endLog = new EndLog(logger, replica.db);
     this.passLoad = new PassLoad(logger, this.startedAt);
     this.desk = new AdviceDesk({
       db: replica.db,
@@ -148,6 +151,7 @@
           if (outcome === 'done' || outcome === 'failed')
             this.noteEvidence(command.life.worker, task.workflow, outcome);
         }
+        this.endLog.note(command, this.options.clock.wall());
         break;
       case 'cancel':
         this.desk.prune(command.id);
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -38,6 +38,7 @@
   type LinkHandlers,
   type UnsentReply,
 } from '@primrosewick/transport';
+import {watchEndAges} from './end_ages.js';
 import {ReadLog} from './read_log.js';
 import {WorkflowCalls} from './workflow_calls.js';
 import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
@@ -99,6 +100,7 @@
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
+    if (this.log) watchEndAges(this.replica, systemClock, options.registry);
     this.announcements = this.reader && this.makeAnnouncements(this.reader);
     this.gateway = new GatewayTask({
       peers: this.peers,
