A process that was late reads what has arrived before it calls others silent

Cause: after a long turn of the event loop due timers run before sockets are read. Deadlines of calls, the silence of streams, and ticks of the log (quorum contact, elections) were judged with the answers lying unread in the process's own buffers. Class: a process that was paused or delayed blames the others for its own silence. Change: one place for timers in transport; a due timer acts in the turn after the sockets were read. The system clock, calls over HTTP and links use it.

--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -6,6 +6,7 @@
   type IncomingMessage,
 } from 'node:http';
 import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
+import {actAfter, type Timer} from '../tasks/timers.js';
 import {splitAddress} from './address.js';
 
 /** One call. */
@@ -65,7 +66,7 @@
   private mayHaveSent = false;
   private isSettled = false;
   private req: ClientRequest | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: Timer | undefined;
 
   constructor(
     private readonly call: HttpCall,
@@ -85,9 +86,8 @@
       agent: call.agent ?? DEFAULT_AGENT,
     });
     this.req = req;
-    this.timer = setTimeout(
-      () => this.fail('timeout', 'no answer before the deadline'),
-      call.timeoutMs,
+    this.timer = actAfter(call.timeoutMs, () =>
+      this.fail('timeout', 'no answer before the deadline'),
     );
     call.signal?.addEventListener('abort', () =>
       this.fail('aborted', 'the caller gave up'),
@@ -136,7 +136,7 @@
   private settle(): boolean {
     if (this.isSettled) return false;
     this.isSettled = true;
-    clearTimeout(this.timer);
+    this.timer?.cancel();
     return true;
   }
 }
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -12,6 +12,7 @@
   type LinkFrame,
 } from '@primrosewick/protocol';
 import {CellError, asId, type VmId} from '@primrosewick/state';
+import {actAfter, actEvery, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
 
 /** Options of a connection. */
@@ -28,7 +29,7 @@
   readonly step: string;
   readonly resolve: (body: unknown) => void;
   readonly reject: (err: CellError) => void;
-  readonly timer: NodeJS.Timeout;
+  readonly timer: Timer;
 }
 
 /** Time until the other VM must have answered the first frame, in ms. */
@@ -53,8 +54,8 @@
   private askedAt: number | undefined;
   private isOpen = false;
   private isClosed = false;
-  private readonly openTimer: NodeJS.Timeout;
-  private readonly probe: NodeJS.Timeout;
+  private readonly openTimer: Timer;
+  private readonly probe: Timer;
 
   constructor(private readonly options: LinkConnectionOptions) {
     this.client = new Client(options.to, credentials.createInsecure(), {
@@ -78,11 +79,10 @@
     this.stream.on('error', err => this.close(err.message));
     this.stream.on('end', () => this.close('the peer ended the stream'));
     this.stream.write({kind: 'open', cell: options.cell, from: options.from});
-    this.openTimer = setTimeout(
-      () => this.close('no answer to the first frame'),
-      OPEN_TIMEOUT_MS,
+    this.openTimer = actAfter(OPEN_TIMEOUT_MS, () =>
+      this.close('no answer to the first frame'),
     );
-    this.probe = setInterval(() => this.look(), PROBE_INTERVAL_MS);
+    this.probe = actEvery(PROBE_INTERVAL_MS, () => this.look());
   }
 
   /**
@@ -95,10 +95,10 @@
     if (this.isClosed) throw this.unreachable(step, 'the stream is closed');
     return new Promise((resolve, reject) => {
       const id = this.nextId++;
-      const timer = setTimeout(() => {
+      const timer = actAfter(timeoutMs, () => {
         this.pending.delete(id);
         reject(this.timeout(step, 'no answer before the deadline'));
-      }, timeoutMs);
+      });
       this.pending.set(id, {step, resolve, reject, timer});
       this.ask({kind: 'call', id, method: step, body} as LinkFrame);
     });
@@ -108,11 +108,11 @@
   close(why: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    clearTimeout(this.openTimer);
-    clearInterval(this.probe);
+    this.openTimer.cancel();
+    this.probe.cancel();
     this.onOpened(this.unreachable('open-link', why));
     for (const {step, reject, timer} of this.pending.values()) {
-      clearTimeout(timer);
+      timer.cancel();
       reject(this.timeout(step, why));
     }
     this.pending.clear();
@@ -126,14 +126,14 @@
     this.askedAt = undefined;
     if (!this.isOpen) {
       this.isOpen = true;
-      clearTimeout(this.openTimer);
+      this.openTimer.cancel();
       this.onOpened();
     }
     if (frame.kind !== 'reply' && frame.kind !== 'error') return;
     const call = this.pending.get(frame.id);
     if (!call) return;
     this.pending.delete(frame.id);
-    clearTimeout(call.timer);
+    call.timer.cancel();
     if (frame.kind === 'reply') call.resolve(frame.body);
     else
       call.reject(CellError.fromBody({...frame.error, peer: this.options.to}));
--- a/packages/transport/src/tasks/clock.ts
+++ b/packages/transport/src/tasks/clock.ts
@@ -1,4 +1,5 @@
-import {firstValueFrom, interval, map, timer, type Observable} from 'rxjs';
+import {Observable, firstValueFrom} from 'rxjs';
+import {actAfter, actEvery} from './timers.js';
 
 /**
  * Source of time. Monotonic time is for deadlines, wall time for records.
@@ -19,8 +20,19 @@
 export const systemClock: Clock = {
   now: () => performance.now(),
   wall: () => Date.now(),
-  every: periodMs => interval(periodMs).pipe(map(() => undefined)),
-  after: delayMs => timer(delayMs).pipe(map(() => undefined)),
+  every: periodMs =>
+    new Observable(subscriber => {
+      const timer = actEvery(periodMs, () => subscriber.next());
+      return () => timer.cancel();
+    }),
+  after: delayMs =>
+    new Observable(subscriber => {
+      const timer = actAfter(delayMs, () => {
+        subscriber.next();
+        subscriber.complete();
+      });
+      return () => timer.cancel();
+    }),
 };
 
 /** Waits for a time of a clock. */
--- /dev/null
+++ b/packages/transport/src/tasks/timers.spec.ts
@@ -0,0 +1,119 @@
+import {Worker} from 'node:worker_threads';
+import {expect} from 'chai';
+import {asId, type VmId, type ZoneId} from '@primrosewick/state';
+import {callHttp} from '../http/client.js';
+import {LinkClient} from '../link/client.js';
+import {systemClock} from './clock.js';
+
+const SERVERS = `
+const {parentPort, workerData} = require('node:worker_threads');
+const {createServer} = require('node:http');
+const main = async () => {
+  const {LinkServer} = await import(workerData.link);
+  const http = createServer((req, res) =>
+    req.resume().on('end', () => setTimeout(() => res.end('late'), 50)),
+  );
+  await new Promise(resolve => http.listen(0, '127.0.0.1', resolve));
+  const probe = createServer();
+  await new Promise(resolve => probe.listen(0, '127.0.0.1', resolve));
+  const link = '127.0.0.1:' + probe.address().port;
+  await new Promise(resolve => probe.close(resolve));
+  const answer = request =>
+    new Promise(resolve => setTimeout(() => resolve(request), 50));
+  await new LinkServer({
+    address: link,
+    cell: 'cell',
+    handlers: {hello: answer},
+    onRefusal: () => undefined,
+  }).listen();
+  parentPort.postMessage({http: '127.0.0.1:' + http.address().port, link});
+};
+main();
+`;
+
+interface Addresses {
+  readonly http: string;
+  readonly link: VmId;
+}
+
+/** Servers on a thread of their own, which go on while this one is busy. */
+const startServers = async (): Promise<Addresses & {end(): void}> => {
+  const link = new URL('../link/server.js', import.meta.url).href;
+  const worker = new Worker(SERVERS, {eval: true, workerData: {link}});
+  const addresses = await new Promise<Addresses>((resolve, reject) => {
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+  return {...addresses, end: () => void worker.terminate()};
+};
+
+/** Keeps the event loop from running as a burst of calls does: timers come next, before answers are read. */
+const blockFor = async (ms: number): Promise<void> => {
+  await new Promise(resolve => setImmediate(resolve));
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+};
+const turn = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+const HELLO = {
+  vm: asId<VmId>('127.0.0.1:1'),
+  zone: asId<ZoneId>('z'),
+  node: null,
+  hasState: false,
+  mayFound: false,
+};
+
+describe('timers of a process that is late itself', () => {
+  let servers: Awaited<ReturnType<typeof startServers>>;
+  before(async () => {
+    servers = await startServers();
+  });
+  after(() => servers.end());
+
+  it('an answer that has arrived is taken before its call is given up', async () => {
+    const call = callHttp({
+      address: servers.http,
+      method: 'GET',
+      path: '/',
+      timeoutMs: 300,
+      maxAnswerBytes: 100,
+    });
+    await turn(30);
+    await blockFor(600);
+    expect((await call).body.toString()).to.equal('late');
+  });
+  it('a stream with an answer waiting is not given up as silent', async () => {
+    const client = new LinkClient({
+      cell: 'cell',
+      vm: HELLO.vm,
+      onBytes: () => undefined,
+    });
+    try {
+      await client.call(servers.link, 'hello', HELLO);
+      const call = client.call(servers.link, 'hello', HELLO, {timeoutMs: 900});
+      await turn(20);
+      await blockFor(1500);
+      expect(await call).to.eql(HELLO);
+    } finally {
+      client.close();
+    }
+  });
+  it('an interval that is late comes after the answers that came before it', async () => {
+    const seen: string[] = [];
+    const ticks = systemClock.every(200).subscribe(() => seen.push('tick'));
+    const call = callHttp({
+      address: servers.http,
+      method: 'GET',
+      path: '/',
+      timeoutMs: 2000,
+      maxAnswerBytes: 100,
+    }).then(() => seen.push('answer'));
+    await turn(20);
+    await blockFor(500);
+    await call;
+    await turn(5);
+    ticks.unsubscribe();
+    expect(seen[0]).to.equal('answer');
+  });
+});
