A hand-over counts only where its grantors are known to have seen all since

Cause (found by reading): the next leader took over the ledger of the one before when each grantor of its majority remembered a vote or had been up for longer than the ledger had been held. That age counts from when the release was heard. A grantor that was suspended hears it late, takes it for fresh, and a grantor that voted for a leader in between and has restarted since passes for a witness: two leaders then lend the same slots. Ruled out: the time of the release (clocks of two VMs differ) and the time of the last promise (it is renewed late as well).

Change: a leader that stops names the processes of the grantors that answered its renewals; the next goes on with the ledger only where each grantor of its majority is one of these processes. A vote must be won within the interval of renewals, and a grantor is named only when it has been up for longer, so that no vote of before its start can still be won. Releases of an older version name nobody and lead to a wait-out.

--- a/packages/coordination/src/authority/core.spec.ts
+++ b/packages/coordination/src/authority/core.spec.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import type {AuthorityMessage} from '@primrosewick/protocol';
+import type {AuthorityMessage, GrantorProcess} from '@primrosewick/protocol';
 import {
-  NO_EPOCH,
+  asEpoch,
   asId,
   type Random,
   type VmId,
@@ -27,6 +27,10 @@
   return {nextInt} as unknown as Random;
 };
 
+/** A grantor that has run since a time, without a silence after it. */
+const makeGrantor = (boot: string, startedAt = 0): Grantor =>
+  new Grantor({boot, startedAt, silentUntil: 0, driftMs: 200});
+
 /** Two candidates of a zone whose third VM is gone, over a slow network. */
 class Pair {
   readonly elected: Array<{readonly vm: VmId; readonly at: number}> = [];
@@ -43,7 +47,7 @@
     };
     Object.entries(randoms).forEach(([name, random], ordinal) => {
       const vm = name as VmId;
-      const grantor = new Grantor({startedAt: 0, silentUntil: 0, driftMs: 200});
+      const grantor = makeGrantor(name);
       this.grantors.set(vm, grantor);
       const options = {vm, ordinal, group, grantor, random, now: 0};
       this.cores.set(vm, new AuthorityCore(options));
@@ -85,12 +89,15 @@
 
 const NOTHING_LENT = {ageMs: 0, upstreams: [], holders: []};
 
-/** A candidate whose two peers grant what it asks of them, as the test says. */
+/** A candidate of a zone of three whose peer `c` answers, as the test says. */
 class Candidate {
   readonly core: AuthorityCore;
   effects: AuthorityEffects = {sends: [], changes: []};
 
-  constructor() {
+  constructor(
+    private readonly peer = makeGrantor('c1'),
+    own = makeGrantor('a1'),
+  ) {
     this.core = new AuthorityCore({
       vm: 'a' as VmId,
       ordinal: 0,
@@ -99,29 +106,22 @@
         grantors: ['a', 'b', 'c'] as VmId[],
         candidates: ['a', 'b', 'c'] as VmId[],
       },
-      grantor: new Grantor({startedAt: 0, silentUntil: 0, driftMs: 200}),
+      grantor: own,
       random: delays(300, 300),
       now: 0,
     });
   }
 
-  /** Asks for the lease, and has a peer grant the preparation. */
-  beginVote(now: number): void {
+  tick(now: number): void {
     this.effects = this.core.step({kind: 'tick', now, wall: WALL});
-    this.grant(now);
   }
 
-  /** Has a peer grant what was sent last. */
-  grant(now: number): void {
-    const [send] = this.effects.sends;
+  /** Has the peer answer what was sent last. */
+  answer(now: number): void {
+    const send = this.effects.sends.find(({to}) => to === 'c');
     if (!send) return;
-    const reply = {
-      isGranted: true,
-      seenEpoch: NO_EPOCH,
-      leader: null,
-      past: {upMs: now},
-    };
-    const {to: from, round} = send;
+    const {to: from, round, message} = send;
+    const reply = this.peer.handle('a' as VmId, message, now);
     this.effects = this.core.step({kind: 'reply', now, from, round, reply});
   }
 
@@ -130,8 +130,41 @@
     const {sends} = this.core.step({kind: 'resign', now, handover});
     return sends.map(({message}) => message);
   }
+
+  /** Whether it was elected just now and goes on with a ledger. */
+  get inherits(): boolean {
+    return this.effects.changes.some(
+      change => change.kind === 'elected' && change.inherited !== undefined,
+    );
+  }
 }
 
+/** A peer that heard at a time that `b` stopped, which had led since 0. */
+const peerThatHeard = (
+  at: number,
+  witnesses: readonly GrantorProcess[],
+): Grantor => {
+  const peer = makeGrantor('c1');
+  const epoch = asEpoch(5);
+  peer.handle('b' as VmId, {kind: 'vote', zone: ZONE, epoch, leaseMs: 3000}, 0);
+  peer.handle(
+    'b' as VmId,
+    {
+      kind: 'release',
+      zone: ZONE,
+      epoch,
+      why: {kind: 'stopped', handover: NOTHING_LENT, witnesses},
+    },
+    at,
+  );
+  return peer;
+};
+
+const processOf = (vm: string, boot: string): GrantorProcess => ({
+  vm: vm as VmId,
+  boot,
+});
+
 const reasonsOf = (messages: readonly AuthorityMessage[]): string[] =>
   messages.flatMap(message =>
     message.kind === 'release' ? [message.why.kind] : [],
@@ -140,34 +173,74 @@
 describe('authority core', () => {
   it('a candidate that stops while it votes is not elected', () => {
     const candidate = new Candidate();
-    candidate.beginVote(300);
+    candidate.tick(300);
+    candidate.answer(302);
     expect(reasonsOf(candidate.resign(305))).to.eql(['not_led', 'not_led']);
-    candidate.grant(310);
+    candidate.answer(310);
     expect(candidate.core.epochAt(310)).to.equal(undefined);
   });
   it('a candidate that stops while it prepares asks for no vote', () => {
     const candidate = new Candidate();
-    candidate.effects = candidate.core.step({
-      kind: 'tick',
-      now: 300,
-      wall: WALL,
-    });
+    candidate.tick(300);
     candidate.resign(305);
-    candidate.grant(310);
+    candidate.answer(310);
     expect(candidate.effects.sends).to.eql([]);
   });
   it('a leader that stops hands on what it has lent', () => {
     const candidate = new Candidate();
-    candidate.beginVote(300);
-    candidate.grant(310);
+    candidate.tick(300);
+    candidate.answer(305);
+    candidate.answer(310);
     expect(reasonsOf(candidate.resign(400))).to.eql(['stopped', 'stopped']);
   });
   it('a leader that was suspended past its lease hands nothing on', () => {
     const candidate = new Candidate();
-    candidate.beginVote(300);
-    candidate.grant(310);
+    candidate.tick(300);
+    candidate.answer(305);
+    candidate.answer(310);
     expect(reasonsOf(candidate.resign(5000))).to.eql([]);
   });
+  it('a leader that stops names the grantors that have answered it', () => {
+    const candidate = new Candidate();
+    candidate.tick(2000);
+    for (const at of [2005, 2010, 2015]) candidate.answer(at);
+    const [release] = candidate.resign(2020);
+    expect(release)
+      .to.have.nested.property('why.witnesses')
+      .that.eql([processOf('a', 'a1'), processOf('c', 'c1')]);
+  });
+  it('a grantor that has only just started is no witness', () => {
+    const candidate = new Candidate(makeGrantor('c1', 1500));
+    candidate.tick(2000);
+    for (const at of [2005, 2010, 2015]) candidate.answer(at);
+    const [release] = candidate.resign(2020);
+    expect(release)
+      .to.have.nested.property('why.witnesses')
+      .that.eql([processOf('a', 'a1')]);
+  });
+  it('goes on with the ledger of the leader before where its grantors are witnesses', () => {
+    const witnesses = [processOf('a', 'a1'), processOf('c', 'c1')];
+    const candidate = new Candidate(peerThatHeard(5000, witnesses));
+    candidate.tick(6000);
+    for (const at of [6005, 6010]) candidate.answer(at);
+    expect(candidate.inherits).to.equal(true);
+  });
+  it('goes on with no ledger that a suspended grantor has heard of late', () => {
+    const witnesses = [processOf('a', 'a1'), processOf('c', 'c1')];
+    const restarted = makeGrantor('a2', 1100);
+    const candidate = new Candidate(peerThatHeard(5000, witnesses), restarted);
+    candidate.tick(6000);
+    for (const at of [6005, 6010]) candidate.answer(at);
+    expect(candidate.core.epochAt(6010)).to.not.equal(undefined);
+    expect(candidate.inherits).to.equal(false);
+  });
+  it('a vote that is won late is given up', () => {
+    const candidate = new Candidate();
+    candidate.tick(300);
+    candidate.answer(305);
+    candidate.answer(1200);
+    expect(candidate.core.epochAt(1200)).to.equal(undefined);
+  });
   it('candidates that vote at the same time do not keep each other out for a lease', () => {
     const pair = new Pair({a: delays(300, 300), b: delays(300, 500)});
     pair.run(2000);
--- a/packages/coordination/src/authority/core.ts
+++ b/packages/coordination/src/authority/core.ts
@@ -11,7 +11,8 @@
 import type {
   AuthorityMessage,
   AuthorityReply,
-  KnownPast,
+  GrantorProcess,
+  LastReign,
 } from '@primrosewick/protocol';
 import type {Grantor} from './grantor.js';
 import {
@@ -52,10 +53,23 @@
       readonly epoch: Epoch;
       readonly sentAt: number;
       readonly granted: Set<VmId>;
-      /** What each grantor told of the reign before. */
-      readonly pasts: KnownPast[];
+      readonly votes: Vote[];
     }
-  | {readonly kind: 'leading'; readonly epoch: Epoch};
+  | {
+      readonly kind: 'leading';
+      readonly epoch: Epoch;
+      /** Processes of the grantors that have answered a renewal. */
+      readonly witnesses: Map<VmId, GrantorProcess>;
+    };
+
+/** A vote that was granted. */
+interface Vote {
+  readonly grantor: GrantorProcess;
+  /** The latest reign that the grantor remembers. */
+  readonly lastReign: LastReign | undefined;
+}
+
+type LeadingPhase = Extract<Phase, {kind: 'leading'}>;
 
 interface RenewRound {
   readonly sentAt: number;
@@ -163,7 +177,7 @@
       epoch,
       sentAt: this.now,
       granted: new Set(),
-      pasts: [],
+      votes: [],
     };
     this.broadcast({
       kind: 'vote',
@@ -227,19 +241,19 @@
         return;
       case 'voting':
         if (phase.round !== round) return;
-        if (reply.isGranted) phase.pasts.push(reply.past ?? {upMs: 0});
+        if (reply.isGranted) phase.votes.push(voteOf(from, reply));
         if (this.addGrant(phase.granted, from, reply))
-          this.lead(phase.epoch, phase.sentAt, phase.pasts);
+          this.lead(phase.epoch, phase.sentAt, phase.votes);
         return;
       case 'leading':
-        return this.onRenewReply(phase.epoch, from, round, reply);
+        return this.onRenewReply(phase, from, round, reply);
       default:
         return assertNever(phase);
     }
   }
 
   private onRenewReply(
-    epoch: Epoch,
+    {epoch, witnesses}: LeadingPhase,
     from: VmId,
     round: number,
     reply: AuthorityReply,
@@ -247,7 +261,10 @@
     if (reply.seenEpoch > epoch)
       return this.depose(`${from} has seen epoch ${reply.seenEpoch}`);
     const renewal = this.renewals.get(round);
-    if (!renewal || !this.addGrant(renewal.granted, from, reply)) return;
+    if (!renewal) return;
+    if (reply.upMs > this.maxVoteMs * (1 + MAX_DRIFT))
+      witnesses.set(from, {vm: from, boot: reply.boot});
+    if (!this.addGrant(renewal.granted, from, reply)) return;
     this.leaseDeadline = Math.max(
       this.leaseDeadline,
       renewal.sentAt + this.timing.leaseMs,
@@ -266,17 +283,12 @@
     );
   }
 
-  private lead(
-    epoch: Epoch,
-    sentAt: number,
-    pasts: readonly KnownPast[],
-  ): void {
+  private lead(epoch: Epoch, sentAt: number, votes: readonly Vote[]): void {
+    if (this.now >= sentAt + this.maxVoteMs) return this.giveUpVote(epoch);
     this.leaseDeadline = sentAt + this.timing.leaseMs;
-    if (this.now >= this.leaseDeadline - this.timing.safetyMs)
-      return this.idle();
-    this.phase = {kind: 'leading', epoch};
+    this.phase = {kind: 'leading', epoch, witnesses: new Map()};
     this.renewals.clear();
-    const inherited = inheritedOf(pasts, this.now);
+    const inherited = inheritedOf(votes, this.now);
     this.changes.push({
       kind: 'elected',
       epoch,
@@ -295,7 +307,7 @@
   /** The answers to what was asked before come too late to lead. */
   private onResign(handover: ShareHandover): void {
     const {phase} = this;
-    if (phase.kind === 'leading') this.handOn(phase.epoch, handover);
+    if (phase.kind === 'leading') this.handOn(phase, handover);
     else if (phase.kind === 'voting') this.giveUpVote(phase.epoch);
     else this.idle();
     this.nextAttemptAt = Number.POSITIVE_INFINITY;
@@ -305,7 +317,10 @@
    * Releases the lease with what was lent. After the end of the lease another
    * may have led and lent since, and the promises end by themselves.
    */
-  private handOn(epoch: Epoch, handover: ShareHandover): void {
+  private handOn(
+    {epoch, witnesses}: LeadingPhase,
+    handover: ShareHandover,
+  ): void {
     const isValid = this.epochAt(this.now) !== undefined;
     this.depose('the VM is shutting down');
     if (!isValid) return;
@@ -313,7 +328,7 @@
       kind: 'release',
       zone: this.options.group.zone,
       epoch,
-      why: {kind: 'stopped', handover},
+      why: {kind: 'stopped', handover, witnesses: [...witnesses.values()]},
     });
   }
 
@@ -330,33 +345,47 @@
     this.nextAttemptAt = this.now + this.randomDelay();
   }
 
+  /**
+   * Time within which a vote must be won, in ms. A grantor that has been up for
+   * longer remembers each vote of its own that can still be won.
+   */
+  private get maxVoteMs(): number {
+    return this.timing.renewMs;
+  }
+
   private randomDelay(): number {
     const {renewMs} = this.timing;
     return this.options.random.nextInt(Math.ceil(renewMs / 4), renewMs);
   }
 }
 
-/** A grantor's clock may be this much slower than that of another. */
+/** A grantor's clock may be faster than that of another by this part. */
 const MAX_DRIFT = 0.02;
 
+const voteOf = (vm: VmId, {boot, lastReign}: AuthorityReply): Vote => ({
+  grantor: {vm, boot},
+  lastReign,
+});
+
 /**
- * The shares that the leader before handed over. Each leader had the grants of
+ * The shares that the leader before handed over. Each leader had the votes of
  * a majority, so the latest reign that any majority of grantors knows of is the
- * last one. A grantor that remembers no vote counts only where it has been up
- * since the hand-over, and so has granted nothing after it.
+ * last one. A grantor counts only as the process that answered the leader which
+ * handed over: it remembers each of its later votes.
  * @returns undefined when loans may be in use that nobody has told of.
  */
 const inheritedOf = (
-  pasts: readonly KnownPast[],
+  votes: readonly Vote[],
   now: number,
 ): InheritedShares | undefined => {
-  const known = pasts.flatMap(({lastReign}) => lastReign ?? []);
+  const known = votes.flatMap(({lastReign}) => lastReign ?? []);
   const lastEpoch = Math.max(...known.map(({epoch}) => epoch));
-  const last = known.find(({epoch, handed}) => epoch === lastEpoch && handed);
-  if (!last?.handed) return undefined;
-  const {handover, heldMs} = last.handed;
-  const isWitnessed = pasts.every(
-    ({lastReign, upMs}) => lastReign || upMs > heldMs * (1 + MAX_DRIFT),
+  const last = known.find(({epoch, left}) => epoch === lastEpoch && left);
+  if (!last?.left) return undefined;
+  const {succession, heldMs} = last.left;
+  const {handover, witnesses} = succession;
+  const isWitnessed = votes.every(({grantor}) =>
+    witnesses.some(({vm, boot}) => vm === grantor.vm && boot === grantor.boot),
   );
   return isWitnessed ? {handover, at: now - heldMs} : undefined;
 };
--- a/packages/coordination/src/authority/grantor.spec.ts
+++ b/packages/coordination/src/authority/grantor.spec.ts
@@ -18,7 +18,7 @@
 });
 const NOT_LED = {kind: 'not_led' as const};
 const make = (silentUntil = 0) =>
-  new Grantor({startedAt: 0, silentUntil, driftMs: 100});
+  new Grantor({boot: 'g1', startedAt: 0, silentUntil, driftMs: 100});
 
 describe('grantor', () => {
   it('promises the lease to one VM at a time', () => {
@@ -40,6 +40,8 @@
       isGranted: false,
       seenEpoch: 9,
       leader: null,
+      boot: 'g1',
+      upMs: 0,
     });
     expect(grantor.handle(A, renew(8), 0).isGranted).to.equal(false);
   });
@@ -57,22 +59,42 @@
     expect(grantor.handle(A, release(5), 1).isGranted).to.equal(true);
     expect(grantor.handle(B, vote(6), 2).isGranted).to.equal(true);
   });
-  const HANDOVER = {ageMs: 0, upstreams: [], holders: []};
+  const SUCCESSION = {
+    handover: {ageMs: 0, upstreams: [], holders: []},
+    witnesses: [{vm: A, boot: 'a1'}],
+  };
   const stopped = (epoch: number) => ({
     kind: 'release' as const,
     zone,
     epoch: asEpoch(epoch),
-    why: {kind: 'stopped' as const, handover: HANDOVER},
+    why: {kind: 'stopped' as const, ...SUCCESSION},
   });
-  it('tells the next leader what the one before handed over', () => {
+  it('tells the next leader what the one before left', () => {
     const grantor = make();
     grantor.handle(A, vote(5), 0);
     grantor.handle(A, stopped(5), 10);
-    expect(grantor.handle(B, vote(6), 30).past?.lastReign).to.deep.equal({
+    expect(grantor.handle(B, vote(6), 30).lastReign).to.deep.equal({
       epoch: 5,
-      handed: {handover: HANDOVER, heldMs: 20},
+      left: {succession: SUCCESSION, heldMs: 20},
     });
   });
+  it('a leader of an older version leaves no witnesses', () => {
+    const grantor = make();
+    const {handover} = SUCCESSION;
+    grantor.handle(A, vote(5), 0);
+    grantor.handle(
+      A,
+      {
+        kind: 'release',
+        zone,
+        epoch: asEpoch(5),
+        why: {kind: 'stopped', handover},
+      },
+      10,
+    );
+    const {left} = grantor.handle(B, vote(6), 30).lastReign ?? {};
+    expect(left?.succession).to.deep.equal({handover, witnesses: []});
+  });
   it('a vote that was not won leaves the hand-over for the next', () => {
     const grantor = make();
     grantor.handle(A, vote(5), 0);
@@ -83,23 +105,25 @@
       {kind: 'release', zone, epoch: asEpoch(6), why: NOT_LED},
       30,
     );
-    const lastReign = grantor.handle(A, vote(7), 40).past?.lastReign;
+    const {lastReign} = grantor.handle(A, vote(7), 40);
     expect(lastReign?.epoch).to.equal(5);
-    expect(lastReign?.handed?.heldMs).to.equal(30);
+    expect(lastReign?.left?.heldMs).to.equal(30);
   });
   it('a hand-over is not told once another leader was granted the lease', () => {
     const grantor = make();
     grantor.handle(A, vote(5), 0);
     grantor.handle(A, stopped(5), 10);
     grantor.handle(B, vote(6), 20);
-    expect(grantor.handle(A, vote(7), 2000).past?.lastReign).to.deep.equal({
+    expect(grantor.handle(A, vote(7), 2000).lastReign).to.deep.equal({
       epoch: 6,
     });
   });
   it('knows of no reign after a restart, though a late release arrives', () => {
     const grantor = make();
     grantor.handle(A, stopped(5), 0);
-    expect(grantor.handle(B, vote(6), 1).past).to.deep.equal({upMs: 1});
+    const {isGranted, lastReign} = grantor.handle(B, vote(6), 1);
+    expect(isGranted).to.equal(true);
+    expect(lastReign).to.equal(undefined);
   });
   it('a renewal or vote that arrives after its release promises nothing', () => {
     for (const late of [renew(5), vote(5)]) {
--- a/packages/coordination/src/authority/grantor.ts
+++ b/packages/coordination/src/authority/grantor.ts
@@ -1,20 +1,17 @@
-import {
-  NO_EPOCH,
-  type Epoch,
-  type ShareHandover,
-  type VmId,
-} from '@primrosewick/state';
+import {NO_EPOCH, type Epoch, type VmId} from '@primrosewick/state';
 import type {
   AuthorityMessage,
   AuthorityReply,
-  KnownPast,
   LastReign,
   ReleaseReason,
+  Succession,
 } from '@primrosewick/protocol';
 import {assertNever} from '@primrosewick/state';
 
 /** Options of a grantor. */
 export interface GrantorOptions {
+  /** Random text made at the start of the process. */
+  readonly boot: string;
   /** Monotonic time of the start, in ms. */
   readonly startedAt: number;
   /** Time before which nothing is granted, as promises of before a restart may last until then. */
@@ -26,7 +23,7 @@
 /** The latest epoch for which a lease was promised. */
 interface Reign {
   readonly epoch: Epoch;
-  readonly handed?: {readonly handover: ShareHandover; readonly at: number};
+  readonly left?: {readonly succession: Succession; readonly at: number};
 }
 
 /**
@@ -49,23 +46,22 @@
 
   /** Answers a message. */
   handle(from: VmId, message: AuthorityMessage, now: number): AuthorityReply {
+    const {boot, startedAt} = this.options;
     const isGranted = this.grants(from, message, now);
-    const past =
-      isGranted && message.kind === 'vote' ? this.pastAt(now) : undefined;
+    const lastReign =
+      isGranted && message.kind === 'vote'
+        ? lastReignOf(this.reignBefore, now)
+        : undefined;
     return {
       isGranted,
       seenEpoch: this.seenEpoch,
       leader: this.leaderAt(now),
-      ...(past ? {past} : {}),
+      boot,
+      upMs: now - startedAt,
+      ...(lastReign ? {lastReign} : {}),
     };
   }
 
-  private pastAt(now: number): KnownPast {
-    const lastReign = lastReignOf(this.reignBefore, now);
-    const upMs = now - this.options.startedAt;
-    return lastReign ? {lastReign, upMs} : {upMs};
-  }
-
   /** Notes an epoch seen elsewhere, such as in a report of a worker. */
   noteEpoch(epoch: Epoch): void {
     if (epoch > this.seenEpoch) this.seenEpoch = epoch;
@@ -150,7 +146,7 @@
     switch (why.kind) {
       case 'stopped':
         if (!isLast) return;
-        this.reign = {epoch, handed: {handover: why.handover, at: now}};
+        this.reign = {epoch, left: {succession: successionOf(why), at: now}};
         return;
       case 'not_led':
         if (this.reign?.epoch === epoch) this.reign = this.reignBefore;
@@ -173,13 +169,24 @@
   }
 }
 
+const successionOf = ({
+  handover,
+  witnesses = [],
+}: Extract<ReleaseReason, {kind: 'stopped'}>): Succession => ({
+  handover,
+  witnesses,
+});
+
 const lastReignOf = (
   reign: Reign | undefined,
   now: number,
 ): LastReign | undefined => {
   if (!reign) return undefined;
-  const {epoch, handed} = reign;
-  return handed
-    ? {epoch, handed: {handover: handed.handover, heldMs: now - handed.at}}
+  const {epoch, left} = reign;
+  return left
+    ? {
+        epoch,
+        left: {succession: left.succession, heldMs: now - left.at},
+      }
     : {epoch};
 };
--- a/packages/coordination/src/authority/task.spec.ts
+++ b/packages/coordination/src/authority/task.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import type {AuthorityMessage} from '@primrosewick/protocol';
+import type {AuthorityMessage, AuthorityReply} from '@primrosewick/protocol';
 import {asEpoch, asId, type VmId, type ZoneId} from '@primrosewick/state';
 import {
   pause,
@@ -28,6 +28,7 @@
   new AuthorityTask({
     own: settingsOf('a'),
     vms: ['a', 'b', 'c'].map(settingsOf),
+    boot: 'a1',
     peers,
     clock: systemClock,
     timing: {leaseMs, renewMs: leaseMs / 3, driftMs: 0, safetyMs: 10},
@@ -45,7 +46,13 @@
       await onRelease();
       released.push(to);
     }
-    const reply = {isGranted: true, seenEpoch: asEpoch(0), leader: null};
+    const reply: AuthorityReply = {
+      isGranted: true,
+      seenEpoch: asEpoch(0),
+      leader: null,
+      boot: `${to}1`,
+      upMs: 0,
+    };
     return reply as never;
   },
 });
--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -30,6 +30,8 @@
 export interface AuthorityTaskOptions {
   readonly own: VmSettings;
   readonly vms: readonly VmSettings[];
+  /** Random text made at the start of the process. */
+  readonly boot: string;
   readonly peers: PeerCaller;
   readonly clock: Clock;
   readonly timing: Partial<AuthorityTiming>;
@@ -51,7 +53,7 @@
   private timer: Subscription | undefined;
 
   constructor(private readonly options: AuthorityTaskOptions) {
-    const {own, vms, clock, seed} = options;
+    const {own, vms, boot, clock, seed} = options;
     const timing = {...DEFAULT_AUTHORITY_TIMING, ...options.timing};
     const startedAt = clock.now();
     const silentUntil = startedAt + timing.leaseMs + timing.driftMs;
@@ -59,7 +61,7 @@
       if (!authorityGroup(vms, zone).grantors.includes(own.vm)) continue;
       this.grantors.set(
         zone,
-        new Grantor({startedAt, silentUntil, driftMs: timing.driftMs}),
+        new Grantor({boot, startedAt, silentUntil, driftMs: timing.driftMs}),
       );
     }
     this.core = new AuthorityCore({
@@ -140,9 +142,10 @@
   /** Answers a candidate or leader. */
   handle(from: VmId, message: AuthorityMessage): AuthorityReply {
     const grantor = this.grantors.get(message.zone);
-    if (!grantor)
-      return {isGranted: false, seenEpoch: this.highestEpoch, leader: null};
-    return grantor.handle(from, message, this.options.clock.now());
+    const {boot, clock} = this.options;
+    if (grantor) return grantor.handle(from, message, clock.now());
+    const seenEpoch = this.highestEpoch;
+    return {isGranted: false, seenEpoch, leader: null, boot, upMs: 0};
   }
 
   private get ownGrantor(): Grantor {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -150,6 +150,7 @@
     return new AuthorityTask({
       own: this.own,
       vms,
+      boot: this.boot,
       peers: this.peers,
       clock: this.clock,
       timing: {leaseMs: timing.zoneLeaseMs, renewMs: timing.zoneRenewMs},
--- a/packages/proofs/src/zone/sim_vm.ts
+++ b/packages/proofs/src/zone/sim_vm.ts
@@ -92,6 +92,7 @@
     this.authority = new AuthorityTask({
       own,
       vms: world.vms,
+      boot: String(boot),
       peers,
       clock,
       timing: {
--- a/packages/protocol/src/peer/types.ts
+++ b/packages/protocol/src/peer/types.ts
@@ -104,31 +104,42 @@
       readonly why: ReleaseReason;
     };
 
+/** One process of a grantor. */
+export interface GrantorProcess {
+  readonly vm: VmId;
+  /** Random text made at its start. */
+  readonly boot: string;
+}
+
+/** What a leader that stops leaves to the next. */
+export interface Succession {
+  readonly handover: ShareHandover;
+  /** Grantors that answered it while it led: they know of every vote of theirs after it. */
+  readonly witnesses: readonly GrantorProcess[];
+}
+
 /** Why an epoch is given up. */
 export type ReleaseReason =
   /** Its leader stops; the next goes on with what it has lent. */
-  | {readonly kind: 'stopped'; readonly handover: ShareHandover}
+  | {
+      readonly kind: 'stopped';
+      readonly handover: ShareHandover;
+      /** As in `Succession`; absent from a leader of an older version. */
+      readonly witnesses?: readonly GrantorProcess[];
+    }
   /** Its candidate never led under it. */
   | {readonly kind: 'not_led'};
 
 /** The latest epoch that may have had a leader, as far as a grantor knows. */
 export interface LastReign {
   readonly epoch: Epoch;
-  /** What its leader handed over when it stopped, and how long ago, in ms. */
-  readonly handed?: {
-    readonly handover: ShareHandover;
+  /** What its leader left when it stopped, and how long ago that was heard, in ms. */
+  readonly left?: {
+    readonly succession: Succession;
     readonly heldMs: number;
   };
 }
 
-/** What a grantor knows of the reigns before a vote. */
-export interface KnownPast {
-  /** Absent where it has granted no vote since its start. */
-  readonly lastReign?: LastReign;
-  /** Time since its start, in ms; what it granted earlier it does not remember. */
-  readonly upMs: number;
-}
-
 /** Answer to an authority message. */
 export interface AuthorityReply {
   readonly isGranted: boolean;
@@ -136,8 +147,12 @@
   readonly seenEpoch: Epoch;
   /** Leader that the VM follows at present. */
   readonly leader: VmId | null;
-  /** For a granted vote: what the grantor knows of reigns before. */
-  readonly past?: KnownPast;
+  /** Random text made at the start of the grantor. */
+  readonly boot: string;
+  /** Time since the start of the grantor, in ms. */
+  readonly upMs: number;
+  /** For a granted vote: absent where it has granted none before since its start. */
+  readonly lastReign?: LastReign;
 }
 
 /** Shares that an entry now has, valid from the send time of its sync on. */
