A call that comes to nothing is answered by its deadline

What callers saw: nothing; every error after a deadline left 1 ms after the client had gone. Cause: callLeader paused 60 ms after its last try as well, which is the whole margin that a front leaves for the answer (found by the trial cells of the new lines: 504 at 901 ms for a deadline of 900). Evidence: the spec fails before (260 ms for a deadline of 210) and passes now.

--- a/packages/coordination/src/gateway/task.spec.ts
+++ b/packages/coordination/src/gateway/task.spec.ts
@@ -90,6 +90,22 @@
     );
     expect(performance.now() - startedAt).to.be.within(1000, 2000);
   });
+  it('a call that comes to nothing is answered by its deadline', async () => {
+    const gateway = await makeGateway(
+      (_to, nth) =>
+        new Promise((_resolve, reject) =>
+          setTimeout(
+            () => reject(new CellError({code: 'peer_timeout', step: 'call'})),
+            nth === 1 ? 200 : 40,
+          ),
+        ),
+    );
+    const startedAt = performance.now();
+    expect(await codeOf(call(gateway, 210))).to.equal(
+      'log_outcome_unknown unknown',
+    );
+    expect(performance.now() - startedAt).to.be.lessThan(230);
+  });
   it('a call without an answer is made again, and its answer taken', async () => {
     const gateway = await makeGateway(async (to, nth) => {
       if (nth === 1) throw new CellError({code: 'peer_timeout', step: 'call'});
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -203,6 +203,8 @@
       if (isFinal(last) && unclearDeadline === undefined) throw last;
       if (last.outcome === 'unknown')
         unclearDeadline ??= Math.min(deadline, clock.now() + MAX_UNCLEAR_MS);
+      // An answer after the deadline reaches nobody.
+      if (clock.now() + RETRY_PAUSE_MS >= deadline) break;
       await pause(clock, RETRY_PAUSE_MS);
     }
     throw unclearDeadline !== undefined
