--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -88,8 +88,6 @@
     if (clock.now() < (this.cancelledUntil.get(path) ?? 0))
       return {way: 'cancelled_here', peer: null};
     if (reader) return answerOf(null, reader.read({host, path}));
-    // Only a word of the leader tells how old a copy is.
-    if (!gateway.hasContact) return {way: 'no_contact', peer: null};
     const peer = gateway.readerVm;
     if (peer === null) return {way: 'no_reader', peer};
     return this.readPeer(peer, {host, path});
@@ -126,10 +124,13 @@
     {answer, index}: LinkMethods['readWorkflow']['reply'],
   ): CopyAnswer {
     const {gateway, logger} = this.options;
-    const known =
-      answer && isLasting(answer)
-        ? Math.min(atLeast, gateway.settledIndex)
-        : atLeast;
+    const isLastingAnswer = answer !== null && isLasting(answer);
+    // Only a word of the leader tells how old a copy is.
+    if (!gateway.hasContact && !isLastingAnswer)
+      return {way: 'no_contact', peer};
+    const known = isLastingAnswer
+      ? Math.min(atLeast, gateway.settledIndex)
+      : atLeast;
     if (index < known) {
       logger.debug(
         {change: 'reader_behind', peer, index, known},
