--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -50,8 +50,10 @@
 const CALLER_AGE_MS = 1500;
 /** Pause after a failure of the data folder before the process ends, in ms. */
 const REOPEN_PAUSE_MS = 1500;
-/** Bytes of the scheduler's journal: some minutes under load. */
+/** Bytes of the scheduler's journal where its images are small. */
 const JOURNAL_BYTES = 6 * 1024 * 1024;
+/** Most bytes of one of its two segments: large images are to be few. */
+const MAX_SEGMENT_BYTES = 9 * 1024 * 1024;
 /** Time for telling the leader of announcements, in ms. */
 const TELL_WITHIN_MS = 900;
 /** Seeds of the random source of elections. */
@@ -75,6 +77,7 @@
   readonly journal = new JournalRecorder({
     clock: systemClock,
     maxBytes: JOURNAL_BYTES,
+    maxSegmentBytes: MAX_SEGMENT_BYTES,
   });
   private isStopping = false;
 
--- a/packages/state/src/journal/line_store.spec.ts
+++ b/packages/state/src/journal/line_store.spec.ts
@@ -89,4 +89,15 @@
     store.add('y'.repeat(CHUNK_BYTES));
     expect(store.getChunks()[1]?.length).to.equal(CHUNK_BYTES + 1);
   });
+  it('buffers that the lines since did not need are given up', () => {
+    const full = 'x'.repeat(CHUNK_BYTES - 1);
+    const store = storeOf([full, full, full]);
+    const before = new Set(store.getChunks().map(({buffer}) => buffer));
+    store.clear();
+    store.add(full);
+    store.clear();
+    for (let i = 0; i < 3; i++) store.add(full);
+    const again = store.getChunks().filter(({buffer}) => before.has(buffer));
+    expect(again.length).to.equal(1);
+  });
 });
--- a/packages/state/src/journal/line_store.ts
+++ b/packages/state/src/journal/line_store.ts
@@ -41,10 +41,11 @@
     this.lineCount++;
   }
 
-  /** Drops all lines; keeps the chunks for those to come. */
+  /** Drops all lines; keeps as many chunks for those to come as these filled. */
   clear(): void {
-    for (const {bytes} of this.chunks)
-      if (bytes.length === CHUNK_BYTES) this.spare.push(bytes);
+    this.spare = this.chunks
+      .map(({bytes}) => bytes)
+      .filter(({length}) => length === CHUNK_BYTES);
     this.chunks = [];
     this.lineCount = 0;
     this.usedBytes = 0;
