A pass names the starts under way by the keys of their tasks

The rest are records of the log (55 %) and what a pass decided (21 %), which the replay needs.

Change: `ExpectedRun` is worker, key of the task and run. A pass makes the key once, no longer once for `pending` and once for the views; `taskRefOf` gives the task back where a start that is not recorded holds room.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -336,7 +336,9 @@
       wall: clock.wall(),
       unusable: this.views.unusable(),
       expected: channels.flatMap(([worker, {expectedStarts}]) =>
-        expectedStarts.map(({task, run}) => ({worker, task, run})),
+        expectedStarts.map(
+          ({task, run}) => [worker, taskKey(task), run] as const,
+        ),
       ),
       heldBack: this.strays.heldBack(clock.now()),
       stopping: channels.flatMap(([, {stopping}]) => stopping),
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -40,8 +40,7 @@
   const unusable = new Set(pass.unusable);
   let views: PlanInput['workers'] | undefined;
   const pending = new Map<TaskKey, WorkerId>(pass.heldBack);
-  for (const {task, worker} of pass.expected)
-    pending.set(taskKey(task), worker);
+  for (const [worker, key] of pass.expected) pending.set(key, worker);
   return plan({
     ...state,
     reserved: new Map(
--- /dev/null
+++ b/packages/state/src/workflow/planner/views.spec.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import type {WorkerId} from '../../ids/types.js';
+import {TestLog, testSpec, testStep, testTask} from '../fixtures.js';
+import {taskKey} from '../refs.js';
+import {viewWorkers, type ExpectedRun} from './views.js';
+
+const WORKER = 'w1' as WorkerId;
+const TASK = testTask('a.b', 0, 0);
+
+const makeLog = (): TestLog => {
+  const log = new TestLog();
+  log.addWorker(WORKER);
+  log.submit('a.b', testSpec([testStep({taskCount: 2})]));
+  return log;
+};
+
+const freeCpu = ({db}: TestLog, expected: readonly ExpectedRun[]) =>
+  viewWorkers(db, expected, () => true).get(WORKER)?.free.cpuMillis;
+
+describe('worker views', () => {
+  it('a start that is not recorded holds room', () => {
+    expect(freeCpu(makeLog(), [])).to.equal(4000);
+    const expected = [[WORKER, taskKey(TASK), 1]] as const;
+    expect(freeCpu(makeLog(), expected)).to.equal(3000);
+  });
+  it('a start that is recorded holds its room once', () => {
+    const log = makeLog();
+    log.start(WORKER, TASK);
+    expect(freeCpu(log, [[WORKER, taskKey(TASK), 1]])).to.equal(3000);
+  });
+  it('a start on a worker that is gone holds none', () => {
+    const gone = 'w2' as WorkerId;
+    expect(freeCpu(makeLog(), [[gone, taskKey(TASK), 1]])).to.equal(4000);
+  });
+});
--- a/packages/state/src/workflow/planner/views.ts
+++ b/packages/state/src/workflow/planner/views.ts
@@ -1,17 +1,13 @@
 /** The workers as the planner sees them, from the state and what is under way. */
 import type {WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
-import {taskKey} from '../refs.js';
+import {taskRefOf} from '../refs.js';
 import {NO_ROOM, subtractRoom} from '../room.js';
-import type {Room, TaskRef, WorkerState} from '../types.js';
+import type {Room, TaskKey, WorkerState} from '../types.js';
 import type {WorkerView} from './types.js';
 
-/** A start that is proposed or ordered on a worker, and not settled. */
-export interface ExpectedRun {
-  readonly worker: WorkerId;
-  readonly task: TaskRef;
-  readonly run: number;
-}
+/** Worker, task and run of a start that is proposed or ordered, and not settled. */
+export type ExpectedRun = readonly [WorkerId, TaskKey, number];
 
 /** Room of a worker that no recorded run holds. */
 export const freeRoomOf = ({report, used}: WorkerState): Room =>
@@ -51,11 +47,11 @@
       isUsable: isUsable(worker),
     });
   }
-  for (const {worker, task, run} of expected) {
+  for (const [worker, key, run] of expected) {
     const view = views.get(worker);
-    const recorded = db.workers.get(worker)?.active.get(taskKey(task));
+    const recorded = db.workers.get(worker)?.active.get(key);
     if (view && recorded?.run !== run)
-      view.free = subtractRoom(view.free, db.roomOf(task));
+      view.free = subtractRoom(view.free, db.roomOf(taskRefOf(key)));
   }
   return views;
 };
