--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -58,8 +58,10 @@
 const CALLER_AGE_MS = 1500;
 /** Pause after a failure of the data folder before the process ends, in ms. */
 const REOPEN_PAUSE_MS = 1500;
-/** Bytes of the scheduler's journal: some minutes under load. */
+/** Bytes of the scheduler's journal where its images are small. */
 const JOURNAL_BYTES = 6 * 1024 * 1024;
+/** Most bytes of one of its two segments: large images are to be few. */
+const MAX_SEGMENT_BYTES = 9 * 1024 * 1024;
 /** Time for telling the leader of announcements, in ms. */
 const TELL_WITHIN_MS = 900;
 /** Lines in a second for answers that nobody waits for. */
@@ -85,6 +87,7 @@
   readonly journal = new JournalRecorder({
     clock: systemClock,
     maxBytes: JOURNAL_BYTES,
+    maxSegmentBytes: MAX_SEGMENT_BYTES,
   });
   private readonly unsentLines = new LineBudget(UNSENT_PER_SECOND, 1000);
   private isStopping = false;
