--- /dev/null
+++ b/packages/state/src/workflow/admission/outsize.spec.ts
@@ -0,0 +1,40 @@
+import {expect} from 'chai';
+import {testQueue} from '../../bundle/fixtures.js';
+import {TestLog, testSpec, testStep} from '../fixtures.js';
+import {decideAdmission} from './core.js';
+import {findSpecFault} from './limits.js';
+
+describe('outsize numbers in one workflow', () => {
+  it('an estimate beyond all reason does not shut out all other queues', () => {
+    const log = new TestLog({
+      queues: [
+        testQueue({name: 'loud', prefix: '/loud/', priority: 0}),
+        testQueue({name: 'quiet', prefix: '/quiet/', priority: 0}),
+      ],
+    });
+    log.addWorker('w1');
+    const huge = testSpec([testStep({estimateMs: 1e12})]);
+    const [loud, quiet] = ['loud', 'quiet'].map(name =>
+      log.db.queues.get(name as never)!,
+    );
+    const isTaken =
+      findSpecFault(huge) === undefined &&
+      decideAdmission(log.db, loud!, huge).kind === 'admit';
+    if (isTaken) log.submit('a', huge, 'loud');
+    const other = testSpec([testStep()]);
+    expect(decideAdmission(log.db, quiet!, other).kind).to.equal('admit');
+  });
+  it('occurrences count in the bound on the tasks of a workflow', () => {
+    const spec = testSpec([testStep({taskCount: 20_000})], {
+      occurrences: 10_000,
+      firstDueAt: 1,
+      intervalMs: 1,
+    });
+    expect(findSpecFault(spec)).to.not.equal(undefined);
+  });
+  it('occurrences count in the bound on the steps of a workflow', () => {
+    const steps = Array.from({length: 1000}, () => testStep());
+    const spec = testSpec(steps, {occurrences: 10_000, firstDueAt: 1});
+    expect(findSpecFault(spec)).to.not.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/transport/src/http/body_late.spec.ts
@@ -0,0 +1,45 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Worker} from 'node:worker_threads';
+import {expect} from 'chai';
+import {toCellError} from '@primrosewick/state';
+import {readBody} from './body.js';
+
+const SENDER = `
+const {workerData} = require('node:worker_threads');
+const {request} = require('node:http');
+const req = request({port: workerData, method: 'POST'});
+req.on('error', () => undefined);
+req.flushHeaders();
+setTimeout(() => req.end('whole'), 100);
+`;
+
+describe('body read by a process that is late itself', () => {
+  it('a body that has arrived is not refused as slow', async () => {
+    const outcome = new Promise<string>(resolve => {
+      const server = createServer((req, res) => {
+        readBody(req, {maxBytes: 100, timeoutMs: 300})
+          .then(
+            bytes => bytes.toString(),
+            (err: unknown) => toCellError(err, 'read').code,
+          )
+          .then(told => {
+            res.end();
+            server.close();
+            server.closeAllConnections();
+            resolve(told);
+          })
+          .catch(() => undefined);
+        setImmediate(() => {
+          const until = performance.now() + 600;
+          while (performance.now() < until);
+        });
+      });
+      server.listen(0, () => {
+        const {port} = server.address() as AddressInfo;
+        new Worker(SENDER, {eval: true, workerData: port});
+      });
+    });
+    expect(await outcome).to.equal('whole');
+  });
+});
