--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -90,6 +90,8 @@
   private readonly readers = new Map<VmId, Reader>();
   /** Monotonic time of the last greeting of each VM, in ms. */
   private readonly askedAt = new Map<VmId, number>();
+  /** VMs that have not answered a greeting yet. */
+  private readonly greeted = new Set<VmId>();
 
   constructor(private readonly options: GatewayOptions) {
     for (const vm of options.seeds) this.known.add(vm);
@@ -281,11 +283,15 @@
 
   private async greetOne(vm: VmId): Promise<void> {
     const {peers, hello, clock} = this.options;
+    if (this.greeted.has(vm)) return;
+    this.greeted.add(vm);
     this.askedAt.set(vm, clock.now());
     try {
       this.take(await peers.call(vm, 'hello', hello()));
     } catch {
       // Silence shows in the age of the last answer.
+    } finally {
+      this.greeted.delete(vm);
     }
     this.noteContact();
   }
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -50,15 +50,22 @@
     address: QueueAddress,
     atLeast: number,
   ): Promise<WorkflowReply | undefined> {
-    const {clock, replica} = this.options;
+    const {clock} = this.options;
+    const known = this.read(address);
+    if (known && (isLasting(known) || this.isAt(atLeast))) return known;
     const deadline = clock.now() + MAX_WAIT_MS;
-    let reply = this.read(address);
-    while (!(reply && isLasting(reply)) && clock.now() < deadline) {
-      if (this.isFresh && replica.index >= atLeast) break;
+    while (!this.isAt(atLeast) && clock.now() < deadline)
       await pause(clock, LOOK_INTERVAL_MS);
-      reply = this.read(address);
-    }
-    return reply;
+    return this.read(address);
+  }
+
+  /** Index of the log that the copy holds. */
+  get index(): number {
+    return this.options.replica.index;
+  }
+
+  private isAt(index: number): boolean {
+    return this.isFresh && this.index >= index;
   }
 
   /**
--- a/packages/daemon/src/cluster/workflow_calls.ts
+++ b/packages/daemon/src/cluster/workflow_calls.ts
@@ -35,6 +35,10 @@
 
 /** Time for which questions about what was cancelled here go to the leader, in ms. */
 const CANCELLED_MS = 2000;
+/** Longest time for which a copy is waited for, in ms. */
+const MAX_COPY_MS = 300;
+/** Share of the time left that a copy may take, so that the leader can still be asked. */
+const COPY_SHARE = 0.5;
 /** Cancellations made here that are remembered. */
 const MAX_CANCELLED = 2000;
 
@@ -64,7 +68,7 @@
   ): Promise<WorkflowReply> {
     const {gateway, clock, reads} = this.options;
     const beganAt = clock.now();
-    const {reply, way, peer} = await this.readCopy(request);
+    const {reply, way, peer} = await this.readCopy(request, deadline);
     const copyMs = clock.now() - beganAt;
     const note = (err?: CellError): void => {
       const endedAt = clock.now();
@@ -83,26 +87,48 @@
     }
   }
 
-  private async readCopy({host, path}: QueueAddress): Promise<CopyAnswer> {
+  private async readCopy(
+    {host, path}: QueueAddress,
+    deadline: number,
+  ): Promise<CopyAnswer> {
     const {gateway, clock, reader} = this.options;
     if (clock.now() < (this.cancelledUntil.get(path) ?? 0))
       return {way: 'cancelled_here', peer: null};
-    if (reader) return answerOf(null, reader.read({host, path}));
+    if (reader) return this.readOwn(reader, {host, path});
+    // Only a word of the leader tells how old a copy is.
+    if (!gateway.hasContact) return {way: 'no_contact', peer: null};
     const peer = gateway.readerVm;
     if (peer === null) return {way: 'no_reader', peer};
-    return this.readPeer(peer, {host, path});
+    return this.readPeer(peer, {host, path}, deadline);
+  }
+
+  /** This VM hears of the leader as its copy does, so its index proves nothing. */
+  private async readOwn(
+    reader: ReplicaReader,
+    address: QueueAddress,
+  ): Promise<CopyAnswer> {
+    const answer = (await reader.readAt(address, 0)) ?? null;
+    return this.check(null, 0, {answer, index: reader.index});
   }
 
   private async readPeer(
     peer: VmId,
     address: QueueAddress,
+    deadline: number,
   ): Promise<CopyAnswer> {
-    const {gateway, peers, logger} = this.options;
+    const {gateway, peers, clock, logger} = this.options;
     const atLeast = gateway.knownIndex;
+    const leftMs = deadline - clock.now();
+    const timeoutMs = Math.min(MAX_COPY_MS, leftMs * COPY_SHARE);
     try {
       const question = {...address, atLeast};
-      const reply = await peers.call(peer, 'readWorkflow', question);
-      return this.check(peer, atLeast, reply);
+      const reply = await peers.call(peer, 'readWorkflow', question, {
+        timeoutMs,
+      });
+      const told = this.check(peer, atLeast, reply);
+      // It was waited for; the next question goes to one that is level.
+      if (told.way === 'copy_behind') gateway.avoidReader(peer);
+      return told;
     } catch (err) {
       logger.info(
         {change: 'reader_avoided', req: address.path, peer, err: String(err)},
@@ -119,18 +145,12 @@
    * only behind may tell it; one that was away may have an old bundle.
    */
   private check(
-    peer: VmId,
+    peer: VmId | null,
     atLeast: number,
     {answer, index}: LinkMethods['readWorkflow']['reply'],
   ): CopyAnswer {
     const {gateway, logger} = this.options;
-    const isLastingAnswer = answer !== null && isLasting(answer);
-    // Only a word of the leader tells how old a copy is.
-    if (!gateway.hasContact && !isLastingAnswer)
-      return {way: 'no_contact', peer};
-    const known = isLastingAnswer
-      ? Math.min(atLeast, gateway.settledIndex)
-      : atLeast;
+    const known = answer && isLasting(answer) ? gateway.settledIndex : atLeast;
     if (index < known) {
       logger.debug(
         {change: 'reader_behind', peer, index, known},
--- a/packages/state/src/workflow/admission/core.ts
+++ b/packages/state/src/workflow/admission/core.ts
@@ -15,24 +15,36 @@
 /** Longest time that a client is told to stay away, in ms. */
 const MAX_RETRY_AFTER_MS = 30_000;
 
-/** Work of a step that is not done yet, in thousandths of a core times ms. */
+/**
+ * Work of a step that is not done yet within a time, in thousandths of a core
+ * times ms: a task keeps others from no more than its own room for that time.
+ */
 const restOf = (
   {room, estimateMs, taskCount, usesLeftover, isLongRunning}: StepSpec,
   state: StepState | undefined,
+  withinMs: number,
 ): number =>
   usesLeftover || isLongRunning
     ? 0
-    : (taskCount - (state?.doneCount ?? 0)) * room.cpuMillis * estimateMs;
+    : (taskCount - (state?.doneCount ?? 0)) *
+      room.cpuMillis *
+      Math.min(estimateMs, withinMs);
 
-/** Work that is served before or beside a queue in its pool. */
-const backlogOf = (db: WorkflowDb, {pool, priority}: Queue): number => {
+/** Work that is served before or beside a queue in its pool within a time. */
+const backlogOf = (
+  db: WorkflowDb,
+  {pool, priority}: Queue,
+  withinMs: number,
+): number => {
   let sum = 0;
   for (const {queue, spec, occurrences} of db.open.values()) {
     const other = db.queues.get(queue);
     if (!other || other.pool !== pool || other.priority > priority) continue;
     if (spec.firstDueAt > 0) continue;
     const states = occurrences.get(0);
-    spec.steps.forEach((step, i) => (sum += restOf(step, states?.[i])));
+    spec.steps.forEach(
+      (step, i) => (sum += restOf(step, states?.[i], withinMs)),
+    );
   }
   return sum;
 };
@@ -72,12 +84,12 @@
   const chainMs = longestChainMs(spec);
   if (capacity === 0 || !isAwaited(spec))
     return {kind: 'admit', expectedMs: chainMs};
-  const waitMs = backlogOf(db, queue) / capacity;
-  const expectedMs = Math.round(waitMs + chainMs);
   const allowedMs = Math.max(chainMs, usualChainMs(db, queue));
   const objectiveMs = queue.objectiveMs + queue.stretch * allowedMs;
-  if (expectedMs <= USELESS_FACTOR * objectiveMs)
-    return {kind: 'admit', expectedMs};
+  const uselessMs = USELESS_FACTOR * objectiveMs;
+  const waitMs = backlogOf(db, queue, uselessMs) / capacity;
+  const expectedMs = Math.round(waitMs + chainMs);
+  if (expectedMs <= uselessMs) return {kind: 'admit', expectedMs};
   const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, expectedMs - objectiveMs);
   return {kind: 'refuse', expectedMs, retryAfterMs: Math.round(retryAfterMs)};
 };
--- a/packages/transport/src/http/body.ts
+++ b/packages/transport/src/http/body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {CellError, type ReasonCode} from '@primrosewick/state';
+import {actAfter} from '../tasks/timers.js';
 
 /** Bounds of a body. */
 export interface BodyLimits {
@@ -20,7 +21,7 @@
     const parts: Buffer[] = [];
     let length = 0;
     const end = (): void => {
-      clearTimeout(timer);
+      timer.cancel();
       req.off('data', onData).off('end', onEnd).off('close', onClose);
     };
     const refuse = (code: ReasonCode): void => {
@@ -44,7 +45,7 @@
       resolve(Buffer.concat(parts, length));
     };
     const onClose = (): void => refuse('client_gone');
-    const timer = setTimeout(() => refuse('slow_sender'), limits.timeoutMs);
+    const timer = actAfter(limits.timeoutMs, () => refuse('slow_sender'));
     if (Number(req.headers['content-length'] ?? 0) > limits.maxBytes)
       return refuse('body_too_large');
     req.on('data', onData).on('end', onEnd).on('close', onClose);
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -30,6 +30,8 @@
   readonly resolve: (body: unknown) => void;
   readonly reject: (err: CellError) => void;
   readonly timer: Timer;
+  /** Whether it has left; one that waits for the stream to open has not. */
+  isSent: boolean;
 }
 
 /** Time until the other VM must have answered the first frame, in ms. */
@@ -91,19 +93,38 @@
    *   when its outcome is unknown, or the peer's reason.
    */
   async call(step: string, body: unknown, timeoutMs: number): Promise<unknown> {
-    if (!this.isOpen) await this.opened;
     if (this.isClosed) throw this.unreachable(step, 'the stream is closed');
     return new Promise((resolve, reject) => {
       const id = this.nextId++;
-      const timer = actAfter(timeoutMs, () => {
-        this.pending.delete(id);
-        reject(this.timeout(step, 'no answer before the deadline'));
-      });
-      this.pending.set(id, {step, resolve, reject, timer});
-      this.ask({kind: 'call', id, method: step, body} as LinkFrame);
+      const timer = actAfter(timeoutMs, () =>
+        this.giveUp(id, 'no answer before the deadline'),
+      );
+      const isSent = this.isOpen;
+      this.pending.set(id, {step, resolve, reject, timer, isSent});
+      const frame = {kind: 'call', id, method: step, body} as LinkFrame;
+      if (isSent) this.ask(frame);
+      else
+        this.opened.then(() => this.sendLate(id, frame)).catch(() => undefined);
     });
   }
 
+  /** Sends a call that has waited for the stream to open, if it is still awaited. */
+  private sendLate(id: number, frame: LinkFrame): void {
+    const call = this.pending.get(id);
+    if (!call) return;
+    call.isSent = true;
+    this.ask(frame);
+  }
+
+  private giveUp(id: number, why: string): void {
+    const call = this.pending.get(id);
+    if (!call) return;
+    this.pending.delete(id);
+    call.timer.cancel();
+    const {step, isSent} = call;
+    call.reject(isSent ? this.timeout(step, why) : this.unreachable(step, why));
+  }
+
   /** Gives the stream up; calls under way have an unknown outcome. */
   close(why: string): void {
     if (this.isClosed) return;
@@ -111,11 +132,7 @@
     this.openTimer.cancel();
     this.probe.cancel();
     this.onOpened(this.unreachable('open-link', why));
-    for (const {step, reject, timer} of this.pending.values()) {
-      timer.cancel();
-      reject(this.timeout(step, why));
-    }
-    this.pending.clear();
+    for (const id of [...this.pending.keys()]) this.giveUp(id, why);
     this.stream.cancel();
     this.client.close();
     this.options.onClosed();
