A leader whose proof has run out gives no orders

Cause: orders and holds were sent while a VM believed that it led, and it learned otherwise only at a tick, up to twice 700 ms after its last contact; the next leader counts on 1,400 ms. A late turn of the loop made it longer, and an answer that had lain unread counted as contact of now (found by the review; the fuzzing closed the old leader in time by assumption). Class: a process that was delayed acts on a permission that has run out meanwhile. Change: rounds of heartbeats keep when they were sent; a leadership is proved as of the last round that a majority answered. Channels to workers send only within 1.3 s of that; a start that was recorded and can't be sent is given up. The fuzzing leaves an unaware leader to itself for four times as long. Evidence: the new spec of the channel fails without the check (hold, start and stop are sent) and passes now. Not covered: a suspended VM, whose steady clock stands still; fences hold there.

--- a/packages/coordination/src/consensus/context.ts
+++ b/packages/coordination/src/consensus/context.ts
@@ -1,6 +1,7 @@
 import type {NodeId, Random} from '@primrosewick/state';
 import {ConsensusLog} from './log.js';
 import {majorityOf} from './members.js';
+import {RoundTimes} from './round_times.js';
 import {
   DEFAULT_CONSENSUS_TIMING,
   type ConsensusEffects,
@@ -75,6 +76,7 @@
   pendingReads: PendingRead[] = [];
   /** Number of the last heartbeat round. */
   round = 0;
+  readonly roundTimes = new RoundTimes();
   effects: ConsensusEffects<C> = noEffects();
   private readonly random: Random;
 
@@ -183,6 +185,13 @@
     return this.quorumValue(this.now, progress => progress.lastHeardAt);
   }
 
+  /** Time at which the last round that a majority has answered was sent, in ms. */
+  provedAt(): number {
+    return this.roundTimes.of(
+      this.quorumValue(this.round, progress => progress.lastRound),
+    );
+  }
+
   /** Highest value that a majority of voters has reached. */
   quorumValue(own: number, read: (progress: Progress) => number): number {
     const {voters} = this.log.members;
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -48,6 +48,14 @@
     return this.context.role === 'leader';
   }
 
+  /**
+   * Time at which a majority last proved the leadership, in ms: that of the
+   * question, as an answer may have lain unread for long.
+   */
+  get provedAt(): number {
+    return this.isLeader ? this.context.provedAt() : Number.NEGATIVE_INFINITY;
+  }
+
   /** A look at the state. */
   get status(): ConsensusStatus {
     const {context} = this;
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -16,6 +16,7 @@
       this.context.now + this.context.timing.electionMs;
     this.context.commitNoticeAt = Number.POSITIVE_INFINITY;
     this.context.progress.clear();
+    this.context.roundTimes.clear();
     this.trackMembers();
     this.appendOwn({kind: 'noop'});
     this.broadcast();
@@ -112,6 +113,7 @@
     this.context.heartbeatDeadline =
       this.context.now + this.context.timing.heartbeatMs;
     this.context.round++;
+    this.context.roundTimes.note(this.context.round, this.context.now);
     for (const [node, progress] of this.context.progress)
       this.sendAppend(node, progress);
     this.answerReads();
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -14,6 +14,7 @@
 import {pause, type Clock} from '@primrosewick/transport';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
+import {isAppend, isAppendOnly} from './early_send.js';
 import {persistWrites} from './persistence.js';
 import {ConsensusPump} from './pump.js';
 import {Mailbox, type LogPeers} from './mailbox.js';
@@ -146,6 +147,11 @@
     return this.core.status;
   }
 
+  /** Monotonic time at which a majority last proved the leadership, in ms. */
+  get provedAt(): number {
+    return this.core.provedAt;
+  }
+
   /** State for operators. */
   get logStatus(): LogStatus {
     const {role, term, leader, commitIndex, lastIndex, members} =
@@ -422,15 +428,3 @@
     this.options.onFailure(err);
   }
 }
-
-/**
- * Whether followers may be sent entries while the leader still writes them: it
- * counts itself only once they are on its disk, as answers wait for the write.
- * A vote or a term must be on the disk before anything that follows from it.
- */
-const isAppendOnly = <C>(writes: ReadonlyArray<StorageWrite<C>>): boolean =>
-  writes.length > 0 && writes.every(({kind}) => kind === 'append');
-
-/** Only a leader sends appends. */
-const isAppend = <C>({message}: Envelope<C>): boolean =>
-  message.kind === 'append';
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -26,6 +26,8 @@
   readonly term: number;
   /** Longest time that an earlier leader may go on unaware, in ms. */
   readonly unawareMs: number;
+  /** Time since a majority last proved that this VM leads, in ms. */
+  readonly provedAgeMs: () => number;
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDeskOptions['callers'];
   readonly ask: AdviceDeskOptions['ask'];
--- a/packages/coordination/src/workflow/scheduler_task.spec.ts
+++ b/packages/coordination/src/workflow/scheduler_task.spec.ts
@@ -34,6 +34,7 @@
       terms: {maxLeaseMs: 1000, announceMs: 1000},
       term: 1,
       unawareMs: 0,
+      provedAgeMs: () => 0,
       propose: () => new Promise(() => undefined),
       callers: () => {
         if (++passCount === 2) throw new Error('a defect');
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -42,6 +42,8 @@
 const PLAN_INTERVAL_MS = 100;
 /** Interval of the look at runs that stand still, in ms: a stall takes seconds to tell. */
 const STALL_INTERVAL_MS = 500;
+/** Time by which orders cease before a later leader counts on it, in ms. */
+const PROOF_MARGIN_MS = 100;
 /** Longest lease given, in ms: covers a cut and a change of the leader. */
 const LEASE_MS = 7000;
 
@@ -218,6 +220,7 @@
       leaseMs: Math.min(LEASE_MS, terms.maxLeaseMs),
       maxLeaseMs: terms.maxLeaseMs,
       othersUntil: this.startedAt + unawareMs,
+      mayOrder: () => this.options.provedAgeMs() < unawareMs - PROOF_MARGIN_MS,
       record: command => this.record(command),
       onChange: () => this.planSoon(),
       onStarted: task => this.tellFirstStart(task.workflow),
--- /dev/null
+++ b/packages/coordination/src/workflow/worker_channel.spec.ts
@@ -0,0 +1,81 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import type {WorkflowCommand} from '@primrosewick/state';
+import {
+  TestLog,
+  testSpec,
+  testStep,
+  testTask,
+} from '@primrosewick/state/fixtures';
+import {pause, systemClock} from '@primrosewick/transport';
+import type {OrderPort} from './ports.js';
+import {WorkerChannel} from './worker_channel.js';
+
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const TASK = testTask('a', 0, 0);
+
+/** A channel to a worker on which one run is recorded, and what it is sent. */
+const makeChannel = (mayOrder: () => boolean) => {
+  const log = new TestLog();
+  log.addWorker('w1');
+  log.submit('a', testSpec([testStep()]));
+  log.start('w1', TASK);
+  const sent: string[] = [];
+  const recorded: WorkflowCommand[] = [];
+  const accept = (order: string) => async () => {
+    sent.push(order);
+    return {kind: 'accepted' as const, clockMs: 1};
+  };
+  const port: OrderPort = {
+    start: accept('start'),
+    stop: accept('stop'),
+    hold: async () => {
+      sent.push('hold');
+      await pause(systemClock, 30);
+      return {kind: 'lists', clockMs: 1, running: [], ended: []};
+    },
+  };
+  const life = log.db.workers.get('w1' as never)!.report;
+  const channel = new WorkerChannel({
+    life: {worker: life.worker, bornAt: life.bornAt},
+    db: log.db,
+    port,
+    clock: systemClock,
+    logger,
+    term: 1,
+    leaseMs: 1000,
+    maxLeaseMs: 1000,
+    othersUntil: 0,
+    mayOrder,
+    record: async command => void recorded.push(command),
+    onChange: () => undefined,
+    onStarted: () => undefined,
+    onStartFailed: () => undefined,
+  });
+  return {channel, sent, recorded};
+};
+
+describe('channel to a worker', () => {
+  const open: WorkerChannel[] = [];
+  afterEach(() => open.splice(0).forEach(channel => channel.close()));
+
+  it('a leader whose proof has run out sends nothing, and goes on once it is proved', async () => {
+    let isProved = true;
+    const {channel, sent, recorded} = makeChannel(() => isProved);
+    open.push(channel);
+    channel.expect(TASK, 1);
+    channel.open();
+    await pause(systemClock, 50);
+    isProved = false;
+    await pause(systemClock, 50);
+    sent.length = 0;
+    await channel.start({task: TASK, run: 1, payload: '', checkpoint: ''});
+    await channel.stop({task: TASK, run: 1, why: 'preempted'});
+    await pause(systemClock, 100);
+    expect(sent).to.eql([]);
+    expect(recorded.map(({kind}) => kind)).to.contain('void_runs');
+    isProved = true;
+    await pause(systemClock, 150);
+    expect(sent).to.contain('hold');
+  });
+});
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -34,8 +34,14 @@
 /** Shortest and longest pause after an unanswered hold, in ms. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
+/** Pause before a leader whose proof has run out looks again, in ms. */
+const UNPROVED_PAUSE_MS = 50;
 /** Pause before the lists are asked for again while starts are not settled, in ms. */
 const SETTLE_PAUSE_MS = 20;
+
+/** A start as the planner wishes it; its fence and lease are those of the sending. */
+type StartWish = Omit<StartOrder, 'fence' | 'leaseEnd'>;
+
 /** Speaks to one life of a worker while this VM leads. */
 export class WorkerChannel {
   /** What the worker last listed as under way. */
@@ -119,7 +125,8 @@
   }
 
   /** Orders a start that is recorded. */
-  async start(order: Omit<StartOrder, 'fence' | 'leaseEnd'>): Promise<void> {
+  async start(order: StartWish): Promise<void> {
+    if (!this.options.mayOrder()) return this.leaveOut(order);
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
@@ -135,10 +142,23 @@
     this.wake();
   }
 
+  /** Gives a recorded start up that must not be sent any more. */
+  private async leaveOut({task, run}: StartWish): Promise<void> {
+    const why = {
+      kind: 'not_sent',
+      detail: 'the leadership is not proved',
+    } as const;
+    this.options.onStartFailed(task, why, this.options.life);
+    await this.voidRuns([{task, run}], 'not_started');
+    this.starts.forget(task);
+    this.options.onChange();
+  }
+
   /** Orders a stop, unless one was ordered a moment ago. */
   async stop({task, run, why, inFavourOf}: StopWish): Promise<void> {
     const {clock, port, life, logger} = this.options;
-    if (!this.isUsable || !this.stops.note(task, run, clock.now())) return;
+    if (!this.isUsable || !this.options.mayOrder()) return;
+    if (!this.stops.note(task, run, clock.now())) return;
     logger.info(
       {
         decision: 'stop',
@@ -167,9 +187,7 @@
     return {...life, address};
   }
 
-  private async sendStart(
-    order: Omit<StartOrder, 'fence' | 'leaseEnd'>,
-  ): Promise<OrderAnswer> {
+  private async sendStart(order: StartWish): Promise<OrderAnswer> {
     const {clock, leaseMs, port} = this.options;
     const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
     if (!this.isUsable || leaseEnd === undefined)
@@ -244,6 +262,10 @@
         await this.waitForWork();
         continue;
       }
+      if (!this.options.mayOrder()) {
+        await pause(this.options.clock, UNPROVED_PAUSE_MS);
+        continue;
+      }
       const sentAt = this.options.clock.now();
       const fence = this.fence;
       const answer = await this.sendHold(fence);
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -24,6 +24,8 @@
   readonly maxLeaseMs: number;
   /** Monotonic time until which an earlier leader may have extended leases, in ms. */
   readonly othersUntil: number;
+  /** Whether this VM certainly still leads, so that no later leader counts it as silent. */
+  readonly mayOrder: () => boolean;
   /** Records something; rejects when this VM no longer leads. */
   readonly record: (command: WorkflowCommand) => Promise<unknown>;
   /** Called when room, runs or reachability have changed. */
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -270,6 +270,7 @@
       terms: settings,
       term,
       unawareMs: 2 * ELECTION_MS,
+      provedAgeMs: () => log.provedAgeMs,
       propose: command => log.propose(command),
       callers: () => this.liveCallers(),
       ask: (vm, step, workers) => this.advise(vm, step, workers),
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -168,6 +168,11 @@
     return options.clock.now() - task.status.lastContactAt;
   }
 
+  /** Time since a majority last proved that this VM leads, in ms. */
+  get provedAgeMs(): number {
+    return this.options.clock.now() - (this.task?.provedAt ?? -Infinity);
+  }
+
   propose(command: WorkflowCommand): Promise<WorkflowResult> {
     if (this.task && this.leadingTerm !== null)
       return this.task.propose(command);
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -48,6 +48,8 @@
 const ANNOUNCE_MS = 1000;
 const CALL_TIMEOUT_MS = 1000;
 const UNAWARE_MS = 1400;
+/** Time after which a leader that was late learns that another leads, in ms. */
+const AWARE_AFTER_MS = 4 * UNAWARE_MS;
 const SETTLE_MS = 120_000;
 /** Small enough that a run fills several segments of a journal. */
 const JOURNAL_BYTES = 200_000;
@@ -60,6 +62,8 @@
 /** One leadership, and whether the log still takes its records. */
 interface Leadership {
   readonly term: number;
+  /** When a majority proved it for the last time; not set while it leads. */
+  lastProvedAt?: number;
   readonly scheduler: SchedulerTask;
   readonly process: SimProcess;
 }
@@ -146,8 +150,9 @@
   /** Ends a leadership; an unaware leader goes on giving orders for a while. */
   changeLeader(isUnaware: boolean): void {
     const before = this.leadership;
+    if (before) before.lastProvedAt = this.queue.now;
     if (before && isUnaware)
-      this.queue.after(UNAWARE_MS - 1, () => before.scheduler.close());
+      this.queue.after(AWARE_AFTER_MS, () => before.scheduler.close());
     else before?.scheduler.close();
     this.term++;
     const {term} = this;
@@ -161,12 +166,14 @@
       terms: {maxLeaseMs: MAX_LEASE_MS, announceMs: ANNOUNCE_MS},
       term,
       unawareMs: UNAWARE_MS,
+      provedAgeMs: () => clock.now() - (leadership.lastProvedAt ?? clock.now()),
       propose: command => this.propose(term, command),
       callers: () => ['vm' as VmId],
       ask: (_vm, step, workers) => this.adviser.ask(step, workers),
       recorder: this.makeJournal(clock),
     });
-    this.leadership = {term, scheduler, process};
+    const leadership: Leadership = {term, scheduler, process};
+    this.leadership = leadership;
     scheduler.start();
   }
 
