A share is looked at again once the connection to its upstream is there

Cause (found by reading): an entry asked whether its share lasts, and then opened a connection. A process that was suspended in between, or that connected slowly, sent its request long after the share had run out and its slots may have been lent to others. Ruled out: the check in the entry's task and in the port before the call, which are right but come too early.

Change: a call over HTTP is written only when its connection is there, and may name a condition that is asked right before the first byte; a call that may not begin has sent nothing, so the attempt counts as unreachable.

Evidence: entry/upstream_port.spec on the code before, "sends nothing when its share ran out while it connected": expected 'answered' to equal 'unreachable'. Now 2 of 2 pass; process specs (real daemons, faults and bad input): 29 passing in 1 min. The mutant "share not looked at once connected" is caught. Not measured: the platform's calls take the same way through the HTTP client; their bytes left after the connection before as well.

Conclusion: what is left is the time between the check and the write.

--- a/packages/coordination/src/entry/upstream_port.ts
+++ b/packages/coordination/src/entry/upstream_port.ts
@@ -44,7 +44,8 @@
 
   async send(call: AttemptCall): Promise<AttemptResult> {
     const {clock, maxAnswerBytes, attemptMs} = this.options;
-    if (clock.now() >= call.sendBefore) return {kind: 'unreachable'};
+    const isCovered = (): boolean => clock.now() < call.sendBefore;
+    if (!isCovered()) return {kind: 'unreachable'};
     try {
       const answer = await callHttp({
         address: call.address,
@@ -55,6 +56,7 @@
         timeoutMs: attemptMs,
         maxAnswerBytes,
         agent: this.agentOf(call.upstream),
+        mayBegin: isCovered,
       });
       return isNotTaken(answer)
         ? {kind: 'refused'}
--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -22,6 +22,8 @@
   readonly agent?: Agent;
   /** Ends the call early. */
   readonly signal?: AbortSignal;
+  /** Asked once a connection is there, before the first byte leaves; a call that may not begin is aborted. */
+  readonly mayBegin?: () => boolean;
 }
 
 /** A whole answer. */
@@ -93,14 +95,23 @@
       this.fail('aborted', 'the caller gave up'),
     );
     req.on('socket', socket => {
-      if (!socket.connecting) this.mayHaveSent = true;
-      else socket.once('connect', () => (this.mayHaveSent = true));
+      if (!socket.connecting) this.begin(req);
+      else socket.once('connect', () => this.begin(req));
     });
     req.on('error', err =>
       this.fail(this.mayHaveSent ? 'lost' : 'unreachable', err.message),
     );
     req.on('response', res => this.collect(res));
-    if (call.signal?.aborted) return this.fail('aborted', 'the caller gave up');
+    if (call.signal?.aborted) this.fail('aborted', 'the caller gave up');
+  }
+
+  /** Sends the request; nothing of it has left before. */
+  private begin(req: ClientRequest): void {
+    const {mayBegin, body} = this.call;
+    if (this.isSettled) return;
+    if (mayBegin && !mayBegin())
+      return this.fail('aborted', 'the call may no longer begin');
+    this.mayHaveSent = true;
     req.end(body);
   }
 
