A malformed vote or release takes no daemon down

Cause: what VMs send each other about a zone's lease was taken as decoded. A reply with a broken ledger threw in the core after it had set itself leading; the rejection had no handler and ended the daemon's process. A release with a broken ledger was kept by every grantor and told to each next leader. Ruled out: frames that can't be decoded or are of another cell, which are refused; announcements of upstreams and workers, which have schemas.

Change: messages and replies of the authority are checked by a schema where they come in. A malformed reply counts as none, a malformed message is refused.

Evidence: authority/task.spec on the code before: "counts a malformed reply as none": expected to equal undefined; "refuses a malformed release": expected [Function] to throw an error. A trial outside the tests ended its process with "Cannot destructure property 'handover'".

Conclusion: holds for the authority. The other methods between VMs are still taken as decoded; not looked into.

--- a/packages/coordination/src/authority/task.spec.ts
+++ b/packages/coordination/src/authority/task.spec.ts
@@ -88,6 +88,30 @@
     task.handle(asId<VmId>('b'), {kind: 'renew', zone, epoch, leaseMs: 1000});
     expect(() => task.noteEpoch(epoch)).to.not.throw();
   });
+  it('counts a malformed reply as none', async () => {
+    const peers = grantingPeers([], () => Promise.resolve());
+    const call: PeerCaller['call'] = async (to, method, request) => {
+      const reply = await peers.call(to, method, request);
+      return {...reply, lastReign: {epoch: 5, left: {}}} as never;
+    };
+    const task = makeTask({call}, 300);
+    task.start();
+    await pause(systemClock, 400);
+    const {epoch} = task;
+    await task.resign(NOTHING_LENT);
+    expect(epoch).to.equal(undefined);
+  });
+  it('refuses a malformed release', () => {
+    const release = {
+      kind: 'release',
+      zone,
+      epoch: epochAhead(0),
+      why: {kind: 'stopped', handover: {ageMs: 0, upstreams: [{}]}},
+    } as unknown as AuthorityMessage;
+    expect(() => makeTask().handle(asId<VmId>('b'), release)).to.throw(
+      'malformed',
+    );
+  });
   it('has told every grantor of its release before it has resigned', async () => {
     const released: VmId[] = [];
     const task = await electedTask(grantingPeers(released, () => sleep(50)));
--- a/packages/coordination/src/authority/task.ts
+++ b/packages/coordination/src/authority/task.ts
@@ -8,10 +8,12 @@
   type VmId,
   type ZoneId,
 } from '@primrosewick/state';
-import type {
-  AuthorityMessage,
-  AuthorityReply,
-  VmSettings,
+import {
+  isAuthorityMessage,
+  isAuthorityReply,
+  type AuthorityMessage,
+  type AuthorityReply,
+  type VmSettings,
 } from '@primrosewick/protocol';
 import {pause, type Clock, type PeerCaller} from '@primrosewick/transport';
 import {AuthorityCore} from './core.js';
@@ -139,8 +141,13 @@
     this.step({kind: 'saw_epoch', now: clock.now(), epoch});
   }
 
-  /** Answers a candidate or leader. */
+  /**
+   * Answers a candidate or leader.
+   * @throws CellError `invalid_input` for a malformed message, as the next
+   *   leader would be told of its content.
+   */
   handle(from: VmId, message: AuthorityMessage): AuthorityReply {
+    if (!isAuthorityMessage(message)) throw malformedFrom(from);
     const grantor = this.grantors.get(message.zone);
     const {boot, clock} = this.options;
     if (grantor) return grantor.handle(from, message, clock.now());
@@ -169,13 +176,23 @@
     for (const change of changes) this.changes.next(change);
   }
 
-  /** @returns the grantor's answer, or undefined: the core counts only answers. */
-  private call(
+  /** @returns the grantor's answer, or undefined: the core counts only well-formed answers. */
+  private async call(
     to: VmId,
     message: AuthorityMessage,
   ): Promise<AuthorityReply | undefined> {
-    return this.options.peers
+    const {peers} = this.options;
+    const reply: unknown = await peers
       .call(to, 'authority', message)
       .catch(() => undefined);
+    return isAuthorityReply(reply) ? reply : undefined;
   }
 }
+
+const malformedFrom = (peer: VmId): CellError =>
+  new CellError({
+    code: 'invalid_input',
+    step: 'handle-authority',
+    peer,
+    detail: 'malformed message',
+  });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 export * from './api/admin.js';
 export * from './api/platform.js';
+export * from './peer/authority_schema.js';
 export * from './peer/codec.js';
 export * from './peer/types.js';
 export * from './settings/core.js';
--- /dev/null
+++ b/packages/protocol/src/peer/authority_schema.ts
@@ -0,0 +1,98 @@
+/** Checks of what grantors and candidates of another VM send. */
+import {z} from 'zod';
+import type {AuthorityMessage, AuthorityReply} from './types.js';
+
+const vmSchema = z.string().min(1);
+const epochSchema = z.int().min(0);
+
+const shareReportSchema = z.object({
+  upstream: z.string(),
+  service: z.string(),
+  address: z.string(),
+  slots: z.int().min(0),
+  connections: z.int().min(0),
+  state: z.enum(['serving', 'leaving']),
+  seq: z.int().min(0),
+  inFlight: z.array(z.object({holder: z.string(), requests: z.int().min(0)})),
+});
+
+const handoverSchema = z.object({
+  ageMs: z.number(),
+  upstreams: z.array(
+    z.object({
+      report: shareReportSchema,
+      ageMs: z.number(),
+      loans: z.array(
+        z.object({
+          holder: z.string(),
+          slots: z.int().min(0),
+          leftMs: z.number(),
+        }),
+      ),
+    }),
+  ),
+  holders: z.array(
+    z.object({
+      holder: z.string(),
+      seq: z.int().min(0),
+      leftMs: z.number(),
+      isForeign: z.boolean(),
+      wants: z.array(z.object({service: z.string(), slots: z.int().min(0)})),
+    }),
+  ),
+});
+
+const witnessesSchema = z.array(z.object({vm: vmSchema, boot: z.string()}));
+
+const ofZone = {zone: z.string()};
+const ofEpoch = {...ofZone, epoch: epochSchema};
+const ofLease = {...ofEpoch, leaseMs: z.number().positive()};
+
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('prepare'), ...ofZone}),
+  z.object({kind: z.literal('vote'), ...ofLease}),
+  z.object({kind: z.literal('renew'), ...ofLease}),
+  z.object({
+    kind: z.literal('release'),
+    ...ofEpoch,
+    why: z.discriminatedUnion('kind', [
+      z.object({
+        kind: z.literal('stopped'),
+        handover: handoverSchema,
+        witnesses: witnessesSchema.optional(),
+      }),
+      z.object({kind: z.literal('not_led')}),
+    ]),
+  }),
+]);
+
+const lastReignSchema = z.object({
+  epoch: epochSchema,
+  left: z
+    .object({
+      succession: z.object({
+        handover: handoverSchema,
+        witnesses: witnessesSchema,
+      }),
+      heldMs: z.number(),
+    })
+    .optional(),
+});
+
+const replySchema = z.object({
+  isGranted: z.boolean(),
+  seenEpoch: epochSchema,
+  leader: vmSchema.nullable(),
+  boot: z.string(),
+  upMs: z.number(),
+  lastReign: lastReignSchema.optional(),
+});
+
+/** Whether a message has the form of `AuthorityMessage`. */
+export const isAuthorityMessage = (
+  message: unknown,
+): message is AuthorityMessage => messageSchema.safeParse(message).success;
+
+/** Whether a reply has the form of `AuthorityReply`. */
+export const isAuthorityReply = (reply: unknown): reply is AuthorityReply =>
+  replySchema.safeParse(reply).success;
