--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -24,7 +24,6 @@
   ConsensusStatus,
   ConsensusTiming,
   Delivery,
-  Envelope,
   MemberChange,
   Restored,
   StorageWrite,
