The bench has a row for passes with 100 waiting steps

Cause: passes with many waiting steps are part of what fills the leader's thread, and their figures came from a script that is not in the tree; the bench had no row for them.

Change: benchPasses measures decidePass over 245 and 380 full workers of 20 runs each, a third of them saving, with 25 gangs of 11, 25 steps of the first and 50 of the last priority waiting, of queues with advice that has got to 36, 108 or all workers. Which runs end soon comes from a ProgressBoard, as in the scheduler.

Conclusion: the base line for the next changes; compare only runs of the same minute.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -32,6 +32,7 @@
 export * from './membership/founding.js';
 export * from './workflow/ports.js';
 export * from './workflow/announcements.js';
+export {ProgressBoard} from './workflow/progress_board.js';
 export * from './workflow/replica.js';
 export * from './workflow/replica_reader.js';
 export * from './workflow/scheduler_options.js';
--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -7,6 +7,7 @@
   benchRecovery,
   benchRestart,
 } from './log.js';
+import {benchPlannerPasses} from './passes.js';
 import {benchCancel, benchDecisions, benchPacking} from './placing.js';
 import {formatTable, type Table} from './report.js';
 import {benchScheduling} from './scheduling/table.js';
@@ -22,6 +23,9 @@
   function benchWorkflows() {
     return benchScheduling(SEED);
   },
+  function benchPasses() {
+    return benchPlannerPasses(SEED);
+  },
   function benchDecide() {
     return benchDecisions(SEED);
   },
--- /dev/null
+++ b/packages/proofs/src/bench/passes.ts
@@ -0,0 +1,304 @@
+/** Time of one pass of the planner over steps that find no room. */
+import {ProgressBoard} from '@primrosewick/coordination';
+import {
+  RemainingTimes,
+  WorkflowDb,
+  decidePass,
+  seededRandom,
+  stepKey,
+  taskKey,
+  type Bundle,
+  type PassEvent,
+  type Plan,
+  type Random,
+  type StepAdvice,
+  type StepKey,
+  type StepSpec,
+  type TaskKey,
+  type TaskRef,
+  type Ticket,
+  type WorkerId,
+  type WorkflowId,
+} from '@primrosewick/state';
+import {quantile, round, type Table} from './report.js';
+
+const WORKER_COUNTS = [245, 380];
+const PASSES = 200;
+const WARM_UP = 50;
+const NOW = 100_000;
+const RUNS_PER_WORKER = 20;
+/** Tasks of each workflow that runs. */
+const RUNNING_TASKS = 10;
+/** Part of the workers that an adviser allows. */
+const ALLOWED_SHARE = 0.35;
+/** Workers asked about so far; of those with Infinity all, and no call is under way. */
+const ASKED_COUNTS = [36, 108, Number.POSITIVE_INFINITY];
+const POOL = 'pool';
+const TERMS = {baseMs: 90, perWorkerMs: 1, validMs: 2500};
+const CPU_MILLIS = 1550;
+/** Time between the two lists of a run, in ms, and its share of work in the second. */
+const OBSERVED_MS = 4000;
+const MAX_PERCENT = 95;
+
+/** Steps that wait, of one queue. */
+interface Waiting {
+  readonly queue: string;
+  readonly steps: number;
+  readonly tasks: number;
+  readonly cpuMillis: number;
+  readonly isGang: boolean;
+}
+
+const WAITING: readonly Waiting[] = [
+  {queue: 'first', steps: 25, tasks: 2, cpuMillis: 2800, isGang: false},
+  {queue: 'gangs', steps: 25, tasks: 11, cpuMillis: 9000, isGang: true},
+  {queue: 'small', steps: 50, tasks: 10, cpuMillis: 2000, isGang: false},
+];
+
+const stepOf = (part: Partial<StepSpec>, cpuMillis: number): StepSpec => ({
+  taskCount: 1,
+  room: {cpuMillis, memMb: 3 * cpuMillis, gpus: 0},
+  estimateMs: 3000,
+  after: [],
+  isCheckpointable: false,
+  isGang: false,
+  isRackLocal: false,
+  maxPerWorker: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  latencyTargetMs: 0,
+  usesLeftover: false,
+  maxUnavailable: 0,
+  ...part,
+});
+
+/** Full workers, 100 steps that wait, and what is known of the runs. */
+class FullCluster {
+  private readonly db = new WorkflowDb();
+  private readonly boards = new Map<WorkerId, ProgressBoard>();
+  private readonly advice = new Map<StepKey, StepAdvice>();
+  private readonly random: Random;
+  private last: Pick<Plan, 'reserved'> = {reserved: new Map()};
+  private stopping: readonly TaskKey[] = [];
+
+  constructor(
+    private readonly workerCount: number,
+    seed: number,
+  ) {
+    this.random = seededRandom(seed);
+    this.apply({kind: 'put_bundle', bundle: bundleOf()});
+    for (let i = 0; i < workerCount; i++) this.addWorker(i);
+    this.fill();
+    for (const waiting of WAITING) this.addWaiting(waiting);
+  }
+
+  /** Decides one pass; what it stops is on its way out in the next. */
+  pass(): Plan {
+    const times = new RemainingTimes({
+      remainingMs: (worker, key) => this.remainingMs(worker, key),
+      runsOn: worker => this.db.workers.get(worker)?.active.keys() ?? [],
+    });
+    const plan = decidePass(this.event(), {
+      db: this.db,
+      adviceOf: key => this.advice.get(key),
+      remainingMs: (worker, key) => times.get(worker, key),
+      endsSoon: worker => times.endsSoon(worker),
+    });
+    this.last = plan;
+    this.stopping = [
+      ...new Set([
+        ...this.stopping,
+        ...plan.stops.map(({task}) => taskKey(task)),
+      ]),
+    ];
+    return plan;
+  }
+
+  private event(): PassEvent {
+    return {
+      kind: 'pass',
+      now: NOW,
+      wall: NOW,
+      unusable: [],
+      expected: [],
+      heldBack: [],
+      stopping: this.stopping,
+      remaining: [],
+      endingSoon: [],
+      callerCount: 60,
+      reserved: [...this.last.reserved].map(([step, workers]) => [
+        step,
+        [...workers],
+      ]),
+    };
+  }
+
+  private apply(command: Parameters<WorkflowDb['apply']>[1]): void {
+    this.db.apply(this.db.index + 1, command);
+  }
+
+  private remainingMs(worker: WorkerId, key: TaskKey): number | undefined {
+    const run = this.db.workers.get(worker)?.active.get(key)?.run;
+    if (run === undefined) return undefined;
+    return this.boards.get(worker)?.remainingMs(key, run, NOW);
+  }
+
+  private addWorker(i: number): void {
+    this.apply({
+      kind: 'put_worker',
+      report: {
+        worker: `w${i}` as WorkerId,
+        bornAt: 1,
+        address: '10.0.0.1:1',
+        pool: POOL as never,
+        zone: 'z' as never,
+        room: {cpuMillis: 32_000, memMb: 131_072, gpus: 0},
+        labels: [],
+        isDraining: false,
+        remainingMs: 0,
+        sequence: 1,
+      },
+    });
+  }
+
+  /** Fills all workers with small tasks, of which some save their progress. */
+  private fill(): void {
+    const taskCount = RUNNING_TASKS;
+    const total = (this.workerCount * RUNS_PER_WORKER) / taskCount;
+    let placed = 0;
+    for (let i = 0; i < total; i++) {
+      const isCheckpointable = this.random.nextInt(0, 2) === 0;
+      const step = stepOf({taskCount, isCheckpointable}, CPU_MILLIS);
+      const id = this.submit(`run${i}`, 'small', step);
+      for (let index = 0; index < taskCount; index++) {
+        const worker = `w${placed++ % this.workerCount}` as WorkerId;
+        const task = {workflow: id, occurrence: 0, step: 0, index};
+        this.apply({
+          kind: 'start_runs',
+          starts: [{task, run: 1, worker, bornAt: 1}],
+        });
+      }
+    }
+    for (const [worker, {active}] of this.db.workers)
+      this.boards.set(worker, this.boardOf([...active.values()]));
+  }
+
+  private boardOf(
+    runs: ReadonlyArray<{readonly task: TaskRef; readonly run: number}>,
+  ): ProgressBoard {
+    const board = new ProgressBoard();
+    const list = (percentOf: () => number) =>
+      runs.map(run => ({
+        ...run,
+        percent: percentOf(),
+        checkpoint: '',
+        load: 0,
+      }));
+    board.note(
+      list(() => 0),
+      NOW - OBSERVED_MS,
+    );
+    board.note(
+      list(() => this.random.nextInt(1, MAX_PERCENT)),
+      NOW,
+    );
+    return board;
+  }
+
+  private addWaiting(waiting: Waiting): void {
+    const {queue, steps, tasks, cpuMillis, isGang} = waiting;
+    for (let i = 0; i < steps; i++) {
+      const part = {taskCount: tasks, isGang, isCheckpointable: !isGang};
+      const id = this.submit(`${queue}${i}`, queue, stepOf(part, cpuMillis));
+      const key = stepKey({workflow: id, occurrence: 0, step: 0});
+      this.advice.set(key, this.adviceOf(ASKED_COUNTS[i % 3]!));
+    }
+  }
+
+  private submit(name: string, queue: string, step: StepSpec): WorkflowId {
+    const id = name as WorkflowId;
+    this.apply({
+      kind: 'submit',
+      id,
+      queue: queue as never,
+      spec: {
+        payload: '',
+        steps: [step],
+        occurrences: 0,
+        firstDueAt: 0,
+        intervalMs: 0,
+      },
+      at: NOW - 1000,
+    });
+    return id;
+  }
+
+  /** Advice about some of the workers, or all. */
+  private adviceOf(askedCount: number): StepAdvice {
+    const workers = [...this.db.workers.keys()];
+    const wanted = Math.min(askedCount, workers.length);
+    const asked = new Set<WorkerId>();
+    while (asked.size < wanted)
+      asked.add(workers[this.random.nextInt(0, workers.length - 1)]!);
+    const allowed = new Set(
+      [...asked].filter(() => this.random.nextInt(0, 99) < 100 * ALLOWED_SHARE),
+    );
+    const ticket: Ticket = {bornAt: 1, text: 't', validUntil: NOW + 2000};
+    const tickets = new Map([...allowed].map(worker => [worker, ticket]));
+    return {asked, allowed, tickets, isAsking: wanted < workers.length};
+  }
+}
+
+const bundleOf = (): Bundle =>
+  ({
+    version: 1,
+    queues: WAITING.map(({queue}, priority) => ({
+      name: queue,
+      host: 'host',
+      prefix: `/${queue}/`,
+      pool: POOL,
+      priority,
+      maxAttempts: 3,
+      stretch: 3,
+      objectiveMs: 3000,
+      advice: TERMS,
+    })),
+    pools: [{name: POOL}],
+    limits: {},
+    source: '{}',
+  }) as never as Bundle;
+
+const measure = (workers: number, seed: number): number[] => {
+  const cluster = new FullCluster(workers, seed);
+  const first = cluster.pass();
+  for (let i = 0; i < WARM_UP; i++) cluster.pass();
+  const tookMs: number[] = [];
+  let last = first;
+  for (let i = 0; i < PASSES; i++) {
+    const before = performance.now();
+    last = cluster.pass();
+    tookMs.push(performance.now() - before);
+  }
+  return [
+    workers,
+    round(quantile(tookMs, 0.5), 3),
+    round(quantile(tookMs, 0.99), 3),
+    first.starts.length,
+    first.stops.length,
+    last.waits.length,
+  ];
+};
+
+/** Passes with 100 waiting steps, by the number of workers. */
+export const benchPlannerPasses = (seed: number): Table => ({
+  heading: `Passes of the planner with 100 waiting steps (seed ${seed}, one core)`,
+  columns: [
+    'workers',
+    'p50 ms',
+    'p99 ms',
+    'starts, first pass',
+    'stops, first pass',
+    'waits, last pass',
+  ],
+  rows: WORKER_COUNTS.map(workers => measure(workers, seed)),
+});
