A pass looks at single victims only where a place could be cheapest

Cause: passes with 100 waiting steps spend half of their time on the victims of each candidate worker: VictimTable.load built them anew for every worker in each pass, and again after each place taken or given back; which runs end soon was asked of every run; every place of a gang asked all candidates again. Ruled out: findStops, the views of the workers and findReadySteps (0.2 to 0.4 ms of a pass in the profile).

Change: the state keeps the runs of a worker that can give way, and their room by queue, as records are applied (yielding.ts). From these VictimTable.least tells without a look at single runs that a worker can't make the room, or not more cheaply than the best place so far; victims are sorted only on the others, once in a pass, and runs chosen are passed over in place of a new load. A place taken changes the entry of its worker only. ProgressBoard keeps when runs are expected to end, in order, so only those that may end soon are asked about. Candidates of a step with advice are found once in a pass, and places known for workersToAsk are counted on them. remaining.spec only follows the new name of the source (mayEndSoon for runsOn); its checks are the same.

What is left is one look at each worker's runs that end soon or are told to stop, workersToAsk for steps that have not asked about all workers, and allocation; the first needs a cache over passes.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -5,6 +5,7 @@
 import type {Subscription} from 'rxjs';
 import {
   RemainingTimes,
+  SOON_MS,
   WorkerHealth,
   isStalled,
   decidePass,
@@ -303,7 +304,8 @@
     const beganAt = clock.now();
     const times = new RemainingTimes({
       remainingMs: (worker, key) => this.channels.get(worker)?.remainingMs(key),
-      runsOn: worker => this.db.workers.get(worker)?.active.keys() ?? [],
+      mayEndSoon: worker =>
+        this.channels.get(worker)?.endingWithin(SOON_MS) ?? [],
     });
     const pass = this.gatherPass();
     const decided = decidePass(pass, {
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -86,6 +86,12 @@
     return this.progress.remainingMs(key, run, clock.now());
   }
 
+  /** Tasks whose run, as it was last listed, may end within a time in ms. */
+  endingWithin(ms: number): Iterable<TaskKey> {
+    // One more ms, so that rounding leaves none out; each is asked about again.
+    return this.progress.endingBefore(this.options.clock.now() + ms + 1);
+  }
+
   /** Begins to speak to the worker. */
   open(): void {
     void this.loop().catch((err: unknown) =>
--- a/packages/proofs/src/bench/passes.ts
+++ b/packages/proofs/src/bench/passes.ts
@@ -2,6 +2,7 @@
 import {ProgressBoard} from '@primrosewick/coordination';
 import {
   RemainingTimes,
+  SOON_MS,
   WorkflowDb,
   decidePass,
   seededRandom,
@@ -96,7 +97,8 @@
   pass(): Plan {
     const times = new RemainingTimes({
       remainingMs: (worker, key) => this.remainingMs(worker, key),
-      runsOn: worker => this.db.workers.get(worker)?.active.keys() ?? [],
+      mayEndSoon: worker =>
+        this.boards.get(worker)?.endingBefore(NOW + SOON_MS) ?? [],
     });
     const plan = decidePass(this.event(), {
       db: this.db,
@@ -281,6 +283,7 @@
   }
   return [
     workers,
+    round(quantile(tookMs, 0.05), 3),
     round(quantile(tookMs, 0.5), 3),
     round(quantile(tookMs, 0.99), 3),
     first.starts.length,
@@ -294,6 +297,7 @@
   heading: `Passes of the planner with 100 waiting steps (seed ${seed}, one core)`,
   columns: [
     'workers',
+    'p5 ms',
     'p50 ms',
     'p99 ms',
     'starts, first pass',
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -39,6 +39,7 @@
   WorkflowResult,
   WorkflowState,
 } from './types.js';
+import {noYielding, noteYielding, noteYieldingGone} from './yielding.js';
 
 const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
 
@@ -154,17 +155,24 @@
     this.ended.sort((a, b) => a.at - b.at);
     this.workers.clear();
     for (const kept of image.workers)
-      this.workers.set(kept.report.worker, {
-        ...kept,
-        active: new Map(kept.active.map(run => [taskKey(run.task), run])),
-        used: kept.active.reduce(
-          (sum, {task}) => addRoom(sum, this.roomOf(task)),
-          NO_ROOM,
-        ),
-      });
+      this.workers.set(kept.report.worker, this.workerFrom(kept));
     this.rebuildRunning();
   }
 
+  private workerFrom(kept: WorkflowImage['workers'][number]): WorkerState {
+    const state: WorkerState = {
+      ...kept,
+      active: new Map(kept.active.map(run => [taskKey(run.task), run])),
+      used: NO_ROOM,
+      ...noYielding(),
+    };
+    for (const [key, run] of state.active) {
+      state.used = addRoom(state.used, this.roomOf(run.task));
+      noteYielding(state, key, run, this.workflows.get(run.task.workflow));
+    }
+    return state;
+  }
+
   /** Finds what is under way anew, from the whole state. */
   private rebuildRunning(): void {
     this.running.clear();
@@ -245,6 +253,7 @@
       endsRecorded: 0,
       active: new Map(),
       used: NO_ROOM,
+      ...noYielding(),
     });
   }
 
@@ -279,6 +288,7 @@
     if (!place.active.has(key))
       place.used = addRoom(place.used, this.roomOf(task));
     place.active.set(key, {task, run});
+    noteYielding(place, key, {task, run}, workflow);
   }
 
   private endRuns(life: WorkerLife, ends: readonly RunEnd[], at: number): void {
@@ -301,6 +311,7 @@
     if (place?.active.get(key)?.run === run) {
       place.active.delete(key);
       place.used = subtractRoom(place.used, this.roomOf(task));
+      noteYieldingGone(place, key);
     }
     const state = this.findTask(task);
     const at = state?.active.findIndex(
--- a/packages/state/src/workflow/journal/remaining.spec.ts
+++ b/packages/state/src/workflow/journal/remaining.spec.ts
@@ -10,7 +10,7 @@
 /** Times of a worker that runs both tasks. */
 const timesOf = (
   remainingMs: (worker: WorkerId, key: TaskKey) => number | undefined,
-) => new RemainingTimes({remainingMs, runsOn: () => [KEY, OTHER]});
+) => new RemainingTimes({remainingMs, mayEndSoon: () => [KEY, OTHER]});
 
 describe('remaining times', () => {
   it('a run and its copy are told apart, also when replayed', () => {
--- a/packages/state/src/workflow/journal/remaining.ts
+++ b/packages/state/src/workflow/journal/remaining.ts
@@ -8,10 +8,12 @@
 /** Tells the times of one pass. */
 export interface RemainingSource {
   readonly remainingMs: PlanInput['remainingMs'];
-  /** Runs on a worker. */
-  readonly runsOn: (worker: WorkerId) => Iterable<TaskKey>;
+  /** Runs on a worker of which some may end soon; others are not asked about. */
+  readonly mayEndSoon: (worker: WorkerId) => Iterable<TaskKey>;
 }
 
+const NO_RUNS: ReadonlySet<TaskKey> = new Set();
+
 /**
  * Answers a pass about each run once: a pass that asked again a moment later
  * would weigh another time than its journal holds. A task and its copy are
@@ -41,13 +43,15 @@
   endsSoon(worker: WorkerId): ReadonlySet<TaskKey> {
     const known = this.soon.get(worker);
     if (known) return known;
-    const ending = new Set<TaskKey>();
-    for (const key of this.source.runsOn(worker)) {
+    let ending: Set<TaskKey> | undefined;
+    for (const key of this.source.mayEndSoon(worker)) {
       const ms = this.source.remainingMs(worker, key);
-      if (ms !== undefined && ms < SOON_MS) ending.add(key);
+      if (ms === undefined || ms >= SOON_MS) continue;
+      ending ??= new Set();
+      ending.add(key);
     }
-    this.soon.set(worker, ending);
-    return ending;
+    this.soon.set(worker, ending ?? NO_RUNS);
+    return ending ?? NO_RUNS;
   }
 
   /** What was told, for the journal. */
--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -6,7 +6,7 @@
 import type {AdviceTerms} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import type {Room, StepSpec} from '../types.js';
-import type {StepAdvice, WorkerView} from './types.js';
+import type {WorkerView} from './types.js';
 
 /** Most workers named in one call to an adviser. */
 export const MAX_ADVISED_WORKERS = 100;
@@ -45,17 +45,19 @@
   return whole >= 0 ? Number.POSITIVE_INFINITY : 0;
 };
 
+/** What is known of the workers for a step. */
+interface KnownWorkers {
+  readonly asked: ReadonlySet<WorkerId>;
+  /** Those that it may run on, of the workers that could run it. */
+  readonly allowed: readonly WorkerView[];
+}
+
 /** Places that a step has now on the workers that it may run on. */
-const placesOf = (
-  spec: StepSpec,
-  workers: readonly WorkerView[],
-  advice: StepAdvice,
-): number =>
-  workers.reduce(
-    (sum, {worker, free}) =>
-      advice.allowed.has(worker) ? sum + countFitting(spec, free) : sum,
-    0,
-  );
+const placesOf = (spec: StepSpec, allowed: readonly WorkerView[]): number => {
+  let sum = 0;
+  for (const {free} of allowed) sum += countFitting(spec, free);
+  return sum;
+};
 
 /** Workers whose time in a call equals the fixed time of the call. */
 const balancedCount = ({baseMs, perWorkerMs}: AdviceTerms): number =>
@@ -106,9 +108,9 @@
   workers: readonly WorkerView[],
   taskCount: number,
   terms: AdviceTerms,
-  advice: StepAdvice | undefined,
+  advice: KnownWorkers | undefined,
 ): WorkerId[] => {
-  const known = advice ? placesOf(spec, workers, advice) : 0;
+  const known = advice ? placesOf(spec, advice.allowed) : 0;
   const missing = PLACES_PER_TASK * taskCount - known;
   if (missing <= 0) return [];
   const chosen: WorkerId[] = [];
--- a/packages/state/src/workflow/planner/place_maker.ts
+++ b/packages/state/src/workflow/planner/place_maker.ts
@@ -24,6 +24,8 @@
   readonly worker: WorkerView;
   readonly victims: readonly Victim[];
   readonly hasTicket: boolean;
+  /** What is given up for it, in runs that give way. */
+  readonly cost: number;
 }
 
 /** What came of making places. */
@@ -121,52 +123,72 @@
     };
   }
 
+  /** Places for which least must give way; each that is taken changes its worker only. */
   private findPlaces(
     work: StepWork,
     taskCount: number,
     candidates: readonly WorkerView[],
   ): MadePlace[] {
     const places: MadePlace[] = [];
+    const known = new Array<MadePlace | null | undefined>(candidates.length);
     while (places.length < taskCount) {
-      const place = this.findPlace(work, candidates);
+      const at = this.findCheapest(work, candidates, known);
+      const place = known[at];
       if (!place) break;
       takeRoom(work, place.worker);
       this.victims.take(place.worker.worker, place.victims);
       places.push(place);
+      known[at] = undefined;
     }
     return places;
   }
 
-  /** The place for which least must give way. */
-  private findPlace(
+  /**
+   * The place for which least must give way.
+   * @param known - places on the candidates, null where there is none.
+   * @returns its index, -1 when there is none.
+   */
+  private findCheapest(
     work: StepWork,
     candidates: readonly WorkerView[],
-  ): MadePlace | undefined {
-    let best: MadePlace | undefined;
+    known: Array<MadePlace | null | undefined>,
+  ): number {
+    let best = -1;
     let bestCost = Number.POSITIVE_INFINITY;
-    for (const worker of candidates) {
-      if (!hasSpreadRoom(work, worker)) continue;
-      const place = this.placeOn(work, worker);
-      if (!place) continue;
-      const cost =
-        place.victims.length +
-        (isFar(work.spec, worker) ? FAR_VICTIMS : 0) +
-        (place.hasTicket ? 0 : TICKET_VICTIMS);
-      if (cost >= bestCost) continue;
-      best = place;
-      bestCost = cost;
-      if (cost === 0) break;
+    for (let at = 0; at < candidates.length; at++) {
+      const worker = candidates[at]!;
+      let place = known[at];
+      if (place === undefined) {
+        if (this.leastCost(work, worker) >= bestCost) continue;
+        place = this.placeOn(work, worker);
+        known[at] = place;
+      }
+      if (!place || place.cost >= bestCost) continue;
+      best = at;
+      bestCost = place.cost;
+      if (bestCost === 0) break;
     }
     return best;
   }
 
-  private placeOn(work: StepWork, worker: WorkerView): MadePlace | undefined {
-    const {ready, queue} = work;
+  /** No more than what a place on a worker costs, told without a look at each run. */
+  private leastCost(work: StepWork, worker: WorkerView): number {
+    const least = this.victims.least(worker, sizeOf(work), work.ready);
+    return least + (isFar(work.spec, worker) ? FAR_VICTIMS : 0);
+  }
+
+  private placeOn(work: StepWork, worker: WorkerView): MadePlace | null {
+    const {ready, queue, spec} = work;
+    if (!hasSpreadRoom(work, worker)) return null;
     const victims = this.victims.find(worker, sizeOf(work), ready);
-    if (!victims) return undefined;
+    if (!victims) return null;
     const hasTicket =
       !queue.advice || findTicket(work, worker, this.input.now) !== undefined;
-    return {worker, victims, hasTicket};
+    const cost =
+      victims.length +
+      (isFar(spec, worker) ? FAR_VICTIMS : 0) +
+      (hasTicket ? 0 : TICKET_VICTIMS);
+    return {worker, victims, hasTicket, cost};
   }
 
   private giveBack(work: StepWork, {worker, victims}: MadePlace): void {
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -4,12 +4,12 @@
 import {taskKeyIn} from '../refs.js';
 import {NO_ROOM, fitsInto, leftoverShare, subtractRoom} from '../room.js';
 import type {StepKey, StepSpec} from '../types.js';
+import {canGiveWay} from '../yielding.js';
 import {MAX_ADVISED_WORKERS, workersToAsk} from './advice.js';
 import {AdviceTurns, renewBelowMs} from './advice_turns.js';
 import {findStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
 import {PlaceMaker} from './place_maker.js';
-import {canGiveWay} from './preemption.js';
 import {
   countByWorker,
   findTicket,
@@ -61,6 +61,8 @@
   private readonly byPool = new Map<string, WorkerView[]>();
   /** Usable workers by pool and required label. */
   private readonly suitableBy = new Map<string, WorkerView[]>();
+  /** Workers that steps may run on, of those with advice. */
+  private readonly allowedBy = new Map<StepKey, WorkerView[]>();
   /** Steps with starts that are not settled. */
   private readonly pendingSteps = new Set<string>();
   /** Steps that this pass asks about. */
@@ -192,10 +194,8 @@
    * Asks the adviser about more workers where too few are known to be allowed.
    * @returns whether nothing can be placed before its answer.
    */
-  private mustAskFirst(
-    {ready, queue, spec, advice}: StepWork,
-    taskCount: number,
-  ): boolean {
+  private mustAskFirst(work: StepWork, taskCount: number): boolean {
+    const {ready, queue, spec, advice} = work;
     const isNoneAllowed = !advice || advice.allowed.size === 0;
     if (advice?.isAsking) return isNoneAllowed;
     const workers = workersToAsk(
@@ -203,7 +203,7 @@
       this.suitable(queue, spec),
       taskCount,
       queue.advice ?? NO_TERMS,
-      advice,
+      advice && {asked: advice.asked, allowed: this.candidatesOf(work)},
     );
     if (workers.length > 0) {
       this.asked.add(ready.key);
@@ -300,12 +300,15 @@
   private candidatesOf(work: StepWork): WorkerView[] {
     const {queue, spec, advice} = work;
     if (!queue.advice) return this.suitable(queue, spec);
+    const known = this.allowedBy.get(work.ready.key);
+    if (known) return known;
     const allowed: WorkerView[] = [];
     for (const worker of advice?.allowed ?? []) {
       const view = this.input.workers.get(worker);
       if (view?.pool === queue.pool && isSuitable(view, spec.requiredLabel))
         allowed.push(view);
     }
+    this.allowedBy.set(work.ready.key, allowed);
     return allowed;
   }
 
--- a/packages/state/src/workflow/planner/preemption.ts
+++ b/packages/state/src/workflow/planner/preemption.ts
@@ -5,28 +5,11 @@
  */
 import type {Queue} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
-import {taskKey} from '../refs.js';
-import {NO_ROOM, addRoom, fitsInto} from '../room.js';
-import type {
-  Room,
-  StepSpec,
-  TaskKey,
-  TaskRef,
-  WorkflowState,
-} from '../types.js';
-import {chainFromMs, dueAtOf} from './ready.js';
+import {taskRefOf} from '../refs.js';
+import {NO_ROOM, addRoom, fitsInto, subtractRoom} from '../room.js';
+import type {Room, TaskKey, TaskRef, YieldingRun} from '../types.js';
 import type {PlanInput, WorkerView} from './types.js';
 
-/** Runs after which a task is left alone, so that it is not put off for good. */
-const MAX_RUNS = 4;
-
-/** Whether tasks of a step can give way at no more than the time of a restart. */
-export const canGiveWay = (spec: StepSpec): boolean =>
-  spec.isCheckpointable &&
-  !spec.isGang &&
-  !spec.isLongRunning &&
-  !spec.usesLeftover;
-
 /** Slack that a workflow keeps when a run of it gives way, in ms. */
 const PATIENT_SLACK_MS = 2000;
 
@@ -35,6 +18,7 @@
 
 /** A run that can give way at no more than the time of a restart. */
 export interface Victim {
+  readonly key: TaskKey;
   readonly task: TaskRef;
   readonly run: number;
   readonly room: Room;
@@ -50,21 +34,36 @@
   readonly isLate: boolean;
 }
 
+/** Room that runs of one priority on a worker would free. */
+interface YieldingRoom {
+  readonly priority: number;
+  readonly room: Room;
+}
+
 /** Runs of one worker, as they bear on making room there. */
 interface WorkerVictims {
-  /** Runs that can give way: the least urgent first, then the patient, and of these the largest. */
-  readonly victims: readonly Victim[];
   /** Room that runs on their way out will free. */
-  readonly soon: Room;
-  /** Room that is free once these and all victims are gone, beside what is free now. */
-  readonly most: Room;
+  soon: Room;
+  /** Room of all runs that can give way, by priority. */
+  readonly yielding: readonly YieldingRoom[];
+  /** Most processor that one of them holds. */
+  readonly maxCpu: number;
+  /**
+   * Runs that can give way: the least urgent first, then the patient, and of
+   * these the largest. Made when the worker could have the room.
+   */
+  victims: readonly Victim[] | undefined;
 }
 
+const NO_KEYS: readonly TaskKey[] = [];
+
 /** Runs that can give way, and those that are on their way out. */
 export class VictimTable {
   private readonly byWorker = new Map<WorkerId, WorkerVictims>();
   /** Runs that were chosen in this pass. */
   private readonly chosen = new Set<TaskKey>();
+  /** Runs that are told to stop, by worker. */
+  private stoppingBy: ReadonlyMap<WorkerId, readonly TaskKey[]> | undefined;
 
   constructor(
     private readonly input: Pick<
@@ -83,86 +82,136 @@
     size: Room,
     {priority, isLate}: Beneficiary,
   ): Victim[] | undefined {
-    const {victims, soon, most} = this.of(worker);
-    // Most workers could not make the room at all.
-    if (!fitsBeside(size, free, most)) return undefined;
+    const known = this.of(worker);
+    const {soon} = known;
+    if (fitsBeside(size, free, soon)) return [];
+    known.victims ??= this.victimsOn(worker);
+    return this.choose(known.victims, size, addRoom(free, soon), {
+      priority,
+      isLate,
+    });
+  }
+
+  /**
+   * No more than the number of runs that would have to give way, told without
+   * a look at each: most workers could not make the room, or not as cheaply.
+   * @returns infinity when the size would not fit without all of them either.
+   */
+  least(
+    {worker, free}: WorkerView,
+    size: Room,
+    {priority}: Beneficiary,
+  ): number {
+    const {soon, yielding, maxCpu} = this.of(worker);
+    if (fitsBeside(size, free, soon)) return 0;
+    if (!mayFit(size, free, soon, yielding, priority))
+      return Number.POSITIVE_INFINITY;
+    const missing = size.cpuMillis - free.cpuMillis - soon.cpuMillis;
+    return Math.max(1, Math.ceil(missing / maxCpu));
+  }
+
+  private choose(
+    victims: readonly Victim[],
+    size: Room,
+    free: Room,
+    {priority, isLate}: Beneficiary,
+  ): Victim[] | undefined {
     const chosen: Victim[] = [];
-    let freed = addRoom(free, soon);
+    let freed = free;
     for (const victim of victims) {
-      if (fitsInto(size, freed)) break;
       // The rest is as urgent, or more.
-      if (victim.priority <= priority) break;
+      if (victim.priority <= priority) return undefined;
       if (isLate && !victim.isPatient) continue;
+      if (this.chosen.has(victim.key)) continue;
       chosen.push(victim);
       freed = addRoom(freed, victim.room);
+      if (fitsInto(size, freed)) return chosen;
     }
-    return fitsInto(size, freed) ? chosen : undefined;
+    return undefined;
   }
 
   /** Counts chosen runs of a worker as on their way out. */
   take(worker: WorkerId, victims: readonly Victim[]): void {
-    if (victims.length === 0) return;
-    for (const {task} of victims) this.chosen.add(taskKey(task));
-    this.byWorker.delete(worker);
+    const known = this.of(worker);
+    for (const {key, room} of victims) {
+      this.chosen.add(key);
+      known.soon = addRoom(known.soon, room);
+    }
   }
 
   /** Leaves chosen runs of a worker alone after all. */
   giveBack(worker: WorkerId, victims: readonly Victim[]): void {
-    if (victims.length === 0) return;
-    for (const {task} of victims) this.chosen.delete(taskKey(task));
-    this.byWorker.delete(worker);
+    const known = this.of(worker);
+    for (const {key, room} of victims) {
+      this.chosen.delete(key);
+      known.soon = subtractRoom(known.soon, room);
+    }
   }
 
   private of(worker: WorkerId): WorkerVictims {
     const known = this.byWorker.get(worker);
     if (known) return known;
-    const loaded = this.load(worker);
+    const {db} = this.input;
+    const state = db.workers.get(worker);
+    const yielding: YieldingRoom[] = [];
+    for (const [queue, room] of state?.yieldingRoom ?? [])
+      yielding.push({priority: db.queues.get(queue)?.priority ?? 0, room});
+    const loaded = {
+      soon: this.soonOn(worker),
+      yielding,
+      maxCpu: state?.yieldingMaxCpu ?? 0,
+      victims: undefined,
+    };
     this.byWorker.set(worker, loaded);
     return loaded;
   }
 
-  private load(worker: WorkerId): WorkerVictims {
-    const {db, stopping, pending} = this.input;
+  /** Room of the runs of a worker that end by themselves soon, or are told to stop. */
+  private soonOn(worker: WorkerId): Room {
+    const {db} = this.input;
+    const active = db.workers.get(worker)?.active;
     const ending = this.input.endsSoon(worker);
-    const victims: Victim[] = [];
     let soon = NO_ROOM;
-    let most = NO_ROOM;
-    for (const [key, {task, run}] of db.workers.get(worker)?.active ?? []) {
-      const workflow = db.workflows.get(task.workflow);
-      const spec = workflow?.spec.steps[task.step];
-      if (!workflow || !spec) continue;
-      const room = spec.usesLeftover ? NO_ROOM : spec.room;
-      const isEnding =
-        stopping.has(key) || this.chosen.has(key) || ending.has(key);
-      const isVictim =
-        !isEnding &&
-        canGiveWay(spec) &&
-        workflow.phase === 'open' &&
-        run < MAX_RUNS &&
-        !pending.has(key);
-      if (!isEnding && !isVictim) continue;
-      most = addRoom(most, room);
-      if (isEnding) soon = addRoom(soon, room);
-      else victims.push(this.victimOf(workflow, task, run, room));
+    const add = (key: TaskKey): void => {
+      const run = active?.get(key);
+      if (run) soon = addRoom(soon, db.roomOf(run.task));
+    };
+    for (const key of ending) add(key);
+    for (const key of this.stoppingOn(worker)) if (!ending.has(key)) add(key);
+    return soon;
+  }
+
+  private stoppingOn(worker: WorkerId): readonly TaskKey[] {
+    this.stoppingBy ??= stoppingByWorker(this.input);
+    return this.stoppingBy.get(worker) ?? NO_KEYS;
+  }
+
+  private victimsOn(worker: WorkerId): Victim[] {
+    const {db, pending} = this.input;
+    const ending = this.input.endsSoon(worker);
+    const stopping = this.stoppingOn(worker);
+    const victims: Victim[] = [];
+    for (const [key, run] of db.workers.get(worker)?.yielding ?? []) {
+      if (run.workflow.phase !== 'open') continue;
+      if (ending.size > 0 && ending.has(key)) continue;
+      if (stopping.length > 0 && stopping.includes(key)) continue;
+      if (pending.size > 0 && pending.has(key)) continue;
+      victims.push(this.victimOf(key, run));
     }
-    victims.sort(
+    return victims.sort(
       (a, b) =>
         b.priority - a.priority ||
         Number(b.isPatient) - Number(a.isPatient) ||
         b.room.cpuMillis - a.room.cpuMillis,
     );
-    return {victims, soon, most};
   }
 
-  private victimOf(
-    workflow: WorkflowState,
-    task: TaskRef,
-    run: number,
-    room: Room,
-  ): Victim {
+  private victimOf(key: TaskKey, yielding: YieldingRun): Victim {
+    const {workflow, task, run, room} = yielding;
     const queue = this.input.db.queues.get(workflow.queue);
-    const slackMs = queue ? this.slackOf(workflow, queue, task) : 0;
+    const slackMs = queue ? slackOf(yielding, queue, this.input.wall) : 0;
     return {
+      key,
       task,
       run,
       room,
@@ -170,19 +219,55 @@
       isPatient: slackMs < 0 || slackMs > PATIENT_SLACK_MS,
     };
   }
-
-  private slackOf(
-    workflow: WorkflowState,
-    queue: Queue,
-    {occurrence, step}: TaskRef,
-  ): number {
-    const dueAt = dueAtOf(workflow, queue, occurrence);
-    return dueAt - this.input.wall - chainFromMs(workflow.spec, step);
-  }
 }
 
+/** Time by which a workflow would be early if the run began anew now, in ms. */
+const slackOf = (
+  {startDueAt, longestChainMs, chainMs}: YieldingRun,
+  {objectiveMs, stretch}: Queue,
+  wall: number,
+): number =>
+  startDueAt + objectiveMs + stretch * longestChainMs - wall - chainMs;
+
 /** Whether a size fits into two rooms together. */
 const fitsBeside = (size: Room, a: Room, b: Room): boolean =>
   size.cpuMillis <= a.cpuMillis + b.cpuMillis &&
   size.memMb <= a.memMb + b.memMb &&
   size.gpus <= a.gpus + b.gpus;
+
+/** Whether a size could fit if all runs of lower priority gave way. */
+const mayFit = (
+  size: Room,
+  free: Room,
+  soon: Room,
+  yielding: readonly YieldingRoom[],
+  priority: number,
+): boolean => {
+  let cpuMillis = free.cpuMillis + soon.cpuMillis;
+  let memMb = free.memMb + soon.memMb;
+  let gpus = free.gpus + soon.gpus;
+  for (const {priority: own, room} of yielding) {
+    if (own <= priority) continue;
+    cpuMillis += room.cpuMillis;
+    memMb += room.memMb;
+    gpus += room.gpus;
+  }
+  return (
+    size.cpuMillis <= cpuMillis && size.memMb <= memMb && size.gpus <= gpus
+  );
+};
+
+/** Runs that are told to stop, by the workers that run them. */
+const stoppingByWorker = ({
+  db,
+  stopping,
+}: Pick<PlanInput, 'db' | 'stopping'>): Map<WorkerId, TaskKey[]> => {
+  const byWorker = new Map<WorkerId, TaskKey[]>();
+  for (const key of stopping)
+    for (const {worker} of db.findTask(taskRefOf(key))?.active ?? []) {
+      const keys = byWorker.get(worker);
+      if (keys) keys.push(key);
+      else byWorker.set(worker, [key]);
+    }
+  return byWorker;
+};
--- a/packages/state/src/workflow/planner/step_work.ts
+++ b/packages/state/src/workflow/planner/step_work.ts
@@ -4,7 +4,7 @@
 import {taskKeyIn} from '../refs.js';
 import {NO_ROOM, addRoom, subtractRoom} from '../room.js';
 import type {Room, StepSpec, StepState, WorkflowState} from '../types.js';
-import {canGiveWay} from './preemption.js';
+import {canGiveWay} from '../yielding.js';
 import type {
   PlanInput,
   ReadyStep,
--- a/packages/state/src/workflow/refs.ts
+++ b/packages/state/src/workflow/refs.ts
@@ -19,3 +19,16 @@
 /** Key of a task in a step whose key is known. */
 export const taskKeyIn = (step: StepKey, index: number): TaskKey =>
   `${step}.${index}` as TaskKey;
+
+/** The task of a key; the name of its workflow may hold dots as well. */
+export const taskRefOf = (key: TaskKey): TaskRef => {
+  const indexAt = key.lastIndexOf('.');
+  const stepAt = key.lastIndexOf('.', indexAt - 1);
+  const occurrenceAt = key.lastIndexOf('.', stepAt - 1);
+  return {
+    workflow: key.slice(0, occurrenceAt) as TaskRef['workflow'],
+    occurrence: Number(key.slice(occurrenceAt + 1, stepAt)),
+    step: Number(key.slice(stepAt + 1, indexAt)),
+    index: Number(key.slice(indexAt + 1)),
+  };
+};
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -192,6 +192,25 @@
   active: Map<TaskKey, {readonly task: TaskRef; readonly run: number}>;
   /** Room that these runs hold. */
   used: Room;
+  /** Those of them that can give way. */
+  yielding: Map<TaskKey, YieldingRun>;
+  /** Room that these hold, by queue. */
+  yieldingRoom: Map<QueueName, Room>;
+  /** Most processor that one of them holds; it may have ended since. */
+  yieldingMaxCpu: number;
+}
+
+/** A run that can give way at no more than the time of a restart. */
+export interface YieldingRun {
+  readonly task: TaskRef;
+  readonly run: number;
+  readonly room: Room;
+  readonly workflow: WorkflowState;
+  /** When its occurrence was due to start, in ms since 1970. */
+  readonly startDueAt: number;
+  /** Longest chain of the workflow, and from its step to the end, in ms. */
+  readonly longestChainMs: number;
+  readonly chainMs: number;
 }
 
 /** A start that is recorded before it is ordered. */
@@ -276,7 +295,10 @@
     }
   >;
   readonly workers: ReadonlyArray<
-    Omit<WorkerState, 'active' | 'used'> & {
+    Omit<
+      WorkerState,
+      'active' | 'used' | 'yielding' | 'yieldingRoom' | 'yieldingMaxCpu'
+    > & {
       readonly active: ReadonlyArray<{
         readonly task: TaskRef;
         readonly run: number;
--- /dev/null
+++ b/packages/state/src/workflow/yielding.ts
@@ -0,0 +1,78 @@
+/**
+ * Runs that can give way, by worker, kept up as records are applied. Load
+ * pattern: a hundred steps wait for room on hundreds of full workers, and each
+ * pass would otherwise look at every run of all of them.
+ */
+import type {QueueName} from '../bundle/types.js';
+import {chainFromMs, longestChainMs, startDueAt} from './planner/ready.js';
+import {NO_ROOM, addRoom, subtractRoom} from './room.js';
+import type {
+  StepSpec,
+  TaskKey,
+  WorkerState,
+  WorkflowState,
+  YieldingRun,
+} from './types.js';
+
+/** Runs after which a task is left alone, so that it is not put off for good. */
+const MAX_RUNS = 4;
+
+/** Whether tasks of a step can give way at no more than the time of a restart. */
+export const canGiveWay = (spec: StepSpec): boolean =>
+  spec.isCheckpointable &&
+  !spec.isGang &&
+  !spec.isLongRunning &&
+  !spec.usesLeftover;
+
+/** Runs of a worker that can give way, and their room. */
+type Yielding = Pick<
+  WorkerState,
+  'yielding' | 'yieldingRoom' | 'yieldingMaxCpu'
+>;
+
+/** A worker on which nothing can give way. */
+export const noYielding = (): Yielding => ({
+  yielding: new Map(),
+  yieldingRoom: new Map(),
+  yieldingMaxCpu: 0,
+});
+
+/** Notes a run that is recorded on a worker, in place of an earlier one of its task. */
+export const noteYielding = (
+  place: Yielding,
+  key: TaskKey,
+  run: Pick<YieldingRun, 'task' | 'run'>,
+  workflow: WorkflowState | undefined,
+): void => {
+  const spec = workflow?.spec.steps[run.task.step];
+  const isYielding = workflow && spec && run.run < MAX_RUNS && canGiveWay(spec);
+  if (!isYielding) return noteYieldingGone(place, key);
+  if (!place.yielding.has(key))
+    addTo(place, workflow.queue, room => addRoom(room, spec.room));
+  place.yieldingMaxCpu = Math.max(place.yieldingMaxCpu, spec.room.cpuMillis);
+  place.yielding.set(key, {
+    ...run,
+    room: spec.room,
+    workflow,
+    startDueAt: startDueAt(workflow, run.task.occurrence),
+    longestChainMs: longestChainMs(workflow.spec),
+    chainMs: chainFromMs(workflow.spec, run.task.step),
+  });
+};
+
+/** Notes that a worker has no run of a task any more. */
+export const noteYieldingGone = (place: Yielding, key: TaskKey): void => {
+  const known = place.yielding.get(key);
+  if (!known) return;
+  place.yielding.delete(key);
+  if (place.yielding.size === 0) place.yieldingMaxCpu = 0;
+  addTo(place, known.workflow.queue, room => subtractRoom(room, known.room));
+};
+
+const addTo = (
+  {yieldingRoom}: Yielding,
+  queue: QueueName,
+  change: (room: WorkerState['used']) => WorkerState['used'],
+): void => {
+  yieldingRoom.set(queue, change(yieldingRoom.get(queue) ?? NO_ROOM));
+};
