--- a/packages/state/src/workflow/refs.ts
+++ b/packages/state/src/workflow/refs.ts
@@ -1,5 +1,5 @@
 /** Keys of steps and tasks. */
-import type {StepKey, StepRef, TaskKey, TaskRef, WorkflowId} from './types.js';
+import type {StepKey, StepRef, TaskKey, TaskRef} from './types.js';
 
 /** Key of a step of one occurrence. */
 export const stepKey = ({workflow, occurrence, step}: StepRef): StepKey =>
@@ -16,18 +16,6 @@
 export const taskKey = (task: TaskRef): TaskKey =>
   taskKeyIn(stepKey(task), task.index);
 
-/** The task of a key; the id of its workflow may hold dots as well. */
-export const taskRefOf = (key: TaskKey): TaskRef => {
-  const parts = key.split('.');
-  const [occurrence, step, index] = parts.splice(-3).map(Number);
-  return {
-    workflow: parts.join('.') as WorkflowId,
-    occurrence: occurrence!,
-    step: step!,
-    index: index!,
-  };
-};
-
 /** Key of a task in a step whose key is known. */
 export const taskKeyIn = (step: StepKey, index: number): TaskKey =>
   `${step}.${index}` as TaskKey;
