--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -26,6 +26,9 @@
   readonly ticket?: string;
 }
 
+/** A start as the planner wishes it; its fence and lease are those of the sending. */
+export type StartWish = Omit<StartOrder, 'fence' | 'leaseEnd'>;
+
 /** Orders the stop of a run. */
 export interface StopOrder {
   readonly task: TaskRef;
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -25,6 +25,7 @@
 } from '@primrosewick/state';
 import {AdviceDesk} from './advice_desk.js';
 import {EndLog} from './end_log.js';
+import {LEASE_MS, PROOF_MARGIN_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
 import {gatherPass} from './pass_input.js';
@@ -43,10 +44,6 @@
 const PLAN_INTERVAL_MS = 100;
 /** Interval of the look at runs that stand still, in ms: a stall takes seconds to tell. */
 const STALL_INTERVAL_MS = 500;
-/** Time by which orders cease before a later leader counts on it, in ms. */
-const PROOF_MARGIN_MS = 100;
-/** Longest lease given, in ms: covers a cut and a change of the leader. */
-const LEASE_MS = 7000;
 
 /** One leadership over the workers. */
 export class SchedulerTask {
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -17,7 +17,7 @@
   HoldAnswer,
   OrderAnswer,
   OrderFailure,
-  StartOrder,
+  StartWish,
 } from './ports.js';
 import {ProgressBoard} from './progress_board.js';
 import {compareLists} from './run_lists.js';
@@ -39,9 +39,6 @@
 /** Pause before the lists are asked for again while starts are not settled, in ms. */
 const SETTLE_PAUSE_MS = 20;
 
-/** A start as the planner wishes it; its fence and lease are those of the sending. */
-type StartWish = Omit<StartOrder, 'fence' | 'leaseEnd'>;
-
 /** Speaks to one life of a worker while this VM leads. */
 export class WorkerChannel {
   /** What the worker last listed as under way. */
