--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -213,11 +213,9 @@
     this.onFailure(failure);
   }
 
-  private noteRefusalClock({
-    clockMs,
-  }: Extract<OrderFailure, {kind: 'refused'}>): void {
-    if (clockMs !== undefined)
-      this.workerClock.note(this.options.clock.now(), clockMs);
+  private noteRefusalClock({clockMs}: {readonly clockMs?: number}): void {
+    if (clockMs === undefined) return;
+    this.workerClock.note(this.options.clock.now(), clockMs);
   }
 
   private onFailure(failure: OrderFailure): void {
