--- a/packages/coordination/src/workflow/replica.ts
+++ b/packages/coordination/src/workflow/replica.ts
@@ -63,6 +63,6 @@
   }
 
   noteFresh(): void {
-    // Reads go through the leader, which proves that it is current each time.
+    // Readers ask the log for the age of the copy.
   }
 }
