--- a/packages/proofs/src/bench/passes.ts
+++ b/packages/proofs/src/bench/passes.ts
@@ -21,6 +21,7 @@
   type WorkerId,
   type WorkflowId,
 } from '@primrosewick/state';
+import {testStep} from '@primrosewick/state/fixtures';
 import {quantile, round, type Table} from './report.js';
 
 const WORKER_COUNTS = [245, 380];
@@ -56,22 +57,12 @@
   {queue: 'small', steps: 50, tasks: 10, cpuMillis: 2000, isGang: false},
 ];
 
-const stepOf = (part: Partial<StepSpec>, cpuMillis: number): StepSpec => ({
-  taskCount: 1,
-  room: {cpuMillis, memMb: 3 * cpuMillis, gpus: 0},
-  estimateMs: 3000,
-  after: [],
-  isCheckpointable: false,
-  isGang: false,
-  isRackLocal: false,
-  maxPerWorker: 0,
-  isSpeculative: false,
-  isLongRunning: false,
-  latencyTargetMs: 0,
-  usesLeftover: false,
-  maxUnavailable: 0,
-  ...part,
-});
+const stepOf = (part: Partial<StepSpec>, cpuMillis: number): StepSpec =>
+  testStep({
+    room: {cpuMillis, memMb: 3 * cpuMillis, gpus: 0},
+    estimateMs: 3000,
+    ...part,
+  });
 
 /** Full workers, 100 steps that wait, and what is known of the runs. */
 class FullCluster {
--- a/packages/proofs/src/workflow/workflow.spec.ts
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -1,3 +1,4 @@
+import {testSpec, testStep} from '@primrosewick/state/fixtures';
 import {expect} from 'chai';
 import {runFuzzAsync} from '../fuzz/run_fuzz.js';
 import {workflowPlan} from './plans.js';
@@ -5,29 +6,13 @@
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60);
 
-const oneTask = {
-  payload: 'x',
-  steps: [
-    {
-      taskCount: 5,
-      room: {cpuMillis: 4000, memMb: 1, gpus: 0},
-      estimateMs: 1,
-      after: [],
-      isCheckpointable: false,
-      isGang: false,
-      isRackLocal: false,
-      maxPerWorker: 0,
-      isSpeculative: false,
-      isLongRunning: false,
-      latencyTargetMs: 0,
-      usesLeftover: false,
-      maxUnavailable: 0,
-    },
-  ],
-  occurrences: 0,
-  firstDueAt: 0,
-  intervalMs: 0,
-};
+const oneTask = testSpec([
+  testStep({
+    taskCount: 5,
+    room: {cpuMillis: 4000, memMb: 1, gpus: 0},
+    estimateMs: 1,
+  }),
+]);
 
 describe('scheduler under faults', () => {
   it('work on a worker that never comes back is done elsewhere', async () => {
--- a/packages/state/src/shares/core.ts
+++ b/packages/state/src/shares/core.ts
@@ -6,6 +6,8 @@
 import type {ServiceName, UpstreamId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
 import {reviverOf} from '../utils/image.js';
+import {ageTables, fillTables} from './handover.js';
+import type {Holder, LedgerTables, Loan, Upstream} from './tables.js';
 import {
   DEFAULT_SHARE_TIMING,
   type HolderId,
@@ -30,27 +32,6 @@
   readonly inherited?: InheritedShares;
 }
 
-interface Loan {
-  /** Slots the holder may use. */
-  slots: number;
-  /** Time after which the holder has stopped dispatching. */
-  deadline: number;
-}
-
-interface Upstream {
-  report: UpstreamReport;
-  /** Time of the last announcement. */
-  reportedAt: number;
-  readonly loans: Map<HolderId, Loan>;
-}
-
-interface Holder {
-  seq: number;
-  deadline: number;
-  isForeign: boolean;
-  readonly wants: Map<ServiceName, number>;
-}
-
 const EMPTY_ANSWER: ShareAnswer = {shares: [], loads: [], isComplete: false};
 
 /** Ledger of the shares of one zone in one epoch. */
@@ -66,34 +47,17 @@
     if (!options.inherited) return;
     const {handover, at} = options.inherited;
     this.startedAt = at - handover.ageMs;
-    this.takeOver(handover, at);
+    fillTables(this.tables, handover, at);
   }
 
   /** The whole ledger, for the next leader; nothing may be lent afterwards. */
   handOver(now: number): ShareHandover {
-    return {
-      ageMs: now - this.startedAt,
-      upstreams: [...this.upstreams.values()].map(
-        ({report, reportedAt, loans}) => ({
-          report,
-          ageMs: now - reportedAt,
-          loans: [...loans].map(([holder, {slots, deadline}]) => ({
-            holder,
-            slots,
-            leftMs: deadline - now,
-          })),
-        }),
-      ),
-      holders: [...this.holders].map(
-        ([holder, {seq, deadline, isForeign, wants}]) => ({
-          holder,
-          seq,
-          leftMs: deadline - now,
-          isForeign,
-          wants: [...wants].map(([service, slots]) => ({service, slots})),
-        }),
-      ),
-    };
+    return {ageMs: now - this.startedAt, ...ageTables(this.tables, now)};
+  }
+
+  private get tables(): LedgerTables {
+    const {upstreams, holders} = this;
+    return {upstreams, holders};
   }
 
   /**
@@ -131,27 +95,6 @@
     }));
   }
 
-  private takeOver({upstreams, holders}: ShareHandover, at: number): void {
-    for (const {report, ageMs, loans} of upstreams)
-      this.upstreams.set(report.upstream, {
-        report,
-        reportedAt: at - ageMs,
-        loans: new Map(
-          loans.map(({holder, slots, leftMs}) => [
-            holder,
-            {slots, deadline: at + leftMs},
-          ]),
-        ),
-      });
-    for (const {holder, seq, leftMs, isForeign, wants} of holders)
-      this.holders.set(holder, {
-        seq,
-        deadline: at + leftMs,
-        isForeign,
-        wants: new Map(wants.map(({service, slots}) => [service, slots])),
-      });
-  }
-
   private addReport(report: UpstreamReport, now: number): void {
     const known = this.upstreams.get(report.upstream);
     if (known && report.seq <= known.report.seq) return;
