Tell in sums what each queue waits for, holds and asks

Change: every 2 s the leader tells one `queue_load` line a queue (at most 20): open, oldest and idle workflows, steps waiting and the oldest wait by reason, tasks and cores held, and sums since the leadership began: time waited by reason, starts, failed starts, stops, ends, runs given up, refusals, and the calls for advice, first ones apart from those about more workers and from renewals, with the callers that are busy. Sums run on, so a dropped line costs nothing. primrosewick_queue_wait_ms{queue,reason} observes each wait that is over.

Evidence: queue_load, load_report, advice_load and queue_waits specs are new (what they test did not exist); 19 specs near the change pass.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -35,6 +35,7 @@
 export {ProgressBoard} from './workflow/progress_board.js';
 export * from './workflow/replica.js';
 export * from './workflow/replica_reader.js';
+export type {EndedWait} from './workflow/queue_load.js';
 export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
 export * from './workflow/service.js';
--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -19,6 +19,11 @@
   type WorkflowId,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
+import {
+  kindOfCall,
+  type AdviceCallKind,
+  type AdviceLoad,
+} from './advice_load.js';
 import {
   avoidCaller,
   beginCall,
@@ -26,6 +31,7 @@
   endCall,
   type CallerLoad,
 } from './advice_callers.js';
+import type {CallerUse} from './load_report.js';
 
 /** Options of the desk. */
 export interface AdviceDeskOptions {
@@ -46,6 +52,8 @@
     step: StepRef,
     moment: 'wanted' | 'asked' | 'advised',
   ) => void;
+  /** Sums up the calls of each queue. */
+  readonly load?: AdviceLoad;
   /** Called with what has changed of a step's advice. */
   readonly onAdvice?: (step: StepKey, change: AdviceChange) => void;
 }
@@ -53,6 +61,9 @@
 interface QueuedCall extends AdviceWish {
   readonly costMs: number;
   readonly validMs: number;
+  readonly kind: AdviceCallKind;
+  /** Monotonic time since when it waits for a VM, in ms. */
+  readonly queuedAt: number;
 }
 
 /** Pause before a step is asked about again after a failure, in ms. */
@@ -65,6 +76,7 @@
   private readonly keysOf = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
   private waiting: QueuedCall[] = [];
+  private callerCount = 0;
   private isClosed = false;
 
   constructor(private readonly options: AdviceDeskOptions) {}
@@ -85,7 +97,14 @@
     this.options.onCall?.(step, 'wanted');
     this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
-    this.waiting.push({step, workers, costMs, validMs: terms.validMs});
+    this.waiting.push({
+      step,
+      workers,
+      costMs,
+      validMs: terms.validMs,
+      kind: kindOfCall(record, workers),
+      queuedAt: this.options.clock.now(),
+    });
     this.dispatch();
   }
 
@@ -94,6 +113,7 @@
     const {clock} = this.options;
     const left: QueuedCall[] = [];
     const callers = this.options.callers().map(vm => this.loadOf(vm));
+    this.callerCount = callers.length;
     // Short calls first, so that none waits behind a long one.
     this.waiting.sort((a, b) => a.costMs - b.costMs);
     for (const call of this.waiting) {
@@ -131,6 +151,18 @@
     return this.steps;
   }
 
+  /** How many VMs could make calls at the last look, and how many make one. */
+  get callerUse(): CallerUse {
+    const busy = [...this.loads.values()].filter(
+      ({callCount}) => callCount > 0,
+    );
+    return {
+      callers: this.callerCount,
+      busyCallers: busy.length,
+      queuedCalls: this.waiting.length,
+    };
+  }
+
   /** Start of a worker's present life, in ms since 1970. */
   private lifeOf(worker: WorkerId): number | undefined {
     return this.options.db.workers.get(worker)?.report.bornAt;
@@ -163,6 +195,9 @@
     this.options.onCall?.(call.step, 'asked');
     const {clock, logger, onChange} = this.options;
     const sentAt = clock.now();
+    const queue = this.options.db.workflows.get(call.step.workflow)?.queue;
+    if (queue !== undefined)
+      this.options.load?.begin(queue, call.kind, sentAt - call.queuedAt);
     const lives = new Map(
       call.workers.map(worker => [worker, this.lifeOf(worker)]),
     );
@@ -181,6 +216,11 @@
         return undefined;
       });
     endCall(caller, call.costMs);
+    if (queue !== undefined)
+      this.options.load?.end(queue, call.kind, {
+        busyMs: clock.now() - sentAt,
+        isAnswered: reply !== undefined,
+      });
     if (this.isClosed) return;
     if (reply?.kind === 'allowed') this.take(call, reply.workers, lives);
     else {
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -5,6 +5,7 @@
 import type {Recorder} from '../zone/types.js';
 import type {AdviceDeskOptions} from './advice_desk.js';
 import type {OrderPort} from './ports.js';
+import type {EndedWait} from './queue_load.js';
 import type {WorkflowReplica} from './replica.js';
 
 /** Bounds that the workers' platform states. */
@@ -31,6 +32,8 @@
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDeskOptions['callers'];
   readonly ask: AdviceDeskOptions['ask'];
+  /** Called for each wait of a step that is over. */
+  readonly onWaited?: (wait: EndedWait) => void;
   /** Keeps the planner's journal; none is kept without it. */
   readonly recorder?: Recorder;
 }
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -7,16 +7,14 @@
   RemainingTimes,
   SOON_MS,
   WorkerHealth,
-  isStalled,
   decidePass,
   plannerImage,
-  taskKey,
   toCellError,
   type Plan,
   type PlannedStart,
   type PlannedStop,
+  type QueueName,
   type RunEvidence,
-  type StepSpec,
   type VoidedRun,
   type WorkerId,
   type WorkflowCommand,
@@ -29,7 +27,10 @@
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
 import {gatherPass} from './pass_input.js';
+import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
+import {RunLog} from './run_log.js';
+import {findStalled} from './stalled_runs.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {StrayBoard} from './stray_board.js';
 import {WaitLog} from './wait_log.js';
@@ -61,6 +62,8 @@
   private readonly endLog: EndLog;
   private readonly timeline = new StartTimeline();
   private readonly passLoad: PassLoad;
+  private readonly load: LoadReport;
+  private readonly runLog: RunLog;
   private isPlanDue = false;
   /** Time that the last pass took, in ms. */
   private lastPassMs = 0;
@@ -79,12 +82,21 @@
     this.waitLog = new WaitLog(logger);
     this.endLog = new EndLog(logger, replica.db);
     this.passLoad = new PassLoad(logger, this.startedAt);
+    this.load = new LoadReport({
+      db: replica.db,
+      clock,
+      logger,
+      callerUse: () => this.desk.callerUse,
+      onWaited: wait => options.onWaited?.(wait),
+    });
+    this.runLog = new RunLog(logger, this.load.queues);
     this.desk = new AdviceDesk({
       db: replica.db,
       clock,
       logger,
       callers,
       ask,
+      load: this.load.advice,
       onChange: () => this.planSoon(),
       onAdvice: (step, change) => this.journal?.noteAdvice(step, change),
       onCall: (step, moment) => this.noteMoment(step.workflow, moment),
@@ -106,6 +118,7 @@
         this.planSoon();
       }),
       clock.every(STALL_INTERVAL_MS).subscribe(() => this.stopStalled()),
+      clock.every(LOAD_INTERVAL_MS).subscribe(() => this.load.tell()),
     );
     this.syncChannels();
     this.planSoon();
@@ -125,6 +138,11 @@
     this.views.noteHeard(worker);
   }
 
+  /** Notes that a workflow of a queue was refused. */
+  noteRefused(queue: QueueName): void {
+    this.load.queues.countFor(queue, 'refused', 'backlog');
+  }
+
   /** What is known of the runs on a worker. */
   runsOf(worker: WorkerId): readonly VoidedRun[] {
     return this.channels.get(worker)?.activeRuns() ?? [];
@@ -136,6 +154,7 @@
 
   private onApplied(command: WorkflowCommand): void {
     this.journal?.noteRecord(this.db.index, command);
+    this.load.noteRecord(command);
     switch (command.kind) {
       case 'put_worker':
       case 'remove_worker':
@@ -225,16 +244,9 @@
       onStartFailed: (task, why) => {
         if (why.kind === 'refused' && why.why === 'unhealthy')
           this.noteEvidence(life.worker, task.workflow, 'refused');
-        logger.info(
-          {
-            decision: 'start_failed',
-            task: taskKey(task),
-            worker: life.worker,
-            why,
-          },
-          'a start did not take place, or its outcome is unknown',
-        );
+        this.runLog.startFailed(task, life.worker, why);
       },
+      onStop: stop => this.runLog.stopped(life.worker, stop),
     });
     channel.open();
     return channel;
@@ -256,25 +268,12 @@
   /** Stops runs that stand still, so that they go on elsewhere. */
   private stopStalled(): void {
     const now = this.options.clock.now();
-    for (const [worker, channel] of this.channels) {
-      if (!channel.isUsable) continue;
-      for (const progress of channel.progress.values()) {
-        const {task, run} = progress;
-        const spec = this.specOf(task);
-        // A gang stands still while one of its members does.
-        if (!spec || spec.isLongRunning || spec.isGang) continue;
-        if (!isStalled(progress, spec.estimateMs, now)) continue;
-        this.noteEvidence(worker, task.workflow, 'stalled');
-        const {bornAt} = this.db.workers.get(worker)?.report ?? {bornAt: 0};
-        this.stopRun({task, run, worker, bornAt, why: 'stalled'});
-      }
+    for (const stop of findStalled(this.db, this.channels, now)) {
+      this.noteEvidence(stop.worker, stop.task.workflow, 'stalled');
+      this.stopRun(stop);
     }
   }
 
-  private specOf(task: PlannedStart['task']): StepSpec | undefined {
-    return this.db.workflows.get(task.workflow)?.spec.steps[task.step];
-  }
-
   /** Records something; a refusal means that this VM no longer leads. */
   private async record(command: WorkflowCommand): Promise<boolean> {
     if (this.isClosed) return false;
@@ -356,6 +355,7 @@
   private carryOut({starts, stops, advice, waits}: Plan): void {
     const now = this.options.clock.now();
     for (const wait of waits) this.waitLog.note(wait, now);
+    this.load.notePass(waits, now);
     for (const wish of advice) {
       const workflow = this.db.open.get(wish.step.workflow);
       const terms = workflow && this.db.queues.get(workflow.queue)?.advice;
@@ -399,18 +399,14 @@
     if (!channel) return;
     if (!isRecorded || !workflow || !isActive || this.isClosed)
       return channel.forget(task);
-    this.options.logger.info(
-      {
-        decision: 'start',
-        task: taskKey(task),
-        run,
-        worker,
-        index: this.db.index,
-        waitMs: this.options.clock.wall() - workflow.acceptedAt,
-        free: this.views.freeOf(worker).cpuMillis,
-      },
-      'a task is started',
-    );
+    this.runLog.started({
+      task,
+      run,
+      worker,
+      index: this.db.index,
+      waitMs: this.options.clock.wall() - workflow.acceptedAt,
+      free: this.views.freeOf(worker).cpuMillis,
+    });
     this.noteMoment(task.workflow, 'recorded');
     void channel.start({
       task,
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -14,6 +14,7 @@
   matchQueue,
   type Bundle,
   type QueueMatch,
+  type QueueName,
   type VmId,
   type VoidedRun,
   type WorkerId,
@@ -48,6 +49,8 @@
   readonly logger: Logger;
   /** Called for each announcement of a worker. */
   readonly onHeard: (worker: WorkerId) => void;
+  /** Called for each workflow that is refused. */
+  readonly onRefused?: (queue: QueueName) => void;
   /** What is known of the runs on a worker. */
   readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
 }
@@ -247,6 +250,7 @@
     const admission = decideAdmission(this.db, queue, spec);
     if (admission.kind === 'admit') return;
     const {expectedMs, retryAfterMs} = admission;
+    this.options.onRefused?.(queue.name);
     this.options.logger.info(
       {
         decision: 'reject',
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -159,20 +159,10 @@
 
   /** Orders a stop, unless one was ordered a moment ago. */
   async stop({task, run, why, inFavourOf}: StopWish): Promise<void> {
-    const {clock, port, life, logger} = this.options;
+    const {clock, port, onStop} = this.options;
     if (!this.isUsable || !this.options.mayOrder()) return;
     if (!this.stops.note(task, run, clock.now())) return;
-    logger.info(
-      {
-        decision: 'stop',
-        task: taskKey(task),
-        run,
-        worker: life.worker,
-        why,
-        inFavourOf,
-      },
-      'a run is told to stop',
-    );
+    onStop?.({task, run, why, inFavourOf});
     const answer = await port.stop(this.target, {task, run, fence: this.fence});
     if (answer.kind === 'accepted')
       this.workerClock.note(this.options.clock.now(), answer.clockMs);
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -8,6 +8,7 @@
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import type {OrderFailure, OrderPort} from './ports.js';
+import type {StopWish} from './stop_ledger.js';
 
 /** Options of a channel. */
 export interface WorkerChannelOptions {
@@ -32,6 +33,8 @@
   readonly onChange: () => void;
   /** Called when the worker has taken a start. */
   readonly onStarted: (task: TaskRef) => void;
+  /** Called for each stop that is ordered. */
+  readonly onStop?: (stop: StopWish) => void;
   /** Called for the reason of each start that did not take place. */
   readonly onStartFailed: (
     task: TaskRef,
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -12,6 +12,7 @@
   WorkflowService,
   type AdvicePort,
   type OrderPort,
+  type SchedulerOptions,
 } from '@primrosewick/coordination';
 import {
   type ClusterSettings,
@@ -39,6 +40,8 @@
   type UnsentReply,
 } from '@primrosewick/transport';
 import {watchEndAges} from './end_ages.js';
+import {LiveCallers} from './live_callers.js';
+import {watchQueueWaits} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
 import {WorkflowCalls} from './workflow_calls.js';
 import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
@@ -54,8 +57,6 @@
   readonly onFatal: (err: CellError) => void;
 }
 
-/** Age at which an entry no longer counts as able to ask for advice, in ms. */
-const CALLER_AGE_MS = 1500;
 /** Pause after a failure of the data folder before the process ends, in ms. */
 const REOPEN_PAUSE_MS = 1500;
 /** Bytes of the scheduler's journal where its images are small. */
@@ -81,8 +82,8 @@
   private readonly announcements: AnnouncementDesk | null;
   private readonly calls: WorkflowCalls;
   private scheduler: SchedulerTask | null = null;
-  /** Monotonic time of the last greeting of each VM that may ask for advice. */
-  private readonly callers = new Map<VmId, number>();
+  private readonly callers: LiveCallers;
+  private readonly onWaited: SchedulerOptions['onWaited'];
   /** What the scheduler decided while this VM led, for `explain` and `replay`. */
   readonly journal = new JournalRecorder({
     clock: systemClock,
@@ -100,6 +101,8 @@
       vm: settings.peer,
       onBytes: () => undefined,
     });
+    this.callers = new LiveCallers(settings.peer, systemClock);
+    this.onWaited = watchQueueWaits(options.registry);
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
@@ -227,6 +230,7 @@
       clock: systemClock,
       logger: this.options.logger,
       onHeard: worker => this.scheduler?.noteHeard(worker),
+      onRefused: queue => this.scheduler?.noteRefused(queue),
       runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
     });
   }
@@ -272,21 +276,14 @@
       unawareMs: 2 * ELECTION_MS,
       provedAgeMs: () => log.provedAgeMs,
       propose: command => log.propose(command),
-      callers: () => this.liveCallers(),
+      onWaited: this.onWaited,
+      callers: () => this.callers.list(),
       ask: (vm, step, workers) => this.advise(vm, step, workers),
       recorder: this.journal,
     });
     this.scheduler.start();
   }
 
-  private liveCallers(): VmId[] {
-    const now = systemClock.now();
-    const live = [...this.callers]
-      .filter(([, at]) => now < at + CALLER_AGE_MS)
-      .map(([vm]) => vm);
-    return [this.options.settings.peer, ...live];
-  }
-
   private advise(vm: VmId, step: StepRef, workers: readonly WorkerId[]) {
     if (vm === this.options.settings.peer)
       return this.options.advice.advise(step, workers);
@@ -306,8 +303,7 @@
 
   private welcome(from: LinkHello): LinkWelcome {
     this.log?.noteHello(from);
-    if (from.vm !== this.options.settings.peer)
-      this.callers.set(from.vm, systemClock.now());
+    this.callers.note(from.vm);
     const isServing =
       this.log?.isLeading === true && this.replica.db.bundle !== null;
     return {
