Name in late lines what the event loop spent its time on

Collections are noted by a PerformanceObserver. `late` lines carry the sums of their time as `work`, and primrosewick_work_ms_total{kind} counts them.

--- a/packages/coordination/src/consensus/pump.ts
+++ b/packages/coordination/src/consensus/pump.ts
@@ -1,3 +1,4 @@
+import {processWork} from '@primrosewick/transport';
 import type {ConsensusCore} from './core.js';
 import type {ConsensusEffects, ConsensusInput} from './types.js';
 
@@ -22,6 +23,10 @@
 
   /** Steps all waiting inputs. */
   run(): ConsensusEffects<C> {
+    return processWork.measure('consensus', () => this.step());
+  }
+
+  private step(): ConsensusEffects<C> {
     const inputs = this.queue;
     this.queue = [];
     const merged: ConsensusEffects<C> = {
--- a/packages/coordination/src/workflow/replica.ts
+++ b/packages/coordination/src/workflow/replica.ts
@@ -7,6 +7,7 @@
   type WorkflowImage,
   type WorkflowResult,
 } from '@primrosewick/state';
+import {processWork} from '@primrosewick/transport';
 import type {LogMachine} from '../consensus/task.js';
 
 /** Applies the log to the state and tells when it changes. */
@@ -44,9 +45,11 @@
       this.db.skip(index);
       return undefined;
     }
-    const result = this.db.apply(index, command);
-    this.applied.next(command);
-    return result;
+    return processWork.measure('record', () => {
+      const result = this.db.apply(index, command);
+      this.applied.next(command);
+      return result;
+    });
   }
 
   restore(image: unknown): void {
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -21,6 +21,7 @@
   type WorkflowDb,
   type WorkflowId,
 } from '@primrosewick/state';
+import {processWork} from '@primrosewick/transport';
 import {AdviceDesk} from './advice_desk.js';
 import {EndLog} from './end_log.js';
 import {LEASE_MS, PROOF_MARGIN_MS} from './order_terms.js';
@@ -306,7 +307,7 @@
   /** A pass that fails would fail at the next leader as well, so it must not end this one. */
   private tryToPlan(): void {
     try {
-      this.planNow();
+      processWork.measure('pass', () => this.planNow());
     } catch (err) {
       this.lastPassMs = PLAN_INTERVAL_MS;
       this.options.logger.error(
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -13,3 +13,5 @@
 export * from './logs/line_budget.js';
 export * from './lateness/core.js';
 export * from './lateness/task.js';
+export * from './lateness/work_meter.js';
+export * from './lateness/gc_watch.js';
--- a/packages/transport/src/lateness/core.ts
+++ b/packages/transport/src/lateness/core.ts
@@ -1,4 +1,5 @@
 /** Judges how late a process is, from samples that a timer takes. */
+import {workBetween, type WorkTimes} from './work_meter.js';
 
 /** Interval of the samples, in ms. */
 export const SAMPLE_INTERVAL_MS = 100;
@@ -15,6 +16,8 @@
   readonly cpuMs: number;
   /** Time for which the event loop has run something, in ms. */
   readonly busyMs: number;
+  /** Time of each kind of work, in ms, where it is measured. */
+  readonly work?: WorkTimes;
 }
 
 /** How late a process was over a time. */
@@ -28,6 +31,8 @@
   readonly cpuMs: number;
   /** Time for which the event loop ran something, in ms; without processor time it was kept from running. */
   readonly busyMs: number;
+  /** Time of each kind of work, in ms; what is left of `busyMs` is not measured. */
+  readonly work?: WorkTimes;
 }
 
 /**
@@ -62,13 +67,14 @@
     return {lateMs, told};
   }
 
-  private sumUp({now, cpuMs, busyMs}: LatenessSample): Lateness {
+  private sumUp({now, cpuMs, busyMs, work}: LatenessSample): Lateness {
     return {
       lateMs: Math.round(this.longestMs),
       totalMs: Math.round(this.totalMs),
       overMs: Math.round(now - this.spanBegan.now),
       cpuMs: Math.round(cpuMs - this.spanBegan.cpuMs),
       busyMs: Math.round(busyMs - this.spanBegan.busyMs),
+      ...(work && {work: workBetween(this.spanBegan.work ?? {}, work)}),
     };
   }
 
--- /dev/null
+++ b/packages/transport/src/lateness/gc_watch.ts
@@ -0,0 +1,12 @@
+/** Notes the garbage collections of this process. */
+import {PerformanceObserver} from 'node:perf_hooks';
+import type {WorkMeter} from './work_meter.js';
+
+/** Adds the time of each collection to a meter; @returns what ends it. */
+export const watchCollections = (meter: WorkMeter): (() => void) => {
+  const observer = new PerformanceObserver(list => {
+    for (const {duration} of list.getEntries()) meter.add('gc', duration);
+  });
+  observer.observe({entryTypes: ['gc']});
+  return () => observer.disconnect();
+};
--- a/packages/transport/src/lateness/lateness.spec.ts
+++ b/packages/transport/src/lateness/lateness.spec.ts
@@ -10,6 +10,7 @@
   type Lateness,
 } from './core.js';
 import {LatenessWatch} from './task.js';
+import {WorkMeter} from './work_meter.js';
 
 const sampleAt = (now: number, cpuMs = 0, busyMs = 0) => ({now, cpuMs, busyMs});
 
@@ -47,6 +48,15 @@
       busyMs: 990,
     });
   });
+  it('what the time of a late process went to is told with it', () => {
+    const core = new LatenessCore({...sampleAt(0), work: {pass: 5}});
+    core.note({...sampleAt(100), work: {pass: 9, line: 1}});
+    const {told} = core.note({
+      ...sampleAt(1100),
+      work: {pass: 809, line: 31, gc: 160},
+    });
+    expect(told?.work).to.eql({pass: 800, line: 30, gc: 160});
+  });
   it('a process that is always late is told of once in an interval, and nothing is left out', () => {
     const times: number[] = [];
     for (let now = 400; now <= 30_000; now += 400) times.push(now);
@@ -68,6 +78,23 @@
 });
 
 describe('watch of the event loop', () => {
+  it('the time of each kind of work is counted as it is when it is asked for', async () => {
+    const registry = new Registry();
+    const meter = new WorkMeter();
+    new LatenessWatch({
+      clock: {now: () => 0, every: () => new Subject()} as unknown as Clock,
+      registry,
+      meter,
+      onLate: () => undefined,
+    });
+    meter.add('pass', 40);
+    await registry.metrics();
+    meter.add('pass', 2);
+    meter.add('gc', 7);
+    const text = await registry.metrics();
+    expect(text).to.contain('primrosewick_work_ms_total{kind="pass"} 42');
+    expect(text).to.contain('primrosewick_work_ms_total{kind="gc"} 7');
+  });
   it('samples go into the histogram, and ends with its stop', async () => {
     const ticks = new Subject<void>();
     const registry = new Registry();
--- a/packages/transport/src/lateness/task.ts
+++ b/packages/transport/src/lateness/task.ts
@@ -1,5 +1,5 @@
 /** Samples how late the event loop of this process is. */
-import {Histogram, type Registry} from 'prom-client';
+import {Counter, Histogram, type Registry} from 'prom-client';
 import type {Subscription} from 'rxjs';
 import type {Clock} from '../tasks/clock.js';
 import {
@@ -8,6 +8,7 @@
   type Lateness,
   type LatenessSample,
 } from './core.js';
+import type {WorkKind, WorkMeter, WorkTimes} from './work_meter.js';
 
 /** Options of the watch. */
 export interface LatenessWatchOptions {
@@ -15,6 +16,8 @@
   readonly registry: Registry;
   /** Use of the processor so far. */
   readonly usage?: () => Omit<LatenessSample, 'now'>;
+  /** Measures what the event loop spends its time on. */
+  readonly meter?: WorkMeter;
   /** Called when the process was late by more than the limit. */
   readonly onLate: (lateness: Lateness) => void;
 }
@@ -34,6 +37,7 @@
       buckets: LATE_BUCKETS_MS,
       registers: [options.registry],
     });
+    if (options.meter) countWork(options.meter, options.registry);
   }
 
   /** Begins to sample. */
@@ -53,11 +57,29 @@
   }
 
   private sample(): LatenessSample {
-    const {clock, usage = processUsage} = this.options;
-    return {now: clock.now(), ...usage()};
+    const {clock, usage = processUsage, meter} = this.options;
+    const work = meter && {work: meter.times};
+    return {now: clock.now(), ...usage(), ...work};
   }
 }
 
+/** Counts the time of each kind of work as it is when the counter is read. */
+const countWork = (meter: WorkMeter, registry: Registry): void => {
+  let told: WorkTimes = {};
+  new Counter({
+    name: 'primrosewick_work_ms_total',
+    help: 'Time for which each kind of work kept the event loop, in ms.',
+    labelNames: ['kind'],
+    registers: [registry],
+    collect() {
+      const {times} = meter;
+      for (const [kind, ms] of Object.entries(times))
+        this.inc({kind}, Math.max(0, ms - (told[kind as WorkKind] ?? 0)));
+      told = times;
+    },
+  });
+};
+
 const processUsage = (): Omit<LatenessSample, 'now'> => {
   const {user, system} = process.cpuUsage();
   return {
--- /dev/null
+++ b/packages/transport/src/lateness/work_meter.spec.ts
@@ -0,0 +1,40 @@
+import {expect} from 'chai';
+import {WorkMeter, workBetween} from './work_meter.js';
+
+const makeMeter = () => {
+  const time = {now: 0};
+  const meter = new WorkMeter(() => time.now);
+  const spend = (ms: number) => void (time.now += ms);
+  return {meter, spend};
+};
+
+describe('work meter', () => {
+  it('work within other work counts for itself alone', () => {
+    const {meter, spend} = makeMeter();
+    meter.measure('consensus', () => {
+      spend(5);
+      meter.measure('record', () => {
+        spend(20);
+        meter.measure('line', () => spend(3));
+      });
+      meter.measure('frame', () => spend(2));
+    });
+    expect(meter.times).to.eql({consensus: 5, record: 20, line: 3, frame: 2});
+  });
+  it('work that fails counts as well, and what it throws goes on', () => {
+    const {meter, spend} = makeMeter();
+    const fail = () =>
+      meter.measure('pass', () => {
+        spend(7);
+        throw new Error('a defect');
+      });
+    expect(fail).to.throw('a defect');
+    meter.measure('pass', () => spend(1));
+    expect(meter.times).to.eql({pass: 8});
+  });
+  it('the time between two looks names only what was done', () => {
+    const before = {pass: 100, gc: 30};
+    const after = {pass: 100, gc: 30.2, line: 12.4};
+    expect(workBetween(before, after)).to.eql({line: 12});
+  });
+});
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -12,6 +12,7 @@
   type LinkFrame,
 } from '@primrosewick/protocol';
 import {CellError, asId, type VmId} from '@primrosewick/state';
+import {processWork} from '../lateness/work_meter.js';
 import {actAfter, actEvery, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
 
@@ -176,14 +177,14 @@
   }
 
   private encode(frame: LinkFrame): Buffer {
-    const bytes = encodeLinkFrame(frame);
+    const bytes = processWork.measure('frame', () => encodeLinkFrame(frame));
     this.options.onBytes('sent', bytes.length);
     return bytes;
   }
 
   private decode(bytes: Buffer): LinkFrame {
     this.options.onBytes('received', bytes.length);
-    return decodeLinkFrame(bytes);
+    return processWork.measure('frame', () => decodeLinkFrame(bytes));
   }
 
   private unreachable(step: string, detail: string): CellError {
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -17,6 +17,7 @@
   toCellError,
   type VmId,
 } from '@primrosewick/state';
+import {processWork, type WorkKind} from '../lateness/work_meter.js';
 import {LINK_SERVICE} from './service.js';
 
 /** Handler of each method. */
@@ -50,6 +51,21 @@
   readonly onUnsent?: (unsent: UnsentReply) => void;
 }
 
+/** What the work of each method counts as, until it first waits for something. */
+const LINK_WORK: Readonly<Record<LinkMethod, WorkKind>> = {
+  hello: 'greeting',
+  consensus: 'consensus',
+  readIndex: 'question',
+  readWorkflow: 'question',
+  workflow: 'call',
+  announceWorker: 'announcement',
+  heardWorkers: 'announcement',
+  removeWorker: 'announcement',
+  putBundle: 'config',
+  getBundle: 'config',
+  advise: 'advice',
+};
+
 type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
 
 /** Listens for streams of other VMs. */
@@ -158,7 +174,9 @@
           peer: from,
           detail: `no method ${String(method)}`,
         });
-      return {kind: 'reply', id, body: await handler(body, from)};
+      const kind = LINK_WORK[method];
+      const answer = processWork.measure(kind, () => handler(body, from));
+      return {kind: 'reply', id, body: await answer};
     } catch (thrown) {
       const err = toCellError(thrown, method);
       this.options.onRefusal(err);
--- a/packages/transport/src/link/service.ts
+++ b/packages/transport/src/link/service.ts
@@ -4,18 +4,24 @@
   encodeLinkFrame,
   type LinkFrame,
 } from '@primrosewick/protocol';
+import {processWork} from '../lateness/work_meter.js';
 
 /** Path of the stream on the wire. */
 export const LINK_PATH = '/primrosewick.v1.Link/open';
 
+const encodeMeasured = (frame: LinkFrame): Buffer =>
+  processWork.measure('frame', () => encodeLinkFrame(frame));
+const decodeMeasured = (bytes: Buffer): LinkFrame =>
+  processWork.measure('frame', () => decodeLinkFrame(bytes));
+
 const LINK_METHOD: MethodDefinition<LinkFrame, LinkFrame> = {
   path: LINK_PATH,
   requestStream: true,
   responseStream: true,
-  requestSerialize: encodeLinkFrame,
-  requestDeserialize: decodeLinkFrame,
-  responseSerialize: encodeLinkFrame,
-  responseDeserialize: decodeLinkFrame,
+  requestSerialize: encodeMeasured,
+  requestDeserialize: decodeMeasured,
+  responseSerialize: encodeMeasured,
+  responseDeserialize: decodeMeasured,
 };
 
 /** Definition of the service: one stream that carries all calls of a VM. */
