Voters that return are sent what they lack once, in pieces

Cause: calls to a voter wait while its stream opens, and all leave at once. Each heartbeat among them is refused, and each refusal made the leader go back and send the same 256 entries again; between, each proposal and each read sent another 256, up to 2,048. Two voters at different places in the log also take turns in the memory of the packer, so nothing is encoded once.

Refusals of rounds before the last time that the leader went back are passed over; going back begins a round of its own. A member that lacks more than one message holds is sent the next message when the last was accepted.

Proof: `catch_up.spec.ts`; on the old code "voters that refuse many heartbeats are sent what they lack once" failed (5,120 for at most 256), and "the next piece is sent when the one before has arrived" (512 for 0). Specs of coordination and the fuzzing of the log pass (135). Not shown: that this alone is what the users saw.

--- /dev/null
+++ b/packages/coordination/src/consensus/catch_up.spec.ts
@@ -0,0 +1,163 @@
+import {expect} from 'chai';
+import {asId, seededRandom, type NodeId} from '@primrosewick/state';
+import {ConsensusCore} from './core.js';
+import {ConsensusPump} from './pump.js';
+import {DEFAULT_CONSENSUS_TIMING, type Entry, type Envelope} from './types.js';
+
+const [A, B, C, D, E] = ['a', 'b', 'c', 'd', 'e'].map(name =>
+  asId<NodeId>(`${name}~1`),
+) as [NodeId, NodeId, NodeId, NodeId, NodeId];
+const VOTERS = [A, B, C, D, E];
+const PIECE = DEFAULT_CONSENSUS_TIMING.maxEntriesPerMessage;
+/** Index of the last entry of the log that a voter returns to. */
+const LAST = 5000;
+
+const makeCore = (id: NodeId, last: number): ConsensusCore<string> => {
+  const commands = Array.from({length: last - 1}, (_, i): Entry<string> => ({
+    term: 1,
+    index: i + 2,
+    body: {kind: 'command', command: `${i}`},
+  }));
+  const members = {voters: VOTERS, learners: []};
+  return new ConsensusCore<string>({
+    id,
+    restored: {
+      hardState: {term: 1, votedFor: null},
+      snapshot: null,
+      entries: [
+        {term: 1, index: 1, body: {kind: 'members', members}},
+        ...commands,
+      ],
+    },
+    random: seededRandom(7),
+    now: 0,
+    timing: {quickElectionMs: 100},
+  });
+};
+
+/** A leader that two voters follow, and who has read 20 times while the others were away. */
+const makeLeader = () => {
+  const core = makeCore(A, LAST);
+  let now = 10_000;
+  const step = (input: Parameters<typeof core.step>[0]) =>
+    core.step({...input, now: ++now}).messages;
+  step({kind: 'tick', now});
+  const term = core.status.term + 1;
+  const hear = (from: NodeId, message: Envelope<string>['message']) =>
+    step({kind: 'message', now, envelope: {from, to: A, message}});
+  const votes = [true, false].flatMap(isPreVote =>
+    [B, C].map(from => ({from, isPreVote})),
+  );
+  for (const {from, isPreVote} of votes)
+    hear(from, {kind: 'vote_reply', term, isPreVote, isGranted: true});
+  const reply = (isAccepted: boolean, index: number, round: number) =>
+    ({kind: 'append_reply', term, isAccepted, index, round}) as const;
+  for (const from of [B, C]) hear(from, reply(true, LAST + 1, 1));
+  for (let token = 0; token < 20; token++) step({kind: 'read', now, token});
+  return {core, step, hear, reply, now: () => now};
+};
+
+const sentTo = (
+  messages: ReadonlyArray<Envelope<string>>,
+  voter: NodeId,
+): number =>
+  messages.reduce(
+    (sum, {to, message}) =>
+      to === voter && message.kind === 'append'
+        ? sum + message.entries.length
+        : sum,
+    0,
+  );
+
+/** Carries what is sent to a voter, and its answers, until nothing more is sent. */
+const carry = (
+  {hear}: ReturnType<typeof makeLeader>,
+  voter: ConsensusCore<string>,
+  first: ReadonlyArray<Envelope<string>>,
+): {readonly most: number; readonly total: number} => {
+  const {id} = voter.status;
+  let messages = first.filter(({to}) => to === id);
+  let most = 0;
+  let total = 0;
+  while (messages.length > 0) {
+    most = Math.max(most, sentTo(messages, id));
+    total += sentTo(messages, id);
+    messages = messages
+      .flatMap(
+        envelope =>
+          voter.step({kind: 'message', now: 10_200, envelope}).messages,
+      )
+      .flatMap(({message}) => hear(id, message))
+      .filter(({to}) => to === id);
+  }
+  return {most, total};
+};
+
+describe('catch-up of voters that return', () => {
+  it('voters that refuse many heartbeats are sent what they lack once', () => {
+    const {core, reply, now} = makeLeader();
+    const pump = new ConsensusPump(core);
+    for (let round = 2; round <= 21; round++)
+      for (const [from, index] of [
+        [D, 2],
+        [E, 500],
+      ] as const)
+        pump.offer({
+          kind: 'message',
+          now: now(),
+          envelope: {from, to: A, message: reply(false, index, round)},
+        });
+    const {messages} = pump.run();
+    expect(sentTo(messages, D)).to.be.at.most(PIECE);
+    expect(sentTo(messages, E)).to.be.at.most(PIECE);
+  });
+  it('the next piece is sent when the one before has arrived', () => {
+    const {step, hear, reply, now} = makeLeader();
+    hear(D, reply(false, 2, 21));
+    const first = hear(D, reply(true, 1, 22));
+    expect(sentTo(first, D)).to.equal(PIECE);
+    for (let token = 30; token < 40; token++) {
+      const proposed = step({
+        kind: 'propose',
+        now: now(),
+        token,
+        command: 'p',
+      });
+      const read = step({kind: 'read', now: now(), token: token + 10});
+      expect(sentTo([...proposed, ...read], D)).to.equal(0);
+    }
+    const next = hear(D, reply(true, 1 + PIECE, 22));
+    expect(sentTo(next, D)).to.equal(PIECE);
+  });
+  it('a voter far behind gets each entry once, in pieces', () => {
+    const leader = makeLeader();
+    const voter = makeCore(D, 100);
+    const heartbeat = leader.step({kind: 'read', now: 0, token: 50});
+    const {most, total} = carry(leader, voter, heartbeat);
+    expect(voter.status.lastIndex).to.equal(LAST + 1);
+    expect(total).to.equal(LAST + 1 - 100);
+    expect(most).to.equal(PIECE);
+  });
+  it('a piece that is lost is sent again with the next heartbeat', () => {
+    const leader = makeLeader();
+    const voter = makeCore(D, 100);
+    leader.hear(D, leader.reply(false, 101, 21));
+    const heartbeat = leader.step({kind: 'read', now: 0, token: 50});
+    carry(leader, voter, heartbeat);
+    expect(voter.status.lastIndex).to.equal(LAST + 1);
+  });
+  it('a voter that is level again is sent entries without waiting', () => {
+    const leader = makeLeader();
+    const voter = makeCore(D, 100);
+    carry(leader, voter, leader.step({kind: 'read', now: 0, token: 50}));
+    for (let token = 60; token < 63; token++) {
+      const messages = leader.step({
+        kind: 'propose',
+        now: 0,
+        token,
+        command: 'p',
+      });
+      expect(sentTo(messages, D)).to.equal(1);
+    }
+  });
+});
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -1,5 +1,6 @@
 /** The leader's part: replication, commitment, reads and member changes. */
 import type {NodeId} from '@primrosewick/state';
+import {canSendMore, isBehindSnapshot, lacksMore, rewind} from './catch_up.js';
 import type {ConsensusContext, MessageOf} from './context.js';
 import {allMembers, applyChange} from './members.js';
 import type {EntryBody, MemberChange, Progress, Snapshot} from './types.js';
@@ -105,6 +106,8 @@
       lastRound: 0,
       snapshotOffset: 0,
       chunkResendAt: Number.NEGATIVE_INFINITY,
+      rewindRound: 0,
+      isCatchingUp: false,
     };
   }
 
@@ -112,29 +115,24 @@
   private broadcast(): void {
     this.context.heartbeatDeadline =
       this.context.now + this.context.timing.heartbeatMs;
-    this.context.round++;
-    this.context.roundTimes.note(this.context.round, this.context.now);
+    this.beginRound();
     for (const [node, progress] of this.context.progress)
       this.sendAppend(node, progress);
     this.answerReads();
   }
 
+  private beginRound(): void {
+    this.context.round++;
+    this.context.roundTimes.note(this.context.round, this.context.now);
+  }
+
   /** Sends entries to the members that have not been sent them. */
   private replicate(): void {
     for (const [node, progress] of this.context.progress) {
-      if (this.canSendMore(progress)) this.sendAppend(node, progress);
+      if (canSendMore(this.context, progress)) this.sendAppend(node, progress);
     }
   }
 
-  private canSendMore(progress: Progress): boolean {
-    const inFlight = progress.nextIndex - 1 - progress.matchIndex;
-    return (
-      !this.isBehindSnapshot(progress) &&
-      progress.nextIndex <= this.context.log.lastIndex &&
-      inFlight < this.context.timing.maxInFlight
-    );
-  }
-
   private sendAppend(node: NodeId, progress: Progress): void {
     const snapshot = this.context.log.snapshot;
     if (snapshot && progress.nextIndex <= snapshot.index) {
@@ -143,7 +141,7 @@
         : this.sendChunk(node, progress, snapshot);
     }
     const prevIndex = progress.nextIndex - 1;
-    const count = this.canSendMore(progress)
+    const count = canSendMore(this.context, progress)
       ? this.context.timing.maxEntriesPerMessage
       : 0;
     const entries = this.context.log.slice(progress.nextIndex, count);
@@ -177,19 +175,26 @@
   onAppendReply(from: NodeId, message: MessageOf<C, 'append_reply'>): void {
     const progress = this.hear(from, message.round);
     if (!progress) return;
-    if (!message.isAccepted) {
-      progress.nextIndex = Math.max(
-        progress.matchIndex + 1,
-        Math.min(message.index, this.context.log.lastIndex + 1),
-      );
-      return this.sendAppend(from, progress);
-    }
+    if (!message.isAccepted) return this.onRefusal(from, progress, message);
     progress.matchIndex = Math.max(progress.matchIndex, message.index);
     progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    progress.isCatchingUp &&= lacksMore(this.context, progress);
     const before = this.context.commitIndex;
     this.advanceCommit();
     if (this.context.commitIndex > before) this.noteCommit();
-    if (this.canSendMore(progress)) this.sendAppend(from, progress);
+    if (canSendMore(this.context, progress)) this.sendAppend(from, progress);
+  }
+
+  /** Refusals of what was sent before the last time that it was gone back tell nothing new. */
+  private onRefusal(
+    node: NodeId,
+    progress: Progress,
+    {index, round}: MessageOf<C, 'append_reply'>,
+  ): void {
+    if (round < progress.rewindRound) return;
+    this.beginRound();
+    rewind(this.context, progress, index, this.context.round);
+    this.sendAppend(node, progress);
   }
 
   private hear(from: NodeId, round: number): Progress | undefined {
@@ -217,14 +222,13 @@
     const {progress, commitIndex} = this.context;
     this.context.commitNoticeAt = Number.POSITIVE_INFINITY;
     for (const [node, known] of progress)
-      if (!this.isBehindSnapshot(known) && known.sentCommit < commitIndex)
+      if (
+        !isBehindSnapshot(this.context, known) &&
+        known.sentCommit < commitIndex
+      )
         this.sendAppend(node, known);
   }
 
-  private isBehindSnapshot(progress: Progress): boolean {
-    return progress.nextIndex <= this.context.log.baseIndex;
-  }
-
   private advanceCommit(): void {
     if (this.context.role !== 'leader') return;
     const index = this.context.quorumValue(
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -243,6 +243,10 @@
   snapshotOffset: number;
   /** Time before which the same chunk is not sent again, in ms. */
   chunkResendAt: number;
+  /** Round from which a refusal counts: earlier ones are of what was sent before. */
+  rewindRound: number;
+  /** Whether the node lacks so much that it is sent one message at a time. */
+  isCatchingUp: boolean;
 }
 
 /** Role of a node. */
