Bench row: what an idle entry, follower and leader use

The row starts a cell of six VMs with a disk and one entry from the bundled program with the command lines of the deploy file, and reads the system's own counters over 20 s. A second bundle can be named (npm run bench -- Idle FILE) and is measured in turn.

--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -1,6 +1,7 @@
 /** `npm run bench`: all tables, each row beside its baseline from the same run. */
 import {cpus} from 'node:os';
 import {benchEntry} from './entry.js';
+import {benchIdleVms} from './idle.js';
 import {
   benchLog,
   benchPropagation,
@@ -35,6 +36,9 @@
   benchCancel,
   benchUrgent,
   benchEntry,
+  function benchIdle() {
+    return benchIdleVms(process.argv[3]);
+  },
   benchLog,
   benchRecovery,
   benchRestart,
