Specs that show how gangs that wait keep small steps from being asked about

The planner alone shows why: ten workers, 43 callers, 40 gangs that wait for room and hold tickets, one step of two small tasks below them. The small step waits for a turn at the adviser in every pass.

--- a/packages/proofs/src/bench/scheduling/adviser.ts
+++ b/packages/proofs/src/bench/scheduling/adviser.ts
@@ -10,9 +10,6 @@
 import type {EventQueue} from '../../world/event_queue.js';
 import type {WorkKind} from './load.js';
 
-/** Callers that the adviser serves, one call at a time each. */
-export const CALLER_COUNT = 12;
-
 interface AdviceRecord extends StepAdvice {
   readonly asked: Set<WorkerId>;
   readonly allowed: Set<WorkerId>;
@@ -33,6 +30,7 @@
 
   constructor(
     private readonly queue: EventQueue,
+    private readonly callerCount: number,
     private readonly onAnswer: () => void,
   ) {}
 
@@ -58,7 +56,7 @@
   /** Serves calls that wait for a caller, short ones first. */
   private serve(): void {
     this.waiting.sort((a, b) => a.tookMs - b.tookMs);
-    while (this.underWay < CALLER_COUNT) {
+    while (this.underWay < this.callerCount) {
       const call = this.waiting.shift();
       if (!call) return;
       this.underWay++;
--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -20,7 +20,7 @@
   type WorkflowCommand,
 } from '@primrosewick/state';
 import {EventQueue} from '../../world/event_queue.js';
-import {BenchAdviser, CALLER_COUNT} from './adviser.js';
+import {BenchAdviser} from './adviser.js';
 import {arrivalsOf, type Arrival, type LoadPattern} from './load.js';
 
 /** Decides one pass. */
@@ -97,7 +97,9 @@
     seed: number,
   ) {
     this.random = seededRandom(seed);
-    this.adviser = new BenchAdviser(this.queue, () => this.planSoon());
+    this.adviser = new BenchAdviser(this.queue, pattern.callerCount, () =>
+      this.planSoon(),
+    );
     this.apply({kind: 'put_bundle', bundle: bundleOf(pattern)});
     for (let i = 0; i < pattern.workerCount; i++) this.addWorker(i);
     for (const arrival of arrivalsOf(pattern, seededRandom(seed + 1)))
@@ -210,7 +212,7 @@
       endsSoon: worker => this.endingOn(worker),
       reserved: this.reserved,
       adviceOf: key => this.adviser.adviceOf(key),
-      callerCount: CALLER_COUNT,
+      callerCount: this.pattern.callerCount,
     });
     this.reserved = reserved;
     for (const {step, workers} of advice)
--- a/packages/proofs/src/bench/scheduling/load.ts
+++ b/packages/proofs/src/bench/scheduling/load.ts
@@ -35,6 +35,8 @@
   readonly name: string;
   readonly kinds: readonly WorkKind[];
   readonly workerCount: number;
+  /** Callers that the adviser serves, one call at a time each. */
+  readonly callerCount: number;
   readonly lengthMs: number;
   /** More of one kind for a while. */
   readonly bursts: ReadonlyArray<{
@@ -218,11 +220,56 @@
   name: 'steady',
   kinds: [CURVES, CHECKS, LOOKUPS],
   workerCount: 32,
+  callerCount: 12,
   lengthMs: 45_000,
   bursts: [],
   losses: [],
 };
 
+/** Wide gangs above small work on a fleet that has no room to spare. */
+const WIDE: LoadPattern = {
+  ...base,
+  name: 'wide gangs, two fifths of the workers lost',
+  workerCount: 245,
+  callerCount: 49,
+  lengthMs: 34_000,
+  kinds: [
+    {
+      ...CURVES,
+      perSecond: 3,
+      worth: 13.1,
+      tasks: 20,
+      taskMs: 5000,
+      advice: {
+        baseMs: 430,
+        perWorkerMs: 6.2,
+        validMs: 2000,
+        allowedShare: 0.35,
+      },
+    },
+    {
+      ...CHECKS,
+      perSecond: 7.8,
+      worth: 3.17,
+      tasks: 25,
+      taskMs: 2200,
+      cpuMillis: 3500,
+      advice: {baseMs: 80, perWorkerMs: 1.1, validMs: 2000, allowedShare: 0.45},
+    },
+    {
+      ...LOOKUPS,
+      perSecond: 87,
+      worth: 0.398,
+      tasks: 3.2,
+      taskMs: 640,
+      cpuMillis: 5000,
+      advice: {baseMs: 7.2, perWorkerMs: 0.1, validMs: 2000, allowedShare: 0.7},
+    },
+  ],
+  bursts: [{kind: 'curves', at: 3000, forMs: 6000, factor: 2}],
+  losses: [{at: 8000, count: 100}],
+};
+
 /** The patterns that the bench plays. */
 export const LOAD_PATTERNS: readonly LoadPattern[] = [
   base,
@@ -247,4 +294,5 @@
       {at: 20_000, count: 2},
     ],
   },
+  WIDE,
 ];
--- a/packages/proofs/src/bench/scheduling/table.ts
+++ b/packages/proofs/src/bench/scheduling/table.ts
@@ -55,7 +55,7 @@
 const shareText = ({owed, earned}: {owed: number; earned: number}): string =>
   (earned / Math.max(1e-9, owed)).toFixed(3);
 
-const rowOf = (
+export const rowOf = (
   pattern: LoadPattern,
   name: string,
   results: readonly ClusterResult[],
--- /dev/null
+++ b/packages/state/src/workflow/planner/shares.spec.ts
@@ -0,0 +1,112 @@
+import {expect} from 'chai';
+import {testQueue} from '../../bundle/fixtures.js';
+import type {AdviceTerms} from '../../bundle/types.js';
+import {TestLog, testSpec, testStep, testTask} from '../fixtures.js';
+import type {StepKey} from '../types.js';
+import {plan} from './core.js';
+import {inputOf} from './fixtures.js';
+import type {PlanInput, StepAdvice} from './types.js';
+
+const GANG_TERMS: AdviceTerms = {baseMs: 430, perWorkerMs: 6.2, validMs: 2000};
+const SMALL_TERMS: AdviceTerms = {baseMs: 80, perWorkerMs: 1.1, validMs: 2000};
+const CALLER_COUNT = 43;
+const WORKER_COUNT = 10;
+
+const WORKERS = Array.from({length: WORKER_COUNT}, (_, i) => `w${i}`);
+
+/** Advice that allows all workers, with tickets until a time. */
+const adviceUntil = (validUntil: number): StepAdvice => {
+  const all = new Set(WORKERS as never[]);
+  const ticket = {bornAt: 1, text: 't', validUntil};
+  return {
+    asked: all,
+    allowed: all,
+    tickets: new Map([...all].map(worker => [worker, ticket])),
+    isAsking: false,
+  };
+};
+
+/** Ten workers, with a queue of gangs above one of small tasks. */
+const sharedLog = (): TestLog => {
+  const log = new TestLog({
+    queues: [
+      testQueue({
+        name: 'wide',
+        prefix: '/wide/',
+        priority: 1,
+        advice: GANG_TERMS,
+      }),
+      testQueue({
+        name: 'small',
+        prefix: '/small/',
+        priority: 2,
+        advice: SMALL_TERMS,
+      }),
+    ],
+  });
+  for (const worker of WORKERS) log.addWorker(worker);
+  return log;
+};
+
+const submitGangs = (log: TestLog, count: number, taskCount: number): void => {
+  for (let i = 0; i < count; i++)
+    log.submit(
+      `gang${i}`,
+      testSpec([testStep({taskCount, isGang: true})]),
+      'wide',
+    );
+};
+
+/** A pass in which all gangs hold tickets until a time, and nothing else is known. */
+const passOf = (
+  log: TestLog,
+  validUntil: number,
+  part: Partial<PlanInput> = {},
+) => {
+  const advice = adviceUntil(validUntil);
+  return plan(
+    inputOf(log, {
+      callerCount: CALLER_COUNT,
+      adviceOf: (key: StepKey) => (key.startsWith('gang') ? advice : undefined),
+      ...part,
+    }),
+  );
+};
+
+const askedOf = ({advice}: ReturnType<typeof plan>): string[] =>
+  advice.map(({step}) => step.workflow);
+
+describe('shares', () => {
+  it('gangs that wait for room do not keep small steps from being asked about', () => {
+    const log = sharedLog();
+    submitGangs(log, 40, 500);
+    log.submit('few', testSpec([testStep({taskCount: 2})]), 'small');
+    for (const validUntil of [2000, 900, 0])
+      expect(askedOf(passOf(log, validUntil))).to.include('few');
+  });
+  it('gangs behind runs of others do not keep small steps from being asked about', () => {
+    const log = sharedLog();
+    for (const [i, worker] of WORKERS.entries()) {
+      log.submit(`old${i}`, testSpec([testStep({taskCount: 4})]), 'small');
+      for (let index = 0; index < 4; index++)
+        log.start(worker, testTask(`old${i}`, 0, index));
+    }
+    submitGangs(log, 40, 8);
+    log.submit('few', testSpec([testStep({taskCount: 2})]), 'small');
+    for (const validUntil of [2000, 900, 0])
+      expect(askedOf(passOf(log, validUntil))).to.include('few');
+  });
+  it('a gang is asked about again once its room is nearly gathered', () => {
+    const log = sharedLog();
+    const running = testSpec([testStep({taskCount: 40})]);
+    log.submit('old', running, 'small');
+    for (const [i, worker] of WORKERS.entries())
+      for (let at = 0; at < 4; at++)
+        log.start(worker, testTask('old', 0, 4 * i + at));
+    submitGangs(log, 1, 20);
+    const endsSoon: PlanInput['endsSoon'] = worker =>
+      new Set([...log.db.workers.get(worker)!.active.keys()].slice(0, 2));
+    expect(askedOf(passOf(log, 0))).to.eql([]);
+    expect(askedOf(passOf(log, 0, {endsSoon}))).to.eql(['gang0']);
+  });
+});
