A refusal of an old heartbeat does not have a piece sent again: test and mutant

Cause: the catch-up of voters that return had no mutant. The first try of one, proved by 'refuse many heartbeats', survived: after a refusal a probe goes first, so that test sees no entries either way. What the check of the round guards is the piece that follows the probe.

--- a/packages/coordination/src/consensus/catch_up.spec.ts
+++ b/packages/coordination/src/consensus/catch_up.spec.ts
@@ -129,6 +129,13 @@
     const next = hear(D, reply(true, 1 + PIECE, 22));
     expect(sentTo(next, D)).to.equal(PIECE);
   });
+  it('a refusal of an old heartbeat does not have a piece sent again', () => {
+    const {hear, reply} = makeLeader();
+    hear(D, reply(false, 2, 2));
+    expect(sentTo(hear(D, reply(true, 1, 22)), D)).to.equal(PIECE);
+    for (let round = 3; round <= 21; round++)
+      expect(sentTo(hear(D, reply(false, 2, round)), D)).to.equal(0);
+  });
   it('a voter far behind gets each entry once, in pieces', () => {
     const leader = makeLeader();
     const voter = makeCore(D, 100);
