--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -18,7 +18,6 @@
   type FromLeader,
   type LinkHello,
   type LinkWelcome,
-  type QueueAddress,
   type WorkflowReply,
   type WorkflowRequest,
 } from '@primrosewick/protocol';
@@ -33,13 +32,12 @@
 import {
   LinkClient,
   LinkServer,
-  LineBudget,
   systemClock,
   type LinkHandlers,
-  type UnsentReply,
 } from '@primrosewick/transport';
 import {watchEndAges} from './end_ages.js';
 import {ReadLog} from './read_log.js';
+import {UnsentLog} from './unsent_log.js';
 import {WorkflowCalls} from './workflow_calls.js';
 import {CLUSTER_NAME, ELECTION_MS, VoterLog} from './voter_log.js';
 
@@ -64,8 +62,6 @@
 const MAX_SEGMENT_BYTES = 9 * 1024 * 1024;
 /** Time for telling the leader of announcements, in ms. */
 const TELL_WITHIN_MS = 900;
-/** Lines in a second for answers that nobody waits for. */
-const UNSENT_PER_SECOND = 10;
 /** Seeds of the random source of elections. */
 const MAX_SEED = 2 ** 31;
 
@@ -89,7 +85,6 @@
     maxBytes: JOURNAL_BYTES,
     maxSegmentBytes: MAX_SEGMENT_BYTES,
   });
-  private readonly unsentLines = new LineBudget(UNSENT_PER_SECOND, 1000);
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -125,35 +120,17 @@
       reader: this.reader,
       reads: new ReadLog(logger, options.registry),
     });
+    const unsentLog = new UnsentLog(logger, systemClock);
     this.server = new LinkServer({
       address: settings.peer,
       cell: CLUSTER_NAME,
       handlers: this.handlers(),
       onRefusal: err => logger.info({decision: 'refuse', err: err.toBody()}),
       onLost: vm => this.onPeerLost(vm),
-      onUnsent: unsent => this.onUnsent(unsent),
+      onUnsent: unsent => unsentLog.note(unsent),
     });
   }
 
-  /** The VM that carried a client's call has gone before its answer was made. */
-  private onUnsent({method, from, body, tookMs}: UnsentReply): void {
-    if (method !== 'workflow' && method !== 'readWorkflow') return;
-    const line = this.unsentLines.take(systemClock.now());
-    if (!line) return;
-    const {path} = body as QueueAddress;
-    this.options.logger.info(
-      {
-        decision: 'drop',
-        req: path,
-        method,
-        peer: from,
-        waitMs: Math.round(tookMs),
-        ...line,
-      },
-      'an answer was dropped: the stream of the VM that asked is gone',
-    );
-  }
-
   /** A VM whose stream broke may have ended, and may have led. */
   private onPeerLost(vm: VmId): void {
     if (this.isStopping) return;
--- /dev/null
+++ b/packages/daemon/src/cluster/unsent_log.ts
@@ -0,0 +1,40 @@
+/** Tells of answers to clients' calls that nobody waits for any more. */
+import type Logger from 'bunyan';
+import type {QueueAddress} from '@primrosewick/protocol';
+import {
+  LineBudget,
+  type Clock,
+  type UnsentReply,
+} from '@primrosewick/transport';
+
+/** Lines in a second. */
+const LINES_PER_SECOND = 10;
+
+/** Lines about answers that were dropped. */
+export class UnsentLog {
+  private readonly budget = new LineBudget(LINES_PER_SECOND, 1000);
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Notes that the VM that carried a call has gone before its answer was made. */
+  note({method, from, body, tookMs}: UnsentReply): void {
+    if (method !== 'workflow' && method !== 'readWorkflow') return;
+    const line = this.budget.take(this.clock.now());
+    if (!line) return;
+    const {path} = body as QueueAddress;
+    this.logger.info(
+      {
+        decision: 'drop',
+        req: path,
+        method,
+        peer: from,
+        waitMs: Math.round(tookMs),
+        ...line,
+      },
+      'an answer was dropped: the stream of the VM that asked is gone',
+    );
+  }
+}
