A leader that stays late takes no new work

Cause: nothing tells submissions that the leader can't keep up with what it has. From 250 ms late on copies of the log count as old, each question comes to the leader as well, and its load feeds itself. Ruled out as the means: \`admission\`, which weighs the workers' room only, and \`log_overloaded\`, which comes at 4,096 proposals.

Change: \`load/core.ts\`, pure, names its load: samples due every 100 ms, smoothed over 1 s; new work is refused (\`leader_late\`, 503, not_run, Retry-After 1 s) once the usual turn is late by 250 ms, until it is late by less than 100. One turn of 1.3 s alone refuses nothing. A repeated submission, questions, cancellations, starts and ends go on. Sampled only while a VM leads. One line for each refusal, ten a second at most (\`reject\`, \`leader_late\`, \`lateMs\`).

Proof: \`late_leader.spec\` (a blocked loop of this process, system clock) and \`core.spec\`. On the old code a submission to a leader late by 400 ms a turn is accepted: with the check switched off the spec fails so (mutant, run alone: expected 'accepted' to equal 'leader_late not_run 1000').

An order among questions, ends and proofs is not built, nor a refusal at the entry.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -30,6 +30,8 @@
 export * from './gateway/task.js';
 export * from './membership/core.js';
 export * from './membership/founding.js';
+export * from './load/core.js';
+export * from './load/task.js';
 export * from './workflow/ports.js';
 export * from './workflow/announcements.js';
 export {ProgressBoard} from './workflow/progress_board.js';
--- /dev/null
+++ b/packages/coordination/src/load/core.spec.ts
@@ -0,0 +1,40 @@
+import {expect} from 'chai';
+import {LeaderLoad} from './core.js';
+
+/** What is decided after turns of the given lengths in ms, each with one sample. */
+const after = (
+  ...turns: ReadonlyArray<readonly [count: number, ms: number]>
+) => {
+  const load = new LeaderLoad(0);
+  let now = 0;
+  for (const [count, ms] of turns)
+    for (let i = 0; i < count; i++) load.note((now += ms));
+  return load.decide();
+};
+
+describe('load of a leader', () => {
+  it('a leader on time takes new work', () => {
+    expect(after([100, 100])).to.eql({kind: 'take'});
+  });
+  it('a busy leader whose turns are short takes new work', () => {
+    expect(after([100, 200])).to.eql({kind: 'take'});
+  });
+  it('one long turn alone refuses nothing', () => {
+    expect(after([50, 100], [1, 1300])).to.eql({kind: 'take'});
+  });
+  it('a leader that stays late refuses new work, and says for how long', () => {
+    const decision = after([50, 100], [10, 500]);
+    expect(decision.kind).to.equal('refuse');
+    if (decision.kind !== 'refuse') return;
+    expect(decision.lateMs).to.be.within(350, 400);
+    expect(decision.retryAfterMs).to.equal(1000);
+  });
+  it('a leader that catches up takes new work within a second', () => {
+    expect(after([10, 500], [3, 100]).kind).to.equal('refuse');
+    expect(after([10, 500], [10, 100])).to.eql({kind: 'take'});
+  });
+  it('a leader does not change its mind at each turn', () => {
+    expect(after([10, 500], [30, 300]).kind).to.equal('refuse');
+    expect(after([50, 100], [30, 300])).to.eql({kind: 'take'});
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/load/late_leader.spec.ts
@@ -0,0 +1,76 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import type {CellError, VmId} from '@primrosewick/state';
+import {TestLog, testSpec, testStep} from '@primrosewick/state/fixtures';
+import {sleep, systemClock} from '@primrosewick/transport';
+import {WorkflowReplica} from '../workflow/replica.js';
+import {WorkflowService} from '../workflow/service.js';
+import {LeaderLoadTask} from './task.js';
+
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const [QUEUE] = new TestLog().db.bundle!.queues;
+const KNOWN = '5c0e7a21d94b36f8';
+const NEW = '5c0e7a21d94b36f9';
+
+/** A leader with one workflow, on the clock of this process. */
+const makeLeader = () => {
+  const log = new TestLog();
+  log.submit(KNOWN, testSpec([testStep()]));
+  const replica = new WorkflowReplica();
+  replica.restore(log.db.toImage());
+  const load = new LeaderLoadTask(systemClock);
+  const service = new WorkflowService({
+    replica,
+    log: {
+      isLeading: true,
+      leaderVm: 'own' as VmId,
+      propose: async () => ({kind: 'applied'}) as never,
+      readIndex: async () => replica.index,
+    },
+    clock: systemClock,
+    logger,
+    load,
+    onHeard: () => undefined,
+    runsOf: () => [],
+  });
+  const ask = (kind: 'submit' | 'get' | 'cancel', id: string) => {
+    const address = {host: QUEUE!.host, path: `${QUEUE!.prefix}${id}`};
+    const request =
+      kind === 'submit'
+        ? {kind, ...address, spec: testSpec([testStep()])}
+        : {kind, ...address};
+    return service.handle(request).then(
+      reply => (reply.kind === 'ok' ? reply.value.kind : reply.kind),
+      (err: CellError) => `${err.code} ${err.outcome} ${err.retryAfterMs}`,
+    );
+  };
+  return {load, ask};
+};
+
+/** Keeps the event loop busy in turns of 500 ms. */
+const beLate = async (turns: number): Promise<void> => {
+  for (let turn = 0; turn < turns; turn++) {
+    const until = performance.now() + 500;
+    while (performance.now() < until);
+    await sleep(0);
+  }
+};
+
+describe('a leader that cannot do all', () => {
+  it('refuses new work at once and goes on with what it has', async () => {
+    const {load, ask} = makeLeader();
+    load.start();
+    try {
+      expect(await ask('submit', NEW)).to.equal('accepted');
+      await beLate(6);
+      expect(await ask('submit', NEW)).to.equal('leader_late not_run 1000');
+      expect(await ask('submit', KNOWN)).to.equal('accepted');
+      expect(await ask('get', KNOWN)).to.equal('state');
+      expect(await ask('cancel', KNOWN)).to.equal('cancelled');
+      await sleep(1500);
+      expect(await ask('submit', NEW)).to.equal('accepted');
+    } finally {
+      load.stop();
+    }
+  }).timeout(20_000);
+});
--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -27,6 +27,7 @@
     },
     clock: systemClock,
     logger,
+    load: {decide: () => ({kind: 'take'})},
     onHeard: () => undefined,
     runsOf: () => [],
   });
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -25,6 +25,8 @@
   type WorkflowSpec,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
+import {RefusalLog} from '../load/refusal_log.js';
+import type {LeaderLoadTask} from '../load/task.js';
 import {ConfirmLog} from './confirm_log.js';
 import {AnnouncementSequences, isNews} from './announcements.js';
 import {ReadGate} from './read_gate.js';
@@ -46,6 +48,8 @@
   readonly log: LogAccess;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** How late this VM is with its work. */
+  readonly load: Pick<LeaderLoadTask, 'decide'>;
   /** Called for each announcement of a worker. */
   readonly onHeard: (worker: WorkerId) => void;
   /** What is known of the runs on a worker. */
@@ -59,9 +63,11 @@
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly sequences = new AnnouncementSequences();
   private readonly confirmLog: ConfirmLog;
+  private readonly refusalLog: RefusalLog;
 
   constructor(private readonly options: WorkflowServiceOptions) {
     this.confirmLog = new ConfirmLog(options.logger, options.clock);
+    this.refusalLog = new RefusalLog(options.logger, options.clock);
     this.gate = new ReadGate(() => options.log.readIndex());
   }
 
@@ -210,6 +216,7 @@
       return {kind: 'accepted'};
     }
     refuseFault('submit', findSpecFault(spec));
+    this.refuseWhenLate(id);
     this.admit(id, queue, spec);
     const outcome = this.propose({
       kind: 'submit',
@@ -238,6 +245,15 @@
     }
   }
 
+  /** @throws CellError `leader_late` while this VM is late with what it has taken. */
+  private refuseWhenLate(id: WorkflowId): void {
+    const load = this.options.load.decide();
+    if (load.kind === 'take') return;
+    const {lateMs, retryAfterMs} = load;
+    this.refusalLog.tell(id, lateMs);
+    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+  }
+
   /** @throws CellError `backlog` for work that would be done too late to be of use. */
   private admit(
     id: WorkflowId,
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -6,6 +6,7 @@
   AnnouncementDesk,
   GatewayTask,
   JournalRecorder,
+  LeaderLoadTask,
   ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
@@ -85,6 +86,7 @@
     maxBytes: JOURNAL_BYTES,
     maxSegmentBytes: MAX_SEGMENT_BYTES,
   });
+  private readonly load = new LeaderLoadTask(systemClock);
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -203,6 +205,7 @@
       log,
       clock: systemClock,
       logger: this.options.logger,
+      load: this.load,
       onHeard: worker => this.scheduler?.noteHeard(worker),
       runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
     });
@@ -233,6 +236,7 @@
     const {settings, logger, orders} = this.options;
     this.scheduler?.close();
     this.scheduler = null;
+    this.load.stop();
     logger.info(
       {change: term === null ? 'lead_ended' : 'lead_began', term},
       'the leadership changed',
@@ -254,6 +258,7 @@
       recorder: this.journal,
     });
     this.scheduler.start();
+    this.load.start();
   }
 
   private liveCallers(): VmId[] {
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -147,6 +147,12 @@
     1000,
     'The work that waits would delay this beyond any useful time.',
   ),
+  leader_late: reason(
+    503,
+    'not_run',
+    1000,
+    'The leader is too late with what it has taken to take more.',
+  ),
   log_overloaded: reason(
     503,
     'not_run',
