A run whose end could not be recorded is not given up as missing

Cause: a worker's answer to a hold lists what runs and what has ended. The ends are recorded first, then the runs that are recorded and not listed as running are given up as never started. The outcome of the first record was not looked at: where the log refused it (overloaded, outcome unknown) and took the next one, a run listed as done was given up, and its end counted for nothing afterwards. Ruled out: the database, which takes an end only for a run that is under way, as it must.

Change: the lists are compared only once all listed ends are in the log; until then they are asked for again after a pause.

--- a/packages/coordination/src/workflow/worker_channel.spec.ts
+++ b/packages/coordination/src/workflow/worker_channel.spec.ts
@@ -47,7 +47,7 @@
     maxLeaseMs: 1000,
     othersUntil: 0,
     mayOrder,
-    record: async command => void recorded.push(command),
+    record: async command => recorded.push(command) > 0,
     onChange: () => undefined,
     onStarted: () => undefined,
     onStartFailed: () => undefined,
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -315,7 +315,9 @@
       );
     this.isLapsed = false;
     this.progress.note(answer.running, clock.now());
-    await this.recordEnds(answer.ended);
+    // A run whose end is not recorded yet must not count as missing.
+    if (!(await this.recordEnds(answer.ended)))
+      return pause(clock, MIN_RETRY_MS);
     if (fence !== this.fence) return;
     await this.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
@@ -325,13 +327,14 @@
     if (this.expectedStarts.length > 0) await pause(clock, SETTLE_PAUSE_MS);
   }
 
-  private async recordEnds(ended: readonly RunEnd[]): Promise<void> {
+  /** @returns whether the log knows all ends that are listed. */
+  private async recordEnds(ended: readonly RunEnd[]): Promise<boolean> {
     const {db, life, record, clock, logger} = this.options;
     const recorded = db.findLife(life)?.endsRecorded ?? 0;
     const ends = ended
       .filter(end => end.sequence > recorded)
       .sort((a, b) => a.sequence - b.sequence);
-    if (ends.length === 0) return;
+    if (ends.length === 0) return true;
     for (const {task, run, outcome} of ends) {
       this.starts.forgetRun(task, run);
       logger.info(
@@ -345,8 +348,10 @@
         'a run has ended',
       );
     }
-    await record({kind: 'end_runs', life, ends, at: clock.wall()});
+    const at = clock.wall();
+    if (!(await record({kind: 'end_runs', life, ends, at}))) return false;
     for (const {task} of ends) this.stops.forget(task);
+    return true;
   }
 
   /** Compares the worker's lists with the recorded runs. */
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -27,8 +27,8 @@
   readonly othersUntil: number;
   /** Whether this VM certainly still leads, so that no later leader counts it as silent. */
   readonly mayOrder: () => boolean;
-  /** Records something; rejects when this VM no longer leads. */
-  readonly record: (command: WorkflowCommand) => Promise<unknown>;
+  /** Records something; @returns whether it certainly is in the log. */
+  readonly record: (command: WorkflowCommand) => Promise<boolean>;
   /** Called when room, runs or reachability have changed. */
   readonly onChange: () => void;
   /** Called when the worker has taken a start. */
