--- a/packages/coordination/src/consensus/packing.ts
+++ b/packages/coordination/src/consensus/packing.ts
@@ -4,6 +4,7 @@
  * a message costs, so that is done once.
  */
 import {decode, encode} from '@msgpack/msgpack';
+import {processWork} from '@primrosewick/transport';
 import type {ConsensusMessage, Entry, Envelope} from './types.js';
 
 type Append<C> = Extract<ConsensusMessage<C>, {kind: 'append'}>;
@@ -38,7 +39,9 @@
       entries.length === this.last.length &&
       entries.every((entry, at) => entry === this.last[at]);
     if (!isSame) {
-      this.packed = encode(entries, {ignoreUndefined: true});
+      this.packed = processWork.measure('frame', () =>
+        encode(entries, {ignoreUndefined: true}),
+      );
       this.last = entries;
     }
     return this.packed;
--- a/packages/coordination/src/workflow/load_report.spec.ts
+++ b/packages/coordination/src/workflow/load_report.spec.ts
@@ -70,6 +70,18 @@
       busyCallers: 2,
     });
   });
+  it('a queue without work is told of once more, and then no longer', () => {
+    const log = new TestLog();
+    log.addWorker('w1');
+    log.submit('a', testSpec([testStep()]));
+    log.start('w1', testTask('a', 0, 0));
+    const {report, linesOf} = makeReport(log);
+    report.tell();
+    log.end('w1', testTask('a', 0, 0), 'done');
+    report.tell();
+    report.tell();
+    expect(linesOf('queue').map(({open}) => open)).to.eql([1, 0]);
+  });
   it('sums go on from line to line, so that a lost line costs nothing', () => {
     const log = new TestLog();
     log.submit('a', testSpec([testStep()]));
--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -13,7 +13,7 @@
 
 /** Interval of the lines of a queue, in ms. */
 export const LOAD_INTERVAL_MS = 2000;
-/** Queues that are told of at a time; those with most open workflows go first. */
+/** Queues that are told of at a time, of those with work; those with most open workflows go first. */
 const MAX_QUEUES_TOLD = 20;
 
 /** Callers of the adviser at one moment. */
@@ -39,6 +39,8 @@
   readonly queues: QueueLoad;
   readonly advice = new AdviceLoad();
   private readonly beganAt: number;
+  /** Queues that had work at the last look. */
+  private hadWork: ReadonlySet<QueueName> = new Set();
 
   constructor(private readonly options: LoadReportOptions) {
     const {db, clock} = options;
@@ -81,9 +83,14 @@
     const {db, clock} = this.options;
     const waiting = this.queues.waitingWorkflows();
     const usage = usageOf(db, waiting, clock.wall());
-    const told = [...usage.queues.keys()]
+    const hasWork = new Set(
+      [...usage.queues.keys()].filter(queue => isAtWork(usage, queue)),
+    );
+    // One more line tells the sums of a queue whose work is over.
+    const told = [...new Set([...hasWork, ...this.hadWork])]
       .sort((a, b) => openOf(usage, b) - openOf(usage, a))
       .slice(0, MAX_QUEUES_TOLD);
+    this.hadWork = hasWork;
     for (const queue of told) this.tellQueue(queue, usage);
   }
 
@@ -110,6 +117,11 @@
   }
 }
 
+const isAtWork = ({queues}: CellUsage, queue: QueueName): boolean => {
+  const usage = queues.get(queue);
+  return usage !== undefined && usage.open + usage.running > 0;
+};
+
 const openOf = ({queues}: CellUsage, queue: QueueName): number =>
   queues.get(queue)?.open ?? 0;
 
--- a/packages/transport/src/lateness/work_meter.ts
+++ b/packages/transport/src/lateness/work_meter.ts
@@ -20,8 +20,10 @@
   | 'advice'
   /** Changes and questions of operators. */
   | 'config'
-  /** Frames between VMs, encoded and decoded. */
+  /** Frames between VMs and entries of the log, encoded and decoded. */
   | 'frame'
+  /** Orders to workers, until they are handed to the network. */
+  | 'order'
   /** Answers of workers, decoded. */
   | 'worker_answer'
   /** Log lines. */
