Turns at the adviser and room are shared by one order of service

Cause: turns at the adviser went in strict order of service until 0.4 of the callers were busy, and gangs that wait for room renewed their tickets all the while. 40 such gangs take every turn for good; the queue below is never asked about. Ruled out before: a share of the callers alone, after which small work takes the room that gangs wait for.

Change: half of a pool is counted on, in equal parts, by the queues that have work there; steps within their queue's part come first for turns and room (planner/shares.ts), and runs within it give way only to steps within theirs. A gang beyond its part gives its turn on and is asked about again when all its places are free, on their way out or ending soon. What asks advisers moved out of placer.ts. A pass is decided from the same recorded inputs as before.

The specs of 'shares' failed on the old code, the fourth is new and fails there as well ('expected undefined to be a number'). Specs of the state package: 196 pass.

--- a/packages/state/src/workflow/planner/advice_turns.ts
+++ b/packages/state/src/workflow/planner/advice_turns.ts
@@ -34,9 +34,18 @@
    */
   take(terms: AdviceTerms): boolean {
     if (this.busy >= MAX_BUSY_SHARE * this.callerCount) return false;
-    const cost = callMs(terms);
-    const everyMs = Math.max(cost, terms.validMs - renewBelowMs(terms));
-    this.busy += cost / everyMs;
+    this.busy += busyBy(terms);
     return true;
   }
+
+  /** Gives back the turn of a step that has no use for it now. */
+  giveBack(terms: AdviceTerms): void {
+    this.busy -= busyBy(terms);
+  }
 }
+
+/** Callers that a step keeps busy as long as it has a turn. */
+const busyBy = (terms: AdviceTerms): number => {
+  const cost = callMs(terms);
+  return cost / Math.max(cost, terms.validMs - renewBelowMs(terms));
+};
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -1,18 +1,22 @@
 /**
- * Decides which tasks start where. Steps are served by priority, then by due
- * time; a step that does not fit lets smaller ones pass.
+ * Decides which tasks start where. What queues can count on is served
+ * first, then the rest, both by priority and due time; a step that does not fit
+ * lets smaller ones pass.
  */
 import {findEvacuations} from './evacuation.js';
 import {findReadySteps} from './ready.js';
 import {findStops} from './stops.js';
 import {StepPlacer} from './placer.js';
+import {Shares} from './shares.js';
 import type {Plan, PlanInput} from './types.js';
 
 /** Decides one pass over everything that waits. */
 export const plan = (input: PlanInput): Plan => {
-  const ready = findReadySteps(input.db, input.wall);
-  if (ready.length === 0) return withoutPlacing(input);
-  const placer = new StepPlacer(input);
+  const waiting = findReadySteps(input.db, input.wall);
+  if (waiting.length === 0) return withoutPlacing(input);
+  const shares = new Shares(input);
+  const ready = shares.inOrder(waiting, input.db);
+  const placer = new StepPlacer(input, shares);
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
   const {starts, advice, waits, reserved, preempted} = placer;
--- a/packages/state/src/workflow/planner/place_maker.ts
+++ b/packages/state/src/workflow/planner/place_maker.ts
@@ -3,6 +3,7 @@
 import {addRoom, fitsInto, subtractRoom} from '../room.js';
 import type {Room, StepKey} from '../types.js';
 import {VictimTable, type Victim} from './preemption.js';
+import type {Shares} from './shares.js';
 import {
   findTicket,
   giveRoomBack,
@@ -44,8 +45,11 @@
   readonly preempted: PlannedStop[] = [];
   private readonly victims: VictimTable;
 
-  constructor(private readonly input: PlanInput) {
-    this.victims = new VictimTable(input);
+  constructor(
+    private readonly input: PlanInput,
+    shares: Shares,
+  ) {
+    this.victims = new VictimTable(input, shares);
   }
 
   /**
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -1,15 +1,15 @@
 /** Places the tasks of one step after the other on the room that is left. */
-import type {AdviceTerms, Queue} from '../../bundle/types.js';
+import type {Queue} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import {taskKeyIn} from '../refs.js';
 import {NO_ROOM, fitsInto, leftoverShare, subtractRoom} from '../room.js';
 import type {StepKey, StepSpec} from '../types.js';
 import {canGiveWay} from '../yielding.js';
-import {MAX_ADVISED_WORKERS, workersToAsk} from './advice.js';
-import {AdviceTurns, renewBelowMs} from './advice_turns.js';
+import {AdviceAsker} from './advice_asker.js';
 import {findStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
 import {PlaceMaker} from './place_maker.js';
+import type {Shares} from './shares.js';
 import {
   countByWorker,
   findTicket,
@@ -43,8 +43,6 @@
 /** Score of a worker whose ticket must be renewed first. */
 const TICKET_PENALTY = 2;
 
-const NO_TERMS = {baseMs: 0, perWorkerMs: 0, validMs: 0};
-
 /** One task put on a worker. */
 interface Placement {
   readonly index: number;
@@ -54,10 +52,9 @@
 /** Places steps in the order in which it is given them. */
 export class StepPlacer {
   readonly starts: PlannedStart[] = [];
-  readonly advice: AdviceWish[] = [];
   readonly waits: PlannedWait[] = [];
   private readonly places: PlaceMaker;
-  private readonly turns: AdviceTurns;
+  private readonly asker: AdviceAsker;
   private readonly byPool = new Map<string, WorkerView[]>();
   /** Usable workers by pool and required label. */
   private readonly suitableBy = new Map<string, WorkerView[]>();
@@ -65,16 +62,17 @@
   private readonly allowedBy = new Map<StepKey, WorkerView[]>();
   /** Steps with starts that are not settled. */
   private readonly pendingSteps = new Set<string>();
-  /** Steps that this pass asks about. */
-  private readonly asked = new Set<StepKey>();
   /** Steps of which this pass starts tasks. */
   private readonly started = new Set<StepKey>();
   /** Gangs for which the last pass kept room, by worker. */
   private readonly keptFor = new Map<WorkerId, StepKey>();
 
-  constructor(private readonly input: PlanInput) {
-    this.places = new PlaceMaker(input);
-    this.turns = new AdviceTurns(input.callerCount);
+  constructor(
+    private readonly input: PlanInput,
+    shares: Shares,
+  ) {
+    this.places = new PlaceMaker(input, shares);
+    this.asker = new AdviceAsker(input);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.keptFor.set(worker, step);
     for (const key of input.pending.keys())
@@ -86,6 +84,11 @@
     }
   }
 
+  /** What advisers are asked. */
+  get advice(): readonly AdviceWish[] {
+    return this.asker.wishes;
+  }
+
   /** Workers on which room is kept, by the step that waits for it. */
   get reserved(): ReadonlyMap<StepKey, ReadonlySet<WorkerId>> {
     return this.places.reserved;
@@ -102,7 +105,7 @@
     const waiting = work && this.waitingTasks(work);
     if (!work || !waiting || waiting.length === 0) return;
     const {advice: terms} = work.queue;
-    const hasTurn = terms === undefined || this.turns.take(terms);
+    const hasTurn = this.asker.takeTurn(work);
     if (!hasTurn && !work.advice)
       return this.wait(work, 'advice_turn', waiting.length, 0);
     if (terms && hasTurn && this.mustAskFirst(work, waiting.length))
@@ -110,7 +113,11 @@
     const placed = this.withHomeRack(work, waiting.length);
     if (work.spec.isGang) this.placeGang(placed, waiting);
     else this.placeEach(placed, waiting);
-    if (terms && hasTurn) this.renewSoon(work, terms);
+    const isWaiting = this.waits.at(-1)?.step === work.ready.ref;
+    if (!hasTurn || !terms || !isWaiting) return;
+    // Other gangs renew their tickets once their room is nearly gathered.
+    if (work.spec.isGang && !ready.isCounted) this.asker.giveTurnOn(work);
+    else this.asker.renewSoon(work, terms, this.candidatesOf(work));
   }
 
   /** Starts copies of runs that hold up a step, on room that nothing waits for. */
@@ -138,20 +145,6 @@
     return homeRack === undefined ? work : {...work, homeRack};
   }
 
-  /** Keeps the tickets of a step that waits valid, so that it starts when there is room. */
-  private renewSoon(work: StepWork, terms: AdviceTerms): void {
-    const {advice} = work;
-    const isWaiting = this.waits.at(-1)?.step === work.ready.ref;
-    if (!isWaiting || !advice || advice.isAsking) return;
-    const keepUntil = this.input.now + renewBelowMs(terms);
-    const candidates = this.candidatesOf(work);
-    const lapsing = candidates.filter(
-      ({worker}) => (advice.tickets.get(worker)?.validUntil ?? 0) < keepUntil,
-    );
-    if (lapsing.length === 0) return;
-    this.renew(work, new Set(candidates.map(({worker}) => worker)));
-  }
-
   private gather(ready: ReadyStep): StepWork | undefined {
     const {db} = this.input;
     const workflow = db.open.get(ready.ref.workflow);
@@ -190,26 +183,11 @@
     return waiting;
   }
 
-  /**
-   * Asks the adviser about more workers where too few are known to be allowed.
-   * @returns whether nothing can be placed before its answer.
-   */
   private mustAskFirst(work: StepWork, taskCount: number): boolean {
-    const {ready, queue, spec, advice} = work;
-    const isNoneAllowed = !advice || advice.allowed.size === 0;
-    if (advice?.isAsking) return isNoneAllowed;
-    const workers = workersToAsk(
-      spec,
-      this.suitable(queue, spec),
-      taskCount,
-      queue.advice ?? NO_TERMS,
-      advice && {asked: advice.asked, allowed: this.candidatesOf(work)},
-    );
-    if (workers.length > 0) {
-      this.asked.add(ready.key);
-      this.advice.push({step: ready.ref, workers});
-    }
-    return isNoneAllowed;
+    return this.asker.mustAskFirst(work, taskCount, {
+      suitable: this.suitable(work.queue, work.spec),
+      allowed: this.candidatesOf(work),
+    });
   }
 
   /** Workers of the pool with the label that a step requires. */
@@ -245,7 +223,7 @@
       }
       this.start(work, {index, worker});
     }
-    this.renew(work, expired);
+    this.asker.renew(work, expired);
   }
 
   private placeGang(work: StepWork, waiting: readonly number[]): void {
@@ -269,7 +247,7 @@
     }
     if (expired.size > 0) {
       this.wait(work, 'tickets', waiting.length, candidates.length);
-      return this.renew(work, expired);
+      return this.asker.renew(work, expired);
     }
     const run = 1 + Math.max(0, ...work.state.tasks.map(task => task.lastRun));
     const checkpoint = latestCheckpoint(work.state);
@@ -284,7 +262,7 @@
     candidates: readonly WorkerView[],
   ): boolean {
     const {isWhole, expired} = this.places.make(work, taskCount, candidates);
-    this.renew(work, expired);
+    this.asker.renew(work, expired);
     return isWhole;
   }
 
@@ -377,17 +355,6 @@
       ...(ticket === undefined ? {} : {ticket}),
     });
   }
-
-  private renew(
-    {ready, advice}: StepWork,
-    workers: ReadonlySet<WorkerId>,
-  ): void {
-    if (workers.size === 0 || advice?.isAsking) return;
-    if (this.asked.has(ready.key)) return;
-    this.asked.add(ready.key);
-    const named = [...workers].slice(0, MAX_ADVISED_WORKERS);
-    this.advice.push({step: ready.ref, workers: named});
-  }
 }
 
 const isSuitable = (
--- a/packages/state/src/workflow/planner/preemption.ts
+++ b/packages/state/src/workflow/planner/preemption.ts
@@ -8,6 +8,7 @@
 import {taskRefOf} from '../refs.js';
 import {NO_ROOM, addRoom, fitsInto, subtractRoom} from '../room.js';
 import type {Room, TaskKey, TaskRef, YieldingRun} from '../types.js';
+import type {Shares} from './shares.js';
 import type {PlanInput, WorkerView} from './types.js';
 
 /** Slack that a workflow keeps when a run of it gives way, in ms. */
@@ -25,6 +26,7 @@
   readonly priority: number;
   /** Whether its workflow is in time after that as well, or late already. */
   readonly isPatient: boolean;
+  readonly queue: Queue | undefined;
 }
 
 /** For whom runs give way. */
@@ -32,6 +34,8 @@
   readonly priority: number;
   /** Whether it would be late anyway; then only patient runs give way. */
   readonly isLate: boolean;
+  /** Whether it is within the share of its queue; else it takes nothing from those of others. */
+  readonly isCounted?: boolean;
 }
 
 /** Room that runs of one priority on a worker would free. */
@@ -70,6 +74,7 @@
       PlanInput,
       'db' | 'pending' | 'stopping' | 'wall' | 'endsSoon'
     >,
+    private readonly shares: Shares,
   ) {}
 
   /**
@@ -80,7 +85,7 @@
   find(
     {worker, free}: WorkerView,
     size: Room,
-    {priority, isLate}: Beneficiary,
+    {priority, isLate, isCounted = false}: Beneficiary,
   ): Victim[] | undefined {
     const known = this.of(worker);
     const {soon} = known;
@@ -89,6 +94,7 @@
     return this.choose(known.victims, size, addRoom(free, soon), {
       priority,
       isLate,
+      isCounted,
     });
   }
 
@@ -114,7 +120,7 @@
     victims: readonly Victim[],
     size: Room,
     free: Room,
-    {priority, isLate}: Beneficiary,
+    {priority, isLate, isCounted}: Beneficiary,
   ): Victim[] | undefined {
     const chosen: Victim[] = [];
     let freed = free;
@@ -123,6 +129,7 @@
       if (victim.priority <= priority) return undefined;
       if (isLate && !victim.isPatient) continue;
       if (this.chosen.has(victim.key)) continue;
+      if (!isCounted && this.isWithinShare(victim)) continue;
       chosen.push(victim);
       freed = addRoom(freed, victim.room);
       if (fitsInto(size, freed)) return chosen;
@@ -130,11 +137,16 @@
     return undefined;
   }
 
+  private isWithinShare({queue}: Victim): boolean {
+    return queue !== undefined && this.shares.spareOf(queue.name) <= 0;
+  }
+
   /** Counts chosen runs of a worker as on their way out. */
   take(worker: WorkerId, victims: readonly Victim[]): void {
     const known = this.of(worker);
-    for (const {key, room} of victims) {
+    for (const {key, room, queue} of victims) {
       this.chosen.add(key);
+      if (queue) this.shares.giveWay(queue, room, true);
       known.soon = addRoom(known.soon, room);
     }
   }
@@ -142,8 +154,9 @@
   /** Leaves chosen runs of a worker alone after all. */
   giveBack(worker: WorkerId, victims: readonly Victim[]): void {
     const known = this.of(worker);
-    for (const {key, room} of victims) {
+    for (const {key, room, queue} of victims) {
       this.chosen.delete(key);
+      if (queue) this.shares.giveWay(queue, room, false);
       known.soon = subtractRoom(known.soon, room);
     }
   }
@@ -216,6 +229,7 @@
       run,
       room,
       priority: queue?.priority ?? 0,
+      queue,
       isPatient: slackMs < 0 || slackMs > PATIENT_SLACK_MS,
     };
   }
--- /dev/null
+++ b/packages/state/src/workflow/planner/shares.ts
@@ -0,0 +1,123 @@
+/**
+ * Shares the turns at the adviser and the room between the queues by the order
+ * of service. Load pattern: gangs of high priority wait for more room than
+ * there is for as long as anyone looks, and all below them would neither be
+ * asked about nor keep what they run on.
+ */
+import type {Queue, QueueName} from '../../bundle/types.js';
+import type {WorkflowDb} from '../db.js';
+import {addRoom, NO_ROOM} from '../room.js';
+import type {Room, StepState} from '../types.js';
+import type {PlanInput, ReadyStep} from './types.js';
+
+/** Part of a pool that its queues can count on, in equal parts; the rest goes by priority. */
+const COUNTED_SHARE = 0.5;
+
+/** What a queue has of its pool, in parts of the pool. */
+interface Holding {
+  readonly share: number;
+  /** Part that its runs hold. */
+  held: number;
+  /** Part that the steps taken into its share wait for. */
+  wanted: number;
+}
+
+/** What each queue holds and can count on in one pass. */
+export class Shares {
+  private readonly holdings = new Map<QueueName, Holding>();
+  private readonly sizes = new Map<string, Room>();
+
+  constructor({db, workers}: Pick<PlanInput, 'db' | 'workers'>) {
+    for (const {pool, room, isUsable} of workers.values())
+      if (isUsable)
+        this.sizes.set(pool, addRoom(this.sizes.get(pool) ?? NO_ROOM, room));
+    this.addQueues(db);
+    this.addHeld(db);
+  }
+
+  /**
+   * Puts the steps first with which their queues do not hold more than they
+   * can count on; the order is otherwise as before.
+   */
+  inOrder(ready: readonly ReadyStep[], db: WorkflowDb): ReadyStep[] {
+    const first: ReadyStep[] = [];
+    const others: ReadyStep[] = [];
+    for (const step of ready) {
+      const isCounted = this.takeIn(step, db);
+      (isCounted ? first : others).push({...step, isCounted});
+    }
+    return [...first, ...others];
+  }
+
+  /** Part of the pool that a queue holds beyond its share. */
+  spareOf(queue: QueueName): number {
+    const holding = this.holdings.get(queue);
+    return holding ? holding.held - holding.share : Number.POSITIVE_INFINITY;
+  }
+
+  /** Notes that a run of a queue gives way, or goes on after all. */
+  giveWay({name, pool}: Queue, room: Room, isGiving: boolean): void {
+    const holding = this.holdings.get(name);
+    if (!holding) return;
+    const part = this.partOf(pool, room);
+    holding.held += isGiving ? -part : part;
+  }
+
+  /** Takes a step into the share of its queue, while that lasts. */
+  private takeIn({ref}: ReadyStep, db: WorkflowDb): boolean {
+    const workflow = db.open.get(ref.workflow);
+    const queue = workflow && db.queues.get(workflow.queue);
+    const holding = queue && this.holdings.get(queue.name);
+    const spec = workflow?.spec.steps[ref.step];
+    if (!holding || !spec) return false;
+    if (holding.held + holding.wanted >= holding.share) return false;
+    const state = db.stepsOf(workflow, ref.occurrence)[ref.step];
+    holding.wanted +=
+      (state?.idleCount ?? 0) * this.partOf(queue.pool, spec.room);
+    return true;
+  }
+
+  /** Queues with work under way or waiting have equal parts of their pool. */
+  private addQueues({open, queues}: WorkflowDb): void {
+    const names = new Set([...open.values()].map(({queue}) => queue));
+    const counts = new Map<string, number>();
+    const poolOf = (name: QueueName) => queues.get(name)?.pool ?? '';
+    for (const name of names)
+      counts.set(poolOf(name), (counts.get(poolOf(name)) ?? 0) + 1);
+    for (const name of names)
+      this.holdings.set(name, {
+        share: COUNTED_SHARE / (counts.get(poolOf(name)) ?? 1),
+        held: 0,
+        wanted: 0,
+      });
+  }
+
+  private addHeld({open, queues}: WorkflowDb): void {
+    for (const {activeRuns, queue: name, spec, occurrences} of open.values()) {
+      const holding = this.holdings.get(name);
+      const queue = queues.get(name);
+      if (activeRuns === 0 || !holding || !queue) continue;
+      for (const steps of occurrences.values())
+        steps.forEach((state, index) => {
+          const step = spec.steps[index];
+          const count = runningCount(state);
+          if (!step || step.usesLeftover || count === 0) return;
+          holding.held += count * this.partOf(queue.pool, step.room);
+        });
+    }
+  }
+
+  /** The largest part of a pool that a room is, of all its kinds. */
+  private partOf(pool: string, room: Room): number {
+    const whole = this.sizes.get(pool);
+    if (!whole) return 0;
+    return Math.max(
+      room.cpuMillis / Math.max(1, whole.cpuMillis),
+      room.memMb / Math.max(1, whole.memMb),
+      room.gpus / Math.max(1, whole.gpus),
+    );
+  }
+}
+
+const runningCount = ({tasks, doneCount, idleCount}: StepState): number =>
+  tasks.length - doneCount - idleCount;
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -137,4 +137,6 @@
   readonly dueAt: number;
   /** Whether the workflow would be late even if the step started now. */
   readonly isLate: boolean;
+  /** Whether its queue can count on the room that it waits for. */
+  readonly isCounted?: boolean;
 }
