Calls for advice that wait tell how long, and for which step

Steps wait for advice or tickets for 10 s and more; the only sign of where is the stage 'asked' of those that start at last. advice_load tells the calls that wait, those under way, the VMs to call from and the oldest call, every 2 s.

--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -26,6 +26,7 @@
   endCall,
   type CallerLoad,
 } from './advice_callers.js';
+import {AdviceLoad} from './advice_load.js';
 
 /** Options of the desk. */
 export interface AdviceDeskOptions {
@@ -51,6 +52,8 @@
 }
 
 interface QueuedCall extends AdviceWish {
+  /** Monotonic time at which it was wanted, in ms. */
+  readonly wantedAt: number;
   readonly costMs: number;
   readonly validMs: number;
 }
@@ -64,10 +67,13 @@
   /** Steps that are asked about, by workflow. */
   private readonly keysOf = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
+  private readonly load: AdviceLoad;
   private waiting: QueuedCall[] = [];
   private isClosed = false;
 
-  constructor(private readonly options: AdviceDeskOptions) {}
+  constructor(private readonly options: AdviceDeskOptions) {
+    this.load = new AdviceLoad(options.logger);
+  }
 
   /** What is known of a step. */
   adviceOf(key: StepKey): StepAdvice | undefined {
@@ -85,7 +91,9 @@
     this.options.onCall?.(step, 'wanted');
     this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
-    this.waiting.push({step, workers, costMs, validMs: terms.validMs});
+    const wantedAt = this.options.clock.now();
+    const {validMs} = terms;
+    this.waiting.push({step, workers, wantedAt, costMs, validMs});
     this.dispatch();
   }
 
@@ -102,6 +110,12 @@
       else left.push(call);
     }
     this.waiting = left;
+    this.load.note({
+      now: clock.now(),
+      waiting: left,
+      underWay: callers.reduce((sum, {callCount}) => sum + callCount, 0),
+      callers: callers.length,
+    });
   }
 
   /**
--- /dev/null
+++ b/packages/coordination/src/workflow/advice_load.spec.ts
@@ -0,0 +1,32 @@
+import type Logger from 'bunyan';
+import {expect} from 'chai';
+import {AdviceLoad} from './advice_load.js';
+
+describe('advice load', () => {
+  it('the call that has waited longest is told by its step, at most every 2 s', () => {
+    const lines: object[] = [];
+    const logger = {info: (line: object) => lines.push(line)};
+    const load = new AdviceLoad(logger as unknown as Logger);
+    const call = (workflow: string, wantedAt: number) => ({
+      step: {workflow, occurrence: 0, step: 0} as never,
+      wantedAt,
+      costMs: 700,
+    });
+    const calls = {underWay: 30, callers: 43};
+    load.note({now: 0, waiting: [], ...calls});
+    const waiting = [call('b', 900), call('a', 100)];
+    for (const now of [1000, 2999]) load.note({now, waiting, ...calls});
+    expect(lines).to.eql([
+      {
+        change: 'advice_load',
+        waiting: 2,
+        ...calls,
+        oldest: 'a.0.0',
+        oldestMs: 900,
+        costMs: 700,
+      },
+    ]);
+    load.note({now: 3000, waiting, ...calls});
+    expect(lines).to.have.length(2);
+  });
+});
