A long call for advice is made however many shorter ones keep coming

At 86.0 s nine steps, 195 tasks, eight of them gangs of the queue with the longest calls, had waited for tickets for 3 to 15 s, and three for their first advice for up to 7.7 s.

Cause: the desk made the shortest waiting call first. With 100 steps waiting, shorter ones keep coming and take each VM that becomes free, so the calls that name most workers are never made. A gang that fits and lacks tickets takes its room in each pass, so that room lies idle until the call is made. Ruled out: no answer at the end (all were answered); a call that never ends (each has a deadline of 4 s); turns, for these steps (they have had one).

Change: a call has a deadline, the time at which it was wanted and its own length, and the earliest goes first. It is passed only by calls wanted within its own length.

The test fails before: the long call is not made in 10 s; now within 1.3 s.

--- a/packages/coordination/src/workflow/advice_desk.spec.ts
+++ b/packages/coordination/src/workflow/advice_desk.spec.ts
@@ -86,6 +86,40 @@
     expect(asked).to.have.length(4);
     expect(new Set(asked).size).to.equal(4);
   });
+  // A gang held room for seconds, as its tickets were never renewed.
+  it('a long call is made however many shorter ones keep coming', async () => {
+    let now = 0;
+    const asked = new Set<string>();
+    let end = (): void => undefined;
+    const desk = new AdviceDesk({
+      db: new WorkflowDb(),
+      clock: {...systemClock, now: () => now},
+      logger,
+      callers: () => ['vm'] as VmId[],
+      ask: (_, about) => {
+        asked.add(about.workflow);
+        return new Promise(resolve => {
+          end = () => resolve({kind: 'allowed', workers: []});
+        });
+      },
+      onChange: () => undefined,
+    });
+    const want = (index: number, baseMs: number): void =>
+      desk.want(
+        {step: step(index), workers: ['w'] as never},
+        {baseMs, perWorkerMs: 0, validMs: 2000},
+      );
+    want(0, 300);
+    want(1, 1000);
+    for (let i = 2; now < 10_000 && !asked.has('w1'); i++) {
+      want(i, 300);
+      now += 300;
+      end();
+      await settle();
+    }
+    expect(asked.has('w1')).to.equal(true);
+    expect(now).to.be.at.most(1000 + 300);
+  });
   it('a VM whose call failed is passed over by the next', async () => {
     const asked: string[] = [];
     const desk = new AdviceDesk({
--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -54,6 +54,8 @@
 interface QueuedCall extends AdviceWish {
   /** Monotonic time at which it was wanted, in ms. */
   readonly wantedAt: number;
+  /** Monotonic time by which it should be made, in ms. */
+  readonly deadline: number;
   readonly costMs: number;
   readonly validMs: number;
 }
@@ -92,8 +94,14 @@
     this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
     const wantedAt = this.options.clock.now();
-    const {validMs} = terms;
-    this.waiting.push({step, workers, wantedAt, costMs, validMs});
+    this.waiting.push({
+      step,
+      workers,
+      wantedAt,
+      deadline: wantedAt + costMs,
+      costMs,
+      validMs: terms.validMs,
+    });
     this.dispatch();
   }
 
@@ -102,8 +110,8 @@
     const {clock} = this.options;
     const left: QueuedCall[] = [];
     const callers = this.options.callers().map(vm => this.loadOf(vm));
-    // Short calls first, so that none waits behind a long one.
-    this.waiting.sort((a, b) => a.costMs - b.costMs);
+    // A short call passes the long ones of its moment, but none that has waited for long.
+    this.waiting.sort((a, b) => a.deadline - b.deadline);
     for (const call of this.waiting) {
       const caller = chooseCaller(callers, call.costMs, clock.now());
       if (caller) void this.send(caller, call);
