--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -31,6 +31,7 @@
   endCall,
   type CallerLoad,
 } from './advice_callers.js';
+import {AdviceQueueLog} from './advice_queue_log.js';
 import type {CallerUse} from './load_report.js';
 
 /** Options of the desk. */
@@ -59,11 +60,13 @@
 }
 
 interface QueuedCall extends AdviceWish {
+  /** Monotonic time at which it was wanted, in ms. */
+  readonly wantedAt: number;
+  /** Monotonic time by which it should be made, in ms. */
+  readonly deadline: number;
   readonly costMs: number;
   readonly validMs: number;
   readonly kind: AdviceCallKind;
-  /** Monotonic time since when it waits for a VM, in ms. */
-  readonly queuedAt: number;
 }
 
 /** Pause before a step is asked about again after a failure, in ms. */
@@ -75,11 +78,14 @@
   /** Steps that are asked about, by workflow. */
   private readonly keysOf = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
+  private readonly queueLog: AdviceQueueLog;
   private waiting: QueuedCall[] = [];
   private callerCount = 0;
   private isClosed = false;
 
-  constructor(private readonly options: AdviceDeskOptions) {}
+  constructor(private readonly options: AdviceDeskOptions) {
+    this.queueLog = new AdviceQueueLog(options.logger);
+  }
 
   /** What is known of a step. */
   adviceOf(key: StepKey): StepAdvice | undefined {
@@ -97,13 +103,15 @@
     this.options.onCall?.(step, 'wanted');
     this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
+    const wantedAt = this.options.clock.now();
     this.waiting.push({
       step,
       workers,
+      wantedAt,
+      deadline: wantedAt + costMs,
       costMs,
       validMs: terms.validMs,
       kind: kindOfCall(record, workers),
-      queuedAt: this.options.clock.now(),
     });
     this.dispatch();
   }
@@ -114,14 +122,20 @@
     const left: QueuedCall[] = [];
     const callers = this.options.callers().map(vm => this.loadOf(vm));
     this.callerCount = callers.length;
-    // Short calls first, so that none waits behind a long one.
-    this.waiting.sort((a, b) => a.costMs - b.costMs);
+    // A short call passes the long ones of its moment, but none that has waited for long.
+    this.waiting.sort((a, b) => a.deadline - b.deadline);
     for (const call of this.waiting) {
       const caller = chooseCaller(callers, call.costMs, clock.now());
       if (caller) void this.send(caller, call);
       else left.push(call);
     }
     this.waiting = left;
+    this.queueLog.note({
+      now: clock.now(),
+      waiting: left,
+      underWay: callers.reduce((sum, {callCount}) => sum + callCount, 0),
+      callers: callers.length,
+    });
   }
 
   /**
@@ -197,7 +211,7 @@
     const sentAt = clock.now();
     const queue = this.options.db.workflows.get(call.step.workflow)?.queue;
     if (queue !== undefined)
-      this.options.load?.begin(queue, call.kind, sentAt - call.queuedAt);
+      this.options.load?.begin(queue, call.kind, sentAt - call.wantedAt);
     const lives = new Map(
       call.workers.map(worker => [worker, this.lifeOf(worker)]),
     );
