No call for advice is made about a workflow that is over

Callers wait longer than they need to: a call that waits for a VM was made though its workflow had been cancelled or had ended, so that those of others waited.

Cause: prune dropped what was known of the steps, not the calls that wait. Change: it drops both. The test fails before: two calls are made, one is wanted.

--- a/packages/coordination/src/workflow/advice_desk.spec.ts
+++ b/packages/coordination/src/workflow/advice_desk.spec.ts
@@ -120,6 +120,16 @@
     expect(asked.has('w1')).to.equal(true);
     expect(now).to.be.at.most(1000 + 300);
   });
+  it('no VM is taken by a call about a workflow that is over', async () => {
+    const {desk, ends, asked} = makeDesk(['vm']);
+    const terms = {baseMs: 300, perWorkerMs: 0, validMs: 2000};
+    for (const index of [0, 1])
+      desk.want({step: step(index), workers: ['w'] as never}, terms);
+    desk.prune(step(1).workflow);
+    ends.shift()!();
+    await settle();
+    expect(asked).to.have.length(1);
+  });
   it('a VM whose call failed is passed over by the next', async () => {
     const asked: string[] = [];
     const desk = new AdviceDesk({
--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -135,11 +135,13 @@
       this.change(key, record, {forgotten: worker});
   }
 
-  /** Drops what is known of the steps of a workflow, if it is over. */
+  /** Drops what is known and wanted of the steps of a workflow, if it is over. */
   prune(workflow: WorkflowId): void {
-    if (this.options.db.open.has(workflow)) return;
-    for (const key of this.keysOf.get(workflow) ?? []) this.steps.delete(key);
+    const keys = this.keysOf.get(workflow);
+    if (!keys || this.options.db.open.has(workflow)) return;
+    for (const key of keys) this.steps.delete(key);
     this.keysOf.delete(workflow);
+    this.waiting = this.waiting.filter(({step}) => step.workflow !== workflow);
   }
 
   /** Ends; answers that still come are dropped. */
