--- a/packages/state/src/workflow/planner/shares.spec.ts
+++ b/packages/state/src/workflow/planner/shares.spec.ts
@@ -5,7 +5,7 @@
 import {stepKey} from '../refs.js';
 import type {StepKey} from '../types.js';
 import {plan} from './core.js';
-import {inputOf} from './fixtures.js';
+import {SOON, inputOf} from './fixtures.js';
 import type {PlanInput, PlannedStart, StepAdvice} from './types.js';
 
 const GANG_TERMS: AdviceTerms = {baseMs: 430, perWorkerMs: 6.2, validMs: 2000};
@@ -159,4 +159,16 @@
     expect(starts.get('wide')).to.be.at.least(share);
     expect(starts.get('small')).to.be.at.least(0.8 * share);
   });
+  it('runs within the part of their queue do not give way to a gang beyond its own', () => {
+    const log = sharedLog();
+    const saving = testStep({taskCount: 8, isCheckpointable: true});
+    log.submit('few', testSpec([saving]), 'small');
+    log.submit('old', testSpec([testStep({taskCount: 32})]), 'wide');
+    for (let i = 0; i < 8; i++)
+      log.start(WORKERS[i % 2]!, testTask('few', 0, i));
+    for (let i = 0; i < 32; i++)
+      log.start(WORKERS[2 + (i % 8)]!, testTask('old', 0, i));
+    submitGangs(log, 1, 8);
+    expect(passOf(log, 9000, SOON).stops).to.have.length(0);
+  });
 });
