One timer looks at all streams of a VM

Each stream to another VM had a timer of its own that looked at it every 300 ms, and each look turned the event loop twice: an entry with streams to six voters was woken 20 times a second for nothing, a leader with 50 streams 165 times.

One timer a VM now looks at all streams, as often as before, and turns the loop only where a stream is to be probed or given up; when that is so hasn't changed. The test failed before: 5 timers for 5 streams in place of 1.

--- a/packages/transport/src/link/client.ts
+++ b/packages/transport/src/link/client.ts
@@ -4,7 +4,8 @@
   type LinkMethods,
 } from '@primrosewick/protocol';
 import type {VmId} from '@primrosewick/state';
-import {LinkConnection} from './connection.js';
+import {actEvery, type Timer} from '../tasks/timers.js';
+import {LinkConnection, PROBE_INTERVAL_MS} from './connection.js';
 
 /** Calls other VMs; the seam at which tests put a fake network. */
 export interface LinkCaller {
@@ -30,6 +31,8 @@
 /** Keeps one stream to each VM that is called. */
 export class LinkClient implements LinkCaller {
   private readonly connections = new Map<VmId, LinkConnection>();
+  /** One for all streams: a timer for each wakes an idle VM all the time. */
+  private looks: Timer | undefined;
 
   constructor(private readonly options: LinkClientOptions) {}
 
@@ -58,12 +61,32 @@
       from: vm,
       to,
       onBytes,
-      onClosed: () => {
-        if (this.connections.get(to) === connection)
-          this.connections.delete(to);
-      },
+      onClosed: () => this.drop(to, connection),
     });
     this.connections.set(to, connection);
+    this.looks ??= actEvery(
+      PROBE_INTERVAL_MS,
+      () => this.look(),
+      () => this.isLookDue(),
+    );
     return connection;
   }
+
+  private drop(to: VmId, connection: LinkConnection): void {
+    if (this.connections.get(to) === connection) this.connections.delete(to);
+    if (this.connections.size > 0) return;
+    this.looks?.cancel();
+    this.looks = undefined;
+  }
+
+  private look(): void {
+    for (const connection of [...this.connections.values()]) connection.look();
+  }
+
+  private isLookDue(): boolean {
+    const now = performance.now();
+    for (const connection of this.connections.values())
+      if (connection.isLookDue(now)) return true;
+    return false;
+  }
 }
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -12,7 +12,7 @@
   type LinkFrame,
 } from '@primrosewick/protocol';
 import {CellError, asId, type VmId} from '@primrosewick/state';
-import {actAfter, actEvery, type Timer} from '../tasks/timers.js';
+import {actAfter, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
 
 /** Options of a connection. */
@@ -37,7 +37,7 @@
 /** Time until the other VM must have answered the first frame, in ms. */
 const OPEN_TIMEOUT_MS = 700;
 /** Interval of the look at a silent stream, in ms. */
-const PROBE_INTERVAL_MS = 300;
+export const PROBE_INTERVAL_MS = 300;
 /** Silence after which a stream without calls under way is probed, in ms. */
 const IDLE_PROBE_MS = 2000;
 /** Silence after a call or probe from which a stream is given up, in ms. */
@@ -57,7 +57,6 @@
   private isOpen = false;
   private isClosed = false;
   private readonly openTimer: Timer;
-  private readonly probe: Timer;
 
   constructor(private readonly options: LinkConnectionOptions) {
     this.client = new Client(options.to, credentials.createInsecure(), {
@@ -84,7 +83,6 @@
     this.openTimer = actAfter(OPEN_TIMEOUT_MS, () =>
       this.close('no answer to the first frame'),
     );
-    this.probe = actEvery(PROBE_INTERVAL_MS, () => this.look());
   }
 
   /**
@@ -130,7 +128,6 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.openTimer.cancel();
-    this.probe.cancel();
     this.onOpened(this.unreachable('open-link', why));
     for (const id of [...this.pending.keys()]) this.giveUp(id, why);
     this.stream.cancel();
@@ -161,18 +158,27 @@
     this.stream.write(frame);
   }
 
+  /** Probes a silent stream, and gives it up when nothing is answered. */
+  look(): void {
+    const now = performance.now();
+    if (!this.isLookDue(now)) return;
+    if (this.isGone(now)) this.close('the stream went silent');
+    else this.ask({kind: 'ping'});
+  }
+
   /**
-   * Probes a silent stream, and gives it up when nothing is answered. Hundreds of
-   * streams to one VM lie idle most of the time, so those are probed seldom.
+   * Whether a look at a monotonic time in ms would do anything. Hundreds of streams
+   * to one VM lie idle most of the time, so those are probed seldom.
    */
-  private look(): void {
-    const now = performance.now();
+  isLookDue(now: number): boolean {
     const silentMs = now - this.heardAt;
+    if (!this.isOpen || silentMs < PROBE_INTERVAL_MS) return false;
     const probeMs = this.pending.size > 0 ? PROBE_INTERVAL_MS : IDLE_PROBE_MS;
-    if (!this.isOpen || silentMs < PROBE_INTERVAL_MS) return;
-    if (this.askedAt !== undefined && now - this.askedAt > SILENCE_LIMIT_MS)
-      this.close('the stream went silent');
-    else if (silentMs >= probeMs) this.ask({kind: 'ping'});
+    return silentMs >= probeMs || this.isGone(now);
+  }
+
+  private isGone(now: number): boolean {
+    return this.askedAt !== undefined && now - this.askedAt > SILENCE_LIMIT_MS;
   }
 
   private encode(frame: LinkFrame): Buffer {
--- /dev/null
+++ b/packages/transport/src/link/link_idle.spec.ts
@@ -0,0 +1,72 @@
+import {createServer, type AddressInfo} from 'node:net';
+import {expect} from 'chai';
+import {asId, type VmId, type ZoneId} from '@primrosewick/state';
+import {LinkClient} from './client.js';
+import {LinkServer, type LinkHandlers} from './server.js';
+
+const HELLO = {
+  vm: asId<VmId>('127.0.0.1:1'),
+  zone: asId<ZoneId>('z'),
+  node: null,
+  hasState: false,
+  mayFound: false,
+};
+const STREAMS = 5;
+/** Periods of the library that carries the streams are this long, or longer. */
+const LIBRARY_PERIOD_MS = 10_000;
+
+const listen = async (): Promise<{address: VmId; server: LinkServer}> => {
+  const probe = createServer();
+  await new Promise<void>(resolve => probe.listen(0, '127.0.0.1', resolve));
+  const {port} = probe.address() as AddressInfo;
+  await new Promise(resolve => probe.close(resolve));
+  const address = asId<VmId>(`127.0.0.1:${port}`);
+  const server = new LinkServer({
+    address,
+    cell: 'cell',
+    handlers: {hello: async () => HELLO} as unknown as LinkHandlers,
+    onRefusal: () => undefined,
+  });
+  await server.listen();
+  return {address, server};
+};
+
+/** Periodic timers that exist, beside those from before. */
+const watchPeriods = (): {count(): number; restore(): void} => {
+  const {setInterval: set, clearInterval: clear} = globalThis;
+  const live = new Set<unknown>();
+  globalThis.setInterval = ((act: () => void, ms: number) => {
+    const timer = set(act, ms);
+    if (ms < LIBRARY_PERIOD_MS) live.add(timer);
+    return timer;
+  }) as typeof setInterval;
+  globalThis.clearInterval = (timer => {
+    live.delete(timer);
+    clear(timer);
+  }) as typeof clearInterval;
+  const restore = (): void => {
+    globalThis.setInterval = set;
+    globalThis.clearInterval = clear;
+  };
+  return {count: () => live.size, restore};
+};
+
+describe('idle link', () => {
+  it('a VM with many streams is woken for them by one timer', async () => {
+    const servers = await Promise.all(Array.from({length: STREAMS}, listen));
+    const periods = watchPeriods();
+    const {vm} = HELLO;
+    const client = new LinkClient({cell: 'cell', vm, onBytes: () => undefined});
+    try {
+      for (const {address} of servers)
+        await client.call(address, 'hello', HELLO);
+      expect(periods.count()).to.equal(1);
+      client.close();
+      expect(periods.count()).to.equal(0);
+    } finally {
+      periods.restore();
+      client.close();
+      for (const {server} of servers) server.close();
+    }
+  });
+});
--- a/packages/transport/src/tasks/timers.ts
+++ b/packages/transport/src/tasks/timers.ts
@@ -24,11 +24,18 @@
   };
 };
 
-/** Acts after each period in ms, when what had arrived by then was read. */
-export const actEvery = (periodMs: number, act: () => void): Timer => {
+/**
+ * Acts after each period in ms, when what had arrived by then was read. Where
+ * `isDue` says that nothing is to be done, the event loop is not turned for it.
+ */
+export const actEvery = (
+  periodMs: number,
+  act: () => void,
+  isDue: () => boolean = () => true,
+): Timer => {
   let turn: NodeJS.Immediate | undefined;
   const timer = setInterval(() => {
-    turn = setImmediate(act);
+    if (isDue()) turn = setImmediate(act);
   }, periodMs);
   return {
     cancel: () => {
