Tasks with the same period are woken together

An idle entry was woken for each task that looks at the clock: the search for the leader and the watch of its lateness both do so every 100 ms, at times of their own, and each time turns the event loop twice.

All who ask a VM's clock for the same period now share one timer. The first tick may come sooner than a period, which nobody relies on; no period has changed. Tests: the shared timer (failed before: 2 timers set in place of 1), the ticks of one task when another ends, and a period taken up again.

--- a/packages/transport/src/tasks/clock.ts
+++ b/packages/transport/src/tasks/clock.ts
@@ -1,4 +1,4 @@
-import {Observable, firstValueFrom} from 'rxjs';
+import {Observable, firstValueFrom, share} from 'rxjs';
 import {actAfter, actEvery} from './timers.js';
 
 /**
@@ -10,21 +10,33 @@
   now(): number;
   /** Wall time, in ms since 1970. */
   wall(): number;
-  /** Emits again and again after each period, in ms. */
+  /**
+   * Emits again and again after each period, in ms. The first time comes within a
+   * period: all who ask for the same one are called together.
+   */
   every(periodMs: number): Observable<void>;
   /** Emits once after a time, in ms. */
   after(delayMs: number): Observable<void>;
 }
 
+const makeTicks = (periodMs: number): Observable<void> =>
+  new Observable<void>(subscriber => {
+    const timer = actEvery(periodMs, () => subscriber.next());
+    return () => timer.cancel();
+  }).pipe(share());
+
+/** Ticks by period, in ms: one timer wakes the VM for all. */
+const ticksOf = new Map<number, Observable<void>>();
+
 /** The clocks of this VM. */
 export const systemClock: Clock = {
   now: () => performance.now(),
   wall: () => Date.now(),
-  every: periodMs =>
-    new Observable(subscriber => {
-      const timer = actEvery(periodMs, () => subscriber.next());
-      return () => timer.cancel();
-    }),
+  every: periodMs => {
+    const ticks = ticksOf.get(periodMs) ?? makeTicks(periodMs);
+    ticksOf.set(periodMs, ticks);
+    return ticks;
+  },
   after: delayMs =>
     new Observable(subscriber => {
       const timer = actAfter(delayMs, () => {
