An answer with a reason that is not known ends its call

Cause: the call was taken off the list and its timer cancelled before the error was restored, which throws for an unknown reason; grpc-js swallows what a listener throws. Ruled out: that such frames end the process; of eight odd frames sent either way, none did.

Change: an unknown reason is told as an outcome that is not known.

--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -11,7 +11,13 @@
   encodeLinkFrame,
   type LinkFrame,
 } from '@primrosewick/protocol';
-import {CellError, asId, type VmId} from '@primrosewick/state';
+import {
+  CellError,
+  asId,
+  isReasonCode,
+  type ErrorBody,
+  type VmId,
+} from '@primrosewick/state';
 import {processWork} from '../lateness/work_meter.js';
 import {actAfter, actEvery, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
@@ -153,8 +159,7 @@
     this.pending.delete(frame.id);
     call.timer.cancel();
     if (frame.kind === 'reply') call.resolve(frame.body);
-    else
-      call.reject(CellError.fromBody({...frame.error, peer: this.options.to}));
+    else call.reject(this.refusal(call.step, frame.error));
   }
 
   private ask(frame: LinkFrame): void {
@@ -187,6 +192,15 @@
     return processWork.measure('frame', () => decodeLinkFrame(bytes));
   }
 
+  /** The peer's reason; a later version may have one that is not known here. */
+  private refusal(step: string, body: ErrorBody | undefined): CellError {
+    const peer = asId<VmId>(this.options.to);
+    if (body && isReasonCode(body.code))
+      return CellError.fromBody({...body, peer});
+    const detail = `an unknown reason: ${String(body?.code)}`;
+    return new CellError({code: 'peer_timeout', step, peer, detail});
+  }
+
   private unreachable(step: string, detail: string): CellError {
     const peer = asId<VmId>(this.options.to);
     return new CellError({code: 'peer_unreachable', step, peer, detail});
--- /dev/null
+++ b/packages/transport/src/link/link_frames.spec.ts
@@ -0,0 +1,126 @@
+import {createServer, type AddressInfo} from 'node:net';
+import {Client, Server, ServerCredentials, credentials} from '@grpc/grpc-js';
+import {encodeLinkFrame} from '@primrosewick/protocol';
+import {asId, type VmId} from '@primrosewick/state';
+import {expect} from 'chai';
+import {LinkClient} from './client.js';
+import {LinkServer, type LinkHandlers} from './server.js';
+import {LINK_PATH} from './service.js';
+
+const CELL = 'cell';
+const bytesOf = (frame: unknown): Buffer => encodeLinkFrame(frame as never);
+const asIs = (bytes: Buffer): Buffer => bytes;
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+/** What is no frame, or one of a later version. */
+const ODD_FRAMES: ReadonlyArray<readonly [string, Buffer]> = [
+  ['no bytes', Buffer.alloc(0)],
+  ['bytes that cannot be read', Buffer.from([0xc1, 0xff])],
+  ['nothing', bytesOf(null)],
+  ['a number', bytesOf(7)],
+  ['an unknown kind', bytesOf({kind: 'of_a_later_version'})],
+  ['a call without a method', bytesOf({kind: 'call', id: 1})],
+  ['an error without a reason', bytesOf({kind: 'error', id: 1})],
+  [
+    'an error of a later version',
+    bytesOf({kind: 'error', id: 1, error: {code: 'of_a_later_version'}}),
+  ],
+];
+
+const freeAddress = (): Promise<VmId> =>
+  new Promise(resolve => {
+    const probe = createServer().listen(0, '127.0.0.1', () => {
+      const {port} = probe.address() as AddressInfo;
+      probe.close(() => resolve(asId<VmId>(`127.0.0.1:${port}`)));
+    });
+  });
+
+const open: Array<() => void> = [];
+const newClient = (): LinkClient => {
+  const client = new LinkClient({
+    cell: CELL,
+    vm: asId<VmId>('a'),
+    onBytes: () => undefined,
+  });
+  open.push(() => client.close());
+  return client;
+};
+
+/** A server of links that answers each greeting. */
+const listen = async (): Promise<VmId> => {
+  const address = await freeAddress();
+  const handlers = {hello: async () => 'welcome'};
+  const server = new LinkServer({
+    address,
+    cell: CELL,
+    handlers: handlers as unknown as LinkHandlers,
+    onRefusal: () => undefined,
+  });
+  open.push(() => server.close());
+  await server.listen();
+  return address;
+};
+
+/** Sends bytes as a frame, after a first one that is in order. */
+const send = (address: VmId, bytes: Buffer): void => {
+  const client = new Client(address, credentials.createInsecure());
+  open.push(() => client.close());
+  const stream = client.makeBidiStreamRequest(LINK_PATH, asIs, asIs);
+  stream.on('error', () => undefined).on('data', () => undefined);
+  stream.write(bytesOf({kind: 'open', cell: CELL, from: 'odd'}));
+  stream.write(bytes);
+};
+
+/** A server that sends bytes as its second frame. */
+const answerWith = async (bytes: Buffer): Promise<VmId> => {
+  const address = await freeAddress();
+  const server = new Server();
+  const method = {
+    path: LINK_PATH,
+    requestStream: true,
+    responseStream: true,
+    requestSerialize: asIs,
+    requestDeserialize: asIs,
+    responseSerialize: asIs,
+    responseDeserialize: asIs,
+  };
+  server.addService({open: method} as never, {
+    open: (stream: NodeJS.ReadWriteStream) => {
+      stream.on('data', () => undefined).on('error', () => undefined);
+      stream.write(bytesOf({kind: 'pong'}) as never);
+      setTimeout(() => stream.write(bytes as never), 50);
+    },
+  });
+  await new Promise<void>((resolve, reject) =>
+    server.bindAsync(address, ServerCredentials.createInsecure(), err =>
+      err ? reject(err) : resolve(),
+    ),
+  );
+  open.push(() => server.forceShutdown());
+  return address;
+};
+
+describe('odd frames of a link', () => {
+  afterEach(() => open.splice(0).forEach(end => end()));
+
+  for (const [name, bytes] of ODD_FRAMES) {
+    it(`${name}: a VM that is sent it goes on`, async () => {
+      const address = await listen();
+      send(address, bytes);
+      await pause(100);
+      const answer = await newClient().call(address, 'hello', {} as never);
+      expect(answer).to.equal('welcome');
+    });
+    it(`${name}: a VM that is answered with it goes on`, async () => {
+      const address = await answerWith(bytes);
+      const outcome = await newClient()
+        .call(address, 'hello', {} as never, {timeoutMs: 300})
+        .then(
+          () => 'answered',
+          () => 'failed',
+        );
+      expect(outcome).to.equal('failed');
+    });
+  }
+});
