A start whose ticket lapsed while it was recorded is not ordered

Cause: the ticket is chosen in a pass; recording the start takes 50 to 600 ms under load, and the permission was not looked at again before it was used, nor was one taken that had come meanwhile. Ruled out for most: a worker's next life, for which the desk drops tickets.

Change: once the start is recorded, the latest ticket for the worker's present life is sent; where there is none that is valid, the run is given up as not started and nothing is sent.

--- a/packages/coordination/src/workflow/advice_desk.ts
+++ b/packages/coordination/src/workflow/advice_desk.ts
@@ -86,6 +86,16 @@
     return this.steps.get(key);
   }
 
+  /** The latest ticket of a step for a worker's present life, unless it has lapsed. */
+  ticketOf(step: StepRef, worker: WorkerId): string | undefined {
+    const ticket = this.steps.get(stepKey(step))?.tickets.get(worker);
+    const isValid =
+      ticket !== undefined &&
+      ticket.bornAt === this.lifeOf(worker) &&
+      this.options.clock.now() < ticket.validUntil;
+    return isValid ? ticket.text : undefined;
+  }
+
   /** Asks about workers, now or once a VM is free for the call. */
   want({step, workers}: AdviceWish, terms: AdviceTerms): void {
     const key = stepKey(step);
--- a/packages/coordination/src/workflow/run_lists.ts
+++ b/packages/coordination/src/workflow/run_lists.ts
@@ -1,5 +1,11 @@
 /** Compares what a worker lists with what is recorded of it. */
-import {taskKey, type TaskRef, type WorkerState} from '@primrosewick/state';
+import {
+  taskKey,
+  type TaskRef,
+  type WorkerLife,
+  type WorkerState,
+  type WorkflowDb,
+} from '@primrosewick/state';
 import type {ListedRun} from './ports.js';
 import type {StartLedger} from './start_ledger.js';
 
@@ -9,6 +15,12 @@
   readonly run: number;
 }
 
+/** Whether a run is recorded on a life of a worker, and has not ended. */
+export const isUnderWay = (
+  db: WorkflowDb,
+  {task, run, ...life}: RunRef & WorkerLife,
+): boolean => db.findLife(life)?.active.get(taskKey(task))?.run === run;
+
 /** What a comparison finds. */
 export interface ListFindings {
   /** Recorded runs that the worker neither runs nor has listed as ended. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -31,6 +31,7 @@
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
 import {RunLog} from './run_log.js';
+import {isUnderWay} from './run_lists.js';
 import {findStalled} from './stalled_runs.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {StrayBoard} from './stray_board.js';
@@ -391,15 +392,16 @@
     const {task, run, worker, checkpoint, ticket} = start;
     const channel = this.channels.get(worker);
     const workflow = this.db.open.get(task.workflow);
-    const isActive =
-      this.db
-        .findTask(task)
-        ?.active.some(
-          active => active.run === run && active.worker === worker,
-        ) === true;
     if (!channel) return;
+    const isActive = isUnderWay(this.db, start);
     if (!isRecorded || !workflow || !isActive || this.isClosed)
       return channel.forget(task);
+    const {payload} = workflow.spec;
+    const order = {task, run, payload, checkpoint};
+    // Recording takes time: the ticket may be renewed or have lapsed since.
+    const latest = ticket && this.desk.ticketOf(task, worker);
+    if (ticket !== undefined && latest === undefined)
+      return void channel.leaveOut(order, 'its ticket has lapsed');
     this.runLog.started({
       task,
       run,
@@ -409,12 +411,6 @@
       free: this.views.freeOf(worker).cpuMillis,
     });
     this.noteMoment(task.workflow, 'recorded');
-    void channel.start({
-      task,
-      run,
-      payload: workflow.spec.payload,
-      checkpoint,
-      ...(ticket === undefined ? {} : {ticket}),
-    });
+    void channel.start({...order, ...(latest && {ticket: latest})});
   }
 }
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -129,7 +129,8 @@
 
   /** Orders a start that is recorded. */
   async start(order: StartWish): Promise<void> {
-    if (!this.options.mayOrder()) return this.leaveOut(order);
+    if (!this.options.mayOrder())
+      return this.leaveOut(order, 'the leadership is not proved');
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
@@ -146,11 +147,8 @@
   }
 
   /** Gives a recorded start up that must not be sent any more. */
-  private async leaveOut({task, run}: StartWish): Promise<void> {
-    const why = {
-      kind: 'not_sent',
-      detail: 'the leadership is not proved',
-    } as const;
+  async leaveOut({task, run}: StartWish, detail: string): Promise<void> {
+    const why = {kind: 'not_sent', detail} as const;
     this.options.onStartFailed(task, why, this.options.life);
     await this.voidRuns([{task, run}], 'not_started');
     this.starts.forget(task);
