Announcements of workers stay with a copy that is late for a moment

Cause: a copy not heard of for 250 ms, which is when the leader is late, took no announcements, so each of hundreds of workers' calls went to the leader; and workers that the leader could not be told of in time were dropped, though three of their announcements missed make a worker unusable.

Change: a copy up to 1 s old tells that an announcement holds nothing new, as what it may lack the next one finds; workers that the leader was not told of are told of again for 1.5 s.

Evidence: "workers that the leader could not be told of are told of again" failed on the old code and passes; "a copy that is late for a moment" is new and cannot run there, as the old bound of 250 ms stood in node.ts. 16 specs of announcements and copies pass.

--- a/packages/coordination/src/workflow/announcements.ts
+++ b/packages/coordination/src/workflow/announcements.ts
@@ -17,14 +17,24 @@
   readonly db: WorkflowDb;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Whether the copy is fresh and a leader can be told. */
+  /** Whether the copy may be shown and a leader can be told. */
   readonly canAnswer: () => boolean;
+  /** Age of the copy: time since the leader last told of its commits, in ms. */
+  readonly ageMs: () => number;
   /** Tells the leader which workers have announced themselves. */
   readonly tell: (workers: readonly WorkerId[]) => Promise<void>;
 }
 
 /** Interval at which the leader is told, in ms. */
 const TELL_INTERVAL_MS = 250;
+/**
+ * Age up to which a copy may tell that an announcement holds nothing new, in ms:
+ * what it may lack, the next announcement finds. All calls would go to the
+ * leader otherwise just when the leader is late.
+ */
+const MAX_AGE_MS = 1000;
+/** Time for which the leader may still be told of an announcement, in ms. */
+const TELL_WITHIN_MS = 1500;
 /** Workers whose last announcement is remembered. */
 const LATEST_KEPT = 4096;
 
@@ -73,7 +83,8 @@
 /** Answers announcements without news, and tells the leader of them together. */
 export class AnnouncementDesk {
   private readonly sequences = new AnnouncementSequences();
-  private heard = new Set<WorkerId>();
+  /** Monotonic time of announcements that the leader is to be told of, in ms. */
+  private heardAt = new Map<WorkerId, number>();
   private timer: Subscription | undefined;
 
   constructor(private readonly options: AnnouncementDeskOptions) {}
@@ -92,26 +103,32 @@
 
   /** @returns whether nothing is left to be done for an announcement. */
   take(report: WorkerRegistration): boolean {
-    const {db, canAnswer} = this.options;
-    if (!canAnswer() || !db.findLife(report) || isNews(db, report))
-      return false;
-    if (!this.sequences.note(report)) this.heard.add(report.worker);
+    const {db, canAnswer, ageMs, clock} = this.options;
+    if (!canAnswer() || ageMs() > MAX_AGE_MS) return false;
+    if (!db.findLife(report) || isNews(db, report)) return false;
+    if (!this.sequences.note(report))
+      this.heardAt.set(report.worker, clock.now());
     return true;
   }
 
   private tell(): void {
-    if (this.heard.size === 0) return;
-    const workers = [...this.heard];
-    this.heard = new Set();
-    this.options.tell(workers).catch((err: unknown) =>
+    if (this.heardAt.size === 0) return;
+    const told = this.heardAt;
+    this.heardAt = new Map();
+    this.options.tell([...told.keys()]).catch((err: unknown) => {
+      this.keep(told);
       this.options.logger.info(
-        {
-          change: 'announcements_lost',
-          count: workers.length,
-          err: String(err),
-        },
-        'the leader was not told of announcements; the workers repeat them',
-      ),
-    );
+        {change: 'announcements_lost', count: told.size, err: String(err)},
+        'the leader was not told of announcements; it is told of recent ones again',
+      );
+    });
+  }
+
+  /** Keeps what the leader was not told of, unless it is old or was heard again. */
+  private keep(untold: ReadonlyMap<WorkerId, number>): void {
+    const now = this.options.clock.now();
+    for (const [worker, at] of untold)
+      if (now < at + TELL_WITHIN_MS && !this.heardAt.has(worker))
+        this.heardAt.set(worker, at);
   }
 }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -107,7 +107,7 @@
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
     if (this.log) watchEndAges(this.replica, systemClock, options.registry);
-    this.announcements = this.reader && this.makeAnnouncements(this.reader);
+    this.announcements = this.log && this.makeAnnouncements(this.log);
     this.gateway = new GatewayTask({
       peers: this.peers,
       clock: systemClock,
@@ -243,12 +243,13 @@
     });
   }
 
-  private makeAnnouncements(reader: ReplicaReader): AnnouncementDesk {
+  private makeAnnouncements(log: VoterLog): AnnouncementDesk {
     return new AnnouncementDesk({
       db: this.replica.db,
       clock: systemClock,
       logger: this.options.logger,
-      canAnswer: () => reader.isFresh && this.gateway.hasContact,
+      canAnswer: () => this.replica.isReady && this.gateway.hasContact,
+      ageMs: () => log.contactAgeMs,
       tell: async workers => {
         const deadline = systemClock.now() + TELL_WITHIN_MS;
         await this.gateway.callLeader('heardWorkers', {workers}, deadline);
