A suspended leader's proof ages by the time that it was away

Cause: the age of the proof of a leadership, and of a copy of the log, was measured on the monotonic clock alone, which stands still while a VM is suspended: it went on to order and to answer from its copy as if no time had passed, until a message told it otherwise. Fences hold at workers that the next leader has spoken to. Ruled out: a process that is stopped or late on a running machine, whose monotonic clock goes on.

Change: SuspensionWatch notices an advance of the wall clock over the monotonic one by 50 ms or more between two looks and adds it to the age of all moments before. A wall clock set forward is taken for a suspension until the next proof, a heartbeat later; one set back is nothing. voter_log.ts has shrunk: heard_voters.ts keeps who announced itself.

No suspended VM was tried.

--- /dev/null
+++ b/packages/daemon/src/cluster/heard_voters.ts
@@ -0,0 +1,31 @@
+/** The VMs with a disk that have announced themselves. */
+import type {Announced} from '@primrosewick/coordination';
+import type {LinkHello} from '@primrosewick/protocol';
+import type {NodeId, VmId, ZoneId} from '@primrosewick/state';
+
+interface HeardVoter {
+  readonly node: NodeId;
+  readonly zone: ZoneId;
+  /** Monotonic time of its last announcement, in ms. */
+  readonly at: number;
+}
+
+/** Remembers the last announcement of each. */
+export class HeardVoters {
+  private readonly heard = new Map<VmId, HeardVoter>();
+
+  /** Notes an announcement at a monotonic time in ms. */
+  note({vm, node, zone}: LinkHello, at: number): void {
+    if (node) this.heard.set(vm, {node, zone, at});
+  }
+
+  /** All of them, as of a monotonic time in ms. */
+  announced(now: number): Announced[] {
+    return [...this.heard].map(([vm, {node, zone, at}]) => ({
+      vm,
+      node,
+      zone,
+      silentMs: now - at,
+    }));
+  }
+}
--- a/packages/daemon/src/cluster/voter_log.ts
+++ b/packages/daemon/src/cluster/voter_log.ts
@@ -8,7 +8,6 @@
   openIdentity,
   replaceState,
   restoreState,
-  type Announced,
   type Compaction,
   type ConsensusStatus,
   type PackedEnvelope,
@@ -30,7 +29,13 @@
   type WorkflowResult,
   type ZoneId,
 } from '@primrosewick/state';
-import {pause, type Clock, type LinkCaller} from '@primrosewick/transport';
+import {
+  SuspensionWatch,
+  pause,
+  type Clock,
+  type LinkCaller,
+} from '@primrosewick/transport';
+import {HeardVoters} from './heard_voters.js';
 
 /** Name that the VMs of one cell give each other. */
 export const CLUSTER_NAME = 'primrosewick';
@@ -79,12 +84,12 @@
   private leadingTerm: number | null = null;
   private confirmingTerm: number | null = null;
   private isClosed = false;
-  private readonly heard = new Map<
-    VmId,
-    {readonly node: NodeId; readonly zone: ZoneId; readonly at: number}
-  >();
+  private readonly heard = new HeardVoters();
+  private readonly suspensions: SuspensionWatch;
 
-  constructor(private readonly options: VoterLogOptions) {}
+  constructor(private readonly options: VoterLogOptions) {
+    this.suspensions = new SuspensionWatch(options.clock);
+  }
 
   /** Opens the data folder. */
   async open(): Promise<void> {
@@ -116,6 +121,7 @@
     this.startTask();
     if (this.task?.status.needsIndex) void this.requireCurrent(askOthers);
     while (!this.isClosed) {
+      this.suspensions.look();
       await this.repair();
       await pause(this.options.clock, REPAIR_INTERVAL_MS);
     }
@@ -163,14 +169,14 @@
 
   /** Time since the leader, or a majority where this VM leads, was heard of, in ms. */
   get contactAgeMs(): number {
-    const {task, options} = this;
+    const {task} = this;
     if (!task?.status.isCurrent) return Number.POSITIVE_INFINITY;
-    return options.clock.now() - task.status.lastContactAt;
+    return this.suspensions.ageOf(task.status.lastContactAt);
   }
 
   /** Time since a majority last proved that this VM leads, in ms. */
   get provedAgeMs(): number {
-    return this.options.clock.now() - (this.task?.provedAt ?? -Infinity);
+    return this.suspensions.ageOf(this.task?.provedAt ?? -Infinity);
   }
 
   propose(command: WorkflowCommand): Promise<WorkflowResult> {
@@ -197,8 +203,8 @@
   }
 
   /** Notes that a VM with a disk has announced itself. */
-  noteHello({vm, node, zone}: LinkHello): void {
-    if (node) this.heard.set(vm, {node, zone, at: this.options.clock.now()});
+  noteHello(hello: LinkHello): void {
+    this.heard.note(hello, this.options.clock.now());
   }
 
   /** Notes that the stream from another VM broke. */
@@ -332,7 +338,7 @@
     const change = nextMembershipChange({
       members,
       own: identity,
-      announced: this.announced(),
+      announced: this.heard.announced(this.options.clock.now()),
       caughtUp: new Set(
         matches
           .filter(({index}) => index >= commitIndex - CAUGHT_UP_ENTRIES)
@@ -352,14 +358,4 @@
       this.options.logger.info({change: 'repair_failed', code});
     }
   }
-
-  private announced(): Announced[] {
-    const now = this.options.clock.now();
-    return [...this.heard].map(([vm, {node, zone, at}]) => ({
-      vm,
-      node,
-      zone,
-      silentMs: now - at,
-    }));
-  }
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,6 +6,7 @@
 export * from './http/server.js';
 export * from './metrics/registry.js';
 export * from './tasks/clock.js';
+export * from './tasks/suspension.js';
 export * from './link/client.js';
 export * from './link/server.js';
 export * from './logs/sink.js';
