A worker that has left comes back by a late announcement: test, known red

Cause, shown by the test: the number of a worker's last announcement is kept in the memory of one leadership. An announcement that was delayed and reaches the next leader after the worker's farewell counts as news, and its life, which is over, is registered again; it gets starts until three announcements are missed.

--- /dev/null
+++ b/packages/coordination/src/workflow/departed_workers.spec.ts
@@ -0,0 +1,40 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import type {VmId, WorkerId} from '@primrosewick/state';
+import {TestLog, testWorker} from '@primrosewick/state/fixtures';
+import {systemClock} from '@primrosewick/transport';
+import {WorkflowReplica} from './replica.js';
+import {WorkflowService} from './service.js';
+
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+const WORKER = 'w1' as WorkerId;
+
+/** One leadership over a copy of the log. */
+const leaderOf = (replica: WorkflowReplica): WorkflowService =>
+  new WorkflowService({
+    replica,
+    log: {
+      isLeading: true,
+      leaderVm: 'own' as VmId,
+      propose: async command =>
+        replica.apply({index: replica.index + 1, command})!,
+      readIndex: async () => replica.index,
+    },
+    clock: systemClock,
+    logger,
+    onHeard: () => undefined,
+    runsOf: () => [],
+  });
+
+describe('workers that have left', () => {
+  it('a late announcement to the next leader brings no worker back that has left', async () => {
+    const replica = new WorkflowReplica();
+    replica.restore(new TestLog().db.toImage());
+    const first = leaderOf(replica);
+    await first.announceWorker(testWorker('w1', {sequence: 8}));
+    await first.removeWorker({worker: WORKER, bornAt: 1});
+    const next = leaderOf(replica);
+    await next.announceWorker(testWorker('w1', {sequence: 7}));
+    expect(replica.db.workers.has(WORKER)).to.equal(false);
+  });
+});
