A leader's answers and questions don't wait for its next write

Cause: writes of a leader begin 9 ms apart so that proposals gather (ADR 16); the wait held back all inputs, also the answers of followers that make a commit, and the rounds that a question needs. It costs a timer and a turn or more of the loop each time, and a late leader's turns are long. ADR 16 named it as next. Ruled out as the whole cause: the planner's passes, since 'recorded' begins after them.

Proposals gather as before. The core sees the same inputs, proposals later; an answer that comes during a write still waits for its sync.

--- a/packages/coordination/src/consensus/pump.ts
+++ b/packages/coordination/src/consensus/pump.ts
@@ -20,10 +20,26 @@
     return this.queue.length > 0;
   }
 
+  /** Whether inputs wait that are no proposals. */
+  get hasOther(): boolean {
+    return this.queue.some(({kind}) => kind !== 'propose');
+  }
+
   /** Steps all waiting inputs. */
   run(): ConsensusEffects<C> {
     const inputs = this.queue;
     this.queue = [];
+    return this.step(inputs);
+  }
+
+  /** Steps what waits but for proposals: answers, questions and time. */
+  runOther(): ConsensusEffects<C> {
+    const inputs = this.queue.filter(({kind}) => kind !== 'propose');
+    this.queue = this.queue.filter(({kind}) => kind === 'propose');
+    return this.step(inputs);
+  }
+
+  private step(inputs: ReadonlyArray<ConsensusInput<C>>): ConsensusEffects<C> {
     const merged: ConsensusEffects<C> = {
       writes: [],
       messages: [],
