Join the parts: one step of the pump is measured, whatever it steps

The two changes to the pump of the log (work by kind; answers that do not wait for a write) each had a step of its own; the spec of workers that have left gets the option that submissions are admitted by. No change of behaviour.

--- a/packages/coordination/src/consensus/pump.ts
+++ b/packages/coordination/src/consensus/pump.ts
@@ -28,10 +28,6 @@
 
   /** Steps all waiting inputs. */
   run(): ConsensusEffects<C> {
-    return processWork.measure('consensus', () => this.step());
-  }
-
-  private step(): ConsensusEffects<C> {
     const inputs = this.queue;
     this.queue = [];
     return this.step(inputs);
@@ -45,6 +41,12 @@
   }
 
   private step(inputs: ReadonlyArray<ConsensusInput<C>>): ConsensusEffects<C> {
+    return processWork.measure('consensus', () => this.stepAll(inputs));
+  }
+
+  private stepAll(
+    inputs: ReadonlyArray<ConsensusInput<C>>,
+  ): ConsensusEffects<C> {
     const merged: ConsensusEffects<C> = {
       writes: [],
       messages: [],
--- a/packages/coordination/src/workflow/departed_workers.spec.ts
+++ b/packages/coordination/src/workflow/departed_workers.spec.ts
@@ -22,6 +22,7 @@
     },
     clock: systemClock,
     logger,
+    load: {decide: () => ({kind: 'take'})},
     onHeard: () => undefined,
     runsOf: () => [],
   });
