Revert: a leader's answers and questions don't wait for its next write

The fuzzing of the log has its own driver and does not reach the change. Conclusion: taken back; this reverts.

--- a/packages/coordination/src/consensus/pump.ts
+++ b/packages/coordination/src/consensus/pump.ts
@@ -21,32 +21,14 @@
     return this.queue.length > 0;
   }
 
-  /** Whether inputs wait that are no proposals. */
-  get hasOther(): boolean {
-    return this.queue.some(({kind}) => kind !== 'propose');
-  }
-
   /** Steps all waiting inputs. */
   run(): ConsensusEffects<C> {
-    const inputs = this.queue;
-    this.queue = [];
-    return this.step(inputs);
-  }
-
-  /** Steps what waits but for proposals: answers, questions and time. */
-  runOther(): ConsensusEffects<C> {
-    const inputs = this.queue.filter(({kind}) => kind !== 'propose');
-    this.queue = this.queue.filter(({kind}) => kind === 'propose');
-    return this.step(inputs);
-  }
-
-  private step(inputs: ReadonlyArray<ConsensusInput<C>>): ConsensusEffects<C> {
-    return processWork.measure('consensus', () => this.stepAll(inputs));
+    return processWork.measure('consensus', () => this.step());
   }
 
-  private stepAll(
-    inputs: ReadonlyArray<ConsensusInput<C>>,
-  ): ConsensusEffects<C> {
+  private step(): ConsensusEffects<C> {
+    const inputs = this.queue;
+    this.queue = [];
     const merged: ConsensusEffects<C> = {
       writes: [],
       messages: [],
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -11,8 +11,7 @@
   type VmId,
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
-import type {Clock} from '@primrosewick/transport';
-import {Alarm} from './alarm.js';
+import {pause, type Clock} from '@primrosewick/transport';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
 import {isAppend, isAppendOnly} from './early_send.js';
@@ -22,7 +21,6 @@
 import {unpackEnvelope, type PackedEnvelope} from './packing.js';
 import {Waiters} from './waiters.js';
 import type {
-  ConsensusEffects,
   ConsensusStatus,
   ConsensusTiming,
   Delivery,
@@ -99,8 +97,7 @@
   private nextWriteAt = Number.NEGATIVE_INFINITY;
   private isRunning = false;
   private failure: CellError | null = null;
-  private readonly nextWrite: Alarm;
-  private readonly commitNotice: Alarm;
+  private isNoticeDue = false;
   /** Snapshot that is made, and not written yet. */
   private compaction: Omit<Compaction, 'writeMs'> | undefined;
   private timer: Subscription | undefined;
@@ -121,19 +118,15 @@
       onReply: envelopes => this.offerMessages(envelopes),
     });
     this.lastStatus = this.core.status;
-    this.nextWrite = new Alarm(clock, () => void this.run());
-    this.commitNotice = new Alarm(clock, () => this.tick());
     if (restored.snapshot) replica.restore(decode(restored.snapshot.data));
   }
 
   /** Starts the clock of the core. */
   start(): void {
     const {clock} = this.options;
-    this.timer = clock.every(this.tickMs).subscribe(() => this.tick());
-  }
-
-  private tick(): void {
-    this.offer({kind: 'tick', now: this.options.clock.now()});
+    this.timer = clock
+      .every(this.tickMs)
+      .subscribe(() => this.offer({kind: 'tick', now: clock.now()}));
   }
 
   /** Half a heartbeat, so that none is late by more than that. */
@@ -270,21 +263,13 @@
     void this.run();
   }
 
-  /**
-   * Lets proposals gather while a leader writes often, as each write is a message
-   * to every follower. A first proposal, and all else, is not kept waiting.
-   */
   private async run(): Promise<void> {
     if (this.isRunning || this.failure) return;
     this.isRunning = true;
     try {
       while (this.pump.hasInput) {
-        const waitMs = this.core.isLeader
-          ? this.nextWriteAt - this.options.clock.now()
-          : 0;
-        if (waitMs <= 0) await this.carryOut(this.pump.run());
-        else if (this.pump.hasOther) await this.carryOut(this.pump.runOther());
-        else return this.nextWrite.setIn(waitMs);
+        await this.gatherProposals();
+        await this.runOnce();
       }
     } catch (err) {
       this.fail(toCellError(err, 'persist'));
@@ -293,9 +278,19 @@
     }
   }
 
-  private async carryOut(effects: ConsensusEffects<C>): Promise<void> {
-    const {writes, messages, deliveries, answers} = effects;
+  /**
+   * Lets proposals gather while a leader writes often: each write is a message
+   * to every follower, whatever it holds. A first proposal is not kept waiting.
+   */
+  private async gatherProposals(): Promise<void> {
+    const waitMs = this.nextWriteAt - this.options.clock.now();
+    if (waitMs > 0 && this.core.isLeader)
+      await pause(this.options.clock, waitMs);
+  }
+
+  private async runOnce(): Promise<void> {
     const collectors = this.mailbox.takeCollectors();
+    const {writes, messages, deliveries, answers} = this.pump.run();
     const isEarly = isAppendOnly(writes);
     this.mailbox.send(
       messages.filter(sent => isEarly && isAppend(sent)),
@@ -316,8 +311,13 @@
   /** Ticks when followers must learn of a commit, however long the tick is. */
   private scheduleCommitNotice(): void {
     const {commitNoticeAt} = this.lastStatus;
-    if (Number.isFinite(commitNoticeAt))
-      this.commitNotice.setIn(commitNoticeAt - this.options.clock.now());
+    if (!Number.isFinite(commitNoticeAt) || this.isNoticeDue) return;
+    const {clock} = this.options;
+    this.isNoticeDue = true;
+    clock.after(Math.max(0, commitNoticeAt - clock.now())).subscribe(() => {
+      this.isNoticeDue = false;
+      this.offer({kind: 'tick', now: clock.now()});
+    });
   }
 
   /**
