Write log lines in chunks that a pipe takes at once

Cause: each flush joined all buffered lines into one write; a pipe takes only PIPE_BUF bytes as a whole. Lines are now packed into writes of at most 4,096 bytes that end with a line.

--- a/packages/transport/src/logs/sink.spec.ts
+++ b/packages/transport/src/logs/sink.spec.ts
@@ -35,6 +35,25 @@
     for (let i = 0; i < 4; i++) await nextTick();
     expect(written).to.eql(['one\n', 'two\n']);
   });
+  it('writes a burst in whole lines that a pipe takes at once', async () => {
+    const written: string[] = [];
+    const write: WriteBytes = (bytes, done) => {
+      written.push(bytes.toString());
+      setImmediate(() => done(null, bytes.length));
+    };
+    const sink = new LogSink({write, flushDelayMs: 0});
+    const lines = Array.from(
+      {length: 100},
+      (_, i) => `${i} ${'x'.repeat(250)}\n`,
+    );
+    for (const line of lines) sink.write(line);
+    for (let i = 0; i < 20; i++) await nextTick();
+    expect(written.join('')).to.equal(lines.join(''));
+    for (const part of written) {
+      expect(Buffer.byteLength(part)).to.be.at.most(4096);
+      expect(part.endsWith('\n')).to.equal(true);
+    }
+  });
   it('writes buffered lines when the process exits', () => {
     const last: string[] = [];
     const sink = new LogSink({
--- a/packages/transport/src/logs/sink.ts
+++ b/packages/transport/src/logs/sink.ts
@@ -27,6 +27,8 @@
 }
 
 const DEFAULT_MAX_BUFFERED_BYTES = 512 * 1024;
+/** Maximum size of one write, in bytes: a pipe takes no more as a whole (`PIPE_BUF`). */
+const MAX_WRITE_BYTES = 4096;
 const DEFAULT_FLUSH_DELAY_MS = 20;
 /** Delay before a failed write is retried, in ms. */
 const RETRY_DELAY_MS = 50;
@@ -91,7 +93,7 @@
       this.isWriting = false;
       return;
     }
-    this.send(Buffer.from(lines.join('')));
+    this.sendAll(packLines(lines));
   }
 
   private formatDropped(count: number): string {
@@ -101,16 +103,41 @@
     return format(count);
   }
 
-  private send(bytes: Buffer): void {
+  /** Sends the chunks one after the other, then the lines that arrived meanwhile. */
+  private sendAll([first, ...others]: readonly Buffer[]): void {
+    if (first) this.send(first, () => this.sendAll(others));
+    else this.flush();
+  }
+
+  private send(bytes: Buffer, then: () => void): void {
     this.options.write(bytes, (err, written) => {
       const rest = err ? bytes : bytes.subarray(written);
-      if (rest.length === 0) return this.flush();
-      if (!err) return this.send(rest);
-      setTimeout(() => this.send(rest), RETRY_DELAY_MS).unref();
+      if (rest.length === 0) return then();
+      if (!err) return this.send(rest, then);
+      setTimeout(() => this.send(rest, then), RETRY_DELAY_MS).unref();
     });
   }
 }
 
+/** Joins lines to chunks of at most `MAX_WRITE_BYTES`; a longer line is a chunk of its own. */
+const packLines = (lines: readonly string[]): Buffer[] => {
+  const chunks: Buffer[] = [];
+  let text = '';
+  let size = 0;
+  for (const line of lines) {
+    const lineSize = Buffer.byteLength(line);
+    if (size > 0 && size + lineSize > MAX_WRITE_BYTES) {
+      chunks.push(Buffer.from(text));
+      text = '';
+      size = 0;
+    }
+    text += line;
+    size += lineSize;
+  }
+  if (size > 0) chunks.push(Buffer.from(text));
+  return chunks;
+};
+
 const STDOUT_FD = 1;
 
 /** Creates a sink on standard output; a stalled reader does not block the event loop. */
