--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -15,6 +15,7 @@
 import {benchPlannerPasses} from './passes.js';
 import {benchCancel, benchDecisions, benchPacking} from './placing.js';
 import {formatTable, type Table} from './report.js';
+import {benchSchedulingDays} from './scheduling/day_table.js';
 import {benchScheduling} from './scheduling/table.js';
 import {benchUrgent} from './urgent.js';
 import {benchWaiting} from './waiting.js';
@@ -28,6 +29,9 @@
   function benchWorkflows() {
     return benchScheduling(SEED);
   },
+  function benchDays() {
+    return benchSchedulingDays(SEED);
+  },
   function benchPasses() {
     return benchPlannerPasses(SEED);
   },
--- a/packages/proofs/src/bench/scheduling/adviser.ts
+++ b/packages/proofs/src/bench/scheduling/adviser.ts
@@ -22,14 +22,23 @@
 
 interface Call {
   readonly tookMs: number;
+  /** Time at which it would end with a free caller, in ms. */
+  readonly deadline: number;
   readonly answer: () => void;
 }
 
+/** Longest duration of a short call, in ms, and the callers that are left to these. */
+const SHORT_CALL_MS = 50;
+const SHORT_SHARE = 0.3;
+
 /** Answers advice calls on virtual time, at most `callerCount` at once. */
 export class BenchAdviser {
   private readonly records = new Map<StepKey, AdviceRecord>();
   private waiting: Call[] = [];
   private underWay = 0;
+  private longUnderWay = 0;
+  /** Counts the losses of all advice; answers of calls before one are ignored. */
+  private generation = 0;
 
   constructor(
     private readonly queue: EventQueue,
@@ -53,27 +62,57 @@
     this.records.set(key, record);
     if (record.isAsking) return;
     record.isAsking = true;
+    const tookMs = advice.baseMs + advice.perWorkerMs * workers.length;
     this.waiting.push({
-      tookMs: advice.baseMs + advice.perWorkerMs * workers.length,
+      tookMs,
+      deadline: this.queue.now + tookMs,
       answer: () => this.take(key, record, workers, advice),
     });
     this.serve();
   }
 
-  /** Starts calls that wait for a free caller, shortest first. */
+  /** Loses all advice and all calls, as a new leader knows none. */
+  forgetAll(): void {
+    this.records.clear();
+    this.waiting = [];
+    this.underWay = 0;
+    this.longUnderWay = 0;
+    this.generation++;
+  }
+
+  /**
+   * Starts calls that wait for a free caller, by the time at which they could
+   * have ended; some callers are left to short calls.
+   */
   private serve(): void {
-    this.waiting.sort((a, b) => a.tookMs - b.tookMs);
-    while (this.underWay < this.callerCount) {
-      const call = this.waiting.shift();
-      if (!call) return;
-      this.underWay++;
-      this.queue.after(call.tookMs, () => {
-        this.underWay--;
-        call.answer();
-        this.serve();
-        this.onAnswer();
-      });
-    }
+    this.waiting.sort((a, b) => a.deadline - b.deadline);
+    const unsent: Call[] = [];
+    for (const call of this.waiting)
+      if (this.mayStart(call)) this.start(call);
+      else unsent.push(call);
+    this.waiting = unsent;
+  }
+
+  private mayStart({tookMs}: Call): boolean {
+    if (this.underWay >= this.callerCount) return false;
+    const maxLong =
+      this.callerCount - Math.floor(this.callerCount * SHORT_SHARE);
+    return tookMs <= SHORT_CALL_MS || this.longUnderWay < maxLong;
+  }
+
+  private start(call: Call): void {
+    const {generation} = this;
+    const long = call.tookMs > SHORT_CALL_MS ? 1 : 0;
+    this.underWay++;
+    this.longUnderWay += long;
+    this.queue.after(call.tookMs, () => {
+      if (generation !== this.generation) return;
+      this.underWay--;
+      this.longUnderWay -= long;
+      call.answer();
+      this.serve();
+      this.onAnswer();
+    });
   }
 
   private take(
--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -4,15 +4,14 @@
  */
 import {
   ENDING_SOON_MS,
-  NO_RESOURCES,
   WorkflowDb,
+  decideAdmission,
   seededRandom,
-  subtractResources,
   taskKey,
-  type Bundle,
+  viewWorkers,
   type Plan,
-  type PlanInput,
   type PlannedStart,
+  type PlannedStop,
   type Random,
   type Resources,
   type RunOutcome,
@@ -24,37 +23,12 @@
 } from '@primrosewick/state';
 import {EventQueue} from '../../world/event_queue.js';
 import {BenchAdviser} from './adviser.js';
+import {IDLE_LEADER, paceOf, type LeaderPace} from './leader_pace.js';
 import {generateArrivals, type Arrival, type LoadPattern} from './load.js';
-
-/** Computes the plan of one scheduling pass. */
-export type Policy = (input: PlanInput) => Plan;
-
-/** Result of one workflow. */
-export interface WorkflowOutcome {
-  readonly arrival: Arrival;
-  /**
-   * Time from arrival to the start of its first task, in ms; undefined if none
-   * started.
-   */
-  readonly waitMs: number | undefined;
-  /**
-   * Time from arrival to completion, in ms; undefined if it did not complete.
-   */
-  readonly doneMs: number | undefined;
-}
-
-/** Result of one simulation. */
-export interface ClusterResult {
-  readonly outcomes: readonly WorkflowOutcome[];
-  /**
-   * Fraction of the workers' CPU time during the load that went into completed
-   * work.
-   */
-  readonly usedShare: number;
-  /** Fraction of the work that was discarded or spent on restarts. */
-  readonly lostShare: number;
-  readonly stops: number;
-}
+import {WORKER_CPU_MILLIS, makeBundle, makeReport} from './setup.js';
+import {StopCounter} from './stop_counter.js';
+import type {ClusterResult, Policy} from './types.js';
+import {uselessAfterMs} from './worth.js';
 
 interface Run {
   readonly task: TaskRef;
@@ -70,19 +44,10 @@
   isOver: boolean;
 }
 
-const WORKER_RESOURCES: Resources = {
-  cpuMillis: 32_000,
-  memMb: 131_072,
-  gpus: 0,
-};
-/** Delay between a change and the next pass, as in the scheduler, in ms. */
-const PASS_DELAY_MS = 8;
-/**
- * Time to commit a command to the log, and to deliver an order to a worker, in
- * ms.
- */
-const COMMIT_MS = 14;
+/** Time to deliver an order to a worker, in ms. */
 const ORDER_MS = 5;
+/** Shortest time after which a refused client comes back, in ms. */
+const MIN_RETRY_MS = 500;
 /**
  * Longest time that a stop takes, and time of a restore from a checkpoint, in
  * ms.
@@ -93,7 +58,7 @@
  * Time after the end of the arrivals in which work may still complete, in ms.
  */
 const DRAIN_MS = 30_000;
-const POOL = 'pool';
+const NO_KEYS: ReadonlySet<TaskKey> = new Set();
 
 /** Simulates a load pattern under a policy. */
 export class BenchCluster {
@@ -105,7 +70,7 @@
   private readonly doneAt = new Map<string, number>();
   private readonly runs = new Map<TaskKey, Run>();
   private readonly progress = new Map<TaskKey, number>();
-  private readonly pending = new Map<TaskKey, WorkerId>();
+  private readonly pending = new Map<TaskKey, PlannedStart>();
   private readonly stopping = new Set<TaskKey>();
   private readonly adviser: BenchAdviser;
   private readonly liveWorkers = new Set<WorkerId>();
@@ -114,7 +79,10 @@
   private isPassScheduled = false;
   private usefulCoreMs = 0;
   private lostCoreMs = 0;
-  private stops = 0;
+  private runCount = 0;
+  private readonly stopCounter = new StopCounter();
+  private readonly pace: LeaderPace;
+  private readonly refused = new Set<string>();
 
   constructor(
     private readonly pattern: LoadPattern,
@@ -122,6 +90,7 @@
     seed: number,
   ) {
     this.random = seededRandom(seed);
+    this.pace = paceOf(pattern);
     this.adviser = new BenchAdviser(this.queue, pattern.callerCount, () =>
       this.schedulePass(),
     );
@@ -131,6 +100,8 @@
       this.queue.after(arrival.at, () => this.submit(arrival));
     for (const {at, count} of pattern.losses)
       this.queue.after(at, () => this.loseWorkers(count));
+    for (const {at, durationMs} of pattern.outages ?? [])
+      this.queue.after(at, () => this.loseLeader(durationMs));
   }
 
   /** Runs the simulation to its end. */
@@ -139,7 +110,7 @@
     this.queue.advance(durationMs);
     const usedShare =
       this.usefulCoreMs /
-      (this.pattern.workerCount * WORKER_RESOURCES.cpuMillis * durationMs);
+      (this.pattern.workerCount * WORKER_CPU_MILLIS * durationMs);
     this.queue.advance(DRAIN_MS);
     return {
       outcomes: [...this.arrivals.values()].map(arrival => ({
@@ -149,10 +120,23 @@
       })),
       usedShare,
       lostShare: this.lostCoreMs / (this.lostCoreMs + this.usefulCoreMs),
-      stops: this.stops,
+      stops: this.stopCounter.figures(),
+      runCount: this.runCount,
+      refusedCount: this.refused.size,
     };
   }
 
+  /** The next leader begins without advice and without reservations. */
+  private loseLeader(durationMs: number): void {
+    this.pace.freeze(this.queue.now + durationMs);
+    this.adviser.forgetAll();
+    this.reserved = new Map();
+  }
+
+  private afterCommit(run: () => void): void {
+    this.queue.after(this.pace.commitDelay(this.queue.now), run);
+  }
+
   private apply(command: WorkflowCommand): void {
     this.db.apply(this.db.index + 1, command);
     this.schedulePass();
@@ -161,21 +145,7 @@
   private addWorker(i: number): void {
     const worker = `w${i}` as WorkerId;
     this.liveWorkers.add(worker);
-    this.apply({
-      kind: 'put_worker',
-      report: {
-        worker,
-        bornAt: 1,
-        address: '10.0.0.1:1',
-        pool: POOL as never,
-        zone: 'z' as never,
-        room: WORKER_RESOURCES,
-        labels: [],
-        isDraining: false,
-        remainingMs: 0,
-        sequence: 1,
-      },
-    });
+    this.apply({kind: 'put_worker', report: makeReport(worker, this.pattern)});
   }
 
   private loseWorkers(count: number): void {
@@ -198,102 +168,110 @@
 
   private submit(arrival: Arrival): void {
     this.arrivals.set(arrival.id, arrival);
-    this.queue.after(COMMIT_MS, () =>
+    this.afterCommit(() => {
+      if (this.pattern.hasAdmission && this.refuse(arrival)) return;
       this.apply({
         kind: 'submit',
         id: arrival.id as never,
         queue: arrival.kind.name as never,
         spec: arrival.spec,
-        at: arrival.at,
-      }),
-    );
+        at: this.queue.now,
+      });
+    });
+  }
+
+  /**
+   * Refuses a workflow that would be useless when done; its client comes back
+   * as long as it could still earn something.
+   */
+  private refuse(arrival: Arrival): boolean {
+    const queue = this.db.queues.get(arrival.kind.name as never)!;
+    const decision = decideAdmission(this.db, queue, arrival.spec);
+    this.refused.delete(arrival.id);
+    if (decision.kind === 'admit') return false;
+    this.refused.add(arrival.id);
+    const waitMs = Math.max(MIN_RETRY_MS, decision.retryAfterMs);
+    const lastAt = arrival.at + uselessAfterMs(arrival);
+    if (this.queue.now + waitMs < lastAt)
+      this.queue.after(waitMs, () => this.submit(arrival));
+    return true;
   }
 
   private schedulePass(): void {
     if (this.isPassScheduled) return;
     this.isPassScheduled = true;
-    this.queue.after(PASS_DELAY_MS, () => {
+    this.queue.after(this.pace.passDelay(this.queue.now), () => {
       this.isPassScheduled = false;
-      this.runPass();
+      if (this.pace.isFrozen(this.queue.now)) this.schedulePass();
+      else this.runPass();
     });
   }
 
-  private runsEndingOn(worker: WorkerId): ReadonlySet<TaskKey> {
-    const keys = [...(this.db.workers.get(worker)?.active.keys() ?? [])];
-    return new Set(
-      keys.filter(
-        key => (this.remainingMsOf(key) ?? Infinity) < ENDING_SOON_MS,
-      ),
-    );
+  private runsEndingSoon(): Map<WorkerId, Set<TaskKey>> {
+    const byWorker = new Map<WorkerId, Set<TaskKey>>();
+    for (const [key, run] of this.runs) {
+      if ((this.remainingMsOf(key) ?? Infinity) >= ENDING_SOON_MS) continue;
+      const keys = byWorker.get(run.worker) ?? new Set();
+      byWorker.set(run.worker, keys.add(key));
+    }
+    return byWorker;
   }
 
   private runPass(): void {
-    const {starts, stops, advice, reserved} = this.policy({
+    const ending = this.runsEndingSoon();
+    const decided = this.policy({
       db: this.db,
       now: this.queue.now,
       wall: this.queue.now,
       workers: this.workerViews(),
-      pending: this.pending,
+      pending: new Map(
+        [...this.pending].map(([key, {worker}]) => [key, worker]),
+      ),
       stopping: this.stopping,
       remainingMs: (_worker, key) => this.remainingMsOf(key),
-      endsSoon: worker => this.runsEndingOn(worker),
+      endsSoon: worker => ending.get(worker) ?? NO_KEYS,
       reserved: this.reserved,
       adviceOf: key => this.adviser.adviceOf(key),
       callerCount: this.pattern.callerCount,
     });
-    this.reserved = reserved;
+    this.reserved = decided.reserved;
+    for (const start of decided.starts)
+      this.pending.set(taskKey(start.task), start);
+    const tookMs = this.pace.notePass(this.queue.now, decided.waits.length);
+    this.queue.after(tookMs, () => this.execute(decided));
+  }
+
+  /** Carries out the decisions of a pass at its end. */
+  private execute({starts, stops, advice}: Plan): void {
     for (const {step, workers} of advice)
       this.adviser.ask(step, workers, this.arrivals.get(step.workflow)!.kind);
-    for (const {task} of stops) this.stop(task);
-    for (const {task, worker} of starts)
-      this.pending.set(taskKey(task), worker);
+    for (const stop of stops) this.stop(stop);
     if (starts.length === 0) return;
-    this.queue.after(COMMIT_MS, () => {
+    this.afterCommit(() => {
       this.apply({kind: 'start_runs', starts});
       this.queue.after(ORDER_MS, () => starts.forEach(s => this.beginRun(s)));
     });
   }
 
   private workerViews(): Map<WorkerId, WorkerView> {
-    const views = new Map<WorkerId, WorkerView>();
-    for (const [worker, {report, active}] of this.db.workers) {
-      let free = report.room;
-      for (const {task} of active.values())
-        free = subtractResources(free, this.resourcesOf(task));
-      views.set(worker, {
-        worker,
-        bornAt: 1,
-        pool: POOL,
-        room: report.room,
-        labels: new Set(),
-        free,
-        unreserved: report.room,
-        kept: NO_RESOURCES,
-        keptPriority: Number.POSITIVE_INFINITY,
-        isUsable: true,
-      });
-    }
-    for (const [key, worker] of this.pending) {
-      const view = views.get(worker);
-      const isRecorded = this.db.workers.get(worker)?.active.has(key);
-      if (view && !isRecorded)
-        view.free = subtractResources(
-          view.free,
-          this.resourcesOf(parseTaskKey(key)),
-        );
-    }
-    return views;
+    const starts = [...this.pending].map(
+      ([key, {worker, run}]) => [worker, key, run] as const,
+    );
+    return viewWorkers(this.db, starts, () => true);
   }
 
   private resourcesOf({workflow, step}: TaskRef): Resources {
     return this.arrivals.get(workflow)!.spec.steps[step]!.room;
   }
 
-  private beginRun({task, run, worker}: PlannedStart): void {
+  private beginRun(start: PlannedStart): void {
+    const {task, run, worker} = start;
     const key = taskKey(task);
     this.pending.delete(key);
     this.schedulePass();
     if (!this.liveWorkers.has(worker)) return;
+    this.runCount++;
+    this.stopCounter.noteStart(start, this.queue.now);
     const started: Run = {
       task,
       run,
@@ -321,8 +299,8 @@
   }
 
   private work(run: Run): void {
-    run.workStartedAt = this.queue.now + (run.done > 0 ? RESTORE_MS : 0);
-    if (run.done > 0) this.lostCoreMs += RESTORE_MS * run.room.cpuMillis;
+    run.workStartedAt = this.queue.now + (run.done > 0 ? this.restoreMs : 0);
+    if (run.done > 0) this.lostCoreMs += this.restoreMs * run.room.cpuMillis;
     const remainingMs =
       run.workStartedAt - this.queue.now + this.neededMs(run.task) - run.done;
     this.queue.after(remainingMs, () => {
@@ -338,6 +316,14 @@
     return this.neededMs(run.task) - run.done - this.elapsedWorkMs(run);
   }
 
+  private get tellMs(): number {
+    return (this.pattern.leader ?? IDLE_LEADER).tellMs;
+  }
+
+  private get restoreMs(): number {
+    return this.pattern.restoreMs ?? RESTORE_MS;
+  }
+
   private neededMs({workflow, step, index}: TaskRef): number {
     return this.arrivals.get(workflow)!.durations[step]![index]!;
   }
@@ -347,19 +333,21 @@
     return Math.max(0, this.queue.now - run.workStartedAt);
   }
 
-  private stop(task: TaskRef): void {
+  private stop(planned: PlannedStop): void {
+    const {task} = planned;
     const key = taskKey(task);
     const run = this.runs.get(key);
-    if (!run || this.stopping.has(key)) return;
+    if (!run || run.run !== planned.run || this.stopping.has(key)) return;
     this.stopping.add(key);
-    this.stops++;
+    this.stopCounter.noteStop(planned, this.queue.now);
     const isCheckpointable = this.arrivals.get(task.workflow)!.spec.steps[
       task.step
     ]!.isCheckpointable;
     const workedMs = this.elapsedWorkMs(run);
     if (isCheckpointable) this.progress.set(key, run.done + workedMs);
     else this.lostCoreMs += workedMs * run.room.cpuMillis;
-    this.queue.after(this.random.nextInt(50, MAX_STOP_MS), () => {
+    const maxStopMs = this.pattern.maxStopMs ?? MAX_STOP_MS;
+    this.queue.after(this.random.nextInt(50, maxStopMs), () => {
       if (!run.isOver) this.end(run, 'stopped');
     });
   }
@@ -368,7 +356,7 @@
     run.isOver = true;
     const key = taskKey(run.task);
     this.runs.delete(key);
-    this.queue.after(COMMIT_MS, () => {
+    this.afterCommit(() => {
       this.stopping.delete(key);
       const sequence = (this.endCounts.get(run.worker) ?? 0) + 1;
       this.endCounts.set(run.worker, sequence);
@@ -382,39 +370,10 @@
       });
       const {workflow} = run.task;
       if (this.db.workflows.get(workflow)?.phase === 'done')
-        this.doneAt.set(workflow, this.queue.now);
+        this.doneAt.set(workflow, this.queue.now + this.tellMs);
     });
   }
 }
 
 const msSince = (at: number | undefined, from: number): number | undefined =>
   at === undefined ? undefined : at - from;
-
-const parseTaskKey = (key: TaskKey): TaskRef => {
-  const [workflow, occurrence, step, index] = key.split('.');
-  return {
-    workflow: workflow as never,
-    occurrence: Number(occurrence),
-    step: Number(step),
-    index: Number(index),
-  };
-};
-
-const makeBundle = ({kinds}: LoadPattern): Bundle =>
-  ({
-    version: 1,
-    queues: kinds.map(kind => ({
-      name: kind.name,
-      host: 'host',
-      prefix: `/${kind.name}/`,
-      pool: POOL,
-      priority: kind.priority,
-      maxAttempts: 3,
-      stretch: kind.stretch,
-      objectiveMs: kind.objectiveMs,
-      advice: kind.advice,
-    })),
-    pools: [{name: POOL}],
-    limits: {},
-    source: '{}',
-  }) as never as Bundle;
--- a/packages/proofs/src/bench/scheduling/load.ts
+++ b/packages/proofs/src/bench/scheduling/load.ts
@@ -2,6 +2,7 @@
  * Generates streams of workflow submissions for the benchmark of the scheduler.
  */
 import type {Random, StepSpec, WorkflowSpec} from '@primrosewick/state';
+import type {LeaderTiming} from './leader_pace.js';
 
 /** One kind of workflow, with the mean values of its rate, size and demand. */
 export interface WorkflowKind {
@@ -18,6 +19,10 @@
   readonly tasks: number;
   readonly taskMs: number;
   readonly cpuMillis: number;
+  /** Mean memory of a task, in MB; three for each thousandth of a core if not given. */
+  readonly memMb?: number;
+  /** Workflows that are there at the start. */
+  readonly initialCount?: number;
   /** Fraction of steps that are gangs: all their tasks must run together. */
   readonly gangShare: number;
   /** Fraction of steps whose tasks write checkpoints. */
@@ -59,6 +64,20 @@
   }>;
   /** Workers that are lost for good at a time. */
   readonly losses: ReadonlyArray<{readonly at: number; readonly count: number}>;
+  /** Periods without a leader; after each, all advice is lost. */
+  readonly outages?: ReadonlyArray<{
+    readonly at: number;
+    readonly durationMs: number;
+  }>;
+  /** Speed of the leader; without it, passes take no time. */
+  readonly leader?: LeaderTiming;
+  /** Memory of a worker, in MB. */
+  readonly workerMemMb?: number;
+  /** Time of a restore from a checkpoint and longest time of a stop, in ms. */
+  readonly restoreMs?: number;
+  readonly maxStopMs?: number;
+  /** Whether work that would be useless when done is refused. */
+  readonly hasAdmission?: boolean;
 }
 
 /** A submitted workflow, with the true durations of its tasks. */
@@ -77,6 +96,8 @@
 const TASK_TIME_VARIATION = 0.25;
 const MAX_FACTOR = 6;
 const MAX_CPU_MILLIS = 15_000;
+const MEM_SPREAD = 0.5;
+const MAX_MEM_FACTOR = 2.5;
 const DRAW_RESOLUTION = 1_000_000;
 
 /** Draws a uniform random number in (0, 1]. */
@@ -110,12 +131,18 @@
     MAX_CPU_MILLIS,
     Math.round(kind.cpuMillis * drawFactor(random, CPU_SPREAD)),
   );
+  const memMb =
+    kind.memMb === undefined
+      ? 3 * cpuMillis
+      : Math.round(
+          kind.memMb * Math.min(MAX_MEM_FACTOR, drawFactor(random, MEM_SPREAD)),
+        );
   const estimateFactor =
     1 + (2 * drawUniform(random) - 1) * kind.maxEstimateError;
   return {
     spec: {
       taskCount,
-      room: {cpuMillis, memMb: 3 * cpuMillis, gpus: 0},
+      room: {cpuMillis, memMb, gpus: 0},
       estimateMs: Math.round(taskMs * estimateFactor),
       after: index === 0 ? [] : [index - 1],
       isCheckpointable: drawUniform(random) <= kind.checkpointableShare,
@@ -172,7 +199,10 @@
   const arrivals: Arrival[] = [];
   for (const kind of pattern.kinds) {
     let at = 0;
-    for (let number = 0; ; number++) {
+    let number = 0;
+    for (; number < (kind.initialCount ?? 0); number++)
+      arrivals.push(makeArrival(kind, 0, number, random));
+    for (; ; number++) {
       const burst = pattern.bursts.find(
         given =>
           given.kind === kind.name &&
@@ -188,7 +218,7 @@
   return arrivals.sort((a, b) => a.at - b.at);
 };
 
-const CURVES: WorkflowKind = {
+export const CURVES: WorkflowKind = {
   name: 'curves',
   priority: 1,
   arrivalsPerSecond: 1.27,
@@ -205,7 +235,7 @@
   advice: {baseMs: 586, perWorkerMs: 5.9, validMs: 2500, allowedShare: 0.35},
 };
 
-const CHECKS: WorkflowKind = {
+export const CHECKS: WorkflowKind = {
   name: 'checks',
   priority: 2,
   arrivalsPerSecond: 3.81,
@@ -222,7 +252,7 @@
   advice: {baseMs: 94, perWorkerMs: 0.94, validMs: 2500, allowedShare: 0.45},
 };
 
-const LOOKUPS: WorkflowKind = {
+export const LOOKUPS: WorkflowKind = {
   name: 'lookups',
   priority: 0,
   arrivalsPerSecond: 21.6,
@@ -239,7 +269,7 @@
   advice: {baseMs: 17, perWorkerMs: 0.17, validMs: 2500, allowedShare: 0.7},
 };
 
-const STEADY: LoadPattern = {
+export const STEADY: LoadPattern = {
   name: 'steady',
   kinds: [CURVES, CHECKS, LOOKUPS],
   workerCount: 32,
--- a/packages/proofs/src/bench/scheduling/policies.ts
+++ b/packages/proofs/src/bench/scheduling/policies.ts
@@ -12,7 +12,7 @@
   type ReadyStep,
   type WorkerView,
 } from '@primrosewick/state';
-import type {Policy} from './cluster.js';
+import type {Policy} from './types.js';
 
 type ChooseWorker = (workers: readonly WorkerView[]) => WorkerView | undefined;
 
