Fail calls to impossible addresses as unsent

What callers saw: an order to a worker with a port out of range counted as an order without an answer, so that its outcome was unknown and the worker's runs were kept until its lease had lapsed, although nothing can have been sent. An address with port 0 was called at port 80, where something else may answer.

Cause: callHttp let the RangeError and the TypeErrors of node:http through in place of the HttpFailure that it promises: ports out of range, paths, methods and headers with characters that HTTP does not allow.

Why this works: the port is checked before the request is made, and what node:http throws while it makes one is mapped to `unreachable` with nothing sent. No byte is sent before the connection stands, so this is certain.

--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
 import {startTimeout, type Timer} from '../tasks/timers.js';
-import {splitAddress} from './address.js';
+import {isCallable, splitAddress} from './address.js';
 
 /** Options of an HTTP call. */
 export interface HttpCall {
@@ -84,15 +84,8 @@
 
   start(): void {
     const {call} = this;
-    const body = call.body;
-    const lengthHeader = body ? {'content-length': String(body.length)} : {};
-    const req = request({
-      ...splitAddress(call.address),
-      method: call.method,
-      path: call.path,
-      headers: {...call.headers, ...lengthHeader},
-      agent: call.agent ?? DEFAULT_AGENT,
-    });
+    const req = this.makeRequest();
+    if (!req) return;
     this.req = req;
     this.timer = startTimeout(call.timeoutMs, () =>
       this.fail('timeout', 'no answer before the deadline'),
@@ -112,6 +105,30 @@
       this.fail('aborted', 'the caller aborted the call');
   }
 
+  /** @returns undefined, with the call failed, where no request can be made. */
+  private makeRequest(): ClientRequest | undefined {
+    const {address, method, path, headers, body, agent} = this.call;
+    const lengthHeader = body ? {'content-length': String(body.length)} : {};
+    const target = splitAddress(address);
+    if (!isCallable(target)) {
+      this.fail('unreachable', 'the address has no host or no valid port');
+      return undefined;
+    }
+    try {
+      return request({
+        ...target,
+        method,
+        path,
+        headers: {...headers, ...lengthHeader},
+        agent: agent ?? DEFAULT_AGENT,
+      });
+    } catch (err) {
+      // A method, path or header with characters that HTTP does not allow.
+      this.fail('unreachable', String(err));
+      return undefined;
+    }
+  }
+
   /** Sends the request; no byte of it is sent earlier. */
   private sendRequest(req: ClientRequest): void {
     const {mayBegin, body} = this.call;
