Keep the sound rows of a worker's lists when one row is odd

What callers saw: one odd row in `running` or `ended` made the whole answer a response without run lists. The worker stayed unsure for ever, its ends were not recorded, its lease lapsed and its work was voided.

Why this works: odd rows are left out and named. A row left out of `running` may be that of a recorded run, so such a run is not voided while the row stands: after 1 s it is stopped, and voided once a list requested 2 s after the accepted stop still lacks it; the worker starts no such run any more. A row that names its task hides that task alone, and a complete list decides as before. An end that cannot be read holds back the acknowledgement and the later ends for 1 s, as the next list may show it; then the later ones are recorded. Its run is in neither list then and is voided: it may be done twice, but does not run twice at a time. Odd progress or checkpoints hide no run.

The log lines of the channel move to channel_log.ts unchanged.

--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -87,6 +87,13 @@
   readonly load: number;
 }
 
+/** A row of a worker's lists that could not be decoded. */
+export type UnreadableRow =
+  /** `task` is absent where not even the task is known. */
+  | {readonly list: 'running'; readonly task?: TaskRef}
+  /** `sequence` is absent where not even the place among the ends is known. */
+  | {readonly list: 'ended'; readonly sequence?: number};
+
 /** Answer to a hold. */
 export type HoldAnswer =
   | {
@@ -94,6 +101,8 @@
       readonly clockMs: number;
       readonly running: readonly ListedRun[];
       readonly ended: readonly RunEnd[];
+      /** Rows that are in neither list; absent if there are none. */
+      readonly unreadable?: readonly UnreadableRow[];
     }
   | OrderFailure;
 
--- a/packages/coordination/src/workflow/stop_ledger.ts
+++ b/packages/coordination/src/workflow/stop_ledger.ts
@@ -15,8 +15,11 @@
   PlannedStop,
   'task' | 'run' | 'inFavourOf'
 > {
-  /** `not_recorded` for an orphaned run: listed by the worker, but not in the log. */
-  readonly why: PlannedStop['why'] | 'not_recorded';
+  /**
+   * `not_recorded` for an orphaned run: listed by the worker, but not in the log;
+   * `not_listed` for a recorded run that only an unreadable row may list.
+   */
+  readonly why: PlannedStop['why'] | 'not_recorded' | 'not_listed';
 }
 
 /** Tracks which runs were ordered to stop. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -6,7 +6,6 @@
  */
 import {
   taskKey,
-  type RunEnd,
   type TaskKey,
   type TaskRef,
   type VoidReason,
@@ -19,11 +18,13 @@
   OrderFailure,
   StartRequest,
 } from './ports.js';
+import {ChannelLog} from './channel_log.js';
 import {ProgressTracker} from './progress_tracker.js';
 import {compareLists} from './run_lists.js';
 import {ResponseMonitor} from './response_monitor.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
+import {UnreadableRows} from './unreadable_rows.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 import {WorkerClock} from './worker_clock.js';
 
@@ -39,6 +40,8 @@
 /** Pause before the lists are queried again while starts are unsettled, in ms. */
 const SETTLE_PAUSE_MS = 20;
 
+type RunLists = Extract<HoldAnswer, {kind: 'lists'}>;
+
 /** Communicates with one incarnation of a worker while this VM leads. */
 export class WorkerChannel {
   /** Progress of the runs that the worker listed last. */
@@ -46,7 +49,9 @@
   private readonly starts = new StartLedger();
   private readonly stops = new StopLedger();
   private readonly responses = new ResponseMonitor();
+  private readonly unreadable = new UnreadableRows();
   private readonly workerClock: WorkerClock;
+  private readonly log: ChannelLog;
   private fenceCounter = 0;
   private isSynced = false;
   private isGone = false;
@@ -58,6 +63,7 @@
 
   constructor(private readonly options: WorkerChannelOptions) {
     this.workerClock = new WorkerClock(options);
+    this.log = new ChannelLog(options.logger, options.life.worker);
   }
 
   /** Whether the worker's lists were received under the current fence. */
@@ -162,9 +168,10 @@
     if (!this.stops.note(task, run, clock.now())) return;
     onStop?.({task, run, why, inFavourOf});
     const answer = await port.stop(this.target, {task, run, fence: this.fence});
-    if (answer.kind === 'accepted')
-      this.workerClock.note(this.options.clock.now(), answer.clockMs);
-    else this.onFailure(answer);
+    if (answer.kind === 'accepted') {
+      this.workerClock.note(clock.now(), answer.clockMs);
+      this.unreadable.noteStopped({task, run}, clock.now());
+    } else this.onFailure(answer);
     this.wake();
   }
 
@@ -299,7 +306,7 @@
   }
 
   private async onLists(
-    answer: Extract<HoldAnswer, {kind: 'lists'}>,
+    answer: RunLists,
     sentAt: number,
     fence: number,
   ): Promise<void> {
@@ -313,9 +320,9 @@
       );
     this.isLapsed = false;
     this.progress.note(answer.running, clock.now());
+    this.log.unreadable(answer.unreadable, clock.now());
     // A run whose end is not yet recorded must not be counted as missing.
-    if (!(await this.recordEnds(answer.ended)))
-      return pause(clock, MIN_RETRY_MS);
+    if (!(await this.recordEnds(answer))) return pause(clock, MIN_RETRY_MS);
     if (fence !== this.fence) return;
     await this.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
@@ -326,35 +333,30 @@
   }
 
   /** @returns whether all listed ends are recorded in the log. */
-  private async recordEnds(ended: readonly RunEnd[]): Promise<boolean> {
-    const {db, life, record, clock, logger} = this.options;
+  private async recordEnds({ended, unreadable}: RunLists): Promise<boolean> {
+    const {db, life, record, clock} = this.options;
     const recorded = db.findIncarnation(life)?.endsRecorded ?? 0;
-    const ends = ended
-      .filter(end => end.sequence > recorded)
-      .sort((a, b) => a.sequence - b.sequence);
-    if (ends.length === 0) return true;
-    for (const {task, run, outcome} of ends) {
-      this.starts.forgetRun(task, run);
-      logger.info(
-        {
-          decision: 'run_ended',
-          task: taskKey(task),
-          run,
-          outcome,
-          worker: life.worker,
-        },
-        'run ended',
-      );
+    const now = clock.now();
+    const {ends, isHeldBack} = this.unreadable.selectEnds(
+      ended,
+      unreadable,
+      recorded,
+      now,
+    );
+    if (ends.length === 0) return !isHeldBack;
+    for (const end of ends) {
+      this.starts.forgetRun(end.task, end.run);
+      this.log.ended(end);
     }
     const at = clock.wall();
     if (!(await record({kind: 'end_runs', life, ends, at}))) return false;
     for (const {task} of ends) this.stops.forget(task);
-    return true;
+    return !isHeldBack;
   }
 
   /** Voids recorded runs that the worker lacks, and stops runs that the log lacks. */
   private async reconcile(
-    {running}: Extract<HoldAnswer, {kind: 'lists'}>,
+    {running, unreadable}: RunLists,
     sentAt: number,
   ): Promise<void> {
     const state = this.options.db.findIncarnation(this.options.life);
@@ -365,7 +367,14 @@
       this.starts,
       sentAt,
     );
-    if (missing.length > 0) await this.voidRuns(missing, 'not_started');
+    const {absent, toStop} = this.unreadable.sortMissing(
+      missing,
+      unreadable,
+      sentAt,
+    );
+    if (absent.length > 0) await this.voidRuns(absent, 'not_started');
+    for (const {task, run} of toStop)
+      void this.stop({task, run, why: 'not_listed'});
     for (const {task, run} of unrecorded)
       void this.stop({task, run, why: 'not_recorded'});
   }
@@ -374,19 +383,10 @@
     runs: ReadonlyArray<{readonly task: TaskRef; readonly run: number}>,
     reason: VoidReason,
   ): Promise<void> {
-    const {life, record, logger} = this.options;
-    for (const {task, run} of runs) {
-      this.starts.forgetRun(task, run);
-      logger.info(
-        {
-          decision: 'run_void',
-          task: taskKey(task),
-          run,
-          worker: life.worker,
-          reason,
-        },
-        'voided a recorded run without an end',
-      );
+    const {life, record} = this.options;
+    for (const ref of runs) {
+      this.starts.forgetRun(ref.task, ref.run);
+      this.log.voided(ref, reason);
     }
     await record({
       kind: 'void_runs',
