Call the successor of a silent leader as soon as one is known

What callers saw: a request that was on its way to a leader when it lost power had no answer until 60 ms before its deadline, then a 504.

Cause: callLeader tries another VM only after its call has failed, and a call to a VM without power fails at the deadline of the request.

The gateway now gives such a call up, as one of unknown outcome, once it had lost contact and finds that another VM leads, and makes it again there. All calls to the leader may be repeated. A leader that is only late keeps its calls. silent_leader.spec failed before (no answer within 2.9 s) and is answered 1.7 s after, half a second after the successor leads.

--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -2,7 +2,7 @@
  * Discovers the VMs of the cell and its leader, and routes calls to the leader.
  * Every VM of the cell runs one gateway.
  */
-import {Subject, type Subscription} from 'rxjs';
+import {Subject, filter, type Subscription} from 'rxjs';
 import type {
   LinkLeaderReply,
   LinkHello,
@@ -82,6 +82,8 @@
 export class GatewayTask {
   /** Emits each hello reply of another VM. */
   readonly helloReplies = new Subject<LinkHelloReply>();
+  /** Emits a serving leader that is found after contact with one was lost. */
+  private readonly regained = new Subject<VmId>();
   private readonly known = new Set<VmId>();
   private leader: VmId | null = null;
   private servingAt = Number.NEGATIVE_INFINITY;
@@ -250,9 +252,13 @@
       const target: VmId = next;
       const timeoutMs = deadline - clock.now();
       try {
-        const reply = (await peers.call(target, method, request, {
-          timeoutMs,
-        })) as LinkLeaderReply<LeaderValue<M>>;
+        const reply = await this.untilSuperseded(
+          target,
+          method,
+          peers.call(target, method, request, {timeoutMs}) as Promise<
+            LinkLeaderReply<LeaderValue<M>>
+          >,
+        );
         if (reply.kind === 'ok') {
           this.observeIndex(reply.index ?? 0);
           return reply;
@@ -269,6 +275,29 @@
     return {kind: 'failed', err};
   }
 
+  /**
+   * Gives a call up once contact was lost and another VM is found to lead: the
+   * call's own leader may be gone, and its successor can be asked in time.
+   * @throws CellError `peer_timeout`.
+   */
+  private untilSuperseded<T>(
+    target: VmId,
+    step: string,
+    reply: Promise<T>,
+  ): Promise<T> {
+    return new Promise<T>((resolve, reject) => {
+      const subscription = this.regained
+        .pipe(filter(vm => vm !== target))
+        .subscribe(() => {
+          const detail = 'another VM leads';
+          reject(
+            new CellError({code: 'peer_timeout', step, peer: target, detail}),
+          );
+        });
+      reply.finally(() => subscription.unsubscribe()).then(resolve, reject);
+    });
+  }
+
   private forgetLeader(vm: VmId): void {
     if (this.leader === vm) this.leader = null;
   }
@@ -322,12 +351,18 @@
     if (helloReply.leader) this.leader = helloReply.leader;
     if (helloReply.isServing) {
       this.observeIndex(helloReply.index);
-      this.leader = helloReply.vm;
-      this.servingAt = this.options.clock.now();
+      this.noteServing(vm);
     }
     this.helloReplies.next(helloReply);
   }
 
+  private noteServing(vm: VmId): void {
+    const hadContact = this.hasContact;
+    this.leader = vm;
+    this.servingAt = this.options.clock.now();
+    if (!hadContact) this.regained.next(vm);
+  }
+
   private reportContactChange(): void {
     if (this.hadContact === this.hasContact) return;
     this.hadContact = this.hasContact;
