--- a/packages/state/src/workflow/planner/advice_requester.ts
+++ b/packages/state/src/workflow/planner/advice_requester.ts
@@ -7,7 +7,11 @@
 import type {WorkerId} from '../../ids/types.js';
 import type {StepKey} from '../types.js';
 import {MAX_ADVISED_WORKERS, chooseWorkersToQuery} from './advice.js';
-import {AdviceCallSlots, renewBelowMs} from './advice_call_slots.js';
+import {
+  AdviceCallSlots,
+  RENEW_MARGIN_MS,
+  renewBelowMs,
+} from './advice_call_slots.js';
 import type {StepWork} from './step_work.js';
 import type {AdviceRequest, PlanInput, WorkerView} from './types.js';
 
@@ -91,6 +95,28 @@
     this.renew(work, new Set(candidates.map(({worker}) => worker)));
   }
 
+  /**
+   * Renews lapsed tickets. A gang starts only while all its tickets are valid,
+   * so the same call renews those of its other chosen workers that would lapse
+   * before the answer.
+   */
+  renewLapsed(
+    work: StepWork,
+    lapsed: ReadonlySet<WorkerId>,
+    chosen: ReadonlySet<WorkerId>,
+  ): void {
+    const {advice, queue, spec} = work;
+    if (lapsed.size === 0 || !queue.advice || !spec.isGang)
+      return this.renew(work, lapsed);
+    const {baseMs, perWorkerMs} = queue.advice;
+    const keepUntil =
+      this.input.now + baseMs + perWorkerMs * chosen.size + RENEW_MARGIN_MS;
+    const lapsing = [...chosen].filter(
+      worker => (advice?.tickets.get(worker)?.validUntil ?? 0) < keepUntil,
+    );
+    this.renew(work, new Set([...lapsed, ...lapsing]));
+  }
+
   /**
    * Queries again about workers, unless a request or call about the step is
    * pending.
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -269,7 +269,8 @@
     }
     if (expired.size > 0) {
       this.wait(work, 'tickets', waiting.length, candidates.length);
-      return this.adviceRequester.renew(work, expired);
+      const chosen = new Set(placements.map(({worker}) => worker.worker));
+      return this.adviceRequester.renewLapsed(work, expired, chosen);
     }
     const run = 1 + Math.max(0, ...work.state.tasks.map(task => task.lastRun));
     const checkpoint = latestCheckpoint(work.state);
@@ -286,12 +287,12 @@
     taskCount: number,
     candidates: readonly WorkerView[],
   ): boolean {
-    const {coversAllTasks, ticketsToRenew} = this.reservations.preempt(
+    const {coversAllTasks, lapsed, chosen} = this.reservations.preempt(
       work,
       taskCount,
       candidates,
     );
-    this.adviceRequester.renew(work, ticketsToRenew);
+    this.adviceRequester.renewLapsed(work, lapsed, chosen);
     return coversAllTasks;
   }
 
--- a/packages/state/src/workflow/planner/reservation_planner.ts
+++ b/packages/state/src/workflow/planner/reservation_planner.ts
@@ -36,13 +36,16 @@
 export interface PreemptionResult {
   /** Whether all tasks will have resources. */
   readonly coversAllTasks: boolean;
-  /** Workers whose tickets must be renewed first. */
-  readonly ticketsToRenew: ReadonlySet<WorkerId>;
+  /** Workers that the tasks will have resources on. */
+  readonly chosen: ReadonlySet<WorkerId>;
+  /** Those of them whose tickets must be renewed first. */
+  readonly lapsed: ReadonlySet<WorkerId>;
 }
 
 const NO_PREEMPTION: PreemptionResult = {
   coversAllTasks: false,
-  ticketsToRenew: new Set(),
+  chosen: new Set(),
+  lapsed: new Set(),
 };
 
 /** Reserves resources and chooses preemption victims during one pass. */
@@ -133,7 +136,8 @@
       this.keep(work, option, mayPreempt && option.hasTicket);
     return {
       coversAllTasks,
-      ticketsToRenew: new Set(expired.map(({worker}) => worker.worker)),
+      chosen: workersOf(options),
+      lapsed: workersOf(expired),
     };
   }
 
@@ -251,6 +255,9 @@
   }
 }
 
+const workersOf = (options: readonly PreemptionOption[]): Set<WorkerId> =>
+  new Set(options.map(({worker}) => worker.worker));
+
 /**
  * Reserves resources of a worker for a gang; preemptible tasks may use them
  * meanwhile.
