Commit a leader's entries without waiting for its next write

The time is lost in the number of turns that one commit needs.

Cause: replies of followers shared a queue with proposals. They waited until the leader might write again (9 ms after the last write), were stepped together with the proposals that had come, and their commits were delivered only after that write was synced. Under steady proposals each commit waited for one more write than it needs, and each step of a write is a turn of a busy loop.

Now proposals have a queue of their own, and only they wait for the next write. Replies, reads and ticks are stepped as soon as no write is under way, and what they commit is delivered at once. Nothing is counted earlier than before: while a write is under way all inputs still wait, so a leader counts its own entries only once they are on its disk.

The two specs that called run() of the batcher call the half that they fed; what they expect is unchanged.

--- a/packages/coordination/src/consensus/catch_up.spec.ts
+++ b/packages/coordination/src/consensus/catch_up.spec.ts
@@ -107,7 +107,7 @@
           now: now(),
           envelope: {from, to: A, message: reply(false, index, round)},
         });
-    const {messages} = pump.run();
+    const {messages} = pump.runOthers();
     expect(sentTo(messages, D)).to.be.at.most(MESSAGE_ENTRIES);
     expect(sentTo(messages, E)).to.be.at.most(MESSAGE_ENTRIES);
   });
--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -297,7 +297,7 @@
     for (let token = 1; token <= 20; token++)
       pump.offer({kind: 'propose', now: 10_004, token, command: `${token}`});
     const appends = pump
-      .run()
+      .runProposals()
       .messages.flatMap(({message}) =>
         message.kind === 'append' ? [message.entries.length] : [],
       );
--- a/packages/coordination/src/consensus/input_batcher.ts
+++ b/packages/coordination/src/consensus/input_batcher.ts
@@ -2,45 +2,65 @@
 import type {ConsensusCore} from './core.js';
 import type {ConsensusEffects, ConsensusInput} from './types.js';
 
+type Proposal<C> = Extract<ConsensusInput<C>, {kind: 'propose'}>;
+
 /**
  * Queues inputs that arrive during a sync, then steps the core with all of them
- * and merges their effects, so that one sync covers them all.
+ * and merges their effects, so that one sync covers them all. Proposals have a
+ * queue of their own, since a leader delays them to form larger batches; the
+ * replies that commit earlier proposals must not wait with them.
  */
 export class InputBatcher<C> {
-  private queue: Array<ConsensusInput<C>> = [];
+  private proposals: Array<Proposal<C>> = [];
+  private others: Array<ConsensusInput<C>> = [];
 
   constructor(private readonly core: ConsensusCore<C>) {}
 
   /** Queues an input. */
   offer(input: ConsensusInput<C>): void {
-    this.queue.push(input);
+    if (input.kind === 'propose') this.proposals.push(input);
+    else this.others.push(input);
+  }
+
+  /** Whether proposals are queued. */
+  get hasProposals(): boolean {
+    return this.proposals.length > 0;
+  }
+
+  /** Whether inputs other than proposals are queued. */
+  get hasOthers(): boolean {
+    return this.others.length > 0;
+  }
+
+  /** Steps the core with all queued proposals, and returns their merged effects. */
+  runProposals(): ConsensusEffects<C> {
+    const inputs = this.proposals;
+    this.proposals = [];
+    const last = inputs.length - 1;
+    return this.run(
+      inputs.map((input, index) => ({...input, isMore: index < last})),
+    );
   }
 
-  /** Whether inputs are queued. */
-  get hasInput(): boolean {
-    return this.queue.length > 0;
+  /** Steps the core with all other queued inputs, and returns their merged effects. */
+  runOthers(): ConsensusEffects<C> {
+    const inputs = this.others;
+    this.others = [];
+    return this.run(inputs);
   }
 
-  /** Steps the core with all queued inputs, and returns their merged effects. */
-  run(): ConsensusEffects<C> {
-    return workMeter.measure('consensus', () => this.step());
+  private run(inputs: ReadonlyArray<ConsensusInput<C>>): ConsensusEffects<C> {
+    return workMeter.measure('consensus', () => this.step(inputs));
   }
 
-  private step(): ConsensusEffects<C> {
-    const inputs = this.queue;
-    this.queue = [];
+  private step(inputs: ReadonlyArray<ConsensusInput<C>>): ConsensusEffects<C> {
     const merged: ConsensusEffects<C> = {
       writes: [],
       messages: [],
       deliveries: [],
       answers: [],
     };
-    const lastProposal = inputs.findLastIndex(({kind}) => kind === 'propose');
-    inputs.forEach((input, index) => {
-      const isMore = input.kind === 'propose' && index < lastProposal;
-      const step = isMore ? {...input, isMore} : input;
-      mergeInto(merged, this.core.step(step));
-    });
+    for (const input of inputs) mergeInto(merged, this.core.step(input));
     return merged;
   }
 }
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -11,7 +11,7 @@
   type VmId,
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
-import {pause, type Clock} from '@primrosewick/transport';
+import type {Clock} from '@primrosewick/transport';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
 import {isAppend, isAppendOnly} from './early_send.js';
@@ -20,7 +20,9 @@
 import {Outbox, type LogPeers} from './outbox.js';
 import {unpackEnvelope, type PackedEnvelope} from './packing.js';
 import {Waiters} from './waiters.js';
+import {WriteSchedule} from './write_schedule.js';
 import type {
+  ConsensusEffects,
   ConsensusStatus,
   ConsensusTiming,
   Delivery,
@@ -79,8 +81,6 @@
 const COMPACT_ENTRIES = 4000;
 /** Number of entries after which the log is compacted even if a member lags behind. */
 const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
-/** Shortest interval between the starts of two writes of a leader, in ms. */
-const WRITE_INTERVAL_MS = 9;
 /** Longest interval between two ticks of the core, in ms. */
 const MAX_TICK_MS = 100;
 
@@ -93,8 +93,7 @@
   private readonly diskGuard = new DiskGuard();
   private readonly waiters = new Waiters<R>();
   private readonly outbox: Outbox<C>;
-  /** Earliest monotonic time at which a leader starts its next write, in ms. */
-  private nextWriteAt = Number.NEGATIVE_INFINITY;
+  private readonly schedule: WriteSchedule;
   private isRunning = false;
   private failure: CellError | null = null;
   private isNoticeScheduled = false;
@@ -113,6 +112,7 @@
       timing,
     });
     this.inputs = new InputBatcher(this.core);
+    this.schedule = new WriteSchedule(clock, () => void this.run());
     this.outbox = new Outbox({
       peers: options.peers,
       onReply: envelopes => this.enqueueMessages(envelopes),
@@ -267,9 +267,11 @@
     if (this.isRunning || this.failure) return;
     this.isRunning = true;
     try {
-      while (this.inputs.hasInput) {
-        await this.delayForBatching();
-        await this.processBatch();
+      while (this.inputs.hasOthers || this.mayRunProposals()) {
+        const effects = this.inputs.hasOthers
+          ? this.inputs.runOthers()
+          : this.inputs.runProposals();
+        await this.process(effects);
       }
     } catch (err) {
       this.fail(toCellError(err, 'persist'));
@@ -278,20 +280,19 @@
     }
   }
 
-  /**
-   * Delays the next write of a leader that has just written, so that proposals
-   * form larger batches: each write costs a message to every follower, whatever
-   * its size. A proposal after an idle time is not delayed.
-   */
-  private async delayForBatching(): Promise<void> {
-    const waitMs = this.nextWriteAt - this.options.clock.now();
-    if (waitMs > 0 && this.core.isLeader)
-      await pause(this.options.clock, waitMs);
+  /** Whether there are proposals to step; those of a leader wait for its next write. */
+  private mayRunProposals(): boolean {
+    if (!this.inputs.hasProposals) return false;
+    return !this.core.isLeader || this.schedule.mayWrite();
   }
 
-  private async processBatch(): Promise<void> {
+  private async process({
+    writes,
+    messages,
+    deliveries,
+    answers,
+  }: ConsensusEffects<C>): Promise<void> {
     const callers = this.outbox.takeCallers();
-    const {writes, messages, deliveries, answers} = this.inputs.run();
     const isEarly = isAppendOnly(writes);
     this.outbox.send(
       messages.filter(sent => isEarly && isAppend(sent)),
@@ -350,7 +351,7 @@
       : emptyState<C>();
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
-    this.nextWriteAt = startedAt + WRITE_INTERVAL_MS;
+    this.schedule.noteWrite(startedAt);
     this.reportCompaction(image.snapshot?.index, now - startedAt);
     const sync = {tookMs: now - startedAt, lagMs: lagAt(now)};
     const isSlow = this.diskGuard.recordSync(sync, now);
--- a/packages/proofs/src/consensus/sim_node.ts
+++ b/packages/proofs/src/consensus/sim_node.ts
@@ -223,8 +223,12 @@
   }
 
   private run(): void {
-    if (this.isBusy || this.isFrozen || !this.batcher?.hasInput) return;
-    const effects = this.batcher.run();
+    const {batcher} = this;
+    if (this.isBusy || this.isFrozen || !batcher) return;
+    if (!batcher.hasOthers && !batcher.hasProposals) return;
+    const effects = batcher.hasOthers
+      ? batcher.runOthers()
+      : batcher.runProposals();
     if (effects.writes.length === 0) return this.finish(effects);
     if (this.disk.isFailing) return this.crash();
     this.isBusy = true;
