A line tells what the log costs its leader

After a loss of power of all voters a cell led, lost and led again, and no line told why: neither how long a write kept a batch, nor how long the followers heard nothing. log_load tells both every 2 s at the leader, and the log line with which a leadership ends tells it of its last seconds.

--- a/packages/coordination/src/consensus/compaction.spec.ts
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -2,11 +2,8 @@
 import {asId, type Folder, type NodeId} from '@primrosewick/state';
 import {systemClock} from '@primrosewick/transport';
 import {singleVoterState} from './core.js';
-import {
-  ConsensusTask,
-  type Compaction,
-  type ReplicatedStateMachine,
-} from './task.js';
+import {ConsensusTask} from './task.js';
+import type {Compaction, ReplicatedStateMachine} from './task_options.js';
 
 const NODE = asId<NodeId>('a~1');
 const folder: Folder = {
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -6,77 +6,29 @@
   seededRandom,
   toCellError,
   vmOfNode,
-  type Folder,
-  type NodeId,
   type VmId,
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
-import type {Clock} from '@primrosewick/transport';
+import {BatchLoad, type BatchCost} from './batch_load.js';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
 import {isAppend, isAppendOnly} from './early_send.js';
 import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
-import {Outbox, type LogPeers} from './outbox.js';
+import {Outbox} from './outbox.js';
 import {unpackEnvelope, type PackedEnvelope} from './packing.js';
+import type {Compaction, ConsensusTaskOptions} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
 import type {
   ConsensusEffects,
   ConsensusStatus,
-  ConsensusTiming,
   Delivery,
+  Envelope,
   MemberChange,
-  DurableState,
   StorageWrite,
 } from './types.js';
 
-/** State machine that applies the log; its index never decreases. */
-export interface ReplicatedStateMachine<C, R> {
-  /** Index of the last entry applied. */
-  readonly index: number;
-  /** Applies one entry; an entry without a command only moves the index. */
-  apply(entry: {readonly index: number; readonly command?: C}): R | undefined;
-  /** Replaces the state by an image that `toImage` made on any node. */
-  restore(image: unknown): void;
-  /** The whole state, as plain data. */
-  toImage(): {readonly index: number};
-  /** Allows the state to be served from now on. */
-  open(): void;
-  /** Records that the state was current at a monotonic time, in ms. */
-  noteFresh(at: number): void;
-}
-
-/** A snapshot that replaced log entries. */
-export interface Compaction {
-  readonly index: number;
-  /** Size of the state in the snapshot. */
-  readonly bytes: number;
-  /** Number of entries that it replaced. */
-  readonly dropped: number;
-  /** Time for which encoding the state blocked the process, in ms. */
-  readonly tookMs: number;
-  /** Time until the snapshot and the log after it were on disk, in ms. */
-  readonly writeMs: number;
-}
-
-/** Options of the task. */
-export interface ConsensusTaskOptions<C, R> {
-  readonly node: NodeId;
-  readonly folder: Folder;
-  readonly restored: DurableState<C>;
-  readonly replica: ReplicatedStateMachine<C, R>;
-  readonly peers: LogPeers;
-  readonly clock: Clock;
-  readonly timing: Partial<ConsensusTiming>;
-  readonly seed: number;
-  /** Maximum number of pending proposals. */
-  readonly maxProposals: number;
-  readonly onFailure: (err: CellError) => void;
-  /** Called when a snapshot made by this node is on disk. */
-  readonly onCompacted?: (compaction: Compaction) => void;
-}
-
 /** Number of entries after which the log is compacted. */
 const COMPACT_ENTRIES = 4000;
 /** Number of entries after which the log is compacted even if a member lags behind. */
@@ -91,6 +43,9 @@
   private readonly core: ConsensusCore<C>;
   private readonly inputs: InputBatcher<C>;
   private readonly diskGuard = new DiskGuard();
+  private readonly load = new BatchLoad();
+  /** Monotonic time of the first input that waits for a batch, in ms. */
+  private waitingSince: number | undefined;
   private readonly waiters = new Waiters<R>();
   private readonly outbox: Outbox<C>;
   private readonly schedule: WriteSchedule;
@@ -168,6 +123,11 @@
     };
   }
 
+  /** Cost of the batches since the last call; null if there were none. */
+  takeBatchCost(): BatchCost | null {
+    return this.load.take();
+  }
+
   /** VM of the last known leader, or null. */
   get leaderVm(): VmId | null {
     const {leader} = this.core.status;
@@ -264,6 +224,7 @@
   }
 
   private async run(): Promise<void> {
+    this.waitingSince ??= this.options.clock.now();
     if (this.isRunning || this.failure) return;
     this.isRunning = true;
     try {
@@ -293,16 +254,19 @@
     answers,
   }: ConsensusEffects<C>): Promise<void> {
     const callers = this.outbox.takeCallers();
+    this.noteBatch();
     const isEarly = isAppendOnly(writes);
     this.outbox.send(
       messages.filter(sent => isEarly && isAppend(sent)),
       [],
     );
+    if (isEarly) this.noteSent(messages);
     if (writes.length > 0) await this.persist(writes);
     this.outbox.send(
       messages.filter(sent => !isEarly || !isAppend(sent)),
       callers,
     );
+    if (!isEarly) this.noteSent(messages);
     for (const answer of answers) this.waiters.answer(answer);
     for (const delivery of deliveries) this.deliver(delivery);
     this.updateStatus();
@@ -310,6 +274,16 @@
     if (deliveries.length > 0) this.compactIfLong();
   }
 
+  private noteBatch(): void {
+    const now = this.options.clock.now();
+    this.load.noteBatch(now - (this.waitingSince ?? now));
+    this.waitingSince = undefined;
+  }
+
+  private noteSent(messages: ReadonlyArray<Envelope<C>>): void {
+    if (messages.some(isAppend)) this.load.noteSent(this.options.clock.now());
+  }
+
   /** Schedules a tick for the next commit notice, independent of the tick interval. */
   private scheduleCommitNotice(): void {
     const {commitNoticeAt} = this.lastStatus;
@@ -352,6 +326,7 @@
     await persistWrites(folder, writes, () => image);
     const now = clock.now();
     this.schedule.noteWrite(startedAt);
+    this.load.noteWrite(now - startedAt);
     this.reportCompaction(image.snapshot?.index, now - startedAt);
     const sync = {tookMs: now - startedAt, lagMs: lagAt(now)};
     const isSlow = this.diskGuard.recordSync(sync, now);
@@ -393,8 +368,10 @@
       status.leader !== before.leader ||
       status.members !== before.members;
     this.lastStatus = status;
-    if (status.role !== 'leader' && before.role === 'leader')
+    if (status.role !== 'leader' && before.role === 'leader') {
+      this.load.forgetSilence();
       this.waiters.rejectAll('log_outcome_unknown');
+    }
     if (isChanged) this.changes.next(status);
   }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,6 +13,7 @@
 export type {LogPeers} from './consensus/outbox.js';
 export type {PackedEnvelope} from './consensus/packing.js';
 export * from './consensus/task.js';
+export * from './consensus/task_options.js';
 export * from './entry/task.js';
 export * from './entry/types.js';
 export * from './entry/upstream_port.js';
--- a/packages/coordination/src/replica/task.ts
+++ b/packages/coordination/src/replica/task.ts
@@ -14,7 +14,7 @@
   FollowRequest,
 } from '@primrosewick/protocol';
 import type {Clock} from '@primrosewick/transport';
-import type {ReplicatedStateMachine} from '../consensus/task.js';
+import type {ReplicatedStateMachine} from '../consensus/task_options.js';
 import {Replica} from './core.js';
 
 /** What a change of the replica affected. */
--- a/packages/coordination/src/workflow/replica.ts
+++ b/packages/coordination/src/workflow/replica.ts
@@ -8,7 +8,7 @@
   type WorkflowResult,
 } from '@primrosewick/state';
 import {workMeter} from '@primrosewick/transport';
-import type {ReplicatedStateMachine} from '../consensus/task.js';
+import type {ReplicatedStateMachine} from '../consensus/task_options.js';
 
 /** Applies log entries to the workflow state and emits each applied record. */
 export class WorkflowReplica implements ReplicatedStateMachine<
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -75,6 +75,8 @@
 /** Maximum number of waiting proposals. */
 const MAX_PROPOSALS = 4096;
 const REPAIR_INTERVAL_MS = 200;
+/** Interval of lines about the cost of the log at the leader, in ms. */
+const LOAD_INTERVAL_MS = 2000;
 const FOUND_PAUSE_MS = 100;
 /** Time after which a cell is founded without the seeds that do not answer, in ms. */
 const FOUND_WAIT_MS = 4000;
@@ -90,6 +92,8 @@
   private leadingTerm: number | null = null;
   private confirmingTerm: number | null = null;
   private isClosed = false;
+  /** Monotonic time from which the cost of the log is reported again, in ms. */
+  private loadDueAt = Number.NEGATIVE_INFINITY;
   private readonly voterAnnouncements = new VoterAnnouncements();
   private readonly suspensions: SuspensionDetector;
 
@@ -129,6 +133,7 @@
     while (!this.isClosed) {
       this.suspensions.checkClocks();
       await this.repair();
+      if (this.isLeading) this.logLoadWhenDue();
       await pause(this.options.clock, REPAIR_INTERVAL_MS);
     }
   }
@@ -302,9 +307,27 @@
     );
   }
 
+  private logLoadWhenDue(): void {
+    const {clock, logger} = this.options;
+    const now = clock.now();
+    if (now < this.loadDueAt) return;
+    this.loadDueAt = now + LOAD_INTERVAL_MS;
+    const load = this.task?.takeBatchCost();
+    const confirmedMs = Math.round(this.leadershipConfirmedAgeMs);
+    if (load)
+      logger.info(
+        {change: 'log_load', ...load, confirmedMs},
+        'cost of the log at the leader',
+      );
+  }
+
   private onStatus({role, leader, term, members}: ConsensusStatus): void {
+    const load =
+      role !== 'leader' && this.leadingTerm !== null
+        ? {load: this.task?.takeBatchCost()}
+        : {};
     this.options.logger.info(
-      {change: 'log', role, leader, term, members},
+      {change: 'log', role, leader, term, members, ...load},
       'log status changed',
     );
     if (role !== 'leader') this.setLeadingTerm(null);
