Remember in the log which incarnations of workers have left

What callers saw: a delayed announcement of a worker that had deregistered registered it anew at the next leader, which then waited for a worker that is no more. The other way round, a worker whose id another entry had used with a later birth was not heard by this leader any more, even after that entry's incarnation had been removed.

Cause: the numbers of announcements are kept by one leadership only, and they kept the later birth for as long as it led.

All other removals are not final: a deregistration without a birth may be a delayed one of an earlier incarnation, an address that answered as another incarnation may have been announced by somebody else, and a later birth may be odd; a worker that lives returns with its next announcement. The next incarnation of an id is not affected, even with a clock that went back. Images and records without the new fields are read as before.

--- a/packages/coordination/src/workflow/announcements.ts
+++ b/packages/coordination/src/workflow/announcements.ts
@@ -58,6 +58,15 @@
     return false;
   }
 
+  /**
+   * Drops a later incarnation than that of an announcement. Called when none is
+   * registered: the later one, unless it left by its own word, never was.
+   */
+  forgetLater({worker, bornAt}: WorkerRegistration): void {
+    const last = this.latest.get(worker);
+    if (last && last.bornAt > bornAt) this.latest.delete(worker);
+  }
+
   /** Accepts the next announcement of a worker, whatever its sequence number. */
   forget(worker: WorkerId): void {
     this.latest.delete(worker);
--- a/packages/coordination/src/workflow/departed_workers.spec.ts
+++ b/packages/coordination/src/workflow/departed_workers.spec.ts
@@ -38,4 +38,26 @@
     await next.announceWorker(testWorker('w1', {sequence: 7}));
     expect(replica.db.workers.has(WORKER)).to.equal(false);
   });
+  it('a worker returns after a deregistration that names no incarnation', async () => {
+    const replica = new WorkflowReplica();
+    replica.restore(new TestLog().db.toImage());
+    const leader = leaderOf(replica);
+    await leader.announceWorker(testWorker('w1', {sequence: 8}));
+    await leader.removeWorker({worker: WORKER, bornAt: null});
+    expect(replica.db.workers.has(WORKER)).to.equal(false);
+    await leader.announceWorker(testWorker('w1', {sequence: 9}));
+    expect(replica.db.workers.has(WORKER)).to.equal(true);
+  });
+  it('a worker returns once an incarnation that never was is removed', async () => {
+    const replica = new WorkflowReplica();
+    replica.restore(new TestLog().db.toImage());
+    const leader = leaderOf(replica);
+    await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 8}));
+    await leader.announceWorker(testWorker('w1', {bornAt: 9, sequence: 1}));
+    const life = {worker: WORKER, bornAt: 9};
+    const command = {kind: 'remove_worker', life, runs: []} as const;
+    replica.apply({index: replica.index + 1, command});
+    await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 9}));
+    expect(replica.db.workers.get(WORKER)?.report.bornAt).to.equal(5);
+  });
 });
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -98,6 +98,9 @@
     report: WorkerRegistration,
   ): Promise<LinkMethods['announceWorker']['reply']> {
     return this.runAsLeader(async () => {
+      if (this.db.departed.has(report)) return {isKnown: true};
+      if (!this.db.workers.has(report.worker))
+        this.sequences.forgetLater(report);
       if (this.sequences.note(report)) return {isKnown: true};
       this.options.onAnnouncement(report.worker);
       if (hasUnrecordedChanges(this.db, report)) await this.putWorker(report);
@@ -134,7 +137,14 @@
       if (!isMatch) return {isKnown: false};
       const life = {worker, bornAt: known.report.bornAt};
       const runs = this.options.runsOf(worker);
-      await this.propose({kind: 'remove_worker', life, runs});
+      // Without a start it may be the delayed word of an earlier incarnation.
+      const isFinal = bornAt !== null;
+      await this.propose({
+        kind: 'remove_worker',
+        life,
+        runs,
+        ...(isFinal ? {isFinal} : {}),
+      });
       this.options.logger.info(
         {change: 'worker_gone', worker, why: 'deregistered'},
         'worker deregistered',
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,6 +5,7 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {DepartedWorkers} from './departed_workers.js';
 import {imageOf} from './image.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
@@ -45,7 +46,6 @@
 const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
 
 const APPLIED: WorkflowResult = {kind: 'applied'};
-const NO_WORKFLOW: WorkflowResult = {kind: 'no_workflow'};
 
 /** State machine of workflows, workers and the bundle in force. */
 export class WorkflowDb {
@@ -54,6 +54,7 @@
   readonly queues = new Map<QueueName, Queue>();
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
+  readonly departed = new DepartedWorkers();
   /** Open workflows, in the order in which they were accepted. */
   readonly open = new OpenWorkflows();
   /** Runs that may have to be stopped. */
@@ -87,11 +88,12 @@
       case 'cancel':
         return this.cancel(command.id, command.at);
       case 'put_worker':
-        this.putWorker(command.report);
+        if (!this.departed.has(command.report)) this.putWorker(command.report);
         return APPLIED;
       case 'remove_worker':
         this.saveCheckpoints(command.life, command.runs);
         this.removeWorker(command.life);
+        if (command.isFinal) this.departed.add(command.life);
         return APPLIED;
       case 'start_runs':
         for (const start of command.starts) this.startRun(start);
@@ -153,6 +155,7 @@
         activeRuns: 0,
       });
     this.ended.sort((a, b) => a.at - b.at);
+    this.departed.restore(image.departed);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, this.restoreWorker(kept));
@@ -233,7 +236,7 @@
 
   private cancel(id: WorkflowId, at: number): WorkflowResult {
     const workflow = this.workflows.get(id);
-    if (!workflow) return NO_WORKFLOW;
+    if (!workflow) return {kind: 'no_workflow'};
     if (workflow.phase === 'open') this.finish(workflow, 'cancelled', at);
     return APPLIED;
   }
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -12,8 +12,10 @@
   queues,
   workflows,
   workers,
+  departed,
 }: WorkflowDb): WorkflowImage => ({
   index,
+  departed: departed.values(),
   bundle,
   queues: [...queues.values()],
   workflows: [...workflows.values()].map(workflow => ({
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -259,6 +259,8 @@
       readonly life: WorkerIncarnation;
       /** Last known checkpoints of the runs that end with the worker. */
       readonly runs: readonly VoidedRun[];
+      /** Whether the incarnation said itself that it ends. */
+      readonly isFinal?: boolean;
     }
   | {readonly kind: 'start_runs'; readonly starts: readonly RecordedStart[]}
   | {
@@ -294,6 +296,8 @@
 /** Serializable image of the whole state. */
 export interface WorkflowImage {
   readonly index: number;
+  /** Incarnations that have ended for good; absent in older images. */
+  readonly departed?: readonly WorkerIncarnation[];
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   readonly workflows: ReadonlyArray<
