Send heartbeats while a leader's write is under way

Cause: ticks waited in the same queue as all inputs for the end of a write. The followers heard nothing and stood for election.

A tick during a write now sends the heartbeats that are due at once. They depend on no vote or term that is being written; entries may be sent early anyhow.

--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -43,6 +43,16 @@
     return context.effects;
   }
 
+  /**
+   * @returns the heartbeats that a leader owes at a monotonic time in ms, while
+   *   its other inputs wait for a write.
+   */
+  takeHeartbeats(now: number): ReadonlyArray<Envelope<C>> {
+    this.context.effects = noEffects();
+    this.leadership.sendDueHeartbeats(now);
+    return this.context.effects.messages;
+  }
+
   /** Whether the node is the leader. */
   get isLeader(): boolean {
     return this.context.role === 'leader';
--- a/packages/coordination/src/consensus/early_send.ts
+++ b/packages/coordination/src/consensus/early_send.ts
@@ -13,3 +13,12 @@
 /** Only a leader sends appends. */
 export const isAppend = <C>({message}: Envelope<C>): boolean =>
   message.kind === 'append';
+
+/**
+ * Whether a leader's heartbeats may go out during a write: they depend on no
+ * vote or term that is being written, and all else is on disk or may be sent early.
+ */
+export const mayBeatDuring = <C>(
+  writes: ReadonlyArray<StorageWrite<C>>,
+): boolean =>
+  writes.every(({kind}) => kind === 'append' || kind === 'snapshot');
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -44,6 +44,17 @@
       this.sendCommitNotices();
   }
 
+  /**
+   * Sends heartbeats that are due at a monotonic time in ms, while inputs that
+   * arrived earlier still wait; the rounds count as sent at the last input.
+   */
+  sendDueHeartbeats(now: number): void {
+    const {context} = this;
+    if (context.role !== 'leader' || now < context.heartbeatDeadline) return;
+    this.broadcast();
+    context.heartbeatDeadline = now + context.timing.heartbeatMs;
+  }
+
   /** Handles a proposal: appends its entry and replies to its token. */
   onPropose(token: number, body: EntryBody<C>, isMore = false): void {
     if (this.context.role !== 'leader')
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -12,7 +12,7 @@
 import {BatchLoad, type BatchCost} from './batch_load.js';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
-import {isAppend, isAppendOnly} from './early_send.js';
+import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
 import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
 import {Outbox} from './outbox.js';
@@ -50,6 +50,8 @@
   private readonly outbox: Outbox<C>;
   private readonly schedule: WriteSchedule;
   private isRunning = false;
+  /** Whether a write is under way during which heartbeats may be sent. */
+  private mayBeat = false;
   private failure: CellError | null = null;
   private isNoticeScheduled = false;
   /** Snapshot that was encoded but not written yet. */
@@ -79,9 +81,18 @@
   /** Starts the ticks of the core. */
   start(): void {
     const {clock} = this.options;
-    this.timer = clock
-      .every(this.tickMs)
-      .subscribe(() => this.offer({kind: 'tick', now: clock.now()}));
+    this.timer = clock.every(this.tickMs).subscribe(() => this.tick());
+  }
+
+  /** Offers a tick; heartbeats do not wait with it for the end of a write. */
+  private tick(): void {
+    const now = this.options.clock.now();
+    if (this.mayBeat) {
+      const heartbeats = this.core.takeHeartbeats(now);
+      this.outbox.send(heartbeats, []);
+      this.noteSent(heartbeats);
+    }
+    this.offer({kind: 'tick', now});
   }
 
   /** Half a heartbeat interval, so that no heartbeat is late by more than that. */
@@ -323,7 +334,9 @@
     const image = writes.some(({kind}) => kind === 'snapshot')
       ? this.core.durable
       : emptyState<C>();
+    this.mayBeat = mayBeatDuring(writes);
     await persistWrites(folder, writes, () => image);
+    this.mayBeat = false;
     const now = clock.now();
     this.schedule.noteWrite(startedAt);
     this.load.noteWrite(now - startedAt);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,6 +12,7 @@
 export * from './consensus/members_task.js';
 export type {LogPeers} from './consensus/outbox.js';
 export type {PackedEnvelope} from './consensus/packing.js';
+export {mayBeatDuring} from './consensus/early_send.js';
 export * from './consensus/task.js';
 export * from './consensus/task_options.js';
 export * from './entry/task.js';
--- a/packages/proofs/src/consensus/sim_node.ts
+++ b/packages/proofs/src/consensus/sim_node.ts
@@ -2,6 +2,7 @@
 import {
   ConsensusCore,
   InputBatcher,
+  mayBeatDuring,
   Replica,
   emptyState,
   singleVoterState,
@@ -51,6 +52,8 @@
   private identityCount = 0;
   private life = 0;
   private isBusy = false;
+  /** Whether the write under way lets heartbeats out. */
+  private mayBeat = false;
   private readonly waiting = new Map<
     number,
     {term: number; done: (result: CellResult | undefined) => void}
@@ -217,11 +220,19 @@
   private scheduleTick(incarnation: number): void {
     this.context.queue.after(TICK_MS, () => {
       if (incarnation !== this.life) return;
+      this.sendHeartbeats();
       this.offer({kind: 'tick', now: this.context.queue.now});
       this.scheduleTick(incarnation);
     });
   }
 
+  /** Sends the heartbeats that do not wait for the write under way. */
+  private sendHeartbeats(): void {
+    if (!this.isBusy || !this.mayBeat || this.isFrozen || !this.core) return;
+    const messages = this.core.takeHeartbeats(this.context.queue.now);
+    for (const envelope of messages) this.sendOut(envelope);
+  }
+
   private run(): void {
     const {batcher} = this;
     if (this.isBusy || this.isFrozen || !batcher) return;
@@ -232,6 +243,7 @@
     if (effects.writes.length === 0) return this.finish(effects);
     if (this.disk.isFailing) return this.crash();
     this.isBusy = true;
+    this.mayBeat = mayBeatDuring(effects.writes);
     const image = this.core!.durable;
     this.persist(
       planWrites(effects.writes, () => image),
