--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -55,7 +55,6 @@
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
-  /** Open workflows, in the order in which they were accepted. */
   readonly open = new OpenWorkflows();
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
