--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -45,14 +45,16 @@
   }
 
   /**
-   * Sends heartbeats that are due at a monotonic time in ms, while inputs that
-   * arrived earlier still wait; the rounds count as sent at the last input.
+   * Sends heartbeats without entries that are due at a monotonic time in ms,
+   * while inputs that arrived earlier still wait; the round counts as sent at the
+   * last input.
    */
   sendDueHeartbeats(now: number): void {
     const {context} = this;
     if (context.role !== 'leader' || now < context.heartbeatDeadline) return;
-    this.broadcast();
     context.heartbeatDeadline = now + context.timing.heartbeatMs;
+    this.startRound();
+    for (const node of context.progress.keys()) this.sendHeartbeat(node);
   }
 
   /** Handles a proposal: appends its entry and replies to its token. */
@@ -175,7 +177,7 @@
     });
   }
 
-  /** Keeps a node following while its next snapshot chunk is in flight. */
+  /** Keeps a node following, without sending it anything of the log. */
   private sendHeartbeat(node: NodeId): void {
     this.context.send(node, {
       kind: 'append',
