--- a/packages/coordination/src/workflow/advice_callers.ts
+++ b/packages/coordination/src/workflow/advice_callers.ts
@@ -45,10 +45,21 @@
 /** Fraction of the VMs that is reserved for short calls. */
 const SHORT_SHARE = 0.3;
 
+/** A call that waits for a VM. */
+export interface WaitingCall {
+  /** Estimated duration, in ms. */
+  readonly costMs: number;
+  /** Whether it may use the VMs that are reserved for short calls. */
+  readonly mayUseReserved?: boolean;
+}
+
+/** Whether a call is short, so that VMs are reserved for it. */
+export const isShortCall = (costMs: number): boolean => costMs <= SHORT_CALL_MS;
+
 /** @returns the VM that should make a call, or undefined if the call should wait. */
 export const chooseCaller = (
   all: readonly CallerLoad[],
-  costMs: number,
+  {costMs, mayUseReserved = false}: WaitingCall,
   now: number,
 ): CallerLoad | undefined => {
   const healthy = all.filter(({avoidedUntil}) => now >= avoidedUntil);
@@ -57,13 +68,15 @@
   for (const caller of callers)
     if (!best || caller.backlogMs < best.backlogMs) best = caller;
   if (!best) return undefined;
-  if (costMs <= SHORT_CALL_MS)
+  if (isShortCall(costMs))
     return best.backlogMs < MAX_SHORT_BACKLOG_MS ? best : undefined;
   if (best.callCount > 0) return undefined;
   const withLongBacklog = callers.filter(
     ({backlogMs}) => backlogMs > SHORT_CALL_MS,
   );
-  const reserved = Math.floor(callers.length * SHORT_SHARE);
+  const reserved = mayUseReserved
+    ? 0
+    : Math.floor(callers.length * SHORT_SHARE);
   const mayTakeLongCall =
     callers.length === 1 || withLongBacklog.length < callers.length - reserved;
   return mayTakeLongCall ? best : undefined;
--- a/packages/coordination/src/workflow/advice_dispatcher.ts
+++ b/packages/coordination/src/workflow/advice_dispatcher.ts
@@ -29,6 +29,7 @@
   beginCall,
   chooseCaller,
   endCall,
+  isShortCall,
   type CallerLoad,
 } from './advice_callers.js';
 import {AdviceQueueLog} from './advice_queue_log.js';
@@ -71,6 +72,8 @@
 
 /** Pause before a step may be enqueued again after a failed call, in ms. */
 const RETRY_PAUSE_MS = 150;
+/** Time without short calls after which late long ones may use their VMs, in ms. */
+const NO_SHORT_CALLS_MS = 1000;
 
 /** Queues and dispatches calls for advice while this VM leads. */
 export class AdviceDispatcher {
@@ -80,6 +83,8 @@
   private readonly loads = new Map<VmId, CallerLoad>();
   private readonly queueLog: AdviceQueueLog;
   private waiting: QueuedCall[] = [];
+  /** Monotonic time at which the last short call was enqueued, in ms. */
+  private shortWantedAt = Number.NEGATIVE_INFINITY;
   private callerCount = 0;
   private isClosed = false;
 
@@ -114,6 +119,7 @@
     this.change(key, record, {isAsking: true});
     const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
     const wantedAt = this.options.clock.now();
+    if (isShortCall(costMs)) this.shortWantedAt = wantedAt;
     this.waiting.push({
       step,
       workers,
@@ -135,7 +141,7 @@
     // Short calls overtake long ones enqueued about the same time, but not older ones.
     this.waiting.sort((a, b) => a.deadline - b.deadline);
     for (const call of this.waiting) {
-      const caller = chooseCaller(callers, call.costMs, clock.now());
+      const caller = this.chooseCallerOf(call, callers);
       if (caller) void this.send(caller, call);
       else unsent.push(call);
     }
@@ -189,6 +195,17 @@
     };
   }
 
+  /** A late call may use a VM that is reserved for short ones while there are none. */
+  private chooseCallerOf(
+    {costMs, deadline}: QueuedCall,
+    callers: readonly CallerLoad[],
+  ): CallerLoad | undefined {
+    const now = this.options.clock.now();
+    const mayUseReserved =
+      now >= deadline && now >= this.shortWantedAt + NO_SHORT_CALLS_MS;
+    return chooseCaller(callers, {costMs, mayUseReserved}, now);
+  }
+
   /** Start of a worker's current incarnation, in ms since 1970. */
   private incarnationOf(worker: WorkerId): number | undefined {
     return this.options.db.workers.get(worker)?.report.bornAt;
