--- a/packages/proofs/src/bench/scheduling/days.ts
+++ b/packages/proofs/src/bench/scheduling/days.ts
@@ -133,6 +133,23 @@
   losses: [{at: 25_500, count: 7}],
 };
 
+const OVERLOAD_FACTOR = 1.6;
+
+/** The lowest priority gets no call slots in it for many seconds. */
+const OVERLOADED_DAY: LoadPattern = {
+  ...MESH_DAY,
+  name: 'day: gangs of 5 s, overloaded, eight seconds without a leader',
+  durationMs: 24_000,
+  kinds: MESH_KINDS.map(kind => ({
+    ...kind,
+    arrivalsPerSecond: OVERLOAD_FACTOR * kind.arrivalsPerSecond,
+  })),
+  outages: [
+    {at: 2000, durationMs: 7900},
+    {at: 14_000, durationMs: 1000},
+  ],
+};
+
 /** Load patterns of whole days. */
 export const DAYS: readonly LoadPattern[] = [
   MESH_DAY,
@@ -146,6 +163,7 @@
       {at: 14_000, durationMs: 1000},
     ],
   },
+  OVERLOADED_DAY,
   {
     ...MESH_DAY,
     name: 'day: gangs of 5 s, a sixth of the workers lost',
