Steps that query advisers in the same pass begin at unlike workers

Cause: workers with equal free room were named in the same order for all steps, so hundreds of steps that query within one pass got tickets for the same few workers.

Why it works: each step begins at a place of its own, by a hash of its key, among workers with equal room.

--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -1,11 +1,13 @@
 /**
  * Chooses the workers to query an adviser about. Load pattern: hundreds of
  * workers, calls whose duration grows with each worker named, and short-lived
- * tickets, so that a query about all workers lets the first answers expire.
+ * tickets, so that a query about all workers lets the first answers expire; and
+ * hundreds of steps that query in the same pass, as after a time without a
+ * leader, and would all get tickets for the same few workers.
  */
 import type {AdviceTiming} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
-import type {Resources, StepSpec} from '../types.js';
+import type {Resources, StepKey, StepSpec} from '../types.js';
 import type {WorkerView} from './types.js';
 
 /** Maximum number of workers named in one call to an adviser. */
@@ -59,6 +61,15 @@
   return whole >= 0 ? Number.POSITIVE_INFINITY : 0;
 };
 
+/** The waiting tasks of a step, and how long its adviser takes. */
+interface WaitingStep {
+  readonly key: StepKey;
+  readonly spec: StepSpec;
+  /** Number of waiting tasks. */
+  readonly taskCount: number;
+  readonly timing: AdviceTiming;
+}
+
 /** The adviser's answers so far about the workers for a step. */
 interface QueriedWorkers {
   readonly asked: ReadonlySet<WorkerId>;
@@ -118,16 +129,14 @@
  * Chooses the workers to query next, those with most free resources first: as
  * many as are expected to hold the waiting tasks, and enough to balance the
  * fixed duration of a call, because a step with few known workers preempts
- * others needlessly.
+ * others needlessly. Among workers with equal room, each step begins at its own
+ * place.
  * @param workers - workers of the pool that could run the step.
- * @param taskCount - number of waiting tasks of the step.
  * @returns an empty list if the workers known to be allowed hold enough tasks.
  */
 export const chooseWorkersToQuery = (
-  spec: StepSpec,
+  {key, spec, taskCount, timing}: WaitingStep,
   workers: readonly WorkerView[],
-  taskCount: number,
-  timing: AdviceTiming,
   advice: QueriedWorkers | undefined,
 ): WorkerId[] => {
   const knownCount = advice ? countAllowedFitting(spec, advice.allowed) : 0;
@@ -135,10 +144,11 @@
   if (missingCount <= 0) return [];
   const chosen: WorkerId[] = [];
   const wantedCount = Math.min(MAX_BALANCED_WORKERS, balancedCount(timing));
+  const hash = hashOf(key);
   let expectedCount = 0;
   for (const bucket of bucketByFit(spec, workers, advice?.asked)) {
     const {now, empty} = bucket;
-    for (const worker of bucket.workers) {
+    for (const worker of rotate(bucket.workers, hash)) {
       const isEnough =
         expectedCount >= missingCount && chosen.length >= wantedCount;
       if (isEnough || chosen.length >= MAX_ADVISED_WORKERS) return chosen;
@@ -149,3 +159,17 @@
   }
   return chosen;
 };
+
+/** The items in the same cyclic order, from another first one. */
+const rotate = <T>(items: readonly T[], by: number): T[] => {
+  const first = by % items.length;
+  return [...items.slice(first), ...items.slice(0, first)];
+};
+
+/** Hashes a text to an unsigned integer of 32 bits (FNV-1a). */
+const hashOf = (text: string): number => {
+  let hash = 2166136261;
+  for (let i = 0; i < text.length; i++)
+    hash = Math.imul(hash ^ text.charCodeAt(i), 16777619);
+  return (hash ^ (hash >>> 15)) >>> 0;
+};
--- a/packages/state/src/workflow/planner/advice_requester.ts
+++ b/packages/state/src/workflow/planner/advice_requester.ts
@@ -63,10 +63,8 @@
     const isNoneAllowed = !advice || advice.allowed.size === 0;
     if (advice?.isAsking) return isNoneAllowed;
     const workers = chooseWorkersToQuery(
-      spec,
+      {key: ready.key, spec, taskCount, timing: queue.advice ?? NO_TIMING},
       suitableWorkers,
-      taskCount,
-      queue.advice ?? NO_TIMING,
       advice && {asked: advice.asked, allowed},
     );
     if (workers.length > 0) {
