Refuse link frames of an unknown kind without an exception

What callers saw: one frame of a kind that this version does not know, from a VM of the cell, was an uncaught exception in the server of the links; the entry point has no handler for those, so the process would end, and again with each such frame.

Cause: the handler of a stream's data passed unknown kinds to assertNever, which is for values of this program and not for bytes of others.

Evidence: a trial without a test runner printed "UNCAUGHT Error: unexpected variant {kind: odd}" before; now the frame is refused and the next ping is answered. link_odd_frames.spec.ts failed before (1 reply of 2, no refusal) and passes. "an unknown kind: a server that receives it keeps serving" (link_frames.spec.ts) passed before as well: it sees a later stream served, and under the test runner the exception does not end the process.

Why this works: the switch stays exhaustive for the compiler, and at run time an unknown kind is refused with a typed error and the stream goes on.

--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -11,12 +11,7 @@
   type LinkMethod,
   type LinkMethods,
 } from '@primrosewick/protocol';
-import {
-  CellError,
-  assertNever,
-  toCellError,
-  type VmId,
-} from '@primrosewick/state';
+import {CellError, toCellError, type VmId} from '@primrosewick/state';
 import {workMeter, type WorkKind} from '../event_loop/work_meter.js';
 import {LINK_SERVICE} from './service.js';
 
@@ -143,7 +138,16 @@
       case 'pong':
         return;
       default:
-        assertNever(frame);
+        // Another version may send other kinds; an exception here would be uncaught.
+        frame satisfies never;
+        this.options.onRefusal(
+          new CellError({
+            code: 'invalid_input',
+            step: 'link-frame',
+            peer: from,
+            detail: 'unknown kind of frame',
+          }),
+        );
     }
   }
 
