The round of a heartbeat during a write counts from its sending

A proof of the leadership counts from the sending of its round; that of a heartbeat during a write is the time of the tick, not of the last input handled. The test in core.spec shows that replies that waited meanwhile still count as heard when they arrived; it was written with the change.

--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -137,6 +137,18 @@
     core.step({kind: 'tick', now: 20_000});
     expect(core.status.role).to.equal('follower');
   });
+  it('a reply that waited during a write counts as heard when it arrived', () => {
+    const core = makeCore(A, 3, [members]);
+    const term = elect(core, A);
+    expect(core.takeHeartbeats(10_900)).to.have.length(4);
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_100,
+        envelope: accept(from, A, term, 2),
+      });
+    expect(core.status.lastContactAt).to.equal(10_100);
+  });
   it('a node with a live leader rejects a vote request', () => {
     const core = makeCore(A, 3, [members]);
     const append = {
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -45,15 +45,16 @@
   }
 
   /**
-   * Sends heartbeats without entries that are due at a monotonic time in ms,
-   * while inputs that arrived earlier still wait; the round counts as sent at the
-   * last input.
+   * Sends heartbeats without entries that are due at a monotonic time in ms. The
+   * time of the core stays that of the inputs handled so far, since replies that
+   * wait would count as heard later than they were.
    */
   sendDueHeartbeats(now: number): void {
     const {context} = this;
     if (context.role !== 'leader' || now < context.heartbeatDeadline) return;
     context.heartbeatDeadline = now + context.timing.heartbeatMs;
-    this.startRound();
+    context.round++;
+    context.roundTimes.record(context.round, now);
     for (const node of context.progress.keys()) this.sendHeartbeat(node);
   }
 
