Leave out malformed messages of the log instead of ending the voter

What operators would see: one message of another VM of an unknown kind, or with a term or entries that are none, ended the voter that read it ("unexpected kind" in the core counts as a failure of the data folder), and it would end again with each such message. Bytes that did not decode left the caller waiting among those that are answered by the next batch, so its next messages were lost.

Cause: messages reached the core as they came, and the core may only be given what it knows. They are now checked for their shape before they are queued (kind, whole numbers, flags, entries that follow one another); what fails is left out and told of (messages_malformed, bounded). A call without a sound message is answered at once, with nothing.

What a sound shape can still say that is wrong, such as a term far too high, is not checked.

--- a/packages/coordination/src/consensus/outbox.ts
+++ b/packages/coordination/src/consensus/outbox.ts
@@ -22,7 +22,10 @@
 export interface OutboxOptions<C> {
   readonly peers: LogPeers;
   /** Called with the messages in another VM's reply to a call. */
-  readonly onReply: (envelopes: ReadonlyArray<PackedEnvelope<C>>) => void;
+  readonly onReply: (
+    vm: VmId,
+    envelopes: ReadonlyArray<PackedEnvelope<C>>,
+  ) => void;
 }
 
 /** Outgoing messages of one node. */
@@ -77,6 +80,7 @@
       const reply = await this.options.peers.call(vm, 'consensus', {envelopes});
       if (reply.envelopes.length > 0)
         this.options.onReply(
+          vm,
           reply.envelopes as ReadonlyArray<PackedEnvelope<C>>,
         );
     } catch {
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -16,7 +16,8 @@
 import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
 import {Outbox} from './outbox.js';
-import {unpackEnvelope, type PackedEnvelope} from './packing.js';
+import {decodeEnvelope} from './envelope_check.js';
+import type {PackedEnvelope} from './packing.js';
 import type {Compaction, ConsensusTaskOptions} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
@@ -72,7 +73,8 @@
     this.schedule = new WriteSchedule(clock, () => void this.run());
     this.outbox = new Outbox({
       peers: options.peers,
-      onReply: envelopes => this.enqueueMessages(envelopes),
+      onReply: (vm, envelopes) =>
+        this.enqueueMessages(this.decode(vm, envelopes)),
     });
     this.lastStatus = this.core.status;
     if (restored.snapshot) replica.restore(decode(restored.snapshot.data));
@@ -152,22 +154,29 @@
    */
   receive(
     from: VmId,
-    envelopes: ReadonlyArray<PackedEnvelope<C>>,
+    envelopes: readonly unknown[],
   ): Promise<ReadonlyArray<PackedEnvelope<C>>> {
+    const messages = this.decode(from, envelopes);
+    if (messages.length === 0) return Promise.resolve([]);
     return new Promise(resolve => {
       this.outbox.addCaller({vm: from, resolve});
-      this.enqueueMessages(envelopes);
+      this.enqueueMessages(messages);
     });
   }
 
-  private enqueueMessages(envelopes: ReadonlyArray<PackedEnvelope<C>>): void {
+  /** Decodes the messages of another VM; malformed ones are reported and left out. */
+  private decode(from: VmId, packed: readonly unknown[]): Array<Envelope<C>> {
+    const decoded = packed.map(each => decodeEnvelope<C>(each));
+    const messages = decoded.filter(envelope => envelope !== undefined);
+    const malformed = decoded.length - messages.length;
+    if (malformed > 0) this.options.onMalformed?.(from, malformed);
+    return messages;
+  }
+
+  private enqueueMessages(envelopes: ReadonlyArray<Envelope<C>>): void {
     const now = this.options.clock.now();
     for (const envelope of envelopes)
-      this.inputs.offer({
-        kind: 'message',
-        now,
-        envelope: unpackEnvelope(envelope),
-      });
+      this.inputs.offer({kind: 'message', now, envelope});
     void this.run();
   }
 
--- a/packages/coordination/src/consensus/task_options.ts
+++ b/packages/coordination/src/consensus/task_options.ts
@@ -1,5 +1,5 @@
 /** What the driver of a consensus core needs, and reports. */
-import type {CellError, Folder, NodeId} from '@primrosewick/state';
+import type {CellError, Folder, NodeId, VmId} from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import type {LogPeers} from './outbox.js';
 import type {ConsensusTiming, DurableState} from './types.js';
@@ -46,6 +46,8 @@
   /** Maximum number of pending proposals. */
   readonly maxProposals: number;
   readonly onFailure: (err: CellError) => void;
+  /** Called with the number of messages of a VM that were left out as malformed. */
+  readonly onMalformed?: (from: VmId, count: number) => void;
   /** Called when a snapshot made by this node is on disk. */
   readonly onCompacted?: (compaction: Compaction) => void;
 }
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -13,7 +13,6 @@
   restoreState,
   type Compaction,
   type ConsensusStatus,
-  type PackedEnvelope,
   type LogAccess,
   type DurableState,
   type WorkflowReplica,
@@ -33,6 +32,7 @@
   type ZoneId,
 } from '@primrosewick/state';
 import {
+  LogRateLimiter,
   SuspensionDetector,
   pause,
   type Clock,
@@ -77,6 +77,8 @@
 const REPAIR_INTERVAL_MS = 200;
 /** Interval of lines about the cost of the log at the leader, in ms. */
 const LOAD_INTERVAL_MS = 2000;
+/** Lines about malformed messages in that time. */
+const MALFORMED_LINES = 2;
 const FOUND_PAUSE_MS = 100;
 /** Time after which a cell is founded without the seeds that do not answer, in ms. */
 const FOUND_WAIT_MS = 4000;
@@ -96,6 +98,10 @@
   private loadDueAt = Number.NEGATIVE_INFINITY;
   private readonly voterAnnouncements = new VoterAnnouncements();
   private readonly suspensions: SuspensionDetector;
+  private readonly malformedBudget = new LogRateLimiter(
+    MALFORMED_LINES,
+    LOAD_INTERVAL_MS,
+  );
 
   constructor(private readonly options: ReplicatedLogOptions) {
     this.suspensions = new SuspensionDetector(options.clock);
@@ -210,8 +216,8 @@
     envelopes: readonly unknown[],
   ): Promise<readonly unknown[]> {
     const own = (
-      envelopes as ReadonlyArray<PackedEnvelope<WorkflowCommand>>
-    ).filter(({to}) => to === this.identity);
+      envelopes as ReadonlyArray<{readonly to?: unknown} | null>
+    ).filter(envelope => envelope?.to === this.identity);
     return this.task ? this.task.receive(from, own) : [];
   }
 
@@ -290,6 +296,7 @@
       },
       maxProposals: MAX_PROPOSALS,
       onCompacted: compaction => this.logCompaction(compaction),
+      onMalformed: (from, count) => this.logMalformed(from, count),
       onFailure: err => {
         logger.error({change: 'log_failed', err: err.toBody()});
         onFailure(err);
@@ -299,6 +306,15 @@
     this.task.start();
   }
 
+  private logMalformed(peer: VmId, count: number): void {
+    const line = this.malformedBudget.take(this.options.clock.now());
+    if (!line) return;
+    this.options.logger.error(
+      {change: 'messages_malformed', peer, count, ...line},
+      'left out messages of another VM that are not of the log',
+    );
+  }
+
   private logCompaction({tookMs, writeMs, ...facts}: Compaction): void {
     const times = {tookMs: Math.round(tookMs), writeMs: Math.round(writeMs)};
     this.options.logger.info(
