A leader hands over for its disk only, and to a voter that can be elected

Causes, both of the class of docs/adr/0017 (lateness taken for a fault): - The disk guard counted a sync as slow from 40 ms on. A write takes two turns of the event loop after the disk; with turns of 22 ms a sync of 4 ms ends after 45, and a timer due at 40 tells of no lag. A sync counts as slow now only where the loop had nothing to do for 40 ms of it. - A leader went on proposing after it had chosen a successor. Each entry that the others got and the successor had not makes them refuse it. Proposals are held back for 300 ms now, and go to the successor or on with the next write.

--- a/packages/coordination/src/consensus/fixtures.ts
+++ b/packages/coordination/src/consensus/fixtures.ts
@@ -1,8 +1,7 @@
 /** Two voters on disks whose writes the test holds. */
 import {asId, type Folder, type NodeId, type VmId} from '@primrosewick/state';
-import {systemClock} from '@primrosewick/transport';
+import {pause, systemClock} from '@primrosewick/transport';
 import {emptyState} from './core.js';
-import type {PackedEnvelope} from './packing.js';
 import type {ReplicatedStateMachine} from './task_options.js';
 import {ConsensusTask} from './task.js';
 import type {DurableState} from './types.js';
@@ -84,13 +83,19 @@
   readonly disk: HeldDisk;
 }
 
-/**
- * Two voters joined by direct calls; the second one never stands for election.
- * @param onCall - called with the sender of each call.
- */
-export const makePair = (
-  onCall: (from: NodeId) => void = () => undefined,
-): Pair => {
+/** Options of `makePair`. */
+export interface PairOptions {
+  /** Called with the sender of each call. */
+  readonly onCall?: (from: NodeId) => void;
+  /** Time that a call takes each way, in ms. */
+  readonly delayMs?: number;
+}
+
+/** Two voters joined by calls; the second one never stands for election by itself. */
+export const makePair = ({
+  onCall = () => undefined,
+  delayMs = 0,
+}: PairOptions = {}): Pair => {
   const disks = [new HeldDisk(), new HeldDisk()];
   const tasks: Array<ConsensusTask<string, number>> = NODES.map(
     (node, i) =>
@@ -102,12 +107,10 @@
         peers: {
           call: async (_to, _method, {envelopes}) => {
             onCall(node);
-            return {
-              envelopes: await tasks[1 - i]!.receive(
-                VMS[i]!,
-                envelopes as Array<PackedEnvelope<string>>,
-              ),
-            };
+            if (delayMs > 0) await pause(systemClock, delayMs);
+            const reply = await tasks[1 - i]!.receive(VMS[i]!, envelopes);
+            if (delayMs > 0) await pause(systemClock, delayMs);
+            return {envelopes: reply};
           },
         },
         clock: systemClock,
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -11,13 +11,14 @@
 import type {LogStatus} from '@primrosewick/protocol';
 import {BatchLoad, type BatchCost} from './batch_load.js';
 import {ConsensusCore, emptyState} from './core.js';
-import {DiskGuard, SLOW_SYNC_MS} from './disk_guard.js';
+import {DiskGuard} from './disk_guard.js';
 import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
 import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
 import {Outbox} from './outbox.js';
 import {decodeEnvelope} from './envelope_check.js';
 import type {PackedEnvelope} from './packing.js';
+import {observeSync} from './observe_sync.js';
 import type {Compaction, ConsensusTaskOptions} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
@@ -226,6 +227,7 @@
 
   /** Transfers the leadership to another voter. */
   transferLeadership(): void {
+    this.schedule.holdForTransfer();
     this.offer({kind: 'transfer', now: this.options.clock.now()});
   }
 
@@ -316,28 +318,10 @@
     });
   }
 
-  /**
-   * Starts a timer that is due when a sync counts as slow.
-   * @returns a function that gives the delay of the timer at the end of the
-   *   sync, in ms.
-   */
-  private measureTimerLag(): (now: number) => number {
-    const {clock} = this.options;
-    const dueAt = clock.now() + SLOW_SYNC_MS;
-    let firedAt: number | undefined;
-    const timer = clock.after(SLOW_SYNC_MS).subscribe(() => {
-      firedAt = clock.now();
-    });
-    return now => {
-      timer.unsubscribe();
-      return Math.max(0, (firedAt ?? now) - dueAt);
-    };
-  }
-
   private async persist(writes: ReadonlyArray<StorageWrite<C>>): Promise<void> {
     const {clock, folder} = this.options;
     const startedAt = clock.now();
-    const lagAt = this.measureTimerLag();
+    const endSync = observeSync(clock);
     // The image is taken now, as inputs that arrive during the write must not be
     // in it, and only for a snapshot, as it is costly.
     const image = writes.some(({kind}) => kind === 'snapshot')
@@ -350,8 +334,7 @@
     this.schedule.noteWrite(startedAt);
     this.load.noteWrite(now - startedAt);
     this.reportCompaction(image.snapshot?.index, now - startedAt);
-    const sync = {tookMs: now - startedAt, lagMs: lagAt(now)};
-    const isSlow = this.diskGuard.recordSync(sync, now);
+    const isSlow = this.diskGuard.recordSync(endSync(now), now);
     if (isSlow && this.core.status.role === 'leader') this.transferLeadership();
   }
 
--- a/packages/coordination/src/consensus/write_schedule.ts
+++ b/packages/coordination/src/consensus/write_schedule.ts
@@ -3,6 +3,8 @@
 
 /** Shortest interval between the starts of two writes of a leader, in ms. */
 const WRITE_INTERVAL_MS = 9;
+/** Time in which a successor is elected and this node learns of it, in ms. */
+const TRANSFER_MS = 300;
 
 /** Decides when a leader may write its queued proposals. */
 export class WriteSchedule {
@@ -18,7 +20,16 @@
 
   /** Notes a write that started at a monotonic time, in ms. */
   noteWrite(startedAt: number): void {
-    this.nextWriteAt = startedAt + WRITE_INTERVAL_MS;
+    const nextAt = startedAt + WRITE_INTERVAL_MS;
+    this.nextWriteAt = Math.max(this.nextWriteAt, nextAt);
+  }
+
+  /**
+   * Holds proposals back while the leadership is handed over: voters refuse a
+   * successor that lacks an entry which they have.
+   */
+  holdForTransfer(): void {
+    this.nextWriteAt = this.clock.now() + TRANSFER_MS;
   }
 
   /**
