Heartbeats during a write tell the commit index, and end with a hung disk

A copy at index 2 counted as fresh for 4 s while its leader was at 3, so an old state could be shown. Heartbeats go out for 3 s of one write at most; slow_write.spec holds the disk for 3.6 s. - A voter that has failed left its callers without an answer; they get an empty one at once.

--- a/packages/coordination/src/consensus/core.spec.ts
+++ b/packages/coordination/src/consensus/core.spec.ts
@@ -137,6 +137,21 @@
     core.step({kind: 'tick', now: 20_000});
     expect(core.status.role).to.equal('follower');
   });
+  it('a heartbeat during a write tells the commit index, as it makes a copy count as fresh', () => {
+    const core = makeCore(A, 3, [members, command(2, 2)]);
+    const term = elect(core, A);
+    for (const from of [B, C])
+      core.step({
+        kind: 'message',
+        now: 10_002,
+        envelope: accept(from, A, term, 3),
+      });
+    expect(core.status.commitIndex).to.equal(3);
+    const told = core
+      .takeHeartbeats(10_900)
+      .map(({message}) => message.kind === 'append' && message.commitIndex);
+    expect(told).to.eql([3, 3, 3, 3]);
+  });
   it('a reply that waited during a write counts as heard when it arrived', () => {
     const core = makeCore(A, 3, [members]);
     const term = elect(core, A);
@@ -148,6 +163,14 @@
         envelope: accept(from, A, term, 2),
       });
     expect(core.status.lastContactAt).to.equal(10_100);
+    const reply = (from: NodeId, round: number): Envelope<string> => ({
+      from,
+      to: A,
+      message: {kind: 'append_reply', term, isAccepted: true, index: 2, round},
+    });
+    for (const from of [B, C])
+      core.step({kind: 'message', now: 10_950, envelope: reply(from, 2)});
+    expect(core.leadershipConfirmedAt).to.equal(10_900);
   });
   it('a node with a live leader rejects a vote request', () => {
     const core = makeCore(A, 3, [members]);
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -45,9 +45,10 @@
   }
 
   /**
-   * Sends heartbeats without entries that are due at a monotonic time in ms. The
-   * time of the core stays that of the inputs handled so far, since replies that
-   * wait would count as heard later than they were.
+   * Sends the heartbeats that are due at a monotonic time in ms, with the commit
+   * index, as they make a follower's copy count as fresh. The time of the core
+   * stays that of the inputs handled so far, since replies that wait would count
+   * as heard later than they were.
    */
   sendDueHeartbeats(now: number): void {
     const {context} = this;
@@ -55,7 +56,8 @@
     context.heartbeatDeadline = now + context.timing.heartbeatMs;
     context.round++;
     context.roundTimes.record(context.round, now);
-    for (const node of context.progress.keys()) this.sendHeartbeat(node);
+    for (const [node, progress] of context.progress)
+      this.sendAppend(node, progress);
   }
 
   /** Handles a proposal: appends its entry and replies to its token. */
--- a/packages/coordination/src/consensus/slow_write.spec.ts
+++ b/packages/coordination/src/consensus/slow_write.spec.ts
@@ -32,4 +32,23 @@
       for (const task of tasks) task.stop();
     }
   }).timeout(5000);
+  it('falls silent when its disk hangs, so that another is elected', async () => {
+    let lastCallAt = 0;
+    const pair = makePair({
+      onCall: from => {
+        if (from === 'a~1') lastCallAt = systemClock.now();
+      },
+    });
+    const {tasks, leader, disk} = pair;
+    try {
+      await startPair(pair);
+      disk.isHolding = true;
+      leader.propose('held').catch(() => undefined);
+      const hungAt = systemClock.now();
+      await pause(systemClock, 3600);
+      expect(lastCallAt - hungAt).to.be.within(2500, 3200);
+    } finally {
+      for (const task of tasks) task.stop();
+    }
+  }).timeout(8000);
 });
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -35,6 +35,11 @@
 const COMPACT_ENTRIES = 4000;
 /** Number of entries after which the log is compacted even if a member lags behind. */
 const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
+/**
+ * Time for which heartbeats go out during one write, in ms; a disk that takes
+ * longer has failed, and the followers should elect another leader.
+ */
+const MAX_BEAT_MS = 3000;
 /** Longest interval between two ticks of the core, in ms. */
 const MAX_TICK_MS = 100;
 
@@ -52,8 +57,8 @@
   private readonly outbox: Outbox<C>;
   private readonly schedule: WriteSchedule;
   private isRunning = false;
-  /** Whether a write is under way during which heartbeats may be sent. */
-  private mayBeat = false;
+  /** Monotonic time until which heartbeats may be sent during a write, in ms. */
+  private beatUntil = Number.NEGATIVE_INFINITY;
   private failure: CellError | null = null;
   private isNoticeScheduled = false;
   /** Snapshot that was encoded but not written yet. */
@@ -90,7 +95,7 @@
   /** Offers a tick; heartbeats do not wait with it for the end of a write. */
   private tick(): void {
     const now = this.options.clock.now();
-    if (this.mayBeat) {
+    if (now < this.beatUntil) {
       const heartbeats = this.core.takeHeartbeats(now);
       this.outbox.send(heartbeats, []);
       this.noteSent(heartbeats);
@@ -157,7 +162,7 @@
     from: VmId,
     envelopes: readonly unknown[],
   ): Promise<ReadonlyArray<PackedEnvelope<C>>> {
-    const messages = this.decode(from, envelopes);
+    const messages = this.failure ? [] : this.decode(from, envelopes);
     if (messages.length === 0) return Promise.resolve([]);
     return new Promise(resolve => {
       this.outbox.addCaller({vm: from, resolve});
@@ -327,9 +332,9 @@
     const image = writes.some(({kind}) => kind === 'snapshot')
       ? this.core.durable
       : emptyState<C>();
-    this.mayBeat = mayBeatDuring(writes);
+    if (mayBeatDuring(writes)) this.beatUntil = startedAt + MAX_BEAT_MS;
     await persistWrites(folder, writes, () => image);
-    this.mayBeat = false;
+    this.beatUntil = Number.NEGATIVE_INFINITY;
     const now = clock.now();
     this.schedule.noteWrite(startedAt);
     this.load.noteWrite(now - startedAt);
