Make waiting calls again once another call finds the leader gone

Contact counts for 1 s, and only its loss had them made again.

A leader that was forgotten, as one that cannot be reached, counts as lost too. The second test of silent_leader.spec shows it.

--- a/packages/coordination/src/gateway/silent_leader.spec.ts
+++ b/packages/coordination/src/gateway/silent_leader.spec.ts
@@ -27,12 +27,16 @@
 /** A leader that falls silent, and a VM that leads after a while. */
 class TwoVms {
   isOldSilent = false;
+  /** Whether new calls to the old leader fail at once. */
+  isOldUnreachable = false;
   isNewLeading = false;
   readonly calls: VmId[] = [];
 
   readonly caller = {
     call: async (vm: VmId, method: string) => {
       if (method !== 'hello') this.calls.push(vm);
+      if (vm === OLD && this.isOldUnreachable)
+        throw new CellError({code: 'peer_unreachable', step: 'call'});
       if (vm === OLD && this.isOldSilent) return silence();
       return method === 'hello'
         ? this.hello(vm)
@@ -53,30 +57,52 @@
   }
 }
 
+/** A gateway in contact with the old leader. */
+const startGateway = async (vms: TwoVms): Promise<GatewayTask> => {
+  const gateway = new GatewayTask({
+    peers: vms.caller,
+    clock: systemClock,
+    seeds: [OLD, NEW],
+    hello: () => OWN,
+    zone: OWN.zone,
+    onContact: () => undefined,
+  });
+  gateway.start();
+  await pause(systemClock, 50);
+  return gateway;
+};
+
+const remove = (gateway: GatewayTask) =>
+  gateway.callLeader(
+    'removeWorker',
+    {worker: 'w' as WorkerId, bornAt: 1},
+    performance.now() + TIMEOUT_MS,
+  );
+
 describe('a leader that falls silent', () => {
   it('a call is made again at its successor as soon as one is known', async () => {
     const vms = new TwoVms();
-    const gateway = new GatewayTask({
-      peers: vms.caller,
-      clock: systemClock,
-      seeds: [OLD, NEW],
-      hello: () => OWN,
-      zone: OWN.zone,
-      onContact: () => undefined,
-    });
-    gateway.start();
-    await pause(systemClock, 50);
+    const gateway = await startGateway(vms);
     vms.isOldSilent = true;
     setTimeout(() => (vms.isNewLeading = true), 1200);
     const startedAt = performance.now();
-    const answer = await gateway.callLeader(
-      'removeWorker',
-      {worker: 'w' as WorkerId, bornAt: null},
-      startedAt + TIMEOUT_MS,
-    );
+    expect(await remove(gateway)).to.equal('accepted');
     gateway.stop();
-    expect(answer).to.equal('accepted');
     expect(vms.calls).to.eql([OLD, NEW]);
     expect(performance.now() - startedAt).to.be.lessThan(2000);
   });
+  it('a call that waits is made again once another call finds the leader gone', async () => {
+    const vms = new TwoVms();
+    const gateway = await startGateway(vms);
+    vms.isOldSilent = true;
+    const startedAt = performance.now();
+    const waiting = remove(gateway);
+    await pause(systemClock, 50);
+    vms.isOldUnreachable = true;
+    vms.isNewLeading = true;
+    expect(await remove(gateway)).to.equal('accepted');
+    expect(await waiting).to.equal('accepted');
+    gateway.stop();
+    expect(performance.now() - startedAt).to.be.lessThan(900);
+  });
 });
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -82,7 +82,7 @@
 export class GatewayTask {
   /** Emits each hello reply of another VM. */
   readonly helloReplies = new Subject<LinkHelloReply>();
-  /** Emits a serving leader that is found after contact with one was lost. */
+  /** Emits a serving leader that is found after one was lost. */
   private readonly regained = new Subject<VmId>();
   private readonly known = new Set<VmId>();
   private leader: VmId | null = null;
@@ -276,8 +276,8 @@
   }
 
   /**
-   * Gives a call up once contact was lost and another VM is found to lead: the
-   * call's own leader may be gone, and its successor can be asked in time.
+   * Gives a call up once its leader was lost, as one that is silent or cannot be
+   * reached, and another VM is found to lead: that one can be asked in time.
    * @throws CellError `peer_timeout`.
    */
   private untilSuperseded<T>(
@@ -344,6 +344,7 @@
   }
 
   private take(helloReply: LinkHelloReply): void {
+    const hadLeader = this.leader !== null && this.hasContact;
     for (const vm of helloReply.members) this.known.add(vm);
     const {vm, zone, isReadable} = helloReply;
     const avoidedUntil = this.replicas.get(vm)?.avoidedUntil ?? 0;
@@ -351,18 +352,13 @@
     if (helloReply.leader) this.leader = helloReply.leader;
     if (helloReply.isServing) {
       this.observeIndex(helloReply.index);
-      this.noteServing(vm);
+      this.leader = vm;
+      this.servingAt = this.options.clock.now();
+      if (!hadLeader) this.regained.next(vm);
     }
     this.helloReplies.next(helloReply);
   }
 
-  private noteServing(vm: VmId): void {
-    const hadContact = this.hasContact;
-    this.leader = vm;
-    this.servingAt = this.options.clock.now();
-    if (!hadContact) this.regained.next(vm);
-  }
-
   private reportContactChange(): void {
     if (this.hadContact === this.hasContact) return;
     this.hadContact = this.hasContact;
