Keep out the incarnation before one that has left

An earlier incarnation is heard again where a later one is registered no more, since that one may never have been. The record of those that left by their own word tells the two cases apart and is asked now. The new test failed before. At the next leader, which has heard of neither, such an announcement still registers the earlier incarnation.

--- a/packages/coordination/src/workflow/announcements.ts
+++ b/packages/coordination/src/workflow/announcements.ts
@@ -62,9 +62,14 @@
    * Drops a later incarnation than that of an announcement. Called when none is
    * registered: the later one, unless it left by its own word, never was.
    */
-  forgetLater({worker, bornAt}: WorkerRegistration): void {
+  forgetLater(
+    {worker, bornAt}: WorkerRegistration,
+    departed: WorkflowDb['departed'],
+  ): void {
     const last = this.latest.get(worker);
-    if (last && last.bornAt > bornAt) this.latest.delete(worker);
+    if (!last || last.bornAt <= bornAt) return;
+    if (!departed.has({worker, bornAt: last.bornAt}))
+      this.latest.delete(worker);
   }
 
   /** Accepts the next announcement of a worker, whatever its sequence number. */
--- a/packages/coordination/src/workflow/departed_workers.spec.ts
+++ b/packages/coordination/src/workflow/departed_workers.spec.ts
@@ -60,4 +60,14 @@
     await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 9}));
     expect(replica.db.workers.get(WORKER)?.report.bornAt).to.equal(5);
   });
+  it('a late announcement of the incarnation before one that has left brings none back', async () => {
+    const replica = new WorkflowReplica();
+    replica.restore(new TestLog().db.toImage());
+    const leader = leaderOf(replica);
+    await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 8}));
+    await leader.announceWorker(testWorker('w1', {bornAt: 9, sequence: 1}));
+    await leader.removeWorker({worker: WORKER, bornAt: 9});
+    await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 9}));
+    expect(replica.db.workers.has(WORKER)).to.equal(false);
+  });
 });
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -100,7 +100,7 @@
     return this.runAsLeader(async () => {
       if (this.db.departed.has(report)) return {isKnown: true};
       if (!this.db.workers.has(report.worker))
-        this.sequences.forgetLater(report);
+        this.sequences.forgetLater(report, this.db.departed);
       if (this.sequences.note(report)) return {isKnown: true};
       this.options.onAnnouncement(report.worker);
       if (hasUnrecordedChanges(this.db, report)) await this.putWorker(report);
