Bound what one workflow adds to the totals of admission

A workflow counts with 2^46 at most, far beyond any backlog that is admitted. The new test failed before.

--- a/packages/state/src/workflow/admission/core.spec.ts
+++ b/packages/state/src/workflow/admission/core.spec.ts
@@ -125,4 +125,17 @@
       log.apply({kind: 'cancel', id, at: 1000});
     expect(log.db.open.workOf(queue)).to.eql({count: 0, chainMs: 0, work: 0});
   });
+  it('a huge workflow that has come and gone leaves the totals exact', () => {
+    const log = makeLog();
+    for (let i = 0; i < 3; i++) log.submit(`u${i}`, HEAVY, 'patient');
+    const queue = 'patient' as QueueName;
+    const before = log.db.open.workOf(queue);
+    for (const size of [1e12, 1e308]) {
+      const room = {cpuMillis: size, memMb: 1, gpus: 0};
+      const huge = testSpec([testStep({estimateMs: size, room})]);
+      log.submit(`huge${size}`, huge, 'patient');
+      log.apply({kind: 'cancel', id: `huge${size}` as never, at: 1000});
+    }
+    expect(log.db.open.workOf(queue)).to.eql(before);
+  });
 });
--- a/packages/state/src/workflow/open_workflows.ts
+++ b/packages/state/src/workflow/open_workflows.ts
@@ -17,6 +17,15 @@
 
 const NO_WORK: QueueWork = {count: 0, chainMs: 0, work: 0};
 
+/**
+ * Maximum share of one workflow in a total: sums of many stay exact, and a
+ * pool that holds one is far beyond any backlog that is admitted.
+ */
+const MAX_SHARE = 2 ** 46;
+
+const toShare = (amount: number): number =>
+  amount <= MAX_SHARE ? amount : MAX_SHARE;
+
 /** Estimated work of a workflow; none for a timed one and for tasks that last. */
 const workOf = ({firstDueAt, steps}: WorkflowSpec): number => {
   if (firstDueAt > 0) return 0;
@@ -66,8 +75,8 @@
     else
       this.totals.set(queue, {
         count: count + sign,
-        chainMs: chainMs + sign * longestChainMs(spec),
-        work: work + sign * workOf(spec),
+        chainMs: chainMs + sign * toShare(longestChainMs(spec)),
+        work: work + sign * toShare(workOf(spec)),
       });
   }
 }
