--- a/packages/coordination/src/consensus/write_schedule.ts
+++ b/packages/coordination/src/consensus/write_schedule.ts
@@ -3,6 +3,8 @@
 
 /** Shortest interval between the starts of two writes of a leader, in ms. */
 const WRITE_INTERVAL_MS = 9;
+/** The same for writes in place, which stop the event loop, in ms. */
+const IN_PLACE_INTERVAL_MS = 24;
 /** Time in which a successor is elected and this node learns of it, in ms. */
 const TRANSFER_MS = 300;
 
@@ -20,8 +22,12 @@
 
   /** Notes a write that started at a monotonic time, in ms. */
   noteWrite(startedAt: number): void {
-    const nextAt = startedAt + WRITE_INTERVAL_MS;
-    this.nextWriteAt = Math.max(this.nextWriteAt, nextAt);
+    this.waitUntil(startedAt + WRITE_INTERVAL_MS);
+  }
+
+  /** Notes a write in place that started at a monotonic time, in ms. */
+  noteWriteInPlace(startedAt: number): void {
+    this.waitUntil(startedAt + IN_PLACE_INTERVAL_MS);
   }
 
   /**
@@ -29,7 +35,11 @@
    * successor that lacks an entry which they have.
    */
   holdForTransfer(): void {
-    this.nextWriteAt = this.clock.now() + TRANSFER_MS;
+    this.waitUntil(this.clock.now() + TRANSFER_MS);
+  }
+
+  private waitUntil(at: number): void {
+    this.nextWriteAt = Math.max(this.nextWriteAt, at);
   }
 
   /**
