--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -115,19 +115,6 @@
     : {restored};
 };
 
-/**
- * Makes writes durable at once, with the event loop stopped, if they only append
- * to the log.
- * @returns whether they are durable.
- */
-export const persistInPlace = <C>(
-  folder: Folder,
-  writes: ReadonlyArray<StorageWrite<C>>,
-): boolean => {
-  if (writes.some(({kind}) => kind !== 'append')) return false;
-  return folder.appendInPlace?.(LOG_FILE, encodeWrites(writes)) === true;
-};
-
 /** Makes writes durable; a snapshot rewrites the log too. */
 export const persistWrites = async <C>(
   folder: Folder,
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -13,13 +13,12 @@
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
 import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
-import {persistInPlace, persistWrites} from './persistence.js';
+import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
 import {Outbox} from './outbox.js';
 import {decodeEnvelope} from './envelope_check.js';
 import type {PackedEnvelope} from './packing.js';
 import {observeSync} from './observe_sync.js';
-import {SyncPlacement} from './sync_placement.js';
 import type {Compaction, ConsensusTaskOptions} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
@@ -51,7 +50,6 @@
   private readonly core: ConsensusCore<C>;
   private readonly inputs: InputBatcher<C>;
   private readonly diskGuard = new DiskGuard();
-  private readonly placement = new SyncPlacement();
   private readonly load = new BatchLoad();
   /** Monotonic time of the first input that waits for a batch, in ms. */
   private waitingSince: number | undefined;
@@ -326,31 +324,8 @@
   }
 
   private async persist(writes: ReadonlyArray<StorageWrite<C>>): Promise<void> {
-    const startedAt = this.options.clock.now();
-    if (this.persistInPlace(writes, startedAt)) return;
-    await this.persistInBackground(writes, startedAt);
-  }
-
-  /** @returns false if the writes must be left to the background. */
-  private persistInPlace(
-    writes: ReadonlyArray<StorageWrite<C>>,
-    startedAt: number,
-  ): boolean {
-    const {clock, folder} = this.options;
-    const mayStop = this.core.isLeader && this.placement.isInPlace(startedAt);
-    if (!mayStop || !persistInPlace(folder, writes)) return false;
-    const now = clock.now();
-    this.placement.recordInPlace(now - startedAt, now);
-    this.schedule.noteWriteInPlace(startedAt);
-    this.load.noteWrite(now - startedAt);
-    return true;
-  }
-
-  private async persistInBackground(
-    writes: ReadonlyArray<StorageWrite<C>>,
-    startedAt: number,
-  ): Promise<void> {
     const {clock, folder} = this.options;
+    const startedAt = clock.now();
     const endSync = observeSync(clock);
     // The image is taken now, as inputs that arrive during the write must not be
     // in it, and only for a snapshot, as it is costly.
@@ -364,9 +339,7 @@
     this.schedule.noteWrite(startedAt);
     this.load.noteWrite(now - startedAt);
     this.reportCompaction(image.snapshot?.index, now - startedAt);
-    const sync = endSync(now);
-    this.placement.recordBackground(sync, now);
-    const isSlow = this.diskGuard.recordSync(sync, now);
+    const isSlow = this.diskGuard.recordSync(endSync(now), now);
     if (isSlow && this.core.status.role === 'leader') this.transferLeadership();
   }
 
--- a/packages/coordination/src/consensus/write_schedule.ts
+++ b/packages/coordination/src/consensus/write_schedule.ts
@@ -3,8 +3,6 @@
 
 /** Shortest interval between the starts of two writes of a leader, in ms. */
 const WRITE_INTERVAL_MS = 9;
-/** The same for writes in place, which stop the event loop, in ms. */
-const IN_PLACE_INTERVAL_MS = 24;
 /** Time in which a successor is elected and this node learns of it, in ms. */
 const TRANSFER_MS = 300;
 
@@ -22,12 +20,8 @@
 
   /** Notes a write that started at a monotonic time, in ms. */
   noteWrite(startedAt: number): void {
-    this.waitUntil(startedAt + WRITE_INTERVAL_MS);
-  }
-
-  /** Notes a write in place that started at a monotonic time, in ms. */
-  noteWriteInPlace(startedAt: number): void {
-    this.waitUntil(startedAt + IN_PLACE_INTERVAL_MS);
+    const nextAt = startedAt + WRITE_INTERVAL_MS;
+    this.nextWriteAt = Math.max(this.nextWriteAt, nextAt);
   }
 
   /**
@@ -35,11 +29,7 @@
    * successor that lacks an entry which they have.
    */
   holdForTransfer(): void {
-    this.waitUntil(this.clock.now() + TRANSFER_MS);
-  }
-
-  private waitUntil(at: number): void {
-    this.nextWriteAt = Math.max(this.nextWriteAt, at);
+    this.nextWriteAt = this.clock.now() + TRANSFER_MS;
   }
 
   /**
--- a/packages/state/src/storage/node_disk.ts
+++ b/packages/state/src/storage/node_disk.ts
@@ -1,4 +1,3 @@
-import {fdatasyncSync, writeSync} from 'node:fs';
 import {open, mkdir, readFile, rename, type FileHandle} from 'node:fs/promises';
 import {createServer, type Server} from 'node:net';
 import path from 'node:path';
@@ -64,20 +63,6 @@
     }
   }
 
-  appendInPlace(file: string, bytes: Uint8Array): boolean {
-    const handle = this.handles.get(file);
-    if (!handle) return false;
-    try {
-      let written = 0;
-      while (written < bytes.length)
-        written += writeSync(handle.fd, bytes, written);
-      fdatasyncSync(handle.fd);
-      return true;
-    } catch (err) {
-      throw storageError('append', file, err);
-    }
-  }
-
   async truncate(file: string, length: number): Promise<void> {
     try {
       const handle = await this.handleOf(file);
--- a/packages/state/src/storage/types.ts
+++ b/packages/state/src/storage/types.ts
@@ -6,11 +6,6 @@
   read(file: string): Promise<Uint8Array | undefined>;
   /** Appends to a file and syncs it before it resolves. */
   append(file: string, bytes: Uint8Array): Promise<void>;
-  /**
-   * Appends to a file and syncs it before it returns, with the event loop stopped.
-   * @returns false if nothing was done, as the file was not appended to before.
-   */
-  appendInPlace?(file: string, bytes: Uint8Array): boolean;
   /** Cuts a file to a length and syncs it. */
   truncate(file: string, length: number): Promise<void>;
   /** Replaces a file as a whole: after a crash it holds the old or the new. */
