--- a/packages/coordination/src/consensus/compaction.spec.ts
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -2,8 +2,9 @@
 import {asId, type Folder, type NodeId} from '@primrosewick/state';
 import {systemClock} from '@primrosewick/transport';
 import {singleVoterState} from './core.js';
+import {IndexRecorder} from './fixtures.js';
 import {ConsensusTask} from './task.js';
-import type {Compaction, ReplicatedStateMachine} from './task_options.js';
+import type {Compaction} from './task_options.js';
 
 const NODE = asId<NodeId>('a~1');
 const folder: Folder = {
@@ -14,26 +15,6 @@
   close: async () => undefined,
 };
 
-/** A state machine that only records its index. */
-class IndexRecorder implements ReplicatedStateMachine<string, number> {
-  index = 0;
-
-  apply({index}: {readonly index: number}): number {
-    this.index = index;
-    return index;
-  }
-
-  restore(): void {}
-
-  toImage() {
-    return {index: this.index};
-  }
-
-  open(): void {}
-
-  noteFresh(): void {}
-}
-
 describe('compaction of the log', () => {
   it('each snapshot is reported once, with the number of entries it replaced', async () => {
     const compactions: Compaction[] = [];
--- a/packages/coordination/src/consensus/fixtures.ts
+++ b/packages/coordination/src/consensus/fixtures.ts
@@ -1,4 +1,4 @@
-/** Two voters on disks whose writes the test holds. */
+/** A state machine and a pair of voters for tests; the test holds the writes of their disks. */
 import {asId, type Folder, type NodeId, type VmId} from '@primrosewick/state';
 import {pause, systemClock} from '@primrosewick/transport';
 import {emptyState} from './core.js';
@@ -10,7 +10,7 @@
 const VMS = ['a', 'b'].map(id => asId<VmId>(id));
 
 /** A state machine that only records its index. */
-class IndexRecorder implements ReplicatedStateMachine<string, number> {
+export class IndexRecorder implements ReplicatedStateMachine<string, number> {
   index = 0;
 
   apply({index}: {readonly index: number}): number {
--- a/packages/coordination/src/consensus/heartbeats.spec.ts
+++ b/packages/coordination/src/consensus/heartbeats.spec.ts
@@ -1,10 +1,10 @@
 import {expect} from 'chai';
 import {asId, vmOfNode, type Folder, type NodeId} from '@primrosewick/state';
 import {sleep, systemClock} from '@primrosewick/transport';
+import {IndexRecorder} from './fixtures.js';
 import type {LogPeers} from './outbox.js';
 import type {PackedEnvelope} from './packing.js';
 import {ConsensusTask} from './task.js';
-import type {ReplicatedStateMachine} from './task_options.js';
 import type {DurableState, Members} from './types.js';
 
 const NODES = ['a~1', 'b~1', 'c~1'].map(name => asId<NodeId>(name));
@@ -41,26 +41,6 @@
   }
 }
 
-/** A state machine that only records its index. */
-class IndexRecorder implements ReplicatedStateMachine<string, number> {
-  index = 0;
-
-  apply({index}: {readonly index: number}): number {
-    this.index = index;
-    return index;
-  }
-
-  restore(): void {}
-
-  toImage() {
-    return {index: this.index};
-  }
-
-  open(): void {}
-
-  noteFresh(): void {}
-}
-
 type Task = ConsensusTask<string, number>;
 
 interface Voter {
