Record a bundle once, however often it is sent

Cause: each put was a record of the log, also where its version was in force, overtaken, or being recorded at that moment.

Now a version that is in force needs no record, at the leader or at any VM whose copy holds it (what a copy holds is committed). What is invalid is refused before.

--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -68,4 +68,11 @@
         proposed: [],
       });
   });
+  it('a bundle that is in force and is sent again is acknowledged without a record', async () => {
+    const {service, proposed} = makeService();
+    const {bundle} = new TestLog().db;
+    const reply = await service.putBundle({bundle: bundle!});
+    expect(reply.kind).to.equal('ok');
+    expect(proposed).to.eql([]);
+  });
 });
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -30,6 +30,7 @@
 import type {LoadSheddingTask} from '../load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
+import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import type {WorkflowReplica} from './replica.js';
 import {countPending, viewOf} from './workflow_view.js';
@@ -65,6 +66,7 @@
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly sequences = new AnnouncementSequences();
+  private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
   private readonly loadSheddingLog: LoadSheddingLog;
 
@@ -74,6 +76,10 @@
       options.clock,
     );
     this.loadSheddingLog = new LoadSheddingLog(options.logger, options.clock);
+    this.bundles = new BundleWriter({
+      db: options.replica.db,
+      propose: command => options.log.propose(command),
+    });
     this.readIndexBatcher = new ReadIndexBatcher(() => options.log.readIndex());
   }
 
@@ -164,12 +170,12 @@
   > {
     return this.runAsLeader(async () => {
       throwOnFault('put-bundle', findBundleError(bundle));
-      const result = await this.propose({kind: 'put_bundle', bundle});
+      const result = await this.bundles.put(bundle);
       this.options.logger.info(
         {
           decision: 'bundle',
           version: bundle.version,
-          result: result.kind,
+          result,
           inForce: this.db.bundle?.version,
         },
         'processed a bundle update',
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -24,8 +24,10 @@
   type WorkflowRequest,
 } from '@primrosewick/protocol';
 import {
+  CellError,
+  findBundleError,
   toCellError,
-  type CellError,
+  type Bundle,
   type StepRef,
   type VmId,
   type WorkerId,
@@ -358,4 +360,18 @@
     if (this.announcements?.take(report)) return;
     await this.gateway.callLeader('announceWorker', report, deadline);
   }
+
+  /**
+   * Puts a bundle in force, until a deadline of the monotonic clock in ms. One
+   * that this VM's copy of the log holds, or a later one, is in force already.
+   * @throws CellError `invalid_input`, or from the call to the leader.
+   */
+  async putBundle(bundle: Bundle, deadline: number): Promise<void> {
+    const detail = findBundleError(bundle);
+    if (detail !== undefined)
+      throw new CellError({code: 'invalid_input', step: 'put-bundle', detail});
+    const inForce = this.replica.db.bundle?.version;
+    if (inForce !== undefined && inForce >= bundle.version) return;
+    await this.gateway.callLeader('putBundle', {bundle}, deadline);
+  }
 }
