--- a/packages/coordination/src/gateway/silent_leader.spec.ts
+++ b/packages/coordination/src/gateway/silent_leader.spec.ts
@@ -57,8 +57,11 @@
   }
 }
 
-/** A gateway in contact with the old leader. */
-const startGateway = async (vms: TwoVms): Promise<GatewayTask> => {
+/** Runs an action with a gateway in contact with the old leader. */
+const withGateway = async (
+  vms: TwoVms,
+  action: (gateway: GatewayTask) => Promise<void>,
+): Promise<void> => {
   const gateway = new GatewayTask({
     peers: vms.caller,
     clock: systemClock,
@@ -68,8 +71,12 @@
     onContact: () => undefined,
   });
   gateway.start();
-  await pause(systemClock, 50);
-  return gateway;
+  try {
+    await pause(systemClock, 50);
+    await action(gateway);
+  } finally {
+    gateway.stop();
+  }
 };
 
 const remove = (gateway: GatewayTask) =>
@@ -80,29 +87,29 @@
   );
 
 describe('a leader that falls silent', () => {
-  it('a call is made again at its successor as soon as one is known', async () => {
+  it('a call is made again at its successor as soon as one is known', () => {
     const vms = new TwoVms();
-    const gateway = await startGateway(vms);
-    vms.isOldSilent = true;
-    setTimeout(() => (vms.isNewLeading = true), 1200);
-    const startedAt = performance.now();
-    expect(await remove(gateway)).to.equal('accepted');
-    gateway.stop();
-    expect(vms.calls).to.eql([OLD, NEW]);
-    expect(performance.now() - startedAt).to.be.lessThan(2000);
+    return withGateway(vms, async gateway => {
+      vms.isOldSilent = true;
+      setTimeout(() => (vms.isNewLeading = true), 1200);
+      const startedAt = performance.now();
+      expect(await remove(gateway)).to.equal('accepted');
+      expect(vms.calls).to.eql([OLD, NEW]);
+      expect(performance.now() - startedAt).to.be.lessThan(2000);
+    });
   });
-  it('a call that waits is made again once another call finds the leader gone', async () => {
+  it('a call that waits is made again once another call finds the leader gone', () => {
     const vms = new TwoVms();
-    const gateway = await startGateway(vms);
-    vms.isOldSilent = true;
-    const startedAt = performance.now();
-    const waiting = remove(gateway);
-    await pause(systemClock, 50);
-    vms.isOldUnreachable = true;
-    vms.isNewLeading = true;
-    expect(await remove(gateway)).to.equal('accepted');
-    expect(await waiting).to.equal('accepted');
-    gateway.stop();
-    expect(performance.now() - startedAt).to.be.lessThan(900);
+    return withGateway(vms, async gateway => {
+      vms.isOldSilent = true;
+      const startedAt = performance.now();
+      const waiting = remove(gateway);
+      await pause(systemClock, 50);
+      vms.isOldUnreachable = true;
+      vms.isNewLeading = true;
+      expect(await remove(gateway)).to.equal('accepted');
+      expect(await waiting).to.equal('accepted');
+      expect(performance.now() - startedAt).to.be.lessThan(900);
+    });
   });
 });
