--- a/packages/coordination/src/consensus/context.ts
+++ b/packages/coordination/src/consensus/context.ts
@@ -1,6 +1,7 @@
 import type {NodeId, Random} from '@primrosewick/state';
 import {ConsensusLog} from './log.js';
 import {majorityOf} from './members.js';
+import {QuorumSilence} from './quorum_silence.js';
 import {RoundTimes} from './round_times.js';
 import {
   DEFAULT_CONSENSUS_TIMING,
@@ -70,6 +71,7 @@
   electionDeadline = 0;
   heartbeatDeadline = 0;
   quorumDeadline = 0;
+  readonly quorumSilence: QuorumSilence;
   /** Time at which a commit index that followers may lack is sent to them. */
   commitNoticeAt = Number.POSITIVE_INFINITY;
   leaderContactAt = Number.NEGATIVE_INFINITY;
@@ -87,6 +89,7 @@
     this.id = options.id;
     this.timing = {...DEFAULT_CONSENSUS_TIMING, ...options.timing};
     this.random = options.random;
+    this.quorumSilence = new QuorumSilence(this.timing);
     this.log = new ConsensusLog(snapshot, entries);
     this.term = hardState.term;
     this.votedFor = hardState.votedFor;
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -24,24 +24,25 @@
     this.context.progress.clear();
     this.context.roundTimes.clear();
     this.trackMembers();
+    this.context.quorumSilence.start(this.context.now);
     this.appendEntry({kind: 'noop'});
     this.broadcast();
   }
 
   /** Sends heartbeats; steps down if it has lost contact with a quorum. */
   onLeaderTick(): void {
+    const {now, timing, quorumSilence} = this.context;
+    quorumSilence.note(now, this.context.quorumContactAt());
     if (
-      this.context.now >= this.context.quorumDeadline &&
-      !this.context.hasQuorumContact()
+      now >= this.context.quorumDeadline &&
+      quorumSilence.lengthMs >= timing.electionMs
     ) {
       return this.context.becomeFollower(this.context.term, null);
     }
-    if (this.context.now >= this.context.quorumDeadline)
-      this.context.quorumDeadline =
-        this.context.now + this.context.timing.electionMs;
-    if (this.context.now >= this.context.heartbeatDeadline) this.broadcast();
-    if (this.context.now >= this.context.commitNoticeAt)
-      this.sendCommitNotices();
+    if (now >= this.context.quorumDeadline)
+      this.context.quorumDeadline = now + timing.electionMs;
+    if (now >= this.context.heartbeatDeadline) this.broadcast();
+    if (now >= this.context.commitNoticeAt) this.sendCommitNotices();
   }
 
   /**
