--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -39,6 +39,8 @@
 export {ProgressTracker} from './workflow/progress_tracker.js';
 export * from './workflow/replica.js';
 export * from './workflow/replica_reader.js';
+export * from './workflow/replica_catch_up.js';
+export * from './workflow/confirmed_reader.js';
 export type {EndedWait} from './workflow/queue_load.js';
 export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -184,6 +184,13 @@
     });
   }
 
+  /** The index that a replica must reach for a read that starts now. */
+  readIndex(): Promise<LinkMethods['readIndex']['reply']> {
+    return this.runAsLeader(async () => ({
+      index: await this.readIndexBatcher.read(),
+    }));
+  }
+
   /** The bundle in force, read after this VM's leadership is confirmed. */
   getBundle(): Promise<LinkLeaderReply<{readonly bundle: Bundle | null}>> {
     return this.runAsLeader(async () => {
--- /dev/null
+++ b/packages/daemon/src/cluster/bundle_reader.spec.ts
@@ -0,0 +1,58 @@
+import {expect} from 'chai';
+import {ConfirmedReader, WorkflowReplica} from '@primrosewick/coordination';
+import {CellError} from '@primrosewick/state';
+import {TestLog, testBundle} from '@primrosewick/state/fixtures';
+import {systemClock} from '@primrosewick/transport';
+import {BundleReader} from './bundle_reader.js';
+
+const readableReplica = (): WorkflowReplica => {
+  const replica = new WorkflowReplica();
+  replica.restore(new TestLog({version: 3}).db.toImage());
+  replica.open();
+  return replica;
+};
+
+/** A reader of a replica, beside a leader that holds version 4. */
+const makeReader = (
+  replica: WorkflowReplica,
+  reach: () => Promise<void> = async () => undefined,
+) => {
+  const lines: object[] = [];
+  let asked = 0;
+  const reader = new BundleReader({
+    reader: new ConfirmedReader({replica, catchUp: {reach}}),
+    gateway: {
+      callLeader: async () => {
+        asked++;
+        return {bundle: testBundle({version: 4})} as never;
+      },
+    },
+    clock: systemClock,
+    logger: {info: (line: object) => lines.push(line)} as never,
+  });
+  return {reader, lines, askedCount: () => asked};
+};
+const deadline = () => systemClock.now() + 1000;
+
+describe('bundle reader', () => {
+  it('the leader sends no bundle that the replica holds', async () => {
+    const {reader, lines, askedCount} = makeReader(readableReplica());
+    expect((await reader.read(deadline())).version).to.equal(3);
+    expect(askedCount()).to.equal(0);
+    expect(lines[0]).to.include({decision: 'read_bundle', way: 'copy'});
+  });
+  it('the leader answers for a replica that may not be read yet', async () => {
+    const {reader, askedCount} = makeReader(new WorkflowReplica());
+    expect((await reader.read(deadline())).version).to.equal(4);
+    expect(askedCount()).to.equal(1);
+  });
+  it('a failed read is told with its reason', async () => {
+    const err = new CellError({code: 'log_unavailable', step: 'read-index'});
+    const {reader, lines} = makeReader(readableReplica(), () =>
+      Promise.reject(err),
+    );
+    const thrown: unknown = await reader.read(deadline()).catch(e => e);
+    expect(thrown).to.equal(err);
+    expect(lines).to.have.length(1);
+  });
+});
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -4,9 +4,11 @@
 import type {Registry} from 'prom-client';
 import {
   AnnouncementRelay,
+  ConfirmedReader,
   GatewayTask,
   JournalRecorder,
   LoadSheddingTask,
+  ReplicaCatchUp,
   ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
@@ -20,6 +22,7 @@
   type LinkLeaderReply,
   type LinkHello,
   type LinkHelloReply,
+  type LinkMethods,
   type WorkflowReply,
   type WorkflowRequest,
 } from '@primrosewick/protocol';
@@ -39,11 +42,13 @@
   systemClock,
   type LinkHandlers,
 } from '@primrosewick/transport';
+import {BundleReader} from './bundle_reader.js';
 import {observeEndAges} from './end_ages.js';
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
+import {LeaderReadIndex} from './leader_read_index.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
 import {CLUSTER_NAME, ELECTION_MS, ReplicatedLog} from './replicated_log.js';
 
@@ -81,8 +86,10 @@
   private readonly log: ReplicatedLog | null;
   private readonly service: WorkflowService | null;
   private readonly reader: ReplicaReader | null;
+  private readonly confirmedReader: ConfirmedReader | null;
   private readonly announcements: AnnouncementRelay | null;
   private readonly calls: WorkflowRequestRouter;
+  private readonly bundles: BundleReader;
   private scheduler: SchedulerTask | null = null;
   private readonly callers: LiveVms;
   private readonly onWaited: SchedulerOptions['onWaited'];
@@ -108,6 +115,7 @@
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
+    this.confirmedReader = this.log && this.makeConfirmedReader(this.log);
     if (this.log) observeEndAges(this.replica, systemClock, options.registry);
     this.announcements = this.log && this.makeAnnouncements(this.log);
     this.gateway = new GatewayTask({
@@ -130,6 +138,12 @@
       reader: this.reader,
       reads: new ReadLog(logger, options.registry),
     });
+    this.bundles = new BundleReader({
+      reader: this.confirmedReader,
+      gateway: this.gateway,
+      clock: systemClock,
+      logger,
+    });
     const droppedReplyLog = new DroppedReplyLog(logger, systemClock);
     this.server = new LinkServer({
       address: settings.peer,
@@ -231,6 +245,28 @@
     });
   }
 
+  private makeConfirmedReader(log: ReplicatedLog): ConfirmedReader {
+    const {replica, peers} = this;
+    const readIndex = new LeaderReadIndex({
+      peers,
+      askOwn: () => this.readIndex(),
+      leaderVm: () => log.leaderVm ?? this.gateway.leaderVm,
+    });
+    const catchUp = new ReplicaCatchUp({
+      clock: systemClock,
+      appliedIndex: () => replica.index,
+      askLeader: () => readIndex.ask(),
+    });
+    return new ConfirmedReader({replica, catchUp});
+  }
+
+  private readIndex(): Promise<LinkMethods['readIndex']['reply']> {
+    return (
+      this.service?.readIndex() ??
+      Promise.resolve({kind: 'not_leader', leader: null})
+    );
+  }
+
   private makeAnnouncements(log: ReplicatedLog): AnnouncementRelay {
     return new AnnouncementRelay({
       db: this.replica.db,
@@ -328,10 +364,7 @@
       consensus: async ({envelopes}, from) => ({
         envelopes: log ? await log.receive(from, envelopes) : [],
       }),
-      readIndex: async () =>
-        log?.isLeading
-          ? {kind: 'ok', value: {index: await log.readIndex()}}
-          : {kind: 'not_leader', leader: log?.leaderVm ?? null},
+      readIndex: () => this.readIndex(),
       readWorkflow: async ({atLeast, ...address}) => ({
         answer: (await this.reader?.readAt(address, atLeast)) ?? null,
         index: this.replica.index,
@@ -374,4 +407,12 @@
     if (inForce !== undefined && inForce >= bundle.version) return;
     await this.gateway.callLeader('putBundle', {bundle}, deadline);
   }
+
+  /**
+   * Reads the bundle in force, until a deadline of the monotonic clock in ms.
+   * @throws CellError `log_unavailable` when it is not certain which one it is.
+   */
+  readBundle(deadline: number): Promise<Bundle> {
+    return this.bundles.read(deadline);
+  }
 }
--- a/packages/state/src/fixtures.ts
+++ b/packages/state/src/fixtures.ts
@@ -1,3 +1,4 @@
-/** Workflows, workers and planner inputs for specs of any package. */
+/** Bundles, workflows, workers and planner inputs for specs of any package. */
+export * from './bundle/fixtures.js';
 export * from './workflow/fixtures.js';
 export * from './workflow/planner/fixtures.js';
