--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -34,6 +34,8 @@
 export * from './membership/founding.js';
 export * from './load/core.js';
 export * from './load/task.js';
+export * from './record_load/core.js';
+export * from './record_load/task.js';
 export * from './workflow/ports.js';
 export * from './workflow/announcements.js';
 export {ProgressTracker} from './workflow/progress_tracker.js';
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -13,6 +13,7 @@
   findExceededLimit,
   matchQueue,
   type Bundle,
+  type Queue,
   type QueueMatch,
   type QueueName,
   type VmId,
@@ -28,6 +29,7 @@
 import type {Clock} from '@primrosewick/transport';
 import {LoadSheddingLog} from '../load/load_shedding_log.js';
 import type {LoadSheddingTask} from '../load/task.js';
+import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
 import {BundleWriter} from './bundle_writer.js';
@@ -52,6 +54,8 @@
   readonly logger: Logger;
   /** Decides whether this VM takes new work, given its event loop lag. */
   readonly load: Pick<LoadSheddingTask, 'decide'>;
+  /** Decides whether this VM takes new work, given the time of its records. */
+  readonly records?: Pick<RecordLoadTask, 'decide'>;
   /** Called for each announcement of a worker. */
   readonly onAnnouncement: (worker: WorkerId) => void;
   /** Called for each workflow that is rejected because of the backlog. */
@@ -254,6 +258,7 @@
     }
     throwOnFault('submit', findExceededLimit(spec));
     this.rejectWhenLagging(id);
+    this.rejectWhenRecordsAreSlow(id, queue);
     this.admit(id, queue, spec);
     const outcome = this.propose({
       kind: 'submit',
@@ -291,6 +296,19 @@
     throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
   }
 
+  /** @throws CellError `leader_late` while records take too long for another submission. */
+  private rejectWhenRecordsAreSlow(id: WorkflowId, queue: Queue): void {
+    const decision = this.options.records?.decide({
+      queue: queue.name,
+      priority: queue.priority,
+      inFlight: this.submitting.size,
+    });
+    if (decision?.kind !== 'refuse') return;
+    this.loadSheddingLog.logSlowRecords(id, queue.name, decision);
+    const {retryAfterMs} = decision;
+    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+  }
+
   /** @throws CellError `backlog` for a workflow that would finish too late to be useful. */
   private admit(
     id: WorkflowId,
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -9,6 +9,7 @@
   JournalRecorder,
   LoadSheddingTask,
   ReplicaCatchUp,
+  RecordLoadTask,
   ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
@@ -100,6 +101,7 @@
     maxSegmentBytes: MAX_SEGMENT_BYTES,
   });
   private readonly load = new LoadSheddingTask(systemClock);
+  private readonly records: RecordLoadTask;
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -112,6 +114,11 @@
     });
     this.callers = new LiveVms(settings.peer, systemClock);
     this.onWaited = makeQueueWaitObserver(options.registry);
+    this.records = new RecordLoadTask({
+      clock: systemClock,
+      logger,
+      seed: randomInt(MAX_SEED),
+    });
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
@@ -216,6 +223,7 @@
       clock: systemClock,
       seed: randomInt(MAX_SEED),
       logger,
+      records: this.records,
       onLeading: term => this.onLeading(term),
       onFailure: err => {
         // The other VMs continue; the pause prevents a restart loop if the folder keeps failing.
@@ -231,6 +239,7 @@
       clock: systemClock,
       logger: this.options.logger,
       load: this.load,
+      records: this.records,
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onRefused: queue => this.scheduler?.noteRefused(queue),
       runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
@@ -286,6 +295,7 @@
     this.scheduler?.close();
     this.scheduler = null;
     this.load.stop();
+    this.records.stop();
     logger.info(
       {change: term === null ? 'lead_ended' : 'lead_began', term},
       'leadership changed',
@@ -309,6 +319,7 @@
     });
     this.scheduler.start();
     this.load.start();
+    this.records.start();
   }
 
   private advise(vm: VmId, step: StepRef, workers: readonly WorkerId[]) {
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -14,6 +14,7 @@
   type Compaction,
   type ConsensusStatus,
   type LogAccess,
+  type RecordLoadTask,
   type DurableState,
   type WorkflowReplica,
 } from '@primrosewick/coordination';
@@ -55,6 +56,8 @@
   readonly clock: Clock;
   readonly seed: number;
   readonly logger: Logger;
+  /** Measures the records that this VM proposes. */
+  readonly records?: Pick<RecordLoadTask, 'watch'>;
   /**
    * Called with the term when this VM leads and has applied all earlier
    * entries, and with null when it no longer leads.
@@ -200,10 +203,20 @@
 
   propose(command: WorkflowCommand): Promise<WorkflowResult> {
     if (this.task && this.leadingTerm !== null)
-      return this.task.propose(command);
+      return this.proposeMeasured(this.task, command);
     return Promise.reject(new CellError({code: 'not_leader', step: 'propose'}));
   }
 
+  private proposeMeasured(
+    task: Task,
+    command: WorkflowCommand,
+  ): Promise<WorkflowResult> {
+    const {records} = this.options;
+    return records
+      ? records.watch(() => task.propose(command))
+      : task.propose(command);
+  }
+
   async readIndex(): Promise<number> {
     if (!this.task || this.leadingTerm === null)
       throw new CellError({code: 'not_leader', step: 'read-index'});
