--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -48,6 +48,7 @@
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
+import {makeRecordObservers} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
 import {LeaderReadIndex} from './leader_read_index.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
@@ -118,6 +119,7 @@
       clock: systemClock,
       logger,
       seed: randomInt(MAX_SEED),
+      ...makeRecordObservers(options.registry),
     });
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
