--- a/packages/coordination/src/record_load/burst.spec.ts
+++ b/packages/coordination/src/record_load/burst.spec.ts
@@ -19,7 +19,8 @@
   const load = new RecordLoad(0);
   return {
     mayTake: (now, inFlight) =>
-      load.decide({priority: 0, inFlight, now, spread: 0}).kind === 'take',
+      load.decide({priority: 0, inFlight, now, spread: 0, deadline: Infinity})
+        .kind === 'take',
     propose: startedAt => {
       const record = load.begin(startedAt);
       return now => load.end(record, now);
--- a/packages/coordination/src/record_load/core.spec.ts
+++ b/packages/coordination/src/record_load/core.spec.ts
@@ -6,14 +6,20 @@
   const load = new RecordLoad(0);
   let now = 0;
   for (const takenMs of timesMs) {
-    load.decide({priority: 0, inFlight: 40, now, spread: 0});
+    load.decide({
+      priority: 0,
+      inFlight: 40,
+      now,
+      spread: 0,
+      deadline: Infinity,
+    });
     for (let i = 0; i < 10; i++) {
       now += MEASURE_INTERVAL_MS / 10;
       load.end(load.begin(now - takenMs), now);
     }
   }
   const ask = (inFlight: number, priority = 0, spread = 0) =>
-    load.decide({priority, inFlight, now, spread});
+    load.decide({priority, inFlight, now, spread, deadline: Infinity});
   const state = () => load.stateAt(now);
   return {load, ask, state};
 };
@@ -63,10 +69,22 @@
   it('a less urgent queue has the whole limit without others in demand', () => {
     const load = new RecordLoad(0);
     for (let now = 0; now < 3000; now += MEASURE_INTERVAL_MS) {
-      load.decide({priority: 2, inFlight: 40, now, spread: 0});
+      load.decide({
+        priority: 2,
+        inFlight: 40,
+        now,
+        spread: 0,
+        deadline: Infinity,
+      });
       load.end(load.begin(now - SLOW_MS), now);
     }
-    const ask = {priority: 2, inFlight: 3, now: 3000, spread: 0};
+    const ask = {
+      priority: 2,
+      inFlight: 3,
+      now: 3000,
+      spread: 0,
+      deadline: Infinity,
+    };
     expect(load.decide(ask).kind).to.equal('take');
   });
   it('between the two bounds the last decision stays in force', () => {
@@ -92,4 +110,11 @@
     expect(retryOf(0)).to.be.at.least(1500);
     expect(retryOf(0.5)).to.be.above(retryOf(0));
   });
+  it('a submission whose caller waits for less than a record takes is refused', () => {
+    const load = new RecordLoad(0);
+    load.end(load.begin(0), 300);
+    const ask = {priority: 0, inFlight: 0, now: 600, spread: 0};
+    expect(load.decide({...ask, deadline: 800}).kind).to.equal('refuse');
+    expect(load.decide({...ask, deadline: 1000}).kind).to.equal('take');
+  });
 });
--- a/packages/coordination/src/record_load/core.ts
+++ b/packages/coordination/src/record_load/core.ts
@@ -48,6 +48,8 @@
   readonly priority: number;
   /** Submissions that are proposed and not applied yet. */
   readonly inFlight: number;
+  /** Monotonic time until which its caller waits, in ms. */
+  readonly deadline: number;
   /** Monotonic time, in ms. */
   readonly now: number;
   /** Random number from 0 to 1 that spreads the return of refused clients. */
@@ -128,12 +130,19 @@
   }
 
   /** Decides whether a submission is accepted. */
-  decide({priority, inFlight, now, spread}: Submission): RecordDecision {
+  decide({
+    priority,
+    inFlight,
+    deadline,
+    now,
+    spread,
+  }: Submission): RecordDecision {
     this.advance(now);
     this.demandUntil.set(priority, now + DEMAND_MS);
     this.asked++;
     const limit = this.limitOf(priority);
-    if (this.isUnlimited || inFlight < limit) {
+    const isInTime = now + this.recordMs < deadline;
+    if (isInTime && (this.isUnlimited || inFlight < limit)) {
       this.taken++;
       this.mostInFlight = Math.max(this.mostInFlight, inFlight + 1);
       return {kind: 'take'};
--- a/packages/coordination/src/record_load/task.ts
+++ b/packages/coordination/src/record_load/task.ts
@@ -30,6 +30,8 @@
   readonly priority: number;
   /** Submissions that are proposed and not applied yet. */
   readonly inFlight: number;
+  /** Monotonic time until which its caller waits, in ms. */
+  readonly deadline: number;
 }
 
 /** Measures records while this VM leads, and decides whether it accepts a submission. */
@@ -81,12 +83,12 @@
   }
 
   /** Decides whether a submission is accepted. */
-  decide({queue, priority, inFlight}: AskedSubmission): RecordDecision {
+  decide({queue, ...asked}: AskedSubmission): RecordDecision {
     if (!this.load) return {kind: 'take'};
     const now = this.options.clock.now();
     const spread = this.random.nextInt(0, SPREAD_STEPS) / SPREAD_STEPS;
-    const decision = this.load.decide({priority, inFlight, now, spread});
-    this.inFlight = inFlight;
+    const decision = this.load.decide({...asked, now, spread});
+    this.inFlight = asked.inFlight;
     if (decision.kind === 'refuse') this.noteRefused(queue);
     return decision;
   }
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -87,14 +87,20 @@
     this.readIndexBatcher = new ReadIndexBatcher(() => options.log.readIndex());
   }
 
-  /** Handles a client's call. */
-  handle(request: WorkflowRequest): Promise<LinkLeaderReply<WorkflowReply>> {
+  /**
+   * Handles a client's call, whose caller waits until a deadline of the monotonic
+   * clock in ms.
+   */
+  handle(
+    request: WorkflowRequest,
+    deadline = Number.POSITIVE_INFINITY,
+  ): Promise<LinkLeaderReply<WorkflowReply>> {
     return this.runAsLeader(async () => {
       const match = await this.findQueue(request);
       if (!match) return {kind: 'unknown_queue'};
       switch (request.kind) {
         case 'submit':
-          return this.submit(request, match);
+          return this.submit(request, match, deadline);
         case 'get':
           return this.get(match);
         case 'cancel':
@@ -247,6 +253,7 @@
   private async submit(
     {spec}: Extract<WorkflowRequest, {kind: 'submit'}>,
     {queue, rest}: QueueMatch,
+    deadline: number,
   ): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
     const {clock, logger} = this.options;
@@ -258,7 +265,7 @@
     }
     throwOnFault('submit', findExceededLimit(spec));
     this.rejectWhenLagging(id);
-    this.rejectWhenRecordsAreSlow(id, queue);
+    this.rejectWhenRecordsAreSlow(id, queue, deadline);
     this.admit(id, queue, spec);
     const outcome = this.propose({
       kind: 'submit',
@@ -296,12 +303,20 @@
     throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
   }
 
-  /** @throws CellError `leader_late` while records take too long for another submission. */
-  private rejectWhenRecordsAreSlow(id: WorkflowId, queue: Queue): void {
+  /**
+   * @throws CellError `leader_late` while records take too long for another
+   *   submission, or longer than the caller waits.
+   */
+  private rejectWhenRecordsAreSlow(
+    id: WorkflowId,
+    queue: Queue,
+    deadline: number,
+  ): void {
     const decision = this.options.records?.decide({
       queue: queue.name,
       priority: queue.priority,
       inFlight: this.submitting.size,
+      deadline,
     });
     if (decision?.kind !== 'refuse') return;
     this.loadSheddingLog.logSlowRecords(id, queue.name, decision);
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -382,7 +382,8 @@
         answer: (await this.reader?.readAt(address, atLeast)) ?? null,
         index: this.replica.index,
       }),
-      workflow: request => service?.handle(request) ?? notLeader(),
+      workflow: (request, _from, deadline) =>
+        service?.handle(request, deadline) ?? notLeader(),
       announceWorker: report => service?.announceWorker(report) ?? notLeader(),
       heardWorkers: request =>
         service?.noteAnnouncements(request) ?? notLeader(),
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -163,6 +163,8 @@
       readonly id: number;
       readonly method: LinkMethod;
       readonly body: unknown;
+      /** Time that the caller still waits, in ms; earlier versions do not send it. */
+      readonly leftMs?: number;
     }
   | {readonly kind: 'reply'; readonly id: number; readonly body: unknown}
   | {readonly kind: 'error'; readonly id: number; readonly error: ErrorBody}
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -10,6 +10,7 @@
   decodeLinkFrame,
   encodeLinkFrame,
   type LinkFrame,
+  type LinkMethod,
 } from '@primrosewick/protocol';
 import {
   CellError,
@@ -109,21 +110,21 @@
       );
       const isSent = this.isOpen;
       this.pending.set(id, {step, resolve, reject, timer, isSent});
-      const frame = {kind: 'call', id, method: step, body} as LinkFrame;
-      if (isSent) this.ask(frame);
-      else
-        this.opened
-          .then(() => this.sendDeferred(id, frame))
-          .catch(() => undefined);
+      const deadline = performance.now() + timeoutMs;
+      const send = (): void => this.sendCall(id, body, deadline);
+      if (isSent) send();
+      else this.opened.then(send).catch(() => undefined);
     });
   }
 
-  /** Sends a call that waited for the stream to open, unless it has timed out. */
-  private sendDeferred(id: number, frame: LinkFrame): void {
+  /** Sends a call that may have waited for the stream to open, unless it has timed out. */
+  private sendCall(id: number, body: unknown, deadline: number): void {
     const call = this.pending.get(id);
     if (!call) return;
     call.isSent = true;
-    this.ask(frame);
+    const method = call.step as LinkMethod;
+    const leftMs = Math.max(0, Math.round(deadline - performance.now()));
+    this.ask({kind: 'call', id, method, body, leftMs});
   }
 
   private failCall(id: number, detail: string): void {
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -6,6 +6,7 @@
   type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import {
+  LINK_METHODS,
   MAX_LINK_FRAME_BYTES,
   type LinkFrame,
   type LinkMethod,
@@ -15,11 +16,12 @@
 import {workMeter, type WorkKind} from '../event_loop/work_meter.js';
 import {LINK_SERVICE} from './service.js';
 
-/** Handlers by method. */
+/** Handlers by method; the deadline is the caller's, on the monotonic clock in ms. */
 export type LinkHandlers = {
   readonly [M in LinkMethod]: (
     request: LinkMethods[M]['request'],
     from: VmId,
+    deadline: number,
   ) => Promise<LinkMethods[M]['reply']>;
 };
 
@@ -64,6 +66,7 @@
   advise: 'advice',
 };
 
+type CallFrame = Extract<LinkFrame, {kind: 'call'}>;
 type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
 
 /** Accepts streams from other VMs and dispatches their calls. */
@@ -130,7 +133,7 @@
         stream.write({kind: 'pong'});
         return;
       case 'call':
-        void this.serve(stream, from, frame.id, frame.method, frame.body);
+        void this.serve(stream, from, frame);
         return;
       case 'open':
       case 'reply':
@@ -154,26 +157,24 @@
   private async serve(
     stream: Stream,
     from: VmId,
-    id: number,
-    method: LinkMethod,
-    body: unknown,
+    call: CallFrame,
   ): Promise<void> {
     const beganAt = performance.now();
-    const reply = await this.run(from, id, method, body);
+    const reply = await this.run(from, call);
     if (!stream.destroyed && !stream.cancelled) return void stream.write(reply);
+    const {method, body} = call;
     const tookMs = performance.now() - beganAt;
     this.options.onDroppedReply?.({method, from, body, tookMs});
   }
 
   private async run(
     from: VmId,
-    id: number,
-    method: LinkMethod,
-    body: unknown,
+    {id, method, body, leftMs}: CallFrame,
   ): Promise<LinkFrame> {
     try {
       const handler = this.options.handlers[method] as
-        ((request: unknown, from: VmId) => Promise<unknown>) | undefined;
+        | ((request: unknown, from: VmId, deadline: number) => Promise<unknown>)
+        | undefined;
       if (!handler)
         throw new CellError({
           code: 'unknown_path',
@@ -181,8 +182,17 @@
           peer: from,
           detail: `unknown method ${String(method)}`,
         });
+      const deadline = deadlineOf(method, leftMs);
+      if (deadline <= performance.now())
+        throw new CellError({
+          code: 'deadline_passed',
+          step: method,
+          peer: from,
+        });
       const kind = WORK_KINDS[method];
-      const answer = workMeter.measure(kind, () => handler(body, from));
+      const answer = workMeter.measure(kind, () =>
+        handler(body, from, deadline),
+      );
       return {kind: 'reply', id, body: await answer};
     } catch (thrown) {
       const err = toCellError(thrown, method);
@@ -191,3 +201,10 @@
     }
   }
 }
+
+/** Deadline of a call on the monotonic clock in ms; without a sound time, the method's. */
+const deadlineOf = (method: LinkMethod, leftMs: unknown): number => {
+  const isTold = typeof leftMs === 'number' && Number.isFinite(leftMs);
+  const waitMs = isTold ? leftMs : LINK_METHODS[method].deadlineMs;
+  return performance.now() + waitMs;
+};
