--- a/packages/coordination/src/workflow/announcements.ts
+++ b/packages/coordination/src/workflow/announcements.ts
@@ -78,7 +78,7 @@
   }
 }
 
-/** Whether an announcement differs from the worker's record in the log. */
+/** Whether an announcement says something newer than the worker's record in the log. */
 export const hasUnrecordedChanges = (
   db: WorkflowDb,
   report: WorkerRegistration,
@@ -88,6 +88,7 @@
     const other = db.workers.get(report.worker)?.report;
     return !other || other.bornAt < report.bornAt;
   }
+  if (report.sequence < known.sequence) return false;
   return (
     known.address !== report.address ||
     known.pool !== report.pool ||
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {testBundle} from '../bundle/fixtures.js';
 import {WorkflowDb} from './db.js';
-import {TestLog, testSpec, testStep, testTask} from './fixtures.js';
+import {TestLog, testSpec, testStep, testTask, testWorker} from './fixtures.js';
 import type {WorkflowId} from './types.js';
 
 const phaseOf = ({db}: TestLog, id: string) =>
@@ -161,4 +161,17 @@
     expect(log.db.workflows.get('a' as WorkflowId)?.spec.steps).to.eql([]);
     expect(phaseOf(log, 'a')).to.equal('cancelled');
   });
+  it('a report that was overtaken does not bring the earlier room back', () => {
+    const log = new TestLog();
+    const room = {cpuMillis: 500, memMb: 500, gpus: 0};
+    log.addWorker('w1', {sequence: 1});
+    log.addWorker('w1', {sequence: 8, room});
+    log.addWorker('w1', {sequence: 7});
+    const copy = new WorkflowDb();
+    copy.restore(structuredClone(log.db.toImage()));
+    const report = testWorker('w1', {sequence: 6});
+    copy.apply(copy.index + 1, {kind: 'put_worker', report});
+    for (const db of [log.db, copy])
+      expect(db.workers.get('w1' as never)?.report.room).to.eql(room);
+  });
 });
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -42,6 +42,7 @@
   WorkflowState,
 } from './types.js';
 import {noPreemptibleRuns, indexRun, unindexRun} from './preemptible_runs.js';
+import {latestReport} from './worker_reports.js';
 
 const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
 
@@ -244,9 +245,7 @@
     const known = this.workers.get(report.worker);
     if (known && known.report.bornAt > report.bornAt) return;
     if (known?.report.bornAt === report.bornAt) {
-      // Draining is final for an incarnation.
-      const isDraining = known.report.isDraining || report.isDraining;
-      known.report = {...report, isDraining};
+      known.report = latestReport(known.report, report);
       return;
     }
     if (known) this.removeWorker(known.report);
