--- /dev/null
+++ b/packages/coordination/src/workflow/shrunk_room.spec.ts
@@ -0,0 +1,104 @@
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import {
+  taskKey,
+  type StepSpec,
+  type VmId,
+  type WorkflowCommand,
+  type WorkflowDb,
+} from '@primrosewick/state';
+import {
+  TestLog,
+  testSpec,
+  testStep,
+  testWorker,
+} from '@primrosewick/state/fixtures';
+import {pause, systemClock} from '@primrosewick/transport';
+import type {ListedRun, OrderPort} from './ports.js';
+import {WorkflowReplica} from './replica.js';
+import {SchedulerTask} from './scheduler_task.js';
+
+const RECORD_MS = 20;
+const RUN_MS = 200;
+const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
+
+/**
+ * Starts sent to two workers of four cores, of which w1 reports `cpuMillis`
+ * while the first starts are recorded.
+ */
+const startsWith = async (
+  step: Partial<StepSpec>,
+  cpuMillis: number,
+): Promise<{readonly sent: string[]; readonly db: WorkflowDb}> => {
+  const log = new TestLog();
+  log.addWorker('w1');
+  log.addWorker('w2');
+  log.submit('a', testSpec([testStep(step)]));
+  const replica = new WorkflowReplica();
+  replica.restore(log.db.toImage());
+  const apply = (command: WorkflowCommand) =>
+    replica.apply({index: replica.index + 1, command})!;
+  const room = {cpuMillis, memMb: 4000, gpus: 0};
+  const report = testWorker('w1', {sequence: 2, room});
+  const sent: string[] = [];
+  const running = new Map<string, ListedRun[]>();
+  const accept = async () => ({kind: 'accepted' as const, clockMs: 1});
+  const orders: OrderPort = {
+    start: async ({worker}, {task, run}) => {
+      sent.push(`${taskKey(task)} ${run} ${worker}`);
+      const listed = {task, run, checkpoint: '', percent: 0, load: 0};
+      running.set(worker, [...(running.get(worker) ?? []), listed]);
+      return accept();
+    },
+    stop: accept,
+    hold: async ({worker}) => {
+      await pause(systemClock, 10);
+      const listed = running.get(worker) ?? [];
+      return {kind: 'lists', clockMs: 1, running: listed, ended: []};
+    },
+  };
+  const scheduler = new SchedulerTask({
+    replica,
+    clock: systemClock,
+    logger,
+    orders,
+    workerLimits: {maxLeaseMs: 1000, announceMs: 1000},
+    term: 1,
+    maxStaleLeaderMs: 1400,
+    leadershipConfirmedAgeMs: () => 0,
+    propose: async command => {
+      if (command.kind !== 'start_runs') return apply(command);
+      const result = apply(command);
+      apply({kind: 'put_worker', report});
+      await pause(systemClock, RECORD_MS);
+      return result;
+    },
+    callers: () => [] as VmId[],
+    ask: () => new Promise(() => undefined),
+  });
+  scheduler.start();
+  await pause(systemClock, RUN_MS);
+  scheduler.close();
+  return {sent, db: replica.db};
+};
+
+const WIDE = {room: {cpuMillis: 3000, memMb: 100, gpus: 0}};
+
+describe('starts on a worker whose room shrinks', () => {
+  it('a start that was recorded before the room shrank is sent elsewhere', async () => {
+    const {sent, db} = await startsWith(
+      {...WIDE, taskCount: 2, maxPerWorker: 1},
+      2000,
+    );
+    expect(sent.filter(start => start.endsWith('w1'))).to.eql([]);
+    expect(sent).to.have.length(1);
+    expect(db.workers.get('w1' as never)?.used.cpuMillis).to.equal(0);
+  });
+  it('a start that still fits the smaller room is sent', async () => {
+    const {sent} = await startsWith(
+      {...WIDE, taskCount: 2, maxPerWorker: 1},
+      3000,
+    );
+    expect(sent).to.have.length(2);
+  });
+});
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -5,6 +5,7 @@
  * worker's lists of runs are queried before anything is concluded.
  */
 import {
+  fitsInto,
   taskKey,
   type TaskKey,
   type TaskRef,
@@ -87,6 +88,12 @@
     return this.stops.stoppingOf(db.findIncarnation(life)?.active);
   }
 
+  /** Whether the recorded runs, those that are stopping too, fit into the worker's room. */
+  get isWithinRoom(): boolean {
+    const state = this.options.db.findIncarnation(this.options.life);
+    return !state || fitsInto(state.used, state.report.room);
+  }
+
   /** Estimated time until the active run of a task ends, in ms; undefined if unknown. */
   remainingMs(key: TaskKey): number | undefined {
     const {db, life, clock} = this.options;
@@ -137,6 +144,8 @@
   async start(order: StartRequest): Promise<void> {
     if (!this.options.mayOrder())
       return this.abandonStart(order, 'the leadership is not confirmed');
+    if (!this.isWithinRoom)
+      return this.abandonStart(order, 'the room of the worker has shrunk');
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
