--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -9,12 +9,14 @@
   WorkerHealth,
   decidePass,
   plannerImage,
+  stepKey,
   toCellError,
   type Plan,
   type PlannedStart,
   type PlannedStop,
   type QueueName,
   type RunEvidence,
+  type StepKey,
   type VoidedRun,
   type WorkerId,
   type WorkflowCommand,
@@ -30,6 +32,7 @@
 import {collectPassInput} from './pass_input.js';
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
+import {findWithheldGangs, recordOfStarts} from './planned_starts.js';
 import {RunLog} from './run_log.js';
 import {isActiveRun} from './run_lists.js';
 import {findStalled} from './stalled_runs.js';
@@ -382,19 +385,17 @@
       this.channels.get(worker)?.expect(task, run);
       this.noteMoment(task.workflow, 'planned');
     }
-    const isRecorded = await this.record({
-      kind: 'start_runs',
-      starts: starts.map(({task, run, worker, bornAt}) => ({
-        task,
-        run,
-        worker,
-        bornAt,
-      })),
-    });
-    for (const start of starts) this.orderStart(start, isRecorded);
+    const isRecorded = await this.record(recordOfStarts(starts));
+    const {db, channels, advice} = this;
+    const withheld = findWithheldGangs({db, channels, advice}, starts);
+    for (const start of starts) this.orderStart(start, isRecorded, withheld);
   }
 
-  private orderStart(start: PlannedStart, isRecorded: boolean): void {
+  private orderStart(
+    start: PlannedStart,
+    isRecorded: boolean,
+    withheld: ReadonlySet<StepKey>,
+  ): void {
     const {task, run, worker, checkpoint, ticket} = start;
     const channel = this.channels.get(worker);
     const workflow = this.db.open.get(task.workflow);
@@ -402,8 +403,9 @@
     const isActive = isActiveRun(this.db, start);
     if (!isRecorded || !workflow || !isActive || this.isClosed)
       return channel.forget(task);
-    const {payload} = workflow.spec;
-    const request = {task, run, payload, checkpoint};
+    const request = {task, run, checkpoint, payload: workflow.spec.payload};
+    if (withheld.has(stepKey(task)))
+      return void channel.abandonStart(request, 'a member cannot start');
     // The ticket may have been renewed or have lapsed while the start was recorded.
     const validTicket = ticket && this.advice.ticketOf(task, worker);
     if (ticket !== undefined && validTicket === undefined)
--- a/packages/coordination/src/workflow/shrunk_room.spec.ts
+++ b/packages/coordination/src/workflow/shrunk_room.spec.ts
@@ -101,4 +101,10 @@
     );
     expect(sent).to.have.length(2);
   });
+  it('no member of a gang is sent where the room of one has shrunk', async () => {
+    const gang = {...WIDE, taskCount: 2, maxPerWorker: 1, isGang: true};
+    const {sent, db} = await startsWith(gang, 2000);
+    expect(sent).to.eql([]);
+    for (const {active} of db.workers.values()) expect(active.size).to.equal(0);
+  });
 });
