--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -90,6 +90,17 @@
   WORKER.map(i => command(`restart(${i})`, w => w.restartWorker(i))),
   WORKER.map(i => command(`cut(${i})`, w => w.cutWorker(i))),
   WORKER.map(i => command(`drain(${i})`, w => w.drainWorker(i))),
+  fc
+    .record({
+      index: WORKER,
+      cpuMillis: fc.constantFrom(0, 500, 2000, 4000),
+      memMb: fc.constantFrom(0, 150, 4000),
+    })
+    .map(({index, ...room}) =>
+      command(`resize(${index},${JSON.stringify(room)})`, w =>
+        w.resizeWorker(index, {...room, gpus: 0}),
+      ),
+    ),
   fc.constant(command('heal', w => w.heal())),
   fc
     .record({
