--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -178,6 +178,19 @@
       replica.avoidedUntil = this.options.clock.now() + REPLICA_AVOID_MS;
   }
 
+  /** VMs with a replica that may be read beside the leader, those of this zone first. */
+  get followerVms(): readonly VmId[] {
+    const now = this.options.clock.now();
+    return [...this.replicas.values()]
+      .filter(({vm, isReadable}) => isReadable && vm !== this.leader)
+      .sort(
+        (a, b) =>
+          Number(now < a.avoidedUntil) - Number(now < b.avoidedUntil) ||
+          this.replicaRank(a) - this.replicaRank(b),
+      )
+      .map(({vm}) => vm);
+  }
+
   private replicaRank({vm, zone}: ReplicaInfo): number {
     return (zone === this.options.zone ? 0 : 2) + (vm === this.leader ? 1 : 0);
   }
--- a/packages/coordination/src/workflow/confirmed_reader.spec.ts
+++ b/packages/coordination/src/workflow/confirmed_reader.spec.ts
@@ -42,6 +42,21 @@
     });
     expect(await errorOf(reader.readBundle(DEADLINE))).to.equal(err);
   });
+  it('a workflow and a queue that are missing after a read index are unknown', async () => {
+    const log = new TestLog();
+    const reader = new ConfirmedReader({
+      replica: copyOf(log),
+      catchUp: {reach: async () => undefined},
+    });
+    const [queue] = log.db.bundle!.queues;
+    const kindOf = async (path: string): Promise<string> => {
+      const address = {host: queue!.host, path};
+      return (await reader.readWorkflow(address, DEADLINE)).answer.kind;
+    };
+    expect(await kindOf(`${queue!.prefix}a`)).to.equal('unknown_workflow');
+    expect(await kindOf('/elsewhere/a')).to.equal('unknown_queue');
+    expect(await kindOf(queue!.prefix)).to.equal('pending');
+  });
   it('a replica that may not be read yet shows no bundle', async () => {
     const reader = new ConfirmedReader({
       replica: new WorkflowReplica(),
--- a/packages/coordination/src/workflow/confirmed_reader.ts
+++ b/packages/coordination/src/workflow/confirmed_reader.ts
@@ -1,7 +1,9 @@
 /** Linearizable reads of this VM's replica; the leader gives a read index only. */
+import type {LinkMethods, QueueAddress} from '@primrosewick/protocol';
 import {CellError, type Bundle} from '@primrosewick/state';
 import type {ReplicaCatchUp} from './replica_catch_up.js';
 import type {WorkflowReplica} from './replica.js';
+import {lookUp} from './workflow_view.js';
 
 /** Options of {@link ConfirmedReader}. */
 export interface ConfirmedReaderOptions {
@@ -31,6 +33,23 @@
     return bundle;
   }
 
+  /**
+   * Reads the state of a workflow, or the number of pending ones of a queue. A
+   * workflow or queue that is missing is said to be unknown: nothing that was
+   * acknowledged before the call is missing here.
+   * @throws CellError like {@link readBundle}.
+   */
+  async readWorkflow(
+    address: QueueAddress,
+    deadline: number,
+  ): Promise<LinkMethods['readConfirmed']['reply']> {
+    await this.catchUp(deadline);
+    const {db, index} = this.options.replica;
+    const answer = lookUp(db, address);
+    if (!answer) throw new CellError({code: 'starting', step: 'find-queue'});
+    return {answer, index};
+  }
+
   private async catchUp(deadline: number): Promise<void> {
     if (!this.isReadable)
       throw new CellError({
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -4,10 +4,9 @@
  * submitted; at the leader, each read costs a call and a quorum round.
  */
 import type {QueueAddress, WorkflowReply} from '@primrosewick/protocol';
-import {matchQueue, type WorkflowId} from '@primrosewick/state';
 import {pause, type Clock} from '@primrosewick/transport';
 import type {WorkflowReplica} from './replica.js';
-import {countPending, viewOf} from './workflow_view.js';
+import {lookUp} from './workflow_view.js';
 
 /** Options of a `ReplicaReader`. */
 export interface ReplicaReaderOptions {
@@ -80,13 +79,9 @@
     return reply && (this.isFresh || isFinal(reply)) ? reply : undefined;
   }
 
-  private lookUp({host, path}: QueueAddress): WorkflowReply | undefined {
-    const {db} = this.options.replica;
-    const match = db.bundle && matchQueue(db.bundle, host, path);
-    if (!match) return undefined;
-    if (match.rest === '')
-      return {kind: 'pending', count: countPending(db, match.queue)};
-    const workflow = db.workflows.get(match.rest as WorkflowId);
-    return workflow && {kind: 'state', state: viewOf(workflow)};
+  private lookUp(address: QueueAddress): WorkflowReply | undefined {
+    const reply = lookUp(this.options.replica.db, address);
+    const isKnown = reply?.kind === 'state' || reply?.kind === 'pending';
+    return isKnown ? reply : undefined;
   }
 }
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -1,6 +1,16 @@
 /** Client view of workflows. */
-import type {WorkflowView} from '@primrosewick/protocol';
-import type {Queue, WorkflowDb, WorkflowState} from '@primrosewick/state';
+import type {
+  QueueAddress,
+  WorkflowReply,
+  WorkflowView,
+} from '@primrosewick/protocol';
+import {
+  matchQueue,
+  type Queue,
+  type WorkflowDb,
+  type WorkflowId,
+  type WorkflowState,
+} from '@primrosewick/state';
 
 /** State of a workflow as shown to clients. */
 export const viewOf = ({
@@ -18,3 +28,21 @@
     if (queue === name && !hasStarted) count++;
   return count;
 };
+
+/**
+ * What a state tells of a workflow, or of a queue.
+ * @returns undefined before the first bundle.
+ */
+export const lookUp = (
+  db: WorkflowDb,
+  {host, path}: QueueAddress,
+): WorkflowReply | undefined => {
+  if (!db.bundle) return undefined;
+  const match = matchQueue(db.bundle, host, path);
+  if (!match) return {kind: 'unknown_queue'};
+  if (match.rest === '')
+    return {kind: 'pending', count: countPending(db, match.queue)};
+  const workflow = db.workflows.get(match.rest as WorkflowId);
+  if (!workflow) return {kind: 'unknown_workflow'};
+  return {kind: 'state', state: viewOf(workflow)};
+};
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -4,17 +4,16 @@
 import type {Registry} from 'prom-client';
 import {
   AnnouncementRelay,
-  ConfirmedReader,
   GatewayTask,
   JournalRecorder,
   LoadSheddingTask,
-  ReplicaCatchUp,
   RecordLoadTask,
   ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
   WorkflowService,
   type AdvicePort,
+  type ConfirmedReader,
   type OrderPort,
   type SchedulerOptions,
 } from '@primrosewick/coordination';
@@ -44,13 +43,14 @@
   type LinkHandlers,
 } from '@primrosewick/transport';
 import {BundleReader} from './bundle_reader.js';
+import {answerConfirmed, makeConfirmedReader} from './confirmed_replica.js';
+import {ConfirmedReads} from './confirmed_reads.js';
 import {observeEndAges} from './end_ages.js';
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
 import {makeRecordObservers} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
-import {LeaderReadIndex} from './leader_read_index.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
 import {CLUSTER_NAME, ELECTION_MS, ReplicatedLog} from './replicated_log.js';
 
@@ -145,6 +145,12 @@
       clock: systemClock,
       logger,
       reader: this.reader,
+      confirmed: new ConfirmedReads({
+        gateway: this.gateway,
+        peers: this.peers,
+        clock: systemClock,
+        own: this.confirmedReader,
+      }),
       reads: new ReadLog(logger, options.registry),
     });
     this.bundles = new BundleReader({
@@ -257,18 +263,13 @@
   }
 
   private makeConfirmedReader(log: ReplicatedLog): ConfirmedReader {
-    const {replica, peers} = this;
-    const readIndex = new LeaderReadIndex({
-      peers,
+    return makeConfirmedReader({
+      replica: this.replica,
+      clock: systemClock,
+      peers: this.peers,
       askOwn: () => this.readIndex(),
       leaderVm: () => log.leaderVm ?? this.gateway.leaderVm,
     });
-    const catchUp = new ReplicaCatchUp({
-      clock: systemClock,
-      appliedIndex: () => replica.index,
-      askLeader: () => readIndex.ask(),
-    });
-    return new ConfirmedReader({replica, catchUp});
   }
 
   private readIndex(): Promise<LinkMethods['readIndex']['reply']> {
@@ -382,6 +383,8 @@
         answer: (await this.reader?.readAt(address, atLeast)) ?? null,
         index: this.replica.index,
       }),
+      readConfirmed: request =>
+        answerConfirmed(this.confirmedReader, request, systemClock),
       workflow: (request, _from, deadline) =>
         service?.handle(request, deadline) ?? notLeader(),
       announceWorker: report => service?.announceWorker(report) ?? notLeader(),
--- a/packages/daemon/src/cluster/read_log.spec.ts
+++ b/packages/daemon/src/cluster/read_log.spec.ts
@@ -74,6 +74,7 @@
       {
         change: 'reads',
         ways: {copy: 51, no_reader: 50},
+        confirmed: 0,
         failed: 0,
         longestMs: 4,
         overMs: 10_000,
--- a/packages/daemon/src/cluster/read_log.ts
+++ b/packages/daemon/src/cluster/read_log.ts
@@ -8,7 +8,7 @@
 import type Logger from 'bunyan';
 import {Counter, Histogram, type Registry} from 'prom-client';
 
-/** Reasons for which the leader answers a read. */
+/** Reasons for which a replica alone does not answer a read. */
 export const LEADER_REASONS = [
   /** The workflow was cancelled through this VM a moment ago. */
   'cancelled_here',
@@ -24,7 +24,10 @@
   'copy_failed',
 ] as const;
 
-/** How a read was answered: from a replica (`copy`), or by the leader for a reason. */
+/**
+ * How a read was answered: from a replica alone (`copy`), or for a reason by one
+ * that confirmed it with the leader, or by the leader.
+ */
 export type ReadRoute = 'copy' | (typeof LEADER_REASONS)[number];
 
 /** A read that has ended. */
@@ -38,6 +41,8 @@
   readonly waitMs: number;
   /** Time until a replica had answered or was given up on, in ms. */
   readonly copyMs: number;
+  /** Whether a replica answered after it had reached a read index of the leader. */
+  readonly isConfirmed?: boolean;
   readonly err?: CellError;
 }
 
@@ -55,6 +60,7 @@
   private readonly times: Histogram<'source'>;
   private readonly budget = new LogRateLimiter(LINES_PER_SECOND, 1000);
   private ways: Partial<Record<ReadRoute, number>> = {};
+  private confirmed = 0;
   private failed = 0;
   private longestMs = 0;
   private lastSummaryAt: number | undefined;
@@ -82,12 +88,13 @@
   /** Records a read that has ended. */
   record(read: CompletedRead): void {
     const {way, waitMs, err} = read;
-    const source = way === 'copy' ? 'copy' : 'leader';
+    const source = sourceOf(read);
     const outcome = err ? 'failed' : 'answered';
     this.reads.inc({source, reason: way, outcome});
     this.times.observe({source}, waitMs);
     this.ways[way] = (this.ways[way] ?? 0) + 1;
     this.longestMs = Math.max(this.longestMs, waitMs);
+    if (source === 'confirmed') this.confirmed++;
     if (err) this.failed++;
     if (err || waitMs >= SLOW_READ_MS) this.logRead(read);
     this.logSummaryWhenDue(read.endedAt);
@@ -100,6 +107,7 @@
     endedAt,
     waitMs,
     copyMs,
+    isConfirmed = false,
     err,
   }: CompletedRead) {
     const line = this.budget.take(endedAt);
@@ -113,6 +121,7 @@
         peer,
         waitMs: Math.round(waitMs),
         copyMs: Math.round(copyMs),
+        isConfirmed,
         ...(err ? {err: err.toBody()} : {}),
         ...line,
       },
@@ -128,6 +137,7 @@
       {
         change: 'reads',
         ways: this.ways,
+        confirmed: this.confirmed,
         failed: this.failed,
         longestMs: Math.round(this.longestMs),
         overMs: Math.round(overMs),
@@ -136,7 +146,16 @@
     );
     this.lastSummaryAt = now;
     this.ways = {};
+    this.confirmed = 0;
     this.failed = 0;
     this.longestMs = 0;
   }
 }
+
+const sourceOf = ({
+  way,
+  isConfirmed = false,
+}: CompletedRead): 'copy' | 'confirmed' | 'leader' => {
+  if (way === 'copy') return 'copy';
+  return isConfirmed ? 'confirmed' : 'leader';
+};
--- a/packages/daemon/src/cluster/workflow_request_router.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.spec.ts
@@ -2,9 +2,10 @@
 import {expect} from 'chai';
 import {Registry} from 'prom-client';
 import {GatewayTask} from '@primrosewick/coordination';
-import type {LinkHelloReply} from '@primrosewick/protocol';
-import type {VmId, ZoneId} from '@primrosewick/state';
-import {systemClock, type LinkCaller} from '@primrosewick/transport';
+import type {LinkHelloReply, WorkflowReply} from '@primrosewick/protocol';
+import {CellError, type VmId, type ZoneId} from '@primrosewick/state';
+import {pause, systemClock, type LinkCaller} from '@primrosewick/transport';
+import {ConfirmedReads} from './confirmed_reads.js';
 import {ReadLog, type CompletedRead} from './read_log.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
 
@@ -26,11 +27,31 @@
   }
 }
 
+/** How a replica confirms its answer with the leader. */
+type Confirm = (peer: VmId, timeoutMs: number) => Promise<WorkflowReply>;
+
+const noConfirmation: Confirm = async peer => {
+  throw new CellError({code: 'log_unavailable', step: 'read', peer});
+};
+const confirmTooLate: Confirm = async (peer, timeoutMs) => {
+  await pause(systemClock, timeoutMs);
+  return noConfirmation(peer, 0);
+};
+/** Fails after the deadline of any read here, as a call to a silent leader does. */
+const answerTooLate = async (): Promise<never> => {
+  await pause(systemClock, 1200);
+  throw new CellError({code: 'peer_timeout', step: 'call'});
+};
+
 /** The request router of an entry node, with a leader at one index and a replica at another. */
 const makeRouter = async (
   leaderIndex: number,
   copy: (atLeast: number) => Promise<ReplicaReport>,
-  {isLed = true, askLeader = async (): Promise<void> => undefined} = {},
+  {
+    isLed = true,
+    askLeader = async (): Promise<void> => undefined,
+    confirm = noConfirmation,
+  } = {},
 ) => {
   const helloReply = (vm: VmId, isServing: boolean): LinkHelloReply => ({
     vm,
@@ -45,7 +66,11 @@
     index: isServing ? leaderIndex : 0,
   });
   const peers = {
-    call: async (to: VmId, method: string, {atLeast = 0} = {}) => {
+    call: async (
+      to: VmId,
+      method: string,
+      {atLeast = 0, timeoutMs = 0} = {},
+    ) => {
       if (method === 'hello') return helloReply(to, isLed && to === LEADER);
       if (method === 'readWorkflow') {
         const report = await copy(atLeast);
@@ -55,6 +80,8 @@
             : report;
         return {answer: {kind: 'state', state}, index};
       }
+      if (method === 'readConfirmed')
+        return {answer: await confirm(to, timeoutMs), index: 60};
       await askLeader();
       return {
         kind: 'ok',
@@ -81,6 +108,12 @@
     clock: systemClock,
     logger,
     reader: null,
+    confirmed: new ConfirmedReads({
+      gateway,
+      peers,
+      clock: systemClock,
+      own: null,
+    }),
     reads,
   });
   return Object.assign(calls, {seen: reads.seen});
@@ -156,6 +189,37 @@
     await stateOf(calls);
     expect(calls.seen.map(({way}) => way)).to.eql(['cancelled_here']);
   });
+  it('a stale replica confirms its answer while the leader hangs', async () => {
+    const calls = await makeRouter(50, async () => 49, {
+      askLeader: answerTooLate,
+      confirm: async () => ({kind: 'state', state: 'queued'}),
+    });
+    expect(await stateOf(calls)).to.equal('queued');
+    expect(calls.seen[0]).to.include({way: 'copy_behind', isConfirmed: true});
+  });
+  it('a workflow that no replica knows is told as unknown while the leader hangs', async () => {
+    const calls = await makeRouter(50, async () => 49, {
+      askLeader: answerTooLate,
+      confirm: async () => ({kind: 'unknown_workflow'}),
+    });
+    expect(await stateOf(calls)).to.equal('unknown_workflow');
+  });
+  it('a replica confirms its answer while the entry has no contact to the leader', async () => {
+    const calls = await makeRouter(50, async () => 50, {
+      isLed: false,
+      askLeader: answerTooLate,
+      confirm: async () => ({kind: 'state', state: 'running'}),
+    });
+    expect(await stateOf(calls)).to.equal('running');
+  });
+  it('the leader is asked in time where no replica confirms', async () => {
+    const calls = await makeRouter(50, async () => 49, {
+      confirm: confirmTooLate,
+    });
+    const startedAt = performance.now();
+    expect(await stateOf(calls)).to.equal('done');
+    expect(performance.now() - startedAt).to.be.lessThan(1000);
+  });
   it('a read that nobody answered is recorded with its error', async () => {
     const calls = await makeRouter(50, () => Promise.reject(new Error('gone')));
     const err = await calls
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -1,4 +1,8 @@
-/** Routes clients' requests: reads to a nearby replica of the log, all else to the leader. */
+/**
+ * Routes clients' requests: reads to a nearby replica of the log, to one that
+ * confirms its answer with the leader where the first is not sure, and to the
+ * leader last; all else to the leader.
+ */
 import {
   isFinal,
   type GatewayTask,
@@ -13,6 +17,7 @@
 import {toCellError, type CellError, type VmId} from '@primrosewick/state';
 import type {Clock, LinkCaller} from '@primrosewick/transport';
 import type Logger from 'bunyan';
+import type {ConfirmedReads} from './confirmed_reads.js';
 import type {ReadLog, ReadRoute} from './read_log.js';
 
 /** Options of {@link WorkflowRequestRouter}. */
@@ -23,6 +28,7 @@
   readonly logger: Logger;
   /** The replica of this VM, if it has one. */
   readonly reader: ReplicaReader | null;
+  readonly confirmed: ConfirmedReads;
   readonly reads: ReadLog;
 }
 
@@ -42,6 +48,11 @@
  * can still be asked.
  */
 const REPLICA_TIME_FRACTION = 0.5;
+/**
+ * Fraction of the remaining time that replicas may take to confirm their answer
+ * with the leader, so that the leader can still be asked.
+ */
+const CONFIRMED_TIME_FRACTION = 0.7;
 /** Maximum number of remembered cancellations. */
 const MAX_CANCELLED = 2000;
 
@@ -73,6 +84,7 @@
     const startedAt = clock.now();
     const {reply, way, peer} = await this.readReplica(request, deadline);
     const copyMs = clock.now() - startedAt;
+    let isConfirmed = false;
     const recordRead = (err?: CellError): void => {
       const endedAt = clock.now();
       const waitMs = endedAt - startedAt;
@@ -84,12 +96,15 @@
         endedAt,
         waitMs,
         copyMs,
+        isConfirmed,
         ...(err && {err}),
       });
     };
     try {
+      const confirmed = reply ?? (await this.confirm(request, deadline));
+      isConfirmed = !reply && confirmed !== undefined;
       const answer =
-        reply ?? (await gateway.callLeader('workflow', request, deadline));
+        confirmed ?? (await gateway.callLeader('workflow', request, deadline));
       recordRead();
       return answer;
     } catch (thrown) {
@@ -98,6 +113,17 @@
     }
   }
 
+  /** Reads a replica that first reaches a read index of the leader. */
+  private confirm(
+    {host, path}: QueueAddress,
+    deadline: number,
+  ): Promise<WorkflowReply | undefined> {
+    const {clock, confirmed} = this.options;
+    const leftMs = deadline - clock.now();
+    const until = clock.now() + leftMs * CONFIRMED_TIME_FRACTION;
+    return confirmed.read({host, path}, until);
+  }
+
   private async readReplica(
     {host, path}: QueueAddress,
     deadline: number,
--- a/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
@@ -15,6 +15,7 @@
   testTask,
 } from '@primrosewick/state/fixtures';
 import {pause, systemClock, type LinkCaller} from '@primrosewick/transport';
+import {ConfirmedReads} from './confirmed_reads.js';
 import {ReadLog} from './read_log.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
 
@@ -50,6 +51,8 @@
     ) => {
       if (method === 'hello') return helloReply(to);
       asked.push(to);
+      if (method === 'readConfirmed')
+        throw new CellError({code: 'peer_timeout', step: method, peer: to});
       if (method !== 'readWorkflow')
         return {kind: 'ok', value: {kind: 'unknown_queue'}, index: 50};
       if (to === CURRENT)
@@ -77,6 +80,12 @@
     clock: systemClock,
     logger,
     reader,
+    confirmed: new ConfirmedReads({
+      gateway,
+      peers,
+      clock: systemClock,
+      own: null,
+    }),
     reads: new ReadLog(logger, new Registry()),
   });
   return {calls, asked};
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -108,6 +108,15 @@
      */
     reply: {readonly answer: WorkflowReply | null; readonly index: number};
   };
+  /**
+   * Reads from a replica that first reaches a read index of the leader, within
+   * `timeoutMs`; it knows then what is missing.
+   */
+  readConfirmed: {
+    request: QueueAddress & {readonly timeoutMs: number};
+    /** The answer, and the index of the state that it was read from. */
+    reply: {readonly answer: WorkflowReply; readonly index: number};
+  };
   workflow: {request: WorkflowRequest; reply: LinkLeaderReply<WorkflowReply>};
   announceWorker: {
     request: WorkerRegistration;
@@ -147,6 +156,7 @@
   consensus: {deadlineMs: 1000},
   readIndex: {deadlineMs: 1000},
   readWorkflow: {deadlineMs: 300},
+  readConfirmed: {deadlineMs: 1500},
   workflow: {deadlineMs: 2500},
   announceWorker: {deadlineMs: 900},
   heardWorkers: {deadlineMs: 900},
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -57,6 +57,7 @@
   consensus: 'consensus',
   readIndex: 'question',
   readWorkflow: 'question',
+  readConfirmed: 'question',
   workflow: 'call',
   announceWorker: 'announcement',
   heardWorkers: 'announcement',
