--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -29,6 +29,7 @@
 import type {Clock} from '@primrosewick/transport';
 import {LoadSheddingLog} from '../load/load_shedding_log.js';
 import type {LoadSheddingTask} from '../load/task.js';
+import {RefusedSubmissions} from '../record_load/refused_submissions.js';
 import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
@@ -69,6 +70,7 @@
   private readonly readIndexBatcher: ReadIndexBatcher;
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
+  private readonly refused = new RefusedSubmissions();
   private readonly sequences = new AnnouncementSequences();
   private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
@@ -264,6 +266,7 @@
       return {kind: 'accepted'};
     }
     throwOnFault('submit', findExceededLimit(spec));
+    this.rejectWhenRefused(id);
     this.rejectWhenLagging(id);
     this.rejectWhenRecordsAreSlow(id, queue, deadline);
     this.admit(id, queue, spec);
@@ -294,13 +297,30 @@
     }
   }
 
+  /** Error for a submission that is refused now; it stays so until its client may return. */
+  private refuse(id: WorkflowId, retryAfterMs: number): CellError {
+    this.refused.note(id, this.options.clock.now(), retryAfterMs);
+    return new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+  }
+
+  /**
+   * @throws CellError `leader_late` for a submission whose client was told that it
+   *   has not run, and may not return yet: an earlier attempt that was delayed.
+   */
+  private rejectWhenRefused(id: WorkflowId): void {
+    const now = this.options.clock.now();
+    const retryAfterMs = this.refused.retryAfterMs(id, now);
+    if (retryAfterMs === 0) return;
+    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+  }
+
   /** @throws CellError `leader_late` while this VM lags behind the work it has accepted. */
   private rejectWhenLagging(id: WorkflowId): void {
     const load = this.options.load.decide();
     if (load.kind === 'take') return;
     const {lateMs, retryAfterMs} = load;
     this.loadSheddingLog.logRefusal(id, lateMs);
-    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+    throw this.refuse(id, retryAfterMs);
   }
 
   /**
@@ -320,8 +340,7 @@
     });
     if (decision?.kind !== 'refuse') return;
     this.loadSheddingLog.logSlowRecords(id, queue.name, decision);
-    const {retryAfterMs} = decision;
-    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
+    throw this.refuse(id, decision.retryAfterMs);
   }
 
   /** @throws CellError `backlog` for a workflow that would finish too late to be useful. */
