--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -151,7 +151,7 @@
     503,
     'not_run',
     1000,
-    'The event loop of the leader lags; it accepts no new work until it has caught up.',
+    'The leader lags behind the work it has accepted; it accepts no new work until it has caught up.',
   ),
   log_overloaded: reason(
     503,
