--- a/packages/proofs/src/workflow/cell_bundle.ts
+++ b/packages/proofs/src/workflow/cell_bundle.ts
@@ -1,6 +1,11 @@
 /** The bundle of the simulated cell. */
 import type {Bundle} from '@primrosewick/state';
-import type {TestQueueName} from './workflow_world.js';
+
+/** Queues of the cell; tasks of the first preempt those of the second. */
+export type TestQueueName = 'urgent' | 'patient' | 'advised';
+
+/** Number of ends as failed after which a workflow fails. */
+export const MAX_ATTEMPTS = 3;
 
 const queueOf = (name: TestQueueName, priority: number) => ({
   name,
@@ -8,12 +13,12 @@
   prefix: `/${name}/`,
   pool: 'pool',
   priority,
-  maxAttempts: 3,
+  maxAttempts: MAX_ATTEMPTS,
   stretch: 2,
   objectiveMs: 5000,
 });
 
-/** A pool that does not guard its admission, and three queues for it. */
+/** The bundle in force: one pool, and a queue of each kind. */
 export const BUNDLE = {
   version: 1,
   queues: [
--- a/packages/proofs/src/workflow/oracle.ts
+++ b/packages/proofs/src/workflow/oracle.ts
@@ -18,6 +18,8 @@
  * was acknowledged, in ms.
  */
 const COPY_SLACK_MS = 1000;
+/** A task may not be started once this many workers have crashed under it. */
+const MAX_CRASHES = 3;
 
 /** Records starts and ends at the workers where they happen. */
 export class WorkflowOracle {
@@ -34,6 +36,10 @@
   /** Checkpoints that runs of a step have saved. */
   private readonly saved = new Map<StepKey, Set<string>>();
   private readonly doneCounts = new Map<StepKey, number>();
+  /** Number of workers that each task has crashed. */
+  private readonly crashes = new Map<TaskKey, number>();
+  /** Ends as failed of each task, and of each step that is a gang. */
+  private readonly failures = new Map<string, number>();
 
   constructor(
     private readonly specOf: (id: string) => WorkflowSpec | undefined,
@@ -68,6 +74,8 @@
     if (acknowledgedAt !== undefined && at >= acknowledgedAt + slackMs)
       this.addViolation(`${key} starts after its end as done was acknowledged`);
     this.lastStartAt.set(key, at);
+    if ((this.crashes.get(key) ?? 0) >= MAX_CRASHES)
+      this.addViolation(`${key} starts after it has crashed 3 workers`);
     this.checkOrder(task);
     this.checkSpread(task, worker);
     places.set(worker, run);
@@ -97,6 +105,9 @@
   recordEnd(task: TaskRef, worker: WorkerId, outcome: RunOutcome): void {
     const key = taskKey(task);
     this.running.get(key)?.delete(worker);
+    if (outcome === 'failed')
+      for (const unit of [key, stepKey(task)])
+        this.failures.set(unit, (this.failures.get(unit) ?? 0) + 1);
     if (outcome !== 'done' || this.done.has(key)) return;
     this.done.add(key);
     const step = stepKey(task);
@@ -128,6 +139,25 @@
     for (const places of this.running.values()) places.delete(worker);
   }
 
+  /** Records that a task has crashed the worker that started it. */
+  recordCrashBy(task: TaskRef): void {
+    const key = taskKey(task);
+    this.crashes.set(key, (this.crashes.get(key) ?? 0) + 1);
+  }
+
+  /** Number of workers that the tasks of all workflows have crashed. */
+  get crashCount(): number {
+    return [...this.crashes.values()].reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Whether a workflow has failed by ends of its tasks, `maxAttempts` of them. */
+  hasFailedBy(task: TaskRef, maxAttempts: number): boolean {
+    const isGang =
+      this.specOf(task.workflow)?.steps[task.step]?.isGang === true;
+    const unit = isGang ? stepKey(task) : taskKey(task);
+    return (this.failures.get(unit) ?? 0) >= maxAttempts;
+  }
+
   private checkOrder(task: TaskRef): void {
     const spec = this.specOf(task.workflow);
     for (const step of spec?.steps[task.step]?.after ?? []) {
--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import type {StepSpec, WorkflowSpec} from '@primrosewick/state';
 import type {AsyncFuzzPlan} from '../fuzz/run_fuzz.js';
-import {WorkflowWorld, type TestQueueName} from './workflow_world.js';
+import type {TestQueueName} from './cell_bundle.js';
+import {WorkflowWorld} from './workflow_world.js';
 
 type EmptyModel = Record<string, never>;
 type Command = fc.AsyncCommand<EmptyModel, WorkflowWorld>;
@@ -63,6 +64,21 @@
   })),
 }));
 
+/** A workflow of one of its tasks that crashes each worker that starts it. */
+const deadlySubmission = (queue: TestQueueName): fc.Arbitrary<Command> =>
+  fc
+    .record({
+      value: queue === 'advised' ? smallSpec : spec,
+      pick: fc.nat({max: 2}),
+      index: fc.nat({max: 4}),
+    })
+    .map(({value, pick, index}) => {
+      const step = pick % value.steps.length;
+      const at = {step, index: index % value.steps[step]!.taskCount};
+      const name = `submitDeadly(${queue},${JSON.stringify(value.steps)},${JSON.stringify(at)})`;
+      return command(name, world => world.submitDeadly(value, queue, at));
+    });
+
 const submission = (queue: TestQueueName): fc.Arbitrary<Command> =>
   (queue === 'advised' ? smallSpec : spec).map(value =>
     command(`submit(${queue},${JSON.stringify(value.steps)})`, world =>
@@ -112,6 +128,47 @@
     ),
 ];
 
+/**
+ * Tasks that crash their workers, beside innocent ones; workers also leave, are
+ * cut off, or go dark by the rack.
+ */
+const deadlyCommands: Array<fc.Arbitrary<Command>> = [
+  submission('urgent'),
+  submission('patient'),
+  submission('advised'),
+  deadlySubmission('urgent'),
+  deadlySubmission('patient'),
+  deadlySubmission('advised'),
+  fc
+    .integer({min: 1, max: 4000})
+    .map(ms => command(`advance(${ms})`, world => world.advance(ms))),
+  fc
+    .integer({min: 1, max: 4000})
+    .map(ms => command(`advance(${ms})`, world => world.advance(ms))),
+  fc
+    .boolean()
+    .map(isUnaware =>
+      command(`changeLeader(${isUnaware})`, w => w.changeLeader(isUnaware)),
+    ),
+  fc
+    .integer({min: 500, max: 4000})
+    .map(ms => command(`crashRack(0,${ms})`, w => w.crashRack(0, ms))),
+  WORKER.map(i => command(`cut(${i})`, w => w.cutWorker(i))),
+  WORKER.map(i => command(`drain(${i})`, w => w.drainWorker(i))),
+  fc.constant(command('heal', w => w.heal())),
+];
+
+/** Fuzzing plan for tasks that crash the workers that start them. */
+export const deadlyPlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'deadly tasks',
+  commands: deadlyCommands,
+  maxCommands: 40,
+});
+
 /** Fuzzing plan for successive leaderships over a few workers. */
 export const workflowPlan = (
   seed: number,
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -44,6 +44,8 @@
   readonly drawRun: (task: TaskRef) => {
     readonly runMs: number;
     readonly fails: boolean;
+    /** How long the worker is down that starts the task, in ms; absent if it crashes none. */
+    readonly crashesForMs?: number;
   };
 }
 
@@ -63,6 +65,8 @@
 const STOP_DELAY_MS = 300;
 const GANG_WAIT_MS = 3000;
 const MAX_LEASE_MS = 8000;
+/** Time from the start of a task that crashes its worker to the crash, in ms. */
+const CRASH_DELAY_MS = 20;
 
 /** One worker through all its incarnations. */
 export class SimWorker {
@@ -102,6 +106,13 @@
     for (const {task, run} of runs) this.options.gangs.leave(task, run);
   }
 
+  /** Crashes by a task, and starts the next incarnation after a while. */
+  private crashBy(task: TaskRef, downMs: number): void {
+    this.options.oracle.recordCrashBy(task);
+    this.crash();
+    this.options.queue.after(downMs, () => this.restart());
+  }
+
   /** Starts the next incarnation. */
   restart(): void {
     if (this.isUp) return;
@@ -231,7 +242,7 @@
       oracle.addViolation(`${this.id} was given more than its resources`);
     oracle.recordStart(task, run, this.id, this.options.queue.now);
     if (checkpoint !== '') oracle.recordResume(task, checkpoint);
-    const {runMs, fails} = fateOf(task);
+    const {runMs, fails, crashesForMs} = fateOf(task);
     const entry: Run = {
       task,
       run,
@@ -241,6 +252,10 @@
       runMs: step?.isGang ? undefined : runMs,
     };
     this.running.set(taskKey(task), entry);
+    if (crashesForMs !== undefined)
+      return this.scheduleForRun(CRASH_DELAY_MS, entry, () =>
+        this.crashBy(task, crashesForMs),
+      );
     if (!step?.isGang || fails)
       return this.scheduleForRun(runMs, entry, () =>
         this.end(entry, fails ? 'failed' : 'done'),
--- a/packages/proofs/src/workflow/workflow.spec.ts
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -1,7 +1,7 @@
 import {testSpec, testStep} from '@primrosewick/state/fixtures';
 import {expect} from 'chai';
 import {runFuzzAsync} from '../fuzz/run_fuzz.js';
-import {workflowPlan} from './plans.js';
+import {deadlyPlan, workflowPlan} from './plans.js';
 import {WorkflowWorld} from './workflow_world.js';
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60);
@@ -24,6 +24,16 @@
     await world.advance(40_000);
     expect(world.phases()).to.eql(['done']);
   }).timeout(60_000);
+  it('a task crashes two workers, and not one after the other until the end', async () => {
+    const world = new WorkflowWorld(1);
+    await world.start();
+    world.submitDeadly(oneStep, 'urgent', {step: 0, index: 0});
+    await world.advance(40_000);
+    expect(world.phases()).to.eql(['failed']);
+    expect(world.oracle.crashCount).to.equal(2);
+  }).timeout(60_000);
+  it('tasks that crash their workers are bounded, and no others are given up', () =>
+    runFuzzAsync(deadlyPlan(7201, RUNS))).timeout(600_000);
   it('one leadership after the other keeps the guarantees for tasks', () =>
     runFuzzAsync(workflowPlan(7101, RUNS))).timeout(600_000);
 });
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -22,6 +22,7 @@
   type Random,
   type Resources,
   type StepSpec,
+  type TaskKey,
   type TaskRef,
   type VmId,
   type WorkerId,
@@ -32,7 +33,7 @@
 } from '@primrosewick/state';
 import {EventQueue} from '../world/event_queue.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
-import {BUNDLE} from './cell_bundle.js';
+import {BUNDLE, MAX_ATTEMPTS, type TestQueueName} from './cell_bundle.js';
 import {GangRuns} from './gang_runs.js';
 import {makeLeaderService} from './leader_service.js';
 import {WorkflowOracle} from './oracle.js';
@@ -56,14 +57,13 @@
 /** Time after which an unaware old leader learns that another leads, in ms. */
 const AWARE_AFTER_MS = 4 * MAX_STALE_LEADER_MS;
 const SETTLE_MS = 120_000;
+/** Bounds of the time that a worker is down after a crash by a task, in ms. */
+const CRASHED_FOR_MS = [2500, 4000] as const;
 /** Small enough that a run fills several segments of a journal. */
 const JOURNAL_BYTES = 200_000;
 
 const logger = bunyan.createLogger({name: 'proof', level: 'fatal' as never});
 
-/** Queues of the cell; tasks of the first preempt those of the second. */
-export type TestQueueName = 'urgent' | 'patient' | 'advised';
-
 /** One leadership; the log accepts proposals of the latest term only. */
 interface Leadership {
   readonly term: number;
@@ -84,6 +84,8 @@
   private readonly cut = new Set<WorkerId>();
   private readonly random: Random;
   private readonly specs = new Map<string, WorkflowSpec>();
+  /** Tasks that crash each worker that starts them. */
+  private readonly deadly = new Set<TaskKey>();
   private faults: CallFaults = {lossPercent: 0, latePercent: 0};
   private leadership: Leadership | undefined;
   private readonly journals: JournalRecorder[] = [];
@@ -120,9 +122,12 @@
           stepOf: task => this.stepOf(task),
           needsTicket: ({workflow}) =>
             this.replica.db.workflows.get(workflow)?.queue === 'advised',
-          drawRun: () => ({
+          drawRun: task => ({
             runMs: this.random.nextInt(20, 3000),
             fails: this.random.nextInt(0, 19) === 0,
+            ...(this.deadly.has(taskKey(task)) && {
+              crashesForMs: this.random.nextInt(...CRASHED_FOR_MS),
+            }),
           }),
         }),
       );
@@ -160,6 +165,17 @@
     });
   }
 
+  /** Submits a workflow with a task that crashes each worker that starts it. */
+  submitDeadly(
+    spec: WorkflowSpec,
+    queue: TestQueueName,
+    at: {readonly step: number; readonly index: number},
+  ): void {
+    const workflow = `f${this.specs.size}` as WorkflowId;
+    this.deadly.add(taskKey({workflow, occurrence: 0, ...at}));
+    this.submit(spec, queue);
+  }
+
   /** Cancels a workflow. */
   cancel(index: number): void {
     const id = `f${index % Math.max(1, this.specs.size)}` as WorkflowId;
@@ -224,6 +240,13 @@
     this.cut.add(this.workerAt(index).id);
   }
 
+  /** Crashes all workers of a rack at once; they restart after a while. */
+  crashRack(index: number, downMs: number): void {
+    const rack = this.workers.filter((_, i) => i % 2 === index % 2);
+    for (const worker of rack) worker.crash();
+    this.queue.after(downMs, () => rack.forEach(worker => worker.restart()));
+  }
+
   drainWorker(index: number): void {
     this.workerAt(index).isDraining = true;
   }
@@ -269,6 +292,8 @@
     const phase = this.replica.db.workflows.get(id)?.phase;
     if (phase === 'open')
       this.oracle.addViolation(`${id} is still open at the end`);
+    if (phase === 'failed' && !this.hasCauseToFail(id, spec))
+      this.oracle.addViolation(`${id} could be done and is shown as failed`);
     if (phase !== 'done') return;
     for (let occurrence = 0; occurrence < occurrenceCount(spec); occurrence++)
       spec.steps.forEach(({taskCount}, step) => {
@@ -282,6 +307,22 @@
       });
   }
 
+  /** Whether a task crashes its workers, or has failed as often as it may. */
+  private hasCauseToFail(workflow: WorkflowId, spec: WorkflowSpec): boolean {
+    return spec.steps.some(({taskCount}, step) =>
+      Array.from({length: taskCount}, (_, index) => ({
+        workflow,
+        occurrence: 0,
+        step,
+        index,
+      })).some(
+        task =>
+          this.deadly.has(taskKey(task)) ||
+          this.oracle.hasFailedBy(task, MAX_ATTEMPTS),
+      ),
+    );
+  }
+
   private makeJournal(clock: VirtualClock): JournalRecorder {
     const journal = new JournalRecorder({clock, maxBytes: JOURNAL_BYTES});
     this.journals.push(journal);
