--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -47,3 +47,4 @@
 export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
 export * from './workflow/service.js';
+export {crashRecord} from './workflow/silence.js';
--- a/packages/coordination/src/workflow/planned_starts.ts
+++ b/packages/coordination/src/workflow/planned_starts.ts
@@ -1,10 +1,9 @@
-/** The record of planned starts, and the gangs whose starts are withheld after it. */
+/** The gangs whose recorded starts are withheld. */
 import {
   stepKey,
   type PlannedStart,
   type StepKey,
   type WorkerId,
-  type WorkflowCommand,
   type WorkflowDb,
 } from '@primrosewick/state';
 import type {AdviceDispatcher} from './advice_dispatcher.js';
@@ -17,19 +16,6 @@
   readonly advice: Pick<AdviceDispatcher, 'ticketOf'>;
 }
 
-/** The record of the starts of one pass. */
-export const recordOfStarts = (
-  starts: readonly PlannedStart[],
-): WorkflowCommand => ({
-  kind: 'start_runs',
-  starts: starts.map(({task, run, worker, bornAt}) => ({
-    task,
-    run,
-    worker,
-    bornAt,
-  })),
-});
-
 /**
  * Gangs of which a recorded start must not be sent: the other members would
  * wait for it in vain.
--- a/packages/coordination/src/workflow/run_lists.ts
+++ b/packages/coordination/src/workflow/run_lists.ts
@@ -1,9 +1,11 @@
 /** Compares the runs that a worker lists with its recorded runs. */
 import {
   taskKey,
+  type RecordedStart,
   type TaskRef,
   type WorkerIncarnation,
   type WorkerState,
+  type WorkflowCommand,
   type WorkflowDb,
 } from '@primrosewick/state';
 import type {ListedRun} from './ports.js';
@@ -52,3 +54,18 @@
     }),
   };
 };
+
+/** Record of starts that are about to be sent, at a wall time in ms. */
+export const startRecord = (
+  starts: readonly RecordedStart[],
+  at: number,
+): WorkflowCommand => ({
+  kind: 'start_runs',
+  starts: starts.map(({task, run, worker, bornAt}) => ({
+    task,
+    run,
+    worker,
+    bornAt,
+  })),
+  at,
+});
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -11,6 +11,7 @@
   plannerImage,
   stepKey,
   toCellError,
+  type CrashEvidence,
   type Plan,
   type PlannedStart,
   type PlannedStop,
@@ -32,10 +33,11 @@
 import {collectPassInput} from './pass_input.js';
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
-import {findWithheldGangs, recordOfStarts} from './planned_starts.js';
+import {findWithheldGangs} from './planned_starts.js';
 import {RunLog} from './run_log.js';
-import {isActiveRun} from './run_lists.js';
+import {isActiveRun, startRecord} from './run_lists.js';
 import {findStalled} from './stalled_runs.js';
+import {crashEvidenceOf} from './silence.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {OrphanTracker} from './orphan_tracker.js';
 import {WaitLog} from './wait_log.js';
@@ -153,6 +155,11 @@
     return this.channels.get(worker)?.activeRuns() ?? [];
   }
 
+  /** What tells that a worker has crashed, now that this is proved. */
+  crashEvidenceOf(worker: WorkerId): CrashEvidence {
+    return crashEvidenceOf(worker, this.options.clock, this.channels);
+  }
+
   private get db(): WorkflowDb {
     return this.options.replica.db;
   }
@@ -247,6 +254,7 @@
         this.options.leadershipConfirmedAgeMs() <
         maxStaleLeaderMs - LEADERSHIP_MARGIN_MS,
       record: command => this.record(command),
+      crashEvidence: () => this.crashEvidenceOf(incarnation.worker),
       onChange: () => this.schedulePass(),
       onStarted: task => this.logFirstStart(task.workflow),
       onStartFailed: (task, failure) => {
@@ -385,7 +393,8 @@
       this.channels.get(worker)?.expect(task, run);
       this.noteMoment(task.workflow, 'planned');
     }
-    const isRecorded = await this.record(recordOfStarts(starts));
+    const at = this.options.clock.wall();
+    const isRecorded = await this.record(startRecord(starts, at));
     const {db, channels, advice} = this;
     const withheld = findWithheldGangs({db, channels, advice}, starts);
     for (const start of starts) this.orderStart(start, isRecorded, withheld);
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -13,12 +13,14 @@
   findExceededLimit,
   matchQueue,
   type Bundle,
+  type CrashEvidence,
   type Queue,
   type QueueMatch,
   type QueueName,
   type VmId,
   type VoidedRun,
   type WorkerId,
+  type WorkerIncarnation as Incarnation,
   type WorkerRegistration,
   type WorkflowCommand,
   type WorkflowDb,
@@ -36,6 +38,7 @@
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import type {WorkflowReplica} from './replica.js';
+import {crashRecord} from './silence.js';
 import {countPending, viewOf} from './workflow_view.js';
 
 /** Access of the service to the replicated log. */
@@ -63,6 +66,8 @@
   readonly onRefused?: (queue: QueueName) => void;
   /** The recorded runs of a worker, with their latest checkpoints. */
   readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
+  /** What tells that a worker has crashed whose next incarnation is there. */
+  readonly crashEvidenceOf?: (worker: WorkerId) => CrashEvidence | undefined;
 }
 
 /** Handles the calls of clients, workers and operators at the leader. */
@@ -393,16 +398,19 @@
       : {kind: 'cancelled'};
   }
 
+  /** Record of an incarnation whose next one is there, though it never left. */
+  private crashOf(life: Incarnation): WorkflowCommand {
+    const {runsOf, crashEvidenceOf} = this.options;
+    const {worker} = life;
+    return crashRecord(life, runsOf(worker), crashEvidenceOf?.(worker));
+  }
+
   private async putWorker(report: WorkerRegistration): Promise<void> {
     const {logger} = this.options;
     const previous = this.db.workers.get(report.worker)?.report;
     try {
       if (previous && previous.bornAt < report.bornAt)
-        await this.propose({
-          kind: 'remove_worker',
-          life: {worker: previous.worker, bornAt: previous.bornAt},
-          runs: this.options.runsOf(previous.worker),
-        });
+        await this.propose(this.crashOf(previous));
       await this.propose({kind: 'put_worker', report});
     } catch (err) {
       // Otherwise the worker's next announcement could be dropped as a duplicate.
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -23,6 +23,7 @@
 import {ProgressTracker} from './progress_tracker.js';
 import {compareLists} from './run_lists.js';
 import {ResponseMonitor} from './response_monitor.js';
+import {Silence, crashRecord} from './silence.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
 import {UnreadableRows} from './unreadable_rows.js';
@@ -47,6 +48,8 @@
 export class WorkerChannel {
   /** Progress of the runs that the worker listed last. */
   readonly progress = new ProgressTracker();
+  /** When the worker was last heard. */
+  readonly silence = new Silence();
   private readonly starts = new StartLedger();
   private readonly stops = new StopLedger();
   private readonly responses = new ResponseMonitor();
@@ -150,6 +153,7 @@
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
       const at = this.options.clock.now();
+      this.silence.noteAnswer(this.options.clock.wall());
       this.workerClock.note(at, answer.clockMs);
       this.starts.confirm(order.task, order.run, at);
       this.options.onStarted(order.task);
@@ -226,6 +230,7 @@
     switch (failure.kind) {
       case 'not_sent':
       case 'no_answer':
+        this.silence.noteFailure(this.options.clock.now());
         return this.raiseFence(failure.detail);
       case 'other_life':
         void this.onOtherIncarnation();
@@ -257,7 +262,8 @@
       {change: 'worker_gone', worker: life.worker, why: 'other_life'},
       'another incarnation of the worker answered at its address',
     );
-    await record({kind: 'remove_worker', life, runs: this.activeRuns()});
+    const runs = this.activeRuns();
+    await record(crashRecord(life, runs, this.options.crashEvidence?.()));
     onChange();
   }
 
@@ -321,6 +327,7 @@
   ): Promise<void> {
     const {clock, onChange} = this.options;
     this.retryMs = MIN_RETRY_MS;
+    this.silence.noteAnswer(clock.wall());
     this.workerClock.note(clock.now(), answer.clockMs);
     if (this.isLapsed)
       this.options.logger.info(
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -1,6 +1,7 @@
 /** Options of the channel to a worker. */
 import type Logger from 'bunyan';
 import type {
+  CrashEvidence,
   TaskRef,
   WorkerIncarnation,
   WorkflowCommand,
@@ -29,6 +30,8 @@
   readonly mayOrder: () => boolean;
   /** Proposes a record; @returns whether it is confirmed to be in the log. */
   readonly record: (command: WorkflowCommand) => Promise<boolean>;
+  /** What tells that the worker crashed, once another incarnation has answered. */
+  readonly crashEvidence?: () => CrashEvidence;
   /** Called after a change of free room, runs or reachability. */
   readonly onChange: () => void;
   /** Called when the worker has accepted a start. */
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -251,6 +251,7 @@
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onRefused: queue => this.scheduler?.noteRefused(queue),
       runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
+      crashEvidenceOf: worker => this.scheduler?.crashEvidenceOf(worker),
     });
   }
 
--- a/packages/proofs/src/workflow/leader_service.ts
+++ b/packages/proofs/src/workflow/leader_service.ts
@@ -37,4 +37,5 @@
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: worker => scheduler.noteAnnouncement(worker),
     runsOf: worker => scheduler.runsOf(worker),
+    crashEvidenceOf: worker => scheduler.crashEvidenceOf(worker),
   });
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -32,6 +32,7 @@
 export * from './bundle/core.js';
 export * from './bundle/types.js';
 export * from './workflow/db.js';
+export * from './workflow/crashes/types.js';
 export {occurrenceCount} from './workflow/task_state.js';
 export * from './workflow/refs.js';
 export * from './workflow/admission/core.js';
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,7 +5,10 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {TaskCrashes} from './crashes/task_crashes.js';
+import type {CrashEvidence} from './crashes/types.js';
 import {DepartedWorkers} from './departed_workers.js';
+import {EndedWorkflows} from './ended_workflows.js';
 import {imageOf} from './image.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
@@ -44,7 +47,8 @@
 import {noPreemptibleRuns, indexRun, unindexRun} from './preemptible_runs.js';
 import {latestReport} from './worker_reports.js';
 
-const DEFAULT_OPTIONS: WorkflowDbOptions = {keepEndedMs: 180_000};
+/** How long an ended workflow stays readable by default, in ms. */
+const KEEP_ENDED_MS = 180_000;
 
 const APPLIED: WorkflowResult = {kind: 'applied'};
 
@@ -56,15 +60,16 @@
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
+  /** Tasks under which workers have crashed. */
+  readonly crashes = new TaskCrashes(this.workflows);
   readonly open = new OpenWorkflows();
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
-  private ended: Array<{readonly id: WorkflowId; readonly at: number}> = [];
+  private readonly ended: EndedWorkflows;
   private lastIndex = 0;
-  private readonly options: WorkflowDbOptions;
 
-  constructor(options: Partial<WorkflowDbOptions> = {}) {
-    this.options = {...DEFAULT_OPTIONS, ...options};
+  constructor({keepEndedMs = KEEP_ENDED_MS}: Partial<WorkflowDbOptions> = {}) {
+    this.ended = new EndedWorkflows(this.workflows, keepEndedMs);
   }
 
   /** Log index of the last applied record. */
@@ -92,11 +97,11 @@
         return APPLIED;
       case 'remove_worker':
         this.saveCheckpoints(command.life, command.runs);
-        this.removeWorker(command.life);
+        this.removeWorker(command.life, command.crash);
         if (command.isFinal) this.departed.add(command.life);
         return APPLIED;
       case 'start_runs':
-        for (const start of command.starts) this.startRun(start);
+        for (const start of command.starts) this.startRun(start, command.at);
         return APPLIED;
       case 'end_runs':
         this.endRuns(command.life, command.ends, command.at);
@@ -145,7 +150,7 @@
     for (const queue of image.queues) this.queues.set(queue.name, queue);
     this.workflows.clear();
     this.open.clear();
-    this.ended = [];
+    this.ended.clear();
     for (const kept of image.workflows)
       this.addWorkflow({
         ...kept,
@@ -154,8 +159,9 @@
         ),
         activeRuns: 0,
       });
-    this.ended.sort((a, b) => a.at - b.at);
+    this.ended.sort();
     this.departed.restore(image.departed);
+    this.crashes.restore(image.crashes);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, this.restoreWorker(kept));
@@ -205,7 +211,7 @@
   private addWorkflow(workflow: WorkflowState): void {
     this.workflows.set(workflow.id, workflow);
     if (workflow.phase === 'open') this.open.set(workflow.id, workflow);
-    else this.ended.push({id: workflow.id, at: workflow.endedAt});
+    else this.ended.add(workflow.id, workflow.endedAt);
   }
 
   private putBundle(bundle: Bundle): WorkflowResult {
@@ -218,7 +224,7 @@
 
   private submit(command: Extract<WorkflowCommand, {kind: 'submit'}>): void {
     const {id, queue, spec, at} = command;
-    this.removeOldWorkflows(at);
+    this.ended.removeOld(at);
     if (this.workflows.has(id)) return;
     this.addWorkflow({
       id,
@@ -259,15 +265,18 @@
   }
 
   /** Removes a worker; its runs have ended with it. */
-  private removeWorker(life: Incarnation): void {
+  private removeWorker(life: Incarnation, crash?: CrashEvidence): void {
     const known = this.findIncarnation(life);
     if (!known) return;
+    const atFault = crash && this.crashes.noteCrash(known, crash);
     for (const {task, run} of [...known.active.values()])
       this.removeRun(life, task, run);
     this.workers.delete(life.worker);
+    atFault?.forEach(item => this.finish(item, 'failed', crash!.at));
   }
 
-  private startRun({task, run, worker, bornAt}: RecordedStart): void {
+  private startRun(start: RecordedStart, startedAt?: number): void {
+    const {task, run, worker, bornAt} = start;
     const workflow = this.open.get(task.workflow);
     const workerState = this.findIncarnation({worker, bornAt});
     if (!workflow || !workerState) return;
@@ -288,7 +297,8 @@
     const key = taskKey(task);
     if (!workerState.active.has(key))
       workerState.used = addResources(workerState.used, this.resourcesOf(task));
-    workerState.active.set(key, {task, run});
+    const at = startedAt === undefined ? {} : {startedAt};
+    workerState.active.set(key, {task, run, ...at});
     indexRun(workerState, key, {task, run}, workflow);
   }
 
@@ -302,6 +312,7 @@
     for (const end of ends) {
       if (end.sequence <= worker.endsRecorded) continue;
       worker.endsRecorded = end.sequence;
+      this.crashes.noteEnd(worker, end, at);
       if (this.removeRun(life, end.task, end.run)) this.applyEnd(end, at);
     }
   }
@@ -397,7 +408,8 @@
     workflow.phase = phase;
     workflow.endedAt = at;
     this.open.delete(workflow.id);
-    this.ended.push({id: workflow.id, at});
+    this.crashes.forget(workflow.id);
+    this.ended.add(workflow.id, at);
     if (workflow.activeRuns === 0) discardDetails(workflow);
     else this.running.ending.add(workflow.id);
   }
@@ -415,17 +427,4 @@
     this.running.ending.delete(workflow.id);
     discardDetails(workflow);
   }
-
-  /** Removes ended workflows without active runs after `keepEndedMs`. */
-  private removeOldWorkflows(now: number): void {
-    const isOld = ({at}: {readonly at: number}): boolean =>
-      at + this.options.keepEndedMs < now;
-    if (!this.ended[0] || !isOld(this.ended[0])) return;
-    this.ended = this.ended.filter(entry => {
-      const workflow = this.workflows.get(entry.id);
-      if (!isOld(entry) || (workflow && workflow.activeRuns > 0)) return true;
-      this.workflows.delete(entry.id);
-      return false;
-    });
-  }
 }
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -13,9 +13,11 @@
   workflows,
   workers,
   departed,
+  crashes,
 }: WorkflowDb): WorkflowImage => ({
   index,
   departed: departed.values(),
+  crashes: crashes.values(),
   bundle,
   queues: [...queues.values()],
   workflows: [...workflows.values()].map(workflow => ({
@@ -28,6 +30,7 @@
     hasStarted: workflow.hasStarted,
     doneOccurrences: workflow.doneOccurrences,
     occurrences: [...workflow.occurrences],
+    ...(workflow.crashes && {crashes: workflow.crashes}),
   })),
   workers: [...workers.values()].map(worker => ({
     report: worker.report,
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -1,7 +1,6 @@
 /**
  * Places the tasks of one step after another on the resources that are left.
  */
-import type {Queue} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import {taskKeyIn} from '../refs.js';
 import {
@@ -10,11 +9,13 @@
   freeFraction,
   subtractResources,
 } from '../resources.js';
-import type {StepKey, StepSpec} from '../types.js';
+import type {StepKey} from '../types.js';
 import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
+import {CandidateWorkers} from './candidate_workers.js';
 import {findStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
+import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
 import type {QueueShares} from './queue_shares.js';
 import {
@@ -65,11 +66,8 @@
   readonly waits: PlannedWait[] = [];
   private readonly reservations: ReservationPlanner;
   private readonly adviceRequester: AdviceRequester;
-  private readonly byPool = new Map<string, WorkerView[]>();
-  /** Usable workers by pool and required label. */
-  private readonly suitableByLabel = new Map<string, WorkerView[]>();
-  /** Workers that an adviser allows, by step. */
-  private readonly allowedByStep = new Map<StepKey, WorkerView[]>();
+  private readonly quarantine: Quarantine;
+  private readonly candidates: CandidateWorkers;
   /** Steps with pending starts. */
   private readonly pendingSteps = new Set<string>();
   /** Steps with tasks that this pass starts. */
@@ -83,15 +81,12 @@
   ) {
     this.reservations = new ReservationPlanner(input, shares);
     this.adviceRequester = new AdviceRequester(input);
+    this.quarantine = new Quarantine(input);
+    this.candidates = new CandidateWorkers(input.workers);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
     for (const key of input.pending.keys())
       this.pendingSteps.add(key.slice(0, key.lastIndexOf('.')));
-    for (const worker of input.workers.values()) {
-      const pool = this.byPool.get(worker.pool) ?? [];
-      pool.push(worker);
-      this.byPool.set(worker.pool, pool);
-    }
   }
 
   /** Requests to advisers. */
@@ -132,7 +127,7 @@
       this.adviceRequester.renewExpiringTickets(
         work,
         timing,
-        this.candidatesOf(work),
+        this.candidates.of(work),
       );
   }
 
@@ -144,9 +139,13 @@
     const work = this.buildWork(ready);
     const isIdle = this.waits.length === 0 && !this.started.has(ready.key);
     if (!work || !isIdle) return;
-    const candidates = this.candidatesOf(work);
+    const candidates = this.candidates.of(work);
     for (const {index, worker: slow} of findStragglers(work, this.input)) {
-      const others = candidates.filter(({worker}) => worker !== slow);
+      const task = {...work.ready.ref, index};
+      if (this.quarantine.isSuspect(task)) continue;
+      const others = this.quarantine
+        .workersFor(task, candidates)
+        .filter(({worker}) => worker !== slow);
       const worker = this.chooseWorker(work, others);
       if (!worker || (work.queue.advice && !this.ticketFor(work, worker)))
         continue;
@@ -159,7 +158,7 @@
       work,
       waitingCount,
       this.input.workers,
-      work.spec.isRackLocal ? this.candidatesOf(work) : [],
+      work.spec.isRackLocal ? this.candidates.of(work) : [],
     );
     return homeRack === undefined ? work : {...work, homeRack};
   }
@@ -207,33 +206,29 @@
 
   private requestAdviceIfNeeded(work: StepWork, taskCount: number): boolean {
     return this.adviceRequester.requestIfNeeded(work, taskCount, {
-      suitableWorkers: this.suitableWorkers(work.queue, work.spec),
-      allowed: this.candidatesOf(work),
+      suitableWorkers: this.candidates.suitable(work),
+      allowed: this.candidates.of(work),
     });
   }
 
-  /** Usable workers of the pool with the label that a step requires. */
-  private suitableWorkers({pool}: Queue, spec: StepSpec): WorkerView[] {
-    const {requiredLabel} = spec;
-    const key = `${pool}\n${requiredLabel ?? ''}`;
-    const known = this.suitableByLabel.get(key);
-    if (known) return known;
-    const suitable = (this.byPool.get(pool) ?? []).filter(worker =>
-      isSuitable(worker, requiredLabel),
-    );
-    this.suitableByLabel.set(key, suitable);
-    return suitable;
-  }
-
   private placeEach(work: StepWork, waiting: readonly number[]): void {
     const expired = new Set<WorkerId>();
-    const candidates = this.candidatesOf(work);
+    const candidates = this.candidates.of(work);
     let placedCount = 0;
     for (const index of waiting) {
-      const worker = this.chooseWorker(work, candidates);
+      const task = {...work.ready.ref, index};
+      const quiet = this.quarantine.workersFor(task, candidates);
+      const isSuspect = this.quarantine.isSuspect(task);
+      const worker = isSuspect
+        ? this.chooseFirst(work, quiet)
+        : this.chooseWorker(work, quiet);
+      if (!worker && isSuspect) {
+        this.waitForQuiet(work, candidates);
+        continue;
+      }
       if (!worker) {
-        this.wait(work, 'room', waiting.length, candidates.length);
-        this.preempt(work, waiting.length - placedCount, candidates);
+        this.wait(work, 'room', waiting.length, quiet.length);
+        this.preempt(work, waiting.length - placedCount, quiet);
         break;
       }
       placedCount++;
@@ -251,9 +246,15 @@
   private placeGang(work: StepWork, waiting: readonly number[]): void {
     const placements: Placement[] = [];
     const expired = new Set<WorkerId>();
-    const candidates = this.candidatesOf(work);
+    const gang = {...work.ready.ref, index: 0};
+    const all = this.candidates.of(work);
+    const candidates = this.quarantine.workersFor(gang, all);
     for (const index of waiting) {
       const worker = this.chooseWorker(work, candidates);
+      if (!worker && this.quarantine.isSuspect(gang)) {
+        for (const {worker: place} of placements) releaseResources(work, place);
+        return this.waitForQuiet(work, all, waiting.length);
+      }
       if (!worker) {
         for (const {worker: place} of placements) releaseResources(work, place);
         const isReserved =
@@ -296,6 +297,18 @@
     return coversAllTasks;
   }
 
+  /** Keeps workers free of other starts until one is quiet enough for a suspect. */
+  private waitForQuiet(
+    work: StepWork,
+    candidates: readonly WorkerView[],
+    taskCount = 1,
+  ): void {
+    const size = taskResources(work);
+    const fitting = candidates.filter(({free}) => fitsInto(size, free));
+    for (let i = 0; i < taskCount; i++) this.quarantine.hold(fitting);
+    this.wait(work, 'quarantine', taskCount, fitting.length);
+  }
+
   private wait(
     {ready}: StepWork,
     why: WaitReason,
@@ -305,19 +318,16 @@
     this.waits.push({step: ready.ref, why, taskCount, candidateCount});
   }
 
-  private candidatesOf(work: StepWork): WorkerView[] {
-    const {queue, spec, advice} = work;
-    if (!queue.advice) return this.suitableWorkers(queue, spec);
-    const known = this.allowedByStep.get(work.ready.key);
-    if (known) return known;
-    const allowed: WorkerView[] = [];
-    for (const worker of advice?.allowed ?? []) {
-      const view = this.input.workers.get(worker);
-      if (view?.pool === queue.pool && isSuitable(view, spec.requiredLabel))
-        allowed.push(view);
+  /** The first worker that a task fits on. */
+  private chooseFirst(
+    work: StepWork,
+    candidates: readonly WorkerView[],
+  ): WorkerView | undefined {
+    for (const worker of candidates) {
+      const chosen = this.chooseWorker(work, [worker]);
+      if (chosen) return chosen;
     }
-    this.allowedByStep.set(work.ready.key, allowed);
-    return allowed;
+    return undefined;
   }
 
   /**
@@ -380,6 +390,7 @@
     checkpoint: string,
   ): void {
     const ticket = this.ticketFor(work, worker)?.text;
+    this.quarantine.noteStart({...work.ready.ref, index}, worker.worker);
     this.started.add(work.ready.key);
     this.starts.push({
       task: {...work.ready.ref, index},
@@ -391,9 +402,3 @@
     });
   }
 }
-
-const isSuitable = (
-  {isUsable, labels}: WorkerView,
-  requiredLabel: string | undefined,
-): boolean =>
-  isUsable && (requiredLabel === undefined || labels.has(requiredLabel));
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -114,6 +114,8 @@
   | 'tickets'
   /** No worker has free resources now; a gang gets them reserved. */
   | 'room'
+  /** A worker has crashed under it, and no worker is quiet enough for it now. */
+  | 'quarantine'
   /** The gang would not fit even on empty workers. */
   | 'never_fits_now';
 
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -4,6 +4,7 @@
  */
 import type {Branded, ServiceName, WorkerId, ZoneId} from '../ids/types.js';
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
+import type {CrashEvidence, CrashRecord} from './crashes/types.js';
 
 /** Id of a workflow, chosen by the client. */
 export type WorkflowId = Branded<string, 'WorkflowId'>;
@@ -187,6 +188,16 @@
   doneOccurrences: number;
   /** Number of runs of its tasks that may be active. */
   activeRuns: number;
+  /** The crashes of workers for which it was given up; absent otherwise. */
+  crashes?: CrashRecord;
+}
+
+/** A run that may be active on a worker, as kept with that worker. */
+export interface WorkerRun {
+  readonly task: TaskRef;
+  readonly run: number;
+  /** Wall time of its record, in ms since 1970; absent in older records. */
+  readonly startedAt?: number;
 }
 
 /** State of a registered worker. */
@@ -195,7 +206,7 @@
   /** Highest sequence number of a run end that is recorded. */
   endsRecorded: number;
   /** Runs that may be active, by task. */
-  active: Map<TaskKey, {readonly task: TaskRef; readonly run: number}>;
+  active: Map<TaskKey, WorkerRun>;
   /** Resources that these runs hold. */
   used: Resources;
   /** The preemptible runs among them. */
@@ -261,8 +272,15 @@
       readonly runs: readonly VoidedRun[];
       /** Whether the incarnation said itself that it ends. */
       readonly isFinal?: boolean;
+      /** What proves that it crashed; absent if it ended in another way. */
+      readonly crash?: CrashEvidence;
+    }
+  | {
+      readonly kind: 'start_runs';
+      readonly starts: readonly RecordedStart[];
+      /** Absent in older records. */
+      readonly at?: number;
     }
-  | {readonly kind: 'start_runs'; readonly starts: readonly RecordedStart[]}
   | {
       readonly kind: 'end_runs';
       readonly life: WorkerIncarnation;
@@ -298,6 +316,8 @@
   readonly index: number;
   /** Incarnations that have ended for good; absent in older images. */
   readonly departed?: readonly WorkerIncarnation[];
+  /** Crashes under tasks that are not given up; absent in older images. */
+  readonly crashes?: readonly CrashRecord[];
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   readonly workflows: ReadonlyArray<
@@ -312,10 +332,7 @@
       WorkerState,
       'active' | 'used' | 'yielding' | 'yieldingRoom' | 'yieldingMaxCpu'
     > & {
-      readonly active: ReadonlyArray<{
-        readonly task: TaskRef;
-        readonly run: number;
-      }>;
+      readonly active: readonly WorkerRun[];
     }
   >;
 }
