--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -170,6 +170,7 @@
     switch (command.kind) {
       case 'put_worker':
       case 'remove_worker':
+        if (command.kind === 'remove_worker') this.endLog.noteRemoval(command);
         this.syncChannels();
         break;
       case 'start_runs':
