--- a/packages/state/src/bundle/core.ts
+++ b/packages/state/src/bundle/core.ts
@@ -1,4 +1,5 @@
 /** Looks up the queue that a client addresses. */
+import {findQueueOf} from './queue_index.js';
 import type {Bundle, Queue} from './types.js';
 
 /** A queue and the rest of the path after its prefix. */
@@ -17,12 +18,8 @@
   host: string,
   path: string,
 ): QueueMatch | undefined => {
-  let best: Queue | undefined;
-  for (const queue of bundle.queues) {
-    if (queue.host !== host || !path.startsWith(queue.prefix)) continue;
-    if (!best || queue.prefix.length > best.prefix.length) best = queue;
-  }
-  return best && {queue: best, rest: path.slice(best.prefix.length)};
+  const queue = findQueueOf(bundle, host, path);
+  return queue && {queue, rest: path.slice(queue.prefix.length)};
 };
 
 /**
