--- a/packages/coordination/src/workflow/planned_starts.ts
+++ b/packages/coordination/src/workflow/planned_starts.ts
@@ -1,5 +1,6 @@
-/** The gangs whose recorded starts are withheld. */
+/** What keeps recorded starts from being sent. */
 import {
+  isWithinRoom,
   stepKey,
   type PlannedStart,
   type StepKey,
@@ -7,12 +8,12 @@
   type WorkflowDb,
 } from '@primrosewick/state';
 import type {AdviceDispatcher} from './advice_dispatcher.js';
-import type {WorkerChannel} from './worker_channel.js';
+import type {WorkerChannelOptions} from './worker_channel_options.js';
 
 /** What decides whether a recorded start may still be sent. */
 export interface StartConditions {
   readonly db: WorkflowDb;
-  readonly channels: ReadonlyMap<WorkerId, WorkerChannel>;
+  readonly channels: ReadonlyMap<WorkerId, unknown>;
   readonly advice: Pick<AdviceDispatcher, 'ticketOf'>;
 }
 
@@ -34,10 +35,24 @@
 
 /** Whether the ticket and the room of a start still hold. */
 const mayBeSent = (
-  {channels, advice}: StartConditions,
-  {task, worker, ticket}: PlannedStart,
+  {db, channels, advice}: StartConditions,
+  {task, worker, bornAt, ticket}: PlannedStart,
 ): boolean => {
   const hasTicket =
     ticket === undefined || advice.ticketOf(task, worker) !== undefined;
-  return hasTicket && channels.get(worker)?.isWithinRoom === true;
+  const state = db.findIncarnation({worker, bornAt});
+  return hasTicket && channels.has(worker) && isWithinRoom(state);
+};
+
+/** @returns why a recorded start must not be sent now, or undefined. */
+export const findStartObstacle = ({
+  db,
+  life,
+  mayOrder,
+}: Pick<WorkerChannelOptions, 'db' | 'life' | 'mayOrder'>):
+  string | undefined => {
+  if (!mayOrder()) return 'the leadership is not confirmed';
+  return isWithinRoom(db.findIncarnation(life))
+    ? undefined
+    : 'the room of the worker has shrunk';
 };
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -8,13 +8,11 @@
 } from '@primrosewick/protocol';
 import {
   CellError,
-  decideAdmission,
   findBundleError,
   findExceededLimit,
   matchQueue,
   type Bundle,
   type CrashEvidence,
-  type Queue,
   type QueueMatch,
   type QueueName,
   type VmId,
@@ -26,17 +24,15 @@
   type WorkflowDb,
   type WorkflowId,
   type WorkflowResult,
-  type WorkflowSpec,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
-import {LoadSheddingLog} from '../load/load_shedding_log.js';
 import type {LoadSheddingTask} from '../load/task.js';
-import {RefusedSubmissions} from '../record_load/refused_submissions.js';
 import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
+import {SubmissionAdmission} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
 import {crashRecord} from './silence.js';
 import {countPending, viewOf} from './workflow_view.js';
@@ -75,18 +71,20 @@
   private readonly readIndexBatcher: ReadIndexBatcher;
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
-  private readonly refused = new RefusedSubmissions();
+  private readonly admission: SubmissionAdmission;
   private readonly sequences = new AnnouncementSequences();
   private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
-  private readonly loadSheddingLog: LoadSheddingLog;
 
   constructor(private readonly options: WorkflowServiceOptions) {
     this.leadershipCheckLog = new LeadershipCheckLog(
       options.logger,
       options.clock,
     );
-    this.loadSheddingLog = new LoadSheddingLog(options.logger, options.clock);
+    this.admission = new SubmissionAdmission({
+      ...options,
+      db: options.replica.db,
+    });
     this.bundles = new BundleWriter({
       db: options.replica.db,
       propose: command => options.log.propose(command),
@@ -271,10 +269,8 @@
       return {kind: 'accepted'};
     }
     throwOnFault('submit', findExceededLimit(spec));
-    this.rejectWhenRefused(id);
-    this.rejectWhenLagging(id);
-    this.rejectWhenRecordsAreSlow(id, queue, deadline);
-    this.admit(id, queue, spec);
+    const inFlight = this.submitting.size;
+    this.admission.check({id, queue, spec, inFlight, deadline});
     const outcome = this.propose({
       kind: 'submit',
       id,
@@ -302,77 +298,6 @@
     }
   }
 
-  /** Error for a submission that is refused now; it stays so until its client may return. */
-  private refuse(id: WorkflowId, retryAfterMs: number): CellError {
-    this.refused.note(id, this.options.clock.now(), retryAfterMs);
-    return new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
-  }
-
-  /**
-   * @throws CellError `leader_late` for a submission whose client was told that it
-   *   has not run, and may not return yet: an earlier attempt that was delayed.
-   */
-  private rejectWhenRefused(id: WorkflowId): void {
-    const now = this.options.clock.now();
-    const retryAfterMs = this.refused.retryAfterMs(id, now);
-    if (retryAfterMs === 0) return;
-    throw new CellError({code: 'leader_late', step: 'admit', retryAfterMs});
-  }
-
-  /** @throws CellError `leader_late` while this VM lags behind the work it has accepted. */
-  private rejectWhenLagging(id: WorkflowId): void {
-    const load = this.options.load.decide();
-    if (load.kind === 'take') return;
-    const {lateMs, retryAfterMs} = load;
-    this.loadSheddingLog.logRefusal(id, lateMs);
-    throw this.refuse(id, retryAfterMs);
-  }
-
-  /**
-   * @throws CellError `leader_late` while records take too long for another
-   *   submission, or longer than the caller waits.
-   */
-  private rejectWhenRecordsAreSlow(
-    id: WorkflowId,
-    queue: Queue,
-    deadline: number,
-  ): void {
-    const decision = this.options.records?.decide({
-      queue: queue.name,
-      priority: queue.priority,
-      inFlight: this.submitting.size,
-      deadline,
-    });
-    if (decision?.kind !== 'refuse') return;
-    this.loadSheddingLog.logSlowRecords(id, queue.name, decision);
-    throw this.refuse(id, decision.retryAfterMs);
-  }
-
-  /** @throws CellError `backlog` for a workflow that would finish too late to be useful. */
-  private admit(
-    id: WorkflowId,
-    queue: QueueMatch['queue'],
-    spec: WorkflowSpec,
-  ): void {
-    const admission = decideAdmission(this.db, queue, spec);
-    if (admission.kind === 'admit') return;
-    const {expectedMs, retryAfterMs} = admission;
-    this.options.onRefused?.(queue.name);
-    this.options.logger.info(
-      {
-        decision: 'reject',
-        req: id,
-        queue: queue.name,
-        why: 'backlog',
-        expectedMs,
-        retryAfterMs,
-        index: this.db.index,
-      },
-      'workflow rejected: it would finish too late to be useful',
-    );
-    throw new CellError({code: 'backlog', step: 'admit', retryAfterMs});
-  }
-
   private async get({queue, rest}: QueueMatch): Promise<WorkflowReply> {
     await this.leadershipCheckLog.watch(rest, this.confirm());
     if (rest === '')
--- a/packages/coordination/src/workflow/shrunk_room.spec.ts
+++ b/packages/coordination/src/workflow/shrunk_room.spec.ts
@@ -1,6 +1,7 @@
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 import {
+  isWithinRoom,
   taskKey,
   type StepSpec,
   type VmId,
@@ -107,4 +108,27 @@
     expect(sent).to.eql([]);
     for (const {active} of db.workers.values()) expect(active.size).to.equal(0);
   });
+  it('a gang whose room still holds is sent whole', async () => {
+    const gang = {...WIDE, taskCount: 2, maxPerWorker: 1, isGang: true};
+    const {sent} = await startsWith(gang, 3000);
+    expect(sent).to.have.length(2);
+  });
+  it('sizes that are not whole numbers do not withhold a start that fits', () => {
+    const log = new TestLog();
+    const room = {cpuMillis: 11686.9, memMb: 4000, gpus: 0};
+    log.addWorker('w1', {room});
+    const sizes = [3304.2, 8382.7];
+    sizes.forEach((cpuMillis, i) => {
+      const id = `f${i}`;
+      const size = {cpuMillis, memMb: 1, gpus: 0};
+      log.submit(id, testSpec([testStep({room: size})]));
+      const start = {worker: 'w1' as never, bornAt: 1, run: 1};
+      const task = {workflow: id as never, occurrence: 0, step: 0, index: 0};
+      log.apply({kind: 'start_runs', starts: [{...start, task}]});
+    });
+    const state = log.db.workers.get('w1' as never)!;
+    expect(state.active.size).to.equal(2);
+    expect(state.used.cpuMillis).to.be.above(room.cpuMillis);
+    expect(isWithinRoom(state)).to.equal(true);
+  });
 });
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -5,7 +5,6 @@
  * worker's lists of runs are queried before anything is concluded.
  */
 import {
-  fitsInto,
   taskKey,
   type TaskKey,
   type TaskRef,
@@ -20,6 +19,7 @@
   StartRequest,
 } from './ports.js';
 import {ChannelLog} from './channel_log.js';
+import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
 import {compareLists} from './run_lists.js';
 import {ResponseMonitor} from './response_monitor.js';
@@ -91,12 +91,6 @@
     return this.stops.stoppingOf(db.findIncarnation(life)?.active);
   }
 
-  /** Whether the recorded runs, those that are stopping too, fit into the worker's room. */
-  get isWithinRoom(): boolean {
-    const state = this.options.db.findIncarnation(this.options.life);
-    return !state || fitsInto(state.used, state.report.room);
-  }
-
   /** Estimated time until the active run of a task ends, in ms; undefined if unknown. */
   remainingMs(key: TaskKey): number | undefined {
     const {db, life, clock} = this.options;
@@ -145,10 +139,8 @@
 
   /** Sends a recorded start to the worker. */
   async start(order: StartRequest): Promise<void> {
-    if (!this.options.mayOrder())
-      return this.abandonStart(order, 'the leadership is not confirmed');
-    if (!this.isWithinRoom)
-      return this.abandonStart(order, 'the room of the worker has shrunk');
+    const obstacle = findStartObstacle(this.options);
+    if (obstacle !== undefined) return this.abandonStart(order, obstacle);
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -7,7 +7,7 @@
   GatewayTask,
   JournalRecorder,
   LoadSheddingTask,
-  RecordLoadTask,
+  type RecordLoadTask,
   ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
@@ -49,7 +49,8 @@
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
-import {makeRecordObservers} from './record_times.js';
+import {queryPeers} from './query_peers.js';
+import {makeRecordLoad} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
 import {WorkflowRequestRouter} from './workflow_request_router.js';
 import {CLUSTER_NAME, ELECTION_MS, ReplicatedLog} from './replicated_log.js';
@@ -115,12 +116,7 @@
     });
     this.callers = new LiveVms(settings.peer, systemClock);
     this.onWaited = makeQueueWaitObserver(options.registry);
-    this.records = new RecordLoadTask({
-      clock: systemClock,
-      logger,
-      seed: randomInt(MAX_SEED),
-      ...makeRecordObservers(options.registry),
-    });
+    this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
     this.reader = this.log && this.makeReader(this.log);
@@ -190,7 +186,10 @@
     this.gateway.start();
     this.announcements?.start();
     this.log
-      ?.run(() => this.queryPeers(), this.options.settings.seeds)
+      ?.run(
+        () => queryPeers(this.peers, this.gateway.vms, this.hello()),
+        this.options.settings.seeds,
+      )
       .catch((err: unknown) =>
         this.options.onFatal(toCellError(err, 'run-log')),
       );
@@ -358,18 +357,6 @@
     };
   }
 
-  private async queryPeers(): Promise<LinkHelloReply[]> {
-    const others = this.gateway.vms.filter(
-      vm => vm !== this.options.settings.peer,
-    );
-    const replies = await Promise.all(
-      others.map(vm =>
-        this.peers.call(vm, 'hello', this.hello()).catch(() => undefined),
-      ),
-    );
-    return replies.filter(reply => reply !== undefined);
-  }
-
   private handlers(): LinkHandlers {
     const notLeader = <T>(): Promise<LinkLeaderReply<T>> =>
       Promise.resolve({kind: 'not_leader', leader: null});
--- a/packages/daemon/src/cluster/record_times.ts
+++ b/packages/daemon/src/cluster/record_times.ts
@@ -1,5 +1,10 @@
 /** Measures the time of records of the log, and counts submissions refused for it. */
-import type {RecordLoadOptions} from '@primrosewick/coordination';
+import {
+  RecordLoadTask,
+  type RecordLoadOptions,
+} from '@primrosewick/coordination';
+import {systemClock} from '@primrosewick/transport';
+import type Logger from 'bunyan';
 import {Counter, Histogram, type Registry} from 'prom-client';
 
 const RECORD_BUCKETS_MS = [10, 20, 50, 100, 200, 500, 1000, 2000, 5000];
@@ -26,3 +31,15 @@
     onRefused: queue => refused.inc({queue}),
   };
 };
+
+/** Makes the task that measures the records of this VM while it leads. */
+export const makeRecordLoad = (
+  {logger, registry}: {readonly logger: Logger; readonly registry: Registry},
+  seed: number,
+): RecordLoadTask =>
+  new RecordLoadTask({
+    clock: systemClock,
+    logger,
+    seed,
+    ...makeRecordObservers(registry),
+  });
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -51,3 +51,4 @@
 export * from './workflow/planner/types.js';
 export * from './workflow/planner/worker_health.js';
 export * from './workflow/resources.js';
+export {isWithinRoom} from './workflow/worker_reports.js';
