--- a/packages/daemon/src/cluster/bundle_reader.ts
+++ b/packages/daemon/src/cluster/bundle_reader.ts
@@ -13,6 +13,8 @@
   readonly logger: Logger;
 }
 
+/** Fraction of the time that the replica may take, so that the leader can still be asked. */
+const REPLICA_TIME_FRACTION = 0.7;
 /** Maximum log lines of reads in a second. */
 const LINES_PER_SECOND = 5;
 
@@ -23,19 +25,23 @@
   constructor(private readonly options: BundleReaderOptions) {}
 
   /**
-   * Reads the bundle in force; a VM without a replica that may be read asks the
-   * leader.
+   * Reads the bundle in force; a VM whose replica may not be read, or is not
+   * confirmed in time, asks the leader.
    * @throws CellError `log_unavailable` when it is not certain by the deadline,
    *   a monotonic time in ms; `starting` before the first bundle.
    */
   async read(deadline: number): Promise<Bundle> {
     const {reader, clock} = this.options;
     const startedAt = clock.now();
-    const way = reader?.isReadable ? 'copy' : 'leader';
+    let way: 'copy' | 'leader' = 'copy';
     try {
-      const bundle = await (way === 'copy' && reader
-        ? reader.readBundle(deadline)
-        : this.askLeader(deadline));
+      let bundle = reader?.isReadable
+        ? await this.tryReplica(reader, deadline)
+        : null;
+      if (!bundle) {
+        way = 'leader';
+        bundle = await this.askLeader(deadline);
+      }
       this.log({way, version: bundle.version}, startedAt);
       return bundle;
     } catch (thrown) {
@@ -45,6 +51,23 @@
     }
   }
 
+  /** Reads the replica; null if it is not confirmed with enough time left for the leader. */
+  private async tryReplica(
+    reader: ConfirmedReader,
+    deadline: number,
+  ): Promise<Bundle | null> {
+    const startedAt = this.options.clock.now();
+    const replicaDeadline =
+      startedAt + (deadline - startedAt) * REPLICA_TIME_FRACTION;
+    try {
+      return await reader.readBundle(replicaDeadline);
+    } catch (thrown) {
+      const err = toCellError(thrown, 'read-bundle');
+      this.log({way: 'copy', err: err.toBody()}, startedAt);
+      return null;
+    }
+  }
+
   private async askLeader(deadline: number): Promise<Bundle> {
     const {gateway} = this.options;
     const {bundle} = await gateway.callLeader('getBundle', {}, deadline);
--- a/packages/daemon/src/cluster/leader_read_index.ts
+++ b/packages/daemon/src/cluster/leader_read_index.ts
@@ -28,10 +28,19 @@
     const leader = leaderVm();
     if (leader === null) throw notLeader();
     const reply = await peers.call(leader, 'readIndex', {});
-    if (reply.kind === 'ok') return reply.value.index;
+    if (reply.kind === 'ok') return toIndex(reply.value.index);
+    if (reply.leader === null || reply.leader === leader) throw notLeader();
+    const redirected = await peers.call(reply.leader, 'readIndex', {});
+    if (redirected.kind === 'ok') return toIndex(redirected.value.index);
     throw notLeader();
   }
 }
 
+/** @throws CellError for a reply that is no index, as it would confirm any replica. */
+const toIndex = (index: unknown): number => {
+  if (Number.isSafeInteger(index)) return index as number;
+  throw new CellError({code: 'log_unavailable', step: 'read-index'});
+};
+
 const notLeader = (): CellError =>
   new CellError({code: 'not_leader', step: 'read-index'});
