--- a/packages/coordination/src/consensus/late_leader.spec.ts
+++ b/packages/coordination/src/consensus/late_leader.spec.ts
@@ -95,7 +95,7 @@
   });
   it('steps down when it hears nobody, however long its turns are', () => {
     const {core, now} = makeLeader();
-    tick(core, now, 800, 12);
+    tick(core, now, 800, 4);
     expect(core.status.role).to.not.equal('leader');
   });
   it('steps down at once after a pause in which another was elected', () => {
--- a/packages/coordination/src/consensus/quorum_silence.ts
+++ b/packages/coordination/src/consensus/quorum_silence.ts
@@ -6,6 +6,9 @@
  */
 import type {ConsensusTiming} from './types.js';
 
+/** Election timeouts without a reply after which the quorum is silent in any case. */
+const MAX_SILENT_TIMEOUTS = 3;
+
 /** Silence of the quorum of one leader. */
 export class QuorumSilence {
   private tickedAt = Number.NEGATIVE_INFINITY;
@@ -29,6 +32,8 @@
       (hasReplied ? 0 : this.silentMs) + this.countedMs(now - since);
     this.tickedAt = now;
     this.contactAt = contactAt;
+    const maxMs = MAX_SILENT_TIMEOUTS * this.timing.electionMs;
+    if (now - contactAt >= maxMs) this.silentMs = now - contactAt;
   }
 
   /**
