--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -111,7 +111,7 @@
     const usedShare =
       this.usefulCoreMs /
       (this.pattern.workerCount * WORKER_CPU_MILLIS * durationMs);
-    this.queue.advance(DRAIN_MS);
+    this.queue.advance(this.pattern.drainMs ?? DRAIN_MS);
     return {
       outcomes: [...this.arrivals.values()].map(arrival => ({
         arrival,
--- a/packages/proofs/src/bench/scheduling/days.ts
+++ b/packages/proofs/src/bench/scheduling/days.ts
@@ -150,6 +150,22 @@
   ],
 };
 
+/**
+ * A slow leader that is frozen, and the whole day with its end, after which
+ * nothing is earned.
+ */
+const FROZEN_LEADER_DAY: LoadPattern = {
+  ...MESH_DAY,
+  name: 'day: gangs of 5 s, slow leader, eight seconds without it',
+  durationMs: 41_000,
+  drainMs: 14_000,
+  leader: SLOW_LEADER,
+  outages: [
+    {at: 2000, durationMs: 7900},
+    {at: 14_000, durationMs: 1000},
+  ],
+};
+
 /** Load patterns of whole days. */
 export const DAYS: readonly LoadPattern[] = [
   MESH_DAY,
@@ -164,6 +180,7 @@
     ],
   },
   OVERLOADED_DAY,
+  FROZEN_LEADER_DAY,
   {
     ...MESH_DAY,
     name: 'day: gangs of 5 s, a sixth of the workers lost',
--- a/packages/proofs/src/bench/scheduling/load.ts
+++ b/packages/proofs/src/bench/scheduling/load.ts
@@ -53,6 +53,8 @@
    */
   readonly callerCount: number;
   readonly durationMs: number;
+  /** Time after the arrivals in which work may still complete, in ms. */
+  readonly drainMs?: number;
   /**
    * Periods in which the arrival rate of one kind is multiplied by `factor`.
    */
