--- a/packages/state/src/workflow/planner/reservation_planner.ts
+++ b/packages/state/src/workflow/planner/reservation_planner.ts
@@ -131,9 +131,9 @@
     }
     const expired = options.filter(({hasTicket}) => !hasTicket);
     // Nothing is preempted before the whole gang could start.
-    if (spec.isGang && expired.length > 0) this.keepUntilRenewed(work, options);
-    else
-      for (const option of options) this.keep(work, option, option.hasTicket);
+    const mayPreempt = !spec.isGang || expired.length === 0;
+    for (const option of options)
+      this.keep(work, option, mayPreempt && option.hasTicket);
     return {
       coversAllTasks,
       chosen: workersOf(options),
@@ -230,24 +230,6 @@
     this.victims.release(worker.worker, victims);
   }
 
-  /**
-   * Reserves resources for a gang that cannot start before its tickets are
-   * renewed; preemptible tasks may use them meanwhile.
-   */
-  private keepUntilRenewed(
-    work: StepWork,
-    options: readonly PreemptionOption[],
-  ): void {
-    const size = taskResources(work);
-    for (const option of options) {
-      const {worker} = option;
-      this.release(work, option);
-      worker.unreserved = subtractResources(worker.unreserved, size);
-      reserveResources(worker, size, work.ready.priority);
-    }
-    this.reserved.set(work.ready.key, new Set(workersOf(options)));
-  }
-
   private keep(
     work: StepWork,
     {worker, victims}: PreemptionOption,
