--- a/packages/coordination/src/record_load/fixtures.ts
+++ b/packages/coordination/src/record_load/fixtures.ts
@@ -82,9 +82,9 @@
   }
 
   /** Runs until a time in ms. */
-  run(untilMs: number): void {
+  run(endMs: number): void {
     this.at(SAMPLE_MS, () => this.sample());
-    while (this.now < untilMs) this.step();
+    while (this.now < endMs) this.step();
   }
 
   private step(): void {
