--- a/packages/coordination/src/workflow/end_log.spec.ts
+++ b/packages/coordination/src/workflow/end_log.spec.ts
@@ -6,7 +6,7 @@
   testStep,
   testTask,
 } from '@primrosewick/state/fixtures';
-import {EndLog, type EndRuns} from './end_log.js';
+import {EndLog} from './end_log.js';
 
 /** Ends tasks of workflow a in turn, each end listed at the wall time 2000. */
 const linesOf = (log: TestLog, ends: ReadonlyArray<[number, number]>) => {
@@ -16,8 +16,7 @@
   for (const [index, wall] of ends) {
     const task = testTask('a', 0, index);
     log.end('w1', task, 'done');
-    const command = {kind: 'end_runs', ends: [{task}], at: 2000};
-    endLog.note(command as unknown as EndRuns, wall);
+    for (const end of log.db.ended.byLastRecord) endLog.note(end, wall);
   }
   return lines;
 };
@@ -41,8 +40,11 @@
       {
         decision: 'workflow_ended',
         req: 'a',
+        queue: 'queue',
         outcome: 'done',
         index: log.db.index,
+        lifeMs: 1000,
+        isInTime: true,
         stages: {recorded: 35},
       },
     ]);
--- a/packages/coordination/src/workflow/end_log.ts
+++ b/packages/coordination/src/workflow/end_log.ts
@@ -1,11 +1,8 @@
 /** Logs when the end of a workflow is in the log, and how long recording it took. */
 import type Logger from 'bunyan';
-import type {WorkflowCommand, WorkflowDb} from '@primrosewick/state';
+import type {WorkflowDb, WorkflowEnd} from '@primrosewick/state';
 import {CrashLog, type RemoveWorker} from './crash_log.js';
 
-/** Record of the ends of runs. */
-export type EndRuns = Extract<WorkflowCommand, {kind: 'end_runs'}>;
-
 /** Logs the ends of workflows. */
 export class EndLog {
   private readonly crashes: CrashLog;
@@ -22,23 +19,21 @@
     this.crashes.note(command);
   }
 
-  /** Notes an applied record of ends, at a wall time in ms. */
-  note({ends, at}: EndRuns, wall: number): void {
-    for (const id of new Set(ends.map(({task}) => task.workflow))) {
-      const workflow = this.db.workflows.get(id);
-      // Runs that end after their workflow do not change its state.
-      if (!workflow || workflow.phase === 'open' || workflow.endedAt !== at)
-        continue;
-      this.logger.info(
-        {
-          decision: 'workflow_ended',
-          req: id,
-          outcome: workflow.phase,
-          index: this.db.index,
-          stages: {recorded: Math.max(0, wall - at)},
-        },
-        'end of a workflow is in the log',
-      );
-    }
+  /** Notes the end of a workflow whose last run has ended, at a wall time in ms. */
+  note(end: WorkflowEnd, wall: number): void {
+    const {id, queue, phase, acceptedAt, endedAt, dueAt} = end;
+    this.logger.info(
+      {
+        decision: 'workflow_ended',
+        req: id,
+        queue,
+        outcome: phase,
+        index: this.db.index,
+        lifeMs: endedAt - acceptedAt,
+        isInTime: endedAt <= dueAt,
+        stages: {recorded: Math.max(0, wall - endedAt)},
+      },
+      'end of a workflow is in the log',
+    );
   }
 }
--- a/packages/coordination/src/workflow/replica.ts
+++ b/packages/coordination/src/workflow/replica.ts
@@ -4,6 +4,7 @@
   WorkflowDb,
   type WorkflowCommand,
   type WorkflowDbOptions,
+  type WorkflowEnd,
   type WorkflowImage,
   type WorkflowResult,
 } from '@primrosewick/state';
@@ -18,6 +19,8 @@
   readonly db: WorkflowDb;
   /** Emits each record after it is applied. */
   readonly applied = new Subject<WorkflowCommand>();
+  /** Emits the end of each workflow after its record is applied. */
+  readonly ended = new Subject<WorkflowEnd>();
   private isOpen = false;
 
   constructor(options: Partial<WorkflowDbOptions> = {}) {
@@ -48,6 +51,7 @@
     return workMeter.measure('record', () => {
       const result = this.db.apply(index, command);
       this.applied.next(command);
+      for (const end of this.db.ended.byLastRecord) this.ended.next(end);
       return result;
     });
   }
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -4,9 +4,10 @@
  * submitted; at the leader, each read costs a call and a quorum round.
  */
 import type {QueueAddress, WorkflowReply} from '@primrosewick/protocol';
+import type {WorkflowId} from '@primrosewick/state';
 import {pause, type Clock} from '@primrosewick/transport';
 import type {WorkflowReplica} from './replica.js';
-import {lookUp} from './workflow_view.js';
+import {findWorkflow, lookUp} from './workflow_view.js';
 
 /** Options of a `ReplicaReader`. */
 export interface ReplicaReaderOptions {
@@ -14,6 +15,8 @@
   readonly clock: Clock;
   /** Age of the replica: time since the leader last reported its commit index, in ms. */
   readonly ageMs: () => number;
+  /** Called for each read that is answered with the state of a workflow. */
+  readonly onRead?: (id: WorkflowId, isEnded: boolean) => void;
 }
 
 /** Age above which a replica serves only final states, in ms: two heartbeats of the log. */
@@ -50,6 +53,22 @@
   async readAt(
     address: QueueAddress,
     atLeast: number,
+  ): Promise<WorkflowReply | undefined> {
+    const answer = await this.readOnceReached(address, atLeast);
+    if (answer) this.noteRead(address, answer);
+    return answer;
+  }
+
+  private noteRead(address: QueueAddress, answer: WorkflowReply): void {
+    const {replica, onRead} = this.options;
+    if (answer.kind !== 'state' || !onRead) return;
+    const workflow = findWorkflow(replica.db, address);
+    if (workflow) onRead(workflow.id, isFinal(answer));
+  }
+
+  private async readOnceReached(
+    address: QueueAddress,
+    atLeast: number,
   ): Promise<WorkflowReply | undefined> {
     const {clock} = this.options;
     const known = this.read(address);
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -1,6 +1,10 @@
 /** Options of the scheduler task. */
 import type Logger from 'bunyan';
-import type {WorkflowCommand, WorkflowResult} from '@primrosewick/state';
+import type {
+  WorkflowCommand,
+  WorkflowEnd,
+  WorkflowResult,
+} from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import type {Recorder} from '../zone/types.js';
 import type {AdviceDispatcherOptions} from './advice_dispatcher.js';
@@ -34,6 +38,8 @@
   readonly ask: AdviceDispatcherOptions['ask'];
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
+  /** Called for each workflow that has ended. */
+  readonly onEnded?: (end: WorkflowEnd) => void;
   /** Records the planner's journal; without it, no journal is kept. */
   readonly recorder?: Recorder;
 }
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -175,6 +175,7 @@
   private onApplied(command: WorkflowCommand): void {
     this.journal?.noteRecord(this.db.index, command);
     this.load.noteRecord(command);
+    for (const end of this.db.ended.byLastRecord) this.options.onEnded?.(end);
     switch (command.kind) {
       case 'put_worker':
       case 'remove_worker':
@@ -192,7 +193,8 @@
           if (outcome === 'done' || outcome === 'failed')
             this.noteEvidence(command.life.worker, task.workflow, outcome);
         }
-        this.endLog.note(command, this.options.clock.wall());
+        for (const end of this.db.ended.byLastRecord)
+          this.endLog.note(end, this.options.clock.wall());
         break;
       case 'cancel':
         this.advice.prune(command.id);
@@ -215,8 +217,9 @@
   private logFirstStart(id: WorkflowId): void {
     const stages = this.timeline.finish(id, this.options.clock.now());
     if (!stages) return;
+    const queue = this.db.workflows.get(id)?.queue;
     this.options.logger.info(
-      {decision: 'first_start', req: id, stages},
+      {decision: 'first_start', req: id, queue, stages},
       'first task of a workflow is running',
     );
   }
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -29,6 +29,15 @@
   return count;
 };
 
+/** The workflow that an address names; undefined if it is not known here. */
+export const findWorkflow = (
+  {bundle, workflows}: Pick<WorkflowDb, 'bundle' | 'workflows'>,
+  {host, path}: QueueAddress,
+): WorkflowState | undefined => {
+  const match = bundle && matchQueue(bundle, host, path);
+  return match ? workflows.get(match.rest as WorkflowId) : undefined;
+};
+
 /**
  * What a state tells of a workflow, or of a queue.
  * @returns undefined before the first bundle.
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -3,12 +3,12 @@
 import type Logger from 'bunyan';
 import type {Registry} from 'prom-client';
 import {
-  AnnouncementRelay,
+  type AnnouncementRelay,
   GatewayTask,
   JournalRecorder,
   LoadSheddingTask,
   type RecordLoadTask,
-  ReplicaReader,
+  type ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
   WorkflowService,
@@ -42,6 +42,7 @@
   systemClock,
   type LinkHandlers,
 } from '@primrosewick/transport';
+import {makeAnnouncementRelay} from './announcement_relay.js';
 import {BundleReader} from './bundle_reader.js';
 import {answerConfirmed, makeConfirmedReader} from './confirmed_replica.js';
 import {ConfirmedReads} from './confirmed_reads.js';
@@ -49,6 +50,8 @@
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
+import {makeEndCounter} from './reads_around_ends.js';
+import {makeReplicaReader} from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
@@ -75,8 +78,6 @@
  * journal, so that large images are written rarely.
  */
 const MAX_SEGMENT_BYTES = 9 * 1024 * 1024;
-/** Time to report announcements to the leader, in ms. */
-const REPORT_TIMEOUT_MS = 900;
 /** Upper bound of the random seed for elections, exclusive. */
 const MAX_SEED = 2 ** 31;
 
@@ -96,6 +97,7 @@
   private scheduler: SchedulerTask | null = null;
   private readonly callers: LiveVms;
   private readonly onWaited: SchedulerOptions['onWaited'];
+  private readonly onEnded: SchedulerOptions['onEnded'];
   /** Decisions of the scheduler while this VM led, for `explain` and `replay`. */
   readonly journal = new JournalRecorder({
     clock: systemClock,
@@ -116,6 +118,7 @@
     });
     this.callers = new LiveVms(settings.peer, systemClock);
     this.onWaited = makeQueueWaitObserver(options.registry);
+    this.onEnded = makeEndCounter(options.registry);
     this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
@@ -255,7 +258,8 @@
   }
 
   private makeReader(log: ReplicatedLog): ReplicaReader {
-    return new ReplicaReader({
+    return makeReplicaReader({
+      ...this.options,
       replica: this.replica,
       clock: systemClock,
       ageMs: () => log.contactAgeMs,
@@ -280,16 +284,12 @@
   }
 
   private makeAnnouncements(log: ReplicatedLog): AnnouncementRelay {
-    return new AnnouncementRelay({
-      db: this.replica.db,
+    return makeAnnouncementRelay({
+      replica: this.replica,
       clock: systemClock,
-      logger: this.options.logger,
-      canAnswer: () => this.replica.isReady && this.gateway.hasContact,
       ageMs: () => log.contactAgeMs,
-      reportToLeader: async workers => {
-        const deadline = systemClock.now() + REPORT_TIMEOUT_MS;
-        await this.gateway.callLeader('heardWorkers', {workers}, deadline);
-      },
+      logger: this.options.logger,
+      gateway: () => this.gateway,
     });
   }
 
@@ -316,6 +316,7 @@
       leadershipConfirmedAgeMs: () => log.leadershipConfirmedAgeMs,
       propose: command => log.propose(command),
       onWaited: this.onWaited,
+      onEnded: this.onEnded,
       callers: () => this.callers.list(),
       ask: (vm, step, workers) => this.advise(vm, step, workers),
       recorder: this.journal,
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -174,4 +174,25 @@
     for (const db of [log.db, copy])
       expect(db.workers.get('w1' as never)?.report.room).to.eql(room);
   });
+  it('the end of a workflow is told with the record that ends it, and no later', () => {
+    const log = new TestLog();
+    log.addWorker('w1');
+    log.submit('a', testSpec([testStep()]));
+    log.start('w1', testTask('a', 0, 0));
+    expect(log.db.ended.byLastRecord).to.eql([]);
+    log.end('w1', testTask('a', 0, 0), 'done');
+    expect(log.db.ended.byLastRecord).to.eql([
+      {
+        id: 'a',
+        queue: 'queue',
+        phase: 'done',
+        acceptedAt: 1000,
+        endedAt: 2000,
+        // Twice its estimate of 1000 ms, and 500 ms more.
+        dueAt: 3500,
+      },
+    ]);
+    log.db.skip(log.db.index + 1);
+    expect(log.db.ended.byLastRecord).to.eql([]);
+  });
 });
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -65,7 +65,7 @@
   readonly open = new OpenWorkflows();
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
-  private readonly ended: EndedWorkflows;
+  readonly ended: EndedWorkflows;
   private lastIndex = 0;
 
   constructor({keepEndedMs = KEEP_ENDED_MS}: Partial<WorkflowDbOptions> = {}) {
@@ -80,10 +80,12 @@
   /** Advances past a log index without a record. */
   skip(index: number): void {
     this.lastIndex = index;
+    this.ended.startRecord();
   }
 
   apply(index: number, command: WorkflowCommand): WorkflowResult {
     this.lastIndex = index;
+    this.ended.startRecord();
     switch (command.kind) {
       case 'put_bundle':
         return this.putBundle(command.bundle);
@@ -405,11 +407,9 @@
     phase: Exclude<WorkflowPhase, 'open'>,
     at: number,
   ): void {
-    workflow.phase = phase;
-    workflow.endedAt = at;
+    this.ended.finish(workflow, this.queues.get(workflow.queue), phase, at);
     this.open.delete(workflow.id);
     this.crashes.forget(workflow.id);
-    this.ended.add(workflow.id, at);
     if (workflow.activeRuns === 0) discardDetails(workflow);
     else this.running.ending.add(workflow.id);
   }
--- a/packages/state/src/workflow/ended_workflows.ts
+++ b/packages/state/src/workflow/ended_workflows.ts
@@ -1,5 +1,7 @@
 /** Keeps ended workflows readable for a while. */
-import type {WorkflowId, WorkflowState} from './types.js';
+import type {Queue} from '../bundle/types.js';
+import type {WorkflowEnd, WorkflowId, WorkflowState} from './types.js';
+import {workflowEndOf} from './workflow_end.js';
 
 interface EndedWorkflow {
   readonly id: WorkflowId;
@@ -10,18 +12,45 @@
 /** The ended workflows, in the order of their ends. */
 export class EndedWorkflows {
   private ended: EndedWorkflow[] = [];
+  private lastEnds: WorkflowEnd[] = [];
 
   constructor(
     private readonly workflows: Map<WorkflowId, WorkflowState>,
     private readonly keepEndedMs: number,
   ) {}
 
+  /** Workflows that the last applied record has ended. */
+  get byLastRecord(): readonly WorkflowEnd[] {
+    return this.lastEnds;
+  }
+
+  /** Begins the next record. */
+  startRecord(): void {
+    if (this.lastEnds.length > 0) this.lastEnds = [];
+  }
+
+  /** Ends an open workflow, whose queue may no longer be known. */
+  finish(
+    workflow: WorkflowState,
+    queue: Queue | undefined,
+    phase: WorkflowEnd['phase'],
+    endedAt: number,
+  ): void {
+    const end = workflowEndOf(workflow, queue, {phase, endedAt});
+    workflow.phase = phase;
+    workflow.endedAt = endedAt;
+    this.lastEnds.push(end);
+    this.add(workflow.id, endedAt);
+  }
+
+  /** Adds a workflow that has ended before. */
   add(id: WorkflowId, at: number): void {
     this.ended.push({id, at});
   }
 
   clear(): void {
     this.ended = [];
+    this.lastEnds = [];
   }
 
   /** Sorts workflows that were added in another order. */
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -294,6 +294,18 @@
       readonly reason: VoidReason;
     };
 
+/** End of a workflow, as seen by whoever applied the record of it. */
+export interface WorkflowEnd {
+  readonly id: WorkflowId;
+  readonly queue: QueueName;
+  readonly phase: Exclude<WorkflowPhase, 'open'>;
+  /** Wall times in ms since 1970, as recorded. */
+  readonly acceptedAt: number;
+  readonly endedAt: number;
+  /** When its last occurrence was due, by its estimates; in ms since 1970. */
+  readonly dueAt: number;
+}
+
 /** Result of an applied command. */
 export type WorkflowResult =
   | {readonly kind: 'applied'}
--- a/packages/transport/src/logs/line_metrics.ts
+++ b/packages/transport/src/logs/line_metrics.ts
@@ -10,6 +10,8 @@
   readonly reason?: string;
   readonly status?: number;
   readonly err?: {readonly code?: string};
+  /** Queue of the line's subject. */
+  readonly queue?: string;
   /** How long the subject of the line waited or took, in ms. */
   readonly waitMs?: number;
   /** How long the change occupied this process, in ms. */
@@ -28,7 +30,7 @@
   private readonly changes: Counter<'change'>;
   private readonly changeDurations: Histogram<'change'>;
   private readonly waits: Histogram<'decision'>;
-  private readonly stages: Histogram<'decision' | 'stage'>;
+  private readonly stages: Histogram<'decision' | 'stage' | 'queue'>;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -61,7 +63,7 @@
     this.stages = new Histogram({
       name: 'primrosewick_stage_ms',
       help: 'Parts of the time that the subject of a decision took, in ms.',
-      labelNames: ['decision', 'stage'],
+      labelNames: ['decision', 'stage', 'queue'],
       buckets: WAIT_BUCKETS_MS,
       registers,
     });
@@ -71,11 +73,11 @@
   write(line: CountedLine): void {
     if (line.change !== undefined) this.countChange(line.change, line.tookMs);
     if (line.decision === undefined) return;
-    const {decision} = line;
+    const {decision, queue = ''} = line;
     this.decisions.inc({decision, outcome: outcomeOf(line)});
     if (line.waitMs !== undefined) this.waits.observe({decision}, line.waitMs);
     for (const [stage, ms] of Object.entries(line.stages ?? {}))
-      this.stages.observe({decision, stage}, ms);
+      this.stages.observe({decision, stage, queue}, ms);
   }
 
   private countChange(change: string, tookMs: number | undefined): void {
