--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -40,6 +40,7 @@
 export * from './workflow/announcements.js';
 export {ProgressTracker} from './workflow/progress_tracker.js';
 export * from './workflow/replica.js';
+export * from './blocking_reads/task.js';
 export * from './workflow/replica_reader.js';
 export * from './workflow/replica_catch_up.js';
 export * from './workflow/confirmed_reader.js';
--- a/packages/coordination/src/workflow/replica.ts
+++ b/packages/coordination/src/workflow/replica.ts
@@ -21,6 +21,8 @@
   readonly applied = new Subject<WorkflowCommand>();
   /** Emits the end of each workflow after its record is applied. */
   readonly ended = new Subject<WorkflowEnd>();
+  /** Emits after the whole state was replaced by an image. */
+  readonly restored = new Subject<void>();
   private isOpen = false;
 
   constructor(options: Partial<WorkflowDbOptions> = {}) {
@@ -58,7 +60,9 @@
 
   restore(image: unknown): void {
     const state = image as WorkflowImage;
-    if (state.index > this.db.index) this.db.restore(state);
+    if (state.index <= this.db.index) return;
+    this.db.restore(state);
+    this.restored.next();
   }
 
   toImage(): WorkflowImage {
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -6,6 +6,7 @@
 import type {QueueAddress, WorkflowReply} from '@primrosewick/protocol';
 import type {WorkflowId} from '@primrosewick/state';
 import {pause, type Clock} from '@primrosewick/transport';
+import type {BlockingReadsTask} from '../blocking_reads/task.js';
 import type {WorkflowReplica} from './replica.js';
 import {findWorkflow, lookUp} from './workflow_view.js';
 
@@ -15,12 +16,30 @@
   readonly clock: Clock;
   /** Age of the replica: time since the leader last reported its commit index, in ms. */
   readonly ageMs: () => number;
+  /** Holds reads that wait for the end of their workflow; without it, none waits. */
+  readonly blocking?: Pick<BlockingReadsTask, 'untilEnded'>;
   /** Called for each read that is answered with the state of a workflow. */
   readonly onRead?: (id: WorkflowId, isEnded: boolean) => void;
 }
 
+/** How long a read may wait for the end of a running workflow. */
+export interface EndWait {
+  /** Monotonic time until which it may wait, in ms. */
+  readonly deadline: number;
+  /** Aborted when its caller has gone. */
+  readonly signal?: AbortSignal;
+}
+
+/** Answer of a read that may have waited for an end. */
+export interface BlockingAnswer {
+  /** Undefined where only the leader can answer. */
+  readonly answer: WorkflowReply | undefined;
+  /** Time for which it waited for the end of the workflow, in ms. */
+  readonly waitedMs: number;
+}
+
 /** Age above which a replica serves only final states, in ms: two heartbeats of the log. */
-const MAX_AGE_MS = 250;
+export const MAX_REPLICA_AGE_MS = 250;
 /** Time for which a read waits for a lagging replica, in ms. */
 const MAX_WAIT_MS = 150;
 /** Polling interval while a replica lags, in ms: about the interval of new entries. */
@@ -32,6 +51,11 @@
   reply.state !== 'queued' &&
   reply.state !== 'running';
 
+const isRunning = (
+  reply: WorkflowReply | undefined,
+): reply is Extract<WorkflowReply, {kind: 'state'}> =>
+  reply?.kind === 'state' && reply.state === 'running';
+
 /** Reads the replica of one VM. */
 export class ReplicaReader {
   constructor(private readonly options: ReplicaReaderOptions) {}
@@ -43,7 +67,7 @@
 
   /** Whether the replica is recent enough for states that may still change. */
   get isFresh(): boolean {
-    return this.isReadable && this.options.ageMs() <= MAX_AGE_MS;
+    return this.isReadable && this.options.ageMs() <= MAX_REPLICA_AGE_MS;
   }
 
   /**
@@ -59,6 +83,38 @@
     return answer;
   }
 
+  /** Reads like {@link readAt}; a read of a running workflow waits for its end. */
+  async readBlocking(
+    address: QueueAddress,
+    atLeast: number,
+    wait: EndWait,
+  ): Promise<BlockingAnswer> {
+    const {clock} = this.options;
+    const first = await this.readOnceReached(address, atLeast);
+    const beganAt = clock.now();
+    const answer = isRunning(first)
+      ? await this.awaitEnd(address, first, wait)
+      : first;
+    if (answer) this.noteRead(address, answer);
+    return {answer, waitedMs: clock.now() - beganAt};
+  }
+
+  /** The final state of a workflow if it ends in time, and otherwise what was read. */
+  private async awaitEnd(
+    address: QueueAddress,
+    answer: WorkflowReply,
+    wait: EndWait,
+  ): Promise<WorkflowReply> {
+    const {replica, blocking} = this.options;
+    const workflow = findWorkflow(replica.db, address);
+    if (!blocking || !workflow) return answer;
+    const {id, queue} = workflow;
+    const priority = replica.db.queues.get(queue)?.priority ?? 0;
+    await blocking.untilEnded({workflow: id, queue, priority, ...wait});
+    const later = this.read(address);
+    return later && isFinal(later) ? later : answer;
+  }
+
   private noteRead(address: QueueAddress, answer: WorkflowReply): void {
     const {replica, onRead} = this.options;
     if (answer.kind !== 'state' || !onRead) return;
--- a/packages/daemon/src/cluster/confirmed_replica.ts
+++ b/packages/daemon/src/cluster/confirmed_replica.ts
@@ -40,12 +40,12 @@
  * @throws CellError `log_unavailable` without a replica that may be read.
  */
 export const answerConfirmed = async (
-  reader: ConfirmedReader | null,
+  readers: {readonly confirmed: ConfirmedReader} | null,
   {timeoutMs, ...address}: LinkMethods['readConfirmed']['request'],
   clock: Clock,
 ): Promise<LinkMethods['readConfirmed']['reply']> => {
-  if (!reader)
+  if (!readers)
     throw new CellError({code: 'log_unavailable', step: 'confirmed-read'});
   const leftMs = Math.min(timeoutMs, MAX_CONFIRMED_READ_MS);
-  return reader.readWorkflow(address, clock.now() + leftMs);
+  return readers.confirmed.readWorkflow(address, clock.now() + leftMs);
 };
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -8,12 +8,10 @@
   JournalRecorder,
   LoadSheddingTask,
   type RecordLoadTask,
-  type ReplicaReader,
   SchedulerTask,
   WorkflowReplica,
   WorkflowService,
   type AdvicePort,
-  type ConfirmedReader,
   type OrderPort,
   type SchedulerOptions,
 } from '@primrosewick/coordination';
@@ -44,18 +42,24 @@
 } from '@primrosewick/transport';
 import {makeAnnouncementRelay} from './announcement_relay.js';
 import {BundleReader} from './bundle_reader.js';
-import {answerConfirmed, makeConfirmedReader} from './confirmed_replica.js';
+import {answerConfirmed} from './confirmed_replica.js';
 import {ConfirmedReads} from './confirmed_reads.js';
-import {observeEndAges} from './end_ages.js';
 import {LiveVms} from './live_vms.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {ReadLog} from './read_log.js';
 import {makeEndCounter} from './reads_around_ends.js';
-import {makeReplicaReader} from './replica_readers.js';
+import {
+  answerRead,
+  makeReplicaReaders,
+  type ReplicaReaders,
+} from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
-import {WorkflowRequestRouter} from './workflow_request_router.js';
+import {
+  WorkflowRequestRouter,
+  type RequestTerms,
+} from './workflow_request_router.js';
 import {CLUSTER_NAME, ELECTION_MS, ReplicatedLog} from './replicated_log.js';
 
 /** Options of {@link ClusterNode}. */
@@ -89,8 +93,7 @@
   private readonly replica: WorkflowReplica;
   private readonly log: ReplicatedLog | null;
   private readonly service: WorkflowService | null;
-  private readonly reader: ReplicaReader | null;
-  private readonly confirmedReader: ConfirmedReader | null;
+  private readonly readers: ReplicaReaders | null;
   private readonly announcements: AnnouncementRelay | null;
   private readonly calls: WorkflowRequestRouter;
   private readonly bundles: BundleReader;
@@ -122,9 +125,7 @@
     this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
-    this.reader = this.log && this.makeReader(this.log);
-    this.confirmedReader = this.log && this.makeConfirmedReader(this.log);
-    if (this.log) observeEndAges(this.replica, systemClock, options.registry);
+    this.readers = this.log && this.makeReaders(this.log);
     this.announcements = this.log && this.makeAnnouncements(this.log);
     this.gateway = new GatewayTask({
       peers: this.peers,
@@ -143,17 +144,17 @@
       peers: this.peers,
       clock: systemClock,
       logger,
-      reader: this.reader,
+      reader: this.readers?.reader ?? null,
       confirmed: new ConfirmedReads({
         gateway: this.gateway,
         peers: this.peers,
         clock: systemClock,
-        own: this.confirmedReader,
+        own: this.readers?.confirmed ?? null,
       }),
       reads: new ReadLog(logger, options.registry),
     });
     this.bundles = new BundleReader({
-      reader: this.confirmedReader,
+      reader: this.readers?.confirmed ?? null,
       gateway: this.gateway,
       clock: systemClock,
       logger,
@@ -198,14 +199,16 @@
       );
   }
 
-  /** Reports this VM as not ready from now on. */
+  /** Reports this VM as not ready from now on; reads no longer wait for an end. */
   beginStop(): void {
     this.isStopping = true;
+    this.calls.beginDrain();
+    this.readers?.blocking.stop();
   }
 
   /** Transfers the leadership if this VM leads, and stops. */
   async stop(): Promise<void> {
-    this.isStopping = true;
+    this.beginStop();
     this.gateway.stop();
     this.announcements?.stop();
     await this.log?.close();
@@ -257,19 +260,12 @@
     });
   }
 
-  private makeReader(log: ReplicatedLog): ReplicaReader {
-    return makeReplicaReader({
+  private makeReaders(log: ReplicatedLog): ReplicaReaders {
+    return makeReplicaReaders({
       ...this.options,
       replica: this.replica,
       clock: systemClock,
       ageMs: () => log.contactAgeMs,
-    });
-  }
-
-  private makeConfirmedReader(log: ReplicatedLog): ConfirmedReader {
-    return makeConfirmedReader({
-      replica: this.replica,
-      clock: systemClock,
       peers: this.peers,
       askOwn: () => this.readIndex(),
       leaderVm: () => log.leaderVm ?? this.gateway.leaderVm,
@@ -353,7 +349,7 @@
       leader: this.log?.leaderVm ?? null,
       members: this.log?.memberVms ?? [],
       isServing,
-      isReadable: this.reader?.isReadable === true,
+      isReadable: this.readers?.reader.isReadable === true,
       index: this.replica.index,
     };
   }
@@ -368,12 +364,10 @@
         envelopes: log ? await log.receive(from, envelopes) : [],
       }),
       readIndex: () => this.readIndex(),
-      readWorkflow: async ({atLeast, ...address}) => ({
-        answer: (await this.reader?.readAt(address, atLeast)) ?? null,
-        index: this.replica.index,
-      }),
+      readWorkflow: (query, _from, _deadline, signal) =>
+        answerRead(this.readers, query, signal),
       readConfirmed: request =>
-        answerConfirmed(this.confirmedReader, request, systemClock),
+        answerConfirmed(this.readers, request, systemClock),
       workflow: (request, _from, deadline) =>
         service?.handle(request, deadline) ?? notLeader(),
       announceWorker: report => service?.announceWorker(report) ?? notLeader(),
@@ -386,12 +380,12 @@
     };
   }
 
-  /**
-   * Routes a client's request to a VM that can answer it, until a deadline of
-   * the monotonic clock in ms.
-   */
-  request(request: WorkflowRequest, deadline: number): Promise<WorkflowReply> {
-    return this.calls.request(request, deadline);
+  /** Routes a client's request to a VM that can answer it. */
+  request(
+    request: WorkflowRequest,
+    terms: RequestTerms,
+  ): Promise<WorkflowReply> {
+    return this.calls.request(request, terms);
   }
 
   /** Handles the announcement of a worker, until a deadline of the monotonic clock in ms. */
--- a/packages/daemon/src/cluster/read_log.ts
+++ b/packages/daemon/src/cluster/read_log.ts
@@ -38,7 +38,10 @@
   readonly peer: VmId | null;
   /** Monotonic time at its end, in ms. */
   readonly endedAt: number;
+  /** Time until its answer, without the wait for the end of its workflow, in ms. */
   readonly waitMs: number;
+  /** Time for which a replica waited for the end of the workflow, in ms. */
+  readonly blockedMs?: number;
   /** Time until a replica had answered or was given up on, in ms. */
   readonly copyMs: number;
   /** Whether a replica answered after it had reached a read index of the leader. */
@@ -107,6 +110,7 @@
     endedAt,
     waitMs,
     copyMs,
+    blockedMs = 0,
     isConfirmed = false,
     err,
   }: CompletedRead) {
@@ -121,6 +125,7 @@
         peer,
         waitMs: Math.round(waitMs),
         copyMs: Math.round(copyMs),
+        blockedMs: Math.round(blockedMs),
         isConfirmed,
         ...(err ? {err: err.toBody()} : {}),
         ...line,
--- a/packages/daemon/src/cluster/workflow_request_router.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.spec.ts
@@ -119,7 +119,9 @@
   return Object.assign(calls, {seen: reads.seen});
 };
 const stateOf = async (calls: WorkflowRequestRouter): Promise<string> => {
-  const reply = await calls.request(get, systemClock.now() + 1000);
+  const reply = await calls.request(get, {
+    deadline: systemClock.now() + 1000,
+  });
   return reply.kind === 'state' ? reply.state : reply.kind;
 };
 
@@ -185,7 +187,10 @@
   });
   it('a read of a workflow cancelled here is recorded as cancelled_here', async () => {
     const calls = await makeRouter(50, async () => 50);
-    await calls.request({...get, kind: 'cancel'}, systemClock.now() + 1000);
+    await calls.request(
+      {...get, kind: 'cancel'},
+      {deadline: systemClock.now() + 1000},
+    );
     await stateOf(calls);
     expect(calls.seen.map(({way}) => way)).to.eql(['cancelled_here']);
   });
@@ -223,7 +228,7 @@
   it('a read that nobody answered is recorded with its error', async () => {
     const calls = await makeRouter(50, () => Promise.reject(new Error('gone')));
     const err = await calls
-      .request(get, systemClock.now() - 1)
+      .request(get, {deadline: systemClock.now() - 1})
       .catch((thrown: {code: string}) => thrown);
     expect(err).to.include({code: 'log_unavailable'});
     expect(calls.seen[0]).to.include({way: 'copy_failed', err});
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -37,8 +37,21 @@
   readonly way: ReadRoute;
   readonly peer: VmId | null;
   readonly reply?: WorkflowReply;
+  /** Time for which the replica waited for the end of the workflow, in ms. */
+  readonly blockedMs?: number;
 }
 
+/** For how long a client's request is waited for. */
+export interface RequestTerms {
+  /** Monotonic time until which the client waits, in ms. */
+  readonly deadline: number;
+  /** Aborted when the client has gone. */
+  readonly signal?: AbortSignal;
+}
+
+/** Terms of a read that may wait for an end; the signal tells it not to. */
+type BlockingTerms = Required<RequestTerms>;
+
 /** Time for which reads of a workflow cancelled here go to the leader, in ms. */
 const CANCELLED_LEADER_READ_MS = 2000;
 /** Maximum time to wait for a replica, in ms. */
@@ -48,6 +61,8 @@
  * can still be asked.
  */
 const REPLICA_TIME_FRACTION = 0.5;
+/** Maximum time for which a read of a running workflow waits for its end, in ms. */
+const MAX_END_WAIT_MS = 500;
 /**
  * Fraction of the remaining time that replicas may take to confirm their answer
  * with the leader, so that the leader can still be asked.
@@ -60,34 +75,46 @@
 export class WorkflowRequestRouter {
   /** Monotonic time until which a replica may lack a cancellation made here, by path, in ms. */
   private readonly cancelledUntil = new Map<string, number>();
+  /** Reads that may wait for the end of their workflow. */
+  private readonly blocking = new Set<AbortController>();
+  private isDraining = false;
 
   constructor(private readonly options: WorkflowRequestRouterOptions) {}
 
   /**
-   * Routes a request, until a deadline of the monotonic clock in ms.
+   * Routes a request.
    * @throws CellError from the leader, or from the calls to it.
    */
   async request(
     request: WorkflowRequest,
-    deadline: number,
+    terms: RequestTerms,
   ): Promise<WorkflowReply> {
-    if (request.kind === 'get') return this.read(request, deadline);
+    if (request.kind === 'get') return this.read(request, terms);
     if (request.kind === 'cancel') this.rememberCancellation(request);
-    return this.options.gateway.callLeader('workflow', request, deadline);
+    return this.options.gateway.callLeader('workflow', request, terms.deadline);
+  }
+
+  /** Lets no read wait for the end of its workflow any longer. */
+  beginDrain(): void {
+    this.isDraining = true;
+    for (const controller of this.blocking) controller.abort();
   }
 
   private async read(
     request: Extract<WorkflowRequest, {kind: 'get'}>,
-    deadline: number,
+    {deadline, signal}: RequestTerms,
   ): Promise<WorkflowReply> {
     const {gateway, clock, reads} = this.options;
     const startedAt = clock.now();
-    const {reply, way, peer} = await this.readReplica(request, deadline);
-    const copyMs = clock.now() - startedAt;
+    const answered = await this.whileBlocking(signal, release =>
+      this.readReplica(request, {deadline, signal: release}),
+    );
+    const {reply, way, peer, blockedMs = 0} = answered;
+    const copyMs = clock.now() - startedAt - blockedMs;
     let isConfirmed = false;
     const recordRead = (err?: CellError): void => {
       const endedAt = clock.now();
-      const waitMs = endedAt - startedAt;
+      const waitMs = endedAt - startedAt - blockedMs;
       const {path} = request;
       reads.record({
         path,
@@ -96,6 +123,7 @@
         endedAt,
         waitMs,
         copyMs,
+        blockedMs,
         isConfirmed,
         ...(err && {err}),
       });
@@ -113,6 +141,24 @@
     }
   }
 
+  /** Runs a read with a signal for the end of its wait: its client goes, or this VM drains. */
+  private async whileBlocking<T>(
+    signal: AbortSignal | undefined,
+    read: (release: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    signal?.addEventListener('abort', abort);
+    if (signal?.aborted) abort();
+    this.blocking.add(controller);
+    try {
+      return await read(controller.signal);
+    } finally {
+      this.blocking.delete(controller);
+      signal?.removeEventListener('abort', abort);
+    }
+  }
+
   /** Reads a replica that first reaches a read index of the leader. */
   private confirm(
     {host, path}: QueueAddress,
@@ -126,17 +172,17 @@
 
   private async readReplica(
     {host, path}: QueueAddress,
-    deadline: number,
+    terms: BlockingTerms,
   ): Promise<ReplicaAnswer> {
     const {gateway, clock, reader} = this.options;
     if (clock.now() < (this.cancelledUntil.get(path) ?? 0))
       return {way: 'cancelled_here', peer: null};
-    if (reader) return this.readOwn(reader, {host, path});
+    if (reader) return this.readOwn(reader, {host, path}, terms);
     // The age of a replica is known only by the indexes that the leader reports.
     if (!gateway.hasContact) return {way: 'no_contact', peer: null};
     const peer = gateway.replicaVm;
     if (peer === null) return {way: 'no_reader', peer};
-    return this.readPeer(peer, {host, path}, deadline);
+    return this.readPeer(peer, {host, path}, terms);
   }
 
   /**
@@ -146,27 +192,43 @@
   private async readOwn(
     reader: ReplicaReader,
     address: QueueAddress,
+    {deadline, signal}: BlockingTerms,
   ): Promise<ReplicaAnswer> {
-    const answer = (await reader.readAt(address, 0)) ?? null;
-    return this.check(null, 0, {answer, index: reader.index});
+    const {waitMs} = this.replicaTimes(deadline, signal);
+    const wait = {deadline: this.options.clock.now() + waitMs, signal};
+    const {answer = null, waitedMs} = await reader.readBlocking(
+      address,
+      0,
+      wait,
+    );
+    return this.check(null, 0, {answer, index: reader.index, waitedMs});
+  }
+
+  /** How long a replica may take to answer, and wait for an end before that, in ms. */
+  private replicaTimes(
+    deadline: number,
+    {aborted}: AbortSignal,
+  ): {readonly answerMs: number; readonly waitMs: number} {
+    const leftMs = deadline - this.options.clock.now();
+    const mayTakeMs = leftMs * REPLICA_TIME_FRACTION;
+    const answerMs = Math.min(MAX_REPLICA_WAIT_MS, mayTakeMs);
+    const waitMs = Math.floor(Math.min(MAX_END_WAIT_MS, mayTakeMs - answerMs));
+    return {answerMs, waitMs: this.isDraining || aborted ? 0 : waitMs};
   }
 
   private async readPeer(
     peer: VmId,
     address: QueueAddress,
-    deadline: number,
+    {deadline, signal}: BlockingTerms,
   ): Promise<ReplicaAnswer> {
-    const {gateway, peers, clock, logger} = this.options;
+    const {gateway, peers, logger} = this.options;
     const atLeast = gateway.knownIndex;
-    const leftMs = deadline - clock.now();
-    const timeoutMs = Math.min(
-      MAX_REPLICA_WAIT_MS,
-      leftMs * REPLICA_TIME_FRACTION,
-    );
+    const {answerMs, waitMs} = this.replicaTimes(deadline, signal);
     try {
-      const query = {...address, atLeast};
+      const query = {...address, atLeast, waitMs};
       const reply = await peers.call(peer, 'readWorkflow', query, {
-        timeoutMs,
+        timeoutMs: answerMs + waitMs,
+        signal,
       });
       const answer = this.check(peer, atLeast, reply);
       // This read has waited already; the next one goes to a replica that is up to date.
@@ -191,7 +253,11 @@
   private check(
     peer: VmId | null,
     atLeast: number,
-    {answer, index}: LinkMethods['readWorkflow']['reply'],
+    {
+      answer,
+      index,
+      waitedMs: blockedMs = 0,
+    }: LinkMethods['readWorkflow']['reply'],
   ): ReplicaAnswer {
     const {gateway, logger} = this.options;
     const known = answer && isFinal(answer) ? gateway.settledIndex : atLeast;
@@ -200,10 +266,10 @@
         {change: 'reader_behind', peer, index, known},
         'replica is behind; asking the leader instead',
       );
-      return {way: 'copy_behind', peer};
+      return {way: 'copy_behind', peer, blockedMs};
     }
     gateway.observeIndex(index);
-    return answerOf(peer, answer ?? undefined);
+    return {...answerOf(peer, answer ?? undefined), blockedMs};
   }
 
   private rememberCancellation({path}: QueueAddress): void {
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -98,15 +98,23 @@
   };
   /**
    * Reads from a replica, which waits to apply index `atLeast` and answers only
-   * what it is certain of.
+   * what it is certain of. It may delay its answer about a running workflow by
+   * `waitMs`, until the workflow ends; earlier versions do not send that.
    */
   readWorkflow: {
-    request: QueueAddress & {readonly atLeast: number};
+    request: QueueAddress & {
+      readonly atLeast: number;
+      readonly waitMs?: number;
+    };
     /**
-     * The answer, null where only the leader can tell, and the index of the
-     * state that it was read from.
+     * The answer, null where only the leader can tell, the index of the state
+     * that it was read from, and for how long it waited for an end, in ms.
      */
-    reply: {readonly answer: WorkflowReply | null; readonly index: number};
+    reply: {
+      readonly answer: WorkflowReply | null;
+      readonly index: number;
+      readonly waitedMs?: number;
+    };
   };
   /**
    * Reads from a replica that first reaches a read index of the leader, within
@@ -180,6 +188,8 @@
   | {readonly kind: 'error'; readonly id: number; readonly error: ErrorBody}
   /** First frame of a stream: identifies the caller. */
   | {readonly kind: 'open'; readonly cell: string; readonly from: VmId}
+  /** The caller no longer wants to wait for the reply to a call; it may still come. */
+  | {readonly kind: 'cancel'; readonly id: number}
   | {readonly kind: 'ping'}
   | {readonly kind: 'pong'};
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -32,6 +32,8 @@
 export * from './bundle/core.js';
 export * from './bundle/types.js';
 export * from './workflow/db.js';
+export * from './workflow/blocking_reads/core.js';
+export * from './workflow/blocking_reads/types.js';
 export * from './workflow/crashes/types.js';
 export {occurrenceCount} from './workflow/task_state.js';
 export * from './workflow/refs.js';
--- a/packages/transport/src/link/client.ts
+++ b/packages/transport/src/link/client.ts
@@ -5,7 +5,11 @@
 } from '@primrosewick/protocol';
 import type {VmId} from '@primrosewick/state';
 import {startInterval, type Timer} from '../tasks/timers.js';
-import {LinkConnection, PROBE_INTERVAL_MS} from './connection.js';
+import {
+  LinkConnection,
+  PROBE_INTERVAL_MS,
+  type CallOptions,
+} from './connection.js';
 
 /** Calls other VMs; tests substitute a fake network. */
 export interface LinkCaller {
@@ -17,7 +21,7 @@
     to: VmId,
     method: M,
     request: LinkMethods[M]['request'],
-    options?: {readonly timeoutMs?: number},
+    options?: Partial<CallOptions>,
   ): Promise<LinkMethods[M]['reply']>;
 }
 
@@ -40,9 +44,13 @@
     to: VmId,
     method: M,
     request: LinkMethods[M]['request'],
-    {timeoutMs = LINK_METHODS[method].deadlineMs} = {},
+    options: Partial<CallOptions> = {},
   ): Promise<LinkMethods[M]['reply']> {
-    const reply = await this.connectionTo(to).call(method, request, timeoutMs);
+    const {deadlineMs: timeoutMs} = LINK_METHODS[method];
+    const reply = await this.connectionTo(to).call(method, request, {
+      timeoutMs,
+      ...options,
+    });
     return reply as LinkMethods[M]['reply'];
   }
 
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -33,11 +33,20 @@
   readonly onBytes: (direction: 'sent' | 'received', bytes: number) => void;
 }
 
+/** Options of one call. */
+export interface CallOptions {
+  readonly timeoutMs: number;
+  /** Aborted when the caller no longer wants to wait for an answer that is delayed. */
+  readonly signal?: AbortSignal;
+}
+
 interface PendingCall {
   readonly step: string;
   readonly resolve: (body: unknown) => void;
   readonly reject: (err: CellError) => void;
   readonly timer: Timer;
+  /** Stops listening for an abort of the caller. */
+  readonly ignoreAbort: () => void;
   /** False while the call waits for the stream to open. */
   isSent: boolean;
 }
@@ -97,11 +106,15 @@
   }
 
   /**
-   * Sends a call.
+   * Sends a call. An abort of `signal` asks the peer to answer at once.
    * @throws CellError `peer_unreachable` when it was not sent, `peer_timeout`
    *   when its outcome is unknown, or the peer's reason.
    */
-  async call(step: string, body: unknown, timeoutMs: number): Promise<unknown> {
+  async call(
+    step: string,
+    body: unknown,
+    {timeoutMs, signal}: CallOptions,
+  ): Promise<unknown> {
     if (this.isClosed) throw this.unreachable(step, 'the stream is closed');
     return new Promise((resolve, reject) => {
       const id = this.nextId++;
@@ -109,7 +122,9 @@
         this.failCall(id, 'no answer before the deadline'),
       );
       const isSent = this.isOpen;
-      this.pending.set(id, {step, resolve, reject, timer, isSent});
+      const ignoreAbort = onAbort(signal, () => this.cancelCall(id));
+      const settle = {resolve, reject, timer, ignoreAbort};
+      this.pending.set(id, {step, isSent, ...settle});
       const deadline = performance.now() + timeoutMs;
       const send = (): void => this.sendCall(id, body, deadline);
       if (isSent) send();
@@ -127,11 +142,17 @@
     this.ask({kind: 'call', id, method, body, leftMs});
   }
 
+  /** Asks the peer to answer a call at once; one that was not sent just waits. */
+  private cancelCall(id: number): void {
+    if (this.pending.get(id)?.isSent) this.ask({kind: 'cancel', id});
+  }
+
   private failCall(id: number, detail: string): void {
     const call = this.pending.get(id);
     if (!call) return;
     this.pending.delete(id);
     call.timer.cancel();
+    call.ignoreAbort();
     const {step, isSent} = call;
     call.reject(
       isSent ? this.timeout(step, detail) : this.unreachable(step, detail),
@@ -163,6 +184,7 @@
     if (!call) return;
     this.pending.delete(frame.id);
     call.timer.cancel();
+    call.ignoreAbort();
     if (frame.kind === 'reply') call.resolve(frame.body);
     else call.reject(this.toPeerError(call.step, frame.error));
   }
@@ -228,3 +250,12 @@
     return new CellError({code: 'peer_timeout', step, peer, detail});
   }
 }
+
+/** Calls `act` when a signal is aborted; @returns a function that stops listening. */
+const onAbort = (
+  signal: AbortSignal | undefined,
+  act: () => void,
+): (() => void) => {
+  signal?.addEventListener('abort', act);
+  return () => signal?.removeEventListener('abort', act);
+};
--- a/packages/transport/src/link/link.spec.ts
+++ b/packages/transport/src/link/link.spec.ts
@@ -43,12 +43,26 @@
   const address = await freeAddress();
   const lost: VmId[] = [];
   const droppedReplies: DroppedReply[] = [];
+  const cancelled: AbortSignal[] = [];
   const server = new LinkServer({
     address,
     cell: CELL,
     handlers: {
       hello: async () => HELLO_REPLY,
       workflow: () => new Promise(resolve => setTimeout(resolve, 100)),
+      readWorkflow: (
+        _query: unknown,
+        _from: VmId,
+        _deadline: number,
+        signal: AbortSignal,
+      ) =>
+        new Promise(resolve => {
+          const answer = {answer: null, index: 7};
+          signal.addEventListener('abort', () => {
+            cancelled.push(signal);
+            resolve(answer);
+          });
+        }),
     } as unknown as LinkHandlers,
     onRefusal: () => undefined,
     onDisconnected: vm => lost.push(vm),
@@ -56,7 +70,7 @@
   });
   toClose.push(server);
   await server.listen();
-  return {address, lost, droppedReplies};
+  return {address, lost, droppedReplies, cancelled};
 };
 
 /**
@@ -186,4 +200,34 @@
     });
     expect(droppedReplies[0]!.tookMs).to.be.within(50, 1000);
   });
+  it('a call that its caller cancels is answered at once', async () => {
+    const {address, cancelled} = await listen();
+    const client = newClient('a');
+    await client.call(address, 'hello', HELLO);
+    const controller = new AbortController();
+    const {signal} = controller;
+    const query = {host: 'h', path: '/q/a', atLeast: 0};
+    const call = client.call(address, 'readWorkflow', query, {
+      timeoutMs: 3000,
+      signal,
+    });
+    await new Promise(resolve => setTimeout(resolve, 30));
+    expect(cancelled).to.have.length(0);
+    controller.abort();
+    expect(await call).to.eql({answer: null, index: 7});
+  });
+  it('calls of a stream that closes are cancelled', async () => {
+    const {address, cancelled} = await listen();
+    const client = newClient('a');
+    await client.call(address, 'hello', HELLO);
+    const query = {host: 'h', path: '/q/a', atLeast: 0};
+    const call = client
+      .call(address, 'readWorkflow', query, {timeoutMs: 3000})
+      .catch(() => 'gone');
+    await new Promise(resolve => setTimeout(resolve, 30));
+    client.close();
+    expect(await call).to.equal('gone');
+    await waitUntil(() => cancelled.length > 0);
+    expect(cancelled).to.have.length(1);
+  });
 });
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -16,12 +16,16 @@
 import {workMeter, type WorkKind} from '../event_loop/work_meter.js';
 import {LINK_SERVICE} from './service.js';
 
-/** Handlers by method; the deadline is the caller's, on the monotonic clock in ms. */
+/**
+ * Handlers by method; the deadline is the caller's, on the monotonic clock in ms.
+ * The signal is aborted when the caller no longer wants to wait, or has gone.
+ */
 export type LinkHandlers = {
   readonly [M in LinkMethod]: (
     request: LinkMethods[M]['request'],
     from: VmId,
     deadline: number,
+    signal: AbortSignal,
   ) => Promise<LinkMethods[M]['reply']>;
 };
 
@@ -67,8 +71,16 @@
   advise: 'advice',
 };
 
+type UntypedHandler = (
+  request: unknown,
+  from: VmId,
+  deadline: number,
+  signal: AbortSignal,
+) => Promise<unknown>;
 type CallFrame = Extract<LinkFrame, {kind: 'call'}>;
 type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
+/** Calls of one stream that are being handled, by their ids. */
+type OpenCalls = Map<number, AbortController>;
 
 /** Accepts streams from other VMs and dispatches their calls. */
 export class LinkServer {
@@ -104,15 +116,19 @@
 
   private accept(stream: Stream): void {
     let from: VmId | undefined;
+    const calls: OpenCalls = new Map();
     stream.on('data', (frame: LinkFrame) => {
       if (frame.kind === 'open') {
         if (frame.cell !== this.options.cell) return void stream.end();
         from = frame.from;
         this.streams.set(from, stream);
         stream.write({kind: 'pong'});
-      } else if (from !== undefined) this.take(stream, from, frame);
+      } else if (from !== undefined) this.take(stream, from, frame, calls);
     });
-    const onClosed = (): void => from && this.onStreamClosed(from, stream);
+    const onClosed = (): void => {
+      for (const controller of calls.values()) controller.abort();
+      if (from) this.onStreamClosed(from, stream);
+    };
     stream.on('end', () => {
       stream.end();
       onClosed();
@@ -128,13 +144,21 @@
     this.options.onDisconnected?.(from);
   }
 
-  private take(stream: Stream, from: VmId, frame: LinkFrame): void {
+  private take(
+    stream: Stream,
+    from: VmId,
+    frame: LinkFrame,
+    calls: OpenCalls,
+  ): void {
     switch (frame.kind) {
       case 'ping':
         stream.write({kind: 'pong'});
         return;
       case 'call':
-        void this.serve(stream, from, frame);
+        void this.serve(stream, from, frame, calls);
+        return;
+      case 'cancel':
+        calls.get(frame.id)?.abort();
         return;
       case 'open':
       case 'reply':
@@ -159,9 +183,13 @@
     stream: Stream,
     from: VmId,
     call: CallFrame,
+    calls: OpenCalls,
   ): Promise<void> {
     const beganAt = performance.now();
-    const reply = await this.run(from, call);
+    const controller = new AbortController();
+    calls.set(call.id, controller);
+    const reply = await this.run(from, call, controller.signal);
+    calls.delete(call.id);
     if (!stream.destroyed && !stream.cancelled) return void stream.write(reply);
     const {method, body} = call;
     const tookMs = performance.now() - beganAt;
@@ -171,11 +199,11 @@
   private async run(
     from: VmId,
     {id, method, body, leftMs}: CallFrame,
+    signal: AbortSignal,
   ): Promise<LinkFrame> {
     try {
       const handler = this.options.handlers[method] as
-        | ((request: unknown, from: VmId, deadline: number) => Promise<unknown>)
-        | undefined;
+        UntypedHandler | undefined;
       if (!handler)
         throw new CellError({
           code: 'unknown_path',
@@ -192,7 +220,7 @@
         });
       const kind = WORK_KINDS[method];
       const answer = workMeter.measure(kind, () =>
-        handler(body, from, deadline),
+        handler(body, from, deadline, signal),
       );
       return {kind: 'reply', id, body: await answer};
     } catch (thrown) {
