--- a/packages/coordination/src/record_load/core.spec.ts
+++ b/packages/coordination/src/record_load/core.spec.ts
@@ -97,6 +97,14 @@
     const {state} = after(...times(6, SLOW_MS), ...times(20, QUICK_MS));
     expect(state().limit).to.equal(null);
   });
+  it('a leader whose records are quick again refuses nothing 3 s later', () => {
+    const {ask} = after(...times(12, SLOW_MS), ...times(6, QUICK_MS));
+    expect(ask(1000)).to.eql({kind: 'take'});
+  });
+  it('a leader whose records are just below the bound is given more with care', () => {
+    const {state} = after(...times(12, SLOW_MS), ...times(6, 110));
+    expect(state().limit).to.be.within(5, 20);
+  });
   it('slow links alone refuse nothing', () => {
     const {ask} = after(...times(20, 190), ...times(20, 250));
     expect(ask(1000)).to.eql({kind: 'take'});
--- a/packages/coordination/src/record_load/core.ts
+++ b/packages/coordination/src/record_load/core.ts
@@ -28,8 +28,9 @@
 const MAX_LIMIT = 128;
 /** Least factor by which one interval reduces the limit. */
 const MIN_DECREASE_FACTOR = 0.5;
-/** Factor by which an interval without overload raises the limit. */
-const INCREASE_FACTOR = 1.25;
+/** Bounds of the factor by which an interval without overload raises the limit. */
+const MIN_INCREASE_FACTOR = 1.25;
+const MAX_INCREASE_FACTOR = 2;
 /** Time for which a priority counts as in demand after a submission, in ms. */
 const DEMAND_MS = 2000;
 /** Bounds of the time after which a refused client may return, before it is spread, in ms. */
@@ -185,9 +186,15 @@
     return Math.min(MAX_TARGET_MS, Math.max(MIN_TARGET_MS, scaledMs));
   }
 
+  /** The further records are below the bound, the sooner more may be in flight. */
+  private get increaseFactor(): number {
+    const factor = (RESUME_FRACTION * this.targetMs) / this.recordMs;
+    return Math.min(MAX_INCREASE_FACTOR, Math.max(MIN_INCREASE_FACTOR, factor));
+  }
+
   /** Time in which the limit grows to what is asked for, in ms. */
   private get retryMs(): number {
-    const intervals = Math.log(this.excess) / Math.log(INCREASE_FACTOR);
+    const intervals = Math.log(this.excess) / Math.log(this.increaseFactor);
     const growMs = this.recordMs + intervals * MEASURE_INTERVAL_MS;
     return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, growMs));
   }
@@ -222,7 +229,7 @@
       const used = Math.min(this.limit, Math.max(this.mostInFlight, MIN_LIMIT));
       const factor = Math.max(MIN_DECREASE_FACTOR, boundMs / recordMs);
       this.limit = Math.max(MIN_LIMIT, used * factor);
-    } else this.limit = Math.min(MAX_LIMIT, this.limit * INCREASE_FACTOR);
+    } else this.limit = Math.min(MAX_LIMIT, this.limit * this.increaseFactor);
   }
 
   private forgetBase(now: number): void {
