--- a/packages/coordination/src/workflow/advice_dispatcher.spec.ts
+++ b/packages/coordination/src/workflow/advice_dispatcher.spec.ts
@@ -187,4 +187,36 @@
     await settle();
     expect(dispatcher.adviceOf(stepKey(step(0)))!.asked.size).to.equal(0);
   });
+  it('a short call may be made early, while no other short one waits for a VM', () => {
+    const {dispatcher} = makeDispatcher(['a']);
+    const short = {baseMs: 9, perWorkerMs: 0.1, validMs: 2500};
+    const long = {baseMs: 400, perWorkerMs: 1, validMs: 2500};
+    const request = {step: step(0), workers: ['w'] as never};
+    expect(dispatcher.mayAskEarly(request, short)).to.equal(true);
+    expect(dispatcher.mayAskEarly(request, long)).to.equal(false);
+    for (let i = 1; i < 4; i++)
+      dispatcher.requestAdvice({step: step(i), workers: ['w'] as never}, long);
+    expect(dispatcher.mayAskEarly(request, short)).to.equal(true);
+    dispatcher.requestAdvice({step: step(4), workers: ['w'] as never}, short);
+    expect(dispatcher.mayAskEarly(request, short)).to.equal(false);
+  });
+  it('advice about a workflow that was not recorded is dropped, also for a replay', async () => {
+    const changes: object[] = [];
+    const dispatcher = new AdviceDispatcher({
+      db: new WorkflowDb(),
+      clock: systemClock,
+      logger,
+      callers: () => ['vm'] as VmId[],
+      ask: async () => ({kind: 'allowed', workers: []}),
+      onChange: () => undefined,
+      onAdvice: (_key, change) => changes.push(change),
+    });
+    const terms = {baseMs: 9, perWorkerMs: 0.1, validMs: 2500};
+    dispatcher.requestAdvice({step: step(0), workers: ['w'] as never}, terms);
+    dispatcher.drop('w0' as never);
+    expect(changes.at(-1)).to.eql({isDropped: true});
+    await settle();
+    expect(dispatcher.adviceOf(stepKey(step(0)))).to.equal(undefined);
+    expect(changes).to.have.length(2);
+  });
 });
--- a/packages/coordination/src/workflow/advice_dispatcher.ts
+++ b/packages/coordination/src/workflow/advice_dispatcher.ts
@@ -107,6 +107,17 @@
     return isValid ? ticket.text : undefined;
   }
 
+  /**
+   * Whether a call about a workflow that is not recorded yet may be made: a short
+   * one, while no other short call waits for a VM.
+   */
+  mayAskEarly({workers}: AdviceRequest, terms: AdviceTiming): boolean {
+    return (
+      isShortCall(callCostMs(terms, workers.length)) &&
+      !this.waiting.some(({costMs}) => isShortCall(costMs))
+    );
+  }
+
   /** Enqueues a call about some workers, unless one for the step is queued or in flight. */
   requestAdvice({step, workers}: AdviceRequest, terms: AdviceTiming): void {
     const key = stepKey(step);
@@ -117,7 +128,7 @@
     if (record.isAsking || workers.length === 0) return;
     this.options.onCall?.(step, 'wanted');
     this.change(key, record, {isAsking: true});
-    const costMs = terms.baseMs + terms.perWorkerMs * workers.length;
+    const costMs = callCostMs(terms, workers.length);
     const wantedAt = this.options.clock.now();
     if (isShortCall(costMs)) this.shortWantedAt = wantedAt;
     this.waiting.push({
@@ -172,6 +183,14 @@
     this.waiting = this.waiting.filter(({step}) => step.workflow !== workflow);
   }
 
+  /** Drops the advice and the queued calls of a workflow that was not recorded. */
+  drop(workflow: WorkflowId): void {
+    if (this.options.db.open.has(workflow)) return;
+    for (const key of this.keysByWorkflow.get(workflow) ?? [])
+      this.options.onAdvice?.(key, {isDropped: true});
+    this.prune(workflow);
+  }
+
   /** Drops queued calls and ignores answers that are still to come. */
   close(): void {
     this.isClosed = true;
@@ -318,3 +337,9 @@
     });
   }
 }
+
+/** Expected duration of a call about some workers, in ms. */
+const callCostMs = (
+  {baseMs, perWorkerMs}: AdviceTiming,
+  workerCount: number,
+): number => baseMs + perWorkerMs * workerCount;
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -8,9 +8,11 @@
   RemainingTimes,
   WorkerHealth,
   decidePass,
+  earlyAdviceRequests,
   plannerImage,
   toCellError,
   type CrashEvidence,
+  type NewWorkflow,
   type Plan,
   type PlannedStop,
   type QueueName,
@@ -60,6 +62,8 @@
   private readonly orphans = new OrphanTracker();
   private readonly health = new WorkerHealth();
   private reserved: Plan['reserved'] = new Map();
+  /** Workers that got no new tasks in the last pass. */
+  private unusable: ReadonlySet<WorkerId> = new Set();
   private readonly journal: PassJournal | undefined;
   private readonly waitLog: WaitLog;
   private readonly endLog: EndLog;
@@ -153,6 +157,21 @@
     this.views.noteAnnouncement(worker);
   }
 
+  /** Asks advisers about a workflow whose submission is being recorded. */
+  noteSubmission(workflow: NewWorkflow): void {
+    const {advice: terms} = workflow.queue;
+    if (this.isClosed || !terms) return;
+    const known = {db: this.db, unusable: this.unusable};
+    for (const request of earlyAdviceRequests(known, workflow))
+      if (this.advice.mayAskEarly(request, terms))
+        this.advice.requestAdvice(request, terms);
+  }
+
+  /** Notes that a submission was not recorded, as far as this VM knows. */
+  noteUnrecorded(id: WorkflowId): void {
+    this.advice.drop(id);
+  }
+
   /** Counts a workflow that was rejected because of the queue's backlog. */
   noteRefused(queue: QueueName): void {
     this.load.queues.countFor(queue, 'refused', 'backlog');
@@ -363,6 +382,7 @@
       orphans: this.orphans,
       reserved: this.reserved,
     });
+    this.unusable = new Set(pass.unusable);
     const plan = decidePass(pass, {
       db: this.db,
       adviceOf: key => this.advice.adviceOf(key),
--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -51,7 +51,49 @@
   return {answer, proposed};
 };
 
+/** What becomes of a submission whose record is accepted, or refused. */
+const stepsOf = async (propose: () => Promise<unknown>): Promise<string[]> => {
+  const steps: string[] = [];
+  const replica = new WorkflowReplica();
+  replica.restore(new TestLog().db.toImage());
+  const service = new WorkflowService({
+    replica,
+    log: {
+      isLeading: true,
+      leaderVm: 'own' as VmId,
+      propose: async () => {
+        steps.push('proposed');
+        return propose() as never;
+      },
+      readIndex: async () => replica.index,
+    },
+    clock: systemClock,
+    logger,
+    load: {decide: () => ({kind: 'take'})},
+    onAnnouncement: () => undefined,
+    runsOf: () => [],
+    onSubmission: ({id}) => steps.push(`announced ${id}`),
+    onUnrecorded: id => steps.push(`unrecorded ${id}`),
+  });
+  const path = `${QUEUE!.prefix}a`;
+  const spec = testSpec([testStep()]);
+  await service
+    .handle({kind: 'submit', host: QUEUE!.host, path, spec})
+    .catch(() => undefined);
+  return steps;
+};
+
 describe('workflow service', () => {
+  it('advice need not wait for the record of a submission', async () => {
+    expect(await stepsOf(async () => ({kind: 'applied'}))).to.eql([
+      'announced a',
+      'proposed',
+    ]);
+  });
+  it('a submission that is not recorded is told so', async () => {
+    const fail = () => Promise.reject(new Error('no quorum'));
+    expect((await stepsOf(fail)).at(-1)).to.equal('unrecorded a');
+  });
   it('a workflow with 100 tasks is recorded', async () => {
     const outcome = await submit(testSpec([testStep({taskCount: 100})]));
     expect(outcome).to.eql({answer: 'accepted', proposed: ['submit']});
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -13,6 +13,7 @@
   matchQueue,
   type Bundle,
   type CrashEvidence,
+  type NewWorkflow,
   type QueueMatch,
   type QueueName,
   type VmId,
@@ -58,6 +59,10 @@
   readonly records?: Pick<RecordLoadTask, 'decide'>;
   /** Called for each announcement of a worker. */
   readonly onAnnouncement: (worker: WorkerId) => void;
+  /** Called for each workflow whose submission is about to be recorded. */
+  readonly onSubmission?: (workflow: NewWorkflow) => void;
+  /** Called if it was not recorded, as far as this VM knows. */
+  readonly onUnrecorded?: (id: WorkflowId) => void;
   /** Called for each workflow that is rejected because of the backlog. */
   readonly onRefused?: (queue: QueueName) => void;
   /** The recorded runs of a worker, with their latest checkpoints. */
@@ -271,6 +276,7 @@
     throwOnFault('submit', findExceededLimit(spec));
     const inFlight = this.submitting.size;
     this.admission.check({id, queue, spec, inFlight, deadline});
+    this.options.onSubmission?.({id, queue, spec});
     const outcome = this.propose({
       kind: 'submit',
       id,
@@ -293,6 +299,9 @@
         'workflow accepted',
       );
       return {kind: 'accepted'};
+    } catch (err) {
+      this.options.onUnrecorded?.(id);
+      throw err;
     } finally {
       this.submitting.delete(id);
     }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -254,6 +254,8 @@
       load: this.load,
       records: this.records,
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
+      onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
+      onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
       onRefused: queue => this.scheduler?.noteRefused(queue),
       runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
       crashEvidenceOf: worker => this.scheduler?.crashEvidenceOf(worker),
--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -86,6 +86,16 @@
     ),
   );
 
+/** A workflow about which the adviser is asked before it is recorded. */
+const earlySubmission: fc.Arbitrary<Command> = fc
+  .record({value: smallSpec, isRepeated: fc.boolean()})
+  .map(({value, isRepeated}) =>
+    command(
+      `submitEarly(${JSON.stringify(value.steps)},${isRepeated})`,
+      world => world.submitEarly(value, 'advised', isRepeated),
+    ),
+  );
+
 const commands: Array<fc.Arbitrary<Command>> = [
   submission('urgent'),
   submission('patient'),
@@ -186,3 +196,13 @@
   },
   finish: world => world.settle(),
 });
+
+/** Fuzzing plan for advice that is asked for while submissions are recorded. */
+export const earlyAdvicePlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'early advice',
+  commands: [...commands, earlySubmission, earlySubmission, earlySubmission],
+});
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -3,7 +3,6 @@
  */
 import bunyan from 'bunyan';
 import {
-  JournalRecorder,
   SchedulerTask,
   WorkflowReplica,
   type WorkflowService,
@@ -14,7 +13,6 @@
 } from '@primrosewick/coordination';
 import {
   CellError,
-  replayJournal,
   seededRandom,
   taskKey,
   type QueueName,
@@ -32,6 +30,7 @@
 } from '@primrosewick/state';
 import {EventQueue} from '../world/event_queue.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
+import {WorldJournals} from './world_journals.js';
 import {BUNDLE, MAX_ATTEMPTS, type TestQueueName} from './cell_bundle.js';
 import {GangRuns} from './gang_runs.js';
 import {makeLeaderService} from './leader_service.js';
@@ -57,10 +56,10 @@
 /** Time after which an unaware old leader learns that another leads, in ms. */
 const AWARE_AFTER_MS = 4 * MAX_STALE_LEADER_MS;
 const SETTLE_MS = 120_000;
+/** Expected time of a call that is short enough to be made early, in ms. */
+const SHORT_CALL = {baseMs: 10, perWorkerMs: 1};
 /** Bounds of the time that a worker is down after a crash by a task, in ms. */
 const CRASHED_FOR_MS = [2500, 4000] as const;
-/** Small enough that a run fills several segments of a journal. */
-const JOURNAL_BYTES = 200_000;
 
 const logger = bunyan.createLogger({name: 'proof', level: 'fatal' as never});
 
@@ -88,7 +87,7 @@
   private readonly deadly = new Set<TaskKey>();
   private faults: CallFaults = {lossPercent: 0, latePercent: 0};
   private leadership: Leadership | undefined;
-  private readonly journals: JournalRecorder[] = [];
+  private readonly journals = new WorldJournals();
   private term = 0;
   private readonly reports: SimReports;
 
@@ -165,6 +164,25 @@
     });
   }
 
+  /**
+   * Submits a workflow about which the leader asks the adviser before it is
+   * recorded; `isRepeated` means that a first attempt to record it fails.
+   */
+  submitEarly(
+    spec: WorkflowSpec,
+    name: TestQueueName,
+    isRepeated: boolean,
+  ): void {
+    const id = `f${this.specs.size}` as WorkflowId;
+    const scheduler = this.leadership?.scheduler;
+    const known = this.replica.db.queues.get(name as QueueName);
+    if (!known?.advice) return this.submit(spec, name);
+    const queue = {...known, advice: {...known.advice, ...SHORT_CALL}};
+    scheduler?.noteSubmission({id, queue, spec});
+    if (isRepeated) scheduler?.noteUnrecorded(id);
+    this.submit(spec, name);
+  }
+
   /** Submits a workflow with a task that crashes each worker that starts it. */
   submitDeadly(
     spec: WorkflowSpec,
@@ -209,7 +227,7 @@
       propose: command => this.propose(term, command),
       callers: () => ['vm' as VmId],
       ask: (_vm, step, workers) => this.adviser.ask(step, workers),
-      recorder: this.makeJournal(clock),
+      recorder: this.journals.begin(clock),
     });
     const service = makeLeaderService({
       replica: this.replica,
@@ -277,7 +295,8 @@
     this.heal();
     await this.advance(SETTLE_MS);
     for (const [id, spec] of this.specs) this.checkEnd(id as WorkflowId, spec);
-    this.checkJournals();
+    for (const difference of this.journals.differences())
+      this.oracle.addViolation(difference);
     this.oracle.check();
     this.leadership?.scheduler.close();
     this.reports.stop();
@@ -312,25 +331,6 @@
     );
   }
 
-  private makeJournal(clock: VirtualClock): JournalRecorder {
-    const journal = new JournalRecorder({clock, maxBytes: JOURNAL_BYTES});
-    this.journals.push(journal);
-    return journal;
-  }
-
-  /**
-   * Checks that every recorded pass is decided in the same way when replayed.
-   */
-  private checkJournals(): void {
-    for (const journal of this.journals) {
-      const result = replayJournal(journal.getLines('workflows'));
-      if (result.kind === 'different')
-        this.oracle.addViolation(
-          `replay differs at line ${result.line}: recorded ${result.recorded}, replayed ${result.replayed}`,
-        );
-    }
-  }
-
   private workerAt(index: number): SimWorker {
     return this.workers[index % this.workers.length]!;
   }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -47,6 +47,7 @@
 export * from './workflow/admission/types.js';
 export * from './workflow/types.js';
 export * from './workflow/planner/core.js';
+export * from './workflow/planner/early_advice.js';
 export {ENDING_SOON_MS} from './workflow/planner/preemption.js';
 export * from './workflow/planner/ready.js';
 export * from './workflow/planner/stall.js';
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -114,6 +114,7 @@
   }
 
   private applyAdvice(step: StepKey, change: AdviceChange): void {
+    if (change.isDropped) return void this.advice.delete(step);
     const record = this.advice.get(step) ?? new AdviceRecord();
     record.apply(change);
     this.advice.set(step, record);
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -13,6 +13,8 @@
   readonly asked?: readonly WorkerId[];
   /** Workers that may run the step, with their tickets. */
   readonly tickets?: ReadonlyArray<readonly [WorkerId, Ticket]>;
+  /** Whether all advice about the step is dropped, as its workflow was not recorded. */
+  readonly isDropped?: boolean;
   /** Worker whose incarnation ended; all advice about it is dropped. */
   readonly forgotten?: WorkerId;
 }
--- a/packages/state/src/workflow/planner/advice.ts
+++ b/packages/state/src/workflow/planner/advice.ts
@@ -70,6 +70,9 @@
   readonly timing: AdviceTiming;
 }
 
+/** What the choice of workers to query depends on. */
+export type QueriedWorker = Pick<WorkerView, 'worker' | 'free' | 'room'>;
+
 /** The adviser's answers so far about the workers for a step. */
 interface QueriedWorkers {
   readonly asked: ReadonlySet<WorkerId>;
@@ -108,7 +111,7 @@
  */
 const bucketByFit = (
   spec: StepSpec,
-  views: readonly WorkerView[],
+  views: readonly QueriedWorker[],
   asked: ReadonlySet<WorkerId> | undefined,
 ): readonly WorkerBucket[] => {
   const lists = new Map<number, WorkerBucket>();
@@ -136,7 +139,7 @@
  */
 export const chooseWorkersToQuery = (
   {key, spec, taskCount, timing}: WaitingStep,
-  workers: readonly WorkerView[],
+  workers: readonly QueriedWorker[],
   advice: QueriedWorkers | undefined,
 ): WorkerId[] => {
   const knownCount = advice ? countAllowedFitting(spec, advice.allowed) : 0;
