--- a/packages/state/src/workflow/planner/fixtures.ts
+++ b/packages/state/src/workflow/planner/fixtures.ts
@@ -56,6 +56,7 @@
   reserved: new Map(),
   adviceOf: () => undefined,
   callerCount: 12,
+  isUrgentOnly: false,
   ...part,
 });
 
