--- a/packages/coordination/src/record_load/core.ts
+++ b/packages/coordination/src/record_load/core.ts
@@ -20,8 +20,6 @@
 const TARGET_FACTOR = 2;
 /** Part of the target below which an overloaded leader has recovered. */
 const RESUME_FRACTION = 0.6;
-/** Part of the target above which a leader is busy. */
-const BUSY_FRACTION = 0.5;
 /** Time after which the time of a record without load is measured anew, in ms. */
 const BASE_WINDOW_MS = 30_000;
 /** Submissions in flight that an overloaded leader still takes. */
@@ -158,12 +156,6 @@
     };
   }
 
-  /** Whether records take a good part of what overloads the leader, at a monotonic time in ms. */
-  isBusyAt(now: number): boolean {
-    this.advance(now);
-    return this.isOverloaded || this.recordMs > BUSY_FRACTION * this.targetMs;
-  }
-
   /** The measured state at a monotonic time in ms. */
   stateAt(now: number): RecordLoadState {
     this.advance(now);
--- a/packages/coordination/src/record_load/task.ts
+++ b/packages/coordination/src/record_load/task.ts
@@ -93,11 +93,6 @@
     return decision;
   }
 
-  /** Whether records take so long that less urgent work should wait. */
-  get isBusy(): boolean {
-    return this.load?.isBusyAt(this.options.clock.now()) ?? false;
-  }
-
   private noteRefused(queue: QueueName): void {
     this.refused.set(queue, (this.refused.get(queue) ?? 0) + 1);
     this.options.onRefused?.(queue);
--- a/packages/coordination/src/workflow/pass_input.ts
+++ b/packages/coordination/src/workflow/pass_input.ts
@@ -20,13 +20,11 @@
   readonly orphans: OrphanTracker;
   /** Workers on which the last pass reserved room. */
   readonly reserved: Plan['reserved'];
-  /** Whether only the most urgent of the waiting steps are placed. */
-  readonly isUrgentOnly: boolean;
 }
 
 /** Collects the inputs of a pass that begins now. */
 export const collectPassInput = (sources: PassSources): PassEvent => {
-  const {clock, callers, views, orphans, reserved, isUrgentOnly} = sources;
+  const {clock, callers, views, orphans, reserved} = sources;
   const channels = [...sources.channels];
   return {
     kind: 'pass',
@@ -43,7 +41,6 @@
     remaining: [],
     endingSoon: [],
     callerCount: callers().length,
-    isUrgentOnly,
     reserved: [...reserved].map(([step, workers]) => [step, [...workers]]),
   };
 };
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -36,8 +36,6 @@
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDispatcherOptions['callers'];
   readonly ask: AdviceDispatcherOptions['ask'];
-  /** Whether records take so long that less urgent work should wait. */
-  readonly isBusy?: () => boolean;
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
   /** Called for each workflow that has ended. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -32,7 +32,6 @@
 import {collectPassInput} from './pass_input.js';
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
-import {PassRate} from './pass_rate.js';
 import {RunLog} from './run_log.js';
 import {StartOrders} from './start_orders.js';
 import {findStalled} from './stalled_runs.js';
@@ -70,7 +69,6 @@
   private readonly endLog: EndLog;
   private readonly timeline = new StartTimeline();
   private readonly passLoad: PassLoad;
-  private readonly passRate: PassRate;
   private readonly load: LoadReport;
   private readonly runLog: RunLog;
   private readonly startOrders: StartOrders;
@@ -92,7 +90,6 @@
     this.waitLog = new WaitLog(logger);
     this.endLog = new EndLog(logger, replica.db);
     this.passLoad = new PassLoad(logger, this.startedAt);
-    this.passRate = new PassRate(options.isBusy ?? (() => false));
     this.load = new LoadReport({
       db: replica.db,
       clock,
@@ -384,7 +381,6 @@
       views: this.views,
       orphans: this.orphans,
       reserved: this.reserved,
-      isUrgentOnly: this.passRate.mayDefer(beganAt),
     });
     this.unusable = new Set(pass.unusable);
     const plan = decidePass(pass, {
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -313,7 +313,6 @@
       maxStaleLeaderMs: 2 * ELECTION_MS,
       leadershipConfirmedAgeMs: () => log.leadershipConfirmedAgeMs,
       propose: command => log.propose(command),
-      isBusy: () => this.records.isBusy,
       onWaited: this.onWaited,
       onEnded: this.onEnded,
       callers: () => this.callers.list(),
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -55,7 +55,6 @@
     pending,
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
-    isUrgentOnly: pass.isUrgentOnly ?? false,
   });
 };
 
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -47,11 +47,6 @@
    */
   readonly endingSoon: ReadonlyArray<readonly [WorkerId, TaskKey]>;
   readonly callerCount: number;
-  /**
-   * Whether only the most urgent of the waiting steps are placed, as the leader
-   * is busy; absent in older journals.
-   */
-  readonly isUrgentOnly?: boolean;
   /** Workers on which the previous pass reserved resources, by step. */
   readonly reserved: ReadonlyArray<readonly [StepKey, readonly WorkerId[]]>;
 }
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -104,14 +104,6 @@
     return this.reservations.preempted;
   }
 
-  /** Leaves the tasks of a step to a later pass. */
-  defer(ready: ReadyStep): void {
-    const work = this.buildWork(ready);
-    const waiting = work ? this.waitingTasks(work) : [];
-    if (work && waiting.length > 0)
-      this.wait(work, 'deferred', waiting.length, 0);
-  }
-
   /** Places the tasks of a step that fit. */
   place(ready: ReadyStep): void {
     const work = this.buildWork(ready);
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -76,8 +76,6 @@
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
   /** Number of VMs that can call advisers, each one call at a time. */
   readonly callerCount: number;
-  /** Whether only the most urgent of the waiting steps are placed. */
-  readonly isUrgentOnly: boolean;
 }
 
 /** A start to record and then send to the worker. */
@@ -116,8 +114,6 @@
   | 'tickets'
   /** No worker has free resources now; a gang gets them reserved. */
   | 'room'
-  /** The leader is busy, and places more urgent steps first. */
-  | 'deferred'
   /** A worker has crashed under it, and no worker is quiet enough for it now. */
   | 'quarantine'
   /** The gang would not fit even on empty workers. */
