--- a/packages/coordination/src/workflow/pass_input.ts
+++ b/packages/coordination/src/workflow/pass_input.ts
@@ -20,11 +20,13 @@
   readonly orphans: OrphanTracker;
   /** Workers on which the last pass reserved room. */
   readonly reserved: Plan['reserved'];
+  /** When the passes before preempted runs for gangs that wait. */
+  readonly preemptedAt: Plan['preemptedAt'];
 }
 
 /** Collects the inputs of a pass that begins now. */
 export const collectPassInput = (sources: PassSources): PassEvent => {
-  const {clock, callers, views, orphans, reserved} = sources;
+  const {clock, callers, views, orphans, reserved, preemptedAt} = sources;
   const channels = [...sources.channels];
   return {
     kind: 'pass',
@@ -41,6 +43,7 @@
     remaining: [],
     endingSoon: [],
     callerCount: callers().length,
+    preemptedAt: [...preemptedAt],
     reserved: [...reserved].map(([step, workers]) => [step, [...workers]]),
   };
 };
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -62,6 +62,7 @@
   private readonly orphans = new OrphanTracker();
   private readonly health = new WorkerHealth();
   private reserved: Plan['reserved'] = new Map();
+  private preemptedAt: Plan['preemptedAt'] = new Map();
   /** Workers that got no new tasks in the last pass. */
   private unusable: ReadonlySet<WorkerId> = new Set();
   private readonly journal: PassJournal | undefined;
@@ -381,6 +382,7 @@
       views: this.views,
       orphans: this.orphans,
       reserved: this.reserved,
+      preemptedAt: this.preemptedAt,
     });
     this.unusable = new Set(pass.unusable);
     const plan = decidePass(pass, {
@@ -390,6 +392,7 @@
       endsSoon: worker => times.endsSoon(worker),
     });
     this.reserved = plan.reserved;
+    this.preemptedAt = plan.preemptedAt;
     this.journal?.notePass({...pass, ...times.lines}, plan);
     this.applyPlan(plan);
     const endedAt = clock.now();
--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -76,6 +76,7 @@
   private readonly liveWorkers = new Set<WorkerId>();
   private readonly endCounts = new Map<WorkerId, number>();
   private reserved: Plan['reserved'] = new Map();
+  private preemptedAt: Plan['preemptedAt'] = new Map();
   private isPassScheduled = false;
   private usefulCoreMs = 0;
   private lostCoreMs = 0;
@@ -231,10 +232,12 @@
       remainingMs: (_worker, key) => this.remainingMsOf(key),
       endsSoon: worker => ending.get(worker) ?? NO_KEYS,
       reserved: this.reserved,
+      preemptedAt: this.preemptedAt,
       adviceOf: key => this.adviser.adviceOf(key),
       callerCount: this.pattern.callerCount,
     });
     this.reserved = decided.reserved;
+    this.preemptedAt = decided.preemptedAt;
     for (const start of decided.starts)
       this.pending.set(taskKey(start.task), start);
     const tookMs = this.pace.notePass(this.queue.now, decided.waits.length);
--- a/packages/proofs/src/bench/scheduling/policies.ts
+++ b/packages/proofs/src/bench/scheduling/policies.ts
@@ -36,7 +36,14 @@
     const ready = findReadySteps(input.db, input.wall);
     ready.sort((a, b) => acceptedAt(input, a) - acceptedAt(input, b));
     for (const step of ready) placeStep(input, step, choose, starts, advice);
-    return {starts, stops: [], advice, waits: [], reserved: new Map()};
+    return {
+      starts,
+      stops: [],
+      advice,
+      waits: [],
+      reserved: new Map(),
+      preemptedAt: new Map(),
+    };
   };
 
 const acceptedAt = ({db}: PlanInput, {ref}: ReadyStep): number =>
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -46,6 +46,7 @@
     reserved: new Map(
       pass.reserved.map(([step, workers]) => [step, new Set(workers)]),
     ),
+    preemptedAt: new Map(pass.preemptedAt),
     now: pass.now,
     wall: pass.wall,
     get workers() {
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -49,6 +49,8 @@
   readonly callerCount: number;
   /** Workers on which the previous pass reserved resources, by step. */
   readonly reserved: ReadonlyArray<readonly [StepKey, readonly WorkerId[]]>;
+  /** When runs were last preempted for each waiting gang; absent in older journals. */
+  readonly preemptedAt?: ReadonlyArray<readonly [StepKey, number]>;
 }
 
 /** An event that the planner handles. */
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -19,9 +19,9 @@
   const placer = new StepPlacer(input, shares);
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
-  const {starts, advice, waits, reserved, preempted} = placer;
+  const {starts, advice, waits, reserved, preempted, preemptedAt} = placer;
   const stops = [...findStops(input), ...findEvacuations(input), ...preempted];
-  return {starts, advice, waits, reserved, stops};
+  return {starts, advice, waits, reserved, preemptedAt, stops};
 };
 
 /**
@@ -33,5 +33,6 @@
   advice: [],
   waits: [],
   reserved: new Map(),
+  preemptedAt: new Map(),
   stops: [...findStops(input), ...findEvacuations(input)],
 });
--- a/packages/state/src/workflow/planner/fixtures.ts
+++ b/packages/state/src/workflow/planner/fixtures.ts
@@ -54,6 +54,7 @@
   remainingMs: () => undefined,
   endsSoon: () => new Set(),
   reserved: new Map(),
+  preemptedAt: new Map(),
   adviceOf: () => undefined,
   callerCount: 12,
   ...part,
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -99,6 +99,11 @@
     return this.reservations.reserved;
   }
 
+  /** When runs were last preempted for each waiting gang. */
+  get preemptedAt(): ReadonlyMap<StepKey, number> {
+    return this.reservations.preemptedAt;
+  }
+
   /** Runs that are preempted for steps of higher priority. */
   get preempted(): readonly PlannedStop[] {
     return this.reservations.preempted;
--- a/packages/state/src/workflow/planner/preemption.spec.ts
+++ b/packages/state/src/workflow/planner/preemption.spec.ts
@@ -178,4 +178,31 @@
     const {starts} = plan(inputOf(log, {wall: 4000}));
     expect(starts.map(({task}) => task.workflow)).to.eql(Array(4).fill('long'));
   });
+  it('what was freed for a gang is not taken by others before it can start', () => {
+    const log = busyLog(testStep({taskCount: 4, isCheckpointable: true}));
+    log.addWorker('w2', {room: {cpuMillis: 1000, memMb: 1000, gpus: 0}});
+    const gang = testStep({taskCount: 5, isGang: true});
+    log.submit('gang', testSpec([gang]), 'wide');
+    const first = plan(inputOf(log, EARLY));
+    const {preemptedAt} = first;
+    expect(first.stops).to.have.length(4);
+    expect([...preemptedAt]).to.eql([['gang.0.0', 0]]);
+    for (let index = 0; index < 4; index++)
+      log.end('w1', testTask('small', 0, index), 'stopped', {checkpoint: 'c'});
+    // The place of one member is gone meanwhile.
+    log.submit('other', testSpec([testStep()]));
+    log.start('w2', testTask('other', 0, 0));
+    const startsAt = (now: number) =>
+      plan(inputOf(log, {...EARLY, now, preemptedAt})).starts.length;
+    expect([200, 1400, 1600].map(startsAt)).to.eql([0, 0, 4]);
+  });
+  it('a gang that has preempted waits for its victims before it preempts others', () => {
+    const log = busyLog(testStep({taskCount: 4, isCheckpointable: true}));
+    const gang = testStep({taskCount: 3, isGang: true});
+    log.submit('gang', testSpec([gang]), 'wide');
+    const {preemptedAt} = plan(inputOf(log, EARLY));
+    const stopsAt = (now: number) =>
+      plan(inputOf(log, {...EARLY, now, preemptedAt})).stops.length;
+    expect([200, 1400, 1600].map(stopsAt)).to.eql([0, 0, 3]);
+  });
 });
--- a/packages/state/src/workflow/planner/reservation_planner.ts
+++ b/packages/state/src/workflow/planner/reservation_planner.ts
@@ -23,6 +23,12 @@
 /** Cost of waiting for a ticket, as a number of preempted runs. */
 const TICKET_RENEWAL_COST = 10;
 
+/**
+ * Time for which the resources that were freed for a gang are held for it alone,
+ * in ms: its victims stop, their ends are recorded, and its starts are planned.
+ */
+const PREEMPTION_HOLD_MS = 1500;
+
 /** A worker that has resources for a task once the victims have stopped. */
 interface PreemptionOption {
   readonly worker: WorkerView;
@@ -52,6 +58,8 @@
 export class ReservationPlanner {
   readonly reserved = new Map<StepKey, Set<WorkerId>>();
   readonly preempted: PlannedStop[] = [];
+  /** When runs were last preempted for each gang, a moment ago at most. */
+  readonly preemptedAt: Map<StepKey, number>;
   private readonly victims: PreemptionVictims;
 
   constructor(
@@ -59,11 +67,16 @@
     shares: QueueShares,
   ) {
     this.victims = new PreemptionVictims(input, shares);
+    const {now, preemptedAt} = input;
+    this.preemptedAt = new Map(
+      [...preemptedAt].filter(([, at]) => now < at + PREEMPTION_HOLD_MS),
+    );
   }
 
   /**
    * Reserves resources for a gang that does not fit yet, so that later steps do
-   * not claim them piece by piece as they become free. Load pattern: wide gangs
+   * not claim them piece by piece as they become free; for one that has just
+   * preempted, not even tasks that would give way to it again. Load pattern: wide gangs
    * of high value beside a steady stream of small tasks of lower priority.
    * @returns false if the gang would not fit even on empty workers.
    */
@@ -86,8 +99,10 @@
       }
     }
     const isPossible = reserved.length === taskCount;
+    const isHeld = this.preemptedAt.has(ready.key);
     for (const worker of reserved) {
-      if (isPossible) reserveResources(worker, size, ready.priority);
+      if (isPossible && isHeld) holdResources(worker, size);
+      else if (isPossible) reserveResources(worker, size, ready.priority);
       else worker.unreserved = addResources(worker.unreserved, size);
     }
     if (isPossible)
@@ -114,7 +129,7 @@
   /**
    * Preempts runs of lower priority that save checkpoints where that lets tasks
    * fit, and reserves the resources. For a gang, all tasks must fit or nothing
-   * is preempted.
+   * is preempted, and one that has just preempted waits for its victims first.
    */
   preempt(
     work: StepWork,
@@ -123,6 +138,7 @@
   ): PreemptionResult {
     const {spec} = work;
     if (spec.usesLeftover) return NO_PREEMPTION;
+    if (this.preemptedAt.has(work.ready.key)) return NO_PREEMPTION;
     const options = this.chooseOptions(work, taskCount, candidates);
     const coversAllTasks = options.length === taskCount;
     if (spec.isGang && !coversAllTasks) {
@@ -242,7 +258,8 @@
       worker.unreserved,
       taskResources(work),
     );
-    if (!mayPreempt) return;
+    if (!mayPreempt || victims.length === 0) return;
+    if (work.spec.isGang) this.preemptedAt.set(key, this.input.now);
     for (const {task, run} of victims)
       this.preempted.push({
         task,
@@ -271,3 +288,8 @@
   worker.kept = addResources(worker.kept, size);
   worker.keptPriority = Math.min(worker.keptPriority, priority);
 };
+
+/** Holds resources of a worker for a gang alone. */
+const holdResources = (worker: WorkerView, size: Resources): void => {
+  worker.free = subtractResources(worker.free, size);
+};
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -73,6 +73,8 @@
   readonly endsSoon: (worker: WorkerId) => ReadonlySet<TaskKey>;
   /** Workers on which the previous pass reserved resources, by step. */
   readonly reserved: Plan['reserved'];
+  /** Monotonic time at which runs were last preempted for a waiting gang, in ms. */
+  readonly preemptedAt: Plan['preemptedAt'];
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
   /** Number of VMs that can call advisers, each one call at a time. */
   readonly callerCount: number;
@@ -136,6 +138,11 @@
   readonly waits: readonly PlannedWait[];
   /** Workers on which resources are reserved, by the waiting step. */
   readonly reserved: ReadonlyMap<StepKey, ReadonlySet<WorkerId>>;
+  /**
+   * Monotonic time at which runs were last preempted for a gang that has not
+   * started, in ms; a while ago at most.
+   */
+  readonly preemptedAt: ReadonlyMap<StepKey, number>;
 }
 
 /** A step whose tasks or copies may start. */
