--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -4,13 +4,17 @@
 import {TestLog, testSpec, testStep} from '@primrosewick/state/fixtures';
 import {systemClock} from '@primrosewick/transport';
 import {WorkflowReplica} from './replica.js';
-import {WorkflowService} from './service.js';
+import {
+  WorkflowService,
+  type LogAccess,
+  type WorkflowServiceOptions,
+} from './service.js';
 
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
 const [QUEUE] = new TestLog().db.bundle!.queues;
 
 /** A leader whose log accepts all commands, and the kinds of those proposed. */
-const makeService = () => {
+const makeService = (options: Partial<WorkflowServiceOptions> = {}) => {
   const replica = new WorkflowReplica();
   replica.restore(new TestLog().db.toImage());
   const proposed: string[] = [];
@@ -30,6 +34,7 @@
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: () => undefined,
     runsOf: () => [],
+    ...options,
   });
   return {service, proposed};
 };
@@ -52,26 +57,21 @@
 };
 
 /** What becomes of a submission whose record is accepted, or refused. */
-const stepsOf = async (propose: () => Promise<unknown>): Promise<string[]> => {
+const stepsOf = async (
+  propose: LogAccess['propose'],
+): Promise<readonly string[]> => {
   const steps: string[] = [];
-  const replica = new WorkflowReplica();
-  replica.restore(new TestLog().db.toImage());
-  const service = new WorkflowService({
-    replica,
-    log: {
-      isLeading: true,
-      leaderVm: 'own' as VmId,
-      propose: async () => {
-        steps.push('proposed');
-        return propose() as never;
-      },
-      readIndex: async () => replica.index,
+  const log: LogAccess = {
+    isLeading: true,
+    leaderVm: 'own' as VmId,
+    propose: command => {
+      steps.push('proposed');
+      return propose(command);
     },
-    clock: systemClock,
-    logger,
-    load: {decide: () => ({kind: 'take'})},
-    onAnnouncement: () => undefined,
-    runsOf: () => [],
+    readIndex: async () => 0,
+  };
+  const {service} = makeService({
+    log,
     onSubmission: ({id}) => steps.push(`announced ${id}`),
     onUnrecorded: id => steps.push(`unrecorded ${id}`),
   });
