--- a/review/lib/cell.mjs
+++ b/review/lib/cell.mjs
@@ -289,6 +289,15 @@
     return false;
   }
 
+  /** Sends a heartbeat to the first node that serves control, as any writer could. */
+  async sendHeartbeat(id, body) {
+    const {status} = await call(
+      this.controls[0], 'POST', `/-/instances/${id}/heartbeat`, {body, timeoutMs: 1000},
+    );
+    this.note('heartbeat_of_another_writer', {id, body, status});
+    return status;
+  }
+
   /** One try of a client's request at an entry; status 0 if there was no answer. */
   async clientCall(front, method, target, {body, timeoutMs = 3000} = {}) {
     const answer = await call(
