--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,5 +1,5 @@
 /**
- * A worker is cut off for 4 s while the tasks of several jobs run on it, and
+ * A worker is cut off for 4.6 s while the tasks of several jobs run on it, and
  * runs on. More than 500 of them end meanwhile. Judges TWICE.
  */
 import path from 'node:path';
@@ -10,9 +10,9 @@
 const MINIONS = 6;
 const JOBS = 14;
 const TASKS = 50;
-const WORK_MS = 4500;
+const WORK_MS = 3800;
 /** At most 5.5 s, the length of `node_cut` with `servers` in the site file. */
-const CUT_MS = 4200;
+const CUT_MS = 4600;
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), {}, async (cell, trouble) => {
   if (!(await cell.boot({minions: MINIONS})))
--- a/review/lib/cell.mjs
+++ b/review/lib/cell.mjs
@@ -214,9 +214,13 @@
     this.processes.get(`minion-${i}`).stdin.write(`${line}\n`);
   }
 
+  /** Kills a minion; resolves once its process is gone. */
   killMinion(i) {
     this.note('kill_minion', {minion: i});
-    this.processes.get(`minion-${i}`).kill('SIGKILL');
+    const child = this.processes.get(`minion-${i}`);
+    const gone = new Promise(resolve => child.once('exit', resolve));
+    child.kill('SIGKILL');
+    return gone;
   }
 
   /** What the minions logged, in order of time. */
@@ -273,9 +277,9 @@
   }
 
   /** Starts everything and waits until clients can be served. */
-  async boot({minions, config = makeConfig(), minionOptions = {}}) {
+  async boot({minions, config = makeConfig(), minionOptions = () => ({})}) {
     this.startAll();
-    for (let i = 0; i < minions; i++) this.startMinion(i, minionOptions);
+    for (let i = 0; i < minions; i++) this.startMinion(i, minionOptions(i));
     await sleep(1500);
     if (!(await this.putConfig(config))) return false;
     for (let i = 0; i < 60; i++) {
@@ -425,6 +429,10 @@
     ...options,
     recordFile: path.join(folder, 'record.txt'),
   });
+  for (const signal of ['SIGINT', 'SIGTERM'])
+    process.once(signal, () =>
+      void cell.close(COULD_NOT_RUN, [signal]).then(() => process.exit(COULD_NOT_RUN)),
+    );
   let verdict = COULD_NOT_RUN;
   let findings = [];
   const limit = setTimeout(() => {
--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -4,7 +4,6 @@
  * day in ms. A line on its standard input changes what its network does:
  *   cut    nothing comes in or goes out
  *   join   the network is whole again; connections from before are broken
- *   silence  open connections go silent for good; new ones work
  */
 import {createServer, request} from 'node:http';
 import {appendFileSync, existsSync, mkdirSync, readdirSync, writeFileSync} from 'node:fs';
@@ -35,7 +34,6 @@
 let endCount = 0;
 let seq = 0;
 const sockets = new Set();
-const silent = new Set();
 const running = new Map();
 /** Highest run that was stopped or has ended, by task. */
 const past = new Map();
@@ -177,9 +175,9 @@
   const parts = [];
   req.on('data', part => parts.push(part));
   req.on('end', async () => {
-    if (isCut || silent.has(req.socket)) return;
+    if (isCut) return;
     const send = (status, body) => {
-      if (isCut || silent.has(req.socket) || res.destroyed) return;
+      if (isCut || res.destroyed) return;
       const text = JSON.stringify({...body, clockMs: clock(), born});
       res.writeHead(status, {
         'content-type': 'application/json',
@@ -205,10 +203,7 @@
 server.keepAliveTimeout = 60_000;
 server.on('connection', socket => {
   sockets.add(socket);
-  socket.on('close', () => {
-    sockets.delete(socket);
-    silent.delete(socket);
-  });
+  socket.on('close', () => sockets.delete(socket));
   socket.on('error', () => undefined);
 });
 
@@ -269,10 +264,6 @@
 createInterface({input: process.stdin})
   .on('line', line => {
     log(line);
-    if (line === 'silence') {
-      for (const socket of sockets) silent.add(socket);
-      return log('silenced', {connections: sockets.size});
-    }
     isCut = line === 'cut';
     if (!isCut) for (const socket of sockets) socket.destroy();
   })
