--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -64,6 +64,11 @@
   })),
 }));
 
+/** A workflow whose steps run up to three times, one right after the other. */
+const repeatedSpec: fc.Arbitrary<WorkflowSpec> = fc
+  .record({value: spec, occurrences: fc.integer({min: 1, max: 3})})
+  .map(({value, occurrences}) => ({...value, occurrences}));
+
 /** A workflow of one of its tasks that crashes each worker that starts it. */
 const deadlySubmission = (queue: TestQueueName): fc.Arbitrary<Command> =>
   fc
@@ -86,6 +91,13 @@
     ),
   );
 
+const repeatedSubmission: fc.Arbitrary<Command> = repeatedSpec.map(value =>
+  command(
+    `submitRepeated(${value.occurrences},${JSON.stringify(value.steps)})`,
+    world => world.submit(value),
+  ),
+);
+
 /** A workflow about which the adviser is asked before it is recorded. */
 const earlySubmission: fc.Arbitrary<Command> = fc
   .record({value: smallSpec, isRepeated: fc.boolean()})
@@ -206,3 +218,13 @@
   name: 'early advice',
   commands: [...commands, earlySubmission, earlySubmission, earlySubmission],
 });
+
+/** Fuzzing plan for workflows whose steps run several times. */
+export const repeatedPlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'repeated workflows',
+  commands: [...commands, repeatedSubmission, repeatedSubmission],
+});
--- a/packages/proofs/src/workflow/workflow.spec.ts
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -1,7 +1,12 @@
 import {testSpec, testStep} from '@primrosewick/state/fixtures';
 import {expect} from 'chai';
 import {runFuzzAsync} from '../fuzz/run_fuzz.js';
-import {deadlyPlan, earlyAdvicePlan, workflowPlan} from './plans.js';
+import {
+  deadlyPlan,
+  earlyAdvicePlan,
+  repeatedPlan,
+  workflowPlan,
+} from './plans.js';
 import {WorkflowWorld} from './workflow_world.js';
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60);
@@ -36,6 +41,10 @@
     runFuzzAsync(deadlyPlan(7201, RUNS))).timeout(600_000);
   it('one leadership after the other keeps the guarantees for tasks', () =>
     runFuzzAsync(workflowPlan(7101, RUNS))).timeout(600_000);
+  // Guards against workflows that are shown as done before all their
+  // occurrences have run.
+  it('a workflow whose steps run several times is done after the last time', () =>
+    runFuzzAsync(repeatedPlan(7501, Math.ceil(RUNS / 3)))).timeout(600_000);
   it('advice that is asked for before a workflow is recorded keeps them too', () =>
     runFuzzAsync(earlyAdvicePlan(7301, Math.ceil(RUNS / 3)))).timeout(600_000);
 });
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -2,7 +2,7 @@
 import {testBundle} from '../bundle/fixtures.js';
 import {WorkflowDb} from './db.js';
 import {TestLog, testSpec, testStep, testTask, testWorker} from './fixtures.js';
-import type {WorkflowId} from './types.js';
+import type {StepSpec, WorkflowId} from './types.js';
 
 const phaseOf = ({db}: TestLog, id: string) =>
   db.workflows.get(id as WorkflowId)?.phase;
@@ -15,6 +15,39 @@
   return log;
 };
 
+/** A log with a worker and a workflow whose steps run three times. */
+const repeated = (steps: readonly StepSpec[]) => {
+  const log = new TestLog();
+  log.addWorker('w1');
+  log.submit('r', testSpec(steps, {occurrences: 3}));
+  return log;
+};
+
+const repeatedTask = (occurrence: number, step: number, index: number) => ({
+  ...testTask('r', step, index),
+  occurrence,
+});
+
+/** Starts the first tasks of a step and reports each of them as done. */
+const runStep = (
+  log: TestLog,
+  {
+    occurrence,
+    step,
+    count,
+  }: {
+    readonly occurrence: number;
+    readonly step: number;
+    readonly count: number;
+  },
+): void => {
+  const tasks = Array.from({length: count}, (_, index) =>
+    repeatedTask(occurrence, step, index),
+  );
+  for (const task of tasks) log.start('w1', task);
+  for (const task of tasks) log.end('w1', task, 'done');
+};
+
 describe('workflow db', () => {
   it('only a bundle with a higher version replaces the one in force', () => {
     const log = new TestLog({version: 5});
@@ -72,6 +105,59 @@
     log.end('w1', testTask('g', 0, 0), 'done');
     expect(phaseOf(log, 'g')).to.equal('done');
   });
+  // Guards against a repeated workflow that ends early: each report that arrives
+  // once an occurrence is complete used to count the occurrence again.
+  it('an occurrence counts once, though each member of its last gang reports', () => {
+    const log = repeated([testStep({taskCount: 3, isGang: true})]);
+    runStep(log, {occurrence: 0, step: 0, count: 3});
+    expect(phaseOf(log, 'r')).to.equal('open');
+    runStep(log, {occurrence: 1, step: 0, count: 3});
+    expect(phaseOf(log, 'r')).to.equal('open');
+    runStep(log, {occurrence: 2, step: 0, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('done');
+  });
+  it('an occurrence counts once, though a member of an earlier gang reports late', () => {
+    const log = repeated([
+      testStep({taskCount: 2, isGang: true}),
+      testStep({after: [0]}),
+    ]);
+    for (const index of [0, 1]) log.start('w1', repeatedTask(0, 0, index));
+    log.end('w1', repeatedTask(0, 0, 0), 'done');
+    runStep(log, {occurrence: 0, step: 1, count: 1});
+    log.end('w1', repeatedTask(0, 0, 1), 'done');
+    runStep(log, {occurrence: 1, step: 0, count: 2});
+    runStep(log, {occurrence: 1, step: 1, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('open');
+    runStep(log, {occurrence: 2, step: 0, count: 2});
+    runStep(log, {occurrence: 2, step: 1, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('done');
+  });
+  it('an occurrence counts once, though both copies of its task are done', () => {
+    const log = repeated([testStep({isSpeculative: true})]);
+    log.addWorker('w2');
+    log.start('w1', repeatedTask(0, 0, 0), 1);
+    log.start('w2', repeatedTask(0, 0, 0), 2);
+    log.end('w1', repeatedTask(0, 0, 0), 'done', {run: 1});
+    log.end('w2', repeatedTask(0, 0, 0), 'done', {run: 2});
+    runStep(log, {occurrence: 1, step: 0, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('open');
+    runStep(log, {occurrence: 2, step: 0, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('done');
+  });
+  it('occurrences that an earlier version counted too often are counted anew', () => {
+    const log = repeated([testStep()]);
+    runStep(log, {occurrence: 0, step: 0, count: 1});
+    const image = structuredClone(log.db.toImage());
+    const workflows = image.workflows.map(kept => ({
+      ...kept,
+      doneOccurrences: 2,
+    }));
+    log.db.restore({...image, workflows});
+    runStep(log, {occurrence: 1, step: 0, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('open');
+    runStep(log, {occurrence: 2, step: 0, count: 1});
+    expect(phaseOf(log, 'r')).to.equal('done');
+  });
   it('a run end that is reported twice is counted once', () => {
     const log = oneTask();
     const end = {
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -18,10 +18,11 @@
   countActiveRuns,
   discardDetails,
   newOccurrence,
+  isOccurrenceDone,
+  areAllOccurrencesDone,
   updateCheckpoint,
   hasActiveRuns,
   markDone,
-  occurrenceCount,
   unstartedSteps,
   withIdleCount,
 } from './task_state.js';
@@ -237,7 +238,6 @@
       endedAt: 0,
       hasStarted: false,
       occurrences: new Map(),
-      doneOccurrences: 0,
       activeRuns: 0,
     });
   }
@@ -395,11 +395,9 @@
     occurrence: number,
     at: number,
   ): void {
-    const steps = workflow.occurrences.get(occurrence) ?? [];
-    if (!steps.every(step => step.doneCount === step.tasks.length)) return;
-    workflow.doneOccurrences++;
-    if (workflow.doneOccurrences >= occurrenceCount(workflow.spec))
-      this.finish(workflow, 'done', at);
+    // Ends of further members or copies arrive after the occurrence is done.
+    if (!isOccurrenceDone(workflow.occurrences.get(occurrence))) return;
+    if (areAllOccurrencesDone(workflow)) this.finish(workflow, 'done', at);
   }
 
   private finish(
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -3,6 +3,7 @@
  * rest.
  */
 import type {WorkflowDb} from './db.js';
+import {countDoneOccurrences} from './task_state.js';
 import type {WorkflowImage} from './types.js';
 
 /** Creates a serializable image of the whole state. */
@@ -28,7 +29,7 @@
     phase: workflow.phase,
     endedAt: workflow.endedAt,
     hasStarted: workflow.hasStarted,
-    doneOccurrences: workflow.doneOccurrences,
+    doneOccurrences: countDoneOccurrences(workflow),
     occurrences: [...workflow.occurrences],
     ...(workflow.crashes && {crashes: workflow.crashes}),
   })),
--- a/packages/state/src/workflow/task_state.ts
+++ b/packages/state/src/workflow/task_state.ts
@@ -37,6 +37,22 @@
 export const occurrenceCount = (spec: WorkflowSpec): number =>
   Math.max(1, spec.occurrences);
 
+/** Whether all steps of an occurrence are done; false for one that is not held. */
+export const isOccurrenceDone = (
+  steps: readonly StepState[] | undefined,
+): boolean =>
+  steps?.every(({doneCount, tasks}) => doneCount === tasks.length) === true;
+
+/** Number of occurrences of a workflow whose steps are all done. */
+export const countDoneOccurrences = ({
+  occurrences,
+}: Pick<WorkflowState, 'occurrences'>): number =>
+  [...occurrences.values()].filter(isOccurrenceDone).length;
+
+/** Whether the steps of a workflow are done as often as they are to run. */
+export const areAllOccurrencesDone = (workflow: WorkflowState): boolean =>
+  countDoneOccurrences(workflow) >= occurrenceCount(workflow.spec);
+
 const newTask = (): TaskState => ({
   isDone: false,
   lastRun: 0,
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -184,8 +184,6 @@
   hasStarted: boolean;
   /** Steps by occurrence; created when the occurrence's first task starts. */
   occurrences: Map<number, StepState[]>;
-  /** Number of occurrences whose steps are all done. */
-  doneOccurrences: number;
   /** Number of runs of its tasks that may be active. */
   activeRuns: number;
   /** The crashes of workers for which it was given up; absent otherwise. */
@@ -334,6 +332,8 @@
   readonly queues: readonly Queue[];
   readonly workflows: ReadonlyArray<
     Omit<WorkflowState, 'occurrences' | 'activeRuns'> & {
+      /** Read by earlier versions only: it is derived from `occurrences`. */
+      readonly doneOccurrences: number;
       readonly occurrences: ReadonlyArray<
         readonly [number, ReadonlyArray<Omit<StepState, 'idleCount'>>]
       >;
