Records of a worker's runs and orders of the simulation get files of their own

No change of behaviour: `RunRecords` has what the channel records of a worker's lists, `SimOrders` delivers the orders of the simulated cell.

--- /dev/null
+++ b/packages/coordination/src/workflow/run_records.ts
@@ -0,0 +1,136 @@
+/**
+ * Brings the recorded runs of one incarnation of a worker in line with its lists:
+ * records the ends, and voids runs that it never began.
+ */
+import {
+  taskKey,
+  type TaskRef,
+  type VoidReason,
+  type VoidedRun,
+} from '@primrosewick/state';
+import type {ChannelLog} from './channel_log.js';
+import type {HoldAnswer} from './ports.js';
+import type {ProgressTracker} from './progress_tracker.js';
+import {compareLists, type RunRef} from './run_lists.js';
+import type {StartLedger} from './start_ledger.js';
+import type {StopLedger, StopRequest} from './stop_ledger.js';
+import {UnreadableRows} from './unreadable_rows.js';
+import type {WorkerChannelOptions} from './worker_channel_options.js';
+
+/** Lists of a worker's runs. */
+export type RunLists = Extract<HoldAnswer, {kind: 'lists'}>;
+
+/** Options of {@link RunRecords}. */
+export interface RunRecordsOptions extends Pick<
+  WorkerChannelOptions,
+  'db' | 'life' | 'clock' | 'record'
+> {
+  readonly starts: StartLedger;
+  readonly stops: StopLedger;
+  readonly progress: ProgressTracker;
+  readonly log: ChannelLog;
+}
+
+/** Records the ends of a worker's runs, and voids runs. */
+export class RunRecords {
+  private readonly unreadable = new UnreadableRows();
+
+  constructor(private readonly options: RunRecordsOptions) {}
+
+  /** Sequence number of the worker's latest end that is recorded. */
+  get endsRecorded(): number {
+    const {db, life} = this.options;
+    return db.findIncarnation(life)?.endsRecorded ?? 0;
+  }
+
+  /** All recorded runs of the worker, with the latest listed checkpoints. */
+  get active(): VoidedRun[] {
+    const {db, life} = this.options;
+    const active = db.findIncarnation(life)?.active.values() ?? [];
+    return [...active].map(({task, run}) => this.withCheckpoint(task, run));
+  }
+
+  /** Notes that the worker accepted the stop of a run, at a monotonic time in ms. */
+  noteStopped(run: RunRef, now: number): void {
+    this.unreadable.noteStopped(run, now);
+  }
+
+  /** @returns whether all listed ends are recorded in the log. */
+  async recordEnds({ended, unreadable}: RunLists): Promise<boolean> {
+    const {life, record, clock, starts, stops, log} = this.options;
+    const {ends, isHeldBack} = this.unreadable.selectEnds(
+      ended,
+      unreadable,
+      this.endsRecorded,
+      clock.now(),
+    );
+    if (ends.length === 0) return !isHeldBack;
+    for (const end of ends) {
+      starts.forgetRun(end.task, end.run);
+      log.ended(end);
+    }
+    const at = clock.wall();
+    if (!(await record({kind: 'end_runs', life, ends, at}))) return false;
+    for (const {task} of ends) stops.forget(task);
+    return !isHeldBack;
+  }
+
+  /**
+   * Voids recorded runs that the worker lacks in lists with all its ends.
+   * @param sentAt - monotonic time at which the lists were requested, in ms.
+   * @returns runs to stop: those that the log lacks, and those that only a row
+   *   that cannot be read may list.
+   */
+  async reconcile(
+    {running, unreadable}: RunLists,
+    sentAt: number,
+  ): Promise<StopRequest[]> {
+    const {db, life, starts} = this.options;
+    const state = db.findIncarnation(life);
+    if (!state) return [];
+    const {missing, unrecorded} = compareLists(
+      state.active,
+      running,
+      starts,
+      sentAt,
+    );
+    const {absent, toStop} = this.unreadable.sortMissing(
+      missing,
+      unreadable,
+      sentAt,
+    );
+    if (absent.length > 0) await this.void(absent, 'not_started');
+    return [
+      ...toStop.map(({task, run}) => ({
+        task,
+        run,
+        why: 'not_listed' as const,
+      })),
+      ...unrecorded.map(({task, run}) => ({
+        task,
+        run,
+        why: 'not_recorded' as const,
+      })),
+    ];
+  }
+
+  /** Records that runs have ended without an end of their own. */
+  async void(runs: readonly RunRef[], reason: VoidReason): Promise<void> {
+    const {life, record, starts, log} = this.options;
+    for (const ref of runs) {
+      starts.forgetRun(ref.task, ref.run);
+      log.voided(ref, reason);
+    }
+    await record({
+      kind: 'void_runs',
+      life,
+      runs: runs.map(({task, run}) => this.withCheckpoint(task, run)),
+      reason,
+    });
+  }
+
+  private withCheckpoint(task: TaskRef, run: number): VoidedRun {
+    const checkpoint = this.options.progress.checkpointOf(taskKey(task), run);
+    return {task, run, checkpoint};
+  }
+}
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -180,7 +180,7 @@
 
   /** The recorded runs of a worker, with their latest checkpoints. */
   runsOf(worker: WorkerId): readonly VoidedRun[] {
-    return this.channels.get(worker)?.activeRuns() ?? [];
+    return this.channels.get(worker)?.activeRuns ?? [];
   }
 
   /** What tells that a worker has crashed, now that this is proved. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -8,7 +8,6 @@
   taskKey,
   type TaskKey,
   type TaskRef,
-  type VoidReason,
   type VoidedRun,
 } from '@primrosewick/state';
 import {pause} from '@primrosewick/transport';
@@ -21,12 +20,11 @@
 import {ChannelLog} from './channel_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
-import {compareLists} from './run_lists.js';
+import {RunRecords, type RunLists} from './run_records.js';
 import {ResponseMonitor} from './response_monitor.js';
 import {Silence, crashRecord} from './silence.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
-import {UnreadableRows} from './unreadable_rows.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 import {WorkerClock} from './worker_clock.js';
 
@@ -42,8 +40,6 @@
 /** Pause before the lists are queried again while starts are unsettled, in ms. */
 const SETTLE_PAUSE_MS = 20;
 
-type RunLists = Extract<HoldAnswer, {kind: 'lists'}>;
-
 /** Communicates with one incarnation of a worker while this VM leads. */
 export class WorkerChannel {
   /** Progress of the runs that the worker listed last. */
@@ -53,9 +49,9 @@
   private readonly starts = new StartLedger();
   private readonly stops = new StopLedger();
   private readonly responses = new ResponseMonitor();
-  private readonly unreadable = new UnreadableRows();
   private readonly workerClock: WorkerClock;
   private readonly log: ChannelLog;
+  private readonly runs: RunRecords;
   private fenceCounter = 0;
   private isSynced = false;
   private isGone = false;
@@ -68,6 +64,8 @@
   constructor(private readonly options: WorkerChannelOptions) {
     this.workerClock = new WorkerClock(options);
     this.log = new ChannelLog(options.logger, options.life.worker);
+    const {starts, stops, progress, log} = this;
+    this.runs = new RunRecords({...options, starts, stops, progress, log});
   }
 
   /** Whether the worker's lists were received under the current fence. */
@@ -105,6 +103,11 @@
     return this.progress.endingBefore(this.options.clock.now() + ms + 1);
   }
 
+  /** All recorded runs of the worker, with the latest listed checkpoints. */
+  get activeRuns(): VoidedRun[] {
+    return this.runs.active;
+  }
+
   /** Starts the loop of holds. */
   open(): void {
     void this.loop().catch((err: unknown) =>
@@ -161,7 +164,7 @@
   async abandonStart({task, run}: StartRequest, detail: string): Promise<void> {
     const failure = {kind: 'not_sent', detail} as const;
     this.options.onStartFailed(task, failure, this.options.life);
-    await this.voidRuns([{task, run}], 'not_started');
+    await this.runs.void([{task, run}], 'not_started');
     this.starts.forget(task);
     this.options.onChange();
   }
@@ -175,7 +178,7 @@
     const answer = await port.stop(this.target, {task, run, fence: this.fence});
     if (answer.kind === 'accepted') {
       this.workerClock.note(clock.now(), answer.clockMs);
-      this.unreadable.noteStopped({task, run}, clock.now());
+      this.runs.noteStopped({task, run}, clock.now());
     } else this.onFailure(answer);
     this.wake();
   }
@@ -209,7 +212,7 @@
     this.options.onStartFailed(task, failure, this.options.life);
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     if (failure.kind === 'refused' || failure.kind === 'not_sent')
-      await this.voidRuns([{task, run}], 'not_started');
+      await this.runs.void([{task, run}], 'not_started');
     this.onFailure(failure);
   }
 
@@ -254,8 +257,8 @@
       {change: 'worker_gone', worker: life.worker, why: 'other_life'},
       'another incarnation of the worker answered at its address',
     );
-    const runs = this.activeRuns();
-    await record(crashRecord(life, runs, this.options.crashEvidence?.()));
+    const evidence = this.options.crashEvidence?.();
+    await record(crashRecord(life, this.runs.active, evidence));
     onChange();
   }
 
@@ -294,15 +297,9 @@
     });
   }
 
-  /** Sequence number of the worker's latest end that is recorded. */
-  private get endsRecorded(): number {
-    const {db, life} = this.options;
-    return db.findIncarnation(life)?.endsRecorded ?? 0;
-  }
-
   private async sendHold(fence: number): Promise<HoldAnswer> {
     const {clock, leaseMs, port} = this.options;
-    const {endsRecorded} = this;
+    const {endsRecorded} = this.runs;
     // A hold that may never be answered must not extend the lease.
     const leaseEnd = this.isSynced
       ? this.workerClock.leaseFor(clock.now(), leaseMs)
@@ -336,11 +333,13 @@
     this.progress.note(answer.running, clock.now());
     this.log.unreadable(answer.unreadable, clock.now());
     // A run whose end is not yet recorded must not be counted as missing.
-    const recordedBefore = this.endsRecorded;
-    if (!(await this.recordEnds(answer))) return pause(clock, MIN_RETRY_MS);
+    const recordedBefore = this.runs.endsRecorded;
+    if (!(await this.runs.recordEnds(answer)))
+      return pause(clock, MIN_RETRY_MS);
     if (fence !== this.fence) return;
     if (answer.mayLackEnds) return this.onEndsLacking(answer, recordedBefore);
-    await this.reconcile(answer, sentAt);
+    for (const stop of await this.runs.reconcile(answer, sentAt))
+      void this.stop(stop);
     if (fence !== this.fence) return;
     this.isSynced = true;
     this.workerClock.noteSoleLeader(sentAt);
@@ -356,87 +355,12 @@
     {ended}: RunLists,
     recordedBefore: number,
   ): Promise<void> {
-    const {endsRecorded} = this;
+    const {endsRecorded} = this.runs;
     this.log.endsLacking(ended.length, endsRecorded);
     if (endsRecorded === recordedBefore)
       await pause(this.options.clock, MIN_RETRY_MS);
   }
 
-  /** @returns whether all listed ends are recorded in the log. */
-  private async recordEnds({ended, unreadable}: RunLists): Promise<boolean> {
-    const {life, record, clock} = this.options;
-    const now = clock.now();
-    const {ends, isHeldBack} = this.unreadable.selectEnds(
-      ended,
-      unreadable,
-      this.endsRecorded,
-      now,
-    );
-    if (ends.length === 0) return !isHeldBack;
-    for (const end of ends) {
-      this.starts.forgetRun(end.task, end.run);
-      this.log.ended(end);
-    }
-    const at = clock.wall();
-    if (!(await record({kind: 'end_runs', life, ends, at}))) return false;
-    for (const {task} of ends) this.stops.forget(task);
-    return !isHeldBack;
-  }
-
-  /** Voids recorded runs that the worker lacks, and stops runs that the log lacks. */
-  private async reconcile(
-    {running, unreadable}: RunLists,
-    sentAt: number,
-  ): Promise<void> {
-    const state = this.options.db.findIncarnation(this.options.life);
-    if (!state) return;
-    const {missing, unrecorded} = compareLists(
-      state.active,
-      running,
-      this.starts,
-      sentAt,
-    );
-    const {absent, toStop} = this.unreadable.sortMissing(
-      missing,
-      unreadable,
-      sentAt,
-    );
-    if (absent.length > 0) await this.voidRuns(absent, 'not_started');
-    for (const {task, run} of toStop)
-      void this.stop({task, run, why: 'not_listed'});
-    for (const {task, run} of unrecorded)
-      void this.stop({task, run, why: 'not_recorded'});
-  }
-
-  private async voidRuns(
-    runs: ReadonlyArray<{readonly task: TaskRef; readonly run: number}>,
-    reason: VoidReason,
-  ): Promise<void> {
-    const {life, record} = this.options;
-    for (const ref of runs) {
-      this.starts.forgetRun(ref.task, ref.run);
-      this.log.voided(ref, reason);
-    }
-    await record({
-      kind: 'void_runs',
-      life,
-      runs: runs.map(({task, run}) => this.withCheckpoint(task, run)),
-      reason,
-    });
-  }
-
-  /** All recorded runs of the worker, with the latest listed checkpoints. */
-  activeRuns(): VoidedRun[] {
-    const {db, life} = this.options;
-    const active = db.findIncarnation(life)?.active.values() ?? [];
-    return [...active].map(({task, run}) => this.withCheckpoint(task, run));
-  }
-
-  private withCheckpoint(task: TaskRef, run: number): VoidedRun {
-    const checkpoint = this.progress.checkpointOf(taskKey(task), run);
-    return {task, run, checkpoint};
-  }
-
   private async onHoldFailed(failure: OrderFailure): Promise<void> {
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     this.onFailure(failure);
@@ -454,6 +378,6 @@
     const runs = [...(db.findIncarnation(life)?.active.values() ?? [])].filter(
       ({task}) => !this.starts.isInFlight(taskKey(task)),
     );
-    if (runs.length > 0) await this.voidRuns(runs, 'lease_lapsed');
+    if (runs.length > 0) await this.runs.void(runs, 'lease_lapsed');
   }
 }
--- /dev/null
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -0,0 +1,94 @@
+/** Orders to simulated workers, which arrive on time, late, or not at all. */
+import type {
+  HoldAnswer,
+  HoldOrder,
+  OrderAnswer,
+  OrderPort,
+  StartOrder,
+  StopOrder,
+  WorkerTarget,
+} from '@primrosewick/coordination';
+import type {Random, WorkerId} from '@primrosewick/state';
+import type {EventQueue} from '../world/event_queue.js';
+import type {SimWorker} from './sim_worker.js';
+
+/** Faults of calls to workers. */
+export interface CallFaults {
+  readonly lossPercent: number;
+  /** Calls without an answer that are executed seconds later. */
+  readonly latePercent: number;
+}
+
+/** Options of {@link SimOrders}. */
+export interface SimOrdersOptions {
+  readonly queue: EventQueue;
+  readonly random: Random;
+  readonly workers: readonly SimWorker[];
+  /** Workers that are cut off. */
+  readonly cut: ReadonlySet<WorkerId>;
+  readonly faults: () => CallFaults;
+}
+
+const CALL_TIMEOUT_MS = 1000;
+
+/** Delivers the orders of one leadership. */
+export class SimOrders implements OrderPort {
+  constructor(private readonly options: SimOrdersOptions) {}
+
+  start(target: WorkerTarget, order: StartOrder): Promise<OrderAnswer> {
+    const sentAt = this.options.queue.now;
+    return this.call(target, worker => worker.start(order, sentAt));
+  }
+
+  stop(target: WorkerTarget, order: StopOrder): Promise<OrderAnswer> {
+    return this.call(target, worker => worker.stop(order));
+  }
+
+  hold(target: WorkerTarget, order: HoldOrder): Promise<HoldAnswer> {
+    const {queue, random} = this.options;
+    const timeoutMs = CALL_TIMEOUT_MS + order.waitMs;
+    return new Promise(resolve => {
+      const begin = (worker: SimWorker): undefined => {
+        worker.hold(order, answer =>
+          queue.after(random.nextInt(1, 20), () => resolve(answer)),
+        );
+      };
+      void this.call<HoldAnswer | undefined>(target, begin, timeoutMs).then(
+        answer => answer && resolve(answer),
+      );
+      queue.after(timeoutMs, () =>
+        resolve({kind: 'no_answer', detail: 'time'}),
+      );
+    });
+  }
+
+  private call<T = OrderAnswer>(
+    {worker: id, bornAt}: WorkerTarget,
+    act: (worker: SimWorker) => T,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<T | {kind: 'no_answer'; detail: string} | {kind: 'other_life'}> {
+    const {queue, random, workers, cut} = this.options;
+    return new Promise(resolve => {
+      const worker = workers.find(other => other.id === id)!;
+      const roll = random.nextInt(0, 99);
+      const {lossPercent, latePercent} = this.options.faults();
+      const isLost = cut.has(id) || roll < lossPercent;
+      const isLate = !isLost && roll < lossPercent + latePercent;
+      queue.after(timeoutMs, () =>
+        resolve({kind: 'no_answer', detail: 'time'}),
+      );
+      if (isLost) return;
+      const delayMs = isLate
+        ? random.nextInt(2000, 12_000)
+        : random.nextInt(1, 20);
+      queue.after(delayMs, () => {
+        if (!worker.isUp) return;
+        const answer =
+          worker.bornAt === bornAt
+            ? act(worker)
+            : {kind: 'other_life' as const};
+        if (!isLate && answer !== undefined) resolve(answer);
+      });
+    });
+  }
+}
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -6,10 +6,6 @@
   SchedulerTask,
   WorkflowReplica,
   type WorkflowService,
-  type HoldAnswer,
-  type OrderAnswer,
-  type OrderPort,
-  type WorkerTarget,
 } from '@primrosewick/coordination';
 import {
   CellError,
@@ -36,17 +32,11 @@
 import {makeLeaderService} from './leader_service.js';
 import {WorkflowOracle} from './oracle.js';
 import {SimAdviser} from './sim_adviser.js';
+import {SimOrders, type CallFaults} from './sim_orders.js';
 import {SimReports} from './sim_reports.js';
 import {SimWorker} from './sim_worker.js';
 import {tasksOf} from './tasks_of.js';
 
-/** Faults of calls to workers. */
-export interface CallFaults {
-  readonly lossPercent: number;
-  /** Calls without an answer that are executed seconds later. */
-  readonly latePercent: number;
-}
-
 /** Options of a world. */
 export interface WorkflowWorldOptions {
   /** Maximum number of ends that one list of a worker holds. */
@@ -58,7 +48,6 @@
 const WORKER_RESOURCES = {cpuMillis: 4000, memMb: 4000, gpus: 0};
 const MAX_LEASE_MS = 8000;
 const ANNOUNCE_MS = 1000;
-const CALL_TIMEOUT_MS = 1000;
 const MAX_STALE_LEADER_MS = 1400;
 /** Time after which an unaware old leader learns that another leads, in ms. */
 const AWARE_AFTER_MS = 4 * MAX_STALE_LEADER_MS;
@@ -373,62 +362,10 @@
     });
   }
 
-  private orders(): OrderPort {
-    return {
-      start: (target, order) => {
-        const sentAt = this.queue.now;
-        return this.call(target, worker => worker.start(order, sentAt));
-      },
-      stop: (target, order) => this.call(target, worker => worker.stop(order)),
-      hold: (target, order) =>
-        new Promise(resolve => {
-          void this.call<HoldAnswer | undefined>(
-            target,
-            worker => {
-              worker.hold(order, answer =>
-                this.queue.after(this.random.nextInt(1, 20), () =>
-                  resolve(answer),
-                ),
-              );
-              return undefined;
-            },
-            CALL_TIMEOUT_MS + order.waitMs,
-          ).then(answer => answer && resolve(answer));
-          this.queue.after(CALL_TIMEOUT_MS + order.waitMs, () =>
-            resolve({kind: 'no_answer', detail: 'time'}),
-          );
-        }),
-    };
-  }
-
-  /** Calls a worker: on time, late, or not at all. */
-  private call<T = OrderAnswer>(
-    {worker: id, bornAt}: WorkerTarget,
-    act: (worker: SimWorker) => T,
-    timeoutMs = CALL_TIMEOUT_MS,
-  ): Promise<T | {kind: 'no_answer'; detail: string} | {kind: 'other_life'}> {
-    return new Promise(resolve => {
-      const worker = this.workers.find(other => other.id === id)!;
-      const roll = this.random.nextInt(0, 99);
-      const {lossPercent, latePercent} = this.faults;
-      const isLost = this.cut.has(id) || roll < lossPercent;
-      const isLate = !isLost && roll < lossPercent + latePercent;
-      this.queue.after(timeoutMs, () =>
-        resolve({kind: 'no_answer', detail: 'time'}),
-      );
-      if (isLost) return;
-      const delayMs = isLate
-        ? this.random.nextInt(2000, 12_000)
-        : this.random.nextInt(1, 20);
-      this.queue.after(delayMs, () => {
-        if (!worker.isUp) return;
-        const answer =
-          worker.bornAt === bornAt
-            ? act(worker)
-            : {kind: 'other_life' as const};
-        if (!isLate && answer !== undefined) resolve(answer);
-      });
-    });
+  private orders(): SimOrders {
+    const {queue, random, workers, cut} = this;
+    const faults = () => this.faults;
+    return new SimOrders({queue, random, workers, cut, faults});
   }
 
   private scheduleAnnouncements(): void {
