--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -3,6 +3,7 @@
 import type {
   LinkLeaderReply,
   LinkMethods,
+  QueueAddress,
   WorkflowReply,
   WorkflowRequest,
 } from '@primrosewick/protocol';
@@ -36,7 +37,12 @@
 import {SubmissionAdmission} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
 import {crashRecord} from './silence.js';
-import {countPending, viewOf} from './workflow_view.js';
+import {
+  answerOddSubmission,
+  findTarget,
+  isPathSegment,
+  lookUp,
+} from './workflow_view.js';
 
 /** Access of the service to the replicated log. */
 export interface LogAccess {
@@ -57,6 +63,8 @@
   readonly load: Pick<LoadSheddingTask, 'decide'>;
   /** Decides whether this VM takes new work, given the time of its records. */
   readonly records?: Pick<RecordLoadTask, 'decide'>;
+  /** Whether a text is an id that clients may choose; by default any path segment is. */
+  readonly isWorkflowId?: (text: string) => boolean;
   /** Called for each announcement of a worker. */
   readonly onAnnouncement: (worker: WorkerId) => void;
   /** Called for each workflow whose submission is about to be recorded. */
@@ -112,9 +120,9 @@
         case 'submit':
           return this.submit(request, match, deadline);
         case 'get':
-          return this.get(match);
+          return this.get(request);
         case 'cancel':
-          return this.cancel(match);
+          return this.cancel(request, match);
       }
     });
   }
@@ -255,19 +263,27 @@
     if (!this.db.bundle)
       throw new CellError({code: 'starting', step: 'find-queue'});
     const match = matchQueue(this.db.bundle, host, path);
-    if (match) return match;
+    if (match && this.isComplete(match)) return match;
     await this.confirm();
     return matchQueue(this.db.bundle, host, path);
   }
 
+  /** Whether a path is that of a queue or of a workflow, so that no nested queue can be meant. */
+  private isComplete({rest}: QueueMatch): boolean {
+    return rest === '' || this.isWorkflowId(rest);
+  }
+
   private async submit(
-    {spec}: Extract<WorkflowRequest, {kind: 'submit'}>,
+    request: Extract<WorkflowRequest, {kind: 'submit'}>,
     {queue, rest}: QueueMatch,
     deadline: number,
   ): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
+    const {spec} = request;
     const {clock, logger} = this.options;
     if (this.db.workflows.has(id)) return {kind: 'accepted'};
+    if (!this.isWorkflowId(rest))
+      return answerOddSubmission(this.db, request, rest);
     const pending = this.submitting.get(id);
     if (pending) {
       await pending;
@@ -307,20 +323,26 @@
     }
   }
 
-  private async get({queue, rest}: QueueMatch): Promise<WorkflowReply> {
-    await this.leadershipCheckLog.watch(rest, this.confirm());
-    if (rest === '')
-      return {kind: 'pending', count: countPending(this.db, queue)};
-    const workflow = this.db.workflows.get(rest as WorkflowId);
-    if (!workflow) return {kind: 'unknown_workflow'};
-    return {kind: 'state', state: viewOf(workflow)};
+  private isWorkflowId(text: string): boolean {
+    const {isWorkflowId = isPathSegment} = this.options;
+    return isWorkflowId(text);
   }
 
-  private async cancel({rest}: QueueMatch): Promise<WorkflowReply> {
-    const id = rest as WorkflowId;
-    await this.submitting.get(id)?.catch(() => undefined);
+  private async get(address: QueueAddress): Promise<WorkflowReply> {
+    await this.leadershipCheckLog.watch(address.path, this.confirm());
+    return lookUp(this.db, address) ?? {kind: 'unknown_queue'};
+  }
+
+  private async cancel(
+    address: QueueAddress,
+    {rest}: QueueMatch,
+  ): Promise<WorkflowReply> {
+    await this.submitting.get(rest as WorkflowId)?.catch(() => undefined);
     await this.confirm();
-    if (!this.db.workflows.has(id)) return {kind: 'unknown_workflow'};
+    const target = findTarget(this.db, address);
+    if (target.kind === 'queue') return {kind: 'unknown_workflow'};
+    if (target.kind !== 'workflow') return target;
+    const {id} = target.workflow;
     const at = this.options.clock.wall();
     const result = await this.propose({kind: 'cancel', id, at});
     this.options.logger.info(
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -5,7 +5,9 @@
   WorkflowView,
 } from '@primrosewick/protocol';
 import {
+  CellError,
   matchQueue,
+  type Bundle,
   type Queue,
   type WorkflowDb,
   type WorkflowId,
@@ -29,13 +31,102 @@
   return count;
 };
 
+/** What an address names. */
+export type AddressTarget =
+  | {readonly kind: 'queue'; readonly queue: Queue}
+  | {readonly kind: 'workflow'; readonly workflow: WorkflowState}
+  | {readonly kind: 'unknown_workflow'}
+  | {readonly kind: 'unknown_queue'};
+
+/** Part of the state in which addresses are looked up. */
+type AddressedState = Pick<WorkflowDb, 'bundle' | 'queues' | 'workflows'>;
+
+/**
+ * Whether the rest of a path lies below its queue, so that it is neither the
+ * queue nor a workflow of it. Queues may be nested: the longest prefix that is
+ * left matches once the inner queue has been removed.
+ */
+const isBelowQueue = (rest: string): boolean => rest.includes('/');
+
+/** Whether a text is one segment of a path. */
+export const isPathSegment = (text: string): boolean =>
+  text !== '' && !isBelowQueue(text);
+
+/** Finds what an address names in a state. */
+export const findTarget = (
+  state: AddressedState,
+  address: QueueAddress,
+): AddressTarget => {
+  const match =
+    state.bundle && matchQueue(state.bundle, address.host, address.path);
+  if (!match) return {kind: 'unknown_queue'};
+  const {queue, rest} = match;
+  if (rest === '') return {kind: 'queue', queue};
+  const workflow =
+    state.workflows.get(rest as WorkflowId) ?? findSubmittedAt(state, address);
+  if (workflow) return {kind: 'workflow', workflow};
+  return {kind: isBelowQueue(rest) ? 'unknown_queue' : 'unknown_workflow'};
+};
+
+/** Queues that each bundle in use has no more, found at the first look-up. */
+const removedQueues = new WeakMap<Bundle, readonly Queue[]>();
+
+const removedQueuesOf = (
+  bundle: Bundle,
+  queues: WorkflowDb['queues'],
+): readonly Queue[] => {
+  const known = removedQueues.get(bundle);
+  if (known) return known;
+  const kept = new Set(bundle.queues.map(({name}) => name));
+  const removed = [...queues.values()].filter(({name}) => !kept.has(name));
+  removedQueues.set(bundle, removed);
+  return removed;
+};
+
+/**
+ * The workflow that was submitted at an address whose queue was removed since,
+ * so that an outer queue has the address now.
+ */
+const findSubmittedAt = (
+  {bundle, queues, workflows}: AddressedState,
+  {host, path}: QueueAddress,
+): WorkflowState | undefined => {
+  if (!bundle) return undefined;
+  for (const queue of removedQueuesOf(bundle, queues)) {
+    if (queue.host !== host || !path.startsWith(queue.prefix)) continue;
+    const id = path.slice(queue.prefix.length) as WorkflowId;
+    const workflow = workflows.get(id);
+    if (workflow?.queue === queue.name) return workflow;
+  }
+  return undefined;
+};
+
+/**
+ * Answers a submission whose path is not the prefix of a queue and an id: it may
+ * repeat one that was accepted before its queue was removed.
+ * @throws CellError `invalid_input` where the path lies directly below the queue.
+ */
+export const answerOddSubmission = (
+  state: AddressedState,
+  address: QueueAddress,
+  rest: string,
+): WorkflowReply => {
+  if (findSubmittedAt(state, address)) return {kind: 'accepted'};
+  if (isBelowQueue(rest)) return {kind: 'unknown_queue'};
+  throw new CellError({
+    code: 'invalid_input',
+    step: 'submit',
+    detail: 'what follows the prefix of the queue is not an id',
+  });
+};
+
 /** The workflow that an address names; undefined if it is not known here. */
 export const findWorkflow = (
-  {bundle, workflows}: Pick<WorkflowDb, 'bundle' | 'workflows'>,
-  {host, path}: QueueAddress,
+  state: AddressedState,
+  address: QueueAddress,
 ): WorkflowState | undefined => {
-  const match = bundle && matchQueue(bundle, host, path);
-  return match ? workflows.get(match.rest as WorkflowId) : undefined;
+  const target = findTarget(state, address);
+  return target.kind === 'workflow' ? target.workflow : undefined;
 };
 
 /**
@@ -44,14 +135,17 @@
  */
 export const lookUp = (
   db: WorkflowDb,
-  {host, path}: QueueAddress,
+  address: QueueAddress,
 ): WorkflowReply | undefined => {
   if (!db.bundle) return undefined;
-  const match = matchQueue(db.bundle, host, path);
-  if (!match) return {kind: 'unknown_queue'};
-  if (match.rest === '')
-    return {kind: 'pending', count: countPending(db, match.queue)};
-  const workflow = db.workflows.get(match.rest as WorkflowId);
-  if (!workflow) return {kind: 'unknown_workflow'};
-  return {kind: 'state', state: viewOf(workflow)};
+  const target = findTarget(db, address);
+  switch (target.kind) {
+    case 'queue':
+      return {kind: 'pending', count: countPending(db, target.queue)};
+    case 'workflow':
+      return {kind: 'state', state: viewOf(target.workflow)};
+    case 'unknown_workflow':
+    case 'unknown_queue':
+      return target;
+  }
 };
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -70,6 +70,8 @@
   readonly registry: Registry;
   readonly orders: OrderPort;
   readonly advice: AdvicePort;
+  /** Whether a text is an id that a client may choose for a workflow. */
+  readonly isWorkflowId: (text: string) => boolean;
   readonly onFatal: (err: CellError) => void;
 }
 
@@ -253,6 +255,7 @@
       logger: this.options.logger,
       load: this.load,
       records: this.records,
+      isWorkflowId: this.options.isWorkflowId,
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
