--- a/packages/state/src/cell/jobs.ts
+++ b/packages/state/src/cell/jobs.ts
@@ -14,6 +14,16 @@
 export const positionOfTask = (task: TaskId): number =>
   Number(task.slice(task.lastIndexOf('.') + 1));
 
+/** Whether a job has a task; workers could name any. */
+export const hasTask = (
+  {id, spec}: Pick<JobRecord, 'id' | 'spec'>,
+  task: TaskId,
+): boolean => {
+  const position = positionOfTask(task);
+  const isInRange = position >= 0 && position < spec.taskCount;
+  return isInRange && makeTaskId(id, position) === task;
+};
+
 /**
  * Accepted jobs; beyond `maxEndedJobs` the ended jobs that ended first are
  * dropped.
@@ -82,14 +92,18 @@
     const epochOf = new Map(
       job.started.map(start => [start.task, start.epoch]),
     );
-    const added = tasks
+    const ofJob = tasks.filter(task => hasTask(job, task));
+    const added = ofJob
       .filter(task => !epochOf.has(task))
       .map(task => ({task, epoch}));
     this.jobs.set(id, {...job, started: [...job.started, ...added]});
-    return tasks.filter(task => (epochOf.get(task) ?? epoch) === epoch);
+    return ofJob.filter(task => (epochOf.get(task) ?? epoch) === epoch);
   }
 
-  /** Records the ends of tasks; a task keeps its first recorded end. */
+  /**
+   * Records the ends of the tasks that their jobs have; a task keeps its first
+   * recorded end.
+   */
   addEnds(ends: readonly TaskEnd[]): void {
     for (const [id, own] of groupByJob(ends, end => end.task)) {
       const job = this.jobs.get(id);
@@ -98,7 +112,8 @@
   }
 
   private addEndsOf(job: JobRecord, ends: readonly TaskEnd[]): void {
-    const byTask = new Map(ends.map(end => [end.task, end]));
+    const ofJob = ends.filter(({task}) => hasTask(job, task));
+    const byTask = new Map(ofJob.map(end => [end.task, end]));
     for (const known of job.ended) byTask.delete(known.task);
     if (byTask.size === 0) return;
     const ended = [...job.ended, ...byTask.values()];
--- a/packages/state/src/placement/context.ts
+++ b/packages/state/src/placement/context.ts
@@ -1,5 +1,5 @@
 import {reviverOf} from '../utils/image.js';
-import {jobOfTask} from '../cell/jobs.js';
+import {hasTask, jobOfTask} from '../cell/jobs.js';
 import type {TaskEnd} from '../cell/types.js';
 import type {TaskOutcome} from '../documents/job.js';
 import type {Epoch, TaskId} from '../ids/types.js';
@@ -204,7 +204,8 @@
 
   /** @returns the job of a task, or undefined. */
   jobOf(task: TaskId): JobView | undefined {
-    return this.jobs.getJob(jobOfTask(task));
+    const view = this.jobs.getJob(jobOfTask(task));
+    return view && hasTask(view.record, task) ? view : undefined;
   }
 
   /** Returns and clears the ends since the last call. */
