--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,5 +1,6 @@
 import {defineCommand} from 'citty';
 import {COMMON_ARGS, createApi} from '../client/api.js';
+import {describeSilentVms} from '../output/gaps.js';
 import {EXIT_CODES, printJson, runCommand} from '../output/run.js';
 
 interface Note {
@@ -26,14 +27,16 @@
   },
   run: ({args}) =>
     runCommand(async () => {
-      const reply = await createApi(args).get<{notes: Note[]}>(
-        `/v1/explain/${encodeURIComponent(args.subject)}`,
-      );
+      const reply = await createApi(args).get<{
+        notes: Note[];
+        unanswered?: Array<{vm: string}>;
+      }>(`/v1/explain/${encodeURIComponent(args.subject)}`);
       if (args.json) return printJson(reply);
       for (const note of reply.notes) process.stdout.write(`${lineOf(note)}\n`);
+      process.stderr.write(describeSilentVms(reply.unanswered));
       if (reply.notes.length > 0) return;
       process.stdout.write(
-        `nothing is kept about ${args.subject}; reasons are kept in memory and the oldest are dropped\n`,
+        `nothing is kept about ${args.subject} where this was answered; reasons are kept in memory and the oldest are dropped\n`,
       );
       process.exitCode = EXIT_CODES.refused;
     }),
--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -1,6 +1,7 @@
 import {defineCommand} from 'citty';
 import {COMMON_ARGS, createApi, type Api} from '../client/api.js';
 import {readDocument} from '../client/documents.js';
+import {describeCutList} from '../output/gaps.js';
 import {EXIT_CODES, printJson, runCommand} from '../output/run.js';
 import {formatTable} from '../output/table.js';
 
@@ -116,6 +117,8 @@
       process.stdout.write(
         formatTable(['JOB', 'STATE', 'TEAM', 'ZONE', 'TASKS'], rows),
       );
+      const counts = {total: reply.total, shown: rows.length, what: 'jobs'};
+      process.stderr.write(describeCutList(counts));
     }),
 });
 
--- a/packages/daemon/src/routes/operator.ts
+++ b/packages/daemon/src/routes/operator.ts
@@ -30,6 +30,7 @@
   readReply,
   type RouteContext,
 } from './context.js';
+import {collectNotes} from './explanation.js';
 import {jobRoutes} from './jobs.js';
 
 /** Paths that need no token. */
@@ -136,18 +137,12 @@
 ): Promise<HttpReply> => {
   const subject = http.params['subject'] ?? '';
   const {settings, peers, recorder} = context;
-  const ask = async (vm: VmId): Promise<Array<TimedNote & {vm: VmId}>> => {
-    const reply =
-      vm === settings.vm
-        ? {notes: recorder.explain(subject)}
-        : await peers.call(vm, 'explain', {subject}).catch(() => ({notes: []}));
-    return reply.notes.map(note => ({...note, vm}));
-  };
-  const notes = (await Promise.all(settings.vms.map(({vm}) => ask(vm)))).flat();
-  return {
-    status: 200,
-    body: {subject, notes: notes.sort((a, b) => a.at - b.at)},
+  const ask = async (vm: VmId): Promise<readonly TimedNote[]> => {
+    if (vm === settings.vm) return recorder.explain(subject);
+    return (await peers.call(vm, 'explain', {subject})).notes;
   };
+  const vms = settings.vms.map(({vm}) => vm);
+  return {status: 200, body: {subject, ...(await collectNotes(vms, ask))}};
 };
 
 const journal = async (
