--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -11,13 +11,11 @@
   earlyAdviceRequests,
   plannerImage,
   toCellError,
-  type CrashEvidence,
   type NewWorkflow,
   type Plan,
   type PlannedStop,
   type QueueName,
   type RunEvidence,
-  type VoidedRun,
   type WorkerId,
   type WorkflowCommand,
   type WorkflowDb,
@@ -35,8 +33,8 @@
 import {RunLog} from './run_log.js';
 import {StartOrders} from './start_orders.js';
 import {findStalled} from './stalled_runs.js';
-import {crashEvidenceOf} from './silence.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
+import {KnownLives} from './known_lives.js';
 import {OrphanTracker} from './orphan_tracker.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
@@ -53,6 +51,8 @@
 
 /** Schedules tasks on the workers for the duration of one leadership. */
 export class SchedulerTask {
+  /** What is known of the incarnations of workers. */
+  readonly lives: KnownLives;
   private readonly channels = new Map<WorkerId, WorkerChannel>();
   private readonly incarnations = new Map<WorkerId, number>();
   private readonly views: WorkerViews;
@@ -81,6 +81,7 @@
   constructor(private readonly options: SchedulerOptions) {
     const {replica, clock, logger, callers, ask} = options;
     this.startedAt = clock.now();
+    this.lives = new KnownLives(this.channels, clock);
     this.views = new WorkerViews({
       db: replica.db,
       clock,
@@ -178,16 +179,6 @@
     this.load.queues.countFor(queue, 'refused', 'backlog');
   }
 
-  /** The recorded runs of a worker, with their latest checkpoints. */
-  runsOf(worker: WorkerId): readonly VoidedRun[] {
-    return this.channels.get(worker)?.activeRuns ?? [];
-  }
-
-  /** What tells that a worker has crashed, now that this is proved. */
-  crashEvidenceOf(worker: WorkerId): CrashEvidence {
-    return crashEvidenceOf(worker, this.options.clock, this.channels);
-  }
-
   private get db(): WorkflowDb {
     return this.options.replica.db;
   }
@@ -286,7 +277,7 @@
         this.options.leadershipConfirmedAgeMs() <
         maxStaleLeaderMs - LEADERSHIP_MARGIN_MS,
       record: command => this.record(command),
-      crashEvidence: () => this.crashEvidenceOf(incarnation.worker),
+      crashEvidence: () => this.lives.crashEvidenceOf(incarnation.worker),
       onChange: () => this.schedulePass(),
       onStarted: task => this.logFirstStart(task.workflow),
       onStartFailed: (task, failure) => {
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -13,14 +13,10 @@
   findExceededLimit,
   matchQueue,
   type Bundle,
-  type CrashEvidence,
   type NewWorkflow,
   type QueueMatch,
   type QueueName,
   type VmId,
-  type VoidedRun,
-  type WorkerId,
-  type WorkerIncarnation as Incarnation,
   type WorkerRegistration,
   type WorkflowCommand,
   type WorkflowDb,
@@ -31,12 +27,11 @@
 import type {LoadSheddingTask} from '../load/task.js';
 import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
-import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import {SubmissionAdmission} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
-import {crashRecord} from './silence.js';
+import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
 import {
   answerOddSubmission,
   findTarget,
@@ -54,7 +49,10 @@
 }
 
 /** Options of the service. */
-export interface WorkflowServiceOptions {
+export interface WorkflowServiceOptions extends Pick<
+  WorkerRegistryOptions,
+  'onAnnouncement' | 'runsOf' | 'crashEvidenceOf' | 'isAlive'
+> {
   readonly replica: WorkflowReplica;
   readonly log: LogAccess;
   readonly clock: Clock;
@@ -65,18 +63,12 @@
   readonly records?: Pick<RecordLoadTask, 'decide'>;
   /** Whether a text is an id that clients may choose; by default any path segment is. */
   readonly isWorkflowId?: (text: string) => boolean;
-  /** Called for each announcement of a worker. */
-  readonly onAnnouncement: (worker: WorkerId) => void;
   /** Called for each workflow whose submission is about to be recorded. */
   readonly onSubmission?: (workflow: NewWorkflow) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
   /** Called for each workflow that is rejected because of the backlog. */
   readonly onRefused?: (queue: QueueName) => void;
-  /** The recorded runs of a worker, with their latest checkpoints. */
-  readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
-  /** What tells that a worker has crashed whose next incarnation is there. */
-  readonly crashEvidenceOf?: (worker: WorkerId) => CrashEvidence | undefined;
 }
 
 /** Handles the calls of clients, workers and operators at the leader. */
@@ -85,7 +77,7 @@
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly admission: SubmissionAdmission;
-  private readonly sequences = new AnnouncementSequences();
+  private readonly workers: WorkerRegistry;
   private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
 
@@ -98,6 +90,11 @@
       ...options,
       db: options.replica.db,
     });
+    this.workers = new WorkerRegistry({
+      ...options,
+      db: () => options.replica.db,
+      propose: command => options.log.propose(command),
+    });
     this.bundles = new BundleWriter({
       db: options.replica.db,
       propose: command => options.log.propose(command),
@@ -131,15 +128,7 @@
   announceWorker(
     report: WorkerRegistration,
   ): Promise<LinkMethods['announceWorker']['reply']> {
-    return this.runAsLeader(async () => {
-      if (this.db.departed.has(report)) return {isKnown: true};
-      if (!this.db.workers.has(report.worker))
-        this.sequences.forgetLater(report, this.db.departed);
-      if (this.sequences.note(report)) return {isKnown: true};
-      this.options.onAnnouncement(report.worker);
-      if (hasUnrecordedChanges(this.db, report)) await this.putWorker(report);
-      return {isKnown: true};
-    });
+    return this.runAsLeader(() => this.workers.announce(report));
   }
 
   /** Notes announcements without changes that other VMs have received. */
@@ -158,33 +147,10 @@
    * Deregisters a worker. With `bornAt`, only that incarnation is removed;
    * null means whichever is registered.
    */
-  removeWorker({
-    worker,
-    bornAt,
-  }: LinkMethods['removeWorker']['request']): Promise<
-    LinkMethods['removeWorker']['reply']
-  > {
-    return this.runAsLeader(async () => {
-      const known = this.db.workers.get(worker);
-      const isMatch =
-        known && (bornAt === null || known.report.bornAt === bornAt);
-      if (!isMatch) return {isKnown: false};
-      const life = {worker, bornAt: known.report.bornAt};
-      const runs = this.options.runsOf(worker);
-      // Without a start it may be the delayed word of an earlier incarnation.
-      const isFinal = bornAt !== null;
-      await this.propose({
-        kind: 'remove_worker',
-        life,
-        runs,
-        ...(isFinal ? {isFinal} : {}),
-      });
-      this.options.logger.info(
-        {change: 'worker_gone', worker, why: 'deregistered'},
-        'worker deregistered',
-      );
-      return {isKnown: true};
-    });
+  removeWorker(
+    request: LinkMethods['removeWorker']['request'],
+  ): Promise<LinkMethods['removeWorker']['reply']> {
+    return this.runAsLeader(() => this.workers.remove(request));
   }
 
   /**
@@ -353,37 +319,6 @@
       ? {kind: 'unknown_workflow'}
       : {kind: 'cancelled'};
   }
-
-  /** Record of an incarnation whose next one is there, though it never left. */
-  private crashOf(life: Incarnation): WorkflowCommand {
-    const {runsOf, crashEvidenceOf} = this.options;
-    const {worker} = life;
-    return crashRecord(life, runsOf(worker), crashEvidenceOf?.(worker));
-  }
-
-  private async putWorker(report: WorkerRegistration): Promise<void> {
-    const {logger} = this.options;
-    const previous = this.db.workers.get(report.worker)?.report;
-    try {
-      if (previous && previous.bornAt < report.bornAt)
-        await this.propose(this.crashOf(previous));
-      await this.propose({kind: 'put_worker', report});
-    } catch (err) {
-      // Otherwise the worker's next announcement could be dropped as a duplicate.
-      this.sequences.forget(report.worker);
-      throw err;
-    }
-    logger.info(
-      {
-        change: report.isDraining ? 'worker_draining' : 'worker_registered',
-        worker: report.worker,
-        bornAt: report.bornAt,
-        sequence: report.sequence,
-        address: report.address,
-      },
-      'recorded a worker announcement',
-    );
-  }
 }
 
 /** @throws CellError `invalid_input` with `detail`, if there is one. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -103,11 +103,27 @@
     return this.progress.endingBefore(this.options.clock.now() + ms + 1);
   }
 
+  /** Start of the worker's incarnation, in ms since 1970. */
+  get bornAt(): number {
+    return this.options.life.bornAt;
+  }
+
   /** All recorded runs of the worker, with the latest listed checkpoints. */
   get activeRuns(): VoidedRun[] {
     return this.runs.active;
   }
 
+  /** Asks the worker whether it still runs as this incarnation. */
+  async isAlive(): Promise<boolean> {
+    if (this.isGone || this.isClosed || !this.options.mayOrder()) return false;
+    const answer = await this.options.port.hold(this.target, {
+      fence: this.fence,
+      endsRecorded: this.lastAcked,
+      waitMs: 0,
+    });
+    return answer.kind === 'lists';
+  }
+
   /** Starts the loop of holds. */
   open(): void {
     void this.loop().catch((err: unknown) =>
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -249,19 +249,19 @@
 
   private makeService(log: ReplicatedLog): WorkflowService {
     return new WorkflowService({
+      ...this.options,
       replica: this.replica,
       log,
       clock: systemClock,
-      logger: this.options.logger,
       load: this.load,
       records: this.records,
-      isWorkflowId: this.options.isWorkflowId,
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
       onRefused: queue => this.scheduler?.noteRefused(queue),
-      runsOf: worker => this.scheduler?.runsOf(worker) ?? [],
-      crashEvidenceOf: worker => this.scheduler?.crashEvidenceOf(worker),
+      runsOf: worker => this.scheduler?.lives.runsOf(worker) ?? [],
+      crashEvidenceOf: worker => this.scheduler?.lives.crashEvidenceOf(worker),
+      isAlive: life => this.scheduler?.lives.isAlive(life),
     });
   }
 
--- a/packages/proofs/src/workflow/leader_service.ts
+++ b/packages/proofs/src/workflow/leader_service.ts
@@ -36,6 +36,7 @@
     },
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: worker => scheduler.noteAnnouncement(worker),
-    runsOf: worker => scheduler.runsOf(worker),
-    crashEvidenceOf: worker => scheduler.crashEvidenceOf(worker),
+    runsOf: worker => scheduler.lives.runsOf(worker),
+    crashEvidenceOf: worker => scheduler.lives.crashEvidenceOf(worker),
+    isAlive: life => scheduler.lives.isAlive(life),
   });
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -247,7 +247,10 @@
   }
 
   crashWorker(index: number): void {
-    const worker = this.workerAt(index);
+    this.crashByChance(this.workerAt(index));
+  }
+
+  private crashByChance(worker: SimWorker): void {
     this.oracle.recordChanceCrash(worker.id);
     worker.crash();
   }
@@ -282,7 +285,8 @@
     this.cut.clear();
     for (const worker of this.workers) {
       worker.resize(WORKER_RESOURCES);
-      if (worker.isDraining && worker.isUp) worker.crash();
+      // A worker that drains ends without a word: a crash by chance.
+      if (worker.isDraining && worker.isUp) this.crashByChance(worker);
       worker.restart();
     }
   }
