--- a/packages/coordination/src/workflow/worker_channel_ends.spec.ts
+++ b/packages/coordination/src/workflow/worker_channel_ends.spec.ts
@@ -90,6 +90,11 @@
   return {log, hold};
 };
 
+/** Waits until a condition is met, for two seconds at most. */
+const until = async (isMet: () => boolean): Promise<void> => {
+  for (let i = 0; i < 200 && !isMet(); i++) await pause(systemClock, 10);
+};
+
 describe('ends that a worker lists', () => {
   // Guards against TWICE: the runs whose ends were beyond the end of the first
   // list were voided as never started, and their tasks ran again.
@@ -101,11 +106,12 @@
       log.apply(command);
       return true;
     });
+    const phase = () => log.db.workflows.get('a' as never)?.phase;
     channel.open();
-    await pause(systemClock, 150);
+    await until(() => phase() === 'done');
     channel.close();
     expect(voided).to.eql([]);
-    expect(log.db.workflows.get('a' as never)?.phase).to.equal('done');
+    expect(phase()).to.equal('done');
   });
   it('a run that is in no list is voided once a list has all ends', async () => {
     const {log, hold} = makeCutChannel(3);
@@ -118,7 +124,7 @@
       return true;
     });
     channel.open();
-    await pause(systemClock, 150);
+    await until(() => recorded.length === 3);
     channel.close();
     expect(recorded).to.eql(['end_runs', 'end_runs', 'void_runs']);
     expect(log.db.findTask(testTask('b', 0, 0))?.active).to.eql([]);
@@ -139,7 +145,7 @@
       },
     );
     channel.open();
-    await pause(systemClock, 150);
+    await until(() => holds >= 3);
     channel.close();
     expect(usableAfter.slice(0, 3)).to.eql([false, false, true]);
   });
