--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -1,4 +1,4 @@
-/** Client view of workflows. */
+/** What the addresses of requests name, and the view that clients have of workflows. */
 import type {
   QueueAddress,
   WorkflowReply,
