Fuzzing: workers that say goodbye and run on, and words that others write in their name

The simulated world could not show it: each worker ended with its deregistration, nobody wrote in its name, and an order found its worker whatever address it was sent to.

The world now has addresses: an order arrives at whoever holds its address, and another incarnation answers "other life". A worker may say goodbye, repeats it until it is acknowledged, and ends up to 4 s later, or without an acknowledgement. Other writers deregister workers and write their heartbeats; a worker may be mute for a while. An end after a goodbye that the leader has heard counts as no crash, so a task that is given up for it is still found.

--- a/packages/proofs/src/workflow/oracle.ts
+++ b/packages/proofs/src/workflow/oracle.ts
@@ -146,6 +146,17 @@
         this.crashesUnder.set(key, (this.crashesUnder.get(key) ?? 0) + 1);
   }
 
+  /** Records the end of a worker after a goodbye, which no task has caused. */
+  recordDeparture(worker: WorkerId): void {
+    for (const places of this.running.values()) places.delete(worker);
+  }
+
+  /** Number of runs on a worker. */
+  runCountOn(worker: WorkerId): number {
+    return [...this.running.values()].filter(places => places.has(worker))
+      .length;
+  }
+
   /** Records that a worker is about to crash by itself, alone. */
   recordChanceCrash(worker: WorkerId): void {
     for (const [key, places] of this.running)
--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -3,6 +3,7 @@
 import type {StepSpec, WorkflowSpec} from '@primrosewick/state';
 import type {AsyncFuzzPlan} from '../fuzz/run_fuzz.js';
 import type {TestQueueName} from './cell_bundle.js';
+import {FORGED_WORDS} from './forged_words.js';
 import {WorkflowWorld} from './workflow_world.js';
 
 type EmptyModel = Record<string, never>;
@@ -180,6 +181,52 @@
   fc.constant(command('heal', w => w.heal())),
 ];
 
+/** Workers that deregister, and end 0 to 4 s after the acknowledgement. */
+const leaving: fc.Arbitrary<Command> = fc
+  .record({
+    index: WORKER,
+    afterMs: fc.integer({min: 0, max: 4000}),
+    isDrainedFirst: fc.boolean(),
+    isNeverAcknowledged: fc.constantFrom(false, false, true),
+  })
+  .map(({index, ...options}) =>
+    command(`leave(${index},${JSON.stringify(options)})`, w =>
+      w.leave(index, options),
+    ),
+  );
+
+/** Words of other writers in the name of a worker. */
+const forgery: fc.Arbitrary<Command> = fc
+  .record({index: WORKER, word: fc.constantFrom(...FORGED_WORDS)})
+  .map(({index, word}) =>
+    command(`forge(${index},${word})`, w => w.forge(index, word)),
+  );
+
+/** The same about a worker that is cut off, or mute. */
+const forgeryInSilence: fc.Arbitrary<Command> = fc
+  .record({
+    index: WORKER,
+    word: fc.constantFrom(...FORGED_WORDS),
+    muteMs: fc.constantFrom(0, 600, 2000),
+  })
+  .map(({index, word, muteMs}) =>
+    command(`forgeInSilence(${index},${word},${muteMs})`, w => {
+      if (muteMs > 0) w.muteWorker(index, muteMs);
+      else w.cutWorker(index);
+      w.forge(index, word);
+    }),
+  );
+
+const silence: fc.Arbitrary<Command> = fc
+  .record({index: WORKER, ms: fc.constantFrom(200, 600, 2000)})
+  .map(({index, ms}) =>
+    command(`mute(${index},${ms})`, w => w.muteWorker(index, ms)),
+  );
+
+const restart: fc.Arbitrary<Command> = WORKER.map(i =>
+  command(`restart(${i})`, w => w.restartWorker(i)),
+);
+
 /** Fuzzing plan for tasks that crash the workers that start them. */
 export const deadlyPlan = (
   seed: number,
@@ -242,3 +289,39 @@
     return world;
   },
 });
+
+/** Fuzzing plan for workers that say goodbye and run on for a while. */
+export const goodbyePlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'goodbyes',
+  commands: [
+    ...commands,
+    submission('urgent'),
+    submission('patient'),
+    ...Array.from({length: 4}, () => leaving),
+    restart,
+    restart,
+    silence,
+  ],
+});
+
+/** Fuzzing plan for words that others write in the name of workers. */
+export const wordsPlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'words of other writers',
+  commands: [
+    ...commands,
+    submission('urgent'),
+    submission('patient'),
+    ...Array.from({length: 3}, () => forgery),
+    ...Array.from({length: 2}, () => forgeryInSilence),
+    leaving,
+    silence,
+  ],
+});
--- /dev/null
+++ b/packages/proofs/src/workflow/sim_network.ts
@@ -0,0 +1,51 @@
+/** Which simulated workers can be reached, and at which address. */
+import type {WorkerId} from '@primrosewick/state';
+import type {EventQueue} from '../world/event_queue.js';
+import type {SimWorker} from './sim_worker.js';
+
+/** Options of the network. */
+export interface SimNetworkOptions {
+  readonly queue: EventQueue;
+  /** Each of them holds one address, through all its incarnations. */
+  readonly workers: readonly SimWorker[];
+}
+
+/** The network between the workers and all others. */
+export class SimNetwork {
+  private readonly cut = new Set<WorkerId>();
+  /** Virtual time until which a worker is mute, in ms. */
+  private readonly muteUntil = new Map<WorkerId, number>();
+
+  constructor(private readonly options: SimNetworkOptions) {}
+
+  /** The worker that holds an address, whether it is up or not. */
+  listenerAt(address: string): SimWorker | undefined {
+    return this.options.workers.find(worker => worker.address === address);
+  }
+
+  /** Cuts a worker off: what is sent from now on is lost. */
+  cutOff({id}: SimWorker): void {
+    this.cut.add(id);
+  }
+
+  /** Makes a worker mute: nothing goes in or out, not even what is on its way. */
+  mute({id}: SimWorker, ms: number): void {
+    this.muteUntil.set(id, this.options.queue.now + ms);
+  }
+
+  /** Whether nothing goes in or out of a worker now. */
+  isMute({id}: SimWorker): boolean {
+    return (this.muteUntil.get(id) ?? 0) > this.options.queue.now;
+  }
+
+  /** Whether what is sent to or by a worker now is lost. */
+  isSilent(worker: SimWorker): boolean {
+    return this.cut.has(worker.id) || this.isMute(worker);
+  }
+
+  /** Ends all cuts and silence. */
+  heal(): void {
+    this.cut.clear();
+    this.muteUntil.clear();
+  }
+}
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -1,4 +1,7 @@
-/** Orders to simulated workers, which arrive on time, late, or not at all. */
+/**
+ * Orders to simulated workers, which arrive on time, late, or not at all, at
+ * whoever holds the address.
+ */
 import type {
   HoldAnswer,
   HoldOrder,
@@ -8,8 +11,9 @@
   StopOrder,
   WorkerTarget,
 } from '@primrosewick/coordination';
-import type {Random, WorkerId} from '@primrosewick/state';
+import type {Random} from '@primrosewick/state';
 import type {EventQueue} from '../world/event_queue.js';
+import type {SimNetwork} from './sim_network.js';
 import type {SimWorker} from './sim_worker.js';
 
 /** Faults of calls to workers. */
@@ -23,9 +27,7 @@
 export interface SimOrdersOptions {
   readonly queue: EventQueue;
   readonly random: Random;
-  readonly workers: readonly SimWorker[];
-  /** Workers that are cut off. */
-  readonly cut: ReadonlySet<WorkerId>;
+  readonly network: SimNetwork;
   readonly faults: () => CallFaults;
 }
 
@@ -45,12 +47,14 @@
   }
 
   hold(target: WorkerTarget, order: HoldOrder): Promise<HoldAnswer> {
-    const {queue, random} = this.options;
+    const {queue, random, network} = this.options;
     const timeoutMs = CALL_TIMEOUT_MS + order.waitMs;
     return new Promise(resolve => {
       const begin = (worker: SimWorker): undefined => {
         worker.hold(order, answer =>
-          queue.after(random.nextInt(1, 20), () => resolve(answer)),
+          queue.after(random.nextInt(1, 20), () => {
+            if (!network.isMute(worker)) resolve(answer);
+          }),
         );
       };
       void this.call<HoldAnswer | undefined>(target, begin, timeoutMs).then(
@@ -63,16 +67,17 @@
   }
 
   private call<T = OrderAnswer>(
-    {worker: id, bornAt}: WorkerTarget,
+    target: WorkerTarget,
     act: (worker: SimWorker) => T,
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<T | {kind: 'no_answer'; detail: string} | {kind: 'other_life'}> {
-    const {queue, random, workers, cut} = this.options;
+    const {queue, random, network} = this.options;
     return new Promise(resolve => {
-      const worker = workers.find(other => other.id === id)!;
+      const listener = network.listenerAt(target.address);
       const roll = random.nextInt(0, 99);
       const {lossPercent, latePercent} = this.options.faults();
-      const isLost = cut.has(id) || roll < lossPercent;
+      const isSilent = !listener || network.isSilent(listener);
+      const isLost = isSilent || roll < lossPercent;
       const isLate = !isLost && roll < lossPercent + latePercent;
       queue.after(timeoutMs, () =>
         resolve({kind: 'no_answer', detail: 'time'}),
@@ -82,13 +87,16 @@
         ? random.nextInt(2000, 12_000)
         : random.nextInt(1, 20);
       queue.after(delayMs, () => {
-        if (!worker.isUp) return;
-        const answer =
-          worker.bornAt === bornAt
-            ? act(worker)
-            : {kind: 'other_life' as const};
+        if (!listener.isUp || network.isMute(listener)) return;
+        const answer = isMeant(target, listener)
+          ? act(listener)
+          : {kind: 'other_life' as const};
         if (!isLate && answer !== undefined) resolve(answer);
       });
     });
   }
 }
+
+/** Whether a worker is the incarnation that an order is for. */
+const isMeant = ({worker, bornAt}: WorkerTarget, listener: SimWorker) =>
+  listener.id === worker && listener.bornAt === bornAt;
--- a/packages/proofs/src/workflow/sim_reports.ts
+++ b/packages/proofs/src/workflow/sim_reports.ts
@@ -80,9 +80,9 @@
   }
 
   /** Sends what a worker says of itself now. */
-  send(worker: SimWorker, rack: string): void {
+  send(worker: SimWorker): void {
     const {random, queue} = this.options;
-    const report = this.reportOf(worker, rack);
+    const report = this.reportOf(worker);
     const roll = random.nextInt(0, 99);
     const {lossPercent, latePercent} = this.options.faults();
     if (roll < lossPercent) return;
@@ -100,7 +100,7 @@
   }
 
   /** Hands a report to a voter or to the leader; @returns whether it is acknowledged. */
-  private async deliver(
+  async deliver(
     report: WorkerRegistration,
     isToLeader: boolean,
   ): Promise<boolean> {
@@ -112,16 +112,17 @@
     return reply?.kind === 'ok';
   }
 
-  private reportOf(worker: SimWorker, rack: string): WorkerRegistration {
+  /** What a worker says of itself now. */
+  reportOf(worker: SimWorker): WorkerRegistration {
     return {
       worker: worker.id,
       bornAt: worker.bornAt,
-      address: '10.0.0.1:1',
+      address: worker.address,
       pool: this.options.pool,
       zone: 'z' as never,
       room: worker.room,
       labels: [],
-      rack,
+      rack: worker.rack,
       isDraining: worker.isDraining,
       remainingMs: 0,
       sequence: ++this.sequence,
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -31,6 +31,9 @@
 /** Options of a worker. */
 export interface SimWorkerOptions {
   readonly id: WorkerId;
+  /** Address that its process holds, the same for all incarnations. */
+  readonly address: string;
+  readonly rack: string;
   readonly queue: EventQueue;
   readonly oracle: WorkflowOracle;
   readonly gangs: GangRuns;
@@ -69,6 +72,8 @@
 const MAX_LEASE_MS = 8000;
 /** Time from the start of a task that crashes its worker to the crash, in ms. */
 const CRASH_DELAY_MS = 20;
+/** Difference between the starts of successive incarnations; all are odd. */
+const START_STEP = 2;
 
 /** One worker through all its incarnations. */
 export class SimWorker {
@@ -98,11 +103,35 @@
     return this.options.id;
   }
 
+  get address(): string {
+    return this.options.address;
+  }
+
+  get rack(): string {
+    return this.options.rack;
+  }
+
   /** Crashes the worker; its next incarnation starts without any state. */
   crash(): void {
+    this.options.oracle.recordCrash(this.id);
+    this.goDown();
+  }
+
+  /** Crashes by itself, alone. */
+  crashByChance(): void {
+    this.options.oracle.recordChanceCrash(this.id);
+    this.crash();
+  }
+
+  /** Ends after a goodbye. */
+  depart(): void {
+    this.options.oracle.recordDeparture(this.id);
+    this.goDown();
+  }
+
+  private goDown(): void {
     const runs = [...this.running.values()];
     for (const run of runs) this.remove(run);
-    this.options.oracle.recordCrash(this.id);
     this.isUp = false;
     this.waiters = [];
     for (const {task, run} of runs) this.options.gangs.leave(task, run);
@@ -115,12 +144,12 @@
     this.options.queue.after(downMs, () => this.restart());
   }
 
-  /** Starts the next incarnation. */
-  restart(): void {
+  /** Starts the next incarnation, later than an even start in its name. */
+  restart(forgedStart = 0): void {
     if (this.isUp) return;
     this.isUp = true;
     this.isDraining = false;
-    this.bornAt++;
+    this.bornAt = Math.max(this.bornAt, forgedStart - 1) + START_STEP;
     this.fence = 0;
     this.bootTime = this.options.queue.now;
     this.leaseEnd = 0;
--- a/packages/proofs/src/workflow/workflow.spec.ts
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -4,8 +4,10 @@
 import {
   deadlyPlan,
   earlyAdvicePlan,
+  goodbyePlan,
   repeatedPlan,
   shortListsPlan,
+  wordsPlan,
   workflowPlan,
 } from './plans.js';
 import {WorkflowWorld} from './workflow_world.js';
@@ -52,4 +54,12 @@
     runFuzzAsync(shortListsPlan(7601, Math.ceil(RUNS / 3)))).timeout(600_000);
   it('advice that is asked for before a workflow is recorded keeps them too', () =>
     runFuzzAsync(earlyAdvicePlan(7301, Math.ceil(RUNS / 3)))).timeout(600_000);
+  // Guards against TWICE: runs that are given up as their worker deregisters,
+  // though it runs on.
+  it('workers that say goodbye and run on keep them too', () =>
+    runFuzzAsync(goodbyePlan(7701, Math.ceil(RUNS / 3)))).timeout(600_000);
+  // Guards against TWICE: runs that are given up as another writer says that
+  // their worker has ended, or is elsewhere.
+  it('words of other writers in the name of workers keep them too', () =>
+    runFuzzAsync(wordsPlan(7801, Math.ceil(RUNS / 3)))).timeout(600_000);
 });
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -29,9 +29,12 @@
 import {WorldJournals} from './world_journals.js';
 import {BUNDLE, MAX_ATTEMPTS, type TestQueueName} from './cell_bundle.js';
 import {GangRuns} from './gang_runs.js';
+import {ForgedWords, type ForgedWord} from './forged_words.js';
 import {makeLeaderService} from './leader_service.js';
 import {WorkflowOracle} from './oracle.js';
 import {SimAdviser} from './sim_adviser.js';
+import {SimGoodbyes, type GoodbyeOptions} from './sim_goodbyes.js';
+import {SimNetwork} from './sim_network.js';
 import {SimOrders, type CallFaults} from './sim_orders.js';
 import {SimReports} from './sim_reports.js';
 import {SimWorker} from './sim_worker.js';
@@ -76,7 +79,9 @@
   private readonly replica = new WorkflowReplica();
   private readonly workers: SimWorker[] = [];
   private readonly adviser: SimAdviser;
-  private readonly cut = new Set<WorkerId>();
+  private readonly network: SimNetwork;
+  private readonly goodbyes: SimGoodbyes;
+  private readonly forgedWords: ForgedWords;
   private readonly random: Random;
   private readonly specs = new Map<string, WorkflowSpec>();
   /** Tasks that crash each worker that starts them. */
@@ -92,27 +97,43 @@
     {maxListedEnds = MAX_LISTED_ENDS}: Partial<WorkflowWorldOptions> = {},
   ) {
     this.random = seededRandom(seed);
+    const {queue, random, workers} = this;
+    const service = () => this.leadership?.service;
+    const faults = () => this.faults;
     this.oracle = new WorkflowOracle(id => this.specs.get(id));
-    this.adviser = new SimAdviser({
-      queue: this.queue,
-      random: this.random,
-      workers: this.workers,
-    });
+    this.adviser = new SimAdviser({queue, random, workers});
+    this.network = new SimNetwork({queue, workers});
     this.reports = new SimReports({
-      queue: this.queue,
-      random: this.random,
+      queue,
+      random,
       clock: this.clockOf(new SimProcess()),
       logger,
       pool: BUNDLE.pools[0]!.name,
-      faults: () => this.faults,
-      service: () => this.leadership?.service,
+      faults,
+      service,
+    });
+    this.forgedWords = new ForgedWords({
+      queue,
+      random,
+      workers,
+      reports: this.reports,
+      service,
+    });
+    this.goodbyes = new SimGoodbyes({
+      queue,
+      random,
+      network: this.network,
+      faults,
+      service,
     });
     const gangs = new GangRuns(this.queue);
     for (let i = 0; i < WORKER_COUNT; i++)
       this.workers.push(
         new SimWorker({
           id: `w${i}` as WorkerId,
-          queue: this.queue,
+          address: `10.0.0.${i + 1}:1`,
+          rack: `r${i % 2}`,
+          queue,
           oracle: this.oracle,
           gangs,
           room: WORKER_RESOURCES,
@@ -247,12 +268,7 @@
   }
 
   crashWorker(index: number): void {
-    this.crashByChance(this.workerAt(index));
-  }
-
-  private crashByChance(worker: SimWorker): void {
-    this.oracle.recordChanceCrash(worker.id);
-    worker.crash();
+    this.workerAt(index).crashByChance();
   }
 
   restartWorker(index: number): void {
@@ -260,7 +276,27 @@
   }
 
   cutWorker(index: number): void {
-    this.cut.add(this.workerAt(index).id);
+    this.network.cutOff(this.workerAt(index));
+  }
+
+  /** Nothing goes in or out of a worker for a while. */
+  muteWorker(index: number, ms: number): void {
+    this.network.mute(this.workerAt(index), ms);
+  }
+
+  /** A worker deregisters, and ends a while later. */
+  leave(index: number, options: GoodbyeOptions): void {
+    this.goodbyes.begin(this.workerAt(index), options);
+  }
+
+  /** Another writer says something in the name of a worker. */
+  forge(index: number, word: ForgedWord): void {
+    this.forgedWords.write(this.workerAt(index), word);
+  }
+
+  /** Number of runs on a worker. */
+  runCountOn(index: number): number {
+    return this.oracle.runCountOn(this.workerAt(index).id);
   }
 
   /** Crashes all workers of a rack at once; they restart after a while. */
@@ -282,15 +318,25 @@
   /** Ends all faults. */
   heal(): void {
     this.faults = {lossPercent: 0, latePercent: 0};
-    this.cut.clear();
+    this.network.heal();
     for (const worker of this.workers) {
       worker.resize(WORKER_RESOURCES);
-      // A worker that drains ends without a word: a crash by chance.
-      if (worker.isDraining && worker.isUp) this.crashByChance(worker);
-      worker.restart();
+      this.healWorker(worker);
     }
   }
 
+  /** Makes a worker one that may run tasks, now or after its goodbye. */
+  private healWorker(worker: SimWorker): void {
+    const restart = (): void =>
+      worker.restart(this.forgedWords.latestStartOf(worker));
+    if (this.goodbyes.isLeaving(worker))
+      return this.goodbyes.whenOver(worker, restart);
+    // It ends without a word: a crash by chance.
+    const isOver = worker.isDraining || this.forgedWords.mayOutdate(worker);
+    if (isOver && worker.isUp) worker.crashByChance();
+    restart();
+  }
+
   /**
    * Ends all faults and checks that every workflow ends, and is done only if
    * all its tasks are.
@@ -367,9 +413,9 @@
   }
 
   private orders(): SimOrders {
-    const {queue, random, workers, cut} = this;
+    const {queue, random, network} = this;
     const faults = () => this.faults;
-    return new SimOrders({queue, random, workers, cut, faults});
+    return new SimOrders({queue, random, network, faults});
   }
 
   private scheduleAnnouncements(): void {
@@ -378,7 +424,7 @@
   }
 
   private announce(worker: SimWorker): void {
-    if (!worker.isUp || this.cut.has(worker.id)) return;
-    this.reports.send(worker, `r${this.workers.indexOf(worker) % 2}`);
+    if (!worker.isUp || this.network.isSilent(worker)) return;
+    this.reports.send(worker);
   }
 }
