--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -49,4 +49,3 @@
 export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
 export * from './workflow/service.js';
-export {crashRecord} from './workflow/silence.js';
--- a/packages/coordination/src/load/load_shedding.spec.ts
+++ b/packages/coordination/src/load/load_shedding.spec.ts
@@ -31,7 +31,6 @@
     logger,
     load,
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
   const ask = (kind: 'submit' | 'get' | 'cancel', id: string) => {
     const address = {host: QUEUE!.host, path: `${QUEUE!.prefix}${id}`};
--- a/packages/coordination/src/record_load/refused_submissions.spec.ts
+++ b/packages/coordination/src/record_load/refused_submissions.spec.ts
@@ -29,7 +29,6 @@
     load: {decide: () => ({kind: 'take'})},
     records: {decide: () => leader.decision},
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
   const submit = (id: string) =>
     service
--- a/packages/coordination/src/record_load/task.spec.ts
+++ b/packages/coordination/src/record_load/task.spec.ts
@@ -42,7 +42,6 @@
     load: {decide: () => ({kind: 'take'})},
     records,
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
   const ask = (kind: 'submit' | 'get' | 'cancel', id: string) => {
     const address = {host: QUEUE!.host, path: `${QUEUE!.prefix}${id}`};
--- a/packages/coordination/src/workflow/channel_log.ts
+++ b/packages/coordination/src/workflow/channel_log.ts
@@ -33,6 +33,14 @@
     );
   }
 
+  /** Notes that the worker answers again after its lease had lapsed. */
+  back(): void {
+    this.logger.info(
+      {change: 'worker_back', worker: this.worker},
+      'worker answers again after its lease had lapsed',
+    );
+  }
+
   /** Notes a list after which more ends may follow. */
   endsLacking(listed: number, endsRecorded: number): void {
     this.logger.info(
--- a/packages/coordination/src/workflow/departed_workers.spec.ts
+++ b/packages/coordination/src/workflow/departed_workers.spec.ts
@@ -24,28 +24,29 @@
     logger,
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
 
+const deadline = () => systemClock.now() + 500;
+
 describe('workers that have left', () => {
   it('a late announcement to the next leader brings no worker back that has left', async () => {
     const replica = new WorkflowReplica();
     replica.restore(new TestLog().db.toImage());
     const first = leaderOf(replica);
     await first.announceWorker(testWorker('w1', {sequence: 8}));
-    await first.removeWorker({worker: WORKER, bornAt: 1});
+    await first.removeWorker({worker: WORKER, bornAt: 1}, deadline());
     const next = leaderOf(replica);
     await next.announceWorker(testWorker('w1', {sequence: 7}));
     expect(replica.db.workers.has(WORKER)).to.equal(false);
   });
-  it('a worker returns after a deregistration that names no incarnation', async () => {
+  it('a worker of unknown start returns after a deregistration that names none', async () => {
     const replica = new WorkflowReplica();
     replica.restore(new TestLog().db.toImage());
     const leader = leaderOf(replica);
-    await leader.announceWorker(testWorker('w1', {sequence: 8}));
-    await leader.removeWorker({worker: WORKER, bornAt: null});
+    await leader.announceWorker(testWorker('w1', {bornAt: 0, sequence: 8}));
+    await leader.removeWorker({worker: WORKER, bornAt: null}, deadline());
     expect(replica.db.workers.has(WORKER)).to.equal(false);
-    await leader.announceWorker(testWorker('w1', {sequence: 9}));
+    await leader.announceWorker(testWorker('w1', {bornAt: 0, sequence: 9}));
     expect(replica.db.workers.has(WORKER)).to.equal(true);
   });
   it('a worker returns once an incarnation that never was is removed', async () => {
@@ -66,7 +67,7 @@
     const leader = leaderOf(replica);
     await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 8}));
     await leader.announceWorker(testWorker('w1', {bornAt: 9, sequence: 1}));
-    await leader.removeWorker({worker: WORKER, bornAt: 9});
+    await leader.removeWorker({worker: WORKER, bornAt: 9}, deadline());
     await leader.announceWorker(testWorker('w1', {bornAt: 5, sequence: 9}));
     expect(replica.db.workers.has(WORKER)).to.equal(false);
   });
--- a/packages/coordination/src/workflow/known_lives.ts
+++ b/packages/coordination/src/workflow/known_lives.ts
@@ -1,11 +1,11 @@
 /** What the leader knows of the incarnations of workers, by its channels to them. */
 import type {
   CrashEvidence,
-  VoidedRun,
   WorkerId,
   WorkerIncarnation,
 } from '@primrosewick/state';
 import {pause, type Clock} from '@primrosewick/transport';
+import type {LifeState} from './end_proof/types.js';
 import {crashEvidenceOf} from './silence.js';
 import type {WorkerChannel} from './worker_channel.js';
 
@@ -15,6 +15,8 @@
  */
 const LIFE_CHECK_MS = 400;
 
+const SILENT: LifeState = 'silent';
+
 /** Knows the incarnations of workers for which a leader has channels. */
 export class KnownLives {
   constructor(
@@ -22,15 +24,10 @@
     private readonly clock: Clock,
   ) {}
 
-  /** The recorded runs of a worker, with their latest checkpoints. */
-  runsOf(worker: WorkerId): readonly VoidedRun[] {
-    return this.channels.get(worker)?.activeRuns ?? [];
-  }
-
-  /** Time since an incarnation last answered, in ms; undefined if it never did. */
-  heardAgoMs({worker, bornAt}: WorkerIncarnation): number | undefined {
+  /** Removes an incarnation that leaves and has no runs; undefined without a channel. */
+  depart({worker, bornAt}: WorkerIncarnation): Promise<void> | undefined {
     const channel = this.channels.get(worker);
-    return channel?.bornAt === bornAt ? channel.heardAgoMs : undefined;
+    return channel?.bornAt === bornAt ? channel.end.depart() : undefined;
   }
 
   /** What tells that a worker has crashed, now that this is proved. */
@@ -38,11 +35,12 @@
     return crashEvidenceOf(worker, this.clock, this.channels);
   }
 
-  /** Whether an incarnation of a worker answers within `LIFE_CHECK_MS`. */
-  async isAlive({worker, bornAt}: WorkerIncarnation): Promise<boolean> {
+  /** What an incarnation of a worker does, asked for `LIFE_CHECK_MS` at most. */
+  async check({worker, bornAt}: WorkerIncarnation): Promise<LifeState> {
     const channel = this.channels.get(worker);
-    if (channel?.bornAt !== bornAt) return false;
-    const timeout = pause(this.clock, LIFE_CHECK_MS).then(() => false);
-    return Promise.race([channel.isAlive(), timeout]);
+    if (channel?.bornAt !== bornAt) return 'silent';
+    const until = this.clock.now() + LIFE_CHECK_MS;
+    const timeout = pause(this.clock, LIFE_CHECK_MS).then(() => SILENT);
+    return Promise.race([channel.checkLife(until), timeout]);
   }
 }
--- a/packages/coordination/src/workflow/life_log.spec.ts
+++ b/packages/coordination/src/workflow/life_log.spec.ts
@@ -1,8 +1,10 @@
 import {expect} from 'chai';
 import type Logger from 'bunyan';
+import {NEVER} from 'rxjs';
 import type {
   WorkerId,
   WorkerRegistration,
+  WorkflowCommand,
   WorkflowResult,
 } from '@primrosewick/state';
 import {
@@ -13,6 +15,7 @@
   testWorker,
 } from '@primrosewick/state/fixtures';
 import {pause, systemClock} from '@primrosewick/transport';
+import {Departures} from './departures.js';
 import {LifeLog, MAX_VOID_LINES, type GivenUpReason} from './life_log.js';
 import type {HoldAnswer, OrderPort} from './ports.js';
 import {WorkerChannel} from './worker_channel.js';
@@ -47,19 +50,28 @@
 /** A registry of that world; `isLost` tells whether its records get lost. */
 const makeRegistry = ({isLost = false} = {}) => {
   const {log, lines, counted, options} = makeWorld();
+  const propose = async (command: WorkflowCommand): Promise<WorkflowResult> => {
+    if (isLost) throw new Error('not confirmed');
+    return log.apply(command);
+  };
   const registry = new WorkerRegistry({
     ...options,
-    propose: async (command): Promise<WorkflowResult> => {
-      if (isLost) throw new Error('not confirmed');
-      return log.apply(command);
-    },
+    propose,
     onAnnouncement: () => undefined,
-    runsOf: () => [],
-    heardAgoMs: ({bornAt}) => (bornAt === 10 ? 120 : undefined),
+  });
+  const departures = new Departures({
+    ...options,
+    propose,
+    clock: systemClock,
+    applied: NEVER,
   });
   const announce = (part: Partial<WorkerRegistration>) =>
     registry.announce(testWorker('w1', part));
-  return {log, lines, counted, registry, announce};
+  const leave = (request: {
+    readonly worker: WorkerId;
+    readonly bornAt: number | null;
+  }) => departures.remove(request, 0).catch(() => undefined);
+  return {log, lines, counted, leave, announce};
 };
 
 /** A channel of that world, to a worker that gives one answer to each hold. */
@@ -88,7 +100,7 @@
     onStarted: () => undefined,
     onStartFailed: () => undefined,
   });
-  return {channel, lines, counted};
+  return {log, channel, lines, counted};
 };
 
 /** Opens a channel until it has written a number of lines. */
@@ -115,84 +127,83 @@
   }));
 
 describe('life log', () => {
-  it('a deregistration tells the incarnation, its address and each of its runs', async () => {
-    const {registry, lines, counted, log} = makeRegistry();
-    await registry.remove({worker: WORKER, bornAt: null});
+  it('a deregistration tells the incarnation, its runs and what came of it', async () => {
+    const {leave, lines, counted} = makeRegistry();
+    const told = {
+      decision: 'deregister',
+      worker: WORKER,
+      knownBornAt: 10,
+      runCount: 2,
+    };
+    await leave({worker: WORKER, bornAt: 10});
+    await leave({worker: WORKER, bornAt: null});
+    await leave({worker: WORKER, bornAt: 9});
+    await leave({worker: 'w2' as WorkerId, bornAt: null});
     expect(lines).to.eql([
-      {
-        change: 'worker_gone',
-        ...LIFE,
-        address: ADDRESS,
-        why: 'deregistered',
-        runCount: 2,
-        heardAgoMs: 120,
-        index: log.db.index,
-      },
-      ...voidLines('deregistered'),
+      {...told, bornAt: 10, outcome: 'leaving'},
+      {...told, bornAt: null, outcome: 'no_start'},
+      {...told, bornAt: 9, outcome: 'other_incarnation'},
       {
         decision: 'deregister',
-        worker: WORKER,
+        worker: 'w2',
         bornAt: null,
-        knownBornAt: 10,
-        runCount: 2,
-        outcome: 'removed',
+        knownBornAt: null,
+        runCount: 0,
+        outcome: 'unknown_worker',
       },
     ]);
-    expect(counted).to.eql([['deregistered', 2]]);
+    expect(counted).to.eql([]);
+  });
+  it('a deregistration that is not confirmed is told as such', async () => {
+    const {leave, lines, counted} = makeRegistry({isLost: true});
+    await leave(LIFE);
+    expect(lines).to.have.length(1);
+    expect(lines[0]).to.deep.include({outcome: 'unconfirmed'});
+    expect(counted).to.eql([]);
   });
-  it('a deregistration that removes nothing is told', async () => {
-    const {registry, lines, counted} = makeRegistry();
-    await registry.remove({worker: WORKER, bornAt: 9});
-    await registry.remove({worker: 'w2' as WorkerId, bornAt: null});
+  it('a worker that leaves is told as gone once its runs are over', async () => {
+    const {log, channel, lines, counted} = makeChannel({kind: 'other_life'});
+    const report = testWorker('w1', {bornAt: 10, isLeaving: true});
+    log.apply({kind: 'put_worker', report});
+    await channel.end.depart();
+    expect(lines).to.eql([]);
+    log.apply({
+      kind: 'void_runs',
+      life: LIFE,
+      runs: [0, 1].map(index => ({
+        task: testTask('a', 0, index),
+        run: 1,
+        checkpoint: '',
+      })),
+      reason: 'lease_lapsed',
+    });
+    await channel.end.depart();
     expect(lines).to.eql([
       {
-        decision: 'deregister',
-        worker: WORKER,
-        bornAt: 9,
-        knownBornAt: 10,
-        runCount: 2,
-        outcome: 'other_incarnation',
-      },
-      {
-        decision: 'deregister',
-        worker: 'w2',
-        bornAt: null,
-        knownBornAt: null,
+        change: 'worker_gone',
+        ...LIFE,
+        address: ADDRESS,
+        why: 'deregistered',
         runCount: 0,
-        outcome: 'unknown_worker',
+        heardAgoMs: undefined,
+        index: log.db.index,
       },
     ]);
     expect(counted).to.eql([]);
   });
   it('a removal that is not confirmed is told as such, and not counted', async () => {
-    const {registry, lines, counted} = makeRegistry({isLost: true});
-    await registry.remove(LIFE).catch(() => undefined);
-    expect(lines[0]).to.deep.include({
-      change: 'worker_gone',
-      isConfirmed: false,
-    });
-    expect(lines.slice(1, 3)).to.eql(
-      voidLines('deregistered', {isConfirmed: false}),
-    );
-    expect(lines.at(-1)).to.deep.include({
-      decision: 'deregister',
-      outcome: 'unconfirmed',
-    });
-    expect(counted).to.eql([]);
+    const world = makeChannel({kind: 'other_life'}, false);
+    const [gone, ...runs] = await linesOf(world, 3);
+    expect(gone).to.deep.include({change: 'worker_gone', isConfirmed: false});
+    expect(runs).to.eql(voidLines('other_life', {isConfirmed: false}));
+    expect(world.counted).to.eql([]);
   });
-  it('a later incarnation tells what went with the earlier one', async () => {
-    const {announce, lines, counted} = makeRegistry();
+  it('a later incarnation tells which one it follows', async () => {
+    const {announce, lines, log} = makeRegistry();
+    log.apply({kind: 'remove_worker', life: LIFE, runs: []});
+    log.addWorker('w1', {bornAt: 10, sequence: 6});
     await announce({bornAt: 20, sequence: 1, address: '10.0.0.9:80'});
-    expect(lines[0]).to.deep.include({
-      change: 'worker_gone',
-      ...LIFE,
-      address: ADDRESS,
-      why: 'later_life',
-      runCount: 2,
-      heardAgoMs: 120,
-    });
-    expect(lines.slice(1, 3)).to.eql(voidLines('later_life'));
-    expect(lines.slice(3)).to.eql([
+    expect(lines).to.eql([
       {
         change: 'worker_registered',
         worker: WORKER,
@@ -203,7 +214,17 @@
         previousBornAt: 10,
       },
     ]);
-    expect(counted).to.eql([['later_life', 2]]);
+  });
+  it('a later incarnation that is refused tells why', async () => {
+    const {announce, lines} = makeRegistry();
+    await announce({bornAt: 20, sequence: 1}).catch(() => undefined);
+    expect(lines).to.have.length(1);
+    expect(lines[0]).to.deep.include({
+      decision: 'refuse',
+      worker: WORKER,
+      bornAt: 20,
+      why: 'runs_unproved',
+    });
   });
   it('an announcement tells only what has changed', async () => {
     const {announce, lines} = makeRegistry();
--- a/packages/coordination/src/workflow/life_log.ts
+++ b/packages/coordination/src/workflow/life_log.ts
@@ -19,12 +19,10 @@
 
 /** How the leader came to hold that an incarnation of a worker has ended. */
 export type DepartureWay =
-  /** A deregistration named it, or named no incarnation. */
+  /** It has deregistered, and all its runs are over. */
   | 'deregistered'
-  /** Another incarnation answered an order at its address. */
-  | 'other_life'
-  /** A later incarnation announced itself, and this one did not answer. */
-  | 'later_life';
+  /** Another incarnation answered an order at the address of its runs. */
+  | 'other_life';
 
 /** Why a run is given up: by a record of its own, or with its worker. */
 export type GivenUpReason = VoidReason | DepartureWay;
@@ -52,6 +50,10 @@
 /** What came of a deregistration. */
 export type DeregistrationOutcome =
   | 'removed'
+  /** Its runs are not over yet. */
+  | 'leaving'
+  /** It states no start, though that of the worker is known. */
+  | 'no_start'
   /** The record may be in the log or not; the next leader finds out. */
   | 'unconfirmed'
   | 'unknown_worker'
--- a/packages/coordination/src/workflow/nested_queues.spec.ts
+++ b/packages/coordination/src/workflow/nested_queues.spec.ts
@@ -59,7 +59,6 @@
     load: {decide: () => ({kind: 'take'})},
     isWorkflowId: text => /^[0-9a-f]{16}$/.test(text),
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
   const ask = async (
     kind: 'submit' | 'get' | 'cancel',
--- a/packages/coordination/src/workflow/planned_starts.ts
+++ b/packages/coordination/src/workflow/planned_starts.ts
@@ -52,7 +52,7 @@
 }: Pick<WorkerChannelOptions, 'db' | 'life' | 'mayOrder'>):
   string | undefined => {
   if (!mayOrder()) return 'the leadership is not confirmed';
-  return isWithinRoom(db.findIncarnation(life))
-    ? undefined
-    : 'the room of the worker has shrunk';
+  const state = db.findIncarnation(life);
+  if (state?.report.isLeaving) return 'the worker leaves';
+  return isWithinRoom(state) ? undefined : 'the room of the worker has shrunk';
 };
--- a/packages/coordination/src/workflow/room_reports.spec.ts
+++ b/packages/coordination/src/workflow/room_reports.spec.ts
@@ -31,7 +31,6 @@
     logger,
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: () => undefined,
-    runsOf: () => [],
   });
 
 const roomIn = ({db}: WorkflowReplica): Resources | undefined =>
--- a/packages/coordination/src/workflow/run_records.ts
+++ b/packages/coordination/src/workflow/run_records.ts
@@ -2,13 +2,10 @@
  * Brings the recorded runs of one incarnation of a worker in line with its lists:
  * records the ends, and voids runs that it never began.
  */
-import {
-  taskKey,
-  type TaskRef,
-  type VoidReason,
-  type VoidedRun,
-} from '@primrosewick/state';
+import {taskKey, type TaskRef, type VoidedRun} from '@primrosewick/state';
 import type {ChannelLog} from './channel_log.js';
+import {proofOf} from './end_proof/core.js';
+import type {EndEvidence} from './end_proof/types.js';
 import type {LifeLog} from './life_log.js';
 import type {HoldAnswer} from './ports.js';
 import type {ProgressTracker} from './progress_tracker.js';
@@ -101,7 +98,7 @@
       unreadable,
       sentAt,
     );
-    if (absent.length > 0) await this.void(absent, 'not_started');
+    await this.giveUp(absent, {kind: 'not_listed'});
     return [
       ...toStop.map(({task, run}) => ({
         task,
@@ -116,9 +113,12 @@
     ];
   }
 
-  /** Records that runs have ended without an end of their own. */
-  async void(runs: readonly RunRef[], reason: VoidReason): Promise<void> {
+  /** Voids runs without an end of their own, if evidence proves that they are over. */
+  async giveUp(runs: readonly RunRef[], evidence: EndEvidence): Promise<void> {
+    const proof = proofOf(evidence);
+    if (runs.length === 0 || !proof || proof.kind === 'replaced') return;
     const {life, record, starts, lifeLog} = this.options;
+    const reason = proof.kind;
     for (const {task, run} of runs) starts.forgetRun(task, run);
     const isConfirmed = await record({
       kind: 'void_runs',
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -189,8 +189,11 @@
     for (const end of this.db.ended.byLastRecord) this.options.onEnded?.(end);
     switch (command.kind) {
       case 'put_worker':
+        this.syncChannels();
+        this.channels.get(command.report.worker)?.continueLeaving();
+        break;
       case 'remove_worker':
-        if (command.kind === 'remove_worker') this.endLog.noteRemoval(command);
+        this.endLog.noteRemoval(command);
         this.syncChannels();
         break;
       case 'start_runs':
@@ -206,6 +209,7 @@
         }
         for (const end of this.db.ended.byLastRecord)
           this.endLog.note(end, this.options.clock.wall());
+        this.channels.get(command.life.worker)?.continueLeaving();
         break;
       case 'cancel':
         this.advice.prune(command.id);
@@ -214,8 +218,10 @@
       case 'submit':
         this.timeline.begin(command.id, this.options.clock.now());
         break;
-      case 'put_bundle':
       case 'void_runs':
+        this.channels.get(command.life.worker)?.continueLeaving();
+        break;
+      case 'put_bundle':
     }
     this.schedulePass();
   }
--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -33,7 +33,6 @@
     logger,
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: () => undefined,
-    runsOf: () => [],
     ...options,
   });
   return {service, proposed};
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -31,6 +31,7 @@
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import {SubmissionAdmission} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
+import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
 import {
   answerOddSubmission,
@@ -49,15 +50,10 @@
 }
 
 /** Options of the service. */
-export interface WorkflowServiceOptions extends Pick<
-  WorkerRegistryOptions,
-  | 'onAnnouncement'
-  | 'runsOf'
-  | 'heardAgoMs'
-  | 'crashEvidenceOf'
-  | 'isAlive'
-  | 'onGivenUp'
-> {
+export interface WorkflowServiceOptions
+  extends
+    Pick<WorkerRegistryOptions, 'onAnnouncement' | 'checkLife' | 'onGivenUp'>,
+    Pick<DeparturesOptions, 'depart'> {
   readonly replica: WorkflowReplica;
   readonly log: LogAccess;
   readonly clock: Clock;
@@ -83,6 +79,7 @@
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly admission: SubmissionAdmission;
   private readonly workers: WorkerRegistry;
+  private readonly departures: Departures;
   private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
 
@@ -100,6 +97,12 @@
       db: () => options.replica.db,
       propose: command => options.log.propose(command),
     });
+    this.departures = new Departures({
+      ...options,
+      db: () => options.replica.db,
+      applied: options.replica.applied,
+      propose: command => options.log.propose(command),
+    });
     this.bundles = new BundleWriter({
       db: options.replica.db,
       propose: command => options.log.propose(command),
@@ -149,13 +152,14 @@
   }
 
   /**
-   * Deregisters a worker. With `bornAt`, only that incarnation is removed;
-   * null means whichever is registered.
+   * Deregisters an incarnation of a worker, whose caller waits until a deadline
+   * of the monotonic clock in ms.
    */
   removeWorker(
     request: LinkMethods['removeWorker']['request'],
+    deadline: number,
   ): Promise<LinkMethods['removeWorker']['reply']> {
-    return this.runAsLeader(() => this.workers.remove(request));
+    return this.runAsLeader(() => this.departures.remove(request, deadline));
   }
 
   /**
--- a/packages/coordination/src/workflow/silence.ts
+++ b/packages/coordination/src/workflow/silence.ts
@@ -3,12 +3,9 @@
   taskKey,
   type CrashEvidence,
   type TaskRef,
-  type VoidedRun,
   type WorkerId,
-  type WorkerIncarnation,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
-import type {RemoveWorker} from './crash_log.js';
 
 /** Workers that fall silent within this time of each other do so together, in ms. */
 const TOGETHER_MS = 50;
@@ -67,18 +64,6 @@
   };
 };
 
-/** Record of an incarnation that has crashed, with its runs. */
-export const crashRecord = (
-  {worker, bornAt}: WorkerIncarnation,
-  runs: readonly VoidedRun[],
-  crash: CrashEvidence | undefined,
-): RemoveWorker => ({
-  kind: 'remove_worker',
-  life: {worker, bornAt},
-  runs,
-  ...(crash && {crash}),
-});
-
 const areTogether = (own: Silence | undefined, other: Silence): boolean =>
   own?.since !== undefined &&
   other.since !== undefined &&
--- a/packages/coordination/src/workflow/stop_ledger.ts
+++ b/packages/coordination/src/workflow/stop_ledger.ts
@@ -17,9 +17,11 @@
 > {
   /**
    * `not_recorded` for an orphaned run: listed by the worker, but not in the log;
-   * `not_listed` for a recorded run that only an unreadable row may list.
+   * `not_listed` for a recorded run that only an unreadable row may list;
+   * `worker_leaves` for a run on a worker that has said that it leaves.
    */
-  readonly why: PlannedStop['why'] | 'not_recorded' | 'not_listed';
+  readonly why:
+    PlannedStop['why'] | 'not_recorded' | 'not_listed' | 'worker_leaves';
 }
 
 /** Tracks which runs were ordered to stop. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -4,26 +4,24 @@
  * an answer may still be executed much later, so the fence is raised and the
  * worker's lists of runs are queried before anything is concluded.
  */
-import {
-  taskKey,
-  type TaskKey,
-  type TaskRef,
-  type VoidedRun,
-} from '@primrosewick/state';
+import {taskKey, type TaskKey, type TaskRef} from '@primrosewick/state';
 import {pause} from '@primrosewick/transport';
 import type {
   HoldAnswer,
   OrderAnswer,
   OrderFailure,
   StartRequest,
+  WorkerTarget,
 } from './ports.js';
 import {ChannelLog} from './channel_log.js';
+import type {LifeState} from './end_proof/types.js';
+import {LifeEnd} from './life_end.js';
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
 import {RunRecords, type RunLists} from './run_records.js';
 import {ResponseMonitor} from './response_monitor.js';
-import {Silence, crashRecord} from './silence.js';
+import {Silence} from './silence.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
@@ -40,6 +38,8 @@
 const UNCONFIRMED_PAUSE_MS = 50;
 /** Pause before the lists are queried again while starts are unsettled, in ms. */
 const SETTLE_PAUSE_MS = 20;
+/** Pause before a worker that did not answer is asked again whether it runs, in ms. */
+const LIFE_CHECK_PAUSE_MS = 50;
 
 /** Communicates with one incarnation of a worker while this VM leads. */
 export class WorkerChannel {
@@ -47,6 +47,8 @@
   readonly progress = new ProgressTracker();
   /** When the worker was last heard. */
   readonly silence = new Silence();
+  /** How its incarnation ends. */
+  readonly end: LifeEnd;
   private readonly starts = new StartLedger();
   private readonly stops = new StopLedger();
   private readonly responses = new ResponseMonitor();
@@ -54,9 +56,9 @@
   private readonly log: ChannelLog;
   private readonly lifeLog: LifeLog;
   private readonly runs: RunRecords;
+
   private fenceCounter = 0;
   private isSynced = false;
-  private isGone = false;
   private isClosed = false;
   private isLapsed = false;
   private lastAcked = 0;
@@ -76,11 +78,17 @@
       log,
       lifeLog,
     });
+    this.end = new LifeEnd({
+      ...options,
+      lifeLog,
+      activeRuns: () => this.runs.active,
+      heardAgoMs: () => this.silence.heardAgoMs(options.clock.wall()),
+    });
   }
 
   /** Whether the worker's lists were received under the current fence. */
   get isUsable(): boolean {
-    return this.isSynced && !this.isGone && !this.isClosed;
+    return this.isSynced && !this.end.isReplaced && !this.isClosed;
   }
 
   /** Whether the worker is usable and answers its orders in time. */
@@ -118,29 +126,25 @@
     return this.options.life.bornAt;
   }
 
-  /** Time since the worker last answered, in ms; undefined if it never did. */
-  get heardAgoMs(): number | undefined {
-    return this.silence.heardAgoMs(this.options.clock.wall());
-  }
-
-  /** All recorded runs of the worker, with the latest listed checkpoints. */
-  get activeRuns(): VoidedRun[] {
-    return this.runs.active;
-  }
-
-  /** Asks the worker whether it still runs as this incarnation. */
-  async isAlive(): Promise<boolean> {
-    if (this.isGone || this.isClosed || !this.options.mayOrder()) return false;
-    const answer = await this.options.port.hold(this.target, {
-      fence: this.fence,
-      endsRecorded: this.lastAcked,
-      waitMs: 0,
-    });
-    return answer.kind === 'lists';
+  /** Asks the worker until a monotonic time in ms whether it runs as this incarnation. */
+  async checkLife(until: number): Promise<LifeState> {
+    const {clock, mayOrder, port} = this.options;
+    while (clock.now() < until && mayOrder() && !this.isClosed) {
+      const {target, fence, lastAcked: endsRecorded} = this;
+      const order = {fence, endsRecorded, waitMs: 0};
+      const answer = await port.hold(target, order);
+      if (answer.kind === 'lists') return 'runs';
+      if (answer.kind === 'other_life')
+        await this.end.onOtherAnswer(target.address);
+      if (this.end.isReplaced) return 'over';
+      await pause(clock, LIFE_CHECK_PAUSE_MS);
+    }
+    return 'silent';
   }
 
   /** Starts the loop of holds. */
   open(): void {
+    this.continueLeaving();
     void this.loop().catch((err: unknown) =>
       this.options.logger.error(
         {change: 'channel_failed', worker: this.options.life, err},
@@ -168,13 +172,29 @@
   /** Forgets a start that was not recorded. */
   forget(task: TaskRef): void {
     this.starts.forget(task);
+    this.continueLeaving();
     this.wake();
   }
 
+  /**
+   * Stops all that runs on a worker that has said that it leaves, and removes
+   * the worker once nothing does. Called whenever its records have changed.
+   */
+  continueLeaving(): void {
+    const state = this.options.db.findIncarnation(this.options.life);
+    if (!state?.report.isLeaving || this.end.isReplaced || this.isClosed)
+      return;
+    for (const {task, run} of state.active.values())
+      void this.stop({task, run, why: 'worker_leaves'});
+    if (state.active.size === 0 && this.expectedStarts.length === 0)
+      void this.end.depart();
+  }
+
   /** Sends a recorded start to the worker. */
   async start(order: StartRequest): Promise<void> {
     const obstacle = findStartObstacle(this.options);
     if (obstacle !== undefined) return this.abandonStart(order, obstacle);
+    const {address} = this.target;
     const answer = await this.sendStart(order);
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
@@ -184,7 +204,7 @@
       this.starts.confirm(order.task, order.run, at);
       this.options.onStarted(order.task);
     } else {
-      await this.onStartFailed(order, answer);
+      await this.onStartFailed(order, answer, address);
       this.starts.forget(order.task);
     }
     this.options.onChange();
@@ -195,7 +215,7 @@
   async abandonStart({task, run}: StartRequest, detail: string): Promise<void> {
     const failure = {kind: 'not_sent', detail} as const;
     this.options.onStartFailed(task, failure, this.options.life);
-    await this.runs.void([{task, run}], 'not_started');
+    await this.runs.giveUp([{task, run}], {kind: 'start_not_sent'});
     this.starts.forget(task);
     this.options.onChange();
   }
@@ -206,11 +226,12 @@
     if (!this.isUsable || !this.options.mayOrder()) return;
     if (!this.stops.note(task, run, clock.now())) return;
     onStop?.({task, run, why, inFavourOf});
-    const answer = await port.stop(this.target, {task, run, fence: this.fence});
+    const {target, fence} = this;
+    const answer = await port.stop(target, {task, run, fence});
     if (answer.kind === 'accepted') {
       this.workerClock.note(clock.now(), answer.clockMs);
       this.runs.noteStopped({task, run}, clock.now());
-    } else this.onFailure(answer);
+    } else this.onFailure(answer, target.address);
     this.wake();
   }
 
@@ -218,7 +239,7 @@
     return this.options.term * FENCES_PER_TERM + this.fenceCounter;
   }
 
-  private get target() {
+  private get target(): WorkerTarget {
     const {life, db} = this.options;
     const address = db.findIncarnation(life)?.report.address ?? '';
     return {...life, address};
@@ -239,12 +260,15 @@
   private async onStartFailed(
     {task, run}: {readonly task: TaskRef; readonly run: number},
     failure: OrderFailure,
+    address: string,
   ): Promise<void> {
     this.options.onStartFailed(task, failure, this.options.life);
-    if (failure.kind === 'refused') this.noteRefusalClock(failure);
-    if (failure.kind === 'refused' || failure.kind === 'not_sent')
-      await this.runs.void([{task, run}], 'not_started');
-    this.onFailure(failure);
+    if (failure.kind === 'refused') {
+      this.noteRefusalClock(failure);
+      await this.runs.giveUp([{task, run}], {kind: 'start_refused'});
+    } else if (failure.kind === 'not_sent')
+      await this.runs.giveUp([{task, run}], {kind: 'start_not_sent'});
+    this.onFailure(failure, address);
   }
 
   private noteRefusalClock({clockMs}: {readonly clockMs?: number}): void {
@@ -252,14 +276,16 @@
     this.workerClock.note(this.options.clock.now(), clockMs);
   }
 
-  private onFailure(failure: OrderFailure): void {
+  /** Handles the failure of an order that was sent to an address. */
+  private onFailure(failure: OrderFailure, address: string): void {
     switch (failure.kind) {
       case 'not_sent':
       case 'no_answer':
         this.silence.noteFailure(this.options.clock.now());
         return this.raiseFence(failure.detail);
       case 'other_life':
-        void this.onOtherIncarnation();
+        this.raiseFence(`another incarnation answers at ${address}`);
+        void this.end.onOtherAnswer(address);
         return;
       case 'refused':
         if (failure.why === 'stale_fence') this.raiseFence('stale fence');
@@ -279,23 +305,8 @@
     this.wake();
   }
 
-  /** Removes the worker: its incarnation has ended, and with it all of its runs. */
-  private async onOtherIncarnation(): Promise<void> {
-    if (this.isGone) return;
-    this.isGone = true;
-    const {life, record, onChange} = this.options;
-    const {lifeLog, heardAgoMs} = this;
-    const departing = lifeLog.departing(life, 'other_life', heardAgoMs);
-    const evidence = this.options.crashEvidence?.();
-    const isConfirmed = await record(
-      crashRecord(life, this.runs.active, evidence),
-    );
-    lifeLog.gone(departing, isConfirmed);
-    onChange();
-  }
-
   private async loop(): Promise<void> {
-    while (!this.isClosed && !this.isGone) {
+    while (!this.isClosed && !this.end.isReplaced) {
       if (this.isIdle()) {
         await this.waitForWork();
         continue;
@@ -305,11 +316,12 @@
         continue;
       }
       const sentAt = this.options.clock.now();
-      const fence = this.fence;
-      const answer = await this.sendHold(fence);
-      if (this.isClosed || this.isGone) return;
+      const {fence, target} = this;
+      const answer = await this.sendHold(target, fence);
+      if (this.isClosed || this.end.isReplaced) return;
       if (answer.kind === 'lists') await this.onLists(answer, sentAt, fence);
-      else await this.onHoldFailed(answer);
+      else await this.onHoldFailed(answer, target.address);
+      this.continueLeaving();
     }
   }
 
@@ -318,6 +330,7 @@
     if (!state) return true;
     return (
       this.isSynced &&
+      !this.end.isLeaving &&
       state.active.size === 0 &&
       state.endsRecorded === this.lastAcked
     );
@@ -329,14 +342,18 @@
     });
   }
 
-  private async sendHold(fence: number): Promise<HoldAnswer> {
+  private async sendHold(
+    target: WorkerTarget,
+    fence: number,
+  ): Promise<HoldAnswer> {
     const {clock, leaseMs, port} = this.options;
     const {endsRecorded} = this.runs;
     // A hold that may never be answered must not extend the lease.
-    const leaseEnd = this.isSynced
-      ? this.workerClock.leaseFor(clock.now(), leaseMs)
-      : undefined;
-    const answer = await port.hold(this.target, {
+    const leaseEnd =
+      this.isSynced && !this.end.isLeaving
+        ? this.workerClock.leaseFor(clock.now(), leaseMs)
+        : undefined;
+    const answer = await port.hold(target, {
       fence,
       endsRecorded,
       waitMs: this.isSynced ? HOLD_WAIT_MS : 0,
@@ -356,11 +373,7 @@
     this.retryMs = MIN_RETRY_MS;
     this.silence.noteAnswer(clock.wall());
     this.workerClock.note(clock.now(), answer.clockMs);
-    if (this.isLapsed)
-      this.options.logger.info(
-        {change: 'worker_back', worker: this.options.life.worker},
-        'worker answers again after its lease had lapsed',
-      );
+    if (this.isLapsed) this.log.back();
     this.isLapsed = false;
     this.progress.note(answer.running, clock.now());
     this.log.unreadable(answer.unreadable, clock.now());
@@ -393,9 +406,12 @@
       await pause(this.options.clock, MIN_RETRY_MS);
   }
 
-  private async onHoldFailed(failure: OrderFailure): Promise<void> {
+  private async onHoldFailed(
+    failure: OrderFailure,
+    address: string,
+  ): Promise<void> {
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
-    this.onFailure(failure);
+    this.onFailure(failure, address);
     if (failure.kind === 'no_answer' || failure.kind === 'not_sent')
       await this.checkLapse();
     await pause(this.options.clock, this.retryMs);
@@ -405,11 +421,13 @@
   /** Voids the runs of an unreachable worker once its lease has certainly lapsed. */
   private async checkLapse(): Promise<void> {
     const {clock, db, life} = this.options;
-    if (clock.now() < this.workerClock.lapseAt) return;
+    const now = clock.now();
+    const {lapseAt} = this.workerClock;
+    if (now < lapseAt) return;
     this.isLapsed = true;
     const runs = [...(db.findIncarnation(life)?.active.values() ?? [])].filter(
       ({task}) => !this.starts.isInFlight(taskKey(task)),
     );
-    if (runs.length > 0) await this.runs.void(runs, 'lease_lapsed');
+    await this.runs.giveUp(runs, {kind: 'silence', now, lapseAt});
   }
 }
--- a/packages/coordination/src/workflow/worker_registry.spec.ts
+++ b/packages/coordination/src/workflow/worker_registry.spec.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {
   CellError,
+  type RunEnd,
   type ServiceName,
   type WorkerId,
   type WorkerRegistration,
@@ -13,41 +14,56 @@
   testTask,
   testWorker,
 } from '@primrosewick/state/fixtures';
+import type {LifeState} from './end_proof/types.js';
 import {WorkerRegistry} from './worker_registry.js';
 
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
 const WORKER = 'w1' as WorkerId;
 const TASK = testTask('a', 0, 0);
 const OTHER_POOL = 'other-service' as ServiceName;
+const {address: ADDRESS} = testWorker('w1');
+const OTHER_ADDRESS = '10.0.0.99:1';
+const DONE: RunEnd = {
+  sequence: 1,
+  task: TASK,
+  run: 1,
+  outcome: 'done',
+  checkpoint: '',
+};
 
 /** A registry at a leader, with a worker that runs a task. */
-const makeRegistry = ({isAlive = false} = {}) => {
+const makeRegistry = (given: LifeState = 'silent') => {
   const log = new TestLog();
   log.addWorker('w1', {bornAt: 10, sequence: 5});
   log.submit('a', testSpec([testStep()]));
   log.start('w1', TASK, 1, 10);
   const heard: WorkerId[] = [];
+  const life = {worker: WORKER, bornAt: 10};
+  const endRun = () => log.apply({kind: 'end_runs', life, ends: [DONE], at: 1});
   const registry = new WorkerRegistry({
     db: () => log.db,
     propose: async command => log.apply(command),
     logger,
     onAnnouncement: worker => heard.push(worker),
-    runsOf: () => [],
-    isAlive: async ({bornAt}) => isAlive && bornAt === 10,
+    checkLife: async ({bornAt}) => (bornAt === 10 ? given : 'silent'),
   });
-  const announce = async (
-    part: Partial<WorkerRegistration>,
-  ): Promise<string> => {
-    try {
-      await registry.announce(testWorker('w1', part));
-      return 'known';
-    } catch (err) {
-      return err instanceof CellError ? err.code : String(err);
-    }
-  };
-  const runCount = () => log.db.findTask(TASK)?.active.length;
-  const bornAt = () => log.db.workers.get(WORKER)?.report.bornAt;
-  return {log, heard, announce, runCount, bornAt};
+  const announce = (part: Partial<WorkerRegistration>) =>
+    outcomeOf(registry.announce(testWorker('w1', part)));
+  const report = () => log.db.workers.get(WORKER)?.report;
+  const runCount = () => log.db.findTask(TASK)?.active.length ?? 0;
+  const bornAt = () => report()?.bornAt;
+  return {log, heard, announce, endRun, report, runCount, bornAt};
+};
+
+/** `known`, `unknown` or the code of the error. */
+const outcomeOf = async (
+  reply: Promise<{readonly isKnown: boolean}>,
+): Promise<string> => {
+  try {
+    return (await reply).isKnown ? 'known' : 'unknown';
+  } catch (err) {
+    return err instanceof CellError ? err.code : String(err);
+  }
 };
 
 describe('registry of workers', () => {
@@ -62,16 +78,51 @@
     expect(heard).to.eql([WORKER]);
   });
   it('a later incarnation is not believed while the earlier one answers', async () => {
-    const {announce, runCount, bornAt, heard} = makeRegistry({isAlive: true});
+    const {announce, runCount, bornAt, heard} = makeRegistry('runs');
     expect(await announce({bornAt: 20, sequence: 1})).to.equal('invalid_input');
     expect([runCount(), bornAt(), heard]).to.eql([1, 10, []]);
     expect(await announce({bornAt: 10, sequence: 6})).to.equal('known');
     expect(heard).to.eql([WORKER]);
   });
-  it('a later incarnation is believed once the earlier one is silent', async () => {
-    const {announce, runCount, bornAt} = makeRegistry();
+  // Guards against TWICE: a later start was announced while the worker was cut off.
+  it('a later incarnation is not believed while runs of a silent one may go on', async () => {
+    const {announce, runCount, bornAt, heard, endRun} = makeRegistry();
+    const later = {bornAt: 20, sequence: 1};
+    expect(await announce(later)).to.equal('worker_unsure');
+    expect([runCount(), bornAt(), heard]).to.eql([1, 10, []]);
+    endRun();
+    expect(await announce(later)).to.equal('known');
+    expect([runCount(), bornAt(), heard]).to.eql([0, 20, [WORKER]]);
+  });
+  it('a later incarnation is believed once the earlier one is proved to be over', async () => {
+    const {announce, log, bornAt} = makeRegistry('over');
+    log.apply({
+      kind: 'remove_worker',
+      life: {worker: WORKER, bornAt: 10},
+      runs: [],
+      proof: 'replaced',
+    });
     expect(await announce({bornAt: 20, sequence: 1})).to.equal('known');
-    expect([runCount(), bornAt()]).to.eql([0, 20]);
+    expect(bornAt()).to.equal(20);
+  });
+  // Guards against TWICE: the answer of another worker, at an address that was only
+  // announced, was taken as proof that the worker had ended.
+  it('another address is not believed while the worker answers at its own', async () => {
+    const {announce, report, heard} = makeRegistry('runs');
+    const word = {bornAt: 10, sequence: 99, address: OTHER_ADDRESS};
+    expect(await announce(word)).to.equal('invalid_input');
+    expect([report()?.address, report()?.sequence]).to.eql([ADDRESS, 5]);
+    expect(await announce({bornAt: 10, sequence: 6})).to.equal('known');
+    expect(heard).to.eql([WORKER]);
+  });
+  it('another address is not believed while runs at the first may go on', async () => {
+    const {announce, report, endRun} = makeRegistry();
+    const word = {bornAt: 10, sequence: 99, address: OTHER_ADDRESS};
+    expect(await announce(word)).to.equal('worker_unsure');
+    expect(report()?.address).to.equal(ADDRESS);
+    endRun();
+    expect(await announce(word)).to.equal('known');
+    expect(report()?.address).to.equal(OTHER_ADDRESS);
   });
   it('a worker is heard on after its pool has left the bundle', async () => {
     const {announce, log, heard} = makeRegistry();
--- a/packages/coordination/src/workflow/worker_registry.ts
+++ b/packages/coordination/src/workflow/worker_registry.ts
@@ -1,13 +1,10 @@
 /**
- * Registers and removes workers by what they say of themselves. Anyone could
- * write in the name of a worker, so words that contradict what is known of it are
- * not believed.
+ * Registers workers by what they say of themselves. Anyone could write in the name
+ * of a worker, so words that contradict what is known of it are not believed, and
+ * no word ends a run.
  */
-import type {LinkMethods} from '@primrosewick/protocol';
 import {
   CellError,
-  type CrashEvidence,
-  type VoidedRun,
   type WorkerId,
   type WorkerIncarnation as Incarnation,
   type WorkerRegistration,
@@ -16,35 +13,29 @@
   type WorkflowResult,
 } from '@primrosewick/state';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
-import type {RemoveWorker} from './crash_log.js';
-import {
-  LifeLog,
-  type DepartureWay,
-  type DeregistrationOutcome,
-  type LifeLogOptions,
-} from './life_log.js';
-import {crashRecord} from './silence.js';
-
-type RemoveRequest = LinkMethods['removeWorker']['request'];
+import type {LifeState} from './end_proof/types.js';
+import {LifeLog, type LifeLogOptions} from './life_log.js';
 
 /** Options of {@link WorkerRegistry}. */
 export interface WorkerRegistryOptions extends LifeLogOptions {
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   /** Called for each announcement of a worker. */
   readonly onAnnouncement: (worker: WorkerId) => void;
-  /** The recorded runs of a worker, with their latest checkpoints. */
-  readonly runsOf: (worker: WorkerId) => readonly VoidedRun[];
-  /** Time since an incarnation last answered this leader, in ms. */
-  readonly heardAgoMs?: (life: Incarnation) => number | undefined;
-  /** What tells that a worker has crashed whose next incarnation is there. */
-  readonly crashEvidenceOf?: (worker: WorkerId) => CrashEvidence | undefined;
   /**
    * Asks the incarnation of a worker that is registered whether it still runs;
-   * false if it does not answer shortly, undefined if it cannot be asked.
+   * undefined if it cannot be asked.
    */
-  readonly isAlive?: (life: Incarnation) => Promise<boolean> | undefined;
+  readonly checkLife?: (life: Incarnation) => Promise<LifeState> | undefined;
 }
 
+/** Why an announcement is not believed, or not yet. */
+type Doubt =
+  | 'unknown_pool'
+  | 'earlier_life_runs'
+  | 'other_address'
+  /** Runs of the registered incarnation may go on. */
+  | 'runs_unproved';
+
 /** Keeps the records of workers at the leader. */
 export class WorkerRegistry {
   private readonly sequences = new AnnouncementSequences();
@@ -56,7 +47,8 @@
 
   /**
    * Handles a worker's announcement, and records it if it changes anything.
-   * @throws CellError `invalid_input` if it cannot be the worker's own.
+   * @throws CellError `invalid_input` if it cannot be the worker's own, and
+   *   `worker_unsure` if runs of another incarnation may go on.
    */
   async announce(
     report: WorkerRegistration,
@@ -67,50 +59,17 @@
     if (!this.db.workers.has(report.worker))
       this.sequences.forgetLater(report, this.db.departed);
     if (this.sequences.note(report)) return {isKnown: true};
-    if (await this.isContradicted(report)) {
-      // The worker's own next announcement is of an earlier incarnation.
+    const doubt = await this.findDoubt(report);
+    if (doubt) {
+      // The worker's own next announcement may be of an earlier incarnation.
       this.sequences.forget(report.worker);
-      throw this.refuse(report, 'earlier_life_runs');
+      throw this.refuse(report, doubt);
     }
     onAnnouncement(report.worker);
     if (hasUnrecordedChanges(this.db, report)) await this.put(report);
     return {isKnown: true};
   }
 
-  /**
-   * Removes a worker that deregisters. With `bornAt`, only that incarnation is
-   * removed; null means whichever is registered.
-   */
-  async remove(request: RemoveRequest): Promise<{readonly isKnown: boolean}> {
-    const {worker, bornAt} = request;
-    const state = this.db.workers.get(worker);
-    const known = state
-      ? {bornAt: state.report.bornAt, runCount: state.active.size}
-      : null;
-    const tell = (outcome: DeregistrationOutcome) =>
-      this.log.deregistered({worker, bornAt, known, outcome});
-    const isMatch = known && (bornAt === null || known.bornAt === bornAt);
-    if (!isMatch) {
-      tell(known ? 'other_incarnation' : 'unknown_worker');
-      return {isKnown: false};
-    }
-    const life = {worker, bornAt: known.bornAt};
-    const runs = this.options.runsOf(worker);
-    // Without a start it may be the delayed word of an earlier incarnation.
-    const isFinal = bornAt !== null;
-    try {
-      await this.proposeRemoval(
-        {kind: 'remove_worker', life, runs, ...(isFinal ? {isFinal} : {})},
-        'deregistered',
-      );
-    } catch (err) {
-      tell('unconfirmed');
-      throw err;
-    }
-    tell('removed');
-    return {isKnown: true};
-  }
-
   private get db(): WorkflowDb {
     return this.options.db();
   }
@@ -127,60 +86,39 @@
     return [...queues.values()].some(queue => queue.pool === pool);
   }
 
-  /** Whether the incarnation that a report would replace still runs. */
-  private async isContradicted(report: WorkerRegistration): Promise<boolean> {
+  /** @returns why a report is not believed, or not yet; undefined if it is. */
+  private async findDoubt(
+    report: WorkerRegistration,
+  ): Promise<Doubt | undefined> {
     const known = this.db.workers.get(report.worker)?.report;
-    if (!known || known.bornAt >= report.bornAt) return false;
+    if (!known || !isOfOtherProcess(known, report)) return undefined;
     const {worker, bornAt} = known;
-    return (await this.options.isAlive?.({worker, bornAt})) === true;
+    const state = await this.options.checkLife?.({worker, bornAt});
+    if (state === 'runs')
+      return report.bornAt === bornAt ? 'other_address' : 'earlier_life_runs';
+    const unproved = this.db.findIncarnation({worker, bornAt})?.active.size;
+    return unproved ? 'runs_unproved' : undefined;
   }
 
   private refuse(
-    {worker, bornAt, sequence, pool}: WorkerRegistration,
-    why: 'unknown_pool' | 'earlier_life_runs',
+    {worker, bornAt, sequence, pool, address}: WorkerRegistration,
+    why: Doubt,
   ): CellError {
     this.options.logger.info(
-      {decision: 'refuse', worker, bornAt, sequence, pool, why},
-      'refused an announcement that cannot be of the worker itself',
+      {decision: 'refuse', worker, bornAt, sequence, pool, address, why},
+      'refused an announcement that cannot be of the worker itself, or not yet',
     );
     return new CellError({
-      code: 'invalid_input',
+      code: why === 'runs_unproved' ? 'worker_unsure' : 'invalid_input',
       step: 'announce-worker',
       detail: why,
     });
   }
 
-  /** Record of an incarnation whose next one is there, though it never left. */
-  private crashOf(life: Incarnation): RemoveWorker {
-    const {runsOf, crashEvidenceOf} = this.options;
-    const {worker} = life;
-    return crashRecord(life, runsOf(worker), crashEvidenceOf?.(worker));
-  }
-
-  /** Proposes that an incarnation is removed, and logs what goes with it. */
-  private async proposeRemoval(
-    record: RemoveWorker,
-    why: DepartureWay,
-  ): Promise<void> {
-    const {propose, heardAgoMs} = this.options;
-    const {life} = record;
-    const departing = this.log.departing(life, why, heardAgoMs?.(life));
-    try {
-      await propose(record);
-    } catch (err) {
-      this.log.gone(departing, false);
-      throw err;
-    }
-    this.log.gone(departing, true);
-  }
-
   private async put(report: WorkerRegistration): Promise<void> {
-    const {propose} = this.options;
     const previous = this.db.workers.get(report.worker)?.report;
     try {
-      if (previous && previous.bornAt < report.bornAt)
-        await this.proposeRemoval(this.crashOf(previous), 'later_life');
-      await propose({kind: 'put_worker', report});
+      await this.options.propose({kind: 'put_worker', report});
     } catch (err) {
       // Otherwise the worker's next announcement could be dropped as a duplicate.
       this.sequences.forget(report.worker);
@@ -189,3 +127,11 @@
     this.log.announced(report, previous);
   }
 }
+
+/** Whether a report can only be of another process than the known one. */
+const isOfOtherProcess = (
+  known: WorkerRegistration,
+  report: WorkerRegistration,
+): boolean =>
+  report.bornAt > known.bornAt ||
+  (report.bornAt === known.bornAt && report.address !== known.address);
--- a/packages/daemon/src/cluster/given_up_runs.ts
+++ b/packages/daemon/src/cluster/given_up_runs.ts
@@ -8,7 +8,7 @@
 ): ((reason: GivenUpReason, count: number) => void) => {
   const runs = new Counter({
     name: 'primrosewick_runs_given_up_total',
-    help: 'Runs that this VM gave up while it led, by reason: not_started, lease_lapsed, deregistered, other_life or later_life.',
+    help: 'Runs that this VM gave up while it led, by reason: not_started, lease_lapsed or other_life.',
     labelNames: ['reason'],
     registers: [registry],
   });
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -256,10 +256,8 @@
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
       onRefused: queue => this.scheduler?.noteRefused(queue),
       onGivenUp: this.counters.onGivenUp,
-      runsOf: worker => this.scheduler?.lives.runsOf(worker) ?? [],
-      heardAgoMs: life => this.scheduler?.lives.heardAgoMs(life),
-      crashEvidenceOf: worker => this.scheduler?.lives.crashEvidenceOf(worker),
-      isAlive: life => this.scheduler?.lives.isAlive(life),
+      checkLife: life => this.scheduler?.lives.check(life),
+      depart: life => this.scheduler?.lives.depart(life),
     });
   }
 
@@ -375,7 +373,8 @@
       announceWorker: report => service?.announceWorker(report) ?? notLeader(),
       heardWorkers: request =>
         service?.noteAnnouncements(request) ?? notLeader(),
-      removeWorker: request => service?.removeWorker(request) ?? notLeader(),
+      removeWorker: (request, _from, deadline) =>
+        service?.removeWorker(request, deadline) ?? notLeader(),
       putBundle: request => service?.putBundle(request) ?? notLeader(),
       getBundle: () => service?.getBundle() ?? notLeader(),
       advise: ({step, workers}) => this.options.advice.advise(step, workers),
--- a/packages/proofs/src/workflow/forged_words.ts
+++ b/packages/proofs/src/workflow/forged_words.ts
@@ -35,6 +35,8 @@
   readonly service: () => WorkflowService | undefined;
 }
 
+/** Time for which the leader may take to answer, in ms. */
+const ANSWER_MS = 900;
 /** Address at which nobody listens. */
 const NOWHERE = '10.0.9.9:1';
 /**
@@ -91,8 +93,9 @@
   }
 
   private sayGoodbye({id}: SimWorker, bornAt: number | null): void {
+    const {queue, service} = this.options;
     this.deliver(() =>
-      this.options.service()?.removeWorker({worker: id, bornAt}),
+      service()?.removeWorker({worker: id, bornAt}, queue.now + ANSWER_MS),
     );
   }
 
--- a/packages/proofs/src/workflow/leader_service.ts
+++ b/packages/proofs/src/workflow/leader_service.ts
@@ -36,8 +36,6 @@
     },
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: worker => scheduler.noteAnnouncement(worker),
-    runsOf: worker => scheduler.lives.runsOf(worker),
-    heardAgoMs: life => scheduler.lives.heardAgoMs(life),
-    crashEvidenceOf: worker => scheduler.lives.crashEvidenceOf(worker),
-    isAlive: life => scheduler.lives.isAlive(life),
+    checkLife: life => scheduler.lives.check(life),
+    depart: life => scheduler.lives.depart(life),
   });
--- a/packages/proofs/src/workflow/sim_goodbyes.ts
+++ b/packages/proofs/src/workflow/sim_goodbyes.ts
@@ -43,6 +43,8 @@
 const DRAIN_MS = 1000;
 /** Time until the next attempt; an acknowledgement that takes longer is not seen, in ms. */
 const RETRY_MS = 1000;
+/** Time for which the leader may take to answer, in ms. */
+const ANSWER_MS = 900;
 /** Bounds of the time until a worker without an acknowledgement ends, in ms. */
 const GIVE_UP_MS = [2000, 5000] as const;
 /** Time from the end of a worker until its next incarnation may start, in ms. */
@@ -100,9 +102,10 @@
 
   private async deliver(goodbye: Goodbye, triedAt: number): Promise<void> {
     const {worker, bornAt} = goodbye;
+    const deadline = this.options.queue.now + ANSWER_MS;
     const reply = await this.options
       .service()
-      ?.removeWorker({worker: worker.id, bornAt})
+      ?.removeWorker({worker: worker.id, bornAt}, deadline)
       .catch(() => undefined);
     if (reply?.kind !== 'ok') return;
     goodbye.isHeard ||= reply.value.isKnown;
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -141,6 +141,12 @@
     1000,
     'The cell log did not confirm in time; resend with the same request id.',
   ),
+  worker_unsure: reason(
+    503,
+    'not_run',
+    1000,
+    'Runs may still go on at the worker, or at the one that had its id before.',
+  ),
   backlog: reason(
     429,
     'not_run',
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -184,13 +184,58 @@
     expect(phaseOf(log, 'a')).to.equal('open');
     expect(log.db.findTask(testTask('a', 0, 0))?.checkpoint).to.equal('cp');
   });
-  it('a new incarnation of a worker ends the runs of the old one', () => {
+  // Guards against TWICE: a later start was announced, and what ran on the worker
+  // was started elsewhere.
+  it('a later start of a worker ends no run of the incarnation before', () => {
     const log = oneTask();
     log.addWorker('w1', {bornAt: 2});
+    expect(log.db.findTask(testTask('a', 0, 0))?.active).to.have.length(1);
+    expect(log.db.workers.get('w1' as never)?.report.bornAt).to.equal(1);
+  });
+  it('a replaced incarnation takes its runs along, and gets no further ones', () => {
+    const log = oneTask();
+    const life = {worker: 'w1' as never, bornAt: 1};
+    log.apply({kind: 'remove_worker', life, runs: [], proof: 'replaced'});
     expect(log.db.findTask(testTask('a', 0, 0))?.active).to.eql([]);
+    log.addWorker('w1', {bornAt: 2});
     log.start('w1', testTask('a', 0, 0), 2, 1);
     expect(log.db.findTask(testTask('a', 0, 0))?.active).to.eql([]);
   });
+  // Guards against TWICE: a start was recorded while its worker, idle so far, left.
+  it('a worker without runs is not removed if it has some by then', () => {
+    const log = oneTask();
+    const life = {worker: 'w1' as never, bornAt: 1};
+    log.apply({kind: 'remove_worker', life, runs: [], proof: 'no_runs'});
+    expect(log.db.findTask(testTask('a', 0, 0))?.active).to.have.length(1);
+    expect(log.db.workers.has('w1' as never)).to.equal(true);
+  });
+  // Guards against TWICE: the answer of another worker, at an address that was only
+  // announced, was taken as proof that the worker had ended.
+  it('the address of a worker stays while runs are active that were started there', () => {
+    const log = oneTask();
+    const {address} = testWorker('w1');
+    const moved = {address: '10.0.0.9:80', sequence: 9};
+    log.addWorker('w1', moved);
+    expect(log.db.workers.get('w1' as never)?.report.address).to.equal(address);
+    const run = {task: testTask('a', 0, 0), run: 1, checkpoint: ''};
+    log.apply({
+      kind: 'void_runs',
+      life: {worker: 'w1' as never, bornAt: 1},
+      runs: [run],
+      reason: 'not_started',
+    });
+    log.addWorker('w1', moved);
+    expect(log.db.workers.get('w1' as never)?.report.address).to.equal(
+      moved.address,
+    );
+  });
+  it('a worker that leaves does so for the rest of its incarnation', () => {
+    const log = oneTask();
+    log.addWorker('w1', {isDraining: true, isLeaving: true});
+    log.addWorker('w1', {isDraining: false, sequence: 9});
+    const report = log.db.workers.get('w1' as never)?.report;
+    expect([report?.isLeaving, report?.isDraining]).to.eql([true, true]);
+  });
   it('an older incarnation does not replace a newer one', () => {
     const log = oneTask();
     log.addWorker('w1', {bornAt: 0});
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -20,6 +20,7 @@
   newOccurrence,
   isOccurrenceDone,
   areAllOccurrencesDone,
+  saveCheckpoints,
   updateCheckpoint,
   hasActiveRuns,
   markDone,
@@ -33,7 +34,6 @@
   StepState,
   TaskRef,
   TaskState,
-  VoidedRun,
   WorkerIncarnation as Incarnation,
   WorkerRegistration,
   WorkerState,
@@ -99,9 +99,7 @@
         if (!this.departed.has(command.report)) this.putWorker(command.report);
         return APPLIED;
       case 'remove_worker':
-        this.saveCheckpoints(command.life, command.runs);
-        this.removeWorker(command.life, command.crash);
-        if (command.isFinal) this.departed.add(command.life);
+        this.applyRemoval(command);
         return APPLIED;
       case 'start_runs':
         for (const start of command.starts) this.startRun(start, command.at);
@@ -110,7 +108,7 @@
         this.endRuns(command.life, command.ends, command.at);
         return APPLIED;
       case 'void_runs':
-        this.saveCheckpoints(command.life, command.runs);
+        saveCheckpoints(this, command.life, command.runs);
         for (const {task, run} of command.runs)
           this.removeRun(command.life, task, run);
         return APPLIED;
@@ -253,10 +251,11 @@
     const known = this.workers.get(report.worker);
     if (known && known.report.bornAt > report.bornAt) return;
     if (known?.report.bornAt === report.bornAt) {
-      known.report = latestReport(known.report, report);
+      known.report = latestReport(known, report);
       return;
     }
-    if (known) this.removeWorker(known.report);
+    // A later start proves nothing about the runs of the earlier incarnation.
+    if (known && known.active.size > 0) return;
     this.workers.set(report.worker, {
       report,
       endsRecorded: 0,
@@ -266,6 +265,17 @@
     });
   }
 
+  private applyRemoval(
+    command: Extract<WorkflowCommand, {kind: 'remove_worker'}>,
+  ): void {
+    const {life, runs, proof, crash, isFinal} = command;
+    const activeCount = this.findIncarnation(life)?.active.size ?? 0;
+    if (proof === 'no_runs' && activeCount > 0) return;
+    saveCheckpoints(this, life, runs);
+    this.removeWorker(life, crash);
+    if (isFinal) this.departed.add(life);
+  }
+
   /** Removes a worker; its runs have ended with it. */
   private removeWorker(life: Incarnation, crash?: CrashEvidence): void {
     const known = this.findIncarnation(life);
@@ -341,16 +351,6 @@
     return true;
   }
 
-  /** Stores the checkpoints of those runs that are still active on a worker. */
-  private saveCheckpoints(life: Incarnation, runs: readonly VoidedRun[]): void {
-    for (const {task, run, checkpoint} of runs) {
-      const isActive =
-        this.findIncarnation(life)?.active.get(taskKey(task))?.run === run;
-      const state = this.findTask(task);
-      if (isActive && state) updateCheckpoint(state, run, checkpoint);
-    }
-  }
-
   private applyEnd({task, run, outcome, checkpoint}: RunEnd, at: number): void {
     const workflow = this.open.get(task.workflow);
     const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
--- a/packages/state/src/workflow/task_state.ts
+++ b/packages/state/src/workflow/task_state.ts
@@ -1,7 +1,11 @@
 /** Helpers that create and update the states of workflows, steps and tasks. */
+import type {WorkflowDb} from './db.js';
+import {taskKey} from './refs.js';
 import type {
   StepState,
   TaskState,
+  VoidedRun,
+  WorkerIncarnation,
   WorkflowSpec,
   WorkflowState,
 } from './types.js';
@@ -86,6 +90,20 @@
   task.checkpointRun = run;
 };
 
+/** Stores the checkpoints of those runs that are still active on a worker. */
+export const saveCheckpoints = (
+  db: Pick<WorkflowDb, 'findIncarnation' | 'findTask'>,
+  life: WorkerIncarnation,
+  runs: readonly VoidedRun[],
+): void => {
+  const active = db.findIncarnation(life)?.active;
+  for (const {task, run, checkpoint} of runs) {
+    const state = db.findTask(task);
+    const isActive = active?.get(taskKey(task))?.run === run;
+    if (isActive && state) updateCheckpoint(state, run, checkpoint);
+  }
+};
+
 /** Marks a task as done and updates the counts of its step. */
 export const markDone = (step: StepState, task: TaskState): void => {
   if (task.isDone) return;
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -109,6 +109,11 @@
   readonly remainingMs: number;
   /** Sequence number of the report within this incarnation; increasing. */
   readonly sequence: number;
+  /**
+   * Whether it has deregistered: its runs are stopped and its lease is not
+   * renewed. It is removed once they are over.
+   */
+  readonly isLeaving?: boolean;
 }
 
 /** How a run ended. */
@@ -251,6 +256,13 @@
   /** The worker was unreachable for longer than its lease. */
   | 'lease_lapsed';
 
+/** What proves that no run goes on at a worker that is removed. */
+export type RemovalProof =
+  /** It has no recorded runs; the record has no effect if it has some when applied. */
+  | 'no_runs'
+  /** Another process answered at its address, which only one can hold. */
+  | 'replaced';
+
 /** Records of the log. `at` is the leader's wall time, in ms since 1970. */
 export type WorkflowCommand =
   | {readonly kind: 'put_bundle'; readonly bundle: Bundle}
@@ -268,6 +280,8 @@
       readonly life: WorkerIncarnation;
       /** Last known checkpoints of the runs that end with the worker. */
       readonly runs: readonly VoidedRun[];
+      /** Absent in older records, which remove the worker with all its runs. */
+      readonly proof?: RemovalProof;
       /** Whether the incarnation said itself that it ends. */
       readonly isFinal?: boolean;
       /** What proves that it crashed; absent if it ended in another way. */
--- a/packages/state/src/workflow/worker_reports.ts
+++ b/packages/state/src/workflow/worker_reports.ts
@@ -3,16 +3,22 @@
 import type {Resources, WorkerRegistration, WorkerState} from './types.js';
 
 /**
- * The report to keep of two by the same incarnation: the later one, though
- * draining is final for an incarnation.
+ * The report to keep of the known one and another by the same incarnation: the
+ * later one, though draining and leaving are final for an incarnation. Its
+ * address stays as long as runs may be active that were started there.
  */
 export const latestReport = (
-  known: WorkerRegistration,
+  {report: known, active}: Pick<WorkerState, 'report' | 'active'>,
   report: WorkerRegistration,
 ): WorkerRegistration => {
-  const isDraining = known.isDraining || report.isDraining;
   const latest = report.sequence < known.sequence ? known : report;
-  return {...latest, isDraining};
+  const isLeaving = known.isLeaving || report.isLeaving;
+  return {
+    ...latest,
+    address: active.size > 0 ? known.address : latest.address,
+    isDraining: known.isDraining || report.isDraining,
+    ...(isLeaving ? {isLeaving} : {}),
+  };
 };
 
 /** Rounding errors of sums and differences of sizes that are not whole numbers. */
