Fuzzing: a worker that was written about ends by a goodbye when all faults end

In the trials each heal crashed all workers in whose name others had written, at once and by chance.

--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -329,11 +329,12 @@
   private healWorker(worker: SimWorker): void {
     const restart = (): void =>
       worker.restart(this.forgedWords.latestStartOf(worker));
+    if (this.forgedWords.mayOutdate(worker))
+      this.goodbyes.begin(worker, {afterMs: 0});
     if (this.goodbyes.isLeaving(worker))
       return this.goodbyes.whenOver(worker, restart);
-    // It ends without a word: a crash by chance.
-    const isOver = worker.isDraining || this.forgedWords.mayOutdate(worker);
-    if (isOver && worker.isUp) worker.crashByChance();
+    // A worker that drains ends without a word: a crash by chance.
+    if (worker.isDraining && worker.isUp) worker.crashByChance();
     restart();
   }
 
