Fuzzing: the next life of a worker executes orders for the one before

An order names the worker and not its incarnation, so that the next one executes it; that it was another is told only by its answer. The simulated network refused such orders unexecuted. It now has them executed, also those that arrive 2 to 12 s late: starts, stops and holds, under the fence that the next life has seen (none at first). An order that names another worker is refused as before.

--- a/packages/proofs/src/workflow/ended_workers.spec.ts
+++ b/packages/proofs/src/workflow/ended_workers.spec.ts
@@ -1,3 +1,4 @@
+import type {WorkflowSpec} from '@primrosewick/state';
 import {testSpec, testStep} from '@primrosewick/state/fixtures';
 import {expect} from 'chai';
 import type {ForgedWord} from './forged_words.js';
@@ -9,17 +10,27 @@
 const WORKER = 0;
 /** Time for which a worker runs on after its goodbye, in ms. */
 const RUNS_ON_MS = 4000;
+/** Time in which all tasks have been ordered, in ms. */
+const ORDERED_MS = 150;
+/** Worlds of the test of late holds, as such a hold has to arrive beside an end. */
+const LATE_HOLD_SEEDS = 15;
 /** Silence that is longer than a check of a worker's life, in ms. */
 const MUTE_MS = 600;
 
+/** A workflow of small tasks. */
+const smallTasks = (taskCount: number): WorkflowSpec =>
+  testSpec([
+    testStep({
+      taskCount,
+      room: {cpuMillis: 500, memMb: 1, gpus: 0},
+      estimateMs: 1000,
+    }),
+  ]);
+
 /** Tasks that leave room beside them on every worker. */
-const manyTasks = testSpec([
-  testStep({
-    taskCount: 20,
-    room: {cpuMillis: 500, memMb: 1, gpus: 0},
-    estimateMs: 1000,
-  }),
-]);
+const manyTasks = smallTasks(20);
+/** Tasks that fill every worker. */
+const fillingTasks = smallTasks(40);
 
 /** A world whose worker runs some tasks. */
 const makeBusyWorld = async (): Promise<WorkflowWorld> => {
@@ -114,3 +125,56 @@
     await expectDone(world);
   }).timeout(TIMEOUT_MS);
 });
+
+/** Starts a worker anew; nothing has been heard of its next incarnation yet. */
+const replace = (world: WorkflowWorld): void => {
+  world.crashWorker(WORKER);
+  world.restartWorker(WORKER);
+};
+
+// Guards against TWICE: an order names a worker and not its incarnation, so that the
+// next one executes it. Its answer tells that it is another, and was taken to mean
+// that the order was not executed.
+describe('orders that the next life of a worker executes', () => {
+  it('a start that the next life of a worker executes: nothing runs twice', async () => {
+    const world = new WorkflowWorld(1);
+    await world.start();
+    replace(world);
+    world.submit(manyTasks);
+    await world.advance(ORDERED_MS);
+    await expectDone(world);
+  }).timeout(TIMEOUT_MS);
+  it('a start that arrives late at the next life of a worker: nothing runs twice', async () => {
+    const world = new WorkflowWorld(1);
+    await world.start();
+    world.setFaults({lossPercent: 0, latePercent: 100});
+    world.submit(manyTasks);
+    await world.advance(ORDERED_MS);
+    world.setFaults({lossPercent: 0, latePercent: 0});
+    replace(world);
+    await world.advance(12_000);
+    await expectDone(world);
+  }).timeout(TIMEOUT_MS);
+  // Guards against TWICE: ends were dropped that the leader had not recorded.
+  it('a hold that arrives late at the next life of a worker: no end is lost', async () => {
+    for (let seed = 1; seed <= LATE_HOLD_SEEDS; seed++) {
+      const world = new WorkflowWorld(seed);
+      await world.start();
+      world.submit(fillingTasks);
+      await world.advance(1000);
+      world.setFaults({lossPercent: 0, latePercent: 100});
+      await world.advance(4000);
+      world.setFaults({lossPercent: 0, latePercent: 0});
+      replace(world);
+      await world.advance(1500);
+      world.submit(fillingTasks);
+      await world.advance(300);
+      // Ends wait at the next life, and holds of the life before arrive.
+      world.setFaults({lossPercent: 100, latePercent: 0});
+      await world.advance(3000);
+      world.setFaults({lossPercent: 0, latePercent: 0});
+      await world.advance(3000);
+      await world.settle();
+    }
+  }).timeout(TIMEOUT_MS);
+});
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -1,6 +1,7 @@
 /**
  * Orders to simulated workers, which arrive on time, late, or not at all, at
- * whoever holds the address.
+ * whoever holds the address. An order names the worker and not its incarnation:
+ * the next one executes it, and only its answer tells that it was another.
  */
 import type {
   HoldAnswer,
@@ -32,6 +33,7 @@
 }
 
 const CALL_TIMEOUT_MS = 1000;
+const OTHER_LIFE = {kind: 'other_life'} as const;
 
 /** Delivers the orders of one leadership. */
 export class SimOrders implements OrderPort {
@@ -39,7 +41,9 @@
 
   start(target: WorkerTarget, order: StartOrder): Promise<OrderAnswer> {
     const sentAt = this.options.queue.now;
-    return this.call(target, worker => worker.start(order, sentAt));
+    return this.call(target, worker =>
+      worker.start(order, {sentAt, isMeant: isMeant(target, worker)}),
+    );
   }
 
   stop(target: WorkerTarget, order: StopOrder): Promise<OrderAnswer> {
@@ -51,9 +55,10 @@
     const timeoutMs = CALL_TIMEOUT_MS + order.waitMs;
     return new Promise(resolve => {
       const begin = (worker: SimWorker): undefined => {
+        const isOther = !isMeant(target, worker);
         worker.hold(order, answer =>
           queue.after(random.nextInt(1, 20), () => {
-            if (!network.isMute(worker)) resolve(answer);
+            if (!network.isMute(worker)) resolve(isOther ? OTHER_LIFE : answer);
           }),
         );
       };
@@ -88,15 +93,25 @@
         : random.nextInt(1, 20);
       queue.after(delayMs, () => {
         if (!listener.isUp || network.isMute(listener)) return;
-        const answer = isMeant(target, listener)
-          ? act(listener)
-          : {kind: 'other_life' as const};
+        const answer = deliver(target, listener, act);
         if (!isLate && answer !== undefined) resolve(answer);
       });
     });
   }
 }
 
+/** Executes an order at whoever holds the address, unless it names another worker. */
+const deliver = <T>(
+  target: WorkerTarget,
+  listener: SimWorker,
+  act: (worker: SimWorker) => T,
+): T | typeof OTHER_LIFE => {
+  if (listener.id !== target.worker) return OTHER_LIFE;
+  const isOther = !isMeant(target, listener);
+  const answer = act(listener);
+  return isOther && answer !== undefined ? OTHER_LIFE : answer;
+};
+
 /** Whether a worker is the incarnation that an order is for. */
 const isMeant = ({worker, bornAt}: WorkerTarget, listener: SimWorker) =>
   listener.id === worker && listener.bornAt === bornAt;
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -6,6 +6,7 @@
   HoldAnswer,
   HoldOrder,
   OrderAnswer,
+  OrderRefusal,
   StartOrder,
   StopOrder,
 } from '@primrosewick/coordination';
@@ -54,10 +55,20 @@
   };
 }
 
+/** How a start came to a worker. */
+export interface StartArrival {
+  /** Virtual time at which it was sent, in ms. */
+  readonly sentAt: number;
+  /** Whether it is for this incarnation. */
+  readonly isMeant: boolean;
+}
+
 interface Run {
   readonly task: TaskRef;
   readonly run: number;
   readonly room: Resources;
+  /** Whether its start was for this incarnation. */
+  readonly isMeant: boolean;
   readonly token: object;
   readonly startedAt: number;
   /**
@@ -174,8 +185,8 @@
     this.rooms.noteAcknowledged(room, this.options.queue.now);
   }
 
-  /** Executes a start that was sent at a virtual time in ms. */
-  start(order: StartOrder, sentAt: number): OrderAnswer {
+  /** Executes a start, also one for an earlier incarnation. */
+  start(order: StartOrder, arrival: StartArrival): OrderAnswer {
     const key = taskKey(order.task);
     const known = this.running.get(key);
     if (!this.acceptFence(order.fence)) return this.refuse('stale_fence');
@@ -184,8 +195,9 @@
     this.extendLease(order.leaseEnd);
     if (known || order.run <= (this.barred.get(key) ?? 0))
       return this.refuse('old_run');
-    this.checkTicket(order);
-    this.begin(order, sentAt);
+    const obstacle = this.findObstacle(order, arrival);
+    if (obstacle) return this.refuse(obstacle);
+    this.begin(order, arrival);
     return this.accept();
   }
 
@@ -257,21 +269,48 @@
     });
   }
 
-  private checkTicket({task, ticket}: StartOrder): void {
+  /**
+   * @returns what keeps a start from being executed. A start for this incarnation
+   *   breaks the guarantees if its ticket is wrong, or if there is no room for it
+   *   even without the runs that were not for this incarnation.
+   */
+  private findObstacle(
+    {task, ticket}: StartOrder,
+    {sentAt, isMeant}: StartArrival,
+  ): 'no_ticket' | 'no_room' | undefined {
     const {needsTicket, oracle} = this.options;
-    if (needsTicket(task) && ticket !== ticketOf(task, this))
+    const hasTicket = !needsTicket(task) || ticket === ticketOf(task, this);
+    if (!hasTicket && !isMeant) return 'no_ticket';
+    if (!hasTicket)
       oracle.addViolation(
         `${taskKey(task)} starts on ${this.id} with the wrong ticket ${ticket}`,
       );
+    const room = this.roomOf(task);
+    if (this.rooms.allows(addResources(this.used, room), sentAt)) return;
+    const own = addResources(this.usedByOwn, room);
+    if (isMeant && !this.rooms.allows(own, sentAt))
+      oracle.addViolation(`${this.id} was given more than its resources`);
+    return 'no_room';
   }
 
-  private begin({task, run, checkpoint}: StartOrder, sentAt: number): void {
+  /** What the runs take that were started for this incarnation. */
+  private get usedByOwn(): Resources {
+    const own = [...this.running.values()].filter(({isMeant}) => isMeant);
+    return own.reduce((sum, {room}) => addResources(sum, room), NO_RESOURCES);
+  }
+
+  private roomOf(task: TaskRef): Resources {
+    return this.options.stepOf(task)?.room ?? NO_RESOURCES;
+  }
+
+  private begin(
+    {task, run, checkpoint}: StartOrder,
+    {isMeant}: StartArrival,
+  ): void {
     const {oracle, gangs, stepOf, drawRun: fateOf} = this.options;
     const step = stepOf(task);
-    const room = step?.room ?? {cpuMillis: 0, memMb: 0, gpus: 0};
+    const room = this.roomOf(task);
     this.used = addResources(this.used, room);
-    if (!this.rooms.allows(this.used, sentAt))
-      oracle.addViolation(`${this.id} was given more than its resources`);
     oracle.recordStart(task, run, this.id, this.options.queue.now);
     if (checkpoint !== '') oracle.recordResume(task, checkpoint);
     const {runMs, fails, crashesForMs} = fateOf(task);
@@ -279,6 +318,7 @@
       task,
       run,
       room,
+      isMeant,
       token: {},
       startedAt: this.options.queue.now,
       runMs: step?.isGang ? undefined : runMs,
@@ -349,7 +389,7 @@
     return {kind: 'accepted', clockMs: this.clockMs};
   }
 
-  private refuse(why: 'stale_fence' | 'late' | 'old_run') {
+  private refuse(why: OrderRefusal) {
     return {kind: 'refused' as const, why, clockMs: this.clockMs};
   }
 
