--- a/packages/coordination/src/workflow/departures.spec.ts
+++ b/packages/coordination/src/workflow/departures.spec.ts
@@ -88,6 +88,14 @@
     expect(await leave(10)).to.equal('unknown');
     expect(log.db.departed.has(LIFE)).to.equal(true);
   });
+  it('a worker that leaves before it is registered stays gone', async () => {
+    const {leave, log, report} = makeDepartures();
+    expect(await leave(20)).to.equal('unknown');
+    expect(await leave(20)).to.equal('unknown');
+    log.addWorker('w1', {bornAt: 20});
+    expect(report()?.bornAt).to.equal(10);
+    expect(log.db.departed.has({worker: WORKER, bornAt: 20})).to.equal(true);
+  });
   // Guards against TWICE: any process could remove any worker.
   it('a goodbye without a start leaves a worker with a known start as it was', async () => {
     const {leave, report, runCount} = makeDepartures();
--- a/packages/coordination/src/workflow/departures.ts
+++ b/packages/coordination/src/workflow/departures.ts
@@ -70,7 +70,10 @@
     const verdict = known ? judge(known, request) : 'unknown_worker';
     if (verdict !== 'leaving') tell(verdict);
     if (verdict === 'no_start') throw refusal(request);
-    if (!known || verdict !== 'leaving') return {isKnown: false};
+    if (!known || verdict !== 'leaving') {
+      await this.noteUnregistered(request, known?.bornAt);
+      return {isKnown: false};
+    }
     try {
       const isOver = await this.leave(known, deadline);
       tell(isOver ? 'removed' : 'leaving');
@@ -98,6 +101,17 @@
     return outcome => this.log.deregistered({worker, bornAt, known, outcome});
   }
 
+  /** Remembers an incarnation that leaves before it was registered. */
+  private async noteUnregistered(
+    {worker, bornAt}: RemoveRequest,
+    knownBornAt = 0,
+  ): Promise<void> {
+    if (bornAt === null || bornAt <= knownBornAt) return;
+    const life = {worker, bornAt};
+    if (!this.db.departed.has(life))
+      await this.options.propose(departureRecord(life));
+  }
+
   /** @returns whether the worker's runs are over, and it is removed, in time. */
   private async leave(
     report: WorkerRegistration,
--- a/packages/coordination/src/workflow/life_end.ts
+++ b/packages/coordination/src/workflow/life_end.ts
@@ -17,6 +17,8 @@
   readonly lifeLog: LifeLog;
   /** Its recorded runs, with their latest checkpoints. */
   readonly activeRuns: () => readonly VoidedRun[];
+  /** Called with these runs before it is recorded that another took its place. */
+  readonly onReplaced: (runs: readonly VoidedRun[]) => void;
   /** Time since it last answered, in ms; undefined if it never did. */
   readonly heardAgoMs: () => number | undefined;
 }
@@ -64,16 +66,19 @@
     const crash = this.options.crashEvidence?.();
     const why = 'other_life';
     const departing = lifeLog.departing(life, why, this.options.heardAgoMs());
+    const runs = activeRuns();
+    this.options.onReplaced(runs);
     const isConfirmed = await record(
       replacedRecord({
         life,
-        runs: activeRuns(),
+        runs,
         proof,
         isLeaving,
         ...(crash && {crash}),
       }),
     );
     lifeLog.gone(departing, isConfirmed);
+    if (!isConfirmed) this.replacement = undefined;
     onChange();
   }
 
--- a/packages/coordination/src/workflow/orphan_tracker.ts
+++ b/packages/coordination/src/workflow/orphan_tracker.ts
@@ -3,29 +3,66 @@
 import type {ExpectedStart} from './start_ledger.js';
 
 /**
- * Time for which a task with a possible orphaned run is held back, in ms. The
- * next incarnation is ordered to stop the run as soon as it lists it.
+ * Time for which a task with a possible orphaned run is held back if no later
+ * incarnation is known that could run it, in ms.
  */
-const ORPHAN_HOLD_MS = 2500;
+const UNKNOWN_LIFE_HOLD_MS = 2500;
 
-/** Holds tasks back until any orphaned run of theirs is certain to be stopped. */
+/** What is known of the run of a start at the incarnation that follows. */
+export type OrphanState =
+  /** No later incarnation is registered. */
+  | 'no_later_life'
+  /** It has not listed its runs yet, or it lists the run. */
+  | 'may_run'
+  /** It has listed its runs without that one, and refuses the start from now on. */
+  | 'over';
+
+/** Options of {@link OrphanTracker}. */
+export interface OrphanTrackerOptions {
+  readonly stateOf: (worker: WorkerId, start: ExpectedStart) => OrphanState;
+  /** Time by which a run has ended whose lease nobody renews, in ms. */
+  readonly maxLeaseMs: number;
+}
+
+interface Orphan {
+  readonly worker: WorkerId;
+  readonly start: ExpectedStart;
+  /** Monotonic time at which the incarnation that it was sent to had ended, in ms. */
+  readonly since: number;
+}
+
+/** Holds tasks back until any orphaned run of theirs is certain to be over. */
 export class OrphanTracker {
-  private readonly orphans = new Map<
-    TaskKey,
-    {readonly worker: WorkerId; readonly until: number}
-  >();
+  private readonly orphans = new Map<TaskKey, Orphan>();
+
+  constructor(private readonly options: OrphanTrackerOptions) {}
 
   /** Notes starts in flight to an incarnation that has ended, at a monotonic time in ms. */
   note(worker: WorkerId, starts: readonly ExpectedStart[], now: number): void {
-    const until = now + ORPHAN_HOLD_MS;
-    for (const {task} of starts)
-      this.orphans.set(taskKey(task), {worker, until});
+    for (const start of starts)
+      this.orphans.set(taskKey(start.task), {worker, start, since: now});
   }
 
   /** Tasks held back at a monotonic time in ms, each with the worker that may run it. */
   heldBack(now: number): Array<readonly [TaskKey, WorkerId]> {
-    for (const [key, {until}] of this.orphans)
-      if (now >= until) this.orphans.delete(key);
+    for (const [key, orphan] of this.orphans)
+      if (this.isOver(orphan, now)) this.orphans.delete(key);
     return [...this.orphans].map(([key, {worker}]) => [key, worker]);
   }
+
+  private isOver({worker, start, since}: Orphan, now: number): boolean {
+    const {stateOf, maxLeaseMs} = this.options;
+    const maxHoldMs = UNKNOWN_LIFE_HOLD_MS + maxLeaseMs;
+    switch (stateOf(worker, start)) {
+      case 'over':
+        return true;
+      case 'no_later_life':
+        return (
+          now >=
+          since + (start.isMisdelivered ? maxHoldMs : UNKNOWN_LIFE_HOLD_MS)
+        );
+      case 'may_run':
+        return now >= since + maxHoldMs;
+    }
+  }
 }
--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -64,8 +64,11 @@
       readonly why: OrderRefusal;
       readonly clockMs?: number;
     }
-  /** Another incarnation of the worker answered at the address. */
-  | {readonly kind: 'other_life'}
+  /**
+   * Another incarnation answered at the address; `isExecuted` if it has accepted
+   * the order, as it has the same id.
+   */
+  | {readonly kind: 'other_life'; readonly isExecuted?: true}
   /** No connection could be made or the order was withheld, so it was not executed. */
   | {readonly kind: 'not_sent'; readonly detail: string}
   /** No complete answer came: the order may have been executed, or may be executed later. */
--- a/packages/coordination/src/workflow/progress_tracker.ts
+++ b/packages/coordination/src/workflow/progress_tracker.ts
@@ -46,6 +46,11 @@
     }
   }
 
+  /** Whether the last list contained a run. */
+  lists(key: TaskKey, run: number): boolean {
+    return this.entries.get(key)?.run === run;
+  }
+
   /** The latest listed checkpoint of a run; empty if there is none. */
   checkpointOf(key: TaskKey, run: number): string {
     const entry = this.entries.get(key);
--- a/packages/coordination/src/workflow/run_records.ts
+++ b/packages/coordination/src/workflow/run_records.ts
@@ -3,6 +3,7 @@
  * records the ends, and voids runs that it never began.
  */
 import {taskKey, type TaskRef, type VoidedRun} from '@primrosewick/state';
+import {pause} from '@primrosewick/transport';
 import type {ChannelLog} from './channel_log.js';
 import {proofOf} from './end_proof/core.js';
 import type {EndEvidence} from './end_proof/types.js';
@@ -15,6 +16,9 @@
 import {UnreadableRows} from './unreadable_rows.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 
+/** Pause before ends are asked for again of which none could be recorded, in ms. */
+const ENDS_RETRY_MS = 100;
+
 /** Lists of a worker's runs. */
 export type RunLists = Extract<HoldAnswer, {kind: 'lists'}>;
 
@@ -69,11 +73,28 @@
       log.ended(end);
     }
     const at = clock.wall();
-    if (!(await record({kind: 'end_runs', life, ends, at}))) return false;
+    const isRecorded = await record({
+      kind: 'end_runs',
+      life,
+      ends,
+      at,
+      countsVoided: true,
+    });
+    if (!isRecorded) return false;
     for (const {task} of ends) stops.forget(task);
     return !isHeldBack;
   }
 
+  /**
+   * Leaves all else to the list that follows one with more ends to come: a run
+   * that is missing from this one may have ended. Waits if none was recorded.
+   */
+  async waitForEnds({ended}: RunLists, recordedBefore: number): Promise<void> {
+    const {log, clock} = this.options;
+    log.endsLacking(ended.length, this.endsRecorded);
+    if (this.endsRecorded === recordedBefore) await pause(clock, ENDS_RETRY_MS);
+  }
+
   /**
    * Voids recorded runs that the worker lacks in lists with all its ends.
    * @param sentAt - monotonic time at which the lists were requested, in ms.
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -4,8 +4,6 @@
  */
 import type {Subscription} from 'rxjs';
 import {
-  ENDING_SOON_MS,
-  RemainingTimes,
   WorkerHealth,
   decidePass,
   earlyAdviceRequests,
@@ -17,12 +15,14 @@
   type QueueName,
   type RunEvidence,
   type WorkerId,
+  type WorkerIncarnation,
   type WorkflowCommand,
   type WorkflowDb,
   type WorkflowId,
 } from '@primrosewick/state';
 import {workMeter} from '@primrosewick/transport';
 import {AdviceDispatcher} from './advice_dispatcher.js';
+import {ChannelSet} from './channel_set.js';
 import {EndLog} from './end_log.js';
 import {LEASE_MS, LEADERSHIP_MARGIN_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -31,6 +31,7 @@
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
 import {RunLog} from './run_log.js';
+import {runTimesOf} from './run_times.js';
 import {StartOrders} from './start_orders.js';
 import {findStalled} from './stalled_runs.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
@@ -54,12 +55,12 @@
   /** What is known of the incarnations of workers. */
   readonly lives: KnownLives;
   private readonly channels = new Map<WorkerId, WorkerChannel>();
-  private readonly incarnations = new Map<WorkerId, number>();
+  private readonly channelSet: ChannelSet;
   private readonly views: WorkerViews;
   private readonly advice: AdviceDispatcher;
   private readonly startedAt: number;
   private readonly subscriptions: Subscription[] = [];
-  private readonly orphans = new OrphanTracker();
+  private readonly orphans: OrphanTracker;
   private readonly health = new WorkerHealth();
   private reserved: Plan['reserved'] = new Map();
   private preemptedAt: Plan['preemptedAt'] = new Map();
@@ -82,6 +83,17 @@
     const {replica, clock, logger, callers, ask} = options;
     this.startedAt = clock.now();
     this.lives = new KnownLives(this.channels, clock);
+    this.orphans = new OrphanTracker({
+      stateOf: (worker, start) => this.lives.orphanStateOf(worker, start),
+      maxLeaseMs: options.workerLimits.maxLeaseMs,
+    });
+    this.channelSet = new ChannelSet({
+      db: replica.db,
+      clock,
+      channels: this.channels,
+      orphans: this.orphans,
+      open: (life, firstFence) => this.openChannel(life, firstFence),
+    });
     this.views = new WorkerViews({
       db: replica.db,
       clock,
@@ -244,38 +256,24 @@
   /** Opens and closes channels, so that each registered incarnation has one. */
   private syncChannels(): void {
     if (this.isClosed) return;
-    for (const [worker, channel] of this.channels) {
-      const bornAt = this.db.workers.get(worker)?.report.bornAt;
-      if (bornAt === this.incarnations.get(worker)) continue;
-      this.orphans.note(
-        worker,
-        channel.expectedStarts,
-        this.options.clock.now(),
-      );
-      channel.close();
-      this.channels.delete(worker);
-    }
-    for (const [worker, {report}] of this.db.workers) {
-      if (this.channels.has(worker)) continue;
-      this.incarnations.set(worker, report.bornAt);
-      this.advice.forget(worker);
-      this.channels.set(worker, this.openChannel(report));
-    }
+    this.channelSet.sync();
   }
 
-  private openChannel(incarnation: {
-    readonly worker: WorkerId;
-    readonly bornAt: number;
-  }): WorkerChannel {
+  private openChannel(
+    life: WorkerIncarnation,
+    firstFence: number,
+  ): WorkerChannel {
+    this.advice.forget(life.worker);
     const {orders, clock, logger, workerLimits, term, maxStaleLeaderMs} =
       this.options;
     const channel = new WorkerChannel({
-      life: {worker: incarnation.worker, bornAt: incarnation.bornAt},
+      life,
       db: this.db,
       port: orders,
       clock,
       logger,
       term,
+      firstFence,
       leaseMs: Math.min(LEASE_MS, workerLimits.maxLeaseMs),
       maxLeaseMs: workerLimits.maxLeaseMs,
       previousLeaderUntil: this.startedAt + maxStaleLeaderMs,
@@ -283,16 +281,16 @@
         this.options.leadershipConfirmedAgeMs() <
         maxStaleLeaderMs - LEADERSHIP_MARGIN_MS,
       record: command => this.record(command),
-      crashEvidence: () => this.lives.crashEvidenceOf(incarnation.worker),
+      crashEvidence: () => this.lives.crashEvidenceOf(life.worker),
       onChange: () => this.schedulePass(),
       onGivenUp: this.options.onGivenUp,
       onStarted: task => this.logFirstStart(task.workflow),
       onStartFailed: (task, failure) => {
         if (failure.kind === 'refused' && failure.why === 'unhealthy')
-          this.noteEvidence(incarnation.worker, task.workflow, 'refused');
-        this.runLog.startFailed(task, incarnation.worker, failure);
+          this.noteEvidence(life.worker, task.workflow, 'refused');
+        this.runLog.startFailed(task, life.worker, failure);
       },
-      onStop: stop => this.runLog.stopped(incarnation.worker, stop),
+      onStop: stop => this.runLog.stopped(life.worker, stop),
     });
     channel.open();
     return channel;
@@ -368,11 +366,7 @@
   private runPass(): void {
     const {clock} = this.options;
     const beganAt = clock.now();
-    const times = new RemainingTimes({
-      remainingMs: (worker, key) => this.channels.get(worker)?.remainingMs(key),
-      possiblyEndingRuns: worker =>
-        this.channels.get(worker)?.runsEndingWithin(ENDING_SOON_MS) ?? [],
-    });
+    const times = runTimesOf({db: this.db, clock, channels: this.channels});
     const pass = collectPassInput({
       clock,
       callers: this.options.callers,
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -52,7 +52,10 @@
 /** Options of the service. */
 export interface WorkflowServiceOptions
   extends
-    Pick<WorkerRegistryOptions, 'onAnnouncement' | 'checkLife' | 'onGivenUp'>,
+    Pick<
+      WorkerRegistryOptions,
+      'onAnnouncement' | 'checkLife' | 'answers' | 'onGivenUp'
+    >,
     Pick<DeparturesOptions, 'depart'> {
   readonly replica: WorkflowReplica;
   readonly log: LogAccess;
--- a/packages/coordination/src/workflow/start_ledger.ts
+++ b/packages/coordination/src/workflow/start_ledger.ts
@@ -1,10 +1,13 @@
 /** Tracks the starts that one leadership has proposed for or sent to one worker. */
+import type {OrderFailure} from './ports.js';
 import {taskKey, type TaskKey, type TaskRef} from '@primrosewick/state';
 
 /** A start that is proposed or sent. */
 export interface ExpectedStart {
   readonly task: TaskRef;
   readonly run: number;
+  /** Whether another incarnation than the one that was meant has accepted it. */
+  readonly isMisdelivered?: true;
 }
 
 type TrackedStart =
@@ -17,6 +20,8 @@
 export class StartLedger {
   private readonly starts = new Map<TaskKey, TrackedStart>();
   private inFlightCount = 0;
+  /** Failed starts that may yet be executed, by task. */
+  private readonly unanswered = new Map<TaskKey, ExpectedStart>();
 
   private put(start: TrackedStart): void {
     const key = taskKey(start.task);
@@ -30,6 +35,36 @@
     this.put({kind: 'in_flight', task, run});
   }
 
+  /** Drops a failed start, but remembers whether it may be executed elsewhere or later. */
+  settleFailed({task, run}: ExpectedStart, failure: OrderFailure): void {
+    this.forget(task);
+    const isMisdelivered = failure.kind === 'other_life' && failure.isExecuted;
+    if (isMisdelivered || failure.kind === 'no_answer')
+      this.unanswered.set(taskKey(task), {
+        task,
+        run,
+        ...(isMisdelivered && {isMisdelivered}),
+      });
+  }
+
+  /** Notes runs that the worker may never have had; their starts may still arrive. */
+  noteUndelivered(starts: readonly ExpectedStart[]): void {
+    for (const {task, run} of starts) {
+      const key = taskKey(task);
+      if (!this.unanswered.has(key)) this.unanswered.set(key, {task, run});
+    }
+  }
+
+  /** Notes a list under a fence that outdates all starts without an answer. */
+  noteFencedList(): void {
+    this.unanswered.clear();
+  }
+
+  /** Starts that the next incarnation of the worker may execute, or has. */
+  get undelivered(): readonly ExpectedStart[] {
+    return [...this.expected, ...this.unanswered.values()];
+  }
+
   /** Notes that the worker accepted a start, at a monotonic time in ms. */
   confirm(task: TaskRef, run: number, at: number): void {
     this.put({kind: 'confirmed', task, run, at});
--- a/packages/coordination/src/workflow/trackers.spec.ts
+++ b/packages/coordination/src/workflow/trackers.spec.ts
@@ -3,7 +3,7 @@
 import {taskKey, type TaskRef, type WorkerId} from '@primrosewick/state';
 import {ProgressTracker} from './progress_tracker.js';
 import {StopLedger} from './stop_ledger.js';
-import {OrphanTracker} from './orphan_tracker.js';
+import {OrphanTracker, type OrphanState} from './orphan_tracker.js';
 import {WaitLog} from './wait_log.js';
 
 const task = (index: number): TaskRef =>
@@ -62,13 +62,39 @@
 });
 
 describe('orphan tracker', () => {
+  const worker = 'w1' as WorkerId;
+  const start = {task: task(0), run: 1};
+  const makeTracker = (state: OrphanState) => {
+    const world = {state};
+    const orphans = new OrphanTracker({
+      stateOf: () => world.state,
+      maxLeaseMs: 8000,
+    });
+    const isHeld = (now: number) => orphans.heldBack(now).length > 0;
+    return {world, orphans, isHeld};
+  };
   it('a task whose start may have reached the next incarnation is held back for a limited time', () => {
-    const orphans = new OrphanTracker();
-    const worker = 'w1' as WorkerId;
-    orphans.note(worker, [{task: task(0), run: 1}], 1000);
+    const {orphans} = makeTracker('no_later_life');
+    orphans.note(worker, [start], 1000);
     expect(orphans.heldBack(2000)).to.eql([[KEY, worker]]);
     expect(orphans.heldBack(3500)).to.eql([]);
   });
+  // Guards against TWICE: a start that the next incarnation had accepted was made
+  // again elsewhere while it ran there.
+  it('a task is held back until the next incarnation is known not to run it', () => {
+    const {world, orphans, isHeld} = makeTracker('no_later_life');
+    orphans.note(worker, [{...start, isMisdelivered: true}], 1000);
+    expect(isHeld(6000)).to.equal(true);
+    world.state = 'may_run';
+    expect(isHeld(9000)).to.equal(true);
+    world.state = 'over';
+    expect(isHeld(9001)).to.equal(false);
+  });
+  it('a run on an incarnation that nobody reaches ends with its lease', () => {
+    const {orphans, isHeld} = makeTracker('may_run');
+    orphans.note(worker, [start], 1000);
+    expect([isHeld(11_499), isHeld(11_500)]).to.eql([true, false]);
+  });
 });
 
 describe('wait log', () => {
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -15,6 +15,7 @@
 } from './ports.js';
 import {ChannelLog} from './channel_log.js';
 import type {LifeState} from './end_proof/types.js';
+import {LapseCheck} from './lapse_check.js';
 import {LifeEnd} from './life_end.js';
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
@@ -38,8 +39,6 @@
 const UNCONFIRMED_PAUSE_MS = 50;
 /** Pause before the lists are queried again while starts are unsettled, in ms. */
 const SETTLE_PAUSE_MS = 20;
-/** Pause before a worker that did not answer is asked again whether it runs, in ms. */
-const LIFE_CHECK_PAUSE_MS = 50;
 
 /** Communicates with one incarnation of a worker while this VM leads. */
 export class WorkerChannel {
@@ -53,20 +52,23 @@
   private readonly stops = new StopLedger();
   private readonly responses = new ResponseMonitor();
   private readonly workerClock: WorkerClock;
+  private readonly lapse: LapseCheck;
   private readonly log: ChannelLog;
   private readonly lifeLog: LifeLog;
   private readonly runs: RunRecords;
 
-  private fenceCounter = 0;
+  private fenceCounter: number;
   private isSynced = false;
+  /** Whether the last list had runs that are not recorded. */
+  private hasStrays = false;
   private isClosed = false;
-  private isLapsed = false;
   private lastAcked = 0;
   private retryMs = MIN_RETRY_MS;
   private wake: () => void = () => undefined;
 
   constructor(private readonly options: WorkerChannelOptions) {
     this.workerClock = new WorkerClock(options);
+    this.fenceCounter = options.firstFence ?? 0;
     this.log = new ChannelLog(options.logger, options.life.worker);
     this.lifeLog = new LifeLog({...options, db: () => options.db});
     const {starts, stops, progress, log, lifeLog} = this;
@@ -78,10 +80,19 @@
       log,
       lifeLog,
     });
+    const {workerClock, silence, runs} = this;
+    this.lapse = new LapseCheck({
+      ...options,
+      workerClock,
+      silence,
+      starts,
+      runs,
+    });
     this.end = new LifeEnd({
       ...options,
       lifeLog,
       activeRuns: () => this.runs.active,
+      onReplaced: runs => this.noteReplaced(runs),
       heardAgoMs: () => this.silence.heardAgoMs(options.clock.wall()),
     });
   }
@@ -101,24 +112,20 @@
     return this.starts.expected;
   }
 
+  /** Starts that the next incarnation of the worker may execute, or has. */
+  get undeliveredStarts(): readonly ExpectedStart[] {
+    return this.starts.undelivered;
+  }
+
   /** Tasks whose run was ordered to stop and is not known to have ended. */
   get stopping(): TaskKey[] {
     const {db, life} = this.options;
     return this.stops.stoppingOf(db.findIncarnation(life)?.active);
   }
 
-  /** Estimated time until the active run of a task ends, in ms; undefined if unknown. */
-  remainingMs(key: TaskKey): number | undefined {
-    const {db, life, clock} = this.options;
-    const run = db.findIncarnation(life)?.active.get(key)?.run;
-    if (run === undefined) return undefined;
-    return this.progress.remainingMs(key, run, clock.now());
-  }
-
-  /** Tasks whose run may end within `ms`, according to the last list. */
-  runsEndingWithin(ms: number): Iterable<TaskKey> {
-    // The extra ms guards against rounding; callers check each candidate again.
-    return this.progress.endingBefore(this.options.clock.now() + ms + 1);
+  /** Number of the fence that outdates all orders of this channel. */
+  get nextFence(): number {
+    return this.fenceCounter + 1;
   }
 
   /** Start of the worker's incarnation, in ms since 1970. */
@@ -126,20 +133,30 @@
     return this.options.life.bornAt;
   }
 
-  /** Asks the worker until a monotonic time in ms whether it runs as this incarnation. */
-  async checkLife(until: number): Promise<LifeState> {
-    const {clock, mayOrder, port} = this.options;
-    while (clock.now() < until && mayOrder() && !this.isClosed) {
-      const {target, fence, lastAcked: endsRecorded} = this;
-      const order = {fence, endsRecorded, waitMs: 0};
-      const answer = await port.hold(target, order);
-      if (answer.kind === 'lists') return 'runs';
-      if (answer.kind === 'other_life')
-        await this.end.onOtherAnswer(target.address);
-      if (this.end.isReplaced) return 'over';
-      await pause(clock, LIFE_CHECK_PAUSE_MS);
-    }
-    return 'silent';
+  /** Asks the worker once whether it runs as this incarnation. */
+  async askLife(): Promise<LifeState> {
+    const {target} = this;
+    const answer = await this.ask(target);
+    if (answer?.kind === 'other_life')
+      await this.end.onOtherAnswer(target.address);
+    if (this.end.isReplaced) return 'over';
+    return answer?.kind === 'lists' ? 'runs' : 'silent';
+  }
+
+  /** Asks once whether an incarnation runs where it is said to; it is told nothing new. */
+  async ask(target: WorkerTarget): Promise<HoldAnswer | undefined> {
+    const {mayOrder, port, life} = this.options;
+    if (this.isClosed || !mayOrder()) return undefined;
+    const isOwn = target.bornAt === life.bornAt;
+    const endsRecorded = isOwn ? this.lastAcked : 0;
+    return port.hold(target, {fence: this.fence, endsRecorded, waitMs: 0});
+  }
+
+  /** Notes the runs of an incarnation that is over; those not listed may be the next one's. */
+  private noteReplaced(runs: readonly ExpectedStart[]): void {
+    const isListed = ({task, run}: ExpectedStart): boolean =>
+      this.progress.lists(taskKey(task), run);
+    this.starts.noteUndelivered(runs.filter(run => !isListed(run)));
   }
 
   /** Starts the loop of holds. */
@@ -156,6 +173,7 @@
   /** Stops the loop; orders in flight are left to the next leader. */
   close(): void {
     this.isClosed = true;
+    this.lapse.close();
     this.wake();
   }
 
@@ -205,7 +223,7 @@
       this.options.onStarted(order.task);
     } else {
       await this.onStartFailed(order, answer, address);
-      this.starts.forget(order.task);
+      this.starts.settleFailed(order, answer);
     }
     this.options.onChange();
     this.wake();
@@ -239,6 +257,11 @@
     return this.options.term * FENCES_PER_TERM + this.fenceCounter;
   }
 
+  /** Whether a run that is not recorded may go on at the worker. */
+  mayRun({task, run}: ExpectedStart): boolean {
+    return !this.isUsable || this.progress.lists(taskKey(task), run);
+  }
+
   private get target(): WorkerTarget {
     const {life, db} = this.options;
     const address = db.findIncarnation(life)?.report.address ?? '';
@@ -306,7 +329,11 @@
   }
 
   private async loop(): Promise<void> {
-    while (!this.isClosed && !this.end.isReplaced) {
+    while (!this.isClosed) {
+      if (this.end.isReplaced) {
+        await pause(this.options.clock, UNCONFIRMED_PAUSE_MS);
+        continue;
+      }
       if (this.isIdle()) {
         await this.waitForWork();
         continue;
@@ -318,7 +345,8 @@
       const sentAt = this.options.clock.now();
       const {fence, target} = this;
       const answer = await this.sendHold(target, fence);
-      if (this.isClosed || this.end.isReplaced) return;
+      if (this.isClosed) return;
+      if (this.end.isReplaced) continue;
       if (answer.kind === 'lists') await this.onLists(answer, sentAt, fence);
       else await this.onHoldFailed(answer, target.address);
       this.continueLeaving();
@@ -332,6 +360,7 @@
       this.isSynced &&
       !this.end.isLeaving &&
       state.active.size === 0 &&
+      !this.hasStrays &&
       state.endsRecorded === this.lastAcked
     );
   }
@@ -373,8 +402,7 @@
     this.retryMs = MIN_RETRY_MS;
     this.silence.noteAnswer(clock.wall());
     this.workerClock.note(clock.now(), answer.clockMs);
-    if (this.isLapsed) this.log.back();
-    this.isLapsed = false;
+    if (this.lapse.noteAnswer()) this.log.back();
     this.progress.note(answer.running, clock.now());
     this.log.unreadable(answer.unreadable, clock.now());
     // A run whose end is not yet recorded must not be counted as missing.
@@ -382,52 +410,28 @@
     if (!(await this.runs.recordEnds(answer)))
       return pause(clock, MIN_RETRY_MS);
     if (fence !== this.fence) return;
-    if (answer.mayLackEnds) return this.onEndsLacking(answer, recordedBefore);
-    for (const stop of await this.runs.reconcile(answer, sentAt))
-      void this.stop(stop);
+    if (answer.mayLackEnds)
+      return this.runs.waitForEnds(answer, recordedBefore);
+    const stops = await this.runs.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
     this.isSynced = true;
+    this.hasStrays = stops.some(({why}) => why === 'not_recorded');
+    for (const stop of stops) void this.stop(stop);
+    this.starts.noteFencedList();
     this.workerClock.noteSoleLeader(sentAt);
     onChange();
     if (this.expectedStarts.length > 0) await pause(clock, SETTLE_PAUSE_MS);
   }
 
-  /**
-   * Leaves all else to the list that follows: a run that is missing from this one
-   * may have ended.
-   */
-  private async onEndsLacking(
-    {ended}: RunLists,
-    recordedBefore: number,
-  ): Promise<void> {
-    const {endsRecorded} = this.runs;
-    this.log.endsLacking(ended.length, endsRecorded);
-    if (endsRecorded === recordedBefore)
-      await pause(this.options.clock, MIN_RETRY_MS);
-  }
-
   private async onHoldFailed(
     failure: OrderFailure,
     address: string,
   ): Promise<void> {
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     this.onFailure(failure, address);
-    if (failure.kind === 'no_answer' || failure.kind === 'not_sent')
-      await this.checkLapse();
+    await this.lapse.check();
+    if (this.lapse.isLapsed) this.hasStrays = false;
     await pause(this.options.clock, this.retryMs);
     this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
   }
-
-  /** Voids the runs of an unreachable worker once its lease has certainly lapsed. */
-  private async checkLapse(): Promise<void> {
-    const {clock, db, life} = this.options;
-    const now = clock.now();
-    const {lapseAt} = this.workerClock;
-    if (now < lapseAt) return;
-    this.isLapsed = true;
-    const runs = [...(db.findIncarnation(life)?.active.values() ?? [])].filter(
-      ({task}) => !this.starts.isInFlight(taskKey(task)),
-    );
-    await this.runs.giveUp(runs, {kind: 'silence', now, lapseAt});
-  }
 }
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -24,6 +24,11 @@
   readonly logger: Logger;
   /** Term of the leadership; fences of later terms are higher. */
   readonly term: number;
+  /**
+   * Number of its first fence within the term, 0 by default: above those of the
+   * incarnation before, whose orders the worker may otherwise still execute.
+   */
+  readonly firstFence?: number;
   /** Duration of the lease that each hold and start grants, in ms. */
   readonly leaseMs: number;
   /** Longest lease that a worker accepts, in ms. */
--- a/packages/coordination/src/workflow/worker_registry.spec.ts
+++ b/packages/coordination/src/workflow/worker_registry.spec.ts
@@ -32,7 +32,7 @@
 };
 
 /** A registry at a leader, with a worker that runs a task. */
-const makeRegistry = (given: LifeState = 'silent') => {
+const makeRegistry = (given: LifeState = 'silent', isThere = true) => {
   const log = new TestLog();
   log.addWorker('w1', {bornAt: 10, sequence: 5});
   log.submit('a', testSpec([testStep()]));
@@ -46,6 +46,7 @@
     logger,
     onAnnouncement: worker => heard.push(worker),
     checkLife: async ({bornAt}) => (bornAt === 10 ? given : 'silent'),
+    answers: async () => isThere,
   });
   const announce = (part: Partial<WorkerRegistration>) =>
     outcomeOf(registry.announce(testWorker('w1', part)));
@@ -124,6 +125,18 @@
     expect(await announce(word)).to.equal('known');
     expect(report()?.address).to.equal(OTHER_ADDRESS);
   });
+  // Guards against LOST: words of others put a sound worker out of use that was idle
+  // and silent for a moment.
+  it('a later start, or another address, is believed where somebody answers to it', async () => {
+    const {announce, report, endRun} = makeRegistry('silent', false);
+    endRun();
+    const later = {bornAt: 20, sequence: 1};
+    const moved = {bornAt: 10, sequence: 99, address: OTHER_ADDRESS};
+    expect(await announce(later)).to.equal('worker_unsure');
+    expect(await announce(moved)).to.equal('worker_unsure');
+    expect([report()?.bornAt, report()?.address]).to.eql([10, ADDRESS]);
+    expect(await announce({bornAt: 10, sequence: 6})).to.equal('known');
+  });
   it('a worker is heard on after its pool has left the bundle', async () => {
     const {announce, log, heard} = makeRegistry();
     const {bundle} = log.db;
--- a/packages/coordination/src/workflow/worker_registry.ts
+++ b/packages/coordination/src/workflow/worker_registry.ts
@@ -14,6 +14,7 @@
 } from '@primrosewick/state';
 import {AnnouncementSequences, hasUnrecordedChanges} from './announcements.js';
 import type {LifeState} from './end_proof/types.js';
+import type {WorkerTarget} from './ports.js';
 import {LifeLog, type LifeLogOptions} from './life_log.js';
 
 /** Options of {@link WorkerRegistry}. */
@@ -26,6 +27,11 @@
    * undefined if it cannot be asked.
    */
   readonly checkLife?: (life: Incarnation) => Promise<LifeState> | undefined;
+  /**
+   * Asks an incarnation of a worker that is registered otherwise whether it runs
+   * where it is said to; undefined if it cannot be asked.
+   */
+  readonly answers?: (claim: WorkerTarget) => Promise<boolean> | undefined;
 }
 
 /** Why an announcement is not believed, or not yet. */
@@ -34,7 +40,12 @@
   | 'earlier_life_runs'
   | 'other_address'
   /** Runs of the registered incarnation may go on. */
-  | 'runs_unproved';
+  | 'runs_unproved'
+  /** It does not answer at the address that it names. */
+  | 'no_answer';
+
+/** Doubts that may pass with time. */
+const NOT_YET: ReadonlySet<Doubt> = new Set(['runs_unproved', 'no_answer']);
 
 /** Keeps the records of workers at the leader. */
 export class WorkerRegistry {
@@ -92,12 +103,18 @@
   ): Promise<Doubt | undefined> {
     const known = this.db.workers.get(report.worker)?.report;
     if (!known || !isOfOtherProcess(known, report)) return undefined;
+    const {checkLife, answers} = this.options;
     const {worker, bornAt} = known;
-    const state = await this.options.checkLife?.({worker, bornAt});
+    const claim = {worker, bornAt: report.bornAt, address: report.address};
+    const [state, isThere = true] = await Promise.all([
+      checkLife?.({worker, bornAt}),
+      answers?.(claim),
+    ]);
     if (state === 'runs')
       return report.bornAt === bornAt ? 'other_address' : 'earlier_life_runs';
     const unproved = this.db.findIncarnation({worker, bornAt})?.active.size;
-    return unproved ? 'runs_unproved' : undefined;
+    if (unproved) return 'runs_unproved';
+    return isThere ? undefined : 'no_answer';
   }
 
   private refuse(
@@ -109,7 +126,7 @@
       'refused an announcement that cannot be of the worker itself, or not yet',
     );
     return new CellError({
-      code: why === 'runs_unproved' ? 'worker_unsure' : 'invalid_input',
+      code: NOT_YET.has(why) ? 'worker_unsure' : 'invalid_input',
       step: 'announce-worker',
       detail: why,
     });
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -257,6 +257,7 @@
       onRefused: queue => this.scheduler?.noteRefused(queue),
       onGivenUp: this.counters.onGivenUp,
       checkLife: life => this.scheduler?.lives.check(life),
+      answers: claim => this.scheduler?.lives.answers(claim),
       depart: life => this.scheduler?.lives.depart(life),
     });
   }
--- a/packages/proofs/src/workflow/ended_workers.spec.ts
+++ b/packages/proofs/src/workflow/ended_workers.spec.ts
@@ -12,6 +12,12 @@
 const RUNS_ON_MS = 4000;
 /** Time in which all tasks have been ordered, in ms. */
 const ORDERED_MS = 150;
+/** All calls arrive seconds later, even if the process that they were sent to has ended. */
+const LATE_BEYOND_PROCESS = {
+  lossPercent: 0,
+  latePercent: 100,
+  outlivesProcess: true,
+};
 /** Worlds of the test of late holds, as such a hold has to arrive beside an end. */
 const LATE_HOLD_SEEDS = 15;
 /** Silence that is longer than a check of a worker's life, in ms. */
@@ -147,7 +153,7 @@
   it('a start that arrives late at the next life of a worker: nothing runs twice', async () => {
     const world = new WorkflowWorld(1);
     await world.start();
-    world.setFaults({lossPercent: 0, latePercent: 100});
+    world.setFaults(LATE_BEYOND_PROCESS);
     world.submit(manyTasks);
     await world.advance(ORDERED_MS);
     world.setFaults({lossPercent: 0, latePercent: 0});
@@ -162,7 +168,7 @@
       await world.start();
       world.submit(fillingTasks);
       await world.advance(1000);
-      world.setFaults({lossPercent: 0, latePercent: 100});
+      world.setFaults(LATE_BEYOND_PROCESS);
       await world.advance(4000);
       world.setFaults({lossPercent: 0, latePercent: 0});
       replace(world);
--- a/packages/proofs/src/workflow/leader_service.ts
+++ b/packages/proofs/src/workflow/leader_service.ts
@@ -37,5 +37,6 @@
     load: {decide: () => ({kind: 'take'})},
     onAnnouncement: worker => scheduler.noteAnnouncement(worker),
     checkLife: life => scheduler.lives.check(life),
+    answers: claim => scheduler.lives.answers(claim),
     depart: life => scheduler.lives.depart(life),
   });
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -22,6 +22,11 @@
   readonly lossPercent: number;
   /** Calls without an answer that are executed seconds later. */
   readonly latePercent: number;
+  /**
+   * Whether such a call outlives the process that it was sent to, so that the next
+   * one executes it; by default its connection ends with that process.
+   */
+  readonly outlivesProcess?: boolean;
 }
 
 /** Options of {@link SimOrders}. */
@@ -33,7 +38,9 @@
 }
 
 const CALL_TIMEOUT_MS = 1000;
-const OTHER_LIFE = {kind: 'other_life'} as const;
+type OtherLife = Extract<OrderAnswer, {kind: 'other_life'}>;
+
+const OTHER_LIFE: OtherLife = {kind: 'other_life'};
 
 /** Delivers the orders of one leadership. */
 export class SimOrders implements OrderPort {
@@ -75,12 +82,13 @@
     target: WorkerTarget,
     act: (worker: SimWorker) => T,
     timeoutMs = CALL_TIMEOUT_MS,
-  ): Promise<T | {kind: 'no_answer'; detail: string} | {kind: 'other_life'}> {
+  ): Promise<T | {kind: 'no_answer'; detail: string} | OtherLife> {
     const {queue, random, network} = this.options;
     return new Promise(resolve => {
       const listener = network.listenerAt(target.address);
       const roll = random.nextInt(0, 99);
-      const {lossPercent, latePercent} = this.options.faults();
+      const {lossPercent, latePercent, outlivesProcess} = this.options.faults();
+      const sentTo = listener?.bornAt;
       const isSilent = !listener || network.isSilent(listener);
       const isLost = isSilent || roll < lossPercent;
       const isLate = !isLost && roll < lossPercent + latePercent;
@@ -93,6 +101,7 @@
         : random.nextInt(1, 20);
       queue.after(delayMs, () => {
         if (!listener.isUp || network.isMute(listener)) return;
+        if (isLate && !outlivesProcess && listener.bornAt !== sentTo) return;
         const answer = deliver(target, listener, act);
         if (!isLate && answer !== undefined) resolve(answer);
       });
@@ -105,13 +114,17 @@
   target: WorkerTarget,
   listener: SimWorker,
   act: (worker: SimWorker) => T,
-): T | typeof OTHER_LIFE => {
+): T | OtherLife => {
   if (listener.id !== target.worker) return OTHER_LIFE;
   const isOther = !isMeant(target, listener);
   const answer = act(listener);
-  return isOther && answer !== undefined ? OTHER_LIFE : answer;
+  if (!isOther || answer === undefined) return answer;
+  return isAccepted(answer) ? {...OTHER_LIFE, isExecuted: true} : OTHER_LIFE;
 };
 
+const isAccepted = (answer: unknown): boolean =>
+  (answer as OrderAnswer).kind === 'accepted';
+
 /** Whether a worker is the incarnation that an order is for. */
 const isMeant = ({worker, bornAt}: WorkerTarget, listener: SimWorker) =>
   listener.id === worker && listener.bornAt === bornAt;
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -105,7 +105,7 @@
         for (const start of command.starts) this.startRun(start, command.at);
         return APPLIED;
       case 'end_runs':
-        this.endRuns(command.life, command.ends, command.at);
+        this.endRuns(command);
         return APPLIED;
       case 'void_runs':
         saveCheckpoints(this, command.life, command.runs);
@@ -314,18 +314,21 @@
     indexRun(workerState, key, {task, run}, workflow);
   }
 
-  private endRuns(
-    life: Incarnation,
-    ends: readonly RunEnd[],
-    at: number,
-  ): void {
+  private endRuns({
+    life,
+    ends,
+    at,
+    countsVoided = false,
+  }: Extract<WorkflowCommand, {kind: 'end_runs'}>): void {
     const worker = this.findIncarnation(life);
     if (!worker) return;
     for (const end of ends) {
       if (end.sequence <= worker.endsRecorded) continue;
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
-      if (this.removeRun(life, end.task, end.run)) this.applyEnd(end, at);
+      const isActive = this.removeRun(life, end.task, end.run);
+      const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
+      if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
     }
   }
 
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -298,6 +298,11 @@
       readonly life: WorkerIncarnation;
       readonly ends: readonly RunEnd[];
       readonly at: number;
+      /**
+       * Whether ends of runs count that are no longer active, as they were voided;
+       * absent in older records.
+       */
+      readonly countsVoided?: boolean;
     }
   | {
       readonly kind: 'void_runs';
