--- a/packages/coordination/src/workflow/departures.ts
+++ b/packages/coordination/src/workflow/departures.ts
@@ -56,8 +56,7 @@
 
   /**
    * Takes note that a worker leaves, and waits until its runs are over, or until
-   * shortly before a deadline of the monotonic clock in ms. The word has to name
-   * the incarnation, if its start is known.
+   * shortly before a deadline of the monotonic clock in ms.
    * @throws CellError `invalid_input` if it cannot be the worker's own, and
    *   `worker_unsure` while runs of it may go on.
    */
@@ -144,13 +143,17 @@
   }
 }
 
-/** Whether a deregistration can be of the registered incarnation itself. */
+/**
+ * Whether a deregistration can be of the registered incarnation itself. One that
+ * states no start is believed of a worker that has said itself that it drains.
+ */
 const judge = (
   known: WorkerRegistration,
   {bornAt}: RemoveRequest,
 ): 'leaving' | 'no_start' | 'other_incarnation' => {
   if (known.bornAt === (bornAt ?? 0)) return 'leaving';
-  return bornAt === null ? 'no_start' : 'other_incarnation';
+  if (bornAt !== null) return 'other_incarnation';
+  return known.isDraining ? 'leaving' : 'no_start';
 };
 
 const refusal = ({worker}: RemoveRequest): CellError =>
@@ -158,7 +161,7 @@
     code: 'invalid_input',
     step: 'deregister-worker',
     peer: worker,
-    detail: 'born: the start of the incarnation is missing',
+    detail: 'born: needed for a worker that does not drain',
   });
 
 const unsure = ({worker}: RemoveRequest): CellError =>
--- a/packages/coordination/src/workflow/life_log.spec.ts
+++ b/packages/coordination/src/workflow/life_log.spec.ts
@@ -135,13 +135,13 @@
       knownBornAt: 10,
       runCount: 2,
     };
-    await leave({worker: WORKER, bornAt: 10});
     await leave({worker: WORKER, bornAt: null});
+    await leave({worker: WORKER, bornAt: 10});
     await leave({worker: WORKER, bornAt: 9});
     await leave({worker: 'w2' as WorkerId, bornAt: null});
     expect(lines).to.eql([
-      {...told, bornAt: 10, outcome: 'leaving'},
       {...told, bornAt: null, outcome: 'no_start'},
+      {...told, bornAt: 10, outcome: 'leaving'},
       {...told, bornAt: 9, outcome: 'other_incarnation'},
       {
         decision: 'deregister',
