--- a/packages/coordination/src/workflow/progress_tracker.ts
+++ b/packages/coordination/src/workflow/progress_tracker.ts
@@ -47,8 +47,8 @@
   }
 
   /** Whether the last list contained a run. */
-  lists(key: TaskKey, run: number): boolean {
-    return this.entries.get(key)?.run === run;
+  lists({task, run}: Pick<ListedRun, 'task' | 'run'>): boolean {
+    return this.entries.get(taskKey(task))?.run === run;
   }
 
   /** The latest listed checkpoint of a run; empty if there is none. */
--- a/packages/coordination/src/workflow/run_lists.ts
+++ b/packages/coordination/src/workflow/run_lists.ts
@@ -17,6 +17,12 @@
   readonly run: number;
 }
 
+/** Whether a run is among others. */
+export const includesRun = (runs: readonly RunRef[], {task, run}: RunRef) =>
+  runs.some(
+    other => other.run === run && taskKey(other.task) === taskKey(task),
+  );
+
 /** Whether a run is recorded on an incarnation of a worker and has not ended. */
 export const isActiveRun = (
   db: WorkflowDb,
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -20,6 +20,7 @@
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
+import {includesRun} from './run_lists.js';
 import {RunRecords, type RunLists} from './run_records.js';
 import {ResponseMonitor} from './response_monitor.js';
 import {Silence} from './silence.js';
@@ -59,8 +60,8 @@
 
   private fenceCounter: number;
   private isSynced = false;
-  /** Whether the last list had runs that are not recorded. */
-  private hasStrays = false;
+  /** Runs of the last list that are not recorded; its ends are. */
+  private strays: readonly StopRequest[] = [];
   private isClosed = false;
   private lastAcked = 0;
   private retryMs = MIN_RETRY_MS;
@@ -154,9 +155,8 @@
 
   /** Notes the runs of an incarnation that is over; those not listed may be the next one's. */
   private noteReplaced(runs: readonly ExpectedStart[]): void {
-    const isListed = ({task, run}: ExpectedStart): boolean =>
-      this.progress.lists(taskKey(task), run);
-    this.starts.noteUndelivered(runs.filter(run => !isListed(run)));
+    const unlisted = runs.filter(run => !this.progress.lists(run));
+    this.starts.noteUndelivered(unlisted);
   }
 
   /** Starts the loop of holds. */
@@ -258,8 +258,8 @@
   }
 
   /** Whether a run that is not recorded may go on at the worker. */
-  mayRun({task, run}: ExpectedStart): boolean {
-    return !this.isUsable || this.progress.lists(taskKey(task), run);
+  mayRun(start: ExpectedStart): boolean {
+    return !this.isUsable || includesRun(this.strays, start);
   }
 
   private get target(): WorkerTarget {
@@ -360,7 +360,7 @@
       this.isSynced &&
       !this.end.isLeaving &&
       state.active.size === 0 &&
-      !this.hasStrays &&
+      this.strays.length === 0 &&
       state.endsRecorded === this.lastAcked
     );
   }
@@ -415,7 +415,7 @@
     const stops = await this.runs.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
     this.isSynced = true;
-    this.hasStrays = stops.some(({why}) => why === 'not_recorded');
+    this.strays = stops.filter(({why}) => why === 'not_recorded');
     for (const stop of stops) void this.stop(stop);
     this.starts.noteFencedList();
     this.workerClock.noteSoleLeader(sentAt);
@@ -430,7 +430,7 @@
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     this.onFailure(failure, address);
     await this.lapse.check();
-    if (this.lapse.isLapsed) this.hasStrays = false;
+    if (this.lapse.isLapsed) this.strays = [];
     await pause(this.options.clock, this.retryMs);
     this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
   }
