--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -42,6 +42,7 @@
 export * from './workflow/replica.js';
 export * from './blocking_reads/task.js';
 export * from './workflow/replica_reader.js';
+export {mayNameWorkflow} from './workflow/workflow_view.js';
 export * from './workflow/replica_catch_up.js';
 export * from './workflow/confirmed_reader.js';
 export type {GivenUpReason} from './workflow/life_log.js';
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -52,6 +52,13 @@
 export const isPathSegment = (text: string): boolean =>
   text !== '' && !isBelowQueue(text);
 
+/**
+ * Whether a path may be that of a workflow, whatever the queues are. One that
+ * ends without an id is that of a queue, or of nothing.
+ */
+export const mayNameWorkflow = (path: string): boolean =>
+  isPathSegment(path.slice(path.lastIndexOf('/') + 1));
+
 /** Finds what an address names in a state. */
 export const findTarget = (
   state: AddressedState,
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -5,6 +5,7 @@
  */
 import {
   isFinal,
+  mayNameWorkflow,
   type GatewayTask,
   type ReplicaReader,
 } from '@primrosewick/coordination';
@@ -194,7 +195,7 @@
     address: QueueAddress,
     {deadline, signal}: BlockingTerms,
   ): Promise<ReplicaAnswer> {
-    const {waitMs} = this.replicaTimes(deadline, signal);
+    const {waitMs} = this.replicaTimes(address, deadline, signal);
     const wait = {deadline: this.options.clock.now() + waitMs, signal};
     const {answer = null, waitedMs} = await reader.readBlocking(
       address,
@@ -204,8 +205,12 @@
     return this.check(null, 0, {answer, index: reader.index, waitedMs});
   }
 
-  /** How long a replica may take to answer, and wait for an end before that, in ms. */
+  /**
+   * How long a replica may take to answer, and wait for an end before that, in
+   * ms. The count of a queue has no end to wait for.
+   */
   private replicaTimes(
+    {path}: QueueAddress,
     deadline: number,
     {aborted}: AbortSignal,
   ): {readonly answerMs: number; readonly waitMs: number} {
@@ -213,7 +218,8 @@
     const mayTakeMs = leftMs * REPLICA_TIME_FRACTION;
     const answerMs = Math.min(MAX_REPLICA_WAIT_MS, mayTakeMs);
     const waitMs = Math.floor(Math.min(MAX_END_WAIT_MS, mayTakeMs - answerMs));
-    return {answerMs, waitMs: this.isDraining || aborted ? 0 : waitMs};
+    const mayWait = mayNameWorkflow(path) && !this.isDraining && !aborted;
+    return {answerMs, waitMs: mayWait ? waitMs : 0};
   }
 
   private async readPeer(
@@ -223,7 +229,7 @@
   ): Promise<ReplicaAnswer> {
     const {gateway, peers, logger} = this.options;
     const atLeast = gateway.knownIndex;
-    const {answerMs, waitMs} = this.replicaTimes(deadline, signal);
+    const {answerMs, waitMs} = this.replicaTimes(address, deadline, signal);
     try {
       const query = {...address, atLeast, waitMs};
       const reply = await peers.call(peer, 'readWorkflow', query, {
--- a/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
@@ -189,6 +189,15 @@
     expect(asked.at(-1)).to.equal(LEADER);
     expect(deadline - systemClock.now()).to.be.greaterThan(500);
   });
+  // Guards against CONFIG: a count waited for the end of a workflow at a silent replica.
+  it('a replica that falls silent holds a count up no longer than its answer may take', async () => {
+    const {calls, waits} = await makeBlockingRouter(true);
+    const beganAt = systemClock.now();
+    const count = {...get, path: '/q/'};
+    await calls.request(count, {deadline: beganAt + 2400});
+    expect(waits).to.eql([0]);
+    expect(systemClock.now() - beganAt).to.be.lessThan(500);
+  });
   it('a client that goes frees its place at the replica', async () => {
     const {calls} = await makeBlockingRouter();
     const controller = new AbortController();
