--- a/packages/coordination/src/workflow/copies_of_log.spec.ts
+++ b/packages/coordination/src/workflow/copies_of_log.spec.ts
@@ -47,7 +47,8 @@
     const reader = readerOf(startedLog());
     expect(reader.read(address('a'))).to.eql({kind: 'state', state: 'running'});
     expect(reader.read(address('b'))).to.eql({kind: 'state', state: 'queued'});
-    expect(reader.read(address(''))).to.eql({kind: 'pending', count: 1});
+    const count = {kind: 'pending', count: 1, version: 1};
+    expect(reader.read(address(''))).to.eql(count);
   });
   it('returns nothing for an unknown workflow or queue, as the replica may lag', () => {
     const reader = readerOf(startedLog());
--- a/packages/coordination/src/workflow/nested_queues.spec.ts
+++ b/packages/coordination/src/workflow/nested_queues.spec.ts
@@ -100,10 +100,11 @@
   });
   it('a count of a queue that is not there is told so', async () => {
     const {ask, setQueues} = makeLeader();
-    expect(await ask('get', INNER.prefix)).to.eql({kind: 'pending', count: 0});
+    const count = {kind: 'pending', count: 0, version: 1};
+    expect(await ask('get', INNER.prefix)).to.eql(count);
     setQueues([OUTER]);
     for (const path of [INNER.prefix, '/outer/never/'])
-      expect(await ask('get', path)).to.eql(UNKNOWN_QUEUE);
+      expect(await ask('get', path)).to.eql({...UNKNOWN_QUEUE, version: 2});
     expect(await ask('get', OUTER.prefix + ID)).to.eql(UNKNOWN_WORKFLOW);
   });
   it('a workflow of a queue that was removed is found where it was submitted', async () => {
@@ -114,8 +115,8 @@
     expect(lookUp(replica.db, address)).to.eql(QUEUED);
     expect(await ask('get', INNER.prefix + ID)).to.eql(QUEUED);
     expect(await ask('get', OUTER.prefix + ID)).to.eql(QUEUED);
-    expect(await ask('get', `/outer/never/${ID}`)).to.eql(UNKNOWN_QUEUE);
-    expect(await ask('get', INNER.prefix + OTHER_ID)).to.eql(UNKNOWN_QUEUE);
+    for (const path of [`/outer/never/${ID}`, INNER.prefix + OTHER_ID])
+      expect(await ask('get', path)).to.eql({...UNKNOWN_QUEUE, version: 2});
     expect(await ask('cancel', INNER.prefix + OTHER_ID)).to.eql(UNKNOWN_QUEUE);
     expect(await ask('cancel', INNER.prefix + ID)).to.eql({kind: 'cancelled'});
     expect(replica.db.workflows.get(ID)?.phase).to.equal('cancelled');
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -120,12 +120,11 @@
   ): Promise<LinkLeaderReply<WorkflowReply>> {
     return this.runAsLeader(async () => {
       const match = await this.findQueue(request);
+      if (request.kind === 'get') return this.get(request);
       if (!match) return {kind: 'unknown_queue'};
       switch (request.kind) {
         case 'submit':
           return this.submit(request, match, deadline);
-        case 'get':
-          return this.get(request);
         case 'cancel':
           return this.cancel(request, match);
       }
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -145,14 +145,16 @@
   address: QueueAddress,
 ): WorkflowReply | undefined => {
   if (!db.bundle) return undefined;
+  const {version} = db.bundle;
   const target = findTarget(db, address);
   switch (target.kind) {
     case 'queue':
-      return {kind: 'pending', count: countPending(db, target.queue)};
+      return {kind: 'pending', count: countPending(db, target.queue), version};
     case 'workflow':
       return {kind: 'state', state: viewOf(target.workflow)};
     case 'unknown_workflow':
-    case 'unknown_queue':
       return target;
+    case 'unknown_queue':
+      return {...target, version};
   }
 };
--- a/packages/daemon/src/cluster/read_log.spec.ts
+++ b/packages/daemon/src/cluster/read_log.spec.ts
@@ -24,7 +24,7 @@
       copyMs: 4,
       ...part,
     });
-  return {lines, note, registry};
+  return {lines, log, note, registry};
 };
 
 describe('read log', () => {
@@ -76,9 +76,25 @@
         ways: {copy: 51, no_reader: 50},
         confirmed: 0,
         failed: 0,
+        held: 0,
+        outdated: 0,
         longestMs: 4,
         overMs: 10_000,
       },
     ]);
   });
+  it('counts that waited for earlier ones are in the next summary, and in the metrics', async () => {
+    const {log, note, lines, registry} = makeLog();
+    log.recordHeld({heldMs: 30, isOutdated: false});
+    log.recordHeld({heldMs: 600, isOutdated: true});
+    for (const endedAt of [0, 10_000, 20_000]) note({endedAt});
+    const counts = lines.map(({held, outdated}) => [held, outdated]);
+    expect(counts).to.eql([
+      [2, 1],
+      [0, 0],
+    ]);
+    const text = await registry.metrics();
+    expect(text).to.contain('held_ms_sum{outcome="kept"} 30');
+    expect(text).to.contain('held_ms_sum{outcome="outdated"} 600');
+  });
 });
--- a/packages/daemon/src/cluster/read_log.ts
+++ b/packages/daemon/src/cluster/read_log.ts
@@ -7,6 +7,7 @@
 import {LogRateLimiter} from '@primrosewick/transport';
 import type Logger from 'bunyan';
 import {Counter, Histogram, type Registry} from 'prom-client';
+import type {HeldCount} from './count_order.js';
 
 /** Reasons for which a replica alone does not answer a read. */
 export const LEADER_REASONS = [
@@ -61,10 +62,13 @@
 export class ReadLog {
   private readonly reads: Counter<'source' | 'reason' | 'outcome'>;
   private readonly times: Histogram<'source'>;
+  private readonly heldTimes: Histogram<'outcome'>;
   private readonly budget = new LogRateLimiter(LINES_PER_SECOND, 1000);
   private ways: Partial<Record<ReadRoute, number>> = {};
   private confirmed = 0;
   private failed = 0;
+  private held = 0;
+  private outdated = 0;
   private longestMs = 0;
   private lastSummaryAt: number | undefined;
 
@@ -86,6 +90,20 @@
       buckets: READ_BUCKETS_MS,
       registers,
     });
+    this.heldTimes = new Histogram({
+      name: 'primrosewick_count_held_ms',
+      help: 'Time for which the answer of a count waited for earlier counts, by whether it was still good, in ms.',
+      labelNames: ['outcome'],
+      buckets: READ_BUCKETS_MS,
+      registers,
+    });
+  }
+
+  /** Records a count whose answer waited for those of earlier counts. */
+  recordHeld({heldMs, isOutdated}: HeldCount): void {
+    this.heldTimes.observe({outcome: isOutdated ? 'outdated' : 'kept'}, heldMs);
+    this.held++;
+    if (isOutdated) this.outdated++;
   }
 
   /** Records a read that has ended. */
@@ -144,6 +162,8 @@
         ways: this.ways,
         confirmed: this.confirmed,
         failed: this.failed,
+        held: this.held,
+        outdated: this.outdated,
         longestMs: Math.round(this.longestMs),
         overMs: Math.round(overMs),
       },
@@ -153,6 +173,8 @@
     this.ways = {};
     this.confirmed = 0;
     this.failed = 0;
+    this.held = 0;
+    this.outdated = 0;
     this.longestMs = 0;
   }
 }
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -19,6 +19,7 @@
 import type {Clock, LinkCaller} from '@primrosewick/transport';
 import type Logger from 'bunyan';
 import type {ConfirmedReads} from './confirmed_reads.js';
+import {CountOrder} from './count_order.js';
 import type {ReadLog, ReadRoute} from './read_log.js';
 
 /** Options of {@link WorkflowRequestRouter}. */
@@ -78,9 +79,16 @@
   private readonly cancelledUntil = new Map<string, number>();
   /** Reads that may wait for the end of their workflow. */
   private readonly blocking = new Set<AbortController>();
+  private readonly counts: CountOrder;
   private isDraining = false;
 
-  constructor(private readonly options: WorkflowRequestRouterOptions) {}
+  constructor(private readonly options: WorkflowRequestRouterOptions) {
+    const {clock, reads} = options;
+    this.counts = new CountOrder({
+      clock,
+      onHeld: held => reads.recordHeld(held),
+    });
+  }
 
   /**
    * Routes a request.
@@ -90,7 +98,10 @@
     request: WorkflowRequest,
     terms: RequestTerms,
   ): Promise<WorkflowReply> {
-    if (request.kind === 'get') return this.read(request, terms);
+    if (request.kind === 'get')
+      return mayNameWorkflow(request.path)
+        ? this.read(request, terms)
+        : this.count(request, terms);
     if (request.kind === 'cancel') this.rememberCancellation(request);
     return this.options.gateway.callLeader('workflow', request, terms.deadline);
   }
@@ -101,6 +112,30 @@
     for (const controller of this.blocking) controller.abort();
   }
 
+  /** Answers what shows the bundle no earlier than the counts before it. */
+  private count(
+    request: Extract<WorkflowRequest, {kind: 'get'}>,
+    terms: RequestTerms,
+  ): Promise<WorkflowReply> {
+    const {deadline} = terms;
+    return this.counts.answer({
+      read: () => this.read(request, terms),
+      readCurrent: () => this.readCurrent(request, deadline),
+      deadline,
+    });
+  }
+
+  /** Reads a state that is no older than the call. */
+  private async readCurrent(
+    request: Extract<WorkflowRequest, {kind: 'get'}>,
+    deadline: number,
+  ): Promise<WorkflowReply> {
+    return (
+      (await this.confirm(request, deadline)) ??
+      this.options.gateway.callLeader('workflow', request, deadline)
+    );
+  }
+
   private async read(
     request: Extract<WorkflowRequest, {kind: 'get'}>,
     {deadline, signal}: RequestTerms,
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -63,10 +63,19 @@
 export type WorkflowReply =
   | {readonly kind: 'accepted'}
   | {readonly kind: 'state'; readonly state: WorkflowView}
-  | {readonly kind: 'pending'; readonly count: number}
+  | {
+      readonly kind: 'pending';
+      readonly count: number;
+      /** Version of the bundle that has the queue; earlier releases tell none. */
+      readonly version?: number;
+    }
   | {readonly kind: 'cancelled'}
   | {readonly kind: 'unknown_workflow'}
-  | {readonly kind: 'unknown_queue'};
+  | {
+      readonly kind: 'unknown_queue';
+      /** Version of the bundle that lacks the queue, told to reads; earlier releases tell none. */
+      readonly version?: number;
+    };
 
 /** A worker that the adviser allows to run a step, with the ticket for it. */
 export interface AdvisedWorker {
