--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -5,6 +5,7 @@
  */
 import {
   isFinal,
+  mayNameWorkflow,
   type GatewayTask,
   type ReplicaReader,
 } from '@primrosewick/coordination';
@@ -18,6 +19,7 @@
 import type {Clock, LinkCaller} from '@primrosewick/transport';
 import type Logger from 'bunyan';
 import type {ConfirmedReads} from './confirmed_reads.js';
+import {CountOrder} from './count_order.js';
 import type {ReadLog, ReadRoute} from './read_log.js';
 
 /** Options of {@link WorkflowRequestRouter}. */
@@ -77,9 +79,16 @@
   private readonly cancelledUntil = new Map<string, number>();
   /** Reads that may wait for the end of their workflow. */
   private readonly blocking = new Set<AbortController>();
+  private readonly counts: CountOrder;
   private isDraining = false;
 
-  constructor(private readonly options: WorkflowRequestRouterOptions) {}
+  constructor(private readonly options: WorkflowRequestRouterOptions) {
+    const {clock, reads} = options;
+    this.counts = new CountOrder({
+      clock,
+      onHeld: held => reads.recordHeld(held),
+    });
+  }
 
   /**
    * Routes a request.
@@ -89,7 +98,10 @@
     request: WorkflowRequest,
     terms: RequestTerms,
   ): Promise<WorkflowReply> {
-    if (request.kind === 'get') return this.read(request, terms);
+    if (request.kind === 'get')
+      return mayNameWorkflow(request.path)
+        ? this.read(request, terms)
+        : this.count(request, terms);
     if (request.kind === 'cancel') this.rememberCancellation(request);
     return this.options.gateway.callLeader('workflow', request, terms.deadline);
   }
@@ -100,6 +112,30 @@
     for (const controller of this.blocking) controller.abort();
   }
 
+  /** Answers what shows the bundle no earlier than the counts before it. */
+  private count(
+    request: Extract<WorkflowRequest, {kind: 'get'}>,
+    terms: RequestTerms,
+  ): Promise<WorkflowReply> {
+    const {deadline} = terms;
+    return this.counts.answer({
+      read: () => this.read(request, terms),
+      readCurrent: () => this.readCurrent(request, deadline),
+      deadline,
+    });
+  }
+
+  /** Reads a state that is no older than the call. */
+  private async readCurrent(
+    request: Extract<WorkflowRequest, {kind: 'get'}>,
+    deadline: number,
+  ): Promise<WorkflowReply> {
+    return (
+      (await this.confirm(request, deadline)) ??
+      this.options.gateway.callLeader('workflow', request, deadline)
+    );
+  }
+
   private async read(
     request: Extract<WorkflowRequest, {kind: 'get'}>,
     {deadline, signal}: RequestTerms,
@@ -194,7 +230,7 @@
     address: QueueAddress,
     {deadline, signal}: BlockingTerms,
   ): Promise<ReplicaAnswer> {
-    const {waitMs} = this.replicaTimes(deadline, signal);
+    const {waitMs} = this.replicaTimes(address, deadline, signal);
     const wait = {deadline: this.options.clock.now() + waitMs, signal};
     const {answer = null, waitedMs} = await reader.readBlocking(
       address,
@@ -204,8 +240,12 @@
     return this.check(null, 0, {answer, index: reader.index, waitedMs});
   }
 
-  /** How long a replica may take to answer, and wait for an end before that, in ms. */
+  /**
+   * How long a replica may take to answer, and wait for an end before that, in
+   * ms. The count of a queue has no end to wait for.
+   */
   private replicaTimes(
+    {path}: QueueAddress,
     deadline: number,
     {aborted}: AbortSignal,
   ): {readonly answerMs: number; readonly waitMs: number} {
@@ -213,7 +253,8 @@
     const mayTakeMs = leftMs * REPLICA_TIME_FRACTION;
     const answerMs = Math.min(MAX_REPLICA_WAIT_MS, mayTakeMs);
     const waitMs = Math.floor(Math.min(MAX_END_WAIT_MS, mayTakeMs - answerMs));
-    return {answerMs, waitMs: this.isDraining || aborted ? 0 : waitMs};
+    const mayWait = mayNameWorkflow(path) && !this.isDraining && !aborted;
+    return {answerMs, waitMs: mayWait ? waitMs : 0};
   }
 
   private async readPeer(
@@ -223,7 +264,7 @@
   ): Promise<ReplicaAnswer> {
     const {gateway, peers, logger} = this.options;
     const atLeast = gateway.knownIndex;
-    const {answerMs, waitMs} = this.replicaTimes(deadline, signal);
+    const {answerMs, waitMs} = this.replicaTimes(address, deadline, signal);
     try {
       const query = {...address, atLeast, waitMs};
       const reply = await peers.call(peer, 'readWorkflow', query, {
