--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -4,7 +4,7 @@
  * an answer may still be executed much later, so the fence is raised and the
  * worker's lists of runs are queried before anything is concluded.
  */
-import {taskKey, type TaskKey, type TaskRef} from '@primrosewick/state';
+import type {TaskKey, TaskRef} from '@primrosewick/state';
 import {pause} from '@primrosewick/transport';
 import type {
   HoldAnswer,
