--- a/packages/coordination/src/workflow/worker_registry.ts
+++ b/packages/coordination/src/workflow/worker_registry.ts
@@ -110,7 +110,8 @@
       checkLife?.({worker, bornAt}),
       answers?.(claim),
     ]);
-    if (state === 'runs')
+    // Of an incarnation of unknown start, any process at its address answers.
+    if (state === 'runs' && bornAt > 0)
       return report.bornAt === bornAt ? 'other_address' : 'earlier_life_runs';
     const unproved = this.db.findIncarnation({worker, bornAt})?.active.size;
     if (unproved) return 'runs_unproved';
