--- a/packages/coordination/src/workflow/life_end.ts
+++ b/packages/coordination/src/workflow/life_end.ts
@@ -6,6 +6,7 @@
 import {proofOf} from './end_proof/core.js';
 import type {ReplacedProof} from './end_proof/types.js';
 import type {LifeLog} from './life_log.js';
+import type {RunRef} from './run_lists.js';
 import {departureRecord, replacedRecord} from './removals.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 
@@ -17,8 +18,8 @@
   readonly lifeLog: LifeLog;
   /** Its recorded runs, with their latest checkpoints. */
   readonly activeRuns: () => readonly VoidedRun[];
-  /** Called with these runs before it is recorded that another took its place. */
-  readonly onReplaced: (runs: readonly VoidedRun[]) => void;
+  /** Notes that another took its place; @returns those of its runs that it never listed. */
+  readonly onReplaced: (runs: readonly VoidedRun[]) => readonly RunRef[];
   /** Time since it last answered, in ms; undefined if it never did. */
   readonly heardAgoMs: () => number | undefined;
 }
@@ -67,12 +68,13 @@
     const why = 'other_life';
     const departing = lifeLog.departing(life, why, this.options.heardAgoMs());
     const runs = activeRuns();
-    this.options.onReplaced(runs);
+    const strays = this.options.onReplaced(runs);
     const isConfirmed = await record(
       replacedRecord({
         life,
         runs,
         proof,
+        strays,
         isLeaving,
         ...(crash && {crash}),
       }),
--- a/packages/coordination/src/workflow/removals.ts
+++ b/packages/coordination/src/workflow/removals.ts
@@ -5,6 +5,7 @@
   WorkerIncarnation,
   WorkflowCommand,
 } from '@primrosewick/state';
+import type {RunRef} from './run_lists.js';
 import type {ReplacedProof} from './end_proof/types.js';
 
 /** Options of {@link replacedRecord}. */
@@ -13,6 +14,8 @@
   /** Its recorded runs, with their latest checkpoints. */
   readonly runs: readonly VoidedRun[];
   readonly proof: ReplacedProof;
+  /** Those of its runs that it never listed. */
+  readonly strays: readonly RunRef[];
   /** Whether it has said that it leaves. */
   readonly isLeaving: boolean;
   readonly crash?: CrashEvidence;
@@ -23,6 +26,7 @@
   life: {worker, bornAt},
   runs,
   proof,
+  strays,
   isLeaving,
   crash,
 }: ReplacedWorker): WorkflowCommand => ({
@@ -30,6 +34,9 @@
   life: {worker, bornAt},
   runs,
   proof: proof.kind,
+  ...(strays.length > 0 && {
+    strays: strays.map(({task, run}) => ({task, run})),
+  }),
   ...(isLeaving ? {isFinal: true} : crash && {crash}),
 });
 
--- a/packages/coordination/src/workflow/start_ledger.ts
+++ b/packages/coordination/src/workflow/start_ledger.ts
@@ -48,11 +48,12 @@
   }
 
   /** Notes runs that the worker may never have had; their starts may still arrive. */
-  noteUndelivered(starts: readonly ExpectedStart[]): void {
+  noteUndelivered<T extends ExpectedStart>(starts: readonly T[]): readonly T[] {
     for (const {task, run} of starts) {
       const key = taskKey(task);
       if (!this.unanswered.has(key)) this.unanswered.set(key, {task, run});
     }
+    return starts;
   }
 
   /** Notes a list under a fence that outdates all starts without an answer. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -20,7 +20,7 @@
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
-import {includesRun} from './run_lists.js';
+import {includesRun, type RunRef} from './run_lists.js';
 import {RunRecords, type RunLists} from './run_records.js';
 import {ResponseMonitor} from './response_monitor.js';
 import {Silence} from './silence.js';
@@ -154,9 +154,9 @@
   }
 
   /** Notes the runs of an incarnation that is over; those not listed may be the next one's. */
-  private noteReplaced(runs: readonly ExpectedStart[]): void {
+  private noteReplaced(runs: readonly RunRef[]): readonly RunRef[] {
     const unlisted = runs.filter(run => !this.progress.lists(run));
-    this.starts.noteUndelivered(unlisted);
+    return this.starts.noteUndelivered(unlisted);
   }
 
   /** Starts the loop of holds. */
--- a/packages/proofs/src/workflow/ended_workers.spec.ts
+++ b/packages/proofs/src/workflow/ended_workers.spec.ts
@@ -150,6 +150,15 @@
     await world.advance(ORDERED_MS);
     await expectDone(world);
   }).timeout(TIMEOUT_MS);
+  it('a start that the next life executes, and a change of leader: nothing runs twice', async () => {
+    const world = new WorkflowWorld(1);
+    await world.start();
+    replace(world);
+    world.submit(manyTasks);
+    await world.advance(ORDERED_MS);
+    world.changeLeader(false);
+    await expectDone(world);
+  }).timeout(TIMEOUT_MS);
   it('a start that arrives late at the next life of a worker: nothing runs twice', async () => {
     const world = new WorkflowWorld(1);
     await world.start();
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -201,6 +201,37 @@
     log.start('w1', testTask('a', 0, 0), 2, 1);
     expect(log.db.findTask(testTask('a', 0, 0))?.active).to.eql([]);
   });
+  it('runs that the next incarnation may begin are kept until they are settled', () => {
+    const log = oneTask();
+    const life = {worker: 'w1' as never, bornAt: 1};
+    const stray = {task: testTask('a', 0, 0), run: 1};
+    log.apply({
+      kind: 'remove_worker',
+      life,
+      runs: [],
+      proof: 'replaced',
+      strays: [stray],
+    });
+    const copy = new WorkflowDb();
+    copy.restore(log.db.toImage());
+    expect(copy.strays.values()).to.eql([{worker: 'w1', ...stray}]);
+    log.addWorker('w2');
+    log.start('w2', testTask('a', 0, 0), 2, 1);
+    expect(log.db.strays.values()).to.eql([]);
+  });
+  it('the end of a voided run counts where the record says so', () => {
+    for (const countsVoided of [true, false]) {
+      const log = oneTask();
+      const task = testTask('a', 0, 0);
+      const life = {worker: 'w1' as never, bornAt: 1};
+      const runs = [{task, run: 1, checkpoint: ''}];
+      log.apply({kind: 'void_runs', life, runs, reason: 'lease_lapsed'});
+      const end = {sequence: 1, task, run: 1, checkpoint: ''};
+      const ends = [{...end, outcome: 'done'} as const];
+      log.apply({kind: 'end_runs', life, ends, at: 5, countsVoided});
+      expect(phaseOf(log, 'a')).to.equal(countsVoided ? 'done' : 'open');
+    }
+  });
   // Guards against TWICE: a start was recorded while its worker, idle so far, left.
   it('a worker without runs is not removed if it has some by then', () => {
     const log = oneTask();
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -6,13 +6,13 @@
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
-import type {CrashEvidence} from './crashes/types.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
 import {imageOf} from './image.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
 import {NO_RESOURCES, addResources, subtractResources} from './resources.js';
+import {StrayRuns} from './stray_runs.js';
 import {StopCandidates} from './stop_candidates.js';
 import {
   countActiveRuns,
@@ -51,6 +51,8 @@
 /** How long an ended workflow stays readable by default, in ms. */
 const KEEP_ENDED_MS = 180_000;
 
+type RemoveWorker = Extract<WorkflowCommand, {kind: 'remove_worker'}>;
+
 const APPLIED: WorkflowResult = {kind: 'applied'};
 
 /** State machine of workflows, workers and the bundle in force. */
@@ -61,6 +63,7 @@
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
+  readonly strays = new StrayRuns();
   /** Tasks under which workers have crashed. */
   readonly crashes = new TaskCrashes(this.workflows);
   readonly open = new OpenWorkflows();
@@ -99,7 +102,7 @@
         if (!this.departed.has(command.report)) this.putWorker(command.report);
         return APPLIED;
       case 'remove_worker':
-        this.applyRemoval(command);
+        this.removeWorker(command);
         return APPLIED;
       case 'start_runs':
         for (const start of command.starts) this.startRun(start, command.at);
@@ -162,6 +165,7 @@
       });
     this.ended.sort();
     this.departed.restore(image.departed);
+    this.strays.restore(image.strays);
     this.crashes.restore(image.crashes);
     this.workers.clear();
     for (const kept of image.workers)
@@ -265,21 +269,15 @@
     });
   }
 
-  private applyRemoval(
-    command: Extract<WorkflowCommand, {kind: 'remove_worker'}>,
-  ): void {
-    const {life, runs, proof, crash, isFinal} = command;
-    const activeCount = this.findIncarnation(life)?.active.size ?? 0;
-    if (proof === 'no_runs' && activeCount > 0) return;
+  /** Removes a worker; its runs are over. */
+  private removeWorker(command: RemoveWorker): void {
+    const {life, runs, proof, crash, isFinal, strays} = command;
+    const known = this.findIncarnation(life);
+    if (proof === 'no_runs' && known && known.active.size > 0) return;
     saveCheckpoints(this, life, runs);
-    this.removeWorker(life, crash);
     if (isFinal) this.departed.add(life);
-  }
-
-  /** Removes a worker; its runs have ended with it. */
-  private removeWorker(life: Incarnation, crash?: CrashEvidence): void {
-    const known = this.findIncarnation(life);
     if (!known) return;
+    this.strays.add(life.worker, strays);
     const atFault = crash && this.crashes.noteCrash(known, crash);
     for (const {task, run} of [...known.active.values()])
       this.removeRun(life, task, run);
@@ -300,6 +298,7 @@
     const state = steps[task.step]?.tasks[task.index];
     if (!state || state.isDone || run <= state.lastRun) return;
     workflow.hasStarted = true;
+    this.strays.delete(task);
     state.lastRun = run;
     const step = steps[task.step];
     if (step && state.active.length === 0) step.idleCount--;
@@ -326,6 +325,7 @@
       if (end.sequence <= worker.endsRecorded) continue;
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
+      this.strays.delete(end.task);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -15,10 +15,12 @@
   workers,
   departed,
   crashes,
+  strays,
 }: WorkflowDb): WorkflowImage => ({
   index,
   departed: departed.values(),
   crashes: crashes.values(),
+  strays: strays.values(),
   bundle,
   queues: [...queues.values()],
   workflows: [...workflows.values()].map(workflow => ({
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -249,6 +249,13 @@
   readonly checkpoint: string;
 }
 
+/** A run that a worker's next incarnation may have begun, or may yet begin. */
+export interface StrayRun {
+  readonly worker: WorkerId;
+  readonly task: TaskRef;
+  readonly run: number;
+}
+
 /** Why a recorded run is voided. */
 export type VoidReason =
   /** The worker refused the start, or is known never to have accepted it. */
@@ -282,6 +289,8 @@
       readonly runs: readonly VoidedRun[];
       /** Absent in older records, which remove the worker with all its runs. */
       readonly proof?: RemovalProof;
+      /** Runs that the incarnation never listed; absent if there are none. */
+      readonly strays?: ReadonlyArray<Pick<StrayRun, 'task' | 'run'>>;
       /** Whether the incarnation said itself that it ends. */
       readonly isFinal?: boolean;
       /** What proves that it crashed; absent if it ended in another way. */
@@ -345,6 +354,8 @@
   readonly index: number;
   /** Incarnations that have ended for good; absent in older images. */
   readonly departed?: readonly WorkerIncarnation[];
+  /** Runs that next incarnations may have begun; absent in older images. */
+  readonly strays?: readonly StrayRun[];
   /** Crashes under tasks that are not given up; absent in older images. */
   readonly crashes?: readonly CrashRecord[];
   readonly bundle: Bundle | null;
