--- a/packages/coordination/src/workflow/life_end.ts
+++ b/packages/coordination/src/workflow/life_end.ts
@@ -68,13 +68,13 @@
     const why = 'other_life';
     const departing = lifeLog.departing(life, why, this.options.heardAgoMs());
     const runs = activeRuns();
-    const strays = this.options.onReplaced(runs);
+    const orphans = this.options.onReplaced(runs);
     const isConfirmed = await record(
       replacedRecord({
         life,
         runs,
         proof,
-        strays,
+        orphans,
         isLeaving,
         ...(crash && {crash}),
       }),
--- a/packages/coordination/src/workflow/removals.ts
+++ b/packages/coordination/src/workflow/removals.ts
@@ -15,7 +15,7 @@
   readonly runs: readonly VoidedRun[];
   readonly proof: ReplacedProof;
   /** Those of its runs that it never listed. */
-  readonly strays: readonly RunRef[];
+  readonly orphans: readonly RunRef[];
   /** Whether it has said that it leaves. */
   readonly isLeaving: boolean;
   readonly crash?: CrashEvidence;
@@ -26,7 +26,7 @@
   life: {worker, bornAt},
   runs,
   proof,
-  strays,
+  orphans,
   isLeaving,
   crash,
 }: ReplacedWorker): WorkflowCommand => ({
@@ -34,8 +34,8 @@
   life: {worker, bornAt},
   runs,
   proof: proof.kind,
-  ...(strays.length > 0 && {
-    strays: strays.map(({task, run}) => ({task, run})),
+  ...(orphans.length > 0 && {
+    orphans: orphans.map(({task, run}) => ({task, run})),
   }),
   ...(isLeaving ? {isFinal: true} : crash && {crash}),
 });
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -154,8 +154,8 @@
       clock.every(LOAD_INTERVAL_MS).subscribe(() => this.load.logQueues()),
     );
     this.syncChannels();
-    for (const stray of this.db.strays.values())
-      this.orphans.note(stray.worker, [stray], this.startedAt);
+    for (const orphan of this.db.orphans.values())
+      this.orphans.note(orphan.worker, [orphan], this.startedAt);
     this.schedulePass();
   }
 
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -61,7 +61,7 @@
   private fenceCounter: number;
   private isSynced = false;
   /** Runs of the last list that are not recorded; its ends are. */
-  private strays: readonly StopRequest[] = [];
+  private orphans: readonly StopRequest[] = [];
   private isClosed = false;
   private lastAcked = 0;
   private retryMs = MIN_RETRY_MS;
@@ -259,7 +259,7 @@
 
   /** Whether a run that is not recorded may go on at the worker. */
   mayRun(start: ExpectedStart): boolean {
-    return !this.isUsable || includesRun(this.strays, start);
+    return !this.isUsable || includesRun(this.orphans, start);
   }
 
   private get target(): WorkerTarget {
@@ -360,7 +360,7 @@
       this.isSynced &&
       !this.end.isLeaving &&
       state.active.size === 0 &&
-      this.strays.length === 0 &&
+      this.orphans.length === 0 &&
       state.endsRecorded === this.lastAcked
     );
   }
@@ -415,7 +415,7 @@
     const stops = await this.runs.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
     this.isSynced = true;
-    this.strays = stops.filter(({why}) => why === 'not_recorded');
+    this.orphans = stops.filter(({why}) => why === 'not_recorded');
     for (const stop of stops) void this.stop(stop);
     this.starts.noteFencedList();
     this.workerClock.noteSoleLeader(sentAt);
@@ -430,7 +430,7 @@
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     this.onFailure(failure, address);
     await this.lapse.check();
-    if (this.lapse.isLapsed) this.strays = [];
+    if (this.lapse.isLapsed) this.orphans = [];
     await pause(this.options.clock, this.retryMs);
     this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
   }
--- a/packages/state/src/workflow/db.spec.ts
+++ b/packages/state/src/workflow/db.spec.ts
@@ -204,20 +204,20 @@
   it('runs that the next incarnation may begin are kept until they are settled', () => {
     const log = oneTask();
     const life = {worker: 'w1' as never, bornAt: 1};
-    const stray = {task: testTask('a', 0, 0), run: 1};
+    const orphan = {task: testTask('a', 0, 0), run: 1};
     log.apply({
       kind: 'remove_worker',
       life,
       runs: [],
       proof: 'replaced',
-      strays: [stray],
+      orphans: [orphan],
     });
     const copy = new WorkflowDb();
     copy.restore(log.db.toImage());
-    expect(copy.strays.values()).to.eql([{worker: 'w1', ...stray}]);
+    expect(copy.orphans.values()).to.eql([{worker: 'w1', ...orphan}]);
     log.addWorker('w2');
     log.start('w2', testTask('a', 0, 0), 2, 1);
-    expect(log.db.strays.values()).to.eql([]);
+    expect(log.db.orphans.values()).to.eql([]);
   });
   it('the end of a voided run counts where the record says so', () => {
     for (const countsVoided of [true, false]) {
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -12,7 +12,7 @@
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
 import {NO_RESOURCES, addResources, subtractResources} from './resources.js';
-import {StrayRuns} from './stray_runs.js';
+import {OrphanedRuns} from './orphaned_runs.js';
 import {StopCandidates} from './stop_candidates.js';
 import {
   countActiveRuns,
@@ -63,7 +63,7 @@
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
-  readonly strays = new StrayRuns();
+  readonly orphans = new OrphanedRuns();
   /** Tasks under which workers have crashed. */
   readonly crashes = new TaskCrashes(this.workflows);
   readonly open = new OpenWorkflows();
@@ -165,7 +165,7 @@
       });
     this.ended.sort();
     this.departed.restore(image.departed);
-    this.strays.restore(image.strays);
+    this.orphans.restore(image.orphans);
     this.crashes.restore(image.crashes);
     this.workers.clear();
     for (const kept of image.workers)
@@ -271,13 +271,13 @@
 
   /** Removes a worker; its runs are over. */
   private removeWorker(command: RemoveWorker): void {
-    const {life, runs, proof, crash, isFinal, strays} = command;
+    const {life, runs, proof, crash, isFinal, orphans} = command;
     const known = this.findIncarnation(life);
     if (proof === 'no_runs' && known && known.active.size > 0) return;
     saveCheckpoints(this, life, runs);
     if (isFinal) this.departed.add(life);
     if (!known) return;
-    this.strays.add(life.worker, strays);
+    this.orphans.add(life.worker, orphans);
     const atFault = crash && this.crashes.noteCrash(known, crash);
     for (const {task, run} of [...known.active.values()])
       this.removeRun(life, task, run);
@@ -298,7 +298,7 @@
     const state = steps[task.step]?.tasks[task.index];
     if (!state || state.isDone || run <= state.lastRun) return;
     workflow.hasStarted = true;
-    this.strays.delete(task);
+    this.orphans.delete(task);
     state.lastRun = run;
     const step = steps[task.step];
     if (step && state.active.length === 0) step.idleCount--;
@@ -325,7 +325,7 @@
       if (end.sequence <= worker.endsRecorded) continue;
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
-      this.strays.delete(end.task);
+      this.orphans.delete(end.task);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -15,12 +15,12 @@
   workers,
   departed,
   crashes,
-  strays,
+  orphans,
 }: WorkflowDb): WorkflowImage => ({
   index,
   departed: departed.values(),
   crashes: crashes.values(),
-  strays: strays.values(),
+  orphans: orphans.values(),
   bundle,
   queues: [...queues.values()],
   workflows: [...workflows.values()].map(workflow => ({
--- a/packages/state/src/workflow/stray_runs.ts
+++ b/packages/state/src/workflow/orphaned_runs.ts
@@ -4,43 +4,43 @@
  */
 import type {WorkerId} from '../ids/types.js';
 import {taskKey} from './refs.js';
-import type {StrayRun, TaskKey, TaskRef} from './types.js';
+import type {OrphanedRun, TaskKey, TaskRef} from './types.js';
 
 /** Maximum number of remembered runs; the oldest is dropped first. */
-const MAX_STRAYS = 4096;
+const MAX_ORPHANS = 4096;
 
-/** The latest stray run of each task. Bounded by count, so that all voters drop the same. */
-export class StrayRuns {
-  private readonly strays = new Map<TaskKey, StrayRun>();
+/** The latest orphaned run of each task. Bounded by count, so that all voters drop the same. */
+export class OrphanedRuns {
+  private readonly orphans = new Map<TaskKey, OrphanedRun>();
 
   /** Adds runs that were for an incarnation of a worker. */
   add(
     worker: WorkerId,
-    runs: ReadonlyArray<Pick<StrayRun, 'task' | 'run'>> = [],
+    runs: ReadonlyArray<Pick<OrphanedRun, 'task' | 'run'>> = [],
   ): void {
     for (const {task, run} of runs) {
-      this.strays.delete(taskKey(task));
-      this.strays.set(taskKey(task), {worker, task, run});
+      this.orphans.delete(taskKey(task));
+      this.orphans.set(taskKey(task), {worker, task, run});
     }
-    for (const key of this.strays.keys()) {
-      if (this.strays.size <= MAX_STRAYS) return;
-      this.strays.delete(key);
+    for (const key of this.orphans.keys()) {
+      if (this.orphans.size <= MAX_ORPHANS) return;
+      this.orphans.delete(key);
     }
   }
 
   /** Drops the run of a task that is started anew or has ended. */
   delete(task: TaskRef): void {
-    this.strays.delete(taskKey(task));
+    this.orphans.delete(taskKey(task));
   }
 
   /** All remembered runs, oldest first. */
-  values(): StrayRun[] {
-    return [...this.strays.values()];
+  values(): OrphanedRun[] {
+    return [...this.orphans.values()];
   }
 
   /** Replaces all by those of an image; older images have none. */
-  restore(image: readonly StrayRun[] = []): void {
-    this.strays.clear();
+  restore(image: readonly OrphanedRun[] = []): void {
+    this.orphans.clear();
     for (const {worker, ...run} of image) this.add(worker, [run]);
   }
 }
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -250,7 +250,7 @@
 }
 
 /** A run that a worker's next incarnation may have begun, or may yet begin. */
-export interface StrayRun {
+export interface OrphanedRun {
   readonly worker: WorkerId;
   readonly task: TaskRef;
   readonly run: number;
@@ -290,7 +290,7 @@
       /** Absent in older records, which remove the worker with all its runs. */
       readonly proof?: RemovalProof;
       /** Runs that the incarnation never listed; absent if there are none. */
-      readonly strays?: ReadonlyArray<Pick<StrayRun, 'task' | 'run'>>;
+      readonly orphans?: ReadonlyArray<Pick<OrphanedRun, 'task' | 'run'>>;
       /** Whether the incarnation said itself that it ends. */
       readonly isFinal?: boolean;
       /** What proves that it crashed; absent if it ended in another way. */
@@ -355,7 +355,7 @@
   /** Incarnations that have ended for good; absent in older images. */
   readonly departed?: readonly WorkerIncarnation[];
   /** Runs that next incarnations may have begun; absent in older images. */
-  readonly strays?: readonly StrayRun[];
+  readonly orphans?: readonly OrphanedRun[];
   /** Crashes under tasks that are not given up; absent in older images. */
   readonly crashes?: readonly CrashRecord[];
   readonly bundle: Bundle | null;
