--- a/packages/coordination/src/workflow/worker_clock.spec.ts
+++ b/packages/coordination/src/workflow/worker_clock.spec.ts
@@ -27,6 +27,20 @@
       100 + 5100 / 0.98 + 200,
     );
   });
+  it('leases of earlier leaders lapse by the first list that this leader got', () => {
+    const clock = new WorkerClock({maxLeaseMs: 8000, previousLeaderUntil: 0});
+    clock.note(100, 50_000);
+    clock.noteSoleLeader(100);
+    const {lapseAt} = clock;
+    for (const now of [1000, 5000, 20_000]) clock.noteSoleLeader(now);
+    expect(clock.lapseAt).to.equal(lapseAt);
+    clock.note(20_000, 69_900);
+    clock.leaseFor(20_000, 5000);
+    expect(clock.lapseAt).to.be.within(
+      20_000 + 5000 / 0.98,
+      20_000 + 5000 / 0.98 + 200,
+    );
+  });
 });
 
 describe('start ledger', () => {
--- a/packages/coordination/src/workflow/worker_clock.ts
+++ b/packages/coordination/src/workflow/worker_clock.ts
@@ -60,10 +60,14 @@
 
   /**
    * Notes that since the monotonic time `now` the worker obeys only this leader.
-   * Earlier leaders can extend its lease no further from then on.
+   * Earlier leaders can extend its lease no further from then on, so the first such
+   * time counts.
    */
   noteSoleLeader(now: number): void {
-    this.unknownLeaseLapseAt = this.lapseAfter(now, this.options.maxLeaseMs);
+    this.unknownLeaseLapseAt = Math.min(
+      this.unknownLeaseLapseAt,
+      this.lapseAfter(now, this.options.maxLeaseMs),
+    );
   }
 
   private lapseAfter(now: number, leaseMs: number): number {
