--- a/packages/coordination/src/workflow/channel_set.ts
+++ b/packages/coordination/src/workflow/channel_set.ts
@@ -40,7 +40,9 @@
 
   private close(worker: WorkerId, channel: WorkerChannel): void {
     const {channels, clock, orphans} = this.options;
-    orphans.note(worker, channel.undeliveredStarts, clock.now());
+    const {undeliveredStarts: starts, end} = channel;
+    const {hasNextLife} = end;
+    orphans.note({worker, starts, hasNextLife}, clock.now());
     // The next incarnation executes delayed orders to this one, unless outdated.
     this.firstFences.set(worker, channel.nextFence);
     channel.close();
--- a/packages/coordination/src/workflow/known_lives.ts
+++ b/packages/coordination/src/workflow/known_lives.ts
@@ -19,7 +19,7 @@
 const LIFE_CHECK_MS = 400;
 
 /** Pause before an incarnation that did not answer is asked again, in ms. */
-const LIFE_CHECK_PAUSE_MS = 50;
+const LIFE_CHECK_PAUSE_MS = 120;
 
 const SILENT: LifeState = 'silent';
 
@@ -40,7 +40,8 @@
   orphanStateOf(worker: WorkerId, start: ExpectedStart): OrphanState {
     const channel = this.channels.get(worker);
     if (!channel) return 'no_later_life';
-    return channel.mayRun(start) ? 'may_run' : 'over';
+    if (!channel.isUsable) return 'unlisted';
+    return channel.listsOrphan(start) ? 'runs' : 'over';
   }
 
   /** What tells that a worker has crashed, now that this is proved. */
--- a/packages/coordination/src/workflow/lapse_check.ts
+++ b/packages/coordination/src/workflow/lapse_check.ts
@@ -23,6 +23,7 @@
   /** Whether the lease has lapsed since the last answer. */
   isLapsed = false;
   private timer: Subscription | undefined;
+  private isGivingUp = false;
 
   constructor(private readonly options: LapseCheckOptions) {}
 
@@ -45,7 +46,10 @@
     const lapsed = [...active].filter(
       ({task}) => !starts.isInFlight(taskKey(task)),
     );
+    if (this.isGivingUp) return;
+    this.isGivingUp = true;
     await runs.giveUp(lapsed, {kind: 'silence', now, lapseAt});
+    this.isGivingUp = false;
   }
 
   /** Drops the timer. */
@@ -54,10 +58,13 @@
   }
 
   private setTimer(leftMs: number): void {
-    if (this.timer?.closed === false) return;
+    if (this.timer) return;
     // Rounded up, as a timer may be a fraction of a ms early.
     this.timer = this.options.clock
       .after(Math.ceil(leftMs) + 1)
-      .subscribe(() => void this.check());
+      .subscribe(() => {
+        this.timer = undefined;
+        void this.check();
+      });
   }
 }
--- a/packages/coordination/src/workflow/life_end.ts
+++ b/packages/coordination/src/workflow/life_end.ts
@@ -6,6 +6,7 @@
 import {proofOf} from './end_proof/core.js';
 import type {ReplacedProof} from './end_proof/types.js';
 import type {LifeLog} from './life_log.js';
+import type {OrderFailure} from './ports.js';
 import type {RunRef} from './run_lists.js';
 import {departureRecord, replacedRecord} from './removals.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
@@ -24,8 +25,15 @@
   readonly heardAgoMs: () => number | undefined;
 }
 
+type OtherAnswer = Pick<
+  Extract<OrderFailure, {kind: 'other_life'}>,
+  'isNextLife'
+>;
+
 /** The end of one incarnation of a worker. */
 export class LifeEnd {
+  /** Whether a later incarnation of the same worker has answered. */
+  hasNextLife = false;
   private replacement: Promise<void> | undefined;
   private departure: Promise<void> | undefined;
 
@@ -46,12 +54,17 @@
    * Handles the answer of another incarnation at an address that was called, and
    * records the end of this one if that is proof.
    */
-  async onOtherAnswer(calledAddress: string): Promise<void> {
+  async onOtherAnswer(
+    {isNextLife = false}: OtherAnswer,
+    calledAddress: string,
+  ): Promise<void> {
     const {db, life} = this.options;
     const runsAddress = db.findIncarnation(life)?.report.address;
     const proof = proofOf({kind: 'other_answer', calledAddress, runsAddress});
-    if (proof?.kind === 'replaced')
+    if (proof?.kind === 'replaced') {
+      this.hasNextLife ||= isNextLife;
       this.replacement ??= this.recordReplacement(proof);
+    }
     await this.replacement;
   }
 
@@ -68,7 +81,8 @@
     const why = 'other_life';
     const departing = lifeLog.departing(life, why, this.options.heardAgoMs());
     const runs = activeRuns();
-    const orphans = this.options.onReplaced(runs);
+    // Any other worker refuses the starts.
+    const orphans = this.hasNextLife ? this.options.onReplaced(runs) : [];
     const isConfirmed = await record(
       replacedRecord({
         life,
--- a/packages/coordination/src/workflow/orphan_tracker.ts
+++ b/packages/coordination/src/workflow/orphan_tracker.ts
@@ -12,20 +12,29 @@
 export type OrphanState =
   /** No later incarnation is registered. */
   | 'no_later_life'
-  /** It has not listed its runs yet, or it lists the run. */
-  | 'may_run'
+  /** It has not listed its runs yet. */
+  | 'unlisted'
+  /** It lists the run. */
+  | 'runs'
   /** It has listed its runs without that one, and refuses the start from now on. */
   | 'over';
 
 /** Options of {@link OrphanTracker}. */
 export interface OrphanTrackerOptions {
   readonly stateOf: (worker: WorkerId, start: ExpectedStart) => OrphanState;
-  /** Time by which a run has ended whose lease nobody renews, in ms. */
+  /** Longest lease of a run, which the leader does not renew before it is listed, in ms. */
   readonly maxLeaseMs: number;
 }
 
-interface Orphan {
+/** Starts to an incarnation that is over. */
+export interface OrphanedStarts {
   readonly worker: WorkerId;
+  readonly starts: readonly ExpectedStart[];
+  /** Whether a later incarnation of the worker is known to be there. */
+  readonly hasNextLife: boolean;
+}
+
+interface Orphan extends Pick<OrphanedStarts, 'worker' | 'hasNextLife'> {
   readonly start: ExpectedStart;
   /** Monotonic time at which the incarnation that it was sent to had ended, in ms. */
   readonly since: number;
@@ -37,10 +46,10 @@
 
   constructor(private readonly options: OrphanTrackerOptions) {}
 
-  /** Notes starts in flight to an incarnation that has ended, at a monotonic time in ms. */
-  note(worker: WorkerId, starts: readonly ExpectedStart[], now: number): void {
+  /** Notes starts to an incarnation that has ended, at a monotonic time in ms. */
+  note({starts, ...given}: OrphanedStarts, now: number): void {
     for (const start of starts)
-      this.orphans.set(taskKey(start.task), {worker, start, since: now});
+      this.orphans.set(taskKey(start.task), {...given, start, since: now});
   }
 
   /** Tasks held back at a monotonic time in ms, each with the worker that may run it. */
@@ -50,19 +59,18 @@
     return [...this.orphans].map(([key, {worker}]) => [key, worker]);
   }
 
-  private isOver({worker, start, since}: Orphan, now: number): boolean {
-    const {stateOf, maxLeaseMs} = this.options;
-    const maxHoldMs = UNKNOWN_LIFE_HOLD_MS + maxLeaseMs;
-    switch (stateOf(worker, start)) {
+  private isOver({worker, start, since, hasNextLife}: Orphan, now: number) {
+    const shortHoldEnd = since + UNKNOWN_LIFE_HOLD_MS;
+    const leaseEnd = shortHoldEnd + this.options.maxLeaseMs;
+    switch (this.options.stateOf(worker, start)) {
       case 'over':
         return true;
+      case 'runs':
+        return false;
+      case 'unlisted':
+        return now >= leaseEnd;
       case 'no_later_life':
-        return (
-          now >=
-          since + (start.isMisdelivered ? maxHoldMs : UNKNOWN_LIFE_HOLD_MS)
-        );
-      case 'may_run':
-        return now >= since + maxHoldMs;
+        return now >= (hasNextLife ? leaseEnd : shortHoldEnd);
     }
   }
 }
--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -65,10 +65,10 @@
       readonly clockMs?: number;
     }
   /**
-   * Another incarnation answered at the address; `isExecuted` if it has accepted
-   * the order, as it has the same id.
+   * Another incarnation answered at the address. `isNextLife` if it is one of the
+   * same worker, which may have executed the order.
    */
-  | {readonly kind: 'other_life'; readonly isExecuted?: true}
+  | {readonly kind: 'other_life'; readonly isNextLife?: boolean}
   /** No connection could be made or the order was withheld, so it was not executed. */
   | {readonly kind: 'not_sent'; readonly detail: string}
   /** No complete answer came: the order may have been executed, or may be executed later. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -154,8 +154,10 @@
       clock.every(LOAD_INTERVAL_MS).subscribe(() => this.load.logQueues()),
     );
     this.syncChannels();
-    for (const orphan of this.db.orphans.values())
-      this.orphans.note(orphan.worker, [orphan], this.startedAt);
+    for (const {worker, ...start} of this.db.orphans.values()) {
+      const orphaned = {worker, starts: [start], hasNextLife: true};
+      this.orphans.note(orphaned, this.startedAt);
+    }
     this.schedulePass();
   }
 
--- a/packages/coordination/src/workflow/start_ledger.ts
+++ b/packages/coordination/src/workflow/start_ledger.ts
@@ -6,8 +6,6 @@
 export interface ExpectedStart {
   readonly task: TaskRef;
   readonly run: number;
-  /** Whether another incarnation than the one that was meant has accepted it. */
-  readonly isMisdelivered?: true;
 }
 
 type TrackedStart =
@@ -38,13 +36,10 @@
   /** Drops a failed start, but remembers whether it may be executed elsewhere or later. */
   settleFailed({task, run}: ExpectedStart, failure: OrderFailure): void {
     this.forget(task);
-    const isMisdelivered = failure.kind === 'other_life' && failure.isExecuted;
-    if (isMisdelivered || failure.kind === 'no_answer')
-      this.unanswered.set(taskKey(task), {
-        task,
-        run,
-        ...(isMisdelivered && {isMisdelivered}),
-      });
+    const isAnswered = failure.kind !== 'no_answer';
+    const isElsewhere = failure.kind === 'other_life' && failure.isNextLife;
+    if (!isAnswered || isElsewhere)
+      this.unanswered.set(taskKey(task), {task, run});
   }
 
   /** Notes runs that the worker may never have had; their starts may still arrive. */
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -20,7 +20,7 @@
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
-import {includesRun, type RunRef} from './run_lists.js';
+import {includesRun} from './run_lists.js';
 import {RunRecords, type RunLists} from './run_records.js';
 import {ResponseMonitor} from './response_monitor.js';
 import {Silence} from './silence.js';
@@ -93,7 +93,9 @@
       ...options,
       lifeLog,
       activeRuns: () => this.runs.active,
-      onReplaced: runs => this.noteReplaced(runs),
+      // Those that it never listed may be the next one's.
+      onReplaced: runs =>
+        starts.noteUndelivered(runs.filter(run => !progress.lists(run))),
       heardAgoMs: () => this.silence.heardAgoMs(options.clock.wall()),
     });
   }
@@ -139,7 +141,7 @@
     const {target} = this;
     const answer = await this.ask(target);
     if (answer?.kind === 'other_life')
-      await this.end.onOtherAnswer(target.address);
+      await this.end.onOtherAnswer(answer, target.address);
     if (this.end.isReplaced) return 'over';
     return answer?.kind === 'lists' ? 'runs' : 'silent';
   }
@@ -153,12 +155,6 @@
     return port.hold(target, {fence: this.fence, endsRecorded, waitMs: 0});
   }
 
-  /** Notes the runs of an incarnation that is over; those not listed may be the next one's. */
-  private noteReplaced(runs: readonly RunRef[]): readonly RunRef[] {
-    const unlisted = runs.filter(run => !this.progress.lists(run));
-    return this.starts.noteUndelivered(unlisted);
-  }
-
   /** Starts the loop of holds. */
   open(): void {
     this.continueLeaving();
@@ -200,8 +196,9 @@
    */
   continueLeaving(): void {
     const state = this.options.db.findIncarnation(this.options.life);
-    if (!state?.report.isLeaving || this.end.isReplaced || this.isClosed)
-      return;
+    const {isReplaced, isLeaving} = this.end;
+    if (!state || !isLeaving || isReplaced || this.isClosed) return;
+    this.wake();
     for (const {task, run} of state.active.values())
       void this.stop({task, run, why: 'worker_leaves'});
     if (state.active.size === 0 && this.expectedStarts.length === 0)
@@ -257,9 +254,9 @@
     return this.options.term * FENCES_PER_TERM + this.fenceCounter;
   }
 
-  /** Whether a run that is not recorded may go on at the worker. */
-  mayRun(start: ExpectedStart): boolean {
-    return !this.isUsable || includesRun(this.orphans, start);
+  /** Whether a run that is not recorded was in the worker's last list. */
+  listsOrphan(start: ExpectedStart): boolean {
+    return includesRun(this.orphans, start);
   }
 
   private get target(): WorkerTarget {
@@ -308,7 +305,7 @@
         return this.raiseFence(failure.detail);
       case 'other_life':
         this.raiseFence(`another incarnation answers at ${address}`);
-        void this.end.onOtherAnswer(address);
+        void this.end.onOtherAnswer(failure, address);
         return;
       case 'refused':
         if (failure.why === 'stale_fence') this.raiseFence('stale fence');
--- a/packages/proofs/src/workflow/ended_workers.spec.ts
+++ b/packages/proofs/src/workflow/ended_workers.spec.ts
@@ -10,6 +10,8 @@
 const WORKER = 0;
 /** Time for which a worker runs on after its goodbye, in ms. */
 const RUNS_ON_MS = 4000;
+/** Duration of runs that outlast all holding back of tasks, in ms. */
+const LONG_RUN_MS = 6000;
 /** Time in which all tasks have been ordered, in ms. */
 const ORDERED_MS = 150;
 /** All calls arrive seconds later, even if the process that they were sent to has ended. */
@@ -159,6 +161,21 @@
     world.changeLeader(false);
     await expectDone(world);
   }).timeout(TIMEOUT_MS);
+  for (const isLeaderChanged of [false, true])
+    it(`a start that a next life executes that is then cut off: nothing runs twice${isLeaderChanged ? ', by the next leader either' : ''}`, async () => {
+      for (let ms = 20; ms < 60; ms++) {
+        const world = new WorkflowWorld(ms, {runMs: LONG_RUN_MS});
+        await world.start();
+        world.submit(manyTasks);
+        await world.advance(ms);
+        replace(world);
+        await world.advance(60);
+        world.cutWorker(WORKER);
+        await world.advance(60);
+        if (isLeaderChanged) world.changeLeader(false);
+        await expectDone(world);
+      }
+    }).timeout(TIMEOUT_MS);
   it('a start that arrives late at the next life of a worker: nothing runs twice', async () => {
     const world = new WorkflowWorld(1);
     await world.start();
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -44,6 +44,8 @@
 export interface WorkflowWorldOptions {
   /** Maximum number of ends that one list of a worker holds. */
   readonly maxListedEnds: number;
+  /** Duration of each run, in ms; drawn for each by default. */
+  readonly runMs?: number;
 }
 
 const WORKER_COUNT = 5;
@@ -94,7 +96,10 @@
 
   constructor(
     seed: number,
-    {maxListedEnds = MAX_LISTED_ENDS}: Partial<WorkflowWorldOptions> = {},
+    {
+      maxListedEnds = MAX_LISTED_ENDS,
+      runMs,
+    }: Partial<WorkflowWorldOptions> = {},
   ) {
     this.random = seededRandom(seed);
     const {queue, random, workers} = this;
@@ -143,7 +148,7 @@
           needsTicket: ({workflow}) =>
             this.replica.db.workflows.get(workflow)?.queue === 'advised',
           drawRun: task => ({
-            runMs: this.random.nextInt(20, 3000),
+            runMs: runMs ?? random.nextInt(20, 3000),
             fails: this.random.nextInt(0, 19) === 0,
             ...(this.deadly.has(taskKey(task)) && {
               crashesForMs: this.random.nextInt(...CRASHED_FOR_MS),
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -298,7 +298,7 @@
     const state = steps[task.step]?.tasks[task.index];
     if (!state || state.isDone || run <= state.lastRun) return;
     workflow.hasStarted = true;
-    this.orphans.delete(task);
+    this.orphans.delete(task, run);
     state.lastRun = run;
     const step = steps[task.step];
     if (step && state.active.length === 0) step.idleCount--;
@@ -325,7 +325,7 @@
       if (end.sequence <= worker.endsRecorded) continue;
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
-      this.orphans.delete(end.task);
+      this.orphans.delete(end.task, end.run);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
--- a/packages/state/src/workflow/orphaned_runs.ts
+++ b/packages/state/src/workflow/orphaned_runs.ts
@@ -28,9 +28,10 @@
     }
   }
 
-  /** Drops the run of a task that is started anew or has ended. */
-  delete(task: TaskRef): void {
-    this.orphans.delete(taskKey(task));
+  /** Drops the run of a task that is started anew, or of which this or a later run has ended. */
+  delete(task: TaskRef, run: number): void {
+    const key = taskKey(task);
+    if (run >= (this.orphans.get(key)?.run ?? run)) this.orphans.delete(key);
   }
 
   /** All remembered runs, oldest first. */
