--- a/packages/coordination/src/workflow/end_proof/types.ts
+++ b/packages/coordination/src/workflow/end_proof/types.ts
@@ -32,22 +32,25 @@
   | {readonly kind: 'other_announced'};
 
 /**
- * Proof that a run is over: it goes on nowhere, and is never executed later.
- * Only `proofOf` makes one.
+ * Proof that a run is over at the incarnation that it was meant for. Only `proofOf`
+ * makes one.
  */
 export type EndProof = VoidProof | ReplacedProof;
 
 /** Proof for single runs. */
 export type VoidProof = Branded<{readonly kind: VoidReason}, 'EndProof'>;
 
-/** Proof for all runs of an incarnation: its process has been replaced. */
+/**
+ * Proof for all runs of an incarnation: its process has been replaced. Starts that it
+ * never listed may yet be executed by the next one (`orphan_tracker`).
+ */
 export type ReplacedProof = Branded<{readonly kind: 'replaced'}, 'EndProof'>;
 
 /** What an incarnation of a worker is known to do. */
 export type LifeState =
   /** It answers. */
   | 'runs'
-  /** It is proved to be over, or it is not registered. */
+  /** It is proved to be over. */
   | 'over'
-  /** It does not answer, which proves nothing. */
+  /** It does not answer, or has no channel, which proves nothing. */
   | 'silent';
--- a/packages/coordination/src/workflow/known_lives.ts
+++ b/packages/coordination/src/workflow/known_lives.ts
@@ -6,9 +6,9 @@
 } from '@primrosewick/state';
 import {pause, type Clock} from '@primrosewick/transport';
 import type {LifeState} from './end_proof/types.js';
-import {crashEvidenceOf} from './silence.js';
-import type {WorkerTarget} from './ports.js';
 import type {OrphanState} from './orphan_tracker.js';
+import type {WorkerTarget} from './ports.js';
+import {crashEvidenceOf} from './silence.js';
 import type {ExpectedStart} from './start_ledger.js';
 import type {WorkerChannel} from './worker_channel.js';
 
--- a/packages/coordination/src/workflow/start_ledger.ts
+++ b/packages/coordination/src/workflow/start_ledger.ts
@@ -1,6 +1,6 @@
 /** Tracks the starts that one leadership has proposed for or sent to one worker. */
-import type {OrderFailure} from './ports.js';
 import {taskKey, type TaskKey, type TaskRef} from '@primrosewick/state';
+import type {OrderFailure} from './ports.js';
 
 /** A start that is proposed or sent. */
 export interface ExpectedStart {
@@ -18,7 +18,7 @@
 export class StartLedger {
   private readonly starts = new Map<TaskKey, TrackedStart>();
   private inFlightCount = 0;
-  /** Failed starts that may yet be executed, by task. */
+  /** Starts that the worker may yet execute, or its next incarnation, by task. */
   private readonly unanswered = new Map<TaskKey, ExpectedStart>();
 
   private put(start: TrackedStart): void {
--- a/packages/coordination/src/workflow/worker_registry.ts
+++ b/packages/coordination/src/workflow/worker_registry.ts
@@ -36,8 +36,11 @@
 
 /** Why an announcement is not believed, or not yet. */
 type Doubt =
+  /** No bundle names the pool, and it was not the worker's before. */
   | 'unknown_pool'
+  /** It tells of a later start while the known incarnation answers. */
   | 'earlier_life_runs'
+  /** The incarnation answers at another address than it names. */
   | 'other_address'
   /** Runs of the registered incarnation may go on. */
   | 'runs_unproved'
