--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -26,6 +26,7 @@
 import {Silence} from './silence.js';
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
+import {UnsureLog, type UnsureWait} from './unsure_log.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 import {WorkerClock} from './worker_clock.js';
 
@@ -55,6 +56,7 @@
   private readonly workerClock: WorkerClock;
   private readonly lapse: LapseCheck;
   private readonly log: ChannelLog;
+  private readonly unsureLog: UnsureLog;
   private readonly lifeLog: LifeLog;
   private readonly runs: RunRecords;
 
@@ -71,6 +73,7 @@
     this.workerClock = new WorkerClock(options);
     this.fenceCounter = options.firstFence ?? 0;
     this.log = new ChannelLog(options.logger, options.life.worker);
+    this.unsureLog = new UnsureLog(options.logger, options.life.worker);
     this.lifeLog = new LifeLog({...options, db: () => options.db});
     const {starts, stops, progress, log, lifeLog} = this;
     this.runs = new RunRecords({
@@ -259,6 +262,12 @@
     return includesRun(this.orphans, start);
   }
 
+  private get unsureWait(): UnsureWait {
+    const {clock, db, life} = this.options;
+    const runCount = db.findIncarnation(life)?.active.size ?? 0;
+    return {now: clock.now(), lapseAt: this.workerClock.lapseAt, runCount};
+  }
+
   private get target(): WorkerTarget {
     const {life, db} = this.options;
     const address = db.findIncarnation(life)?.report.address ?? '';
@@ -314,11 +323,7 @@
 
   /** Invalidates delayed orders, and requires new lists before anything else is sent. */
   private raiseFence(why: string): void {
-    if (this.isSynced)
-      this.options.logger.info(
-        {change: 'worker_unsure', worker: this.options.life.worker, why},
-        'outcome of an order is unknown; querying the runs of the worker',
-      );
+    if (this.isSynced) this.unsureLog.begin(why, this.unsureWait);
     this.fenceCounter++;
     this.isSynced = false;
     this.options.onChange();
@@ -412,6 +417,7 @@
     const stops = await this.runs.reconcile(answer, sentAt);
     if (fence !== this.fence) return;
     this.isSynced = true;
+    this.unsureLog.end(this.unsureWait);
     this.orphans = stops.filter(({why}) => why === 'not_recorded');
     for (const stop of stops) void this.stop(stop);
     this.starts.noteFencedList();
@@ -426,9 +432,22 @@
   ): Promise<void> {
     if (failure.kind === 'refused') this.noteRefusalClock(failure);
     this.onFailure(failure, address);
+    this.unsureLog.callFailed(describeFailure(failure), this.unsureWait);
     await this.lapse.check();
     if (this.lapse.isLapsed) this.orphans = [];
     await pause(this.options.clock, this.retryMs);
     this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
   }
 }
+
+const describeFailure = (failure: OrderFailure): string => {
+  switch (failure.kind) {
+    case 'not_sent':
+    case 'no_answer':
+      return `${failure.kind}: ${failure.detail}`;
+    case 'refused':
+      return failure.why;
+    case 'other_life':
+      return failure.kind;
+  }
+};
