--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -8,6 +8,7 @@
 import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
 import {startTimeout, type Timer} from '../tasks/timers.js';
 import {isCallable, splitAddress} from './address.js';
+import type {ConnectionPool} from './connection_pool.js';
 
 /** Options of an HTTP call. */
 export interface HttpCall {
@@ -21,6 +22,8 @@
   /** Maximum size of the response body, in bytes. */
   readonly maxResponseBytes: number;
   readonly agent?: Agent;
+  /** Keeps the connections in place of `agent`, and is told which of them are silent. */
+  readonly pool?: ConnectionPool;
   /** Aborts the call. */
   readonly signal?: AbortSignal;
   /**
@@ -87,9 +90,7 @@
     const req = this.makeRequest();
     if (!req) return;
     this.req = req;
-    this.timer = startTimeout(call.timeoutMs, () =>
-      this.fail('timeout', 'no answer before the deadline'),
-    );
+    this.timer = startTimeout(call.timeoutMs, () => this.timeOut());
     call.signal?.addEventListener('abort', () =>
       this.fail('aborted', 'the caller aborted the call'),
     );
@@ -107,7 +108,7 @@
 
   /** @returns undefined, with the call failed, where no request can be made. */
   private makeRequest(): ClientRequest | undefined {
-    const {address, method, path, headers, body, agent} = this.call;
+    const {address, method, path, headers, body, agent, pool} = this.call;
     const lengthHeader = body ? {'content-length': String(body.length)} : {};
     const target = splitAddress(address);
     if (!isCallable(target)) {
@@ -120,7 +121,7 @@
         method,
         path,
         headers: {...headers, ...lengthHeader},
-        agent: agent ?? DEFAULT_AGENT,
+        agent: pool?.agent ?? agent ?? DEFAULT_AGENT,
       });
     } catch (err) {
       // A method, path or header with characters that HTTP does not allow.
@@ -131,15 +132,26 @@
 
   /** Sends the request; no byte of it is sent earlier. */
   private sendRequest(req: ClientRequest): void {
-    const {mayBegin, body} = this.call;
+    const {address, mayBegin, body, pool} = this.call;
     if (this.isSettled) return;
     if (mayBegin && !mayBegin())
       return this.fail('aborted', 'the call is no longer allowed to start');
     this.mayHaveSent = true;
+    if (req.socket) pool?.noteSent(address, req.socket, performance.now());
     req.end(body);
   }
 
+  private timeOut(): void {
+    const {address, pool} = this.call;
+    const socket = this.req?.socket;
+    this.fail('timeout', 'no answer before the deadline');
+    if (this.mayHaveSent && socket)
+      pool?.noteSilent(address, socket, performance.now());
+  }
+
   private readResponse(res: IncomingMessage): void {
+    const {address, pool} = this.call;
+    pool?.noteHeard(address, res.socket, performance.now());
     const parts: Buffer[] = [];
     let length = 0;
     res.on('data', (part: Buffer) => {
