--- a/packages/transport/src/http/connection_pool.spec.ts
+++ b/packages/transport/src/http/connection_pool.spec.ts
@@ -1,49 +1,17 @@
-import {createServer, type Server} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {RequestListener} from 'node:http';
 import {expect} from 'chai';
 import {callHttp} from './client.js';
 import {ConnectionPool, type SilentConnections} from './connection_pool.js';
+import {SilentServer} from './fixtures.js';
 
 const TIMEOUT_MS = 400;
 const CONNECTIONS = 12;
 
-/** A server whose connections can be made to answer nothing, while new ones work. */
-class SilentServer {
-  readonly sockets = new Set<Socket>();
-  private readonly silent = new WeakSet<Socket>();
-  private readonly server: Server;
-
-  constructor() {
-    this.server = createServer((req, res) => {
-      const delayMs = Number(req.headers['x-delay-ms'] ?? 0);
-      req.resume().on('end', () => {
-        setTimeout(() => {
-          if (!this.silent.has(req.socket)) res.end('ok');
-        }, delayMs);
-      });
-    });
-    this.server.keepAliveTimeout = 60_000;
-    this.server.on('connection', socket => this.sockets.add(socket));
-  }
-
-  async listen(): Promise<string> {
-    await new Promise<void>(resolve =>
-      this.server.listen(0, '127.0.0.1', resolve),
-    );
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
-  /** Silences the connections that there are. */
-  silence(count = this.sockets.size): void {
-    for (const socket of [...this.sockets].slice(0, count))
-      this.silent.add(socket);
-  }
-
-  close(): void {
-    for (const socket of this.sockets) socket.destroy();
-    this.server.close();
-  }
-}
+/** Answers after the time that the request asks for. */
+const answer: RequestListener = (req, res) => {
+  const delayMs = Number(req.headers['x-delay-ms'] ?? 0);
+  req.resume().on('end', () => setTimeout(() => res.end('ok'), delayMs));
+};
 
 describe('connection pool', () => {
   let server: SilentServer;
@@ -52,7 +20,7 @@
   let closed: SilentConnections[];
 
   beforeEach(async () => {
-    server = new SilentServer();
+    server = new SilentServer(answer);
     address = await server.listen();
     closed = [];
     pool = new ConnectionPool({
