--- a/packages/coordination/src/workflow/order_terms.ts
+++ b/packages/coordination/src/workflow/order_terms.ts
@@ -2,5 +2,8 @@
 
 /** A leader stops sending orders this much earlier than later leaders rely on, in ms. */
 export const LEADERSHIP_MARGIN_MS = 100;
-/** Longest lease granted, in ms: long enough for a network outage and a change of leader. */
-export const LEASE_MS = 7000;
+/**
+ * Longest lease granted, in ms: long enough for a network outage and a change of
+ * leader, and short enough that the work of a worker that is gone is not idle for 7 s.
+ */
+export const LEASE_MS = 6000;
