--- a/packages/coordination/src/workflow/advice_callers.ts
+++ b/packages/coordination/src/workflow/advice_callers.ts
@@ -14,16 +14,37 @@
   backlogMs: number;
   /** Monotonic time before which other VMs are preferred, in ms. */
   avoidedUntil: number;
+  /** Monotonic time of the first unanswered call since the last answer, in ms. */
+  unansweredAt?: number;
 }
 
 /** Time for which a VM is avoided after a failed call, in ms. */
 const AVOID_MS = 1500;
 
-/** Notes a call without an answer. */
+/** Notes a call that the VM could not make, or one of several without an answer. */
 export const avoidCaller = (caller: CallerLoad, now: number): void => {
   caller.avoidedUntil = now + AVOID_MS;
 };
 
+/**
+ * Notes a call sent at a monotonic time in ms that the adviser did not answer. Its
+ * connection may have gone silent, and the VM has closed all such connections since,
+ * unlike other VMs. So the VM is avoided only if a later call fails too.
+ */
+export const noteUnanswered = (
+  caller: CallerLoad,
+  sentAt: number,
+  now: number,
+): void => {
+  caller.unansweredAt ??= now;
+  if (sentAt >= caller.unansweredAt) avoidCaller(caller, now);
+};
+
+/** Notes an answer of the adviser. */
+export const noteAnswered = (caller: CallerLoad): void => {
+  caller.unansweredAt = undefined;
+};
+
 /** Notes the start of a call. */
 export const beginCall = (caller: CallerLoad, costMs: number): void => {
   caller.callCount++;
--- a/packages/coordination/src/workflow/advice_dispatcher.ts
+++ b/packages/coordination/src/workflow/advice_dispatcher.ts
@@ -30,8 +30,17 @@
   chooseCaller,
   endCall,
   isShortCall,
+  noteAnswered,
+  noteUnanswered,
   type CallerLoad,
 } from './advice_callers.js';
+import {UnansweredSteps, patienceMs} from './advice_patience.js';
+import {
+  isAnswer,
+  logFailedCall,
+  type CallOutcome,
+  type SentCall,
+} from './advice_outcome.js';
 import {AdviceQueueLog} from './advice_queue_log.js';
 import type {CallerUse} from './load_report.js';
 
@@ -42,11 +51,15 @@
   readonly logger: Logger;
   /** VMs that can currently make calls. */
   readonly callers: () => readonly VmId[];
-  /** Makes a VM call the adviser; rejects if no answer comes. */
+  /**
+   * Makes a VM call the adviser, and waits for the answer until a deadline of the
+   * monotonic clock, in ms; rejects if the VM cannot be reached or cannot ask.
+   */
   readonly ask: (
     vm: VmId,
     step: StepRef,
     workers: readonly WorkerId[],
+    deadline: number,
   ) => Promise<AdviceReply>;
   readonly onChange: () => void;
   /** Called when a call for a step is enqueued, is sent and is answered. */
@@ -82,6 +95,7 @@
   private readonly keysByWorkflow = new Map<WorkflowId, Set<StepKey>>();
   private readonly loads = new Map<VmId, CallerLoad>();
   private readonly queueLog: AdviceQueueLog;
+  private readonly unanswered = new UnansweredSteps();
   private waiting: QueuedCall[] = [];
   /** Monotonic time at which the last short call was enqueued, in ms. */
   private shortWantedAt = Number.NEGATIVE_INFINITY;
@@ -178,7 +192,10 @@
   prune(workflow: WorkflowId): void {
     const keys = this.keysByWorkflow.get(workflow);
     if (!keys || this.options.db.open.has(workflow)) return;
-    for (const key of keys) this.steps.delete(key);
+    for (const key of keys) {
+      this.steps.delete(key);
+      this.unanswered.forget(key);
+    }
     this.keysByWorkflow.delete(workflow);
     this.waiting = this.waiting.filter(({step}) => step.workflow !== workflow);
   }
@@ -214,15 +231,24 @@
     };
   }
 
-  /** A late call may use a VM that is reserved for short ones while there are none. */
+  /**
+   * A late call may use a VM that is reserved for short ones while there are none.
+   * One made again goes to the VM of the last try, unless that is avoided: it has
+   * closed its silent connections.
+   */
   private chooseCallerOf(
-    {costMs, deadline}: QueuedCall,
+    {step, costMs, deadline}: QueuedCall,
     callers: readonly CallerLoad[],
   ): CallerLoad | undefined {
     const now = this.options.clock.now();
     const mayUseReserved =
       now >= deadline && now >= this.shortWantedAt + NO_SHORT_CALLS_MS;
-    return chooseCaller(callers, {costMs, mayUseReserved}, now);
+    const call = {costMs, mayUseReserved};
+    const lastVm = this.unanswered.get(stepKey(step))?.vm;
+    const last = callers.filter(
+      ({vm, avoidedUntil}) => vm === lastVm && now >= avoidedUntil,
+    );
+    return chooseCaller(last, call, now) ?? chooseCaller(callers, call, now);
   }
 
   /** Start of a worker's current incarnation, in ms since 1970. */
@@ -253,46 +279,33 @@
   }
 
   private async send(caller: CallerLoad, call: QueuedCall): Promise<void> {
+    const {clock, logger, onChange, load, onCall} = this.options;
+    const sent = this.describe(caller, call);
+    const {sentAt} = sent;
     beginCall(caller, call.costMs);
-    this.options.onCall?.(call.step, 'asked');
-    const {clock, logger, onChange} = this.options;
-    const sentAt = clock.now();
+    onCall?.(call.step, 'asked');
     const queue = this.options.db.workflows.get(call.step.workflow)?.queue;
     if (queue !== undefined)
-      this.options.load?.begin(queue, call.kind, sentAt - call.wantedAt);
+      load?.begin(queue, call.kind, sentAt - call.wantedAt);
     const incarnations = new Map(
       call.workers.map(worker => [worker, this.incarnationOf(worker)]),
     );
-    const reply = await this.options
-      .ask(caller.vm, call.step, call.workers)
-      .catch((err: unknown) => {
-        logger.info(
-          {
-            change: 'advice_failed',
-            step: stepKey(call.step),
-            vm: caller.vm,
-            err: String(err),
-          },
-          'call to the placement adviser failed',
-        );
-        return undefined;
-      });
+    const outcome = await this.ask(caller.vm, call, sent);
     endCall(caller, call.costMs);
     if (queue !== undefined)
-      this.options.load?.end(queue, call.kind, {
+      load?.end(queue, call.kind, {
         busyMs: clock.now() - sentAt,
-        isAnswered: reply !== undefined,
+        isAnswered: isAnswer(outcome),
       });
+    this.noteOutcome(caller, sent, outcome);
     if (this.isClosed) return;
-    if (reply?.kind === 'allowed') this.take(call, reply.workers, incarnations);
-    else {
-      if (!reply) avoidCaller(caller, clock.now());
-      this.retryLater(call);
-    }
+    if (outcome.kind === 'allowed')
+      this.take(call, outcome.workers, incarnations);
+    else this.retryLater(call);
     logger.debug(
       {
         decision: 'advice',
-        step: stepKey(call.step),
+        step: sent.key,
         vm: caller.vm,
         asked: call.workers.length,
         tookMs: clock.now() - sentAt,
@@ -303,6 +316,56 @@
     onChange();
   }
 
+  /** When a call is sent to a VM, and by when it should be answered. */
+  private describe(caller: CallerLoad, {step, costMs}: QueuedCall): SentCall {
+    const key = stepKey(step);
+    const sentAt = this.options.clock.now();
+    const expectedMs = caller.backlogMs + costMs;
+    const unansweredCount = this.unanswered.get(key)?.count ?? 0;
+    const answerMs = patienceMs(expectedMs, unansweredCount);
+    return {key, sentAt, expectedMs, answerMs, tries: unansweredCount + 1};
+  }
+
+  private ask(
+    vm: VmId,
+    {step, workers}: QueuedCall,
+    {sentAt, answerMs}: SentCall,
+  ): Promise<CallOutcome> {
+    return this.options
+      .ask(vm, step, workers, sentAt + answerMs)
+      .catch((err: unknown) => ({kind: 'failed', err}));
+  }
+
+  /** Notes what a call tells about its VM and about the adviser, and logs it. */
+  private noteOutcome(
+    caller: CallerLoad,
+    sent: SentCall,
+    outcome: CallOutcome,
+  ): void {
+    const {clock, logger} = this.options;
+    const {key, sentAt, answerMs} = sent;
+    const now = clock.now();
+    switch (outcome.kind) {
+      case 'allowed':
+      case 'busy':
+        noteAnswered(caller);
+        this.unanswered.forget(key);
+        return;
+      case 'unanswered':
+        noteUnanswered(caller, sentAt, now);
+        this.unanswered.note(key, caller.vm, now >= sentAt + answerMs);
+        break;
+      case 'failed':
+        avoidCaller(caller, now);
+        break;
+      default:
+        // A later version may reply otherwise; the call is made again.
+        outcome satisfies never;
+        return;
+    }
+    logFailedCall(logger, sent, {vm: caller.vm, tookMs: now - sentAt, outcome});
+  }
+
   private take(
     {step, workers, validMs}: QueuedCall,
     allowed: ReadonlyArray<{
--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -123,6 +123,13 @@
 
 /** Calls the placement adviser, which serves one call at a time for each VM. */
 export interface AdvicePort {
-  /** @throws CellError if no answer comes. */
-  advise(step: StepRef, workers: readonly WorkerId[]): Promise<AdviceReply>;
+  /**
+   * Waits for an answer until a deadline of the monotonic clock, in ms.
+   * @throws CellError if the adviser cannot be asked or refuses.
+   */
+  advise(
+    step: StepRef,
+    workers: readonly WorkerId[],
+    deadline: number,
+  ): Promise<AdviceReply>;
 }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -28,9 +28,7 @@
   findBundleError,
   toCellError,
   type Bundle,
-  type StepRef,
   type VmId,
-  type WorkerId,
   type WorkerRegistration,
 } from '@primrosewick/state';
 import {
@@ -39,6 +37,7 @@
   systemClock,
   type LinkHandlers,
 } from '@primrosewick/transport';
+import {AdviceCalls} from './advice_calls.js';
 import {makeAnnouncementRelay} from './announcement_relay.js';
 import {BundleReader} from './bundle_reader.js';
 import {answerConfirmed} from './confirmed_replica.js';
@@ -99,6 +98,7 @@
   private readonly bundles: BundleReader;
   private scheduler: SchedulerTask | null = null;
   private readonly callers: LiveVms;
+  private readonly adviceCalls: AdviceCalls;
   private readonly counters: LeaderCounters;
   /** Decisions of the scheduler while this VM led, for `explain` and `replay`. */
   readonly journal = new JournalRecorder({
@@ -119,6 +119,12 @@
       onBytes: () => undefined,
     });
     this.callers = new LiveVms(settings.peer, systemClock);
+    this.adviceCalls = new AdviceCalls({
+      vm: settings.peer,
+      peers: this.peers,
+      port: options.advice,
+      clock: systemClock,
+    });
     this.counters = makeLeaderCounters(options.registry);
     this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
@@ -315,7 +321,8 @@
       propose: command => log.propose(command),
       ...this.counters,
       callers: () => this.callers.list(),
-      ask: (vm, step, workers) => this.advise(vm, step, workers),
+      ask: (vm, step, workers, deadline) =>
+        this.adviceCalls.ask(vm, step, workers, deadline),
       recorder: this.journal,
     });
     this.scheduler.start();
@@ -323,12 +330,6 @@
     this.records.start();
   }
 
-  private advise(vm: VmId, step: StepRef, workers: readonly WorkerId[]) {
-    if (vm === this.options.settings.peer)
-      return this.options.advice.advise(step, workers);
-    return this.peers.call(vm, 'advise', {step, workers});
-  }
-
   private hello(): LinkHello {
     const {settings} = this.options;
     return {
@@ -378,7 +379,7 @@
         service?.removeWorker(request, deadline) ?? notLeader(),
       putBundle: request => service?.putBundle(request) ?? notLeader(),
       getBundle: () => service?.getBundle() ?? notLeader(),
-      advise: ({step, workers}) => this.options.advice.advise(step, workers),
+      advise: request => this.adviceCalls.answer(request),
     };
   }
 
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -86,7 +86,9 @@
 /** Reply of an adviser. */
 export type AdviceReply =
   | {readonly kind: 'allowed'; readonly workers: readonly AdvisedWorker[]}
-  | {readonly kind: 'busy'};
+  | {readonly kind: 'busy'}
+  /** It was asked and did not answer in time; earlier versions report an error. */
+  | {readonly kind: 'unanswered'};
 
 /** The leader's reply, or a redirect to the leader. */
 export type LinkLeaderReply<T> =
@@ -157,7 +159,12 @@
     reply: LinkLeaderReply<{readonly bundle: Bundle | null}>;
   };
   advise: {
-    request: {readonly step: StepRef; readonly workers: readonly WorkerId[]};
+    request: {
+      readonly step: StepRef;
+      readonly workers: readonly WorkerId[];
+      /** Time in which the adviser should answer, in ms; earlier versions send none. */
+      readonly answerMs?: number;
+    };
     reply: AdviceReply;
   };
 }
