The reading of a worker's clock may be absent; what failed is described by the log of waits

Change: WorkerClock.note takes an absent reading, as refusals have; the description of a failed call moves to unsure_log. No logic changes.

--- a/packages/coordination/src/workflow/unsure_log.spec.ts
+++ b/packages/coordination/src/workflow/unsure_log.spec.ts
@@ -19,6 +19,8 @@
   return {log: new UnsureLog(logger, 'w1' as never), lines};
 };
 
+const FAILURE = {kind: 'no_answer', detail: 'timeout'} as const;
+
 const at = (now: number) => ({now, lapseAt: 5000, runCount: 2});
 
 describe('log of unknown runs', () => {
@@ -26,7 +28,7 @@
     const {log, lines} = makeLog();
     log.begin('no answer', at(0));
     for (const now of [500, 1100, 1200, 2200, 5100])
-      log.callFailed('no answer', at(now));
+      log.callFailed(FAILURE, at(now));
     log.end(at(5200));
     expect(
       lines.map(({change, waitsFor, waitedMs, failedCalls}) => [
@@ -45,7 +47,7 @@
   });
   it('lists that were not in doubt have no line', () => {
     const {log, lines} = makeLog();
-    log.callFailed('no answer', at(0));
+    log.callFailed(FAILURE, at(0));
     log.end(at(1));
     expect(lines).to.eql([]);
   });
--- a/packages/coordination/src/workflow/unsure_log.ts
+++ b/packages/coordination/src/workflow/unsure_log.ts
@@ -3,7 +3,8 @@
  * answer, and what that wait ends with: its lists, or the end of its lease.
  */
 import type Logger from 'bunyan';
-import type {WorkerId} from '@primrosewick/state';
+import {assertNever, type WorkerId} from '@primrosewick/state';
+import type {OrderFailure} from './ports.js';
 
 /** Interval at which a wait that goes on is logged again, in ms. */
 const REPEAT_INTERVAL_MS = 1000;
@@ -45,11 +46,12 @@
   }
 
   /** Notes a call for the lists that came to nothing. */
-  callFailed(why: string, wait: UnsureWait): void {
+  callFailed(failure: OrderFailure, wait: UnsureWait): void {
     if (!this.pending) return;
     this.pending.failedCalls++;
     if (wait.now < this.pending.nextLineAt) return;
     this.pending.nextLineAt = wait.now + REPEAT_INTERVAL_MS;
+    const why = describeFailure(failure);
     this.logger.info(
       {change: 'worker_wait', worker: this.worker, why, ...this.facts(wait)},
       'the runs of the worker are still unknown',
@@ -79,3 +81,17 @@
     };
   }
 }
+
+const describeFailure = (failure: OrderFailure): string => {
+  switch (failure.kind) {
+    case 'not_sent':
+    case 'no_answer':
+      return `${failure.kind}: ${failure.detail}`;
+    case 'refused':
+      return failure.why;
+    case 'other_life':
+      return failure.kind;
+    default:
+      return assertNever(failure);
+  }
+};
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -293,18 +293,13 @@
   ): Promise<void> {
     this.options.onStartFailed(task, failure, this.options.life);
     if (failure.kind === 'refused') {
-      this.noteRefusalClock(failure);
+      this.workerClock.note(this.options.clock.now(), failure.clockMs);
       await this.runs.giveUp([{task, run}], {kind: 'start_refused'});
     } else if (failure.kind === 'not_sent')
       await this.runs.giveUp([{task, run}], {kind: 'start_not_sent'});
     this.onFailure(failure, address);
   }
 
-  private noteRefusalClock({clockMs}: {readonly clockMs?: number}): void {
-    if (clockMs === undefined) return;
-    this.workerClock.note(this.options.clock.now(), clockMs);
-  }
-
   /** Handles the failure of an order that was sent to an address. */
   private onFailure(failure: OrderFailure, address: string): void {
     switch (failure.kind) {
@@ -430,24 +425,13 @@
     failure: OrderFailure,
     address: string,
   ): Promise<void> {
-    if (failure.kind === 'refused') this.noteRefusalClock(failure);
+    if (failure.kind === 'refused')
+      this.workerClock.note(this.options.clock.now(), failure.clockMs);
     this.onFailure(failure, address);
-    this.unsureLog.callFailed(describeFailure(failure), this.unsureWait);
+    this.unsureLog.callFailed(failure, this.unsureWait);
     await this.lapse.check();
     if (this.lapse.isLapsed) this.orphans = [];
     await pause(this.options.clock, this.retryMs);
     this.retryMs = Math.min(MAX_RETRY_MS, 2 * this.retryMs);
   }
 }
-
-const describeFailure = (failure: OrderFailure): string => {
-  switch (failure.kind) {
-    case 'not_sent':
-    case 'no_answer':
-      return `${failure.kind}: ${failure.detail}`;
-    case 'refused':
-      return failure.why;
-    case 'other_life':
-      return failure.kind;
-  }
-};
--- a/packages/coordination/src/workflow/worker_clock.ts
+++ b/packages/coordination/src/workflow/worker_clock.ts
@@ -28,8 +28,9 @@
     );
   }
 
-  /** Notes the reading in an answer that arrived at the monotonic time `now`. */
-  note(now: number, clockMs: number): void {
+  /** Notes the reading, if any, in an answer that arrived at the monotonic time `now`. */
+  note(now: number, clockMs: number | undefined): void {
+    if (clockMs === undefined) return;
     this.sample = {at: now, clockMs};
   }
 
