--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -153,8 +153,7 @@
   async ask(target: WorkerTarget): Promise<HoldAnswer | undefined> {
     const {mayOrder, port, life} = this.options;
     if (this.isClosed || !mayOrder()) return undefined;
-    const isOwn = target.bornAt === life.bornAt;
-    const endsRecorded = isOwn ? this.lastAcked : 0;
+    const endsRecorded = target.bornAt === life.bornAt ? this.lastAcked : 0;
     return port.hold(target, {fence: this.fence, endsRecorded, waitMs: 0});
   }
 
