--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -39,6 +39,19 @@
   readonly tookMs: number;
 }
 
+/** How a server probes the connections of its callers. */
+export interface LinkProbe {
+  readonly intervalMs: number;
+  /** Time for the answer to a probe, in ms. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Callers notice a silent connection first, and open another; this only frees what a
+ * silent one holds at the server. Seldom, as hundreds of streams may lead to one VM.
+ */
+const DEFAULT_PROBE: LinkProbe = {intervalMs: 30_000, timeoutMs: 10_000};
+
 /** Options of `LinkServer`. */
 export interface LinkServerOptions {
   readonly address: string;
@@ -51,6 +64,8 @@
    * close unnoticed.
    */
   readonly onDisconnected?: (vm: VmId) => void;
+  /** How the server probes connections; tests shorten it. */
+  readonly probe?: LinkProbe;
   /** Called when the stream has closed before the reply to a call is ready. */
   readonly onDroppedReply?: (reply: DroppedReply) => void;
 }
@@ -84,15 +99,18 @@
 
 /** Accepts streams from other VMs and dispatches their calls. */
 export class LinkServer {
-  private readonly server = new Server({
-    'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
-    'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
-  });
-
+  private readonly server: Server;
   /** The latest stream of each VM. */
   private readonly streams = new Map<VmId, Stream>();
 
   constructor(private readonly options: LinkServerOptions) {
+    const {intervalMs, timeoutMs} = options.probe ?? DEFAULT_PROBE;
+    this.server = new Server({
+      'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
+      'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
+      'grpc.keepalive_time_ms': intervalMs,
+      'grpc.keepalive_timeout_ms': timeoutMs,
+    });
     this.server.addService(LINK_SERVICE, {
       open: (stream: Stream) => this.accept(stream),
     } as UntypedServiceImplementation);
