--- a/packages/transport/src/link/client.ts
+++ b/packages/transport/src/link/client.ts
@@ -87,9 +87,17 @@
     this.livenessTimer = undefined;
   }
 
+  /** Streams may go silent together: while one is suspect, idle ones are probed early. */
   private checkLiveness(): void {
-    for (const connection of [...this.connections.values()])
+    const now = performance.now();
+    const connections = [...this.connections.values()];
+    const isOneSuspect = connections.some(connection =>
+      connection.isSuspect(now),
+    );
+    for (const connection of connections) {
       connection.checkLiveness();
+      if (isOneSuspect) connection.probeIfIdle(now);
+    }
   }
 
   private isLivenessCheckDue(): boolean {
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -57,6 +57,10 @@
 export const PROBE_INTERVAL_MS = 300;
 /** Silence after which a stream without pending calls is probed, in ms. */
 const IDLE_PROBE_MS = 2000;
+/** Time without a frame after a call or probe that makes a stream suspect, in ms. */
+const SUSPECT_MS = 500;
+/** Silence after which an idle stream is probed because another is suspect, in ms. */
+const COMMON_PROBE_MS = 1000;
 /**
  * A stream is closed if nothing is received for this long after a call or
  * probe, in ms.
@@ -202,6 +206,18 @@
     else this.ask({kind: 'ping'});
   }
 
+  /** Whether a call or probe stays unanswered, so that other streams may be silent too. */
+  isSuspect(now: number): boolean {
+    return this.sentAt !== undefined && now - this.sentAt > SUSPECT_MS;
+  }
+
+  /** Probes a stream on which nothing is awaited, as another one is suspect. */
+  probeIfIdle(now: number): void {
+    const isIdle = this.isOpen && this.sentAt === undefined;
+    if (isIdle && now - this.lastReceivedAt >= COMMON_PROBE_MS)
+      this.ask({kind: 'ping'});
+  }
+
   /**
    * Whether a liveness check at a monotonic time in ms would do anything. With
    * hundreds of streams to one VM that are mostly idle, idle ones are probed less often.
--- a/packages/transport/src/link/link_silence.spec.ts
+++ b/packages/transport/src/link/link_silence.spec.ts
@@ -158,6 +158,27 @@
     peer.proxy.isSilentAtOpen = false;
     await expectAnswer(peer);
   });
+  // Guards against LOST: idle streams were found silent one after the other.
+  it('all links go silent: once one is found, the others are too', async () => {
+    const peers = await Promise.all([Peer.start(), Peer.start(), Peer.start()]);
+    for (const peer of peers) await expectAnswer(peer);
+    await pause(1200);
+    for (const {proxy} of peers) proxy.silence();
+    await expectSilent(peers[0]!);
+    await pause(800);
+    await expectAnswer(peers[1]!);
+    await expectAnswer(peers[2]!);
+  });
+  it('idle links whose peers live are kept when another goes silent', async () => {
+    const peers = await Promise.all([Peer.start(), Peer.start()]);
+    for (const peer of peers) await expectAnswer(peer);
+    await pause(1200);
+    peers[0]!.proxy.silence();
+    await expectSilent(peers[0]!);
+    await pause(1000);
+    await expectAnswer(peers[1]!);
+    expect(peers[1]!.proxy.opened).to.equal(1);
+  });
   it('leaves no connection open at its caller', async () => {
     const peer = await Peer.start();
     for (let i = 0; i < 3; i++) {
