Which connections are silent is decided by a pure table

Cause: the rule by which a pool closes silent connections is bound to sockets, so a simulated network would need a copy of it. Change: `ConnectionTable` holds what is known of the connections to one address and finds the silent ones; `ConnectionPool` closes what it finds. No change of behaviour, but that idle connections are closed before those with a call in flight.

--- a/packages/transport/src/http/connection_pool.ts
+++ b/packages/transport/src/http/connection_pool.ts
@@ -6,6 +6,7 @@
  */
 import {Agent} from 'node:http';
 import type {Socket} from 'node:net';
+import {ConnectionTable} from './connection_table.js';
 
 /** Silent connections to one address that were closed. */
 export interface SilentConnections {
@@ -26,22 +27,11 @@
   readonly onSilent?: (closed: SilentConnections) => void;
 }
 
-/** State of one connection; times are monotonic, in ms. */
-interface Connection {
-  /** When the call in flight was sent; undefined if there is none. */
-  sentAt: number | undefined;
-  /** When the last response began to arrive, or the connection was first used. */
-  heardAt: number;
-}
-
-/** A call younger than this may be answered yet, whatever others come to, in ms. */
-const YOUNG_CALL_MS = 250;
-
 /** Keeps connections, and closes those that have gone silent. */
 export class ConnectionPool {
   /** Makes and keeps the connections. */
   readonly agent: Agent;
-  private readonly byAddress = new Map<string, Map<Socket, Connection>>();
+  private readonly byAddress = new Map<string, ConnectionTable<Socket>>();
 
   constructor(private readonly options: ConnectionPoolOptions) {
     const {maxConnections} = options;
@@ -54,22 +44,13 @@
 
   /** Notes a call that is sent over a connection at a monotonic time in ms. */
   noteSent(address: string, socket: Socket, now: number): void {
-    const known = this.connectionsTo(address);
-    const connection = known.get(socket);
-    if (connection) {
-      connection.sentAt = now;
-      return;
-    }
-    known.set(socket, {sentAt: now, heardAt: now});
+    if (!this.connectionsTo(address).noteSent(socket, now)) return;
     socket.once('close', () => this.forget(address, socket));
   }
 
   /** Notes a response that begins to arrive at a monotonic time in ms. */
   noteHeard(address: string, socket: Socket, now: number): void {
-    const connection = this.byAddress.get(address)?.get(socket);
-    if (!connection) return;
-    connection.heardAt = now;
-    connection.sentAt = undefined;
+    this.byAddress.get(address)?.noteHeard(socket, now);
   }
 
   /**
@@ -78,23 +59,18 @@
    * young one is left to it.
    */
   noteSilent(address: string, socket: Socket, now: number): void {
-    const known = this.byAddress.get(address);
-    const sentAt = known?.get(socket)?.sentAt;
-    if (!known || sentAt === undefined) return;
-    const silent = [...known].filter(
-      ([other, connection]) =>
-        other !== socket && isSilent(connection, sentAt, now),
-    );
+    const found = this.byAddress.get(address)?.findSilent(socket, now);
+    if (!found) return;
+    const {idle, busy, silentMs} = found;
+    const silent = [...idle, ...busy];
     if (silent.length === 0) return;
-    for (const [other] of silent) {
+    for (const other of silent) {
       // Destroyed alone, it could be given to another call until its close event.
       other.emit('agentRemove');
       other.destroy();
     }
-    const isIdle = ([, {sentAt}]: [Socket, Connection]) => sentAt === undefined;
-    const idleCount = silent.filter(isIdle).length;
-    const busyCount = silent.length - idleCount;
-    const silentMs = Math.round(now - sentAt);
+    const idleCount = idle.length;
+    const busyCount = busy.length;
     this.options.onSilent?.({address, idleCount, busyCount, silentMs});
   }
 
@@ -103,25 +79,15 @@
     this.agent.destroy();
   }
 
-  private connectionsTo(address: string): Map<Socket, Connection> {
-    const known = this.byAddress.get(address) ?? new Map();
+  private connectionsTo(address: string): ConnectionTable<Socket> {
+    const known = this.byAddress.get(address) ?? new ConnectionTable();
     this.byAddress.set(address, known);
     return known;
   }
 
   private forget(address: string, socket: Socket): void {
     const known = this.byAddress.get(address);
-    known?.delete(socket);
-    if (known?.size === 0) this.byAddress.delete(address);
+    known?.forget(socket);
+    if (known?.isEmpty) this.byAddress.delete(address);
   }
 }
-
-/** Whether a connection has received nothing since a time, and no young call waits on it. */
-const isSilent = (
-  {sentAt, heardAt}: Connection,
-  since: number,
-  now: number,
-): boolean => {
-  const isYoung = sentAt !== undefined && now - sentAt < YOUNG_CALL_MS;
-  return heardAt <= since && !isYoung;
-};
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -3,6 +3,7 @@
 export * from './http/address.js';
 export * from './http/client.js';
 export * from './http/connection_pool.js';
+export * from './http/connection_table.js';
 export * from './http/router.js';
 export * from './http/server.js';
 export * from './metrics/registry.js';
