--- a/packages/proofs/src/workflow/sim_network.ts
+++ b/packages/proofs/src/workflow/sim_network.ts
@@ -1,6 +1,7 @@
 /** Which simulated workers can be reached, and at which address. */
 import type {WorkerId} from '@primrosewick/state';
 import type {EventQueue} from '../world/event_queue.js';
+import type {SimConnections} from './sim_connections.js';
 import type {SimWorker} from './sim_worker.js';
 
 /** Options of the network. */
@@ -8,6 +9,11 @@
   readonly queue: EventQueue;
   /** Each of them holds one address, through all its incarnations. */
   readonly workers: readonly SimWorker[];
+  /**
+   * Whether the machine of a worker that has ended refuses connections, and closes
+   * those to its process; otherwise nothing comes from there.
+   */
+  readonly refusesWhenDown: boolean;
 }
 
 /** The network between the workers and all others. */
@@ -15,9 +21,16 @@
   private readonly cut = new Set<WorkerId>();
   /** Virtual time until which a worker is mute, in ms. */
   private readonly muteUntil = new Map<WorkerId, number>();
+  /** Connections to workers, of each leader. */
+  private readonly clients: SimConnections[] = [];
 
   constructor(private readonly options: SimNetworkOptions) {}
 
+  /** Adds the connections of a leader. */
+  addClient(connections: SimConnections): void {
+    this.clients.push(connections);
+  }
+
   /** The worker that holds an address, whether it is up or not. */
   listenerAt(address: string): SimWorker | undefined {
     return this.options.workers.find(worker => worker.address === address);
@@ -33,6 +46,25 @@
     this.muteUntil.set(id, this.options.queue.now + ms);
   }
 
+  /** Makes the connections that there are go silent for good, to one worker or to all. */
+  silenceConnections(worker?: SimWorker): void {
+    for (const client of this.clients) client.mute(worker?.address);
+  }
+
+  /** Notes that the process of a worker has ended. */
+  noteEnd(worker: SimWorker): void {
+    for (const client of this.clients)
+      if (this.refuses(worker)) client.closeAll(worker.address);
+      else client.closeIdle(worker.address);
+  }
+
+  /** Whether a connection to a worker is refused now. */
+  refuses(worker: SimWorker): boolean {
+    return (
+      this.options.refusesWhenDown && !worker.isUp && !this.isSilent(worker)
+    );
+  }
+
   /** Whether nothing goes in or out of a worker now. */
   isMute({id}: SimWorker): boolean {
     return (this.muteUntil.get(id) ?? 0) > this.options.queue.now;
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -7,6 +7,7 @@
   HoldAnswer,
   HoldOrder,
   OrderAnswer,
+  OrderFailure,
   OrderPort,
   StartOrder,
   StopOrder,
@@ -14,6 +15,12 @@
 } from '@primrosewick/coordination';
 import type {Random} from '@primrosewick/state';
 import type {EventQueue} from '../world/event_queue.js';
+import {
+  SimConnections,
+  type SilencePolicy,
+  type SimCall,
+  type SimConnection,
+} from './sim_connections.js';
 import type {SimNetwork} from './sim_network.js';
 import type {SimWorker} from './sim_worker.js';
 
@@ -35,92 +42,127 @@
   readonly random: Random;
   readonly network: SimNetwork;
   readonly faults: () => CallFaults;
+  readonly silencePolicy: SilencePolicy;
 }
 
 const CALL_TIMEOUT_MS = 1000;
-type OtherLife = Extract<OrderAnswer, {kind: 'other_life'}>;
+const LOST = {kind: 'no_answer', detail: 'the connection closed'} as const;
+const NO_ANSWER = {kind: 'no_answer', detail: 'time'} as const;
+const REFUSED = {kind: 'not_sent', detail: 'connection refused'} as const;
+const NO_CONNECTION = {kind: 'not_sent', detail: 'no connection'} as const;
 
-const OTHER_LIFE: OtherLife = {kind: 'other_life'};
-const NEXT_LIFE: OtherLife = {...OTHER_LIFE, isNextLife: true};
+const OTHER_LIFE: OrderFailure = {kind: 'other_life'};
+const NEXT_LIFE: OrderFailure = {kind: 'other_life', isNextLife: true};
+
+/** A call on its way; `T` is what it is answered with. */
+interface Passage<T> {
+  readonly target: WorkerTarget;
+  /** Executes the order at a worker, which replies now or later. */
+  readonly act: (worker: SimWorker, reply: (answer: T) => void) => void;
+  readonly resolve: (answer: T | OrderFailure) => void;
+  /** Number from 0 to 99 that decides on loss and delay. */
+  readonly roll: number;
+}
 
 /** Delivers the orders of one leadership. */
 export class SimOrders implements OrderPort {
-  constructor(private readonly options: SimOrdersOptions) {}
+  private readonly connections: SimConnections;
+
+  constructor(private readonly options: SimOrdersOptions) {
+    const {queue, silencePolicy, network} = options;
+    const now = () => queue.now;
+    this.connections = new SimConnections({now, silencePolicy});
+    network.addClient(this.connections);
+  }
 
   start(target: WorkerTarget, order: StartOrder): Promise<OrderAnswer> {
     const sentAt = this.options.queue.now;
-    return this.call(target, worker =>
-      worker.start(order, {sentAt, isMeant: isMeant(target, worker)}),
+    return this.call<OrderAnswer>(target, (worker, reply) =>
+      reply(worker.start(order, {sentAt, isMeant: isMeant(target, worker)})),
     );
   }
 
   stop(target: WorkerTarget, order: StopOrder): Promise<OrderAnswer> {
-    return this.call(target, worker => worker.stop(order));
+    return this.call<OrderAnswer>(target, (worker, reply) =>
+      reply(worker.stop(order)),
+    );
   }
 
   hold(target: WorkerTarget, order: HoldOrder): Promise<HoldAnswer> {
     const {queue, random, network} = this.options;
-    const timeoutMs = CALL_TIMEOUT_MS + order.waitMs;
-    return new Promise(resolve => {
-      const begin = (worker: SimWorker): undefined => {
-        const isOther = !isMeant(target, worker);
-        worker.hold(order, answer =>
-          queue.after(random.nextInt(1, 20), () => {
-            if (!network.isMute(worker)) resolve(isOther ? NEXT_LIFE : answer);
-          }),
-        );
-      };
-      void this.call<HoldAnswer | undefined>(target, begin, timeoutMs).then(
-        answer => answer && resolve(answer),
-      );
-      queue.after(timeoutMs, () =>
-        resolve({kind: 'no_answer', detail: 'time'}),
+    const act = (
+      worker: SimWorker,
+      reply: (answer: HoldAnswer) => void,
+    ): void =>
+      worker.hold(order, answer =>
+        queue.after(random.nextInt(1, 20), () => {
+          if (!network.isMute(worker)) reply(answer);
+        }),
       );
-    });
+    return this.call(target, act, CALL_TIMEOUT_MS + order.waitMs);
   }
 
-  private call<T = OrderAnswer>(
+  private call<T>(
     target: WorkerTarget,
-    act: (worker: SimWorker) => T,
+    act: Passage<T>['act'],
     timeoutMs = CALL_TIMEOUT_MS,
-  ): Promise<T | {kind: 'no_answer'; detail: string} | OtherLife> {
-    const {queue, random, network} = this.options;
+  ): Promise<T | OrderFailure> {
+    const {queue, random} = this.options;
     return new Promise(resolve => {
-      const listener = network.listenerAt(target.address);
       const roll = random.nextInt(0, 99);
-      const {lossPercent, latePercent, outlivesProcess} = this.options.faults();
-      const sentTo = listener?.bornAt;
-      const isSilent = !listener || network.isSilent(listener);
-      const isLost = isSilent || roll < lossPercent;
-      const isLate = !isLost && roll < lossPercent + latePercent;
+      const passage = {target, act, resolve, roll};
+      const call: SimCall = this.connections.begin(target.address, {
+        onSent: connection => this.carry(passage, connection, () => call),
+        onLost: () => resolve(LOST),
+      });
       queue.after(timeoutMs, () =>
-        resolve({kind: 'no_answer', detail: 'time'}),
+        resolve(call.giveUp() ? NO_ANSWER : NO_CONNECTION),
       );
-      if (isLost) return;
-      const delayMs = isLate
-        ? random.nextInt(2000, 12_000)
-        : random.nextInt(1, 20);
-      queue.after(delayMs, () => {
-        if (!listener.isUp || network.isMute(listener)) return;
-        if (isLate && !outlivesProcess && listener.bornAt !== sentTo) return;
-        const answer = deliver(target, listener, act);
-        if (!isLate && answer !== undefined) resolve(answer);
-      });
+    });
+  }
+
+  /** Carries a call over a connection: on time, late, or not at all. */
+  private carry<T>(
+    {target, act, resolve, roll}: Passage<T>,
+    connection: SimConnection,
+    callOf: () => SimCall,
+  ): void {
+    const {queue, random, network, faults} = this.options;
+    const listener = network.listenerAt(target.address);
+    const {lossPercent, latePercent, outlivesProcess} = faults();
+    if (!listener || network.isSilent(listener) || roll < lossPercent) return;
+    const sentTo = listener.bornAt;
+    const isLate = roll < lossPercent + latePercent;
+    const answer = (value: T | OrderFailure): void => {
+      if (isLate || connection.isMuted) return;
+      callOf().noteAnswer();
+      resolve(value);
+    };
+    const delayMs = isLate
+      ? random.nextInt(2000, 12_000)
+      : random.nextInt(1, 20);
+    queue.after(delayMs, () => {
+      if (connection.isMuted || network.isMute(listener)) return;
+      if (network.refuses(listener)) {
+        callOf().noteRefusal();
+        return resolve(REFUSED);
+      }
+      if (!listener.isUp) return;
+      if (isLate && !outlivesProcess && listener.bornAt !== sentTo) return;
+      deliver({target, act}, listener, answer);
     });
   }
 }
 
 /** Executes an order at whoever holds the address, unless it names another worker. */
 const deliver = <T>(
-  target: WorkerTarget,
+  {target, act}: Pick<Passage<T>, 'target' | 'act'>,
   listener: SimWorker,
-  act: (worker: SimWorker) => T,
-): T | OtherLife => {
-  if (listener.id !== target.worker) return OTHER_LIFE;
+  answer: (value: T | OrderFailure) => void,
+): void => {
+  if (listener.id !== target.worker) return answer(OTHER_LIFE);
   const isOther = !isMeant(target, listener);
-  const answer = act(listener);
-  if (!isOther || answer === undefined) return answer;
-  return NEXT_LIFE;
+  act(listener, value => answer(isOther ? NEXT_LIFE : value));
 };
 
 /** Whether a worker is the incarnation that an order is for. */
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -22,6 +22,7 @@
   type TaskKey,
   type TaskRef,
   type WorkerId,
+  type WorkflowId,
 } from '@primrosewick/state';
 import type {EventQueue} from '../world/event_queue.js';
 import type {GangRuns} from './gang_runs.js';
@@ -39,6 +40,10 @@
   readonly oracle: WorkflowOracle;
   readonly gangs: GangRuns;
   readonly room: Resources;
+  /** Longest lease that it accepts, in ms. */
+  readonly maxLeaseMs: number;
+  /** Called after its process has ended, and after the next one has started. */
+  readonly onChange: () => void;
   /** Maximum number of ends that one list holds. */
   readonly maxListedEnds: number;
   /** Rate of its clock relative to virtual time, 0.98 to 1. */
@@ -47,12 +52,15 @@
   readonly needsTicket: (task: TaskRef) => boolean;
   readonly stepOf: (task: TaskRef) => StepSpec | undefined;
   /** Draws how long a run takes and whether it fails. */
-  readonly drawRun: (task: TaskRef) => {
-    readonly runMs: number;
-    readonly fails: boolean;
-    /** How long the worker is down that starts the task, in ms; absent if it crashes none. */
-    readonly crashesForMs?: number;
-  };
+  readonly drawRun: (task: TaskRef) => RunDraw;
+}
+
+/** How a run goes. */
+export interface RunDraw {
+  readonly runMs: number;
+  readonly fails: boolean;
+  /** How long the worker is down that starts the task, in ms; absent if it crashes none. */
+  readonly crashesForMs?: number;
 }
 
 /** How a start came to a worker. */
@@ -80,7 +88,6 @@
 
 const STOP_DELAY_MS = 300;
 const GANG_WAIT_MS = 3000;
-const MAX_LEASE_MS = 8000;
 /** Time from the start of a task that crashes its worker to the crash, in ms. */
 const CRASH_DELAY_MS = 20;
 /** Difference between the starts of successive incarnations; all are odd. */
@@ -146,6 +153,7 @@
     this.isUp = false;
     this.waiters = [];
     for (const {task, run} of runs) this.options.gangs.leave(task, run);
+    this.options.onChange();
   }
 
   /** Crashes by a task, and starts the next incarnation after a while. */
@@ -168,6 +176,17 @@
     this.endCount = 0;
     this.barred.clear();
     this.rooms = new RoomHistory(this.options.room);
+    this.options.onChange();
+  }
+
+  /** Workflows whose tasks it runs, each once a task. */
+  get workflows(): WorkflowId[] {
+    return [...this.running.values()].map(({task}) => task.workflow);
+  }
+
+  /** The room that is not in use. */
+  get freeRoom(): Resources {
+    return subtractResources(this.rooms.current, this.used);
   }
 
   /** The room that it reports now. */
@@ -256,7 +275,7 @@
   }
 
   private extendLease(leaseEnd: number): void {
-    const bound = Math.min(leaseEnd, this.clockMs + MAX_LEASE_MS);
+    const bound = Math.min(leaseEnd, this.clockMs + this.options.maxLeaseMs);
     if (bound <= this.leaseEnd) return;
     this.leaseEnd = bound;
     const incarnation = this.bornAt;
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -2,23 +2,15 @@
  * The scheduler's tasks on virtual time, with a fake log and simulated workers.
  */
 import bunyan from 'bunyan';
-import {
-  SchedulerTask,
-  WorkflowReplica,
-  type WorkflowService,
-} from '@primrosewick/coordination';
+import {WorkflowReplica} from '@primrosewick/coordination';
 import {
   CellError,
   seededRandom,
-  taskKey,
   type QueueName,
   type Random,
   type Resources,
   type StepSpec,
-  type TaskKey,
   type TaskRef,
-  type VmId,
-  type WorkerId,
   type WorkflowCommand,
   type WorkflowId,
   type WorkflowResult,
@@ -27,18 +19,28 @@
 import {EventQueue} from '../world/event_queue.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
 import {WorldJournals} from './world_journals.js';
-import {BUNDLE, MAX_ATTEMPTS, type TestQueueName} from './cell_bundle.js';
+import {BUNDLE, type TestQueueName} from './cell_bundle.js';
 import {GangRuns} from './gang_runs.js';
 import {ForgedWords, type ForgedWord} from './forged_words.js';
-import {makeLeaderService} from './leader_service.js';
 import {WorkflowOracle} from './oracle.js';
+import {CalmClock} from './calm_clock.js';
+import {RunDraws} from './run_draws.js';
 import {SimAdviser} from './sim_adviser.js';
+import type {SilencePolicy} from './sim_connections.js';
+import {announceRegularly} from './sim_announcements.js';
 import {SimGoodbyes, type GoodbyeOptions} from './sim_goodbyes.js';
 import {SimNetwork} from './sim_network.js';
 import {SimOrders, type CallFaults} from './sim_orders.js';
 import {SimReports} from './sim_reports.js';
-import {SimWorker} from './sim_worker.js';
-import {tasksOf} from './tasks_of.js';
+import {
+  AWARE_AFTER_MS,
+  beginLeadership,
+  type Leadership,
+} from './sim_leadership.js';
+import type {SimWorker} from './sim_worker.js';
+import {StandingCheck} from './standing_check.js';
+import {findWrongEnd} from './workflow_ends.js';
+import {WORKER_RESOURCES, makeWorkers} from './world_workers.js';
 
 /** Options of a world. */
 export interface WorkflowWorldOptions {
@@ -46,34 +48,29 @@
   readonly maxListedEnds: number;
   /** Duration of each run, in ms; drawn for each by default. */
   readonly runMs?: number;
+  /** Longest lease that workers accept, in ms. */
+  readonly maxLeaseMs: number;
+  /** What a call without an answer does to the connections to its worker. */
+  readonly silencePolicy: SilencePolicy;
+  /** Whether connections to a worker that is down are refused; otherwise nothing comes. */
+  readonly refusesWhenDown: boolean;
+  /** Whether no workflow may stand in calm times while workers are free. */
+  readonly checksStanding: boolean;
 }
 
-const WORKER_COUNT = 5;
-const MAX_LISTED_ENDS = 500;
-const WORKER_RESOURCES = {cpuMillis: 4000, memMb: 4000, gpus: 0};
-const MAX_LEASE_MS = 8000;
-const ANNOUNCE_MS = 1000;
-const MAX_STALE_LEADER_MS = 1400;
-/** Time after which an unaware old leader learns that another leads, in ms. */
-const AWARE_AFTER_MS = 4 * MAX_STALE_LEADER_MS;
+const DEFAULTS: WorkflowWorldOptions = {
+  maxListedEnds: 500,
+  maxLeaseMs: 8000,
+  silencePolicy: 'closed_together',
+  refusesWhenDown: false,
+  checksStanding: false,
+};
 const SETTLE_MS = 120_000;
 /** Expected time of a call that is short enough to be made early, in ms. */
 const SHORT_CALL = {baseMs: 10, perWorkerMs: 1};
-/** Bounds of the time that a worker is down after a crash by a task, in ms. */
-const CRASHED_FOR_MS = [2500, 4000] as const;
 
 const logger = bunyan.createLogger({name: 'proof', level: 'fatal' as never});
 
-/** One leadership; the log accepts proposals of the latest term only. */
-interface Leadership {
-  readonly term: number;
-  /** When a majority last confirmed it; not set while it leads. */
-  lastConfirmedAt?: number;
-  readonly scheduler: SchedulerTask;
-  readonly service: WorkflowService;
-  readonly process: SimProcess;
-}
-
 /** A cell of one leader at a time and a few workers. */
 export class WorkflowWorld {
   readonly queue = new EventQueue();
@@ -86,28 +83,27 @@
   private readonly forgedWords: ForgedWords;
   private readonly random: Random;
   private readonly specs = new Map<string, WorkflowSpec>();
-  /** Tasks that crash each worker that starts them. */
-  private readonly deadly = new Set<TaskKey>();
+  private readonly draws: RunDraws;
   private faults: CallFaults = {lossPercent: 0, latePercent: 0};
   private leadership: Leadership | undefined;
   private readonly journals = new WorldJournals();
   private term = 0;
   private readonly reports: SimReports;
+  private readonly calm: CalmClock;
+  private readonly standing: StandingCheck;
+  private readonly options: WorkflowWorldOptions;
 
-  constructor(
-    seed: number,
-    {
-      maxListedEnds = MAX_LISTED_ENDS,
-      runMs,
-    }: Partial<WorkflowWorldOptions> = {},
-  ) {
+  constructor(seed: number, options: Partial<WorkflowWorldOptions> = {}) {
+    this.options = {...DEFAULTS, ...options};
+    const {maxListedEnds, runMs, maxLeaseMs, refusesWhenDown} = this.options;
     this.random = seededRandom(seed);
     const {queue, random, workers} = this;
     const service = () => this.leadership?.service;
     const faults = () => this.faults;
+    this.draws = new RunDraws({random, runMs});
     this.oracle = new WorkflowOracle(id => this.specs.get(id));
     this.adviser = new SimAdviser({queue, random, workers});
-    this.network = new SimNetwork({queue, workers});
+    this.network = new SimNetwork({queue, workers, refusesWhenDown});
     this.reports = new SimReports({
       queue,
       random,
@@ -131,31 +127,35 @@
       faults,
       service,
     });
-    const gangs = new GangRuns(this.queue);
-    for (let i = 0; i < WORKER_COUNT; i++)
-      this.workers.push(
-        new SimWorker({
-          id: `w${i}` as WorkerId,
-          address: `10.0.0.${i + 1}:1`,
-          rack: `r${i % 2}`,
-          queue,
-          oracle: this.oracle,
-          gangs,
-          room: WORKER_RESOURCES,
-          maxListedEnds,
-          rate: 1 - this.random.nextInt(0, 20) / 1000,
-          stepOf: task => this.stepOf(task),
-          needsTicket: ({workflow}) =>
-            this.replica.db.workflows.get(workflow)?.queue === 'advised',
-          drawRun: task => ({
-            runMs: runMs ?? random.nextInt(20, 3000),
-            fails: this.random.nextInt(0, 19) === 0,
-            ...(this.deadly.has(taskKey(task)) && {
-              crashesForMs: this.random.nextInt(...CRASHED_FOR_MS),
-            }),
-          }),
-        }),
-      );
+    const isDisturbed = () => this.isDisturbed;
+    this.calm = new CalmClock({now: () => queue.now, isDisturbed});
+    this.standing = new StandingCheck({
+      queue,
+      calm: this.calm,
+      workers,
+      openWorkflows: () => this.replica.db.open,
+      stepsOf: workflow => this.replica.db.stepsOf(workflow, 0),
+      isDone: task => this.oracle.isDone(task),
+      onStands: what => this.oracle.addViolation(what),
+    });
+    workers.push(
+      ...makeWorkers({
+        queue,
+        oracle: this.oracle,
+        gangs: new GangRuns(queue),
+        maxListedEnds,
+        maxLeaseMs,
+        drawRate: () => 1 - random.nextInt(0, 20) / 1000,
+        onChange: worker => this.onWorkerChange(worker),
+        stepOf: task => this.stepOf(task),
+        needsTicket: ({workflow}) =>
+          this.replica.db.workflows.get(workflow)?.queue === 'advised',
+        drawRun: task => {
+          this.standing.noteStart(task);
+          return this.draws.draw(task);
+        },
+      }),
+    );
   }
 
   /**
@@ -166,7 +166,9 @@
     this.commit({kind: 'put_bundle', bundle: BUNDLE});
     this.changeLeader(false);
     this.reports.start();
-    this.scheduleAnnouncements();
+    const {queue, workers, network, reports} = this;
+    announceRegularly({queue, workers, network, reports});
+    if (this.options.checksStanding) this.standing.start();
     await this.advance(200);
   }
 
@@ -216,7 +218,7 @@
     at: {readonly step: number; readonly index: number},
   ): void {
     const workflow = `f${this.specs.size}` as WorkflowId;
-    this.deadly.add(taskKey({workflow, occurrence: 0, ...at}));
+    this.draws.makeDeadly({workflow, occurrence: 0, ...at});
     this.submit(spec, queue);
   }
 
@@ -232,43 +234,33 @@
    */
   changeLeader(isUnaware: boolean): void {
     const before = this.leadership;
+    this.calm.disturb();
     if (before) before.lastConfirmedAt = this.queue.now;
     if (before && isUnaware)
-      this.queue.after(AWARE_AFTER_MS, () => before.scheduler.close());
+      this.queue.after(AWARE_AFTER_MS, () => {
+        before.scheduler.close();
+        this.calm.disturb();
+      });
     else before?.scheduler.close();
     this.term++;
     const {term} = this;
-    const process = new SimProcess();
-    const clock = this.clockOf(process);
-    const scheduler = new SchedulerTask({
+    const clock = this.clockOf(new SimProcess());
+    this.leadership = beginLeadership({
+      term,
       replica: this.replica,
       clock,
       logger,
       orders: this.orders(),
-      workerLimits: {maxLeaseMs: MAX_LEASE_MS, announceMs: ANNOUNCE_MS},
-      term,
-      maxStaleLeaderMs: MAX_STALE_LEADER_MS,
-      leadershipConfirmedAgeMs: () =>
-        clock.now() - (leadership.lastConfirmedAt ?? clock.now()),
-      propose: command => this.propose(term, command),
-      callers: () => ['vm' as VmId],
-      ask: (_vm, step, workers) => this.adviser.ask(step, workers),
+      adviser: this.adviser,
       recorder: this.journals.begin(clock),
-    });
-    const service = makeLeaderService({
-      replica: this.replica,
-      clock,
-      logger,
-      scheduler,
+      maxLeaseMs: this.options.maxLeaseMs,
       isLeading: () => term === this.term,
       propose: command => this.propose(term, command),
     });
-    const leadership: Leadership = {term, scheduler, service, process};
-    this.leadership = leadership;
-    scheduler.start();
   }
 
   setFaults(faults: CallFaults): void {
+    this.calm.disturb();
     this.faults = faults;
   }
 
@@ -280,6 +272,13 @@
     this.workerAt(index).restart();
   }
 
+  /** The connections that there are go silent for good, to one worker or to all; new ones work. */
+  silenceConnections(index?: number): void {
+    this.calm.disturb();
+    const worker = index === undefined ? undefined : this.workerAt(index);
+    this.network.silenceConnections(worker);
+  }
+
   cutWorker(index: number): void {
     this.network.cutOff(this.workerAt(index));
   }
@@ -291,11 +290,13 @@
 
   /** A worker deregisters, and ends a while later. */
   leave(index: number, options: GoodbyeOptions): void {
+    this.calm.disturb();
     this.goodbyes.begin(this.workerAt(index), options);
   }
 
   /** Another writer says something in the name of a worker. */
   forge(index: number, word: ForgedWord): void {
+    this.calm.disturb();
     this.forgedWords.write(this.workerAt(index), word);
   }
 
@@ -312,16 +313,19 @@
   }
 
   drainWorker(index: number): void {
+    this.calm.disturb();
     this.workerAt(index).isDraining = true;
   }
 
   /** Changes the room of a worker. */
   resizeWorker(index: number, room: Resources): void {
+    this.calm.disturb();
     this.workerAt(index).resize(room);
   }
 
   /** Ends all faults. */
   heal(): void {
+    this.calm.disturb();
     this.faults = {lossPercent: 0, latePercent: 0};
     this.network.heal();
     for (const worker of this.workers) {
@@ -350,7 +354,7 @@
   async settle(): Promise<void> {
     this.heal();
     await this.advance(SETTLE_MS);
-    for (const [id, spec] of this.specs) this.checkEnd(id as WorkflowId, spec);
+    this.checkEnds();
     for (const difference of this.journals.differences())
       this.oracle.addViolation(difference);
     this.oracle.check();
@@ -365,28 +369,32 @@
     );
   }
 
-  private checkEnd(id: WorkflowId, spec: WorkflowSpec): void {
-    const phase = this.replica.db.workflows.get(id)?.phase;
-    if (phase === 'open')
-      this.oracle.addViolation(`${id} is still open at the end`);
-    if (phase === 'failed' && !this.hasCauseToFail(id, spec))
-      this.oracle.addViolation(`${id} could be done and is shown as failed`);
-    if (phase !== 'done') return;
-    for (const task of tasksOf(id, spec))
-      if (!this.oracle.isDone(task))
-        this.oracle.addViolation(`${id} is done, but ${taskKey(task)} is not`);
-  }
-
-  /** Whether a task crashes its workers, or has failed as often as it may. */
-  private hasCauseToFail(id: WorkflowId, spec: WorkflowSpec): boolean {
-    return tasksOf(id, spec).some(
-      task =>
-        this.deadly.has(taskKey(task)) ||
-        this.oracle.mayBeGivenUp(task) ||
-        this.oracle.hasFailedBy(task, MAX_ATTEMPTS),
+  private checkEnds(): void {
+    const {oracle, specs} = this;
+    const isDeadly = (task: TaskRef) => this.draws.isDeadly(task);
+    for (const [name, spec] of specs) {
+      const id = name as WorkflowId;
+      const phase = this.replica.db.workflows.get(id)?.phase;
+      const wrong = findWrongEnd({id, spec, phase, oracle, isDeadly});
+      if (wrong !== undefined) oracle.addViolation(wrong);
+    }
+  }
+
+  /** Whether a fault goes on, or a worker is about to end. */
+  private get isDisturbed(): boolean {
+    const {lossPercent, latePercent} = this.faults;
+    if (lossPercent + latePercent > 0) return true;
+    return this.workers.some(
+      worker =>
+        this.network.isSilent(worker) || this.goodbyes.isLeaving(worker),
     );
   }
 
+  private onWorkerChange(worker: SimWorker): void {
+    this.calm.disturb();
+    if (!worker.isUp) this.network.noteEnd(worker);
+  }
+
   private workerAt(index: number): SimWorker {
     return this.workers[index % this.workers.length]!;
   }
@@ -420,17 +428,8 @@
 
   private orders(): SimOrders {
     const {queue, random, network} = this;
+    const {silencePolicy} = this.options;
     const faults = () => this.faults;
-    return new SimOrders({queue, random, network, faults});
-  }
-
-  private scheduleAnnouncements(): void {
-    for (const worker of this.workers) this.announce(worker);
-    this.queue.after(ANNOUNCE_MS, () => this.scheduleAnnouncements());
-  }
-
-  private announce(worker: SimWorker): void {
-    if (!worker.isUp || this.network.isSilent(worker)) return;
-    this.reports.send(worker);
+    return new SimOrders({queue, random, network, faults, silencePolicy});
   }
 }
