--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -19,6 +19,8 @@
   readonly body?: Uint8Array;
   /** Maximum duration of the whole call, in ms. */
   readonly timeoutMs: number;
+  /** Part of it for which the peer is asked to wait before it responds, in ms. */
+  readonly waitMs?: number;
   /** Maximum size of the response body, in bytes. */
   readonly maxResponseBytes: number;
   readonly agent?: Agent;
@@ -142,11 +144,11 @@
   }
 
   private timeOut(): void {
-    const {address, pool} = this.call;
+    const {address, waitMs, pool} = this.call;
     const socket = this.req?.socket;
     this.fail('timeout', 'no answer before the deadline');
     if (this.mayHaveSent && socket)
-      pool?.noteSilent(address, socket, performance.now());
+      pool?.noteSilent(address, socket, {now: performance.now(), waitMs});
   }
 
   private readResponse(res: IncomingMessage): void {
--- a/packages/transport/src/http/connection_pool.ts
+++ b/packages/transport/src/http/connection_pool.ts
@@ -2,7 +2,7 @@
  * Kept connections to other processes. Connections may go silent without a reset
  * while new ones work, and they go silent together: waiting out the timeout of each
  * takes as long as there are connections. So one call without an answer closes all
- * connections to its address that have received nothing since it was sent.
+ * connections to its address that have received nothing since it was due.
  */
 import {Agent} from 'node:http';
 import type {Socket} from 'node:net';
@@ -19,6 +19,14 @@
   readonly silentMs: number;
 }
 
+/** A call whose time for an answer is over. */
+export interface UnansweredCall {
+  /** Monotonic time, in ms. */
+  readonly now: number;
+  /** Time for which the peer was asked to wait before it responds, in ms. */
+  readonly waitMs?: number;
+}
+
 /** Options of a `ConnectionPool`. */
 export interface ConnectionPoolOptions {
   /** Maximum number of connections to one address. */
@@ -55,11 +63,13 @@
 
   /**
    * Notes a call without an answer, and closes all connections to its address that
-   * have received nothing since it was sent. Their calls fail; a connection with a
+   * have received nothing since it was due. Their calls fail; a connection with a
    * young one is left to it.
    */
-  noteSilent(address: string, socket: Socket, now: number): void {
-    const found = this.byAddress.get(address)?.findSilent(socket, now);
+  noteSilent(address: string, socket: Socket, call: UnansweredCall): void {
+    const {now, waitMs} = call;
+    const found = this.byAddress.get(address)?.findSilent(socket, now, waitMs);
+    this.forget(address, socket);
     if (!found) return;
     const {idle, busy, silentMs} = found;
     const silent = [...idle, ...busy];
@@ -68,6 +78,7 @@
       // Destroyed alone, it could be given to another call until its close event.
       other.emit('agentRemove');
       other.destroy();
+      this.forget(address, other);
     }
     const idleCount = idle.length;
     const busyCount = busy.length;
--- a/packages/transport/src/http/connection_pool_gaps.spec.ts
+++ b/packages/transport/src/http/connection_pool_gaps.spec.ts
@@ -35,13 +35,14 @@
     server.close();
   });
 
-  const call = (delayMs = 0, timeoutMs = TIMEOUT_MS): Promise<string> =>
+  const call = (delayMs = 0, waitMs = 0): Promise<string> =>
     callHttp({
       address,
       method: 'POST',
       path: '/',
       headers: {'x-delay-ms': String(delayMs)},
-      timeoutMs,
+      timeoutMs: TIMEOUT_MS + waitMs,
+      waitMs,
       maxResponseBytes: 1000,
       pool,
     }).then(
@@ -56,7 +57,7 @@
   // heard in that time does not tell that their connections are sound.
   it('a hold without an answer closes those that other calls used before it was due', async () => {
     await callAll(CONNECTIONS);
-    const hold = call(WAIT_MS, WAIT_MS + TIMEOUT_MS);
+    const hold = call(WAIT_MS, WAIT_MS);
     await callAll(CONNECTIONS - 1);
     server.silence();
     expect(await hold).to.equal('timeout');
--- a/packages/transport/src/http/connection_table.ts
+++ b/packages/transport/src/http/connection_table.ts
@@ -59,13 +59,15 @@
 
   /**
    * Finds the other connections that have received nothing since the call without
-   * an answer on this one was sent, except those with a young call.
+   * an answer on this one was due, except those with a young call.
+   * @param waitMs - time for which the peer was asked to wait before it responds.
    */
-  findSilent(connection: C, now: number): SilenceFinding<C> {
+  findSilent(connection: C, now: number, waitMs = 0): SilenceFinding<C> {
     const sentAt = this.known.get(connection)?.sentAt;
     if (sentAt === undefined) return {idle: [], busy: [], silentMs: 0};
+    const dueAt = sentAt + waitMs;
     const silent = [...this.known].filter(
-      ([other, state]) => other !== connection && isSilent(state, sentAt, now),
+      ([other, state]) => other !== connection && isSilent(state, dueAt, now),
     );
     const isIdle = ([, state]: [C, ConnectionState]) =>
       state.sentAt === undefined;
