--- a/packages/coordination/src/workflow/unsure_log.spec.ts
+++ b/packages/coordination/src/workflow/unsure_log.spec.ts
@@ -45,6 +45,24 @@
       ['worker_sure', 'lists', 5200, 5],
     ]);
   });
+  it('a worker that a new leader cannot reach has a line after a second', () => {
+    const {log, lines} = makeLog();
+    log.expect(0);
+    for (const now of [500, 1100, 1500]) log.callFailed(FAILURE, at(now));
+    log.end(at(1600));
+    const told = lines.map(({change, waitedMs}) => [change, waitedMs]);
+    expect(told).to.eql([
+      ['worker_wait', 1100],
+      ['worker_sure', 1600],
+    ]);
+  });
+  it('a worker without runs has no line, however long it is silent', () => {
+    const {log, lines} = makeLog();
+    log.begin('no answer', {...at(0), runCount: 0});
+    log.callFailed(FAILURE, {...at(5000), runCount: 0});
+    log.end({...at(6000), runCount: 0});
+    expect(lines).to.eql([]);
+  });
   it('lists that were not in doubt have no line', () => {
     const {log, lines} = makeLog();
     log.callFailed(FAILURE, at(0));
--- a/packages/coordination/src/workflow/unsure_log.ts
+++ b/packages/coordination/src/workflow/unsure_log.ts
@@ -22,9 +22,11 @@
   readonly since: number;
   nextLineAt: number;
   failedCalls: number;
+  /** Whether it has a line. */
+  isTold: boolean;
 }
 
-/** Logs the waits for the lists of one worker: how each begins, goes on and ends. */
+/** Logs the waits for the lists of a worker with runs: how each begins, goes on and ends. */
 export class UnsureLog {
   private pending: PendingWait | undefined;
 
@@ -33,15 +35,20 @@
     private readonly worker: WorkerId,
   ) {}
 
-  /** Notes an order with an unknown outcome. */
+  /** Notes that the lists are asked for first, at a monotonic time in ms. */
+  expect(now: number): void {
+    const nextLineAt = now + REPEAT_INTERVAL_MS;
+    this.pending = {since: now, nextLineAt, failedCalls: 0, isTold: false};
+  }
+
+  /** Notes that the runs are unknown, and why. */
   begin(why: string, wait: UnsureWait): void {
-    const {now} = wait;
     if (this.pending) return;
-    const nextLineAt = now + REPEAT_INTERVAL_MS;
-    this.pending = {since: now, nextLineAt, failedCalls: 0};
-    this.logger.info(
-      {change: 'worker_unsure', worker: this.worker, why, ...this.facts(wait)},
-      'outcome of an order is unknown; querying the runs of the worker',
+    this.expect(wait.now);
+    this.tell(
+      {change: 'worker_unsure', why},
+      'the runs of the worker are unknown; querying them',
+      wait,
     );
   }
 
@@ -51,22 +58,30 @@
     this.pending.failedCalls++;
     if (wait.now < this.pending.nextLineAt) return;
     this.pending.nextLineAt = wait.now + REPEAT_INTERVAL_MS;
-    const why = describeFailure(failure);
-    this.logger.info(
-      {change: 'worker_wait', worker: this.worker, why, ...this.facts(wait)},
+    this.tell(
+      {change: 'worker_wait', why: describeFailure(failure)},
       'the runs of the worker are still unknown',
+      wait,
     );
   }
 
   /** Notes that the lists have been received. */
   end(wait: UnsureWait): void {
-    if (!this.pending) return;
-    const facts = this.facts(wait);
+    if (this.pending?.isTold)
+      this.tell(
+        {change: 'worker_sure'},
+        'the runs of the worker are known again',
+        wait,
+      );
     this.pending = undefined;
-    this.logger.info(
-      {change: 'worker_sure', worker: this.worker, ...facts},
-      'the runs of the worker are known again',
-    );
+  }
+
+  /** Writes a line about a wait, unless the worker has no runs that wait for it. */
+  private tell(line: object, message: string, wait: UnsureWait): void {
+    if (!this.pending || wait.runCount === 0) return;
+    this.pending.isTold = true;
+    const {worker} = this;
+    this.logger.info({...line, worker, ...this.facts(wait)}, message);
   }
 
   private facts({now, lapseAt, runCount}: UnsureWait) {
