--- a/packages/coordination/src/workflow/order_terms.ts
+++ b/packages/coordination/src/workflow/order_terms.ts
@@ -7,3 +7,5 @@
  * leader, and short enough that the work of a worker that is gone is not idle for 7 s.
  */
 export const LEASE_MS = 6000;
+/** Longest lease that a leader of this version or of the one before may have granted, in ms. */
+export const MAX_GRANTED_MS = 7000;
--- a/packages/coordination/src/workflow/run_records.ts
+++ b/packages/coordination/src/workflow/run_records.ts
@@ -53,6 +53,13 @@
     return [...active].map(({task, run}) => this.withCheckpoint(task, run));
   }
 
+  /** Notes the runs of a replaced worker; @returns those that the next one may have. */
+  noteReplaced(runs: readonly VoidedRun[]): readonly VoidedRun[] {
+    const {starts, progress} = this.options;
+    // Those that it never listed.
+    return starts.noteUndelivered(runs.filter(run => !progress.lists(run)));
+  }
+
   /** Notes that the worker accepted the stop of a run, at a monotonic time in ms. */
   noteStopped(run: RunRef, now: number): void {
     this.unreadable.noteStopped(run, now);
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -24,7 +24,7 @@
 import {AdviceDispatcher} from './advice_dispatcher.js';
 import {ChannelSet} from './channel_set.js';
 import {EndLog} from './end_log.js';
-import {LEASE_MS, LEADERSHIP_MARGIN_MS} from './order_terms.js';
+import {LEASE_MS, LEADERSHIP_MARGIN_MS, MAX_GRANTED_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
 import {collectPassInput} from './pass_input.js';
@@ -279,7 +279,7 @@
       term,
       firstFence,
       leaseMs: Math.min(LEASE_MS, workerLimits.maxLeaseMs),
-      maxLeaseMs: workerLimits.maxLeaseMs,
+      maxGrantedMs: Math.min(MAX_GRANTED_MS, workerLimits.maxLeaseMs),
       previousLeaderUntil: this.startedAt + maxStaleLeaderMs,
       mayOrder: () =>
         this.options.leadershipConfirmedAgeMs() <
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -13,10 +13,12 @@
   StartRequest,
   WorkerTarget,
 } from './ports.js';
+import {isIdle} from './channel_idle.js';
 import {ChannelLog} from './channel_log.js';
 import type {LifeState} from './end_proof/types.js';
 import {LapseCheck} from './lapse_check.js';
 import {LifeEnd} from './life_end.js';
+import {LifeInquiry} from './life_inquiry.js';
 import {LifeLog} from './life_log.js';
 import {findStartObstacle} from './planned_starts.js';
 import {ProgressTracker} from './progress_tracker.js';
@@ -55,6 +57,7 @@
   private readonly responses = new ResponseMonitor();
   private readonly workerClock: WorkerClock;
   private readonly lapse: LapseCheck;
+  private readonly inquiry: LifeInquiry;
   private readonly log: ChannelLog;
   private readonly unsureLog: UnsureLog;
   private readonly lifeLog: LifeLog;
@@ -75,32 +78,25 @@
     this.log = new ChannelLog(options.logger, options.life.worker);
     this.unsureLog = new UnsureLog(options.logger, options.life.worker);
     this.lifeLog = new LifeLog({...options, db: () => options.db});
-    const {starts, stops, progress, log, lifeLog} = this;
-    this.runs = new RunRecords({
-      ...options,
-      starts,
-      stops,
-      progress,
-      log,
-      lifeLog,
-    });
-    const {workerClock, silence, runs} = this;
-    this.lapse = new LapseCheck({
-      ...options,
-      workerClock,
-      silence,
-      starts,
-      runs,
-    });
+    const {starts, stops, progress, silence} = this;
+    const {workerClock, log, lifeLog} = this;
+    const ledgers = {...options, starts, stops, progress, silence};
+    const parts = {...ledgers, workerClock, log, lifeLog};
+    this.runs = new RunRecords(parts);
+    this.lapse = new LapseCheck({...parts, runs: this.runs});
     this.end = new LifeEnd({
       ...options,
       lifeLog,
       activeRuns: () => this.runs.active,
-      // Those that it never listed may be the next one's.
-      onReplaced: runs =>
-        starts.noteUndelivered(runs.filter(run => !progress.lists(run))),
+      onReplaced: runs => this.runs.noteReplaced(runs),
       heardAgoMs: () => this.silence.heardAgoMs(options.clock.wall()),
     });
+    this.inquiry = new LifeInquiry({
+      ...parts,
+      end: this.end,
+      terms: () => ({fence: this.fence, endsRecorded: this.lastAcked}),
+      isClosed: () => this.isClosed,
+    });
   }
 
   /** Whether the worker's lists were received under the current fence. */
@@ -140,25 +136,18 @@
   }
 
   /** Asks the worker once whether it runs as this incarnation. */
-  async askLife(): Promise<LifeState> {
-    const {target} = this;
-    const answer = await this.ask(target);
-    if (answer?.kind === 'other_life')
-      await this.end.onOtherAnswer(answer, target.address);
-    if (this.end.isReplaced) return 'over';
-    return answer?.kind === 'lists' ? 'runs' : 'silent';
+  askLife(): Promise<LifeState> {
+    return this.inquiry.askLife(this.target);
   }
 
   /** Asks once whether an incarnation runs where it is said to; it is told nothing new. */
-  async ask(target: WorkerTarget): Promise<HoldAnswer | undefined> {
-    const {mayOrder, port, life} = this.options;
-    if (this.isClosed || !mayOrder()) return undefined;
-    const endsRecorded = target.bornAt === life.bornAt ? this.lastAcked : 0;
-    return port.hold(target, {fence: this.fence, endsRecorded, waitMs: 0});
+  ask(target: WorkerTarget): Promise<HoldAnswer | undefined> {
+    return this.inquiry.ask(target);
   }
 
   /** Starts the loop of holds. */
   open(): void {
+    this.unsureLog.expect(this.options.clock.now());
     this.continueLeaving();
     void this.loop().catch((err: unknown) =>
       this.options.logger.error(
@@ -209,7 +198,10 @@
 
   /** Sends a recorded start to the worker. */
   async start(order: StartRequest): Promise<void> {
-    const obstacle = findStartObstacle(this.options);
+    if (!this.workerClock.isKnown(this.options.clock.now()))
+      await this.askLife();
+    if (this.isClosed) return;
+    const obstacle = findStartObstacle(this.options) ?? this.doubt;
     if (obstacle !== undefined) return this.abandonStart(order, obstacle);
     const {address} = this.target;
     const answer = await this.sendStart(order);
@@ -248,7 +240,11 @@
     if (answer.kind === 'accepted') {
       this.workerClock.note(clock.now(), answer.clockMs);
       this.runs.noteStopped({task, run}, clock.now());
-    } else this.onFailure(answer, target.address);
+    } else {
+      // A stop that was lost may be sent again at once.
+      if (answer.kind === 'no_answer') this.stops.forget(task);
+      this.onFailure(answer, target.address);
+    }
     this.wake();
   }
 
@@ -273,11 +269,15 @@
     return {...life, address};
   }
 
+  /** Why no start may be sent now that was planned before. */
+  private get doubt(): string | undefined {
+    const isKnown = this.workerClock.isKnown(this.options.clock.now());
+    return this.isUsable && isKnown ? undefined : 'the runs are not known';
+  }
+
   private async sendStart(order: StartRequest): Promise<OrderAnswer> {
     const {clock, leaseMs, port} = this.options;
-    const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
-    if (!this.isUsable || leaseEnd === undefined)
-      return {kind: 'refused', why: 'unhealthy'};
+    const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs) ?? 0;
     const settle = this.responses.begin(clock.now());
     const {target, fence} = this;
     const answer = await port.start(target, {...order, leaseEnd, fence});
@@ -350,15 +350,11 @@
   }
 
   private isIdle(): boolean {
+    const {isSynced, lastAcked} = this;
+    const {isLeaving} = this.end;
+    const orphanCount = this.orphans.length;
     const state = this.options.db.findIncarnation(this.options.life);
-    if (!state) return true;
-    return (
-      this.isSynced &&
-      !this.end.isLeaving &&
-      state.active.size === 0 &&
-      this.orphans.length === 0 &&
-      state.endsRecorded === this.lastAcked
-    );
+    return isIdle(state, {isSynced, isLeaving, orphanCount, lastAcked});
   }
 
   private waitForWork(): Promise<void> {
@@ -395,9 +391,10 @@
     fence: number,
   ): Promise<void> {
     const {clock, onChange} = this.options;
+    const answeredAt = clock.now();
     this.retryMs = MIN_RETRY_MS;
     this.silence.noteAnswer(clock.wall());
-    this.workerClock.note(clock.now(), answer.clockMs);
+    this.workerClock.note(answeredAt, answer.clockMs);
     if (this.lapse.noteAnswer()) this.log.back();
     this.progress.note(answer.running, clock.now());
     this.log.unreadable(answer.unreadable, clock.now());
@@ -415,7 +412,7 @@
     this.orphans = stops.filter(({why}) => why === 'not_recorded');
     for (const stop of stops) void this.stop(stop);
     this.starts.noteFencedList();
-    this.workerClock.noteSoleLeader(sentAt);
+    this.workerClock.noteSoleLeader(answeredAt);
     onChange();
     if (this.expectedStarts.length > 0) await pause(clock, SETTLE_PAUSE_MS);
   }
--- a/packages/coordination/src/workflow/worker_channel_options.ts
+++ b/packages/coordination/src/workflow/worker_channel_options.ts
@@ -31,8 +31,8 @@
   readonly firstFence?: number;
   /** Duration of the lease that each hold and start grants, in ms. */
   readonly leaseMs: number;
-  /** Longest lease that a worker accepts, in ms. */
-  readonly maxLeaseMs: number;
+  /** Longest lease that an earlier leader may have granted, in ms. */
+  readonly maxGrantedMs: number;
   /** Monotonic time until which an earlier leader may have extended leases, in ms. */
   readonly previousLeaderUntil: number;
   /** Whether this VM certainly still leads, so that no later leader may assume its silence. */
--- a/packages/coordination/src/workflow/worker_clock.ts
+++ b/packages/coordination/src/workflow/worker_clock.ts
@@ -4,11 +4,13 @@
 const MAX_DRIFT = 0.02;
 /** Margin in addition to the drift, in ms. */
 const LAPSE_MARGIN_MS = 150;
+/** Age of a reading above which a lease needs a new one, in ms. */
+const MAX_READING_AGE_MS = 60_000;
 
 /** Options of the clock of a worker that earlier leaders may have granted leases. */
 export interface WorkerClockOptions {
-  /** Longest lease that a worker accepts, in ms. */
-  readonly maxLeaseMs: number;
+  /** Longest lease that an earlier leader may have granted, in ms. */
+  readonly maxGrantedMs: number;
   /** Monotonic time until which an earlier leader may have extended the lease, in ms. */
   readonly previousLeaderUntil: number;
 }
@@ -24,7 +26,7 @@
   constructor(private readonly options: WorkerClockOptions) {
     this.unknownLeaseLapseAt = this.lapseAfter(
       options.previousLeaderUntil,
-      options.maxLeaseMs,
+      options.maxGrantedMs,
     );
   }
 
@@ -34,19 +36,23 @@
     this.sample = {at: now, clockMs};
   }
 
-  /** Whether a reading of the clock was ever received. */
-  get isKnown(): boolean {
-    return this.sample !== undefined;
+  /** Whether a recent reading allows for a lease at the monotonic time `now`. */
+  isKnown(now: number): boolean {
+    return (
+      this.sample !== undefined && now - this.sample.at <= MAX_READING_AGE_MS
+    );
   }
 
   /**
-   * Grants a lease of `leaseMs` from the monotonic time `now`.
+   * Grants a lease of `leaseMs` at most from the monotonic time `now`: less by what
+   * the clock may have been slow since it was read.
    * @returns its end on the worker's clock, in ms, or undefined while that clock is unknown.
    */
   leaseFor(now: number, leaseMs: number): number | undefined {
-    if (!this.sample) return undefined;
+    if (!this.sample || !this.isKnown(now)) return undefined;
     const {at, clockMs} = this.sample;
-    const end = Math.floor(clockMs + (now - at) + leaseMs);
+    const passedMs = (now - at) * (1 - MAX_DRIFT);
+    const end = Math.floor(clockMs + passedMs + leaseMs);
     this.leaseEnd = Math.max(this.leaseEnd, end);
     return end;
   }
@@ -67,7 +73,7 @@
   noteSoleLeader(now: number): void {
     this.unknownLeaseLapseAt = Math.min(
       this.unknownLeaseLapseAt,
-      this.lapseAfter(now, this.options.maxLeaseMs),
+      this.lapseAfter(now, this.options.maxGrantedMs),
     );
   }
 
