--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -6,10 +6,13 @@
 import {FORGED_WORDS} from './forged_words.js';
 import {WorkflowWorld} from './workflow_world.js';
 
-type EmptyModel = Record<string, never>;
-type Command = fc.AsyncCommand<EmptyModel, WorkflowWorld>;
+/** Commands need no model beside the world. */
+export type EmptyModel = Record<string, never>;
+/** One command of a plan. */
+export type Command = fc.AsyncCommand<EmptyModel, WorkflowWorld>;
 
-const command = (
+/** Makes a command that is always allowed. */
+export const command = (
   name: string,
   run: (world: WorkflowWorld) => Promise<void> | void,
 ): Command => ({
@@ -18,7 +21,8 @@
   toString: () => name,
 });
 
-const WORKER = fc.nat({max: 4});
+/** Index of a worker. */
+export const WORKER = fc.nat({max: 4});
 
 const step: fc.Arbitrary<StepSpec> = fc
   .record({
@@ -85,8 +89,19 @@
       return command(name, world => world.submitDeadly(value, queue, at));
     });
 
+/** Submits a workflow to a queue. */
 const submission = (queue: TestQueueName): fc.Arbitrary<Command> =>
-  (queue === 'advised' ? smallSpec : spec).map(value =>
+  submissionOf(queue === 'advised' ? smallSpec : spec, queue);
+
+/** Submits a workflow whose tasks all fit on any single worker. */
+export const smallSubmission = (queue: TestQueueName): fc.Arbitrary<Command> =>
+  submissionOf(smallSpec, queue);
+
+const submissionOf = (
+  specs: fc.Arbitrary<WorkflowSpec>,
+  queue: TestQueueName,
+): fc.Arbitrary<Command> =>
+  specs.map(value =>
     command(`submit(${queue},${JSON.stringify(value.steps)})`, world =>
       world.submit(value, queue),
     ),
--- a/packages/proofs/src/workflow/sim_connections.ts
+++ b/packages/proofs/src/workflow/sim_connections.ts
@@ -4,18 +4,20 @@
  */
 import {ConnectionTable} from '@primrosewick/transport';
 
-/** What a call without an answer does to the other connections to its address. */
-export type SilencePolicy =
-  /** Those that have gone silent are closed, as `ConnectionPool` does. */
+/** How connections are kept. */
+export type ConnectionPolicy =
+  /** They are not: each call opens one. */
+  | 'one_a_call'
+  /** A call without an answer closes those that have gone silent, as `ConnectionPool` does. */
   | 'closed_together'
-  /** Nothing: each is found out by a call of its own. */
+  /** A call without an answer closes its own; each silent one costs a call. */
   | 'each_by_itself';
 
 /** Options of {@link SimConnections}. */
 export interface SimConnectionsOptions {
   /** Virtual time, in ms. */
   readonly now: () => number;
-  readonly silencePolicy: SilencePolicy;
+  readonly policy: ConnectionPolicy;
 }
 
 /** What becomes of a call. */
@@ -110,15 +112,16 @@
   noteAnswer(connection: SimConnection): void {
     this.table.noteHeard(connection, this.options.now());
     this.busy.delete(connection);
-    this.idle.push(connection);
+    if (this.options.policy === 'one_a_call') this.close(connection);
+    else this.idle.push(connection);
     this.sendWaiting();
   }
 
   noteNoAnswer(connection: SimConnection): void {
-    const {now, silencePolicy} = this.options;
+    const {now, policy} = this.options;
     const {idle, busy} = this.table.findSilent(connection, now());
     this.close(connection);
-    if (silencePolicy === 'closed_together')
+    if (policy === 'closed_together')
       for (const silent of [...idle, ...busy]) this.close(silent);
     this.sendWaiting();
   }
@@ -156,7 +159,8 @@
   private takeConnection(): SimConnection | undefined {
     const idle = this.idle.pop();
     if (idle) return idle;
-    if (this.busy.size >= MAX_CONNECTIONS) return undefined;
+    const isKept = this.options.policy !== 'one_a_call';
+    if (isKept && this.busy.size >= MAX_CONNECTIONS) return undefined;
     return new SimConnection();
   }
 }
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -17,7 +17,7 @@
 import type {EventQueue} from '../world/event_queue.js';
 import {
   SimConnections,
-  type SilencePolicy,
+  type ConnectionPolicy,
   type SimCall,
   type SimConnection,
 } from './sim_connections.js';
@@ -42,7 +42,7 @@
   readonly random: Random;
   readonly network: SimNetwork;
   readonly faults: () => CallFaults;
-  readonly silencePolicy: SilencePolicy;
+  readonly connectionPolicy: ConnectionPolicy;
 }
 
 const CALL_TIMEOUT_MS = 1000;
@@ -69,9 +69,9 @@
   private readonly connections: SimConnections;
 
   constructor(private readonly options: SimOrdersOptions) {
-    const {queue, silencePolicy, network} = options;
+    const {queue, connectionPolicy: policy, network} = options;
     const now = () => queue.now;
-    this.connections = new SimConnections({now, silencePolicy});
+    this.connections = new SimConnections({now, policy});
     network.addClient(this.connections);
   }
 
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -26,7 +26,7 @@
 import {CalmClock} from './calm_clock.js';
 import {RunDraws} from './run_draws.js';
 import {SimAdviser} from './sim_adviser.js';
-import type {SilencePolicy} from './sim_connections.js';
+import type {ConnectionPolicy} from './sim_connections.js';
 import {announceRegularly} from './sim_announcements.js';
 import {SimGoodbyes, type GoodbyeOptions} from './sim_goodbyes.js';
 import {SimNetwork} from './sim_network.js';
@@ -50,8 +50,8 @@
   readonly runMs?: number;
   /** Longest lease that workers accept, in ms. */
   readonly maxLeaseMs: number;
-  /** What a call without an answer does to the connections to its worker. */
-  readonly silencePolicy: SilencePolicy;
+  /** How leaders keep connections to workers. */
+  readonly connectionPolicy: ConnectionPolicy;
   /** Whether connections to a worker that is down are refused; otherwise nothing comes. */
   readonly refusesWhenDown: boolean;
   /** Whether no workflow may stand in calm times while workers are free. */
@@ -61,7 +61,7 @@
 const DEFAULTS: WorkflowWorldOptions = {
   maxListedEnds: 500,
   maxLeaseMs: 8000,
-  silencePolicy: 'closed_together',
+  connectionPolicy: 'one_a_call',
   refusesWhenDown: false,
   checksStanding: false,
 };
@@ -428,8 +428,8 @@
 
   private orders(): SimOrders {
     const {queue, random, network} = this;
-    const {silencePolicy} = this.options;
+    const {connectionPolicy} = this.options;
     const faults = () => this.faults;
-    return new SimOrders({queue, random, network, faults, silencePolicy});
+    return new SimOrders({queue, random, network, faults, connectionPolicy});
   }
 }
