--- a/packages/proofs/src/workflow/sim_connections.ts
+++ b/packages/proofs/src/workflow/sim_connections.ts
@@ -20,8 +20,10 @@
   readonly policy: ConnectionPolicy;
 }
 
-/** What becomes of a call. */
-export interface CallEvents {
+/** A call, and what becomes of it. */
+export interface CallOptions {
+  /** Time for which the worker is asked to wait before it responds, in ms. */
+  readonly waitMs: number;
   /** It is sent over a connection. */
   readonly onSent: (connection: SimConnection) => void;
   /** Its connection closes before an answer. */
@@ -54,11 +56,11 @@
   constructor(private readonly options: SimConnectionsOptions) {}
 
   /** Begins a call, which is sent at once or when a connection is free. */
-  begin(address: string, events: CallEvents): SimCall {
+  begin(address: string, options: CallOptions): SimCall {
     const known =
       this.byAddress.get(address) ?? new AddressConnections(this.options);
     this.byAddress.set(address, known);
-    return known.begin(events);
+    return known.begin(options);
   }
 
   /** Mutes the connections that there are, to one address or to all. */
@@ -87,8 +89,8 @@
 
   constructor(private readonly options: SimConnectionsOptions) {}
 
-  begin(events: CallEvents): PendingCall {
-    const call = new PendingCall(this, events);
+  begin(options: CallOptions): PendingCall {
+    const call = new PendingCall(this, options);
     this.waiting.push(call);
     this.sendWaiting();
     return call;
@@ -117,9 +119,9 @@
     this.sendWaiting();
   }
 
-  noteNoAnswer(connection: SimConnection): void {
+  noteNoAnswer(connection: SimConnection, waitMs: number): void {
     const {now, policy} = this.options;
-    const {idle, busy} = this.table.findSilent(connection, now());
+    const {idle, busy} = this.table.findSilent(connection, now(), waitMs);
     this.close(connection);
     if (policy === 'closed_together')
       for (const silent of [...idle, ...busy]) this.close(silent);
@@ -172,18 +174,18 @@
 
   constructor(
     private readonly owner: AddressConnections,
-    private readonly events: CallEvents,
+    private readonly options: CallOptions,
   ) {}
 
   send(connection: SimConnection): void {
     this.connection = connection;
-    this.events.onSent(connection);
+    this.options.onSent(connection);
   }
 
   lose(): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.events.onLost();
+    this.options.onLost();
   }
 
   noteAnswer(): void {
@@ -201,7 +203,8 @@
   giveUp(): boolean {
     if (this.isOver) return true;
     this.isOver = true;
-    if (this.connection) this.owner.noteNoAnswer(this.connection);
+    const {waitMs} = this.options;
+    if (this.connection) this.owner.noteNoAnswer(this.connection, waitMs);
     else this.owner.dropWaiting(this);
     return this.connection !== undefined;
   }
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -99,23 +99,24 @@
           if (!network.isMute(worker)) reply(answer);
         }),
       );
-    return this.call(target, act, CALL_TIMEOUT_MS + order.waitMs);
+    return this.call(target, act, order.waitMs);
   }
 
   private call<T>(
     target: WorkerTarget,
     act: Passage<T>['act'],
-    timeoutMs = CALL_TIMEOUT_MS,
+    waitMs = 0,
   ): Promise<T | OrderFailure> {
     const {queue, random} = this.options;
     return new Promise(resolve => {
       const roll = random.nextInt(0, 99);
       const passage = {target, act, resolve, roll};
       const call: SimCall = this.connections.begin(target.address, {
+        waitMs,
         onSent: connection => this.carry(passage, connection, () => call),
         onLost: () => resolve(LOST),
       });
-      queue.after(timeoutMs, () =>
+      queue.after(CALL_TIMEOUT_MS + waitMs, () =>
         resolve(call.giveUp() ? NO_ANSWER : NO_CONNECTION),
       );
     });
--- a/packages/proofs/src/workflow/standing.spec.ts
+++ b/packages/proofs/src/workflow/standing.spec.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {runFuzzAsync} from '../fuzz/run_fuzz.js';
 import {
+  DARK_STORM,
   QUIET_DAY,
   SILENT_DAY,
   SMALL_JOB,
@@ -31,6 +32,13 @@
   checksStanding: true,
 };
 
+/** Seeds at which an end was dropped. */
+const TWICE_SEEDS = [12, 15, 20, 29, 32, 39];
+const WITHOUT_STANDING: Partial<WorkflowWorldOptions> = {
+  checksStanding: false,
+  refusesWhenDown: false,
+};
+
 const seedsOf = ({seeds = []}: StandingDay): Set<number> =>
   new Set([...seeds, ...Array.from({length: WORLDS}, (_, i) => i + 1)]);
 
@@ -107,6 +115,20 @@
   }),
 ]);
 
+// Guards against TWICE: a start that waits for a connection reaches the next life of
+// its worker, and a hold of the life before makes that drop the end unrecorded.
+describe('starts that wait for a connection', () => {
+  for (const maxLeaseMs of LEASES_MS)
+    it(`to a worker that goes dark and comes back: nothing runs twice, longest lease ${maxLeaseMs} ms`, async () => {
+      for (const seed of [...TWICE_SEEDS, ...seedsOf(DARK_STORM)]) {
+        const options = {...CHECKED, maxLeaseMs, ...WITHOUT_STANDING};
+        const world = new WorkflowWorld(seed, options);
+        await world.start();
+        await playDay(world, DARK_STORM, seed);
+      }
+    }).timeout(TIMEOUT_MS);
+});
+
 describe('check for jobs that stand', () => {
   for (const maxLeaseMs of LEASES_MS)
     it(`finds silent connections that are waited out one by one, longest lease ${maxLeaseMs} ms`, async () => {
--- a/packages/proofs/src/workflow/standing_days.ts
+++ b/packages/proofs/src/workflow/standing_days.ts
@@ -81,6 +81,13 @@
   events: [silence(0)],
 };
 
+/** Workers go dark one after the other, and come back. */
+export const DARK_STORM: StandingDay = {
+  title: 'workers that go dark and come back',
+  isDark: true,
+  events: storm,
+};
+
 /** The days, in the order of RULES.md and the measurements of the users. */
 export const STANDING_DAYS: readonly StandingDay[] = [
   SILENT_DAY,
@@ -123,11 +130,7 @@
     events: goodbyes,
   },
   {title: 'crashes of workers that come back', events: storm},
-  {
-    title: 'workers that go dark and come back',
-    isDark: true,
-    events: storm,
-  },
+  DARK_STORM,
 ];
 
 /** Time from a burst of jobs to the first trouble, in ms; each seed has its own. */
