--- a/packages/proofs/src/workflow/sim_connections.ts
+++ b/packages/proofs/src/workflow/sim_connections.ts
@@ -4,22 +4,26 @@
  */
 import {ConnectionTable} from '@primrosewick/transport';
 
-/** What a call without an answer does to the other connections to its address. */
-export type SilencePolicy =
-  /** Those that have gone silent are closed, as `ConnectionPool` does. */
+/** How connections are kept. */
+export type ConnectionPolicy =
+  /** They are not: each call opens one. */
+  | 'one_a_call'
+  /** A call without an answer closes those that have gone silent, as `ConnectionPool` does. */
   | 'closed_together'
-  /** Nothing: each is found out by a call of its own. */
+  /** A call without an answer closes its own; each silent one costs a call. */
   | 'each_by_itself';
 
 /** Options of {@link SimConnections}. */
 export interface SimConnectionsOptions {
   /** Virtual time, in ms. */
   readonly now: () => number;
-  readonly silencePolicy: SilencePolicy;
+  readonly policy: ConnectionPolicy;
 }
 
-/** What becomes of a call. */
-export interface CallEvents {
+/** A call, and what becomes of it. */
+export interface CallOptions {
+  /** Time for which the worker is asked to wait before it responds, in ms. */
+  readonly waitMs: number;
   /** It is sent over a connection. */
   readonly onSent: (connection: SimConnection) => void;
   /** Its connection closes before an answer. */
@@ -52,11 +56,11 @@
   constructor(private readonly options: SimConnectionsOptions) {}
 
   /** Begins a call, which is sent at once or when a connection is free. */
-  begin(address: string, events: CallEvents): SimCall {
+  begin(address: string, options: CallOptions): SimCall {
     const known =
       this.byAddress.get(address) ?? new AddressConnections(this.options);
     this.byAddress.set(address, known);
-    return known.begin(events);
+    return known.begin(options);
   }
 
   /** Mutes the connections that there are, to one address or to all. */
@@ -85,8 +89,8 @@
 
   constructor(private readonly options: SimConnectionsOptions) {}
 
-  begin(events: CallEvents): PendingCall {
-    const call = new PendingCall(this, events);
+  begin(options: CallOptions): PendingCall {
+    const call = new PendingCall(this, options);
     this.waiting.push(call);
     this.sendWaiting();
     return call;
@@ -110,15 +114,16 @@
   noteAnswer(connection: SimConnection): void {
     this.table.noteHeard(connection, this.options.now());
     this.busy.delete(connection);
-    this.idle.push(connection);
+    if (this.options.policy === 'one_a_call') this.close(connection);
+    else this.idle.push(connection);
     this.sendWaiting();
   }
 
-  noteNoAnswer(connection: SimConnection): void {
-    const {now, silencePolicy} = this.options;
-    const {idle, busy} = this.table.findSilent(connection, now());
+  noteNoAnswer(connection: SimConnection, waitMs: number): void {
+    const {now, policy} = this.options;
+    const {idle, busy} = this.table.findSilent(connection, now(), waitMs);
     this.close(connection);
-    if (silencePolicy === 'closed_together')
+    if (policy === 'closed_together')
       for (const silent of [...idle, ...busy]) this.close(silent);
     this.sendWaiting();
   }
@@ -156,7 +161,8 @@
   private takeConnection(): SimConnection | undefined {
     const idle = this.idle.pop();
     if (idle) return idle;
-    if (this.busy.size >= MAX_CONNECTIONS) return undefined;
+    const isKept = this.options.policy !== 'one_a_call';
+    if (isKept && this.busy.size >= MAX_CONNECTIONS) return undefined;
     return new SimConnection();
   }
 }
@@ -168,18 +174,18 @@
 
   constructor(
     private readonly owner: AddressConnections,
-    private readonly events: CallEvents,
+    private readonly options: CallOptions,
   ) {}
 
   send(connection: SimConnection): void {
     this.connection = connection;
-    this.events.onSent(connection);
+    this.options.onSent(connection);
   }
 
   lose(): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.events.onLost();
+    this.options.onLost();
   }
 
   noteAnswer(): void {
@@ -197,7 +203,8 @@
   giveUp(): boolean {
     if (this.isOver) return true;
     this.isOver = true;
-    if (this.connection) this.owner.noteNoAnswer(this.connection);
+    const {waitMs} = this.options;
+    if (this.connection) this.owner.noteNoAnswer(this.connection, waitMs);
     else this.owner.dropWaiting(this);
     return this.connection !== undefined;
   }
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -17,7 +17,7 @@
 import type {EventQueue} from '../world/event_queue.js';
 import {
   SimConnections,
-  type SilencePolicy,
+  type ConnectionPolicy,
   type SimCall,
   type SimConnection,
 } from './sim_connections.js';
@@ -42,7 +42,7 @@
   readonly random: Random;
   readonly network: SimNetwork;
   readonly faults: () => CallFaults;
-  readonly silencePolicy: SilencePolicy;
+  readonly connectionPolicy: ConnectionPolicy;
 }
 
 const CALL_TIMEOUT_MS = 1000;
@@ -69,9 +69,9 @@
   private readonly connections: SimConnections;
 
   constructor(private readonly options: SimOrdersOptions) {
-    const {queue, silencePolicy, network} = options;
+    const {queue, connectionPolicy: policy, network} = options;
     const now = () => queue.now;
-    this.connections = new SimConnections({now, silencePolicy});
+    this.connections = new SimConnections({now, policy});
     network.addClient(this.connections);
   }
 
@@ -99,23 +99,24 @@
           if (!network.isMute(worker)) reply(answer);
         }),
       );
-    return this.call(target, act, CALL_TIMEOUT_MS + order.waitMs);
+    return this.call(target, act, order.waitMs);
   }
 
   private call<T>(
     target: WorkerTarget,
     act: Passage<T>['act'],
-    timeoutMs = CALL_TIMEOUT_MS,
+    waitMs = 0,
   ): Promise<T | OrderFailure> {
     const {queue, random} = this.options;
     return new Promise(resolve => {
       const roll = random.nextInt(0, 99);
       const passage = {target, act, resolve, roll};
       const call: SimCall = this.connections.begin(target.address, {
+        waitMs,
         onSent: connection => this.carry(passage, connection, () => call),
         onLost: () => resolve(LOST),
       });
-      queue.after(timeoutMs, () =>
+      queue.after(CALL_TIMEOUT_MS + waitMs, () =>
         resolve(call.giveUp() ? NO_ANSWER : NO_CONNECTION),
       );
     });
