--- a/packages/coordination/src/workflow/ports.ts
+++ b/packages/coordination/src/workflow/ports.ts
@@ -11,6 +11,11 @@
 /** An incarnation of a worker and its address. */
 export interface WorkerTarget extends WorkerIncarnation {
   readonly address: string;
+  /**
+   * Whether its orders are outdated by now. One that has waited for a connection
+   * must not be sent then: another incarnation may hold the address.
+   */
+  readonly isOutdated?: () => boolean;
 }
 
 /** Order to start a run. */
--- a/packages/coordination/src/workflow/worker_channel.spec.ts
+++ b/packages/coordination/src/workflow/worker_channel.spec.ts
@@ -8,7 +8,12 @@
   testTask,
 } from '@primrosewick/state/fixtures';
 import {pause, systemClock} from '@primrosewick/transport';
-import type {OrderFailure, OrderPort} from './ports.js';
+import type {
+  HoldOrder,
+  OrderFailure,
+  OrderPort,
+  WorkerTarget,
+} from './ports.js';
 import {WorkerChannel} from './worker_channel.js';
 
 const logger = bunyan.createLogger({name: 'spec', level: 'fatal' as never});
@@ -23,6 +28,7 @@
   const sent: string[] = [];
   const recorded: WorkflowCommand[] = [];
   const failures: string[] = [];
+  const holds: Array<{target: WorkerTarget; order: HoldOrder}> = [];
   let failure: OrderFailure | undefined;
   const accept = (order: string) => async () => {
     sent.push(order);
@@ -31,8 +37,9 @@
   const port: OrderPort = {
     start: accept('start'),
     stop: accept('stop'),
-    hold: async () => {
+    hold: async (target, order) => {
       sent.push('hold');
+      holds.push({target, order});
       await pause(systemClock, 30);
       return {
         kind: 'lists',
@@ -63,7 +70,7 @@
   const answerWith = (answer: OrderFailure | undefined): void => {
     failure = answer;
   };
-  return {channel, sent, recorded, failures, answerWith};
+  return {log, channel, sent, holds, recorded, failures, answerWith};
 };
 
 describe('worker channel', () => {
@@ -116,4 +123,35 @@
     await channel.stop(stop);
     expect(sent.filter(order => order === 'stop')).to.have.length(2);
   });
+
+  // Guards against TWICE: the next incarnation forgot an end of its own.
+  it('ends are acknowledged only to a worker whose lists are known', async () => {
+    const {log, channel, holds, answerWith} = makeChannel(() => true);
+    log.submit('b', testSpec([testStep()]));
+    const other = testTask('b', 0, 0);
+    log.start('w1', other);
+    log.end('w1', other, 'done');
+    open.push(channel);
+    channel.open();
+    await pause(systemClock, 100);
+    const [first, second] = holds;
+    expect(first?.order.endsRecorded).to.equal(0);
+    expect(second?.order.endsRecorded).to.equal(1);
+    answerWith({kind: 'no_answer', detail: 'timeout'});
+    await channel.stop({task: TASK, run: 1, why: 'preempted'});
+    const known = holds.length;
+    await pause(systemClock, 100);
+    expect(holds[known]?.order.endsRecorded).to.equal(0);
+  });
+  it('an order that waits for a connection is outdated by a higher fence', async () => {
+    const {channel, holds, answerWith} = makeChannel(() => true);
+    open.push(channel);
+    channel.open();
+    await pause(systemClock, 50);
+    const {target} = holds.at(-1)!;
+    expect(target.isOutdated?.()).to.equal(false);
+    answerWith({kind: 'no_answer', detail: 'timeout'});
+    await channel.stop({task: TASK, run: 1, why: 'preempted'});
+    expect(target.isOutdated?.()).to.equal(true);
+  });
 });
--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -265,8 +265,9 @@
 
   private get target(): WorkerTarget {
     const {life, db} = this.options;
+    const {fence} = this;
     const address = db.findIncarnation(life)?.report.address ?? '';
-    return {...life, address};
+    return {...life, address, isOutdated: () => this.fence !== fence};
   }
 
   /** Why no start may be sent now that was planned before. */
@@ -368,7 +369,8 @@
     fence: number,
   ): Promise<HoldAnswer> {
     const {clock, leaseMs, port} = this.options;
-    const {endsRecorded} = this.runs;
+    // The next incarnation may get it, and would forget ends of its own.
+    const endsRecorded = this.isSynced ? this.runs.endsRecorded : 0;
     // A hold that may never be answered must not extend the lease.
     const leaseEnd =
       this.isSynced && !this.end.isLeaving
--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -46,11 +46,15 @@
 }
 
 const CALL_TIMEOUT_MS = 1000;
+/** Time to make a connection, in ms. */
+const CONNECT_MS = 1;
 const LOST = {kind: 'no_answer', detail: 'the connection closed'} as const;
 const NO_ANSWER = {kind: 'no_answer', detail: 'time'} as const;
 const REFUSED = {kind: 'not_sent', detail: 'connection refused'} as const;
 const NO_CONNECTION = {kind: 'not_sent', detail: 'no connection'} as const;
 
+const OUTDATED = {kind: 'not_sent', detail: 'outdated'} as const;
+
 const OTHER_LIFE: OrderFailure = {kind: 'other_life'};
 const NEXT_LIFE: OrderFailure = {kind: 'other_life', isNextLife: true};
 
@@ -111,11 +115,23 @@
     return new Promise(resolve => {
       const roll = random.nextInt(0, 99);
       const passage = {target, act, resolve, roll};
+      let hasWaited = false;
+      const carry = (connection: SimConnection): void =>
+        this.carry(passage, connection, () => call);
+      const carryUnlessOutdated = (connection: SimConnection): void => {
+        if (!target.isOutdated?.()) return carry(connection);
+        call.noteRefusal();
+        resolve(OUTDATED);
+      };
       const call: SimCall = this.connections.begin(target.address, {
         waitMs,
-        onSent: connection => this.carry(passage, connection, () => call),
+        onSent: connection => {
+          if (!hasWaited) return carry(connection);
+          queue.after(CONNECT_MS, () => carryUnlessOutdated(connection));
+        },
         onLost: () => resolve(LOST),
       });
+      hasWaited = true;
       queue.after(CALL_TIMEOUT_MS + waitMs, () =>
         resolve(call.giveUp() ? NO_ANSWER : NO_CONNECTION),
       );
