--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -172,12 +172,24 @@
 /** Name of a method. */
 export type LinkMethod = keyof LinkMethods;
 
-/** Deadline of a call to each method, in ms. */
+/** How calls to a method are made. */
+export interface LinkMethodTerms {
+  /** Deadline of a call, in ms. */
+  readonly deadlineMs: number;
+  /**
+   * Whether its calls go over another stream as soon as one may be silent. Calls
+   * about the log do: a leader without them for an election timeout is replaced.
+   * Others can wait, and their many callers must not reconnect to a VM that is slow.
+   */
+  readonly isUrgent?: boolean;
+}
+
+/** Terms of each method. */
 export const LINK_METHODS: {
-  readonly [M in LinkMethod]: {readonly deadlineMs: number};
+  readonly [M in LinkMethod]: LinkMethodTerms;
 } = {
   hello: {deadlineMs: 700},
-  consensus: {deadlineMs: 1000},
+  consensus: {deadlineMs: 1000, isUrgent: true},
   readIndex: {deadlineMs: 1000},
   readWorkflow: {deadlineMs: 300},
   readConfirmed: {deadlineMs: 1500},
--- a/packages/transport/src/link/client.ts
+++ b/packages/transport/src/link/client.ts
@@ -35,6 +35,8 @@
 /** Calls other VMs over one stream each. */
 export class LinkClient implements LinkCaller {
   private readonly connections = new Map<VmId, LinkConnection>();
+  /** Streams that may be silent, with calls that wait for an answer. */
+  private readonly replaced = new Set<LinkConnection>();
   /** Shared by all streams, since a timer per stream would keep waking an idle VM. */
   private livenessTimer: Timer | undefined;
 
@@ -46,7 +48,8 @@
     request: LinkMethods[M]['request'],
     options: Partial<CallOptions> = {},
   ): Promise<LinkMethods[M]['reply']> {
-    const {deadlineMs: timeoutMs} = LINK_METHODS[method];
+    const {deadlineMs: timeoutMs, isUrgent} = LINK_METHODS[method];
+    if (isUrgent) this.replaceIfSilent(to);
     const reply = await this.connectionTo(to).call(method, request, {
       timeoutMs,
       ...options,
@@ -56,8 +59,19 @@
 
   /** Closes all streams. */
   close(): void {
-    for (const connection of this.connections.values())
-      connection.close('stopping');
+    for (const connection of this.all) connection.close('stopping');
+  }
+
+  private get all(): readonly LinkConnection[] {
+    return [...this.connections.values(), ...this.replaced];
+  }
+
+  /** Lets calls go over another stream; this one is kept for the calls that wait on it. */
+  private replaceIfSilent(to: VmId): void {
+    const known = this.connections.get(to);
+    if (!known?.shouldReplace()) return;
+    this.connections.delete(to);
+    this.replaced.add(known);
   }
 
   private connectionTo(to: VmId): LinkConnection {
@@ -82,7 +96,8 @@
 
   private drop(to: VmId, connection: LinkConnection): void {
     if (this.connections.get(to) === connection) this.connections.delete(to);
-    if (this.connections.size > 0) return;
+    this.replaced.delete(connection);
+    if (this.connections.size + this.replaced.size > 0) return;
     this.livenessTimer?.cancel();
     this.livenessTimer = undefined;
   }
@@ -90,7 +105,9 @@
   /** Streams may go silent together: while one is suspect, idle ones are probed early. */
   private checkLiveness(): void {
     const now = performance.now();
-    const connections = [...this.connections.values()];
+    for (const connection of [...this.replaced])
+      if (!connection.hasCalls) connection.close('replaced');
+    const connections = this.all;
     const isOneSuspect = connections.some(connection =>
       connection.isSuspect(now),
     );
@@ -101,6 +118,7 @@
   }
 
   private isLivenessCheckDue(): boolean {
+    if (this.replaced.size > 0) return true;
     const now = performance.now();
     for (const connection of this.connections.values())
       if (connection.isLivenessCheckDue(now)) return true;
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -57,6 +57,12 @@
 export const PROBE_INTERVAL_MS = 300;
 /** Silence after which a stream without pending calls is probed, in ms. */
 const IDLE_PROBE_MS = 2000;
+/** Time without a frame after an urgent call until the stream is probed, in ms. */
+const URGENT_PROBE_MS = 100;
+/** Time without a frame after that probe until another stream is opened, in ms. */
+const REPLACE_MS = 200;
+/** Shortest age of a stream that is replaced, in ms. */
+const MIN_REPLACED_AGE_MS = 1000;
 /** Time without a frame after a call or probe that makes a stream suspect, in ms. */
 const SUSPECT_MS = 500;
 /** Silence after which an idle stream is probed because another is suspect, in ms. */
@@ -78,6 +84,9 @@
   private lastReceivedAt = performance.now();
   /** Monotonic time of the first call or probe since the last received frame, in ms. */
   private sentAt: number | undefined;
+  /** Monotonic time of the first probe since the last received frame, in ms. */
+  private probedAt: number | undefined;
+  private readonly createdAt = performance.now();
   private isOpen = false;
   private isClosed = false;
   private readonly openTimer: Timer;
@@ -178,6 +187,7 @@
   private take(frame: LinkFrame): void {
     this.lastReceivedAt = performance.now();
     this.sentAt = undefined;
+    this.probedAt = undefined;
     if (!this.isOpen) {
       this.isOpen = true;
       this.openTimer.cancel();
@@ -198,12 +208,35 @@
     this.stream.write(frame);
   }
 
+  private probe(): void {
+    this.probedAt ??= performance.now();
+    this.ask({kind: 'ping'});
+  }
+
+  /**
+   * Whether an urgent call should go over another stream: a probe of this one is not
+   * answered. Probes it if a call is not; a peer that is just slow answers the probe.
+   */
+  shouldReplace(): boolean {
+    const now = performance.now();
+    if (this.sentAt === undefined || now - this.sentAt < URGENT_PROBE_MS)
+      return false;
+    if (this.probedAt === undefined) this.probe();
+    const isOld = now - this.createdAt >= MIN_REPLACED_AGE_MS;
+    return isOld && now - this.probedAt! >= REPLACE_MS;
+  }
+
+  /** Whether any call waits for an answer. */
+  get hasCalls(): boolean {
+    return this.pending.size > 0;
+  }
+
   /** Probes a silent stream, and closes it if a call or probe stays unanswered. */
   checkLiveness(): void {
     const now = performance.now();
     if (!this.isLivenessCheckDue(now)) return;
     if (this.isUnresponsive(now)) this.close('the stream went silent');
-    else this.ask({kind: 'ping'});
+    else this.probe();
   }
 
   /** Whether a call or probe stays unanswered, so that other streams may be silent too. */
@@ -214,8 +247,7 @@
   /** Probes a stream on which nothing is awaited, as another one is suspect. */
   probeIfIdle(now: number): void {
     const isIdle = this.isOpen && this.sentAt === undefined;
-    if (isIdle && now - this.lastReceivedAt >= COMMON_PROBE_MS)
-      this.ask({kind: 'ping'});
+    if (isIdle && now - this.lastReceivedAt >= COMMON_PROBE_MS) this.probe();
   }
 
   /**
--- a/packages/transport/src/link/link_silence.spec.ts
+++ b/packages/transport/src/link/link_silence.spec.ts
@@ -23,6 +23,9 @@
 /** Longest time of a call over a new stream, in ms. */
 const NEW_STREAM_MS = 400;
 const LONG_MS = 5000;
+const HEARTBEAT_MS = 120;
+/** Silence after which a follower may elect another leader, in ms. */
+const ELECTION_MS = 700;
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -37,6 +40,7 @@
 class Peer {
   readonly disconnected: VmId[] = [];
   hellos = 0;
+  isConsensusSlow = false;
   pendingReads = 0;
 
   private constructor(readonly proxy: SilentProxy) {}
@@ -79,6 +83,10 @@
         this.hellos++;
         return HELLO;
       },
+      consensus: async () => {
+        if (this.isConsensusSlow) await pause(700);
+        return {envelopes: []};
+      },
       readWorkflow: (_q: unknown, _f: VmId, _d: number, signal: AbortSignal) =>
         read(signal),
     } as unknown as LinkHandlers;
@@ -179,6 +187,45 @@
     await expectAnswer(peers[1]!);
     expect(peers[1]!.proxy.opened).to.equal(1);
   });
+  /** Sends heartbeats for some time; @returns the longest time between answers, in ms. */
+  const longestBeatGap = async ({address}: Peer, durationMs: number) => {
+    const beganAt = performance.now();
+    const answeredAt = [beganAt];
+    while (performance.now() < beganAt + durationMs) {
+      client.call(address, 'consensus', {envelopes: []}).then(
+        () => answeredAt.push(performance.now()),
+        () => undefined,
+      );
+      await pause(HEARTBEAT_MS);
+    }
+    answeredAt.push(performance.now());
+    return Math.max(...answeredAt.slice(1).map((at, i) => at - answeredAt[i]!));
+  };
+  // A leader whose links went silent lost its quorum, and there was none for 3 s.
+  it('heartbeats are answered again within an election timeout, twice', async () => {
+    const peer = await Peer.start();
+    setTimeout(() => peer.proxy.silence(), 1100);
+    setTimeout(() => peer.proxy.silence(), 2700);
+    expect(await longestBeatGap(peer, 4500)).to.be.below(ELECTION_MS);
+    expect(peer.proxy.opened).to.equal(3);
+    await waitUntil(() => peer.proxy.openCount === 1);
+    expect(peer.proxy.openCount).to.equal(1);
+  });
+  it('a replaced stream that lives is closed once no call waits on it', async () => {
+    const peer = await Peer.start();
+    await longestBeatGap(peer, 1100);
+    peer.proxy.pause(450);
+    await longestBeatGap(peer, 1500);
+    expect(peer.proxy.opened).to.equal(2);
+    expect(peer.proxy.openCount).to.equal(1);
+  });
+  it('a peer that is slow to answer heartbeats, but answers probes, keeps its stream', async () => {
+    const peer = await Peer.start();
+    await longestBeatGap(peer, 1100);
+    peer.isConsensusSlow = true;
+    await longestBeatGap(peer, 1500);
+    expect(peer.proxy.opened).to.equal(1);
+  });
   it('leaves no connection open at its caller', async () => {
     const peer = await Peer.start();
     for (let i = 0; i < 3; i++) {
--- a/packages/transport/src/link/silent_proxy.ts
+++ b/packages/transport/src/link/silent_proxy.ts
@@ -58,6 +58,15 @@
     for (const connection of this.connections) connection.silence ??= direction;
   }
 
+  /** Holds up the bytes of the connections that there are, for a time in ms. */
+  pause(durationMs: number): void {
+    const sockets = [...this.connections].flatMap(({near, far}) => [near, far]);
+    for (const socket of sockets) socket.pause();
+    setTimeout(() => {
+      for (const socket of sockets) socket.resume();
+    }, durationMs);
+  }
+
   /** Closes all connections, and accepts no more. */
   close(): void {
     this.server.close();
