--- a/packages/transport/src/grpc/client.ts
+++ b/packages/transport/src/grpc/client.ts
@@ -53,13 +53,34 @@
   ) => void;
 }
 
+/** A call in flight. */
+interface OpenCall {
+  readonly sentAt: number;
+  /** Fails it. */
+  cancel: () => void;
+}
+
+/** Connection to one VM; times are monotonic, in ms. */
+interface PeerConnection {
+  readonly client: Client;
+  /** When the last answer came. */
+  heardAt: number;
+  readonly calls: Set<OpenCall>;
+}
+
+/** A call younger than this may be answered yet, whatever others come to, in ms. */
+const YOUNG_CALL_MS = 250;
 const CONNECT_TIMEOUT_MS = 400;
 const MAX_RECONNECT_MS = 1000;
 const MIN_RECONNECT_MS = 100;
 
-/** Calls other daemons over gRPC, with unary calls only. */
+/**
+ * Calls other daemons over gRPC, with unary calls only. A connection may go silent
+ * without a reset, and would stay ready for minutes: one call that meets its deadline
+ * closes it, unless it was answered on meanwhile.
+ */
 export class PeerClient implements PeerCaller {
-  private readonly clients = new Map<VmId, Client>();
+  private readonly connections = new Map<VmId, PeerConnection>();
 
   constructor(private readonly options: PeerClientOptions) {}
 
@@ -83,8 +104,8 @@
 
   /** Closes all connections. */
   close(): void {
-    for (const client of this.clients.values()) client.close();
-    this.clients.clear();
+    for (const {client} of this.connections.values()) client.close();
+    this.connections.clear();
   }
 
   /**
@@ -92,7 +113,7 @@
    * have been sent.
    */
   private connect(target: VmSettings, step: PeerMethod): Promise<void> {
-    const client = this.clientOf(target);
+    const {client} = this.connectionTo(target);
     const isReady =
       client.getChannel().getConnectivityState(true) ===
       connectivityState.READY;
@@ -137,24 +158,50 @@
       return decodeFrame(bytes);
     };
     const deadline = Date.now() + PEER_METHODS[method].deadlineMs;
+    const connection = this.connectionTo(target);
+    const sentAt = performance.now();
+    const open: OpenCall = {sentAt, cancel: () => undefined};
+    connection.calls.add(open);
     return new Promise((resolve, reject) => {
-      this.clientOf(target).makeUnaryRequest(
+      const call = connection.client.makeUnaryRequest(
         methodPath(method),
         serialize,
         deserialize,
         frame,
         new Metadata(),
         {deadline},
-        (err, reply) =>
-          reply && !err
-            ? resolve(reply)
-            : reject(toPeerError(err, method, target.vm)),
+        (err, reply) => {
+          connection.calls.delete(open);
+          this.noteEnd(target.vm, connection, sentAt, err);
+          if (reply && !err) resolve(reply);
+          else reject(toPeerError(err, method, target.vm));
+        },
       );
+      open.cancel = () => call.cancel();
     });
   }
 
-  private clientOf({vm, peer}: VmSettings): Client {
-    const known = this.clients.get(vm);
+  /** Notes the end of a call, and closes a connection on which nothing came since. */
+  private noteEnd(
+    vm: VmId,
+    connection: PeerConnection,
+    sentAt: number,
+    err: ServiceError | null,
+  ): void {
+    const now = performance.now();
+    const isAnswer = !err || err.code === status.FAILED_PRECONDITION;
+    if (isAnswer) connection.heardAt = now;
+    const isSilent =
+      err?.code === status.DEADLINE_EXCEEDED && connection.heardAt <= sentAt;
+    if (!isSilent || this.connections.get(vm) !== connection) return;
+    this.connections.delete(vm);
+    connection.client.close();
+    for (const call of connection.calls)
+      if (now - call.sentAt >= YOUNG_CALL_MS) call.cancel();
+  }
+
+  private connectionTo({vm, peer}: VmSettings): PeerConnection {
+    const known = this.connections.get(vm);
     if (known) return known;
     const client = new Client(peer, credentials.createInsecure(), {
       'grpc.max_receive_message_length': MAX_PEER_MESSAGE_BYTES,
@@ -164,8 +211,10 @@
       'grpc.enable_retries': 0,
       'grpc.use_local_subchannel_pool': 1,
     });
-    this.clients.set(vm, client);
-    return client;
+    const heardAt = Number.NEGATIVE_INFINITY;
+    const connection = {client, heardAt, calls: new Set<OpenCall>()};
+    this.connections.set(vm, connection);
+    return connection;
   }
 }
 
