--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -1,8 +1,9 @@
 /** One stream to another VM, with its pending calls. */
+import type {Socket} from 'node:net';
 import {
   Client,
   Metadata,
-  credentials,
+  type ChannelCredentials,
   type ClientDuplexStream,
 } from '@grpc/grpc-js';
 import {
@@ -22,6 +23,7 @@
 import {workMeter} from '../event_loop/work_meter.js';
 import {startTimeout, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
+import {trackedCredentials} from './tracked_credentials.js';
 
 /** Options of `LinkConnection`. */
 export interface LinkConnectionOptions {
@@ -87,12 +89,14 @@
   /** Monotonic time of the first probe since the last received frame, in ms. */
   private probedAt: number | undefined;
   private readonly createdAt = performance.now();
+  /** Sockets of a stream that is not open yet. */
+  private readonly opening = new Set<Socket>();
   private isOpen = false;
   private isClosed = false;
   private readonly openTimer: Timer;
 
   constructor(private readonly options: LinkConnectionOptions) {
-    this.client = new Client(options.to, credentials.createInsecure(), {
+    this.client = new Client(options.to, this.credentials(), {
       'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
       'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
       'grpc.enable_retries': 0,
@@ -181,9 +185,17 @@
     for (const id of [...this.pending.keys()]) this.failCall(id, detail);
     this.stream.cancel();
     this.client.close();
+    for (const socket of this.opening) socket.destroy();
     this.options.onClosed();
   }
 
+  private credentials(): ChannelCredentials {
+    return trackedCredentials(socket => {
+      if (this.isClosed) socket.destroy();
+      else if (!this.isOpen) this.opening.add(socket);
+    });
+  }
+
   private take(frame: LinkFrame): void {
     this.lastReceivedAt = performance.now();
     this.sentAt = undefined;
@@ -191,6 +203,7 @@
     if (!this.isOpen) {
       this.isOpen = true;
       this.openTimer.cancel();
+      this.opening.clear();
       this.settleOpened();
     }
     if (frame.kind !== 'reply' && frame.kind !== 'error') return;
--- a/packages/transport/src/link/link_silence.spec.ts
+++ b/packages/transport/src/link/link_silence.spec.ts
@@ -165,6 +165,8 @@
     }
     peer.proxy.isSilentAtOpen = false;
     await expectAnswer(peer);
+    await waitUntil(() => peer.proxy.openCount === 1);
+    expect(peer.proxy.openCount).to.equal(1);
   });
   // Guards against LOST: idle streams were found silent one after the other.
   it('all links go silent: once one is found, the others are too', async () => {
