--- a/packages/coordination/src/entry/upstream_port.ts
+++ b/packages/coordination/src/entry/upstream_port.ts
@@ -1,11 +1,11 @@
 /** HTTP client for upstreams. */
-import {Agent} from 'node:http';
 import {
   assertNever,
   type AttemptId,
   type UpstreamId,
 } from '@primrosewick/state';
 import {
+  ConnectionPool,
   HttpFailure,
   callHttp,
   pause,
@@ -41,7 +41,7 @@
 
 /** Sends attempts over HTTP; the granted slots bound the connections to each upstream. */
 export class HttpUpstreamPort implements UpstreamPort {
-  private readonly agents = new Map<UpstreamId, Agent>();
+  private readonly pools = new Map<UpstreamId, ConnectionPool>();
 
   constructor(private readonly options: HttpUpstreamPortOptions) {}
 
@@ -58,7 +58,7 @@
         body: call.request.body.length > 0 ? call.request.body : undefined,
         timeoutMs: attemptMs,
         maxResponseBytes: maxAnswerBytes,
-        agent: this.agentOf(call.upstream),
+        pool: this.poolOf(call.upstream),
         mayBegin: isShareValid,
       });
       return isRejected(answer)
@@ -80,8 +80,8 @@
 
   /** Closes all connections. */
   close(): void {
-    for (const agent of this.agents.values()) agent.destroy();
-    this.agents.clear();
+    for (const pool of this.pools.values()) pool.close();
+    this.pools.clear();
   }
 
   private async tryEnd(address: string, attempt: AttemptId): Promise<boolean> {
@@ -104,12 +104,16 @@
     }
   }
 
-  private agentOf(upstream: UpstreamId): Agent {
-    const known = this.agents.get(upstream);
+  private poolOf(upstream: UpstreamId): ConnectionPool {
+    const known = this.pools.get(upstream);
     if (known) return known;
-    const agent = new Agent({keepAlive: true});
-    this.agents.set(upstream, agent);
-    return agent;
+    const pool = new ConnectionPool({
+      maxConnections: Number.POSITIVE_INFINITY,
+      // A slow upstream must not lose the attempts beside the one that timed out.
+      keepsBusy: true,
+    });
+    this.pools.set(upstream, pool);
+    return pool;
   }
 }
 
--- a/packages/transport/src/http/connection_pool.ts
+++ b/packages/transport/src/http/connection_pool.ts
@@ -22,6 +22,11 @@
 export interface ConnectionPoolOptions {
   /** Maximum number of connections to one address. */
   readonly maxConnections: number;
+  /**
+   * Whether silent connections with a call in flight are left to it, as how long an
+   * answer may take is not known.
+   */
+  readonly keepsBusy?: boolean;
   /** Called when silent connections are closed. */
   readonly onSilent?: (closed: SilentConnections) => void;
 }
@@ -83,7 +88,9 @@
     if (!known || sentAt === undefined) return;
     const silent = [...known].filter(
       ([other, connection]) =>
-        other !== socket && isSilent(connection, sentAt, now),
+        other !== socket &&
+        isSilent(connection, sentAt, now) &&
+        !(this.options.keepsBusy && connection.sentAt !== undefined),
     );
     if (silent.length === 0) return;
     for (const [other] of silent) {
