--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -1,14 +1,14 @@
 /** HTTP client with deadlines, for calls to upstreams, workers and other services. */
 import {
-  Agent,
   request,
+  type Agent,
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
 import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
 import {startTimeout, type Timer} from '../tasks/timers.js';
 import {isCallable, splitAddress} from './address.js';
-import type {ConnectionPool} from './connection_pool.js';
+import {ConnectionPool} from './connection_pool.js';
 
 /** Options of an HTTP call. */
 export interface HttpCall {
@@ -60,7 +60,8 @@
   }
 }
 
-const DEFAULT_AGENT = new Agent({keepAlive: true, maxSockets: 64});
+/** Connections of calls that name neither an agent nor a pool; their timeouts differ. */
+const DEFAULT_POOL = new ConnectionPool({maxConnections: 64, keepsBusy: true});
 
 /**
  * Makes a call and reads its whole response.
@@ -78,12 +79,16 @@
   private isSettled = false;
   private req: ClientRequest | undefined;
   private timer: Timer | undefined;
+  private readonly pool: ConnectionPool | undefined;
 
   constructor(
     private readonly call: HttpCall,
     private readonly resolve: (answer: HttpResponse) => void,
     private readonly reject: (err: HttpFailure) => void,
-  ) {}
+  ) {
+    const {pool, agent} = call;
+    this.pool = pool ?? (agent ? undefined : DEFAULT_POOL);
+  }
 
   start(): void {
     const {call} = this;
@@ -108,7 +113,7 @@
 
   /** @returns undefined, with the call failed, where no request can be made. */
   private makeRequest(): ClientRequest | undefined {
-    const {address, method, path, headers, body, agent, pool} = this.call;
+    const {address, method, path, headers, body, agent} = this.call;
     const lengthHeader = body ? {'content-length': String(body.length)} : {};
     const target = splitAddress(address);
     if (!isCallable(target)) {
@@ -121,7 +126,7 @@
         method,
         path,
         headers: {...headers, ...lengthHeader},
-        agent: pool?.agent ?? agent ?? DEFAULT_AGENT,
+        agent: this.pool?.agent ?? agent,
       });
     } catch (err) {
       // A method, path or header with characters that HTTP does not allow.
@@ -132,26 +137,26 @@
 
   /** Sends the request; no byte of it is sent earlier. */
   private sendRequest(req: ClientRequest): void {
-    const {address, mayBegin, body, pool} = this.call;
+    const {address, mayBegin, body} = this.call;
     if (this.isSettled) return;
     if (mayBegin && !mayBegin())
       return this.fail('aborted', 'the call is no longer allowed to start');
     this.mayHaveSent = true;
-    if (req.socket) pool?.noteSent(address, req.socket, performance.now());
+    if (req.socket) this.pool?.noteSent(address, req.socket, performance.now());
     req.end(body);
   }
 
   private timeOut(): void {
-    const {address, pool} = this.call;
+    const {address} = this.call;
     const socket = this.req?.socket;
     this.fail('timeout', 'no answer before the deadline');
     if (this.mayHaveSent && socket)
-      pool?.noteSilent(address, socket, performance.now());
+      this.pool?.noteSilent(address, socket, performance.now());
   }
 
   private readResponse(res: IncomingMessage): void {
-    const {address, pool} = this.call;
-    pool?.noteHeard(address, res.socket, performance.now());
+    const {address} = this.call;
+    this.pool?.noteHeard(address, res.socket, performance.now());
     const parts: Buffer[] = [];
     let length = 0;
     res.on('data', (part: Buffer) => {
--- a/packages/transport/src/http/connection_pool.spec.ts
+++ b/packages/transport/src/http/connection_pool.spec.ts
@@ -136,6 +136,24 @@
     expect((await slow).sort()).to.eql(['ok', 'timeout']);
     expect(await young).to.equal('ok');
   });
+  it('calls without a pool of their own share one that does the same', async () => {
+    const callWithout = (delayMs = 0): Promise<string> =>
+      callHttp({
+        address,
+        method: 'GET',
+        path: '/',
+        headers: {'x-delay-ms': String(delayMs)},
+        timeoutMs: TIMEOUT_MS,
+        maxResponseBytes: 1000,
+      }).then(
+        () => 'ok',
+        (err: {kind: string}) => err.kind,
+      );
+    await Promise.all([callWithout(20), callWithout(20), callWithout(20)]);
+    server.silence();
+    expect(await callWithout()).to.equal('timeout');
+    expect(await callWithout()).to.equal('ok');
+  });
   it('a connection that could not be made closes no other', async () => {
     await fill();
     server.close();
