--- a/packages/transport/src/http/connection_pool.ts
+++ b/packages/transport/src/http/connection_pool.ts
@@ -31,6 +31,11 @@
 export interface ConnectionPoolOptions {
   /** Maximum number of connections to one address. */
   readonly maxConnections: number;
+  /**
+   * Whether silent connections with a call in flight are left to it, as how long an
+   * answer may take is not known.
+   */
+  readonly keepsBusy?: boolean;
   /** Called when silent connections are closed. */
   readonly onSilent?: (closed: SilentConnections) => void;
 }
@@ -71,7 +76,8 @@
     const found = this.byAddress.get(address)?.findSilent(socket, now, waitMs);
     this.forget(address, socket);
     if (!found) return;
-    const {idle, busy, silentMs} = found;
+    const {idle, silentMs} = found;
+    const busy = this.options.keepsBusy ? [] : found.busy;
     const silent = [...idle, ...busy];
     if (silent.length === 0) return;
     for (const other of silent) {
