--- a/packages/proofs/src/workflow/standing.spec.ts
+++ b/packages/proofs/src/workflow/standing.spec.ts
@@ -23,6 +23,10 @@
 
 /** Duration of runs that outlast the time for which a job may stand, in ms. */
 const LONG_RUN_MS = 6000;
+const SHORT_RUN_MS = 500;
+const BURST = 24;
+/** Time for which a job may stand, in ms. */
+const MAX_STANDING_MS = 3000;
 /** Time until the world counts as calm, in ms. */
 const CALM_MS = 8000;
 
@@ -92,6 +96,18 @@
         connectionPolicy: 'closed_together',
       }),
     )).timeout(TIMEOUT_MS);
+  it('orders over silent connections are settled by a new one within 3 s', async () => {
+    for (let seed = 1; seed <= WORLDS; seed++) {
+      const world = new WorkflowWorld(seed, {...CHECKED, runMs: SHORT_RUN_MS});
+      await world.start();
+      for (let i = 0; i < BURST; i++) world.submit(SMALL_JOB);
+      await world.advance(CALM_MS);
+      world.silenceConnections();
+      for (let i = 0; i < BURST; i++) world.submit(SMALL_JOB);
+      await world.advance(MAX_STANDING_MS + SHORT_RUN_MS);
+      expect(world.phases()).to.not.include('open');
+    }
+  }).timeout(TIMEOUT_MS);
   it('a small job behind a gang that waits for all workers', async () => {
     const world = new WorkflowWorld(1, {...CHECKED, runMs: LONG_RUN_MS});
     await world.start();
