--- a/packages/coordination/src/workflow/advice_callers.ts
+++ b/packages/coordination/src/workflow/advice_callers.ts
@@ -30,14 +30,17 @@
  * Notes a call sent at a monotonic time in ms that the adviser did not answer. Its
  * connection may have gone silent, and the VM has closed all such connections since,
  * unlike other VMs. So the VM is avoided only if a later call fails too.
+ * @returns whether that is so.
  */
 export const noteUnanswered = (
   caller: CallerLoad,
   sentAt: number,
   now: number,
-): void => {
+): boolean => {
   caller.unansweredAt ??= now;
-  if (sentAt >= caller.unansweredAt) avoidCaller(caller, now);
+  const isRepeated = sentAt >= caller.unansweredAt;
+  if (isRepeated) avoidCaller(caller, now);
+  return isRepeated;
 };
 
 /** Notes an answer of the adviser. */
--- a/packages/coordination/src/workflow/advice_dispatcher.ts
+++ b/packages/coordination/src/workflow/advice_dispatcher.ts
@@ -34,7 +34,7 @@
   noteUnanswered,
   type CallerLoad,
 } from './advice_callers.js';
-import {UnansweredSteps, patienceMs} from './advice_patience.js';
+import {AdvicePatience, UnansweredSteps} from './advice_patience.js';
 import {
   isAnswer,
   logFailedCall,
@@ -96,6 +96,7 @@
   private readonly loads = new Map<VmId, CallerLoad>();
   private readonly queueLog: AdviceQueueLog;
   private readonly unanswered = new UnansweredSteps();
+  private readonly patience = new AdvicePatience();
   private waiting: QueuedCall[] = [];
   /** Monotonic time at which the last short call was enqueued, in ms. */
   private shortWantedAt = Number.NEGATIVE_INFINITY;
@@ -322,7 +323,7 @@
     const sentAt = this.options.clock.now();
     const expectedMs = caller.backlogMs + costMs;
     const unansweredCount = this.unanswered.get(key)?.count ?? 0;
-    const answerMs = patienceMs(expectedMs, unansweredCount);
+    const answerMs = this.patience.answerMs(expectedMs, unansweredCount);
     return {key, sentAt, expectedMs, answerMs, tries: unansweredCount + 1};
   }
 
@@ -349,10 +350,11 @@
       case 'allowed':
       case 'busy':
         noteAnswered(caller);
+        this.patience.noteAnswer(now - sentAt, sent.expectedMs);
         this.unanswered.forget(key);
         return;
       case 'unanswered':
-        noteUnanswered(caller, sentAt, now);
+        if (noteUnanswered(caller, sentAt, now)) this.patience.noteSlow();
         this.unanswered.note(key, caller.vm, now >= sentAt + answerMs);
         break;
       case 'failed':
--- a/packages/coordination/src/workflow/advice_patience.ts
+++ b/packages/coordination/src/workflow/advice_patience.ts
@@ -20,20 +20,43 @@
   readonly vm: VmId;
 }
 
+/** Largest growth of all waits. */
+const MAX_GROWTH = 8;
+
 /**
- * Time to wait for an answer that is expected after `expectedMs`, in ms. The first
- * unanswered call is one more for a silent connection. After the second the adviser
- * may be slow or hung, and it may still serve what was given up: it is waited for
- * ever longer.
+ * Decides how long answers are waited for. The first unanswered call of a VM is one
+ * more for a silent connection. After the second the adviser may be slow or hung, and
+ * it still serves what was given up: all calls are waited for longer until it answers,
+ * as they would flood it otherwise.
  */
-export const patienceMs = (
-  expectedMs: number,
-  unansweredCount: number,
-): number => {
-  const soundMs = MIN_PATIENCE_MS + SLOW_FACTOR * expectedMs;
-  const growth = 2 ** Math.max(0, unansweredCount - GROWS_AFTER);
-  return Math.max(soundMs, Math.min(MAX_PATIENCE_MS, growth * soundMs));
-};
+export class AdvicePatience {
+  private growth = 1;
+
+  /** Time to wait for an answer that is expected after `expectedMs`, in ms. */
+  answerMs(expectedMs: number, unansweredCount: number): number {
+    const soundMs = soundMsOf(expectedMs);
+    const ofStep = 2 ** Math.max(0, unansweredCount - GROWS_AFTER);
+    const growth = Math.max(ofStep, this.growth);
+    return Math.max(soundMs, Math.min(MAX_PATIENCE_MS, growth * soundMs));
+  }
+
+  /** Notes that a VM has had no answer over a new connection either. */
+  noteSlow(): void {
+    this.growth = Math.min(MAX_GROWTH, 2 * this.growth);
+  }
+
+  /** Notes an answer; waits shrink by half with each that comes early enough for that. */
+  noteAnswer(tookMs: number, expectedMs: number): void {
+    const neededGrowth = (SLOW_FACTOR * tookMs) / soundMsOf(expectedMs);
+    this.growth = Math.min(
+      MAX_GROWTH,
+      Math.max(1, neededGrowth, this.growth / 2),
+    );
+  }
+}
+
+const soundMsOf = (expectedMs: number): number =>
+  MIN_PATIENCE_MS + SLOW_FACTOR * expectedMs;
 
 /** Remembers which steps have calls that were not answered. */
 export class UnansweredSteps {
--- a/packages/coordination/src/workflow/advice_unanswered.spec.ts
+++ b/packages/coordination/src/workflow/advice_unanswered.spec.ts
@@ -32,6 +32,8 @@
   /** How many times longer than expected the adviser takes. */
   slowness = 1;
   isHung = false;
+  /** Whether the calls of all VMs are served one after the other. */
+  isShared = false;
   readonly calls: MadeCall[] = [];
   readonly advisedAt = new Map<string, number>();
   readonly lines: Array<Record<string, unknown>> = [];
@@ -82,6 +84,11 @@
     for (const vm of VMS) this.silent.add(vm);
   }
 
+  /** Keeps the shared adviser busy with other work for a time in ms. */
+  stall(durationMs: number): void {
+    this.freeAt.set(VMS[0]!, this.now + durationMs);
+  }
+
   async runUntil(end: number): Promise<void> {
     while (this.now < end) {
       this.now += STEP_MS;
@@ -112,10 +119,11 @@
     const {vm, workflow, deadline} = call;
     const terms = this.wanted.get(workflow)!;
     const costMs = (terms.baseMs + terms.perWorkerMs * workers) * this.slowness;
-    const endAt = Math.max(this.now, this.freeAt.get(vm) ?? 0) + costMs;
+    const served = this.isShared ? VMS[0]! : vm;
+    const endAt = Math.max(this.now, this.freeAt.get(served) ?? 0) + costMs;
     const {silences} = this;
     const isLost = this.silent.has(vm) || this.isHung;
-    if (!isLost) this.freeAt.set(vm, endAt);
+    if (!isLost) this.freeAt.set(served, endAt);
     return new Promise(resolve => {
       this.at(deadline, () => {
         this.silent.delete(vm);
@@ -199,6 +207,34 @@
     await cell.runUntil(25_000);
     expect(cell.advisedAt.has('w')).to.equal(true);
   });
+  // It serves what was given up, too: calls repeated early would never be answered.
+  it('an adviser far slower than expected is not flooded', async () => {
+    cell.isShared = true;
+    cell.slowness = 2;
+    cell.stall(2000);
+    for (let i = 0; i < 160; i++) {
+      cell.want(`w${i}`);
+      await cell.runUntil(cell.now + 50);
+    }
+    await cell.runUntil(25_000);
+    expect(cell.advisedAt.size).to.equal(160);
+    expect(cell.calls.length).to.be.below(2 * 160);
+  });
+  it('an adviser that was slow is soon expected to be sound again', async () => {
+    cell.isHung = true;
+    cell.want('w');
+    await cell.runUntil(10_000);
+    cell.isHung = false;
+    await cell.runUntil(15_000);
+    for (let i = 0; i < 4; i++) {
+      cell.want(`x${i}`);
+      await cell.runUntil(cell.now + 300);
+    }
+    cell.silence();
+    cell.want('y');
+    const {sentAt, deadline} = cell.calls.at(-1)!;
+    expect(deadline - sentAt).to.be.below(1000);
+  });
   it('a VM that answers again is not avoided for an earlier silence', async () => {
     for (let i = 0; i < 2 * VMS.length; i++) {
       cell.silence();
