--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -403,8 +403,9 @@
   }
 
   private applyPlan({starts, stops, advice, waits}: Plan): void {
-    const now = this.options.clock.now();
-    for (const wait of waits) this.waitLog.note(wait, now);
+    const {clock} = this.options;
+    const now = clock.now();
+    this.waitLog.notePass(waits, {now, wall: clock.wall()});
     this.load.notePass(waits, now);
     for (const request of advice) {
       const workflow = this.db.open.get(request.step.workflow);
--- a/packages/coordination/src/workflow/wait_log.ts
+++ b/packages/coordination/src/workflow/wait_log.ts
@@ -1,6 +1,7 @@
 /** Logs why steps wait, at a bounded rate. */
 import type Logger from 'bunyan';
 import {stepKey, type PlannedWait, type StepKey} from '@primrosewick/state';
+import {QuarantineLog, type PassTimes} from './quarantine_log.js';
 
 /** Interval at which a wait with an unchanged reason is logged again, in ms. */
 const REPEAT_INTERVAL_MS = 2000;
@@ -18,7 +19,17 @@
 export class WaitLog {
   private readonly logged = new Map<StepKey, LoggedWait>();
 
-  constructor(private readonly logger: Logger) {}
+  private readonly quarantine: QuarantineLog;
+
+  constructor(private readonly logger: Logger) {
+    this.quarantine = new QuarantineLog(logger);
+  }
+
+  /** Notes all waits of one pass. */
+  notePass(waits: readonly PlannedWait[], times: PassTimes): void {
+    for (const wait of waits) this.note(wait, times.now);
+    this.quarantine.notePass(waits, times);
+  }
 
   /** Notes a wait of one pass, at a monotonic time in ms. */
   note({step, why, taskCount, candidateCount}: PlannedWait, now: number): void {
--- a/packages/state/src/workflow/crashes/core.ts
+++ b/packages/state/src/workflow/crashes/core.ts
@@ -50,6 +50,11 @@
     return this.records.has(unit);
   }
 
+  /** Wall time of the latest crash under a unit, in ms since 1970. */
+  latestCrashAt(unit: CrashUnit): number | undefined {
+    return this.records.get(unit)?.crashes.at(-1)?.at;
+  }
+
   /**
    * Notes a crash under all units that the worker had just started.
    * @returns the units that are at fault.
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -228,7 +228,7 @@
         ? this.chooseFirst(work, quiet)
         : this.chooseWorker(work, quiet);
       if (!worker && isSuspect) {
-        this.waitForQuiet(work, candidates);
+        this.waitForQuiet(work, candidates, [index]);
         continue;
       }
       if (!worker) {
@@ -258,7 +258,7 @@
       const worker = this.chooseWorker(work, candidates);
       if (!worker && this.quarantine.isSuspect(gang)) {
         for (const {worker: place} of placements) releaseResources(work, place);
-        return this.waitForQuiet(work, all, waiting.length);
+        return this.waitForQuiet(work, all, waiting);
       }
       if (!worker) {
         for (const {worker: place} of placements) releaseResources(work, place);
@@ -306,12 +306,20 @@
   private waitForQuiet(
     work: StepWork,
     candidates: readonly WorkerView[],
-    taskCount = 1,
+    indexes: readonly number[],
   ): void {
     const size = taskResources(work);
     const fitting = candidates.filter(({free}) => fitsInto(size, free));
-    for (let i = 0; i < taskCount; i++) this.quarantine.hold(fitting);
-    this.wait(work, 'quarantine', taskCount, fitting.length);
+    const task = {...work.ready.ref, index: indexes[0] ?? 0};
+    const suspect = this.quarantine.waitOf(task, fitting);
+    indexes.forEach(() => this.quarantine.hold(fitting));
+    this.waits.push({
+      step: work.ready.ref,
+      why: 'quarantine',
+      taskCount: indexes.length,
+      candidateCount: fitting.length,
+      suspect,
+    });
   }
 
   private wait(
--- a/packages/state/src/workflow/planner/quarantine.ts
+++ b/packages/state/src/workflow/planner/quarantine.ts
@@ -9,7 +9,7 @@
 import type {CrashUnit} from '../crashes/types.js';
 import {taskRefOf} from '../refs.js';
 import type {TaskRef, WorkerState} from '../types.js';
-import type {PlanInput, WorkerView} from './types.js';
+import type {PlanInput, SuspectWait, WorkerView} from './types.js';
 
 type Inputs = Pick<PlanInput, 'db' | 'pending' | 'wall'>;
 
@@ -82,6 +82,25 @@
     this.held.add(soonest.worker);
   }
 
+  /** What a suspect waits for that may start on some workers with room for it. */
+  waitOf(task: TaskRef, fitting: readonly WorkerView[]): SuspectWait {
+    const {crashes} = this.input.db;
+    const since = crashes.latestCrashAt(crashes.unitOf(task));
+    const quietAt = Math.min(...fitting.map(view => this.quietAt(view)));
+    return {
+      suspectCount: crashes.size,
+      since: since ?? this.input.wall,
+      ...(Number.isFinite(quietAt) && {quietAt}),
+    };
+  }
+
+  private quietAt({worker}: WorkerView): number {
+    const {lastAt = 0, suspect, suspectAt = 0} = this.recent.get(worker) ?? {};
+    const windowMs = suspect ? SUSPECT_WINDOW_MS : CRASH_WINDOW_MS;
+    const from = suspect ? suspectAt : lastAt;
+    return Math.max(this.input.wall, from + windowMs);
+  }
+
   private noteRuns(worker: WorkerId, {active}: WorkerState): void {
     const {wall} = this.input;
     for (const {task, startedAt = 0} of active.values())
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -121,6 +121,19 @@
   /** The gang would not fit even on empty workers. */
   | 'never_fits_now';
 
+/** What a suspect waits for. */
+export interface SuspectWait {
+  /** Number of suspects of the cell, whether they wait or not. */
+  readonly suspectCount: number;
+  /** Wall time of the latest crash under it, in ms since 1970. */
+  readonly since: number;
+  /**
+   * Wall time at which a worker that could take it will be quiet, if nothing else
+   * is started there, in ms since 1970; absent if none has room for it.
+   */
+  readonly quietAt?: number;
+}
+
 /** A step with waiting tasks. */
 export interface PlannedWait {
   readonly step: StepRef;
@@ -128,6 +141,8 @@
   readonly taskCount: number;
   /** Number of workers that may run the step and are usable now. */
   readonly candidateCount: number;
+  /** Given if it waits in quarantine. */
+  readonly suspect?: SuspectWait;
 }
 
 /** Decisions of one pass. */
