--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -97,6 +97,11 @@
         resolve({kind: 'no_answer', detail: 'time'}),
       );
       if (isLost) return;
+      const endConnection = (): void => {
+        if (!network.isSilent(listener))
+          resolve({kind: 'no_answer', detail: 'connection ended'});
+      };
+      listener.onCrashInSight(endConnection, timeoutMs);
       const delayMs = isLate
         ? random.nextInt(2000, 12_000)
         : random.nextInt(1, 20);
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -105,6 +105,8 @@
   /** Highest run that ended or was stopped, by task. */
   private readonly barred = new Map<TaskKey, number>();
   private waiters: Array<() => void> = [];
+  /** Told when a crash ends its connections in sight of those who call. */
+  private readonly callers = new Set<() => void>();
 
   constructor(private readonly options: SimWorkerOptions) {
     this.rooms = new RoomHistory(options.room);
@@ -140,6 +142,12 @@
     this.goDown();
   }
 
+  /** Tells a call in progress if a crash by a task ends its connection. */
+  onCrashInSight(tell: () => void, timeoutMs: number): void {
+    this.callers.add(tell);
+    this.options.queue.after(timeoutMs, () => this.callers.delete(tell));
+  }
+
   private goDown(): void {
     const runs = [...this.running.values()];
     for (const run of runs) this.remove(run);
@@ -152,6 +160,9 @@
   private crashBy(task: TaskRef, downMs: number): void {
     this.options.oracle.recordCrashBy(task);
     this.crash();
+    const callers = [...this.callers];
+    this.callers.clear();
+    for (const tell of callers) tell();
     this.options.queue.after(downMs, () => this.restart());
   }
 
