--- a/packages/proofs/src/workflow/sim_orders.ts
+++ b/packages/proofs/src/workflow/sim_orders.ts
@@ -38,7 +38,10 @@
 }
 
 const CALL_TIMEOUT_MS = 1000;
+/** Time until a connection is refused, in ms. */
+const REFUSAL_MS = 2;
 type OtherLife = Extract<OrderAnswer, {kind: 'other_life'}>;
+type NoAnswer = Extract<OrderAnswer, {kind: 'no_answer' | 'not_sent'}>;
 
 const OTHER_LIFE: OtherLife = {kind: 'other_life'};
 const NEXT_LIFE: OtherLife = {...OTHER_LIFE, isNextLife: true};
@@ -83,7 +86,7 @@
     target: WorkerTarget,
     act: (worker: SimWorker) => T,
     timeoutMs = CALL_TIMEOUT_MS,
-  ): Promise<T | {kind: 'no_answer'; detail: string} | OtherLife> {
+  ): Promise<T | NoAnswer | OtherLife> {
     const {queue, random, network} = this.options;
     return new Promise(resolve => {
       const listener = network.listenerAt(target.address);
@@ -96,6 +99,10 @@
       queue.after(timeoutMs, () =>
         resolve({kind: 'no_answer', detail: 'time'}),
       );
+      if (!isSilent && listener.refusesConnections)
+        return queue.after(REFUSAL_MS, () =>
+          resolve({kind: 'not_sent', detail: 'connection refused'}),
+        );
       if (isLost) return;
       const endConnection = (): void => {
         if (!network.isSilent(listener))
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -91,6 +91,8 @@
   bornAt = 1;
   isUp = true;
   isDraining = false;
+  /** Whether it is down after a crash by a task, so that connections are refused. */
+  refusesConnections = false;
   private fence = 0;
   private leaseEnd = 0;
   private bootTime = 0;
@@ -160,6 +162,7 @@
   private crashBy(task: TaskRef, downMs: number): void {
     this.options.oracle.recordCrashBy(task);
     this.crash();
+    this.refusesConnections = true;
     const callers = [...this.callers];
     this.callers.clear();
     for (const tell of callers) tell();
@@ -170,6 +173,7 @@
   restart(forgedStart = 0): void {
     if (this.isUp) return;
     this.isUp = true;
+    this.refusesConnections = false;
     this.isDraining = false;
     this.bornAt = Math.max(this.bornAt, forgedStart - 1) + START_STEP;
     this.fence = 0;
