--- a/packages/coordination/src/workflow/worker_channel.ts
+++ b/packages/coordination/src/workflow/worker_channel.ts
@@ -27,6 +27,7 @@
 import {StartLedger, type ExpectedStart} from './start_ledger.js';
 import {StopLedger, type StopRequest} from './stop_ledger.js';
 import {UnsureLog, type UnsureWait} from './unsure_log.js';
+import {WatchedOrders} from './watched_orders.js';
 import type {WorkerChannelOptions} from './worker_channel_options.js';
 import {WorkerClock} from './worker_clock.js';
 
@@ -48,6 +49,7 @@
   readonly progress = new ProgressTracker();
   /** When the worker was last heard. */
   readonly silence = new Silence();
+  private readonly orders: WatchedOrders;
   /** How its incarnation ends. */
   readonly end: LifeEnd;
   private readonly starts = new StartLedger();
@@ -85,6 +87,7 @@
       lifeLog,
     });
     const {workerClock, silence, runs} = this;
+    this.orders = new WatchedOrders({...options, silence});
     this.lapse = new LapseCheck({
       ...options,
       workerClock,
@@ -216,7 +219,6 @@
     if (this.isClosed) return;
     if (answer.kind === 'accepted') {
       const at = this.options.clock.now();
-      this.silence.noteAnswer(this.options.clock.wall());
       this.workerClock.note(at, answer.clockMs);
       this.starts.confirm(order.task, order.run, at);
       this.options.onStarted(order.task);
@@ -239,12 +241,12 @@
 
   /** Orders a run to stop, unless that was done recently. */
   async stop({task, run, why, inFavourOf}: StopRequest): Promise<void> {
-    const {clock, port, onStop} = this.options;
+    const {clock, onStop} = this.options;
     if (!this.isUsable || !this.options.mayOrder()) return;
     if (!this.stops.note(task, run, clock.now())) return;
     onStop?.({task, run, why, inFavourOf});
     const {target, fence} = this;
-    const answer = await port.stop(target, {task, run, fence});
+    const answer = await this.orders.stop(target, {task, run, fence});
     if (answer.kind === 'accepted') {
       this.workerClock.note(clock.now(), answer.clockMs);
       this.runs.noteStopped({task, run}, clock.now());
@@ -274,13 +276,13 @@
   }
 
   private async sendStart(order: StartRequest): Promise<OrderAnswer> {
-    const {clock, leaseMs, port} = this.options;
+    const {clock, leaseMs} = this.options;
     const leaseEnd = this.workerClock.leaseFor(clock.now(), leaseMs);
     if (!this.isUsable || leaseEnd === undefined)
       return {kind: 'refused', why: 'unhealthy'};
     const settle = this.responses.begin(clock.now());
     const {target, fence} = this;
-    const answer = await port.start(target, {...order, leaseEnd, fence});
+    const answer = await this.orders.start(target, {...order, leaseEnd, fence});
     settle();
     return answer;
   }
@@ -304,7 +306,6 @@
     switch (failure.kind) {
       case 'not_sent':
       case 'no_answer':
-        this.silence.noteFailure(this.options.clock.now());
         return this.raiseFence(failure.detail);
       case 'other_life':
         this.raiseFence(`another incarnation answers at ${address}`);
@@ -371,14 +372,14 @@
     target: WorkerTarget,
     fence: number,
   ): Promise<HoldAnswer> {
-    const {clock, leaseMs, port} = this.options;
+    const {clock, leaseMs} = this.options;
     const {endsRecorded} = this.runs;
     // A hold that may never be answered must not extend the lease.
     const leaseEnd =
       this.isSynced && !this.end.isLeaving
         ? this.workerClock.leaseFor(clock.now(), leaseMs)
         : undefined;
-    const answer = await port.hold(target, {
+    const answer = await this.orders.hold(target, {
       fence,
       endsRecorded,
       waitMs: this.isSynced ? HOLD_WAIT_MS : 0,
@@ -396,7 +397,6 @@
   ): Promise<void> {
     const {clock, onChange} = this.options;
     this.retryMs = MIN_RETRY_MS;
-    this.silence.noteAnswer(clock.wall());
     this.workerClock.note(clock.now(), answer.clockMs);
     if (this.lapse.noteAnswer()) this.log.back();
     this.progress.note(answer.running, clock.now());
--- a/packages/state/src/workflow/crashes/core.ts
+++ b/packages/state/src/workflow/crashes/core.ts
@@ -6,7 +6,9 @@
  *
  * Only what a worker had just started is suspected of its crash. A suspect is
  * started again where nothing else is started meanwhile, so that its next crash
- * blames it alone.
+ * blames it alone; where many wait, beside a third of the suspects of its crash at
+ * most. Workers that are cut off crash unseen, so most suspects are innocent: a
+ * unit is given up for crashes that it had to itself, never for shared ones.
  */
 import {stepKey, taskKey} from '../refs.js';
 import type {TaskRef, WorkflowId} from '../types.js';
@@ -26,16 +28,27 @@
 export const SOUND_RUN_MS = 3 * CRASH_WINDOW_MS;
 /** Crashes after which a unit is given up, if one of them was its alone. */
 const MAX_CRASHES = 2;
-/** Crashes after which a unit is given up in any case. */
-const MAX_SHARED_CRASHES = 3;
+/**
+ * Crashes after which it is given up without such a one, and how many of them
+ * blame no other unit: each may have come after the run had ended.
+ */
+const MAX_UNSURE_CRASHES = 3;
+const MIN_ALONE = 2;
+/** One in so many of the suspects of a crash may be started together. */
+const GROUP_SHARE = 3;
+/** Maximum number of suspects that may be started together. */
+const MAX_GROUP = 8;
 /** Crashes of a unit that are kept. */
 const MAX_CRASHES_KEPT = 6;
 /** With this many others that fall silent, a crash says little about a task. */
 const MIN_TOGETHER = 2;
 
+/** What the unit of a gang ends with, after the key of its step. */
+const GANG_SUFFIX = '.*';
+
 /** The unit of a task; the members of a gang are one. */
 export const crashUnitOf = (task: TaskRef, isGang: boolean): CrashUnit =>
-  (isGang ? `${stepKey(task)}.*` : taskKey(task)) as CrashUnit;
+  (isGang ? stepKey(task) + GANG_SUFFIX : taskKey(task)) as CrashUnit;
 
 /** Crashes by unit; a unit with a crash is a suspect. */
 export class CrashLedger {
@@ -55,6 +68,21 @@
     return this.records.get(unit)?.crashes.at(-1)?.at;
   }
 
+  /**
+   * How many suspects, itself included, may be started where the unit is. One
+   * that has crashed two workers is alone, so that a third one tells.
+   */
+  groupLimit(unit: CrashUnit): number {
+    const crashes = this.records.get(unit)?.crashes ?? [];
+    const {groupSize = 1} = crashes.at(-1) ?? {};
+    const isGang = unit.endsWith(GANG_SUFFIX);
+    if (isGang || crashes.filter(isTelling).length >= MAX_CRASHES) return 1;
+    return Math.max(
+      1,
+      Math.min(MAX_GROUP, Math.floor(groupSize / GROUP_SHARE)),
+    );
+  }
+
   /**
    * Notes a crash under all units that the worker had just started.
    * @returns the units that are at fault.
@@ -62,13 +90,16 @@
   note(crashed: CrashedWorker): CrashRecord[] {
     const runs = suspectRuns(crashed);
     const units = new Map(runs.map(run => [run.unit, run]));
-    const {togetherCount, heardAt = 0} = crashed.evidence;
+    const groupSize = units.size;
+    const {togetherCount, heardAt = 0, isDark} = crashed.evidence;
     const isTogether = togetherCount >= MIN_TOGETHER;
     const atFault: CrashRecord[] = [];
     for (const run of units.values()) {
-      // A worker that answered nothing after the start may never have had it.
-      const isSole = units.size === 1 && heardAt >= (run.startedAt ?? 0);
-      const record = this.add(run, crashed, {isSole, isTogether});
+      // A worker that answered nothing after the start may never have had it, and
+      // one that was silent for a while may have ended it before it crashed.
+      const wasSeen = heardAt >= (run.startedAt ?? 0) && !isDark;
+      const isSole = groupSize === 1 && wasSeen;
+      const record = this.add(run, crashed, {isSole, groupSize, isTogether});
       if (record && !isTogether && isAtFault(record)) atFault.push(record);
     }
     return atFault;
@@ -100,7 +131,7 @@
   private add(
     {unit, task, run}: CrashedRun,
     {life, evidence}: CrashedWorker,
-    kind: Pick<UnitCrash, 'isSole' | 'isTogether'>,
+    kind: Pick<UnitCrash, 'isSole' | 'groupSize' | 'isTogether'>,
   ): CrashRecord | undefined {
     const known = this.records.get(unit);
     if (known && run <= known.lastRun) return undefined;
@@ -118,12 +149,18 @@
   }
 }
 
+const isTelling = ({isTogether}: UnitCrash): boolean => !isTogether;
+
+/** Whether a crash blames one unit alone, in records of all ages. */
+const isAlone = ({isSole, groupSize}: UnitCrash): boolean =>
+  isSole || groupSize === 1;
+
 const isAtFault = ({crashes}: CrashRecord): boolean => {
-  const telling = crashes.filter(({isTogether}) => !isTogether);
-  return (
-    telling.length >= MAX_SHARED_CRASHES ||
-    (telling.length >= MAX_CRASHES && telling.some(({isSole}) => isSole))
-  );
+  const telling = crashes.filter(isTelling);
+  if (telling.length < MAX_CRASHES) return false;
+  if (telling.some(({isSole}) => isSole)) return true;
+  const aloneCount = telling.filter(isAlone).length;
+  return telling.length >= MAX_UNSURE_CRASHES && aloneCount >= MIN_ALONE;
 };
 
 /**
--- a/packages/state/src/workflow/crashes/task_crashes.ts
+++ b/packages/state/src/workflow/crashes/task_crashes.ts
@@ -3,11 +3,17 @@
 import type {
   RunEnd,
   TaskRef,
+  WorkerRun,
   WorkerState,
   WorkflowId,
   WorkflowState,
 } from '../types.js';
-import {CrashLedger, SOUND_RUN_MS, crashUnitOf} from './core.js';
+import {
+  CRASH_WINDOW_MS,
+  CrashLedger,
+  SOUND_RUN_MS,
+  crashUnitOf,
+} from './core.js';
 import type {CrashEvidence, CrashUnit} from './types.js';
 
 /** A ledger of crashes that is told of workers and ends of runs. */
@@ -31,9 +37,10 @@
     {report, active}: WorkerState,
     evidence: CrashEvidence,
   ): Set<WorkflowState> {
+    this.clearSurvivors(active.values(), evidence);
     if (report.isDraining) return new Set();
     const runs = [...active.values()]
-      .filter(({task}) => this.workflows.get(task.workflow)?.phase === 'open')
+      .filter(({task}) => this.isOpen(task))
       .map(run => ({...run, unit: this.unitOf(run.task)}));
     const atFault = new Set<WorkflowState>();
     for (const record of this.note({life: report, runs, evidence})) {
@@ -59,6 +66,24 @@
     if (outcome === 'done' || isSound) this.clear(this.unitOf(task));
   }
 
+  /** Clears suspects whose worker was heard later than it crashes by a task. */
+  private clearSurvivors(
+    runs: Iterable<WorkerRun>,
+    {heardAt = 0}: CrashEvidence,
+  ): void {
+    if (this.size === 0) return;
+    for (const {task, startedAt = heardAt} of runs)
+      if (startedAt < heardAt - CRASH_WINDOW_MS && !this.isGang(task))
+        this.clear(this.unitOf(task));
+  }
+
+  /** Whether a task is still to be done, not by now by a copy of it. */
+  private isOpen({workflow, occurrence, step, index}: TaskRef): boolean {
+    const state = this.workflows.get(workflow);
+    const task = state?.occurrences.get(occurrence)?.[step]?.tasks[index];
+    return state?.phase === 'open' && task?.isDone !== true;
+  }
+
   private isGang({workflow, step}: TaskRef): boolean {
     return this.workflows.get(workflow)?.spec.steps[step]?.isGang === true;
   }
--- a/packages/state/src/workflow/crashes/types.ts
+++ b/packages/state/src/workflow/crashes/types.ts
@@ -23,17 +23,25 @@
   readonly togetherCount: number;
   /**
    * Starts without an answer at that moment, which the crashed incarnation
-   * cannot have received; absent if there are none.
+   * cannot have received, or if `isDark` may not; absent if there are none.
    */
   readonly inFlight?: readonly TaskKey[];
+  /**
+   * Whether an answer was overdue before anything told that it was gone, as behind
+   * a cut: it may have crashed long after its last answer. Absent if not, and in
+   * older records.
+   */
+  readonly isDark?: boolean;
 }
 
 /** A crash of a worker that had just started a unit. */
 export interface UnitCrash extends WorkerIncarnation {
   /** Wall time of the proof, in ms since 1970. */
   readonly at: number;
-  /** Whether nothing else had just been started there. */
+  /** Whether nothing else had just been started there, and it ran when the worker crashed. */
   readonly isSole: boolean;
+  /** Number of units that are blamed for it; absent in older records. */
+  readonly groupSize?: number;
   /** Whether others fell silent with it, so that it blames nothing. */
   readonly isTogether: boolean;
 }
