--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -312,7 +312,7 @@
     const fitting = candidates.filter(({free}) => fitsInto(size, free));
     const task = {...work.ready.ref, index: indexes[0] ?? 0};
     const suspect = this.quarantine.waitOf(task, fitting);
-    indexes.forEach(() => this.quarantine.hold(fitting));
+    indexes.forEach(() => this.quarantine.hold(task, fitting));
     this.waits.push({
       step: work.ready.ref,
       why: 'quarantine',
--- a/packages/state/src/workflow/planner/quarantine.ts
+++ b/packages/state/src/workflow/planner/quarantine.ts
@@ -13,21 +13,27 @@
 
 type Inputs = Pick<PlanInput, 'db' | 'pending' | 'wall'>;
 
+/** Time for which a suspect waits for a worker of its own, in ms. */
+const ALONE_WAIT_MS = 1000;
+/** Time after the first suspect's start within which others may join it, in ms. */
+const JOIN_MS = 250;
+
 /** What was started on a worker of late. */
 interface RecentStarts {
   /** Wall time of the latest start, in ms since 1970. */
   lastAt: number;
-  /** The suspect started within SUSPECT_WINDOW_MS, if there is one. */
-  suspect?: CrashUnit;
-  /** Wall time of its start, in ms since 1970. */
+  /** The suspects started within SUSPECT_WINDOW_MS. */
+  readonly suspects: Set<CrashUnit>;
+  /** Wall times of the first and the latest start of them, in ms since 1970. */
+  firstSuspectAt: number;
   suspectAt: number;
 }
 
 /** Decides, for one pass, where suspects and other tasks may start. */
 export class Quarantine {
   private readonly recent = new Map<WorkerId, RecentStarts>();
-  /** Workers kept free of other starts for a suspect that waits. */
-  private readonly held = new Set<WorkerId>();
+  /** Workers kept free of other starts for suspects that wait, and for how many more. */
+  private readonly held = new Map<WorkerId, number>();
 
   constructor(private readonly input: Inputs) {
     if (!this.isActive) return;
@@ -56,9 +62,12 @@
     if (!this.isSuspect(task))
       return candidates.filter(({worker}) => !this.isClosed(worker));
     const unit = this.input.db.crashes.unitOf(task);
-    return candidates
+    const quiet = candidates
       .filter(({worker}) => this.isQuiet(worker, unit))
       .sort((a, b) => this.runCount(a) - this.runCount(b));
+    if (!this.mayShare(unit)) return quiet;
+    const shared = candidates.filter(({worker}) => this.mayJoin(worker, unit));
+    return [...quiet, ...shared];
   }
 
   /** Notes a start of this pass. */
@@ -66,10 +75,16 @@
     if (this.isActive) this.note(task, worker, this.input.wall);
   }
 
-  /** Keeps the worker that is quiet the soonest free for a suspect that waits. */
-  hold(candidates: readonly WorkerView[]): void {
+  /**
+   * Keeps the worker that is quiet the soonest free for a suspect that waits; those
+   * that may share a worker by then are counted on one.
+   */
+  hold(task: TaskRef, candidates: readonly WorkerView[]): void {
+    const {crashes} = this.input.db;
+    const limit = crashes.groupLimit(crashes.unitOf(task));
+    if (limit > 1 && this.shareHeld(candidates)) return;
     const free = candidates.filter(
-      ({worker}) => !this.held.has(worker) && !this.recent.get(worker)?.suspect,
+      ({worker}) => !this.held.has(worker) && !this.hasSuspect(worker),
     );
     const lastAt = ({worker}: WorkerView): number =>
       this.recent.get(worker)?.lastAt ?? 0;
@@ -79,7 +94,16 @@
       (best, other) => (lastAt(other) < lastAt(best) ? other : best),
       first,
     );
-    this.held.add(soonest.worker);
+    this.held.set(soonest.worker, limit - 1);
+  }
+
+  private shareHeld(candidates: readonly WorkerView[]): boolean {
+    const shared = candidates.find(
+      ({worker}) => (this.held.get(worker) ?? 0) > 0,
+    );
+    if (!shared) return false;
+    this.held.set(shared.worker, this.held.get(shared.worker)! - 1);
+    return true;
   }
 
   /** What a suspect waits for that may start on some workers with room for it. */
@@ -95,10 +119,11 @@
   }
 
   private quietAt({worker}: WorkerView): number {
-    const {lastAt = 0, suspect, suspectAt = 0} = this.recent.get(worker) ?? {};
-    const windowMs = suspect ? SUSPECT_WINDOW_MS : CRASH_WINDOW_MS;
-    const from = suspect ? suspectAt : lastAt;
-    return Math.max(this.input.wall, from + windowMs);
+    const recent = this.recent.get(worker);
+    const quietAt = this.hasSuspect(worker)
+      ? recent!.suspectAt + SUSPECT_WINDOW_MS
+      : (recent?.lastAt ?? 0) + CRASH_WINDOW_MS;
+    return Math.max(this.input.wall, quietAt);
   }
 
   private noteRuns(worker: WorkerId, {active}: WorkerState): void {
@@ -109,10 +134,16 @@
   }
 
   private note(task: TaskRef, worker: WorkerId, at: number): void {
-    const known = this.recent.get(worker) ?? {lastAt: 0, suspectAt: 0};
+    const known = this.recent.get(worker) ?? {
+      lastAt: 0,
+      suspects: new Set<CrashUnit>(),
+      firstSuspectAt: Number.POSITIVE_INFINITY,
+      suspectAt: 0,
+    };
     known.lastAt = Math.max(known.lastAt, at);
     if (this.isSuspect(task)) {
-      known.suspect = this.input.db.crashes.unitOf(task);
+      known.suspects.add(this.input.db.crashes.unitOf(task));
+      known.firstSuspectAt = Math.min(known.firstSuspectAt, at);
       known.suspectAt = Math.max(known.suspectAt, at);
     }
     this.recent.set(worker, known);
@@ -126,8 +157,33 @@
   /** Whether nothing was started there but the unit itself, such as its gang. */
   private isQuiet(worker: WorkerId, unit: CrashUnit): boolean {
     const recent = this.recent.get(worker);
-    if (recent === undefined || recent.suspect === unit) return true;
-    return recent.suspect === undefined && !this.isRecent(recent.lastAt);
+    if (recent === undefined) return true;
+    if (recent.suspects.size === 0) return !this.isRecent(recent.lastAt);
+    return recent.suspects.size === 1 && recent.suspects.has(unit);
+  }
+
+  /** Whether a unit has waited too long to have a worker to itself. */
+  private mayShare(unit: CrashUnit): boolean {
+    const {db, wall} = this.input;
+    const since = db.crashes.latestCrashAt(unit) ?? wall;
+    const hasWaited = Math.abs(wall - since) >= ALONE_WAIT_MS;
+    return hasWaited && db.crashes.groupLimit(unit) > 1;
+  }
+
+  /** Whether a unit may start beside suspects that have just been started. */
+  private mayJoin(worker: WorkerId, unit: CrashUnit): boolean {
+    const recent = this.recent.get(worker);
+    if (!recent || recent.suspects.size === 0) return false;
+    if (Math.abs(this.input.wall - recent.firstSuspectAt) > JOIN_MS)
+      return false;
+    const units = [unit, ...recent.suspects];
+    return units.every(
+      member => this.input.db.crashes.groupLimit(member) >= units.length,
+    );
+  }
+
+  private hasSuspect(worker: WorkerId): boolean {
+    return (this.recent.get(worker)?.suspects.size ?? 0) > 0;
   }
 
   private isRecent(at: number): boolean {
