--- a/packages/coordination/src/workflow/crash_log.ts
+++ b/packages/coordination/src/workflow/crash_log.ts
@@ -34,6 +34,7 @@
         suspectCount: suspects.length,
         suspects: suspects.slice(0, MAX_SUSPECTS_LOGGED),
         togetherCount: crash.togetherCount,
+        ...(crash.isDark && {isDark: true}),
       },
       'worker has crashed; what it had just started is suspected',
     );
--- a/packages/state/src/workflow/planner/quarantine.spec.ts
+++ b/packages/state/src/workflow/planner/quarantine.spec.ts
@@ -199,7 +199,7 @@
   it('a suspect of two crashes shares with none, however long it waits', () => {
     const {log, tasks} = logWithCrash(6);
     log.addWorker('w1');
-    startAll(log, 'w1', tasks.slice(0, 3), {run: 2, at: 2000});
+    startAll(log, 'w1', tasks, {run: 2, at: 2000});
     crashOf(log, 'w1', 2500);
     log.addWorker('w2');
     expect(startsOf(log, 4000)).to.eql([['a', 'w2']]);
