--- a/packages/state/src/workflow/crashes/core.ts
+++ b/packages/state/src/workflow/crashes/core.ts
@@ -6,8 +6,7 @@
  *
  * Only what a worker had just started is suspected of its crash. A suspect is
  * started again where nothing else is started meanwhile, so that its next crash
- * blames it alone; where many wait, beside a third of the suspects of its crash at
- * most. Workers that are cut off crash unseen, so most suspects are innocent: a
+ * blames it alone; where many wait, beside a few others of its crash. Workers that are cut off crash unseen, so most suspects are innocent: a
  * unit is given up for crashes that it had to itself, never for shared ones.
  */
 import {stepKey, taskKey} from '../refs.js';
@@ -34,8 +33,12 @@
  */
 const MAX_UNSURE_CRASHES = 3;
 const MIN_ALONE = 2;
-/** One in so many of the suspects of a crash may be started together. */
-const GROUP_SHARE = 3;
+/**
+ * One in so many of the suspects of a crash may be started together; more after a
+ * crash out of sight, as behind a cut, which seldom comes from a task.
+ */
+const GROUP_SHARE = 4;
+const DARK_GROUP_SHARE = 2;
 /** Maximum number of suspects that may be started together. */
 const MAX_GROUP = 8;
 /** Crashes of a unit that are kept. */
@@ -50,6 +53,8 @@
 export const crashUnitOf = (task: TaskRef, isGang: boolean): CrashUnit =>
   (isGang ? stepKey(task) + GANG_SUFFIX : taskKey(task)) as CrashUnit;
 
+type CrashKind = Omit<UnitCrash, 'worker' | 'bornAt' | 'at'>;
+
 /** Crashes by unit; a unit with a crash is a suspect. */
 export class CrashLedger {
   private readonly records = new Map<CrashUnit, CrashRecord>();
@@ -63,9 +68,9 @@
     return this.records.has(unit);
   }
 
-  /** Wall time of the latest crash under a unit, in ms since 1970. */
-  latestCrashAt(unit: CrashUnit): number | undefined {
-    return this.records.get(unit)?.crashes.at(-1)?.at;
+  /** The latest crash under a unit. */
+  latestCrash(unit: CrashUnit): UnitCrash | undefined {
+    return this.records.get(unit)?.crashes.at(-1);
   }
 
   /**
@@ -74,13 +79,11 @@
    */
   groupLimit(unit: CrashUnit): number {
     const crashes = this.records.get(unit)?.crashes ?? [];
-    const {groupSize = 1} = crashes.at(-1) ?? {};
+    const {groupSize = 1, isDark} = crashes.at(-1) ?? {};
     const isGang = unit.endsWith(GANG_SUFFIX);
+    const share = isDark ? DARK_GROUP_SHARE : GROUP_SHARE;
     if (isGang || crashes.filter(isTelling).length >= MAX_CRASHES) return 1;
-    return Math.max(
-      1,
-      Math.min(MAX_GROUP, Math.floor(groupSize / GROUP_SHARE)),
-    );
+    return Math.max(1, Math.min(MAX_GROUP, Math.floor(groupSize / share)));
   }
 
   /**
@@ -99,7 +102,8 @@
       // one that was silent for a while may have ended it before it crashed.
       const wasSeen = heardAt >= (run.startedAt ?? 0) && !isDark;
       const isSole = groupSize === 1 && wasSeen;
-      const record = this.add(run, crashed, {isSole, groupSize, isTogether});
+      const kind = {isSole, groupSize, isTogether, ...(isDark && {isDark})};
+      const record = this.add(run, crashed, kind);
       if (record && !isTogether && isAtFault(record)) atFault.push(record);
     }
     return atFault;
@@ -131,7 +135,7 @@
   private add(
     {unit, task, run}: CrashedRun,
     {life, evidence}: CrashedWorker,
-    kind: Pick<UnitCrash, 'isSole' | 'groupSize' | 'isTogether'>,
+    kind: CrashKind,
   ): CrashRecord | undefined {
     const known = this.records.get(unit);
     if (known && run <= known.lastRun) return undefined;
--- a/packages/state/src/workflow/crashes/types.ts
+++ b/packages/state/src/workflow/crashes/types.ts
@@ -44,6 +44,8 @@
   readonly groupSize?: number;
   /** Whether others fell silent with it, so that it blames nothing. */
   readonly isTogether: boolean;
+  /** Whether it came unseen, see {@link CrashEvidence}; absent if not. */
+  readonly isDark?: boolean;
 }
 
 /** The crashes under one unit. */
--- a/packages/state/src/workflow/planner/quarantine.ts
+++ b/packages/state/src/workflow/planner/quarantine.ts
@@ -13,8 +13,12 @@
 
 type Inputs = Pick<PlanInput, 'db' | 'pending' | 'wall'>;
 
-/** Time for which a suspect waits for a worker of its own, in ms. */
-const ALONE_WAIT_MS = 1000;
+/**
+ * Time for which a suspect waits for a worker of its own, in ms; shorter after a
+ * crash out of sight, as behind a cut, which seldom comes from a task.
+ */
+const ALONE_WAIT_MS = 3000;
+const DARK_ALONE_WAIT_MS = 1000;
 /** Time after the first suspect's start within which others may join it, in ms. */
 const JOIN_MS = 250;
 
@@ -109,7 +113,7 @@
   /** What a suspect waits for that may start on some workers with room for it. */
   waitOf(task: TaskRef, fitting: readonly WorkerView[]): SuspectWait {
     const {crashes} = this.input.db;
-    const since = crashes.latestCrashAt(crashes.unitOf(task));
+    const since = crashes.latestCrash(crashes.unitOf(task))?.at;
     const quietAt = Math.min(...fitting.map(view => this.quietAt(view)));
     return {
       suspectCount: crashes.size,
@@ -165,9 +169,10 @@
   /** Whether a unit has waited too long to have a worker to itself. */
   private mayShare(unit: CrashUnit): boolean {
     const {db, wall} = this.input;
-    const since = db.crashes.latestCrashAt(unit) ?? wall;
-    const hasWaited = Math.abs(wall - since) >= ALONE_WAIT_MS;
-    return hasWaited && db.crashes.groupLimit(unit) > 1;
+    const latest = db.crashes.latestCrash(unit);
+    if (!latest || db.crashes.groupLimit(unit) === 1) return false;
+    const waitMs = latest.isDark ? DARK_ALONE_WAIT_MS : ALONE_WAIT_MS;
+    return Math.abs(wall - latest.at) >= waitMs;
   }
 
   /** Whether a unit may start beside suspects that have just been started. */
