--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -22,6 +22,7 @@
   type TaskKey,
   type TaskRef,
   type WorkerId,
+  type WorkflowId,
 } from '@primrosewick/state';
 import type {EventQueue} from '../world/event_queue.js';
 import type {GangRuns} from './gang_runs.js';
@@ -39,6 +40,10 @@
   readonly oracle: WorkflowOracle;
   readonly gangs: GangRuns;
   readonly room: Resources;
+  /** Longest lease that it accepts, in ms. */
+  readonly maxLeaseMs: number;
+  /** Called after its process has ended, and after the next one has started. */
+  readonly onChange: () => void;
   /** Maximum number of ends that one list holds. */
   readonly maxListedEnds: number;
   /** Rate of its clock relative to virtual time, 0.98 to 1. */
@@ -47,12 +52,15 @@
   readonly needsTicket: (task: TaskRef) => boolean;
   readonly stepOf: (task: TaskRef) => StepSpec | undefined;
   /** Draws how long a run takes and whether it fails. */
-  readonly drawRun: (task: TaskRef) => {
-    readonly runMs: number;
-    readonly fails: boolean;
-    /** How long the worker is down that starts the task, in ms; absent if it crashes none. */
-    readonly crashesForMs?: number;
-  };
+  readonly drawRun: (task: TaskRef) => RunDraw;
+}
+
+/** How a run goes. */
+export interface RunDraw {
+  readonly runMs: number;
+  readonly fails: boolean;
+  /** How long the worker is down that starts the task, in ms; absent if it crashes none. */
+  readonly crashesForMs?: number;
 }
 
 /** How a start came to a worker. */
@@ -80,7 +88,6 @@
 
 const STOP_DELAY_MS = 300;
 const GANG_WAIT_MS = 3000;
-const MAX_LEASE_MS = 8000;
 /** Time from the start of a task that crashes its worker to the crash, in ms. */
 const CRASH_DELAY_MS = 20;
 /** Difference between the starts of successive incarnations; all are odd. */
@@ -91,8 +98,8 @@
   bornAt = 1;
   isUp = true;
   isDraining = false;
-  /** Whether it is down after a crash by a task, so that connections are refused. */
-  refusesConnections = false;
+  /** Whether it is down after a crash by a task, which ends its connections in sight. */
+  isCrashedByTask = false;
   private fence = 0;
   private leaseEnd = 0;
   private bootTime = 0;
@@ -107,8 +114,6 @@
   /** Highest run that ended or was stopped, by task. */
   private readonly barred = new Map<TaskKey, number>();
   private waiters: Array<() => void> = [];
-  /** Told when a crash ends its connections in sight of those who call. */
-  private readonly callers = new Set<() => void>();
 
   constructor(private readonly options: SimWorkerOptions) {
     this.rooms = new RoomHistory(options.room);
@@ -144,28 +149,20 @@
     this.goDown();
   }
 
-  /** Tells a call in progress if a crash by a task ends its connection. */
-  onCrashInSight(tell: () => void, timeoutMs: number): void {
-    this.callers.add(tell);
-    this.options.queue.after(timeoutMs, () => this.callers.delete(tell));
-  }
-
   private goDown(): void {
     const runs = [...this.running.values()];
     for (const run of runs) this.remove(run);
     this.isUp = false;
     this.waiters = [];
     for (const {task, run} of runs) this.options.gangs.leave(task, run);
+    this.options.onChange();
   }
 
   /** Crashes by a task, and starts the next incarnation after a while. */
   private crashBy(task: TaskRef, downMs: number): void {
     this.options.oracle.recordCrashBy(task);
+    this.isCrashedByTask = true;
     this.crash();
-    this.refusesConnections = true;
-    const callers = [...this.callers];
-    this.callers.clear();
-    for (const tell of callers) tell();
     this.options.queue.after(downMs, () => this.restart());
   }
 
@@ -173,7 +170,7 @@
   restart(forgedStart = 0): void {
     if (this.isUp) return;
     this.isUp = true;
-    this.refusesConnections = false;
+    this.isCrashedByTask = false;
     this.isDraining = false;
     this.bornAt = Math.max(this.bornAt, forgedStart - 1) + START_STEP;
     this.fence = 0;
@@ -183,6 +180,17 @@
     this.endCount = 0;
     this.barred.clear();
     this.rooms = new RoomHistory(this.options.room);
+    this.options.onChange();
+  }
+
+  /** Workflows whose tasks it runs, each once a task. */
+  get workflows(): WorkflowId[] {
+    return [...this.running.values()].map(({task}) => task.workflow);
+  }
+
+  /** The room that is not in use. */
+  get freeRoom(): Resources {
+    return subtractResources(this.rooms.current, this.used);
   }
 
   /** The room that it reports now. */
@@ -271,7 +279,7 @@
   }
 
   private extendLease(leaseEnd: number): void {
-    const bound = Math.min(leaseEnd, this.clockMs + MAX_LEASE_MS);
+    const bound = Math.min(leaseEnd, this.clockMs + this.options.maxLeaseMs);
     if (bound <= this.leaseEnd) return;
     this.leaseEnd = bound;
     const incarnation = this.bornAt;
--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -1,8 +1,9 @@
 /** One stream to another VM, with its pending calls. */
+import type {Socket} from 'node:net';
 import {
   Client,
   Metadata,
-  credentials,
+  type ChannelCredentials,
   type ClientDuplexStream,
 } from '@grpc/grpc-js';
 import {
@@ -22,6 +23,7 @@
 import {workMeter} from '../event_loop/work_meter.js';
 import {startTimeout, type Timer} from '../tasks/timers.js';
 import {LINK_PATH} from './service.js';
+import {trackedCredentials} from './tracked_credentials.js';
 
 /** Options of `LinkConnection`. */
 export interface LinkConnectionOptions {
@@ -57,6 +59,16 @@
 export const PROBE_INTERVAL_MS = 300;
 /** Silence after which a stream without pending calls is probed, in ms. */
 const IDLE_PROBE_MS = 2000;
+/** Time without a frame after an urgent call until the stream is probed, in ms. */
+const URGENT_PROBE_MS = 100;
+/** Time without a frame after that probe until another stream is opened, in ms. */
+const REPLACE_MS = 200;
+/** Shortest age of a stream that is replaced, in ms. */
+const MIN_REPLACED_AGE_MS = 1000;
+/** Time without a frame after a call or probe that makes a stream suspect, in ms. */
+const SUSPECT_MS = 500;
+/** Silence after which an idle stream is probed because another is suspect, in ms. */
+const COMMON_PROBE_MS = 1000;
 /**
  * A stream is closed if nothing is received for this long after a call or
  * probe, in ms.
@@ -74,12 +86,17 @@
   private lastReceivedAt = performance.now();
   /** Monotonic time of the first call or probe since the last received frame, in ms. */
   private sentAt: number | undefined;
+  /** Monotonic time of the first probe since the last received frame, in ms. */
+  private probedAt: number | undefined;
+  private readonly createdAt = performance.now();
+  /** Sockets of a stream that is not open yet. */
+  private readonly opening = new Set<Socket>();
   private isOpen = false;
   private isClosed = false;
   private readonly openTimer: Timer;
 
   constructor(private readonly options: LinkConnectionOptions) {
-    this.client = new Client(options.to, credentials.createInsecure(), {
+    this.client = new Client(options.to, this.credentials(), {
       'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
       'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
       'grpc.enable_retries': 0,
@@ -168,15 +185,25 @@
     for (const id of [...this.pending.keys()]) this.failCall(id, detail);
     this.stream.cancel();
     this.client.close();
+    for (const socket of this.opening) socket.destroy();
     this.options.onClosed();
   }
 
+  private credentials(): ChannelCredentials {
+    return trackedCredentials(socket => {
+      if (this.isClosed) socket.destroy();
+      else if (!this.isOpen) this.opening.add(socket);
+    });
+  }
+
   private take(frame: LinkFrame): void {
     this.lastReceivedAt = performance.now();
     this.sentAt = undefined;
+    this.probedAt = undefined;
     if (!this.isOpen) {
       this.isOpen = true;
       this.openTimer.cancel();
+      this.opening.clear();
       this.settleOpened();
     }
     if (frame.kind !== 'reply' && frame.kind !== 'error') return;
@@ -194,12 +221,46 @@
     this.stream.write(frame);
   }
 
+  private probe(): void {
+    this.probedAt ??= performance.now();
+    this.ask({kind: 'ping'});
+  }
+
+  /**
+   * Whether an urgent call should go over another stream: a probe of this one is not
+   * answered. Probes it if a call is not; a peer that is just slow answers the probe.
+   */
+  shouldReplace(): boolean {
+    const now = performance.now();
+    if (this.sentAt === undefined || now - this.sentAt < URGENT_PROBE_MS)
+      return false;
+    if (this.probedAt === undefined) this.probe();
+    const isOld = now - this.createdAt >= MIN_REPLACED_AGE_MS;
+    return isOld && now - this.probedAt! >= REPLACE_MS;
+  }
+
+  /** Whether any call waits for an answer. */
+  get hasCalls(): boolean {
+    return this.pending.size > 0;
+  }
+
   /** Probes a silent stream, and closes it if a call or probe stays unanswered. */
   checkLiveness(): void {
     const now = performance.now();
     if (!this.isLivenessCheckDue(now)) return;
     if (this.isUnresponsive(now)) this.close('the stream went silent');
-    else this.ask({kind: 'ping'});
+    else this.probe();
+  }
+
+  /** Whether a call or probe stays unanswered, so that other streams may be silent too. */
+  isSuspect(now: number): boolean {
+    return this.sentAt !== undefined && now - this.sentAt > SUSPECT_MS;
+  }
+
+  /** Probes a stream on which nothing is awaited, as another one is suspect. */
+  probeIfIdle(now: number): void {
+    const isIdle = this.isOpen && this.sentAt === undefined;
+    if (isIdle && now - this.lastReceivedAt >= COMMON_PROBE_MS) this.probe();
   }
 
   /**
