--- a/packages/proofs/src/workflow/sim_network.ts
+++ b/packages/proofs/src/workflow/sim_network.ts
@@ -60,7 +60,8 @@
 
   /** Whether a connection to a worker is refused now. */
   refuses(worker: SimWorker): boolean {
-    const isInSight = this.options.refusesWhenDown || worker.isCrashedByTask;
+    const isByTask = worker.crashedByTask === worker.bornAt;
+    const isInSight = this.options.refusesWhenDown || isByTask;
     return isInSight && !worker.isUp && !this.isSilent(worker);
   }
 
--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -98,8 +98,8 @@
   bornAt = 1;
   isUp = true;
   isDraining = false;
-  /** Whether it is down after a crash by a task, which ends its connections in sight. */
-  isCrashedByTask = false;
+  /** Start of the incarnation that a task has crashed, which ends connections in sight. */
+  crashedByTask = 0;
   private fence = 0;
   private leaseEnd = 0;
   private bootTime = 0;
@@ -161,7 +161,7 @@
   /** Crashes by a task, and starts the next incarnation after a while. */
   private crashBy(task: TaskRef, downMs: number): void {
     this.options.oracle.recordCrashBy(task);
-    this.isCrashedByTask = true;
+    this.crashedByTask = this.bornAt;
     this.crash();
     this.options.queue.after(downMs, () => this.restart());
   }
@@ -170,7 +170,6 @@
   restart(forgedStart = 0): void {
     if (this.isUp) return;
     this.isUp = true;
-    this.isCrashedByTask = false;
     this.isDraining = false;
     this.bornAt = Math.max(this.bornAt, forgedStart - 1) + START_STEP;
     this.fence = 0;
