--- a/packages/coordination/src/workflow/silence.spec.ts
+++ b/packages/coordination/src/workflow/silence.spec.ts
@@ -57,6 +57,10 @@
     ]);
     expect(evidenceOf(silence).isDark).to.equal(undefined);
   });
+  // Guards against LOST: a task is given up for crashes behind two short cuts.
+  it('a crash that no call told of, as another life answers first, is dark', () => {
+    expect(evidenceOf(silenceAfter([])).isDark).to.equal(true);
+  });
   it('an answer ends the dark', () => {
     const silence = silenceAfter([[6100, {sentAt: 5100, dueAt: 5100}]]);
     silence.noteAnswer(6200);
--- a/packages/coordination/src/workflow/silence.ts
+++ b/packages/coordination/src/workflow/silence.ts
@@ -70,7 +70,9 @@
     ([other, {silence}]) => other !== worker && areTogether(own, silence),
   ).length;
   const heardAt = own?.heardAt;
-  const isDark = own?.isDark === true;
+  // What no call told of came unseen: another life has answered before that.
+  const isUntold = heardAt !== undefined && own?.since === undefined;
+  const isDark = own?.isDark === true || isUntold;
   const starts = isDark ? channel?.undeliveredStarts : channel?.expectedStarts;
   const inFlight = (starts ?? []).map(({task}) => taskKey(task));
   const at = clock.wall();
