--- a/packages/state/src/workflow/crashes/core.ts
+++ b/packages/state/src/workflow/crashes/core.ts
@@ -28,10 +28,11 @@
 /** Crashes after which a unit is given up, if one of them was its alone. */
 const MAX_CRASHES = 2;
 /**
- * Crashes after which it is given up if one of them blames no other unit. Each may
- * have come after the run had ended, so two are no proof.
+ * Crashes after which it is given up without such a one, and how many of them
+ * blame no other unit: each may have come after the run had ended.
  */
 const MAX_UNSURE_CRASHES = 3;
+const MIN_ALONE = 2;
 /**
  * One in so many of the suspects of a crash may be started together; more after a
  * crash out of sight, as behind a cut, which seldom comes from a task.
@@ -162,7 +163,8 @@
   const telling = crashes.filter(isTelling);
   if (telling.length < MAX_CRASHES) return false;
   if (telling.some(({isSole}) => isSole)) return true;
-  return telling.length >= MAX_UNSURE_CRASHES && telling.some(isAlone);
+  const aloneCount = telling.filter(isAlone).length;
+  return telling.length >= MAX_UNSURE_CRASHES && aloneCount >= MIN_ALONE;
 };
 
 /**
