--- a/packages/proofs/src/workflow/sim_worker.ts
+++ b/packages/proofs/src/workflow/sim_worker.ts
@@ -98,6 +98,8 @@
   bornAt = 1;
   isUp = true;
   isDraining = false;
+  /** Start of the incarnation that a task has crashed, which ends connections in sight. */
+  crashedByTask = 0;
   private fence = 0;
   private leaseEnd = 0;
   private bootTime = 0;
@@ -159,6 +161,7 @@
   /** Crashes by a task, and starts the next incarnation after a while. */
   private crashBy(task: TaskRef, downMs: number): void {
     this.options.oracle.recordCrashBy(task);
+    this.crashedByTask = this.bornAt;
     this.crash();
     this.options.queue.after(downMs, () => this.restart());
   }
