--- a/review/lib-2/deadly.mjs
+++ b/review/lib-2/deadly.mjs
@@ -1,4 +1,4 @@
-/** A cell with a job whose only task crashes each minion that starts it. */
+/** A cell with a job whose tasks crash each minion that starts them. */
 import {fileURLToPath} from 'node:url';
 import {Cell} from './cell.mjs';
 import {newId, stateOf, submit} from './client.mjs';
@@ -16,9 +16,10 @@
 
 /**
  * Plays it and ends the process with the exit code of a case.
+ * @param tasks - number of deadly tasks of the job, each with `cpu`.
  * @param crash - is given the crash, and lets it happen when the case wants it.
  */
-export const playDeadlyTask = async ({directory, awayMs, playMs, crash}) => {
+export const playDeadlyTask = async ({directory, awayMs, playMs, tasks = 1, cpu = 1000, crash}) => {
   const hasTrouble = process.env.TROUBLE !== '0';
   const cell = new Cell({recordFile: fileURLToPath(new URL('record.txt', directory))});
   const runs = [];
@@ -50,23 +51,30 @@
     if (!(await cell.untilReady())) return 2;
     await pause(2000);
     const id = newId();
-    const job = spec => ({spec, steps: [{count: 1, cpu: 1000, memMb: 128, estimateMs: 500}]});
-    const statuses = await submit(cell, PREFIX, id, job('deadly'));
+    const job = (spec, count, cpuEach) => ({
+      spec,
+      steps: [{count, cpu: cpuEach, memMb: 128, estimateMs: 500}],
+    });
+    const statuses = await submit(cell, PREFIX, id, job('deadly', tasks, cpu));
     if (statuses.at(-1) !== 200) return 2;
     const until = Date.now() + playMs;
     let state = 'queued';
     while (Date.now() < until && state !== 'failed') {
-      if (process.env.OTHERS !== '0') void submit(cell, PREFIX, newId(), job('work 500'));
+      if (process.env.OTHERS !== '0') void submit(cell, PREFIX, newId(), job('work 500', 1, 1000));
       await pause(OTHER_JOB_MS);
       ({state} = await stateOf(cell, PREFIX, id));
     }
-    const starts = runs.filter(({task}) => task.startsWith(id));
-    cell.record(`the deadly task was started ${starts.length} times; its job is shown as ${state}`);
-    if (starts.length === 0) return 2;
-    if (!hasTrouble) return starts.length <= 2 ? 0 : 1;
-    const isBroken = starts.length >= CRASHES + MORE_STARTS;
+    const counts = Array.from(
+      {length: tasks},
+      (_, index) => runs.filter(({task}) => task === `${id}.0.0.${index}`).length,
+    );
+    cell.record(`starts of each deadly task: ${counts.join(', ')}; the job is shown as ${state}`);
+    const most = Math.max(...counts);
+    if (most === 0) return 2;
+    if (!hasTrouble) return most <= 2 ? 0 : 1;
+    const isBroken = most >= CRASHES + MORE_STARTS;
     if (isBroken)
-      cell.record(`BUDGET broken: ${starts.length - CRASHES} starts after ${CRASHES} minions had crashed under it`);
+      cell.record(`BUDGET broken: ${most - CRASHES} starts of a task after ${CRASHES} minions had crashed under it`);
     return isBroken ? 1 : 0;
   };
 
