--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -8,6 +8,9 @@
 const STOP_MS = 200;
 const CLOCK_START_MS = 100_000;
 
+/** Share of its work that a run has done; 0 for one without a time. */
+const percentOf = ({startedAt, workMs = Infinity}) => Math.min(99, Math.floor((100 * (Date.now() - startedAt)) / workMs));
+
 /** One life of a minion. */
 export class Minion {
   /**
@@ -147,8 +150,8 @@
     this.runs.push(entry);
     this.cell.record(`minion ${this.id} starts ${task} run ${run}`);
     if (this.onStart?.(this, entry) === 'taken') return this.isUp ? [200, {}] : undefined;
-    const workMs = Number(/work (\d+)/.exec(spec)?.[1] ?? 500);
-    setTimeout(() => this.end(entry, 'done'), workMs);
+    entry.workMs = Number(/work (\d+)/.exec(spec)?.[1] ?? 500);
+    setTimeout(() => this.end(entry, 'done'), entry.workMs);
     return [200, {}];
   }
 
@@ -164,7 +167,7 @@
     this.ended = this.ended.filter(([n]) => n > ackedUpto);
     this.extendLease(untilMs);
     if (this.ended.length === 0 && waitMs) await this.untilEnd(waitMs);
-    const running = [...this.running.values()].map(({task, run}) => [task, run, '', 50, 0]);
+    const running = [...this.running.values()].map(entry => [entry.task, entry.run, '', percentOf(entry), 0]);
     return [200, {running, ended: this.ended.slice(0, 500)}];
   }
 
