--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -3,7 +3,7 @@
  * hardly any other work in the cell. Processes that end are started again, as the
  * platform does. With TROUBLE=0 the configuration has 21 routes.
  */
-import {execFileSync} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {Cell} from '../lib-2/cell.mjs';
 import {config, getConfig, putConfig, route} from '../lib-2/operator.mjs';
@@ -35,15 +35,17 @@
     route(`r-${String(i).padStart(5, '0')}`, `/lohu${i}/`, {timeoutMs: i === 0 ? 3000 + change : 3000}),
   );
 
-const memory = () =>
-  cell.voters
-    .filter(vm => cell.isRunning(vm))
-    .map(vm => {
-      const {pid} = cell.children.get(vm.name);
-      const kb = Number(execFileSync('ps', ['-o', 'rss=', '-p', String(pid)], {encoding: 'utf8'}));
-      return `${vm.name} ${Math.round(kb / 1024)} MB`;
-    })
-    .join(', ');
+/** Memory of a process, in MB; undefined once it has ended. */
+const memoryOf = vm => {
+  try {
+    const status = readFileSync(`/proc/${cell.children.get(vm.name).pid}/status`, 'utf8');
+    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / 1024);
+  } catch {
+    return undefined;
+  }
+};
+
+const memory = () => cell.voters.map(vm => `${vm.name} ${memoryOf(vm) ?? '-'} MB`).join(', ');
 
 const play = async () => {
   cell.start();
