--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -7,12 +7,14 @@
 import {Election} from './election.js';
 import {Follower} from './follower.js';
 import {Leadership} from './leadership.js';
+import {memberLags, type MemberLag} from './member_lag.js';
 import type {
   ConsensusEffects,
   ConsensusInput,
   ConsensusMessage,
   ConsensusStatus,
   Envelope,
+  LogSize,
   Members,
   DurableState,
 } from './types.js';
@@ -93,6 +95,22 @@
     };
   }
 
+  /** How far the other members are behind; empty unless leader. */
+  get lags(): readonly MemberLag[] {
+    return memberLags(this.context);
+  }
+
+  /** Size of the log in memory, and of the snapshot before it. */
+  get logSize(): LogSize {
+    const {log} = this.context;
+    return {
+      entries: log.lastIndex - log.baseIndex,
+      bytes: log.bytesBetween(log.baseIndex, log.lastIndex),
+      snapshotIndex: log.baseIndex,
+      snapshotBytes: log.snapshot?.data.length ?? 0,
+    };
+  }
+
   /** State that must be on disk. */
   get durable(): DurableState<C> {
     const {term, votedFor, log} = this.context;
--- a/packages/coordination/src/consensus/log.ts
+++ b/packages/coordination/src/consensus/log.ts
@@ -1,5 +1,6 @@
-import type {Entry, Members, Snapshot} from './types.js';
+import {estimateEntryBytes} from './entry_size.js';
 import {NO_MEMBERS} from './members.js';
+import type {Entry, Members, Snapshot} from './types.js';
 
 /** Members that took effect at an index. */
 interface MembersAt {
@@ -10,6 +11,10 @@
 /** Log entries in memory, after an optional snapshot. */
 export class ConsensusLog<C> {
   private entries: Array<Entry<C>>;
+  /** For each entry, the bytes of all entries up to and including it. */
+  private endBytes: number[] = [];
+  /** Bytes of the entries that snapshots have replaced. */
+  private droppedBytes = 0;
   private memberHistory: MembersAt[] = [];
 
   constructor(
@@ -17,6 +22,7 @@
     entries: ReadonlyArray<Entry<C>>,
   ) {
     this.entries = entries.filter(entry => entry.index > this.baseIndex);
+    for (const entry of this.entries) this.recordSize(entry);
     this.rebuildMemberHistory();
   }
 
@@ -74,10 +80,21 @@
     return this.entries.slice(Math.max(0, start), start + count);
   }
 
+  /** Approximate bytes of the entries after an index, up to and including another. */
+  bytesBetween(afterIndex: number, lastIndex: number): number {
+    return Math.max(0, this.bytesUpTo(lastIndex) - this.bytesUpTo(afterIndex));
+  }
+
+  private bytesUpTo(index: number): number {
+    const at = Math.min(index - this.baseIndex, this.endBytes.length) - 1;
+    return this.endBytes[at] ?? this.droppedBytes;
+  }
+
   /** Appends entries that follow the last one. */
   append(entries: ReadonlyArray<Entry<C>>): void {
     for (const entry of entries) {
       this.entries.push(entry);
+      this.recordSize(entry);
       this.recordMembers(entry);
     }
   }
@@ -85,15 +102,19 @@
   /** Removes the entries from an index on. */
   truncate(fromIndex: number): void {
     this.entries.length = fromIndex - this.baseIndex - 1;
+    this.endBytes.length = this.entries.length;
     this.rebuildMemberHistory();
   }
 
   /** Replaces the entries up to the snapshot's index by the snapshot. */
   compact(snapshot: Snapshot): void {
     const keepsTail = this.termAt(snapshot.index) === snapshot.term;
-    this.entries = keepsTail
-      ? this.slice(snapshot.index + 1, this.entries.length)
-      : [];
+    const dropped = keepsTail
+      ? snapshot.index - this.baseIndex
+      : this.entries.length;
+    this.droppedBytes = this.endBytes[dropped - 1] ?? this.droppedBytes;
+    this.entries = this.entries.slice(dropped);
+    this.endBytes = this.endBytes.slice(dropped);
     this.base = snapshot;
     this.rebuildMemberHistory();
   }
@@ -113,6 +134,11 @@
     return first;
   }
 
+  private recordSize(entry: Entry<C>): void {
+    const before = this.endBytes.at(-1) ?? this.droppedBytes;
+    this.endBytes.push(before + estimateEntryBytes(entry));
+  }
+
   private recordMembers(entry: Entry<C>): void {
     if (entry.body.kind !== 'members') return;
     this.memberHistory.push({index: entry.index, members: entry.body.members});
--- a/packages/coordination/src/consensus/outbox.ts
+++ b/packages/coordination/src/consensus/outbox.ts
@@ -1,5 +1,11 @@
 /** Sending of a node's messages: in replies to calls of other VMs, or in own calls. */
-import {vmOfNode, type VmId} from '@primrosewick/state';
+import {
+  toCellError,
+  vmOfNode,
+  type CellError,
+  type VmId,
+} from '@primrosewick/state';
+import {estimateBytes} from './entry_size.js';
 import {EntryPacker, type PackedEnvelope} from './packing.js';
 import type {Envelope} from './types.js';
 
@@ -18,6 +24,16 @@
   readonly resolve: (envelopes: ReadonlyArray<PackedEnvelope<C>>) => void;
 }
 
+/** A call with messages of the log that failed; the peer may have received them. */
+export interface FailedCall {
+  readonly vm: VmId;
+  readonly err: CellError;
+  /** Number of messages. */
+  readonly messages: number;
+  /** Approximate size of the call, in bytes. */
+  readonly bytes: number;
+}
+
 /** Options of an outbox. */
 export interface OutboxOptions<C> {
   readonly peers: LogPeers;
@@ -26,6 +42,8 @@
     vm: VmId,
     envelopes: ReadonlyArray<PackedEnvelope<C>>,
   ) => void;
+  /** Called when a call fails. */
+  readonly onFailed?: (call: FailedCall) => void;
 }
 
 /** Outgoing messages of one node. */
@@ -83,8 +101,14 @@
           vm,
           reply.envelopes as ReadonlyArray<PackedEnvelope<C>>,
         );
-    } catch {
+    } catch (err) {
       // The core resends messages that get no reply.
+      this.options.onFailed?.({
+        vm,
+        err: toCellError(err, 'consensus'),
+        messages: envelopes.length,
+        bytes: estimateBytes(envelopes),
+      });
     }
   }
 }
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -15,6 +15,7 @@
 import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
 import {persistWrites} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
+import type {MemberLag} from './member_lag.js';
 import {Outbox} from './outbox.js';
 import {decodeEnvelope} from './envelope_check.js';
 import type {PackedEnvelope} from './packing.js';
@@ -27,6 +28,7 @@
   ConsensusStatus,
   Delivery,
   Envelope,
+  LogSize,
   MemberChange,
   StorageWrite,
 } from './types.js';
@@ -81,6 +83,7 @@
       peers: options.peers,
       onReply: (vm, envelopes) =>
         this.enqueueMessages(this.decode(vm, envelopes)),
+      onFailed: call => options.onCallFailed?.(call),
     });
     this.lastStatus = this.core.status;
     if (restored.snapshot) replica.restore(decode(restored.snapshot.data));
@@ -142,6 +145,16 @@
     };
   }
 
+  /** How far the other members are behind; empty unless this node leads. */
+  get lags(): readonly MemberLag[] {
+    return this.core.lags;
+  }
+
+  /** Size of the log in memory, and of the snapshot before it. */
+  get logSize(): LogSize {
+    return this.core.logSize;
+  }
+
   /** Cost of the batches since the last call; null if there were none. */
   takeBatchCost(): BatchCost | null {
     return this.load.take();
--- a/packages/coordination/src/consensus/task_options.ts
+++ b/packages/coordination/src/consensus/task_options.ts
@@ -1,7 +1,7 @@
 /** What the driver of a consensus core needs, and reports. */
 import type {CellError, Folder, NodeId, VmId} from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
-import type {LogPeers} from './outbox.js';
+import type {FailedCall, LogPeers} from './outbox.js';
 import type {ConsensusTiming, DurableState} from './types.js';
 
 /** State machine that applies the log; its index never decreases. */
@@ -48,6 +48,8 @@
   readonly onFailure: (err: CellError) => void;
   /** Called with the number of messages of a VM that were left out as malformed. */
   readonly onMalformed?: (from: VmId, count: number) => void;
+  /** Called when a call to another VM fails. */
+  readonly onCallFailed?: (call: FailedCall) => void;
   /** Called when a snapshot made by this node is on disk. */
   readonly onCompacted?: (compaction: Compaction) => void;
 }
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -229,6 +229,18 @@
   chunkBytes: 256 * 1024,
 };
 
+/** Size of a log in memory, and of the snapshot before it. */
+export interface LogSize {
+  /** Entries after the snapshot. */
+  readonly entries: number;
+  /** Their approximate size, in bytes. */
+  readonly bytes: number;
+  /** Index of the snapshot, or 0. */
+  readonly snapshotIndex: number;
+  /** Size of its state, in bytes. */
+  readonly snapshotBytes: number;
+}
+
 /** Replication progress of another member, as tracked by the leader. */
 export interface Progress {
   nextIndex: number;
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -240,6 +240,7 @@
       clock: systemClock,
       seed: randomInt(MAX_SEED),
       logger,
+      registry: this.options.registry,
       records: this.records,
       onLeading: term => this.onLeading(term),
       onFailure: err => {
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -3,6 +3,7 @@
  * joins the cell, and repairs its membership.
  */
 import type Logger from 'bunyan';
+import type {Registry} from 'prom-client';
 import {
   ConsensusTask,
   chooseInitialVoters,
@@ -11,7 +12,6 @@
   openIdentity,
   replaceState,
   restoreState,
-  type Compaction,
   type ConsensusStatus,
   type LogAccess,
   type RecordLoadTask,
@@ -33,12 +33,12 @@
   type ZoneId,
 } from '@primrosewick/state';
 import {
-  LogRateLimiter,
   SuspensionDetector,
   pause,
   type Clock,
   type LinkCaller,
 } from '@primrosewick/transport';
+import {ReplicationLog} from './replication_log.js';
 import {VoterAnnouncements} from './voter_announcements.js';
 
 /** Cell name by which the VMs of one cell identify each other. */
@@ -56,6 +56,8 @@
   readonly clock: Clock;
   readonly seed: number;
   readonly logger: Logger;
+  /** Registry of the gauges of the log. */
+  readonly registry?: Registry;
   /** Measures the records that this VM proposes. */
   readonly records?: Pick<RecordLoadTask, 'watch'>;
   /**
@@ -78,10 +80,6 @@
 /** Maximum number of waiting proposals. */
 const MAX_PROPOSALS = 4096;
 const REPAIR_INTERVAL_MS = 200;
-/** Interval of lines about the cost of the log at the leader, in ms. */
-const LOAD_INTERVAL_MS = 2000;
-/** Lines about malformed messages in that time. */
-const MALFORMED_LINES = 2;
 const FOUND_PAUSE_MS = 100;
 /** Time after which a cell is founded without the seeds that do not answer, in ms. */
 const FOUND_WAIT_MS = 4000;
@@ -97,17 +95,13 @@
   private leadingTerm: number | null = null;
   private confirmingTerm: number | null = null;
   private isClosed = false;
-  /** Monotonic time from which the cost of the log is reported again, in ms. */
-  private loadDueAt = Number.NEGATIVE_INFINITY;
   private readonly voterAnnouncements = new VoterAnnouncements();
   private readonly suspensions: SuspensionDetector;
-  private readonly malformedBudget = new LogRateLimiter(
-    MALFORMED_LINES,
-    LOAD_INTERVAL_MS,
-  );
+  private readonly replication: ReplicationLog;
 
   constructor(private readonly options: ReplicatedLogOptions) {
     this.suspensions = new SuspensionDetector(options.clock);
+    this.replication = new ReplicationLog(options);
   }
 
   /** Opens the data folder. */
@@ -142,7 +136,7 @@
     while (!this.isClosed) {
       this.suspensions.checkClocks();
       await this.repair();
-      if (this.isLeading) this.logLoadWhenDue();
+      if (this.task) this.report(this.task);
       await pause(this.options.clock, REPAIR_INTERVAL_MS);
     }
   }
@@ -308,8 +302,9 @@
         quickElectionMs: QUICK_ELECTION_MS,
       },
       maxProposals: MAX_PROPOSALS,
-      onCompacted: compaction => this.logCompaction(compaction),
-      onMalformed: (from, count) => this.logMalformed(from, count),
+      onCompacted: compaction => this.replication.logCompaction(compaction),
+      onMalformed: (from, count) => this.replication.logMalformed(from, count),
+      onCallFailed: call => this.replication.logFailedCall(call),
       onFailure: err => {
         logger.error({change: 'log_failed', err: err.toBody()});
         onFailure(err);
@@ -319,35 +314,16 @@
     this.task.start();
   }
 
-  private logMalformed(peer: VmId, count: number): void {
-    const line = this.malformedBudget.take(this.options.clock.now());
-    if (!line) return;
-    this.options.logger.error(
-      {change: 'messages_malformed', peer, count, ...line},
-      'left out messages of another VM that are not of the log',
-    );
-  }
-
-  private logCompaction({tookMs, writeMs, ...facts}: Compaction): void {
-    const times = {tookMs: Math.round(tookMs), writeMs: Math.round(writeMs)};
-    this.options.logger.info(
-      {change: 'compacted', ...facts, ...times},
-      'log compacted: entries replaced by a snapshot',
-    );
-  }
-
-  private logLoadWhenDue(): void {
-    const {clock, logger} = this.options;
-    const now = clock.now();
-    if (now < this.loadDueAt) return;
-    this.loadDueAt = now + LOAD_INTERVAL_MS;
-    const load = this.task?.takeBatchCost();
-    const confirmedMs = Math.round(this.leadershipConfirmedAgeMs);
-    if (load)
-      logger.info(
-        {change: 'log_load', ...load, confirmedMs},
-        'cost of the log at the leader',
-      );
+  /** Reports the size of the log and, at the leader, its cost and the members behind it. */
+  private report(task: Task): void {
+    this.replication.noteSize(task.logSize);
+    if (!this.isLeading) return;
+    this.replication.reportWhenDue(() => ({
+      cost: task.takeBatchCost(),
+      lags: task.lags,
+      size: task.logSize,
+      confirmedMs: this.leadershipConfirmedAgeMs,
+    }));
   }
 
   private onStatus({role, leader, term, members}: ConsensusStatus): void {
@@ -391,6 +367,7 @@
   private setLeadingTerm(term: number | null): void {
     if (this.leadingTerm === term) return;
     this.leadingTerm = term;
+    if (term === null) this.replication.endLeadership();
     this.options.onLeading(term);
   }
 
