--- a/packages/coordination/src/consensus/compaction.spec.ts
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -1,42 +1,72 @@
 import {expect} from 'chai';
 import {asId, type Folder, type NodeId} from '@primrosewick/state';
 import {systemClock} from '@primrosewick/transport';
+import {COMPACTION_LIMITS, isCompactionDue} from './compaction.js';
 import {singleVoterState} from './core.js';
 import {IndexRecorder} from './fixtures.js';
 import {ConsensusTask} from './task.js';
 import type {Compaction} from './task_options.js';
 
 const NODE = asId<NodeId>('a~1');
-const folder: Folder = {
-  read: async () => undefined,
-  append: async () => undefined,
-  truncate: async () => undefined,
-  replace: async () => undefined,
-  close: async () => undefined,
+const LARGE_BYTES = 500_000;
+/** Largest log, in bytes: a quarter of a disk of 128 MB. */
+const MAX_LOG_BYTES = 32_000_000;
+
+/** A folder that measures the file of the log. */
+class MeasuredFolder implements Folder {
+  /** Bytes of the log file at its longest. */
+  longestLog = 0;
+  private logBytes = 0;
+
+  async read(): Promise<undefined> {}
+
+  async append(file: string, {length}: Uint8Array): Promise<void> {
+    if (file === 'log') this.note(this.logBytes + length);
+  }
+
+  async truncate(): Promise<void> {}
+
+  async replace(file: string, {length}: Uint8Array): Promise<void> {
+    if (file === 'log') this.note(length);
+  }
+
+  async close(): Promise<void> {}
+
+  private note(bytes: number): void {
+    this.logBytes = bytes;
+    this.longestLog = Math.max(this.longestLog, bytes);
+  }
+}
+
+/** Starts the only voter of a cell; @returns it once it leads. */
+const startAlone = async () => {
+  const compactions: Compaction[] = [];
+  const replica = new IndexRecorder();
+  const file = new MeasuredFolder();
+  const task = new ConsensusTask<string, number>({
+    node: NODE,
+    folder: file,
+    restored: singleVoterState<string>(NODE),
+    replica,
+    peers: {call: async () => ({envelopes: []})},
+    clock: systemClock,
+    timing: {heartbeatMs: 10, electionMs: 20},
+    seed: 1,
+    maxProposals: 10_000,
+    onFailure: err => expect.fail(err.message),
+    onCompacted: compaction => compactions.push(compaction),
+  });
+  const elected = new Promise<void>(resolve =>
+    task.changes.subscribe(({role}) => role === 'leader' && resolve()),
+  );
+  task.start();
+  await elected;
+  return {task, replica, file, compactions};
 };
 
 describe('compaction of the log', () => {
   it('each snapshot is reported once, with the number of entries it replaced', async () => {
-    const compactions: Compaction[] = [];
-    const replica = new IndexRecorder();
-    const task = new ConsensusTask<string, number>({
-      node: NODE,
-      folder,
-      restored: singleVoterState<string>(NODE),
-      replica,
-      peers: {call: async () => ({envelopes: []})},
-      clock: systemClock,
-      timing: {heartbeatMs: 10, electionMs: 20},
-      seed: 1,
-      maxProposals: 10_000,
-      onFailure: err => expect.fail(err.message),
-      onCompacted: compaction => compactions.push(compaction),
-    });
-    const elected = new Promise<void>(resolve =>
-      task.changes.subscribe(({role}) => role === 'leader' && resolve()),
-    );
-    task.start();
-    await elected;
+    const {task, replica, compactions} = await startAlone();
     for (let round = 0; round < 2; round++)
       await Promise.all(Array.from({length: 4100}, () => task.propose('c')));
     await new Promise(resolve => setTimeout(resolve, 50));
@@ -53,4 +83,40 @@
       expect(writeMs).to.be.within(0, 5000);
     }
   });
+  // Guards against a voter that runs out of memory by a few hundred large entries.
+  it('a log of few large entries is compacted, and its file stays small', async () => {
+    const {task, file} = await startAlone();
+    const command = 'c'.repeat(LARGE_BYTES);
+    for (let i = 0; i < 200; i++) await task.propose(command);
+    task.stop();
+    expect(task.logSize.bytes).to.be.at.most(MAX_LOG_BYTES);
+    expect(file.longestLog).to.be.at.most(MAX_LOG_BYTES);
+  });
+  it('a lagging member puts a compaction off, but not beyond the bounds', () => {
+    const {entries, bytes, maxEntries, maxBytes} = COMPACTION_LIMITS;
+    const log = {
+      entries,
+      bytes,
+      fileBytes: 0,
+      snapshotBytes: 0,
+      isLagging: true,
+    };
+    expect(isCompactionDue(log)).to.equal(false);
+    expect(isCompactionDue({...log, isLagging: false})).to.equal(true);
+    expect(isCompactionDue({...log, entries: maxEntries})).to.equal(true);
+    expect(isCompactionDue({...log, bytes: maxBytes})).to.equal(true);
+    expect(isCompactionDue({...log, fileBytes: maxBytes})).to.equal(true);
+  });
+  it('a log is not compacted for fewer bytes than its snapshot has, up to the bound', () => {
+    const {bytes, maxBytes} = COMPACTION_LIMITS;
+    const log = {
+      entries: 1,
+      bytes,
+      fileBytes: 0,
+      snapshotBytes: 4 * maxBytes,
+      isLagging: false,
+    };
+    expect(isCompactionDue(log)).to.equal(false);
+    expect(isCompactionDue({...log, bytes: maxBytes})).to.equal(true);
+  });
 });
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -3,6 +3,7 @@
  * Each input yields effects, which a driver executes in order.
  */
 import {assertNever, type NodeId} from '@primrosewick/state';
+import type {CompactableLog} from './compaction.js';
 import {ConsensusContext, noEffects, type ConsensusOptions} from './context.js';
 import {Election} from './election.js';
 import {Follower} from './follower.js';
@@ -111,6 +112,19 @@
     };
   }
 
+  /** The delivered entries, which a snapshot would replace. */
+  get compactable(): Omit<CompactableLog, 'fileBytes'> {
+    const {log, deliveredIndex, commitIndex, progress} = this.context;
+    return {
+      entries: deliveredIndex - log.baseIndex,
+      bytes: log.bytesBetween(log.baseIndex, deliveredIndex),
+      snapshotBytes: log.snapshot?.data.length ?? 0,
+      isLagging: [...progress.values()].some(
+        ({matchIndex}) => matchIndex < commitIndex,
+      ),
+    };
+  }
+
   /** State that must be on disk. */
   get durable(): DurableState<C> {
     const {term, votedFor, log} = this.context;
--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -73,9 +73,15 @@
       readonly bytes: Uint8Array;
     };
 
+/** State read back from files. */
+export interface RestoredState<C> extends DurableState<C> {
+  /** Size of the file of the log, in bytes. */
+  readonly logFileBytes: number;
+}
+
 /** State read back, and the length to truncate the log to if its last record is torn. */
 export interface RestoredFiles<C> {
-  readonly restored: DurableState<C>;
+  readonly restored: RestoredState<C>;
   readonly truncateLogTo?: number;
 }
 
@@ -85,7 +91,7 @@
  */
 export const restoreState = async <C>(
   folder: Folder,
-): Promise<DurableState<C>> => {
+): Promise<RestoredState<C>> => {
   const files = {
     snapshot: await folder.read(SNAPSHOT_FILE),
     log: await folder.read(LOG_FILE),
@@ -107,25 +113,42 @@
   const snapshot = files.snapshot
     ? decodeSingleRecord<Snapshot>(files.snapshot, SNAPSHOT_FILE)
     : null;
-  if (!files.log) return {restored: {...emptyState<C>(), snapshot}};
+  if (!files.log)
+    return {restored: {...emptyState<C>(), snapshot, logFileBytes: 0}};
   const {records, validBytes} = decodeRecords(files.log, LOG_FILE);
-  const restored = replayRecords<C>(records, snapshot);
+  const restored = {
+    ...replayRecords<C>(records, snapshot),
+    logFileBytes: validBytes,
+  };
   return validBytes < files.log.length
     ? {restored, truncateLogTo: validBytes}
     : {restored};
 };
 
-/** Makes writes durable; a snapshot rewrites the log too. */
-export const persistWrites = async <C>(
-  folder: Folder,
-  writes: ReadonlyArray<StorageWrite<C>>,
-  image: () => DurableState<C>,
-): Promise<void> => {
-  for (const write of planWrites(writes, image)) {
-    if (write.kind === 'append') await folder.append(write.file, write.bytes);
-    else await folder.replace(write.file, write.bytes);
+/** Writes the state of a voter to its folder, and follows the size of its log. */
+export class StateWriter {
+  /** @param logFileBytes - size of the file of the log so far, in bytes. */
+  constructor(
+    private readonly folder: Folder,
+    public logFileBytes: number,
+  ) {}
+
+  /** Makes writes durable; a snapshot rewrites the log too. */
+  async persist<C>(
+    writes: ReadonlyArray<StorageWrite<C>>,
+    image: () => DurableState<C>,
+  ): Promise<void> {
+    for (const write of planWrites(writes, image)) await this.write(write);
   }
-};
+
+  private async write({kind, file, bytes}: FileWrite): Promise<void> {
+    if (kind === 'append') await this.folder.append(file, bytes);
+    else await this.folder.replace(file, bytes);
+    if (file !== LOG_FILE) return;
+    this.logFileBytes =
+      bytes.length + (kind === 'append' ? this.logFileBytes : 0);
+  }
+}
 
 /** Replaces the whole state. */
 export const replaceState = async <C>(
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -10,10 +10,11 @@
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
 import {BatchLoad, type BatchCost} from './batch_load.js';
+import {isCompactionDue} from './compaction.js';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
 import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
-import {persistWrites} from './persistence.js';
+import {StateWriter} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
 import type {MemberLag} from './member_lag.js';
 import {Outbox} from './outbox.js';
@@ -33,10 +34,6 @@
   StorageWrite,
 } from './types.js';
 
-/** Number of entries after which the log is compacted. */
-const COMPACT_ENTRIES = 4000;
-/** Number of entries after which the log is compacted even if a member lags behind. */
-const COMPACT_ALWAYS_ENTRIES = 4 * COMPACT_ENTRIES;
 /**
  * Time for which heartbeats go out during one write, in ms; a disk that takes
  * longer has failed, and the followers should elect another leader.
@@ -50,6 +47,7 @@
   /** Emits when the role or the leader changes. */
   readonly changes = new Subject<ConsensusStatus>();
   private readonly core: ConsensusCore<C>;
+  private readonly writer: StateWriter;
   private readonly inputs: InputBatcher<C>;
   private readonly diskGuard = new DiskGuard();
   private readonly load = new BatchLoad();
@@ -69,7 +67,7 @@
   private lastStatus: ConsensusStatus;
 
   constructor(private readonly options: ConsensusTaskOptions<C, R>) {
-    const {node, restored, seed, clock, timing, replica} = options;
+    const {node, folder, restored, seed, clock, timing, replica} = options;
     this.core = new ConsensusCore<C>({
       id: node,
       restored,
@@ -77,6 +75,7 @@
       now: clock.now(),
       timing,
     });
+    this.writer = new StateWriter(folder, restored.logFileBytes ?? 0);
     this.inputs = new InputBatcher(this.core);
     this.schedule = new WriteSchedule(clock, () => void this.run());
     this.outbox = new Outbox({
@@ -311,7 +310,7 @@
     for (const delivery of deliveries) this.deliver(delivery);
     this.updateStatus();
     this.scheduleCommitNotice();
-    if (deliveries.length > 0) this.compactIfLong();
+    if (deliveries.length > 0) this.compactIfDue();
   }
 
   private noteBatch(): void {
@@ -337,7 +336,7 @@
   }
 
   private async persist(writes: ReadonlyArray<StorageWrite<C>>): Promise<void> {
-    const {clock, folder} = this.options;
+    const {clock} = this.options;
     const startedAt = clock.now();
     const endSync = observeSync(clock);
     // The image is taken now, as inputs that arrive during the write must not be
@@ -346,7 +345,7 @@
       ? this.core.durable
       : emptyState<C>();
     if (mayBeatDuring(writes)) this.beatUntil = startedAt + MAX_BEAT_MS;
-    await persistWrites(folder, writes, () => image);
+    await this.writer.persist(writes, () => image);
     this.beatUntil = Number.NEGATIVE_INFINITY;
     const now = clock.now();
     this.schedule.noteWrite(startedAt);
@@ -398,13 +397,9 @@
     if (isChanged) this.changes.next(status);
   }
 
-  private compactIfLong(): void {
-    const {commitIndex, lastIndex, matches} = this.core.status;
-    const logLength = lastIndex - (this.core.durable.snapshot?.index ?? 0);
-    if (logLength < COMPACT_ENTRIES) return;
-    const isLagging = matches.some(({index}) => index < commitIndex);
-    if (isLagging && logLength < COMPACT_ALWAYS_ENTRIES) return;
-    this.compact();
+  private compactIfDue(): void {
+    const {logFileBytes: fileBytes} = this.writer;
+    if (isCompactionDue({...this.core.compactable, fileBytes})) this.compact();
   }
 
   private compact(): void {
@@ -417,7 +412,7 @@
     this.compaction = {
       index,
       bytes: data.length,
-      dropped: index - (this.core.durable.snapshot?.index ?? 0),
+      dropped: index - this.core.logSize.snapshotIndex,
       tookMs: now - startedAt,
     };
     this.inputs.offer({kind: 'compact', now, index, data});
--- a/packages/coordination/src/consensus/task_options.ts
+++ b/packages/coordination/src/consensus/task_options.ts
@@ -37,7 +37,10 @@
 export interface ConsensusTaskOptions<C, R> {
   readonly node: NodeId;
   readonly folder: Folder;
-  readonly restored: DurableState<C>;
+  readonly restored: DurableState<C> & {
+    /** Size of the file of the log, in bytes; 0 by default. */
+    readonly logFileBytes?: number;
+  };
   readonly replica: ReplicatedStateMachine<C, R>;
   readonly peers: LogPeers;
   readonly clock: Clock;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,6 +10,7 @@
 export * from './authority/task.js';
 export * from './authority/types.js';
 export * from './consensus/members_task.js';
+export * from './consensus/compaction.js';
 export type {BatchCost} from './consensus/batch_load.js';
 export type {MemberLag} from './consensus/member_lag.js';
 export type {FailedCall, LogPeers} from './consensus/outbox.js';
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -15,7 +15,7 @@
   type ConsensusStatus,
   type LogAccess,
   type RecordLoadTask,
-  type DurableState,
+  type RestoredState,
   type WorkflowReplica,
 } from '@primrosewick/coordination';
 import type {LinkHello, LinkHelloReply} from '@primrosewick/protocol';
@@ -91,7 +91,7 @@
   private task: Task | null = null;
   private folder: NodeFolder | null = null;
   private identity: NodeId | null = null;
-  private restored: DurableState<WorkflowCommand> | null = null;
+  private restored: RestoredState<WorkflowCommand> | null = null;
   private leadingTerm: number | null = null;
   private confirmingTerm: number | null = null;
   private isClosed = false;
@@ -255,8 +255,9 @@
         isSeedWaitOver: clock.now() >= waitUntil,
       });
       if (voters) {
-        this.restored = initialVotersState<WorkflowCommand>(voters);
-        await replaceState(this.folder, this.restored);
+        const founded = initialVotersState<WorkflowCommand>(voters);
+        await replaceState(this.folder, founded);
+        this.restored = {...founded, logFileBytes: 0};
         logger.info({change: 'founded', voters}, 'founded the cell');
         return;
       }
--- a/packages/proofs/src/bench/log.ts
+++ b/packages/proofs/src/bench/log.ts
@@ -13,9 +13,9 @@
   rankFollowSources,
   singleVoterState,
   nextMemberChange,
-  persistWrites,
   replaceState,
   restoreState,
+  StateWriter,
   type Entry,
   type PackedEnvelope,
 } from '@primrosewick/coordination';
@@ -334,14 +334,13 @@
   for (const count of [500, 5000, 50_000]) {
     const root = mkdtempSync(path.join(tmpdir(), 'primrosewick-bench-'));
     const folder = await NodeFolder.open(root);
+    const writer = new StateWriter(folder, 0);
     for (let from = 1; from <= count; from += 500) {
       const entries = Array.from({length: 500}, (_none, i) =>
         makeEntry(from + i),
       );
-      await persistWrites<CellCommand>(
-        folder,
-        [{kind: 'append', entries}],
-        () => emptyState(),
+      await writer.persist<CellCommand>([{kind: 'append', entries}], () =>
+        emptyState(),
       );
     }
     const tookMs = await measureMs(async () => {
--- a/packages/proofs/src/consensus/plans.ts
+++ b/packages/proofs/src/consensus/plans.ts
@@ -20,7 +20,7 @@
 });
 
 /** Largest message and longest text of a write in the plan of large entries. */
-const LARGE_ENTRIES = {frameBytes: 32 * 1024, maxTextLength: 24 * 1024};
+export const LARGE_ENTRIES = {frameBytes: 32 * 1024, maxTextLength: 24 * 1024};
 
 /**
  * Fuzzing plan for the cell log with entries of very unlike sizes: a few of them
--- a/packages/proofs/src/consensus/sim.ts
+++ b/packages/proofs/src/consensus/sim.ts
@@ -29,6 +29,8 @@
 const MAX_DARK_MS = 1500;
 /** Maximum time for a write to be accepted by a settled cell, in ms. */
 const MAX_ACCEPT_MS = 2000;
+/** Largest file of a log, in bytes: one bound of compaction, and what is not committed. */
+const MAX_LOG_FILE_BYTES = 128 * 1024;
 const NAMES = ['desk', 'curves'].map(name => asId<ProfileName>(name));
 
 interface SentWrite {
@@ -234,6 +236,8 @@
     }
     const index = leader.status.commitIndex;
     for (const node of this.nodes) {
+      if (node.logFileBytes > MAX_LOG_FILE_BYTES)
+        throw new Error(`the log of ${node.vm} has ${node.logFileBytes} bytes`);
       if (node.readableReplica && node.readableReplica.index >= index) continue;
       throw new Error(
         `${node.vm} did not catch up: it is at index ${node.readableReplica?.index} of ${index}`,
--- a/packages/proofs/src/consensus/sim_node.ts
+++ b/packages/proofs/src/consensus/sim_node.ts
@@ -8,6 +8,9 @@
   singleVoterState,
   planWrites,
   restoreFiles,
+  isCompactionDue,
+  type CompactableLog,
+  type CompactionLimits,
   type ConsensusEffects,
   type ConsensusInput,
   type Delivery,
@@ -43,7 +46,13 @@
 
 const TICK_MS = 50;
 const MAX_SYNC_MS = 40;
-const COMPACT_ENTRIES = 25;
+/** Sizes from which a log is compacted; a lagging member puts nothing off. */
+const COMPACTION: CompactionLimits = {
+  entries: 25,
+  maxEntries: 25,
+  bytes: 64 * 1024,
+  maxBytes: 64 * 1024,
+};
 /** Bytes of entries in one message; a larger entry goes alone. */
 const MESSAGE_BYTES = 8 * 1024;
 
@@ -89,6 +98,11 @@
     this.disk.isFailing = isFailing;
   }
 
+  /** Bytes of the file of its log. */
+  get logFileBytes(): number {
+    return this.disk.read('log')?.length ?? 0;
+  }
+
   /** Status of the core; undefined while the process is down. */
   get status() {
     return this.core?.status;
@@ -327,9 +341,12 @@
     waiter?.done(waiter.term === entry.term ? result : undefined);
   }
 
+  private get compactable(): CompactableLog {
+    return {...this.core!.compactable, fileBytes: this.logFileBytes};
+  }
+
   private compactIfLong(): void {
-    const entryCount = this.core!.durable.entries.length;
-    if (entryCount < COMPACT_ENTRIES) return;
+    if (!isCompactionDue(this.compactable, COMPACTION)) return;
     const image = this.replica.state.toImage();
     this.batcher?.offer({
       kind: 'compact',
