--- a/packages/transport/src/link/connection.ts
+++ b/packages/transport/src/link/connection.ts
@@ -78,7 +78,7 @@
 /** Stream to another VM; it is not reopened once closed. */
 export class LinkConnection {
   private readonly client: Client;
-  private readonly stream: ClientDuplexStream<LinkFrame, LinkFrame>;
+  private readonly stream: ClientDuplexStream<Buffer, LinkFrame>;
   private readonly pending = new Map<number, PendingCall>();
   private readonly opened: Promise<void>;
   private settleOpened: (err?: CellError) => void = () => undefined;
@@ -104,7 +104,7 @@
     });
     this.stream = this.client.makeBidiStreamRequest(
       LINK_PATH,
-      frame => this.encode(frame),
+      bytes => bytes,
       bytes => this.decode(bytes),
       new Metadata(),
     );
@@ -116,7 +116,9 @@
     this.stream.on('data', frame => this.take(frame));
     this.stream.on('error', err => this.close(err.message));
     this.stream.on('end', () => this.close('the peer ended the stream'));
-    this.stream.write({kind: 'open', cell: options.cell, from: options.from});
+    this.write(
+      this.encode({kind: 'open', cell: options.cell, from: options.from}),
+    );
     this.openTimer = startTimeout(OPEN_TIMEOUT_MS, () =>
       this.close('no reply to the first frame'),
     );
@@ -124,8 +126,9 @@
 
   /**
    * Sends a call. An abort of `signal` asks the peer to answer at once.
-   * @throws CellError `peer_unreachable` when it was not sent, `peer_timeout`
-   *   when its outcome is unknown, or the peer's reason.
+   * @throws CellError `peer_unreachable` when it was not sent, `body_too_large`
+   *   when it exceeds a frame, `peer_timeout` when its outcome is unknown, or the
+   *   peer's reason.
    */
   async call(
     step: string,
@@ -153,29 +156,46 @@
   private sendCall(id: number, body: unknown, deadline: number): void {
     const call = this.pending.get(id);
     if (!call) return;
-    call.isSent = true;
     const method = call.step as LinkMethod;
     const leftMs = Math.max(0, Math.round(deadline - performance.now()));
-    this.ask({kind: 'call', id, method, body, leftMs});
+    const bytes = this.encode({kind: 'call', id, method, body, leftMs});
+    if (bytes.length > MAX_LINK_FRAME_BYTES)
+      return this.rejectCall(id, this.tooLarge(method, bytes.length));
+    call.isSent = true;
+    this.ask(bytes);
   }
 
   /** Asks the peer to answer a call at once; one that was not sent just waits. */
   private cancelCall(id: number): void {
-    if (this.pending.get(id)?.isSent) this.ask({kind: 'cancel', id});
+    if (this.pending.get(id)?.isSent)
+      this.ask(this.encode({kind: 'cancel', id}));
   }
 
   private failCall(id: number, detail: string): void {
     const call = this.pending.get(id);
     if (!call) return;
-    this.pending.delete(id);
-    call.timer.cancel();
-    call.ignoreAbort();
     const {step, isSent} = call;
-    call.reject(
+    this.rejectCall(
+      id,
       isSent ? this.timeout(step, detail) : this.unreachable(step, detail),
     );
   }
 
+  private rejectCall(id: number, err: CellError): void {
+    const call = this.takeCall(id);
+    call?.reject(err);
+  }
+
+  /** Removes and returns a pending call, whose outcome is now known. */
+  private takeCall(id: number): PendingCall | undefined {
+    const call = this.pending.get(id);
+    if (!call) return undefined;
+    this.pending.delete(id);
+    call.timer.cancel();
+    call.ignoreAbort();
+    return call;
+  }
+
   /** Closes the stream; the outcome of calls that were sent is unknown. */
   close(detail: string): void {
     if (this.isClosed) return;
@@ -207,23 +227,25 @@
       this.settleOpened();
     }
     if (frame.kind !== 'reply' && frame.kind !== 'error') return;
-    const call = this.pending.get(frame.id);
+    const call = this.takeCall(frame.id);
     if (!call) return;
-    this.pending.delete(frame.id);
-    call.timer.cancel();
-    call.ignoreAbort();
     if (frame.kind === 'reply') call.resolve(frame.body);
     else call.reject(this.toPeerError(call.step, frame.error));
   }
 
-  private ask(frame: LinkFrame): void {
+  private ask(bytes: Buffer): void {
     this.sentAt ??= performance.now();
-    this.stream.write(frame);
+    this.write(bytes);
+  }
+
+  private write(bytes: Buffer): void {
+    this.options.onBytes('sent', bytes.length);
+    this.stream.write(bytes);
   }
 
   private probe(): void {
     this.probedAt ??= performance.now();
-    this.ask({kind: 'ping'});
+    this.ask(this.encode({kind: 'ping'}));
   }
 
   /**
@@ -279,9 +301,7 @@
   }
 
   private encode(frame: LinkFrame): Buffer {
-    const bytes = workMeter.measure('frame', () => encodeLinkFrame(frame));
-    this.options.onBytes('sent', bytes.length);
-    return bytes;
+    return workMeter.measure('frame', () => encodeLinkFrame(frame));
   }
 
   private decode(bytes: Buffer): LinkFrame {
@@ -306,6 +326,12 @@
     return new CellError({code: 'peer_unreachable', step, peer, detail});
   }
 
+  private tooLarge(step: string, bytes: number): CellError {
+    const peer = asId<VmId>(this.options.to);
+    const detail = `a call of ${bytes} bytes exceeds a frame`;
+    return new CellError({code: 'body_too_large', step, peer, detail});
+  }
+
   private timeout(step: string, detail: string): CellError {
     const peer = asId<VmId>(this.options.to);
     return new CellError({code: 'peer_timeout', step, peer, detail});
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -14,7 +14,7 @@
 } from '@primrosewick/protocol';
 import {CellError, toCellError, type VmId} from '@primrosewick/state';
 import {workMeter, type WorkKind} from '../event_loop/work_meter.js';
-import {LINK_SERVICE} from './service.js';
+import {LINK_SERVICE, encodeMeasured} from './service.js';
 
 /**
  * Handlers by method; the deadline is the caller's, on the monotonic clock in ms.
@@ -93,7 +93,7 @@
   signal: AbortSignal,
 ) => Promise<unknown>;
 type CallFrame = Extract<LinkFrame, {kind: 'call'}>;
-type Stream = ServerDuplexStream<LinkFrame, LinkFrame>;
+type Stream = ServerDuplexStream<LinkFrame, Buffer>;
 /** Calls of one stream that are being handled, by their ids. */
 type OpenCalls = Map<number, AbortController>;
 
@@ -140,7 +140,7 @@
         if (frame.cell !== this.options.cell) return void stream.end();
         from = frame.from;
         this.streams.set(from, stream);
-        stream.write({kind: 'pong'});
+        stream.write(encodeMeasured({kind: 'pong'}));
       } else if (from !== undefined) this.take(stream, from, frame, calls);
     });
     const onClosed = (): void => {
@@ -170,7 +170,7 @@
   ): void {
     switch (frame.kind) {
       case 'ping':
-        stream.write({kind: 'pong'});
+        stream.write(encodeMeasured({kind: 'pong'}));
         return;
       case 'call':
         void this.serve(stream, from, frame, calls);
@@ -208,12 +208,31 @@
     calls.set(call.id, controller);
     const reply = await this.run(from, call, controller.signal);
     calls.delete(call.id);
-    if (!stream.destroyed && !stream.cancelled) return void stream.write(reply);
+    if (!stream.destroyed && !stream.cancelled)
+      return void stream.write(this.encodeReply(call, from, reply));
     const {method, body} = call;
     const tookMs = performance.now() - beganAt;
     this.options.onDroppedReply?.({method, from, body, tookMs});
   }
 
+  /** Encodes a reply; one that exceeds a frame becomes an error, as it would break the stream. */
+  private encodeReply(
+    {id, method}: CallFrame,
+    from: VmId,
+    reply: LinkFrame,
+  ): Buffer {
+    const bytes = encodeMeasured(reply);
+    if (bytes.length <= MAX_LINK_FRAME_BYTES) return bytes;
+    const err = new CellError({
+      code: 'answer_too_large',
+      step: method,
+      peer: from,
+      detail: `an answer of ${bytes.length} bytes exceeds a frame`,
+    });
+    this.options.onRefusal(err);
+    return encodeMeasured({kind: 'error', id, error: err.toBody()});
+  }
+
   private async run(
     from: VmId,
     {id, method, body, leftMs}: CallFrame,
