--- a/packages/coordination/src/consensus/catch_up.spec.ts
+++ b/packages/coordination/src/consensus/catch_up.spec.ts
@@ -217,6 +217,30 @@
     expect(bytes).to.be.greaterThan(0);
     expect(bytes).to.be.at.most(MAX_LINK_FRAME_BYTES);
   });
+  // Guards against a leader whose log grows by entries that nobody acknowledges.
+  it('entries that are not committed are bounded by their bytes', () => {
+    const {core, now} = makeLeader(LARGE.count, LARGE.bytes);
+    const {maxUncommittedBytes} = DEFAULT_CONSENSUS_TIMING;
+    const count = Math.ceil((2 * maxUncommittedBytes) / LARGE.bytes);
+    const answers = Array.from({length: count}, (_, token) =>
+      core.step({
+        kind: 'propose',
+        now: now(),
+        token,
+        command: 'c'.repeat(LARGE.bytes),
+      }),
+    ).flatMap(effects => effects.answers);
+    const appended = answers.filter(({kind}) => kind === 'appended').length;
+    expect(appended * LARGE.bytes).to.be.within(
+      maxUncommittedBytes - LARGE.bytes,
+      maxUncommittedBytes + LARGE.bytes,
+    );
+    expect(answers).to.deep.include({
+      kind: 'refused',
+      token: count - 1,
+      why: 'overloaded',
+    });
+  });
   // Guards against an entry that is never sent, as it alone exceeds the bound.
   it('an entry larger than the bound of a message goes alone', () => {
     const bytes = DEFAULT_CONSENSUS_TIMING.maxBytesPerMessage + 1;
--- a/packages/coordination/src/consensus/input_batcher.ts
+++ b/packages/coordination/src/consensus/input_batcher.ts
@@ -13,20 +13,31 @@
 export class InputBatcher<C> {
   private proposals: Array<Proposal<C>> = [];
   private others: Array<ConsensusInput<C>> = [];
+  private queuedBytes = 0;
 
   constructor(private readonly core: ConsensusCore<C>) {}
 
   /** Queues an input. */
   offer(input: ConsensusInput<C>): void {
-    if (input.kind === 'propose') this.proposals.push(input);
+    if (input.kind === 'propose') this.offerProposal(input);
     else this.others.push(input);
   }
 
+  private offerProposal(input: Proposal<C>): void {
+    this.proposals.push(input);
+    this.queuedBytes += input.bytes ?? 0;
+  }
+
   /** Whether proposals are queued. */
   get hasProposals(): boolean {
     return this.proposals.length > 0;
   }
 
+  /** Approximate size of the queued proposals, in bytes. */
+  get proposalBytes(): number {
+    return this.queuedBytes;
+  }
+
   /** Whether inputs other than proposals are queued. */
   get hasOthers(): boolean {
     return this.others.length > 0;
@@ -36,6 +47,7 @@
   runProposals(): ConsensusEffects<C> {
     const inputs = this.proposals;
     this.proposals = [];
+    this.queuedBytes = 0;
     const last = inputs.length - 1;
     return this.run(
       inputs.map((input, index) => ({...input, isMore: index < last})),
--- a/packages/coordination/src/consensus/leadership.ts
+++ b/packages/coordination/src/consensus/leadership.ts
@@ -71,8 +71,7 @@
   onPropose(token: number, body: EntryBody<C>, isMore = false): void {
     if (this.context.role !== 'leader')
       return this.context.refuse(token, 'not_leader');
-    const uncommitted = this.context.log.lastIndex - this.context.commitIndex;
-    if (uncommitted >= this.context.timing.maxUncommitted) {
+    if (this.hasTooManyUncommitted) {
       this.context.refuse(token, 'overloaded');
       if (!isMore) this.replicate();
       return;
@@ -87,6 +86,14 @@
     if (!isMore) this.replicate();
   }
 
+  private get hasTooManyUncommitted(): boolean {
+    const {log, commitIndex, timing} = this.context;
+    return (
+      log.lastIndex - commitIndex >= timing.maxUncommitted ||
+      log.bytesBetween(commitIndex, log.lastIndex) >= timing.maxUncommittedBytes
+    );
+  }
+
   /** Handles a membership change: appends the new members. */
   onChangeMembers(token: number, change: MemberChange): void {
     if (this.context.role !== 'leader')
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -13,6 +13,7 @@
 import {isCompactionDue} from './compaction.js';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
+import {estimateBytes} from './entry_size.js';
 import {isAppend, isAppendOnly, mayBeatDuring} from './early_send.js';
 import {StateWriter} from './persistence.js';
 import {InputBatcher} from './input_batcher.js';
@@ -21,7 +22,11 @@
 import {decodeEnvelope} from './envelope_check.js';
 import type {PackedEnvelope} from './packing.js';
 import {observeSync} from './observe_sync.js';
-import type {Compaction, ConsensusTaskOptions} from './task_options.js';
+import {
+  MAX_COMMAND_BYTES,
+  type Compaction,
+  type ConsensusTaskOptions,
+} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
 import type {
@@ -39,6 +44,8 @@
  * longer has failed, and the followers should elect another leader.
  */
 const MAX_BEAT_MS = 3000;
+/** Bytes of proposals that wait for a write from which no more are taken. */
+const MAX_QUEUED_BYTES = 16 * 1024 * 1024;
 /** Longest interval between two ticks of the core, in ms. */
 const MAX_TICK_MS = 100;
 
@@ -201,23 +208,39 @@
   /**
    * Proposes a command.
    * @returns the result, once the command is committed and applied on this node.
-   * @throws CellError `not_leader`, `log_overloaded`, `log_outcome_unknown` or `storage_failed`.
+   * @throws CellError `body_too_large`, `not_leader`, `log_overloaded`,
+   *   `log_outcome_unknown` or `storage_failed`.
    */
   propose(command: C): Promise<R> {
-    if (this.waiters.size >= this.options.maxProposals) {
-      return Promise.reject(
-        new CellError({code: 'log_overloaded', step: 'propose'}),
-      );
-    }
+    const bytes = estimateBytes(command);
+    const fault = this.findProposalFault(bytes);
+    if (fault) return Promise.reject(fault);
     const now = this.options.clock.now();
     return this.ask(token => ({
       kind: 'propose',
       now,
       token,
       command,
+      bytes,
     })) as Promise<R>;
   }
 
+  /** Error for a command of a size that is not taken, or not now. */
+  private findProposalFault(bytes: number): CellError | undefined {
+    if (bytes > MAX_COMMAND_BYTES)
+      return new CellError({
+        code: 'body_too_large',
+        step: 'propose',
+        detail: `a record of ${bytes} bytes exceeds ${MAX_COMMAND_BYTES}`,
+      });
+    const isFull =
+      this.waiters.size >= this.options.maxProposals ||
+      this.inputs.proposalBytes >= MAX_QUEUED_BYTES;
+    return isFull
+      ? new CellError({code: 'log_overloaded', step: 'propose'})
+      : undefined;
+  }
+
   /** Proposes a membership change. */
   async changeMembers(change: MemberChange): Promise<void> {
     const now = this.options.clock.now();
--- a/packages/coordination/src/consensus/task_options.ts
+++ b/packages/coordination/src/consensus/task_options.ts
@@ -33,6 +33,9 @@
   readonly writeMs: number;
 }
 
+/** Largest command, in bytes: half a frame of a link. */
+export const MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+
 /** Options of the task. */
 export interface ConsensusTaskOptions<C, R> {
   readonly node: NodeId;
--- a/packages/coordination/src/consensus/types.ts
+++ b/packages/coordination/src/consensus/types.ts
@@ -126,6 +126,8 @@
       readonly now: number;
       readonly token: number;
       readonly command: C;
+      /** Approximate size of the command, if it is known, in bytes. */
+      readonly bytes?: number;
       /** Whether more proposals follow at once, so that one message carries them all. */
       readonly isMore?: boolean;
     }
@@ -217,6 +219,8 @@
   readonly maxInFlightBytes: number;
   /** Maximum number of entries appended but not yet committed. */
   readonly maxUncommitted: number;
+  /** Bytes of such entries from which no more are appended. */
+  readonly maxUncommittedBytes: number;
   /** Size of one snapshot chunk, in bytes. */
   readonly chunkBytes: number;
 }
@@ -232,6 +236,7 @@
   maxInFlight: 2048,
   maxInFlightBytes: 4 * 1024 * 1024,
   maxUncommitted: 4096,
+  maxUncommittedBytes: 16 * 1024 * 1024,
   chunkBytes: 256 * 1024,
 };
 
