--- /dev/null
+++ b/packages/coordination/src/consensus/compactor.ts
@@ -0,0 +1,58 @@
+/** Makes the snapshots of a voter, and reports them. */
+import {encode} from '@msgpack/msgpack';
+import {isCompactionDue} from './compaction.js';
+import type {ConsensusCore} from './core.js';
+import type {Compaction, ConsensusTaskOptions} from './task_options.js';
+import type {ConsensusInput} from './types.js';
+
+type CompactInput<C> = Extract<ConsensusInput<C>, {kind: 'compact'}>;
+
+/** Options of a compactor. */
+export type CompactorOptions<C> = Pick<
+  ConsensusTaskOptions<C, unknown>,
+  'replica' | 'clock' | 'onCompacted'
+> & {readonly core: Pick<ConsensusCore<C>, 'compactable' | 'logSize'>};
+
+/** Compacts the log of one voter. */
+export class Compactor<C> {
+  /** Snapshot that was encoded but not written yet. */
+  private pending: Omit<Compaction, 'writeMs'> | undefined;
+
+  constructor(private readonly options: CompactorOptions<C>) {}
+
+  /**
+   * @param fileBytes - size of the file of the log, in bytes.
+   * @returns the input that compacts the log, if that is due.
+   */
+  compactIfDue(fileBytes: number): CompactInput<C> | undefined {
+    const {compactable} = this.options.core;
+    return isCompactionDue({...compactable, fileBytes})
+      ? this.encodeState()
+      : undefined;
+  }
+
+  private encodeState(): CompactInput<C> {
+    const {clock, replica, core} = this.options;
+    const startedAt = clock.now();
+    const image = replica.toImage();
+    const data = encode(image, {ignoreUndefined: true});
+    const now = clock.now();
+    const {index} = image;
+    this.pending = {
+      index,
+      bytes: data.length,
+      dropped: index - core.logSize.snapshotIndex,
+      tookMs: now - startedAt,
+    };
+    return {kind: 'compact', now, index, data};
+  }
+
+  /** Reports a snapshot that is on disk, if it was made here; it took `writeMs` to write. */
+  noteWritten(index: number | undefined, writeMs: number): void {
+    if (index === undefined) return;
+    const {pending} = this;
+    this.pending = undefined;
+    if (pending?.index === index)
+      this.options.onCompacted?.({...pending, writeMs});
+  }
+}
--- a/packages/coordination/src/consensus/task.ts
+++ b/packages/coordination/src/consensus/task.ts
@@ -1,5 +1,5 @@
 /** Driver of the consensus core of one voter or learner. */
-import {decode, encode} from '@msgpack/msgpack';
+import {decode} from '@msgpack/msgpack';
 import {Subject, type Subscription} from 'rxjs';
 import {
   CellError,
@@ -10,7 +10,7 @@
 } from '@primrosewick/state';
 import type {LogStatus} from '@primrosewick/protocol';
 import {BatchLoad, type BatchCost} from './batch_load.js';
-import {isCompactionDue} from './compaction.js';
+import {Compactor} from './compactor.js';
 import {ConsensusCore, emptyState} from './core.js';
 import {DiskGuard} from './disk_guard.js';
 import {estimateBytes} from './entry_size.js';
@@ -22,11 +22,7 @@
 import {decodeEnvelope} from './envelope_check.js';
 import type {PackedEnvelope} from './packing.js';
 import {observeSync} from './observe_sync.js';
-import {
-  MAX_COMMAND_BYTES,
-  type Compaction,
-  type ConsensusTaskOptions,
-} from './task_options.js';
+import {MAX_COMMAND_BYTES, type ConsensusTaskOptions} from './task_options.js';
 import {Waiters} from './waiters.js';
 import {WriteSchedule} from './write_schedule.js';
 import type {
@@ -68,8 +64,7 @@
   private beatUntil = Number.NEGATIVE_INFINITY;
   private failure: CellError | null = null;
   private isNoticeScheduled = false;
-  /** Snapshot that was encoded but not written yet. */
-  private compaction: Omit<Compaction, 'writeMs'> | undefined;
+  private readonly compactor: Compactor<C>;
   private timer: Subscription | undefined;
   private lastStatus: ConsensusStatus;
 
@@ -83,6 +78,7 @@
       timing,
     });
     this.writer = new StateWriter(folder, restored.logFileBytes ?? 0);
+    this.compactor = new Compactor({...options, core: this.core});
     this.inputs = new InputBatcher(this.core);
     this.schedule = new WriteSchedule(clock, () => void this.run());
     this.outbox = new Outbox({
@@ -373,20 +369,11 @@
     const now = clock.now();
     this.schedule.noteWrite(startedAt);
     this.load.noteWrite(now - startedAt);
-    this.reportCompaction(image.snapshot?.index, now - startedAt);
+    this.compactor.noteWritten(image.snapshot?.index, now - startedAt);
     const isSlow = this.diskGuard.recordSync(endSync(now), now);
     if (isSlow && this.core.status.role === 'leader') this.transferLeadership();
   }
 
-  /** Reports the snapshot made by this node, if it is the one that was written. */
-  private reportCompaction(index: number | undefined, writeMs: number): void {
-    const {compaction} = this;
-    if (index === undefined) return;
-    this.compaction = undefined;
-    if (compaction?.index === index)
-      this.options.onCompacted?.({...compaction, writeMs});
-  }
-
   private deliver(delivery: Delivery<C>): void {
     const {replica} = this.options;
     if (delivery.kind === 'snapshot') {
@@ -421,24 +408,8 @@
   }
 
   private compactIfDue(): void {
-    const {logFileBytes: fileBytes} = this.writer;
-    if (isCompactionDue({...this.core.compactable, fileBytes})) this.compact();
-  }
-
-  private compact(): void {
-    const {clock, replica} = this.options;
-    const startedAt = clock.now();
-    const image = replica.toImage();
-    const data = encode(image, {ignoreUndefined: true});
-    const now = clock.now();
-    const {index} = image;
-    this.compaction = {
-      index,
-      bytes: data.length,
-      dropped: index - this.core.logSize.snapshotIndex,
-      tookMs: now - startedAt,
-    };
-    this.inputs.offer({kind: 'compact', now, index, data});
+    const input = this.compactor.compactIfDue(this.writer.logFileBytes);
+    if (input) this.inputs.offer(input);
   }
 
   private fail(err: CellError): void {
