--- a/packages/coordination/src/consensus/follower.ts
+++ b/packages/coordination/src/consensus/follower.ts
@@ -78,6 +78,7 @@
 
   private advanceCommit(index: number): void {
     this.context.commitIndex = Math.max(this.context.commitIndex, index);
+    this.receiver.dropUpTo(this.context.commitIndex);
   }
 
   private followLeader(leader: NodeId): void {
--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -201,14 +201,14 @@
 ): DurableState<C> => {
   let hardState: HardState = emptyState<C>().hardState;
   let entries: Array<Entry<C>> = [];
-  for (const write of records.flatMap(
-    record => decode(record) as Array<StorageWrite<C>>,
-  )) {
+  for (const write of decodeWrites<C>(records)) {
     if (write.kind === 'hard_state') hardState = write.hardState;
     else if (write.kind === 'truncate')
       entries = entries.filter(entry => entry.index < write.fromIndex);
-    else if (write.kind === 'append')
-      entries = [...removeFrom(entries, write.entries[0]), ...write.entries];
+    else if (write.kind === 'append') {
+      entries = removeFrom(entries, write.entries[0]);
+      for (const entry of write.entries) entries.push(entry);
+    }
   }
   return {
     hardState,
@@ -217,6 +217,13 @@
   };
 };
 
+/** Decodes records one after the other, as those of a long log are large together. */
+function* decodeWrites<C>(
+  records: readonly Uint8Array[],
+): Generator<StorageWrite<C>> {
+  for (const record of records) yield* decode(record) as Array<StorageWrite<C>>;
+}
+
 const removeFrom = <C>(
   entries: Array<Entry<C>>,
   first: Entry<C> | undefined,
--- a/packages/coordination/src/consensus/snapshot_receiver.ts
+++ b/packages/coordination/src/consensus/snapshot_receiver.ts
@@ -26,6 +26,11 @@
     return this.partial?.index === index ? this.partial.length : 0;
   }
 
+  /** Drops the part of a snapshot up to an index that the log has reached without it. */
+  dropUpTo(index: number): void {
+    if (this.partial && this.partial.index <= index) this.partial = null;
+  }
+
   /**
    * Adds a chunk; one that does not follow the last is dropped.
    * @returns the snapshot once it is complete.
--- a/packages/daemon/src/cluster/replicated_log.ts
+++ b/packages/daemon/src/cluster/replicated_log.ts
@@ -6,6 +6,7 @@
 import type {Registry} from 'prom-client';
 import {
   ConsensusTask,
+  caughtUpNodes,
   chooseInitialVoters,
   initialVotersState,
   nextMembershipChange,
@@ -75,8 +76,6 @@
 export const ELECTION_MS = 700;
 /** Minimum time from a broken stream to the leader until a pre-vote, in ms. */
 const QUICK_ELECTION_MS = HEARTBEAT_MS + 30;
-/** Maximum number of entries that a learner may be behind when it is promoted. */
-const MAX_PROMOTION_LAG_ENTRIES = 64;
 /** Maximum number of waiting proposals. */
 const MAX_PROPOSALS = 4096;
 const REPAIR_INTERVAL_MS = 200;
@@ -375,16 +374,12 @@
   private async repair(): Promise<void> {
     const {task, identity} = this;
     if (!task || !identity || !this.isLeading) return;
-    const {members, commitIndex, matches} = task.status;
+    const {members} = task.status;
     const change = nextMembershipChange({
       members,
       own: identity,
       announced: this.voterAnnouncements.list(this.options.clock.now()),
-      caughtUp: new Set(
-        matches
-          .filter(({index}) => index >= commitIndex - MAX_PROMOTION_LAG_ENTRIES)
-          .map(({node}) => node),
-      ),
+      caughtUp: caughtUpNodes(members.learners, task.lags),
       targetVoters: this.options.targetVoters,
     });
     if (!change) return;
