--- a/packages/coordination/src/workflow/pass_journal.ts
+++ b/packages/coordination/src/workflow/pass_journal.ts
@@ -1,9 +1,11 @@
 /** Records the inputs and decisions of the planner in a journal for replay. */
 import {
+  assertNever,
   notesOf,
   outcomeOf,
   toImage,
   withoutPayload,
+  withoutSource,
   type AdviceChange,
   type PassEvent,
   type Plan,
@@ -16,8 +18,10 @@
 const CORE = 'workflows';
 /** Minimum time between two recorded passes without a decision, in ms. */
 const IDLE_PASS_INTERVAL_MS = 500;
-/** Minimum time between two images, in ms, however large they are. */
-const IMAGE_INTERVAL_MS = 5000;
+/** Longest minimum time between two images, in ms, however large they are. */
+const MAX_IMAGE_INTERVAL_MS = 5000;
+/** Bytes of an image for each ms until the next one. */
+const IMAGE_BYTES_PER_MS = 1000;
 
 /** The planner's journal of one leadership. */
 export class PassJournal {
@@ -34,13 +38,9 @@
     recorder.resume(CORE, toImage(image()));
   }
 
-  /** Records an applied log record, without the payload of a submission. */
+  /** Records an applied log record, without the texts that do not affect placement. */
   noteRecord(index: number, command: WorkflowCommand): void {
-    const kept =
-      command.kind === 'submit'
-        ? {...command, spec: withoutPayload(command.spec)}
-        : command;
-    this.add({kind: 'record', index, command: kept});
+    this.add({kind: 'record', index, command: withoutTexts(command)});
   }
 
   /** Records a change of a step's advice. */
@@ -61,11 +61,37 @@
       notes: notesOf(plan),
     });
     if (!this.recorder.isFull(CORE) || event.now < this.imageNotBefore) return;
-    this.imageNotBefore = event.now + IMAGE_INTERVAL_MS;
-    this.recorder.resume(CORE, toImage(this.image()));
+    this.startSegment(event.now);
+  }
+
+  /** Starts a segment with an image; a small image allows the next one sooner. */
+  private startSegment(now: number): void {
+    const image = toImage(this.image());
+    const intervalMs = image.length / IMAGE_BYTES_PER_MS;
+    this.imageNotBefore = now + Math.min(MAX_IMAGE_INTERVAL_MS, intervalMs);
+    this.recorder.resume(CORE, image);
   }
 
   private add(event: PlannerEvent): void {
     this.recorder.record({core: CORE, event, outcome: null, notes: []});
   }
 }
+
+/** The payload of a submission and the text of a bundle are left out. */
+const withoutTexts = (command: WorkflowCommand): WorkflowCommand => {
+  switch (command.kind) {
+    case 'submit':
+      return {...command, spec: withoutPayload(command.spec)};
+    case 'put_bundle':
+      return {...command, bundle: withoutSource(command.bundle)};
+    case 'cancel':
+    case 'put_worker':
+    case 'remove_worker':
+    case 'start_runs':
+    case 'end_runs':
+    case 'void_runs':
+      return command;
+    default:
+      return assertNever(command);
+  }
+};
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -2,6 +2,7 @@
  * The planner and its whole state, driven by events, so that an operator can
  * replay a journal to see why work was placed where it was.
  */
+import type {Bundle} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import type {DecisionNote} from '../../requests/types.js';
 import {assertNever} from '../../utils/assert_never.js';
@@ -158,6 +159,7 @@
   return {
     state: {
       ...image,
+      bundle: image.bundle && withoutSource(image.bundle),
       workflows: kept.map(workflow => ({
         ...workflow,
         spec: withoutPayload(workflow.spec),
@@ -176,6 +178,12 @@
   payload: '',
 });
 
+/** Copies a bundle without its text, which is only returned to operators. */
+export const withoutSource = (bundle: Bundle): Bundle => ({
+  ...bundle,
+  source: '',
+});
+
 const reviveAdvice = mapReviver(reviveAdviceRecord);
 
 /** Restores a planner from its plain state. */
