--- a/packages/coordination/src/consensus/compactor.ts
+++ b/packages/coordination/src/consensus/compactor.ts
@@ -5,6 +5,11 @@
 import type {Compaction, ConsensusTaskOptions} from './task_options.js';
 import type {ConsensusInput} from './types.js';
 
+/** Smallest buffer for a snapshot, in bytes. */
+const MIN_BUFFER_BYTES = 64 * 1024;
+/** Size of the buffer for a snapshot, as a multiple of the last one. */
+const SNAPSHOT_GROWTH = 1.25;
+
 type CompactInput<C> = Extract<ConsensusInput<C>, {kind: 'compact'}>;
 
 /** Options of a compactor. */
@@ -35,7 +40,10 @@
     const {clock, replica, core} = this.options;
     const startedAt = clock.now();
     const image = replica.toImage();
-    const data = encode(image, {ignoreUndefined: true});
+    const data = encode(image, {
+      ignoreUndefined: true,
+      initialBufferSize: this.expectedBytes,
+    });
     const now = clock.now();
     const {index} = image;
     this.pending = {
@@ -47,6 +55,14 @@
     return {kind: 'compact', now, index, data};
   }
 
+  /** A buffer that grows by doubling takes up to four times the bytes for a moment. */
+  private get expectedBytes(): number {
+    const {snapshotBytes} = this.options.core.logSize;
+    return Math.ceil(
+      Math.max(MIN_BUFFER_BYTES, SNAPSHOT_GROWTH * snapshotBytes),
+    );
+  }
+
   /** Reports a snapshot that is on disk, if it was made here; it took `writeMs` to write. */
   noteWritten(index: number | undefined, writeMs: number): void {
     if (index === undefined) return;
--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -16,6 +16,7 @@
   type VmId,
 } from '@primrosewick/state';
 import {emptyState} from './core.js';
+import {estimateBytes} from './entry_size.js';
 import type {
   Entry,
   HardState,
@@ -185,12 +186,18 @@
     {
       kind: 'replace',
       file: SNAPSHOT_FILE,
-      bytes: encodeRecord(encode(snapshot)),
+      bytes: encodeSnapshot(snapshot),
     },
     logWrite,
   ];
 };
 
+/** Encodes a snapshot in one buffer of its size, as it may be large. */
+const encodeSnapshot = (snapshot: Snapshot): Uint8Array => {
+  const initialBufferSize = estimateBytes(snapshot);
+  return encodeRecord(encode(snapshot, {initialBufferSize}));
+};
+
 /** Encodes the writes of one sync as one record. */
 const encodeWrites = <C>(writes: ReadonlyArray<StorageWrite<C>>): Uint8Array =>
   encodeRecord(encode(writes, {ignoreUndefined: true}));
