--- a/packages/coordination/src/consensus/compaction.spec.ts
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -100,6 +100,7 @@
       fileBytes: 0,
       snapshotBytes: 0,
       isLagging: true,
+      isTransferring: false,
     };
     expect(isCompactionDue(log)).to.equal(false);
     expect(isCompactionDue({...log, isLagging: false})).to.equal(true);
@@ -107,6 +108,21 @@
     expect(isCompactionDue({...log, bytes: maxBytes})).to.equal(true);
     expect(isCompactionDue({...log, fileBytes: maxBytes})).to.equal(true);
   });
+  // Guards against a transfer that begins anew with each snapshot, and never ends.
+  it('a transfer of the snapshot puts a compaction off further', () => {
+    const {maxBytes, maxTransferBytes} = COMPACTION_LIMITS;
+    const log = {
+      entries: 1,
+      bytes: maxBytes,
+      fileBytes: maxBytes,
+      snapshotBytes: 0,
+      isLagging: true,
+      isTransferring: true,
+    };
+    expect(isCompactionDue(log)).to.equal(false);
+    expect(isCompactionDue({...log, isTransferring: false})).to.equal(true);
+    expect(isCompactionDue({...log, bytes: maxTransferBytes})).to.equal(true);
+  });
   it('a log is not compacted for fewer bytes than its snapshot has, up to the bound', () => {
     const {bytes, maxBytes} = COMPACTION_LIMITS;
     const log = {
@@ -115,6 +131,7 @@
       fileBytes: 0,
       snapshotBytes: 4 * maxBytes,
       isLagging: false,
+      isTransferring: false,
     };
     expect(isCompactionDue(log)).to.equal(false);
     expect(isCompactionDue({...log, bytes: maxBytes})).to.equal(true);
--- a/packages/coordination/src/consensus/compaction.ts
+++ b/packages/coordination/src/consensus/compaction.ts
@@ -15,6 +15,8 @@
   readonly snapshotBytes: number;
   /** Whether another member lacks entries, which it would no longer get one by one. */
   readonly isLagging: boolean;
+  /** Whether a member is being sent the last snapshot; that begins anew with another. */
+  readonly isTransferring: boolean;
 }
 
 /** Sizes from which a log is compacted. */
@@ -26,24 +28,31 @@
   readonly maxEntries: number;
   /** Bytes from which it is, however large the snapshot is. */
   readonly maxBytes: number;
+  /** Bytes from which it is, even if a transfer of the snapshot begins anew. */
+  readonly maxTransferBytes: number;
 }
 
-/** Default limits: a log of `maxBytes` takes about twice that in memory. */
+/** Default limits; the files of a voter take the largest log and two snapshots. */
 export const COMPACTION_LIMITS: CompactionLimits = {
   entries: 4000,
   bytes: 8 * 1024 * 1024,
   maxEntries: 16_000,
-  maxBytes: 24 * 1024 * 1024,
+  maxBytes: 16 * 1024 * 1024,
+  maxTransferBytes: 32 * 1024 * 1024,
 };
 
 /** Whether a log should be compacted now. */
 export const isCompactionDue = (
-  {entries, bytes, fileBytes, snapshotBytes, isLagging}: CompactableLog,
+  log: CompactableLog,
   limits: CompactionLimits = COMPACTION_LIMITS,
 ): boolean => {
+  const {entries, bytes, fileBytes, snapshotBytes} = log;
+  const maxBytes = log.isTransferring
+    ? limits.maxTransferBytes
+    : limits.maxBytes;
   if (entries >= limits.maxEntries) return true;
-  if (Math.max(bytes, fileBytes) >= limits.maxBytes) return true;
-  if (isLagging) return false;
+  if (Math.max(bytes, fileBytes) >= maxBytes) return true;
+  if (log.isLagging) return false;
   return (
     entries >= limits.entries || bytes >= Math.max(limits.bytes, snapshotBytes)
   );
--- a/packages/coordination/src/consensus/core.ts
+++ b/packages/coordination/src/consensus/core.ts
@@ -3,6 +3,7 @@
  * Each input yields effects, which a driver executes in order.
  */
 import {assertNever, type NodeId} from '@primrosewick/state';
+import {isBehindSnapshot} from './catch_up.js';
 import type {CompactableLog} from './compaction.js';
 import {ConsensusContext, noEffects, type ConsensusOptions} from './context.js';
 import {Election} from './election.js';
@@ -122,9 +123,20 @@
       isLagging: [...progress.values()].some(
         ({matchIndex}) => matchIndex < commitIndex,
       ),
+      isTransferring: this.isTransferring,
     };
   }
 
+  private get isTransferring(): boolean {
+    const {progress, now, timing} = this.context;
+    return [...progress.values()].some(
+      member =>
+        isBehindSnapshot(this.context, member) &&
+        member.snapshotOffset > 0 &&
+        now < member.lastHeardAt + timing.electionMs,
+    );
+  }
+
   /** State that must be on disk. */
   get durable(): DurableState<C> {
     const {term, votedFor, log} = this.context;
--- a/packages/proofs/src/consensus/plans.ts
+++ b/packages/proofs/src/consensus/plans.ts
@@ -19,8 +19,12 @@
   finish: sim => sim.settle(),
 });
 
-/** Largest message and longest text of a write in the plan of large entries. */
-export const LARGE_ENTRIES = {frameBytes: 32 * 1024, maxTextLength: 24 * 1024};
+/** Sizes in the plan of large entries, in bytes. */
+export const LARGE_ENTRIES = {
+  frameBytes: 32 * 1024,
+  chunkBytes: 24 * 1024,
+  maxTextLength: 24 * 1024,
+};
 
 /**
  * Fuzzing plan for the cell log with entries of very unlike sizes: a few of them
--- a/packages/proofs/src/consensus/sim.ts
+++ b/packages/proofs/src/consensus/sim.ts
@@ -47,6 +47,8 @@
   readonly targetVoters?: number | null;
   /** Bytes of the largest message that arrives; others are lost, as their stream breaks. */
   readonly frameBytes?: number;
+  /** Bytes of a part of a snapshot. */
+  readonly chunkBytes?: number;
   /** Maximum length of a text in each write; its length varies. */
   readonly maxTextLength?: number;
 }
@@ -69,6 +71,7 @@
     {
       targetVoters = null,
       frameBytes = Number.POSITIVE_INFINITY,
+      chunkBytes = 700,
       maxTextLength = 0,
     }: ConsensusSimOptions = {},
   ) {
@@ -82,6 +85,7 @@
       random: this.random,
       oracle: this.oracle,
       frameBytes,
+      chunkBytes,
       nodeAt: (id: NodeId) => this.nodes.find(node => node.id === id),
     };
     this.nodes = Array.from(
--- a/packages/proofs/src/consensus/sim_node.ts
+++ b/packages/proofs/src/consensus/sim_node.ts
@@ -42,6 +42,8 @@
   readonly nodeAt: (node: NodeId) => SimNode | undefined;
   /** Bytes of the largest message that arrives. */
   readonly frameBytes: number;
+  /** Bytes of a part of a snapshot. */
+  readonly chunkBytes: number;
 }
 
 const TICK_MS = 50;
@@ -52,6 +54,7 @@
   maxEntries: 25,
   bytes: 64 * 1024,
   maxBytes: 64 * 1024,
+  maxTransferBytes: 256 * 1024,
 };
 /** Bytes of entries in one message; a larger entry goes alone. */
 const MESSAGE_BYTES = 8 * 1024;
@@ -223,7 +226,7 @@
         electionMs: 400,
         quickElectionMs: 120,
         maxEntriesPerMessage: 8,
-        chunkBytes: 700,
+        chunkBytes: this.context.chunkBytes,
         maxInFlight: 32,
         maxBytesPerMessage: MESSAGE_BYTES,
         maxInFlightBytes: 4 * MESSAGE_BYTES,
