--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -9,6 +9,7 @@
   CellError,
   decodeRecords,
   encodeRecord,
+  encodeRecordOf,
   makeNodeId,
   type CellId,
   type Folder,
@@ -16,7 +17,6 @@
   type VmId,
 } from '@primrosewick/state';
 import {emptyState} from './core.js';
-import {estimateBytes} from './entry_size.js';
 import type {
   Entry,
   HardState,
@@ -29,6 +29,12 @@
 const SNAPSHOT_FILE = 'snapshot';
 const LOG_FILE = 'log';
 const FOLDER_ID_BYTES = 6;
+const NO_DATA = new Uint8Array(0);
+/** Header of up to 255 bytes in MessagePack: its type and their number. */
+const BIN8_HEADER_BYTES = 2;
+/** Type of up to 4 GiB of bytes in MessagePack, and its header with their number. */
+const BIN32_TYPE = 0xc6;
+const BIN32_HEADER_BYTES = 5;
 
 /** Identity of a data folder. */
 export interface FolderIdentity {
@@ -192,10 +198,20 @@
   ];
 };
 
-/** Encodes a snapshot in one buffer of its size, as it may be large. */
-const encodeSnapshot = (snapshot: Snapshot): Uint8Array => {
-  const initialBufferSize = estimateBytes(snapshot);
-  return encodeRecord(encode(snapshot, {initialBufferSize}));
+/**
+ * Encodes a snapshot with one copy of its data, as they may be large. They are its
+ * last field, so that only their header takes the place of that of no data.
+ */
+const encodeSnapshot = ({data, ...rest}: Snapshot): Uint8Array => {
+  const withoutData = encode({...rest, data: NO_DATA});
+  const dataHeader = Buffer.alloc(BIN32_HEADER_BYTES);
+  dataHeader.writeUInt8(BIN32_TYPE, 0);
+  dataHeader.writeUInt32BE(data.length, 1);
+  return encodeRecordOf([
+    withoutData.subarray(0, -BIN8_HEADER_BYTES),
+    dataHeader,
+    data,
+  ]);
 };
 
 /** Encodes the writes of one sync as one record. */
--- a/packages/state/src/storage/record_codec.ts
+++ b/packages/state/src/storage/record_codec.ts
@@ -25,12 +25,24 @@
  * Encodes one record.
  * @param payload - content of the record.
  */
-export const encodeRecord = (payload: Uint8Array): Uint8Array => {
-  const record = Buffer.allocUnsafe(HEADER_BYTES + payload.length);
-  record.writeUInt32LE(payload.length, 0);
-  record.writeUInt32LE(crc32(payload), 4);
+export const encodeRecord = (payload: Uint8Array): Uint8Array =>
+  encodeRecordOf([payload]);
+
+/**
+ * Encodes one record.
+ * @param parts - content of the record, in order; a large one is copied once.
+ */
+export const encodeRecordOf = (parts: readonly Uint8Array[]): Uint8Array => {
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  const record = Buffer.allocUnsafe(HEADER_BYTES + length);
+  let end = HEADER_BYTES;
+  for (const part of parts) {
+    record.set(part, end);
+    end += part.length;
+  }
+  record.writeUInt32LE(length, 0);
+  record.writeUInt32LE(crc32(record.subarray(HEADER_BYTES)), 4);
   record.writeUInt32LE(crc32(record.subarray(0, 8)), 8);
-  record.set(payload, HEADER_BYTES);
   return record;
 };
 
