--- a/packages/coordination/src/consensus/compaction.spec.ts
+++ b/packages/coordination/src/consensus/compaction.spec.ts
@@ -20,6 +20,8 @@
 
   async read(): Promise<undefined> {}
 
+  async *readParts(): AsyncGenerator<Uint8Array> {}
+
   async append(file: string, {length}: Uint8Array): Promise<void> {
     if (file === 'log') this.note(this.logBytes + length);
   }
--- a/packages/coordination/src/consensus/fixtures.ts
+++ b/packages/coordination/src/consensus/fixtures.ts
@@ -52,6 +52,7 @@
 
   readonly folder: Folder = {
     read: async () => undefined,
+    readParts: async function* () {},
     append: () => this.sync(),
     truncate: async () => undefined,
     replace: async () => undefined,
--- a/packages/coordination/src/consensus/heartbeats.spec.ts
+++ b/packages/coordination/src/consensus/heartbeats.spec.ts
@@ -24,6 +24,8 @@
 
   async read(): Promise<undefined> {}
 
+  async *readParts(): AsyncGenerator<Uint8Array> {}
+
   async truncate(): Promise<void> {}
 
   async close(): Promise<void> {}
--- a/packages/coordination/src/consensus/persistence.ts
+++ b/packages/coordination/src/consensus/persistence.ts
@@ -7,6 +7,8 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {
   CellError,
+  RecordReader,
+  assertNever,
   decodeRecords,
   encodeRecord,
   encodeRecordOf,
@@ -99,14 +101,17 @@
 export const restoreState = async <C>(
   folder: Folder,
 ): Promise<RestoredState<C>> => {
-  const files = {
-    snapshot: await folder.read(SNAPSHOT_FILE),
-    log: await folder.read(LOG_FILE),
-  };
-  const {restored, truncateLogTo} = restoreFiles<C>(files);
-  if (truncateLogTo !== undefined)
-    await folder.truncate(LOG_FILE, truncateLogTo);
-  return restored;
+  const snapshot = decodeSnapshot(await folder.read(SNAPSHOT_FILE));
+  const reader = new RecordReader(LOG_FILE);
+  const replay = new LogReplay<C>();
+  let fileBytes = 0;
+  for await (const part of folder.readParts(LOG_FILE)) {
+    fileBytes += part.length;
+    for (const record of reader.add(part)) replay.add(record);
+  }
+  const validBytes = reader.end();
+  if (validBytes < fileBytes) await folder.truncate(LOG_FILE, validBytes);
+  return {...replay.stateAfter(snapshot), logFileBytes: validBytes};
 };
 
 /**
@@ -117,21 +122,22 @@
   snapshot?: Uint8Array;
   log?: Uint8Array;
 }): RestoredFiles<C> => {
-  const snapshot = files.snapshot
-    ? decodeSingleRecord<Snapshot>(files.snapshot, SNAPSHOT_FILE)
-    : null;
-  if (!files.log)
-    return {restored: {...emptyState<C>(), snapshot, logFileBytes: 0}};
-  const {records, validBytes} = decodeRecords(files.log, LOG_FILE);
+  const {log = NO_DATA} = files;
+  const {records, validBytes} = decodeRecords(log, LOG_FILE);
+  const replay = new LogReplay<C>();
+  for (const record of records) replay.add(record);
   const restored = {
-    ...replayRecords<C>(records, snapshot),
+    ...replay.stateAfter(decodeSnapshot(files.snapshot)),
     logFileBytes: validBytes,
   };
-  return validBytes < files.log.length
+  return validBytes < log.length
     ? {restored, truncateLogTo: validBytes}
     : {restored};
 };
 
+const decodeSnapshot = (bytes: Uint8Array | undefined): Snapshot | null =>
+  bytes ? decodeSingleRecord<Snapshot>(bytes, SNAPSHOT_FILE) : null;
+
 /** Writes the state of a voter to its folder, and follows the size of its log. */
 export class StateWriter {
   /** @param logFileBytes - size of the file of the log so far, in bytes. */
@@ -218,33 +224,46 @@
 const encodeWrites = <C>(writes: ReadonlyArray<StorageWrite<C>>): Uint8Array =>
   encodeRecord(encode(writes, {ignoreUndefined: true}));
 
-const replayRecords = <C>(
-  records: readonly Uint8Array[],
-  snapshot: Snapshot | null,
-): DurableState<C> => {
-  let hardState: HardState = emptyState<C>().hardState;
-  let entries: Array<Entry<C>> = [];
-  for (const write of decodeWrites<C>(records)) {
-    if (write.kind === 'hard_state') hardState = write.hardState;
-    else if (write.kind === 'truncate')
-      entries = entries.filter(entry => entry.index < write.fromIndex);
-    else if (write.kind === 'append') {
-      entries = removeFrom(entries, write.entries[0]);
-      for (const entry of write.entries) entries.push(entry);
+/** The state that the records of a log lead to, which are decoded one by one. */
+class LogReplay<C> {
+  private hardState: HardState = emptyState<C>().hardState;
+  private entries: Array<Entry<C>> = [];
+
+  /** Applies one record. */
+  add(record: Uint8Array): void {
+    for (const write of decode(record) as Array<StorageWrite<C>>)
+      this.apply(write);
+  }
+
+  private apply(write: StorageWrite<C>): void {
+    switch (write.kind) {
+      case 'hard_state':
+        this.hardState = write.hardState;
+        return;
+      case 'truncate':
+        this.entries = this.entries.filter(
+          entry => entry.index < write.fromIndex,
+        );
+        return;
+      case 'append':
+        this.entries = removeFrom(this.entries, write.entries[0]);
+        for (const entry of write.entries) this.entries.push(entry);
+        return;
+      case 'snapshot':
+        return;
+      default:
+        return assertNever(write);
     }
   }
-  return {
-    hardState,
-    snapshot,
-    entries: entriesAfterSnapshot(snapshot, entries),
-  };
-};
 
-/** Decodes records one after the other, as those of a long log are large together. */
-function* decodeWrites<C>(
-  records: readonly Uint8Array[],
-): Generator<StorageWrite<C>> {
-  for (const record of records) yield* decode(record) as Array<StorageWrite<C>>;
+  /** The state of the log, with its entries that follow a snapshot. */
+  stateAfter(snapshot: Snapshot | null): DurableState<C> {
+    return {
+      hardState: this.hardState,
+      snapshot,
+      entries: entriesAfterSnapshot(snapshot, this.entries),
+    };
+  }
 }
 
 const removeFrom = <C>(
--- a/packages/state/src/storage/node_disk.ts
+++ b/packages/state/src/storage/node_disk.ts
@@ -4,6 +4,9 @@
 import {CellError} from '../errors/cell_error.js';
 import type {Folder} from './types.js';
 
+/** Bytes of a part of a file that is read in parts. */
+const PART_BYTES = 4 * 1024 * 1024;
+
 const storageError = (step: string, file: string, cause: unknown): CellError =>
   new CellError({
     code: 'storage_failed',
@@ -53,6 +56,24 @@
     }
   }
 
+  async *readParts(file: string): AsyncGenerator<Uint8Array> {
+    let handle: FileHandle | undefined;
+    try {
+      handle = await open(this.pathOf(file), 'r');
+      for (;;) {
+        const {buffer, bytesRead} = await handle.read({
+          buffer: Buffer.allocUnsafeSlow(PART_BYTES),
+        });
+        if (bytesRead === 0) return;
+        yield buffer.subarray(0, bytesRead);
+      }
+    } catch (err) {
+      if (!isNotFound(err)) throw storageError('read', file, err);
+    } finally {
+      await handle?.close();
+    }
+  }
+
   async append(file: string, bytes: Uint8Array): Promise<void> {
     try {
       const handle = await this.handleOf(file);
--- a/packages/state/src/storage/record_codec.spec.ts
+++ b/packages/state/src/storage/record_codec.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {decodeRecords, encodeRecord} from './record_codec.js';
+import {RecordReader, decodeRecords, encodeRecord} from './record_codec.js';
 
 const payloads = fc.array(fc.uint8Array({minLength: 1, maxLength: 40}), {
   minLength: 1,
@@ -27,6 +27,29 @@
       {seed: SEED, numRuns: 500},
     );
   });
+  // Guards against a start that needs the whole file of a log in memory.
+  it('records of a file in parts of any size are those of the whole file', () => {
+    fc.assert(
+      fc.property(
+        payloads,
+        fc.integer({min: 1, max: 60}),
+        fc.nat({max: 10}),
+        (all, partBytes, torn) => {
+          const whole = Buffer.concat(all.map(encodeRecord));
+          const file = whole.subarray(0, whole.length - torn);
+          const reader = new RecordReader('log');
+          const records: number[][] = [];
+          for (let at = 0; at < file.length; at += partBytes)
+            for (const record of reader.add(file.subarray(at, at + partBytes)))
+              records.push([...record]);
+          const expected = decodeRecords(file, 'log');
+          expect(records).to.eql(expected.records.map(bytes => [...bytes]));
+          expect(reader.end()).to.equal(expected.validBytes);
+        },
+      ),
+      {seed: SEED, numRuns: 500},
+    );
+  });
   it('damage before a valid record is an error', () => {
     fc.assert(
       fc.property(
--- a/packages/state/src/storage/record_codec.ts
+++ b/packages/state/src/storage/record_codec.ts
@@ -57,19 +57,49 @@
   bytes: Uint8Array,
   file: string,
 ): DecodedRecords => {
-  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-  const records: Uint8Array[] = [];
-  let offset = 0;
-  for (;;) {
-    const payload = readRecord(buffer, offset);
-    if (!payload) break;
-    records.push(payload);
-    offset += HEADER_BYTES + payload.length;
-  }
-  if (hasRecordAfter(buffer, offset)) throw damagedAt(file, offset);
-  return {records, validBytes: offset};
+  const reader = new RecordReader(file);
+  const records = reader.add(bytes);
+  return {records, validBytes: reader.end()};
 };
 
+/** Reads the records of a file that comes in parts, as it may be large. */
+export class RecordReader {
+  /** What follows the records so far: the beginning of one, or none. */
+  private rest: Buffer = Buffer.alloc(0);
+  private validBytes = 0;
+
+  /** @param file - name of the file, for the error. */
+  constructor(private readonly file: string) {}
+
+  /** Adds a part; @returns the records that it completes. */
+  add(part: Uint8Array): Uint8Array[] {
+    const bytes = Buffer.from(part.buffer, part.byteOffset, part.length);
+    const buffer =
+      this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const records: Uint8Array[] = [];
+    let end = 0;
+    for (;;) {
+      const payload = readRecord(buffer, end);
+      if (!payload) break;
+      records.push(payload);
+      end += HEADER_BYTES + payload.length;
+    }
+    this.rest = buffer.subarray(end);
+    this.validBytes += end;
+    return records;
+  }
+
+  /**
+   * @returns the length of the valid part of the file, in bytes; the rest is a torn tail.
+   * @throws CellError `storage_damaged`.
+   */
+  end(): number {
+    if (hasRecordAfter(this.rest, 0))
+      throw damagedAt(this.file, this.validBytes);
+    return this.validBytes;
+  }
+}
+
 const readRecord = (buffer: Buffer, offset: number): Buffer | undefined => {
   const start = offset + HEADER_BYTES;
   if (start > buffer.length) return undefined;
