--- a/packages/coordination/src/consensus/member_lag.ts
+++ b/packages/coordination/src/consensus/member_lag.ts
@@ -25,20 +25,21 @@
 /** How far a learner may be behind when it is promoted. */
 const MAX_PROMOTION_LAG = {entries: 64, bytes: 4 * 1024 * 1024};
 
+/** Whether a member lacks more than what is on its way to one that keeps up. */
+export const isFarBehind = ({entries, bytes, sending}: MemberLag): boolean =>
+  sending === 'snapshot' ||
+  entries > MAX_PROMOTION_LAG.entries ||
+  bytes > MAX_PROMOTION_LAG.bytes;
+
 /** The learners that have all of the log but the last few entries. */
 export const caughtUpNodes = (
   learners: readonly NodeId[],
   lags: readonly MemberLag[],
 ): ReadonlySet<NodeId> => {
-  const late = new Set(lags.filter(isLate).map(({member}) => member));
+  const late = new Set(lags.filter(isFarBehind).map(({member}) => member));
   return new Set(learners.filter(node => !late.has(node)));
 };
 
-const isLate = ({entries, bytes, sending}: MemberLag): boolean =>
-  sending === 'snapshot' ||
-  entries > MAX_PROMOTION_LAG.entries ||
-  bytes > MAX_PROMOTION_LAG.bytes;
-
 /** The members that lack committed entries; none unless the node leads. */
 export const memberLags = <C>(context: ConsensusContext<C>): MemberLag[] => {
   const {log, commitIndex, now} = context;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,7 +12,11 @@
 export * from './consensus/members_task.js';
 export * from './consensus/compaction.js';
 export type {BatchCost} from './consensus/batch_load.js';
-export {caughtUpNodes, type MemberLag} from './consensus/member_lag.js';
+export {
+  caughtUpNodes,
+  isFarBehind,
+  type MemberLag,
+} from './consensus/member_lag.js';
 export type {FailedCall, LogPeers} from './consensus/outbox.js';
 export type {PackedEnvelope} from './consensus/packing.js';
 export {mayBeatDuring} from './consensus/early_send.js';
--- a/packages/daemon/src/cluster/replication_log.spec.ts
+++ b/packages/daemon/src/cluster/replication_log.spec.ts
@@ -64,6 +64,20 @@
     expect(lines).to.have.length(1);
     expect(await registry.metrics()).to.not.contain('{member=');
   });
+  it('a member that keeps up is not told, a silent one is', () => {
+    const {log, lines, pass} = makeLog();
+    const near = {...LAG, entries: 2, bytes: 900};
+    for (let i = 0; i < 3; i++) {
+      log.reportWhenDue(() => ({...REPORT, lags: [near]}));
+      pass(2000);
+    }
+    expect(lines).to.have.length(0);
+    for (let i = 0; i < 2; i++) {
+      log.reportWhenDue(() => ({...REPORT, lags: [{...near, silentMs: 5000}]}));
+      pass(2000);
+    }
+    expect(lines).to.have.length(1);
+  });
   it('calls that fail are told with their bytes, a few in 2 s', () => {
     const {log, lines, pass} = makeLog();
     const err = new CellError({code: 'peer_unreachable', step: 'consensus'});
--- a/packages/daemon/src/cluster/replication_log.ts
+++ b/packages/daemon/src/cluster/replication_log.ts
@@ -1,10 +1,11 @@
 /** Lines and gauges about the replication of the log at one VM. */
-import type {
-  BatchCost,
-  Compaction,
-  FailedCall,
-  LogSize,
-  MemberLag,
+import {
+  isFarBehind,
+  type BatchCost,
+  type Compaction,
+  type FailedCall,
+  type LogSize,
+  type MemberLag,
 } from '@primrosewick/coordination';
 import type Logger from 'bunyan';
 import {vmOfNode, type NodeId, type VmId} from '@primrosewick/state';
@@ -15,7 +16,7 @@
 const REPORT_INTERVAL_MS = 2000;
 /** Lines of one kind about messages in that time. */
 const MESSAGE_LINES = 2;
-/** Time without progress from which a member is reported, in ms. */
+/** Time from which a member that is silent or far behind is reported, in ms. */
 const BEHIND_MS = 1000;
 
 /** Options of {@link ReplicationLog}. */
@@ -126,10 +127,11 @@
 
   private reportLags(lags: readonly MemberLag[], now: number): void {
     this.gauges?.setLags(lags);
-    const behind = new Set(lags.map(({member}) => member));
+    const behind = lags.filter(lag => isFarBehind(lag) || isSilent(lag));
+    const members = new Set(behind.map(({member}) => member));
     for (const member of this.behindSince.keys())
-      if (!behind.has(member)) this.behindSince.delete(member);
-    for (const lag of lags) this.reportLag(lag, now);
+      if (!members.has(member)) this.behindSince.delete(member);
+    for (const lag of behind) this.reportLag(lag, now);
   }
 
   private reportLag(
@@ -153,6 +155,8 @@
   }
 }
 
+const isSilent = ({silentMs}: MemberLag): boolean => silentMs >= BEHIND_MS;
+
 /** Gauges of the log and of the members behind it. */
 class ReplicationGauges {
   private readonly logBytes: Gauge;
--- a/packages/transport/src/link/link.spec.ts
+++ b/packages/transport/src/link/link.spec.ts
@@ -1,7 +1,8 @@
-import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {connect, createServer, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {asId, type VmId, type ZoneId} from '@primrosewick/state';
 import {LinkClient} from './client.js';
+import {freeAddress} from './fixtures.js';
 import {LinkServer, type LinkHandlers, type DroppedReply} from './server.js';
 
 const CELL = 'cell';
@@ -14,14 +15,6 @@
 };
 const HELLO_REPLY = {...HELLO, leader: null, members: [], isServing: true};
 
-const freeAddress = (): Promise<VmId> =>
-  new Promise(resolve => {
-    const probe = createServer().listen(0, '127.0.0.1', () => {
-      const {port} = probe.address() as AddressInfo;
-      probe.close(() => resolve(asId<VmId>(`127.0.0.1:${port}`)));
-    });
-  });
-
 /** Closed after each test, even a failed one. */
 const toClose: Array<{close(): void}> = [];
 
--- a/packages/transport/src/link/link_frames.spec.ts
+++ b/packages/transport/src/link/link_frames.spec.ts
@@ -1,9 +1,9 @@
-import {createServer, type AddressInfo} from 'node:net';
 import {Client, Server, ServerCredentials, credentials} from '@grpc/grpc-js';
 import {encodeLinkFrame} from '@primrosewick/protocol';
 import {asId, type VmId} from '@primrosewick/state';
 import {expect} from 'chai';
 import {LinkClient} from './client.js';
+import {freeAddress} from './fixtures.js';
 import {LinkServer, type LinkHandlers} from './server.js';
 import {LINK_PATH} from './service.js';
 
@@ -28,14 +28,6 @@
   ],
 ];
 
-const freeAddress = (): Promise<VmId> =>
-  new Promise(resolve => {
-    const probe = createServer().listen(0, '127.0.0.1', () => {
-      const {port} = probe.address() as AddressInfo;
-      probe.close(() => resolve(asId<VmId>(`127.0.0.1:${port}`)));
-    });
-  });
-
 const cleanUps: Array<() => void> = [];
 const newClient = (): LinkClient => {
   const client = new LinkClient({
--- a/packages/transport/src/link/link_size.spec.ts
+++ b/packages/transport/src/link/link_size.spec.ts
@@ -1,21 +1,13 @@
-import {createServer, type AddressInfo} from 'node:net';
 import {MAX_LINK_FRAME_BYTES} from '@primrosewick/protocol';
 import {asId, toCellError, type VmId} from '@primrosewick/state';
 import {expect} from 'chai';
 import {LinkClient} from './client.js';
+import {freeAddress} from './fixtures.js';
 import {LinkServer, type LinkHandlers} from './server.js';
 
 const CELL = 'cell';
 const LARGE = 'l'.repeat(MAX_LINK_FRAME_BYTES);
 
-const freeAddress = (): Promise<VmId> =>
-  new Promise(resolve => {
-    const probe = createServer().listen(0, '127.0.0.1', () => {
-      const {port} = probe.address() as AddressInfo;
-      probe.close(() => resolve(asId<VmId>(`127.0.0.1:${port}`)));
-    });
-  });
-
 const cleanUps: Array<() => void> = [];
 
 /** A client and a server; a call of `getBundle` is answered with a large text. */
