--- a/packages/coordination/src/consensus/task_options.ts
+++ b/packages/coordination/src/consensus/task_options.ts
@@ -33,8 +33,8 @@
   readonly writeMs: number;
 }
 
-/** Largest command, in bytes: half a frame of a link. */
-export const MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+/** Largest command, in bytes: a frame of a link, but for what goes with a command. */
+export const MAX_COMMAND_BYTES = 7.5 * 1024 * 1024;
 
 /** Options of the task. */
 export interface ConsensusTaskOptions<C, R> {
