--- a/packages/state/src/storage/record_codec.spec.ts
+++ b/packages/state/src/storage/record_codec.spec.ts
@@ -7,6 +7,8 @@
   maxLength: 6,
 });
 const SEED = 4101;
+/** Bytes of a part of a file that is read in parts; a record takes several. */
+const PART_BYTES = 7;
 
 describe('record codec', () => {
   it('a torn tail loses only the last record', () => {
@@ -64,6 +66,10 @@
           expect(() => decodeRecords(bytes, 'log')).to.throw(
             'damaged at byte 0',
           );
+          const reader = new RecordReader('log');
+          for (let from = 0; from < bytes.length; from += PART_BYTES)
+            reader.add(bytes.subarray(from, from + PART_BYTES));
+          expect(() => reader.end()).to.throw('damaged at byte 0');
         },
       ),
       {seed: SEED, numRuns: 500},
