--- a/packages/daemon/src/cluster/count_order.ts
+++ b/packages/daemon/src/cluster/count_order.ts
@@ -120,6 +120,7 @@
   switch (reply.kind) {
     case 'pending':
     case 'unknown_queue':
+    case 'unauthenticated':
       return reply.version;
     case 'accepted':
     case 'state':
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -6,6 +6,7 @@
 import type {
   Bundle,
   ErrorBody,
+  KeyDigest,
   NodeId,
   StepRef,
   VmId,
@@ -47,11 +48,18 @@
 export interface QueueAddress {
   readonly host: string;
   readonly path: string;
+  /** Digest of the key that the client gave; absent without one. */
+  readonly credential?: KeyDigest;
 }
 
 /** Client's request to a queue. */
 export type WorkflowRequest =
-  | (QueueAddress & {readonly kind: 'submit'; readonly spec: WorkflowSpec})
+  | (QueueAddress & {
+      readonly kind: 'submit';
+      readonly spec: WorkflowSpec;
+      /** Availability zone of the entry; earlier releases send none. */
+      readonly zone?: ZoneId;
+    })
   | (QueueAddress & {readonly kind: 'get'})
   | (QueueAddress & {readonly kind: 'cancel'});
 
@@ -75,6 +83,12 @@
       readonly kind: 'unknown_queue';
       /** Version of the bundle that lacks the queue, told to reads; earlier releases tell none. */
       readonly version?: number;
+    }
+  | {
+      /** The client gave no key, or none that the bundle has. */
+      readonly kind: 'unauthenticated';
+      /** Version of the bundle that was consulted. */
+      readonly version: number;
     };
 
 /** A worker that the adviser allows to run a step, with the ticket for it. */
--- a/packages/state/src/bundle/types.ts
+++ b/packages/state/src/bundle/types.ts
@@ -2,7 +2,13 @@
  * Versioned bundle of queues, pools and limits that an operator replaces as a
  * whole. The highest version is in effect.
  */
-import type {Branded, ServiceName} from '../ids/types.js';
+import type {
+  Branded,
+  CustomerName,
+  KeyDigest,
+  ServiceName,
+} from '../ids/types.js';
+import type {Resources} from '../workflow/types.js';
 
 /** Name of a queue of workflows. */
 export type QueueName = Branded<string, 'QueueName'>;
@@ -42,6 +48,24 @@
   readonly objectiveMs: number;
   /** Absent where every worker of the pool may run every step. */
   readonly advice?: AdviceTiming;
+  /** Whether clients may call it without a key. */
+  readonly isPublic?: boolean;
+}
+
+/** A customer, whose clients authenticate with its keys. */
+export interface Customer {
+  readonly name: CustomerName;
+  /** Digests of its keys; the keys stand only in the source of the bundle. */
+  readonly keyDigests: readonly KeyDigest[];
+  /** Breaks ties between equal shares; lower goes first. */
+  readonly priority: number;
+  /**
+   * Workflows per second within its rate, and its share of a full pool relative
+   * to other customers; 0 for no rate.
+   */
+  readonly weight: number;
+  /** Resources that it may have running on all workers; 0 for no limit. */
+  readonly cap: Resources;
 }
 
 /** A pool of workers. */
@@ -70,6 +94,8 @@
   readonly queues: readonly Queue[];
   readonly pools: readonly Pool[];
   readonly limits: ClientLimits;
+  /** Absent where clients are not authenticated. */
+  readonly customers?: readonly Customer[];
   /** The bundle as the operator sent it; not interpreted here. */
   readonly source: string;
 }
--- a/packages/state/src/ids/types.ts
+++ b/packages/state/src/ids/types.ts
@@ -22,6 +22,10 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** Name of a team that owns quota. */
 export type TeamName = Branded<string, 'TeamName'>;
+/** Name of a customer, who owns keys and pays for workflows. */
+export type CustomerName = Branded<string, 'CustomerName'>;
+/** SHA-256 digest of a customer's key, in base64url. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** Id of an upstream instance, chosen by the upstream at its start. */
 export type UpstreamId = Branded<string, 'UpstreamId'>;
 /** Id of a worker, chosen by the worker at its start. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -32,6 +32,7 @@
 export * from './bundle/core.js';
 export * from './bundle/types.js';
 export * from './workflow/db.js';
+export {KnownCustomers} from './workflow/known_customers.js';
 export * from './workflow/blocking_reads/core.js';
 export * from './workflow/blocking_reads/types.js';
 export * from './workflow/crashes/types.js';
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -8,7 +8,8 @@
 import {TaskCrashes} from './crashes/task_crashes.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
-import {imageOf} from './image.js';
+import {imageOf, originOf, restoreWorker} from './image.js';
+import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
 import {NO_RESOURCES, addResources, subtractResources} from './resources.js';
@@ -60,6 +61,7 @@
   bundle: Bundle | null = null;
   /** Queues by name; one that the bundle dropped keeps its last settings. */
   readonly queues = new Map<QueueName, Queue>();
+  readonly customers = new KnownCustomers();
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
@@ -152,6 +154,7 @@
     this.bundle = image.bundle;
     this.queues.clear();
     for (const queue of image.queues) this.queues.set(queue.name, queue);
+    this.customers.restore(image.customers);
     this.workflows.clear();
     this.open.clear();
     this.ended.clear();
@@ -169,24 +172,10 @@
     this.crashes.restore(image.crashes);
     this.workers.clear();
     for (const kept of image.workers)
-      this.workers.set(kept.report.worker, this.restoreWorker(kept));
+      this.workers.set(kept.report.worker, restoreWorker(kept, this));
     this.rebuildActiveRuns();
   }
 
-  private restoreWorker(kept: WorkflowImage['workers'][number]): WorkerState {
-    const state: WorkerState = {
-      ...kept,
-      active: new Map(kept.active.map(run => [taskKey(run.task), run])),
-      used: NO_RESOURCES,
-      ...noPreemptibleRuns(),
-    };
-    for (const [key, run] of state.active) {
-      state.used = addResources(state.used, this.resourcesOf(run.task));
-      indexRun(state, key, run, this.workflows.get(run.task.workflow));
-    }
-    return state;
-  }
-
   /** Rebuilds the counts and the index of active runs from the whole state. */
   private rebuildActiveRuns(): void {
     this.running.clear();
@@ -224,6 +213,7 @@
       return {kind: 'superseded', version: this.bundle.version};
     this.bundle = bundle;
     for (const queue of bundle.queues) this.queues.set(queue.name, queue);
+    this.customers.put(bundle.customers ?? [], this);
     return APPLIED;
   }
 
@@ -235,6 +225,7 @@
       id,
       queue,
       spec,
+      ...originOf(command),
       acceptedAt: at,
       phase: 'open',
       endedAt: 0,
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -3,14 +3,29 @@
  * rest.
  */
 import type {WorkflowDb} from './db.js';
+import {indexRun, noPreemptibleRuns} from './preemptible_runs.js';
+import {taskKey} from './refs.js';
+import {NO_RESOURCES, addResources} from './resources.js';
 import {countDoneOccurrences} from './task_state.js';
-import type {WorkflowImage} from './types.js';
+import type {SubmissionOrigin, WorkerState, WorkflowImage} from './types.js';
+
+/** The known fields of a submission's origin, without absent ones. */
+export const originOf = ({
+  customer,
+  zone,
+  isBeyondRate,
+}: SubmissionOrigin): SubmissionOrigin => ({
+  ...(customer !== undefined && {customer}),
+  ...(zone !== undefined && {zone}),
+  ...(isBeyondRate && {isBeyondRate}),
+});
 
 /** Creates a serializable image of the whole state. */
 export const imageOf = ({
   index,
   bundle,
   queues,
+  customers,
   workflows,
   workers,
   departed,
@@ -23,9 +38,11 @@
   orphans: orphans.values(),
   bundle,
   queues: [...queues.values()],
+  ...(customers.size > 0 && {customers: [...customers.values()]}),
   workflows: [...workflows.values()].map(workflow => ({
     id: workflow.id,
     queue: workflow.queue,
+    ...originOf(workflow),
     spec: workflow.spec,
     acceptedAt: workflow.acceptedAt,
     phase: workflow.phase,
@@ -41,3 +58,21 @@
     active: [...worker.active.values()],
   })),
 });
+
+/** Restores a worker, with what is derived from its active runs. */
+export const restoreWorker = (
+  kept: WorkflowImage['workers'][number],
+  db: Pick<WorkflowDb, 'resourcesOf' | 'workflows'>,
+): WorkerState => {
+  const state: WorkerState = {
+    ...kept,
+    active: new Map(kept.active.map(run => [taskKey(run.task), run])),
+    used: NO_RESOURCES,
+    ...noPreemptibleRuns(),
+  };
+  for (const [key, run] of state.active) {
+    state.used = addResources(state.used, db.resourcesOf(run.task));
+    indexRun(state, key, run, db.workflows.get(run.task.workflow));
+  }
+  return state;
+};
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -2,8 +2,14 @@
  * Workflows: the unit of work that a client submits. A workflow has steps, a
  * step has tasks, and each attempt at a task is a run with a number.
  */
-import type {Branded, ServiceName, WorkerId, ZoneId} from '../ids/types.js';
-import type {Bundle, Queue, QueueName} from '../bundle/types.js';
+import type {
+  Branded,
+  CustomerName,
+  ServiceName,
+  WorkerId,
+  ZoneId,
+} from '../ids/types.js';
+import type {Bundle, Customer, Queue, QueueName} from '../bundle/types.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
 
 /** Id of a workflow, chosen by the client. */
@@ -174,8 +180,21 @@
 /** Whether a workflow is open or how it ended. */
 export type WorkflowPhase = 'open' | 'done' | 'failed' | 'cancelled';
 
+/** Origin of a submission; absent fields are not known or do not apply. */
+export interface SubmissionOrigin {
+  /** Customer whose key the client gave. */
+  readonly customer?: CustomerName;
+  /** Availability zone of the entry that took the call. */
+  readonly zone?: ZoneId;
+  /**
+   * Whether it was accepted beyond the rate of its customer, while there was
+   * room.
+   */
+  readonly isBeyondRate?: boolean;
+}
+
 /** State of a workflow. */
-export interface WorkflowState {
+export interface WorkflowState extends SubmissionOrigin {
   readonly id: WorkflowId;
   readonly queue: QueueName;
   /** Emptied once the workflow has ended and has no active runs. */
@@ -273,13 +292,13 @@
 /** Records of the log. `at` is the leader's wall time, in ms since 1970. */
 export type WorkflowCommand =
   | {readonly kind: 'put_bundle'; readonly bundle: Bundle}
-  | {
+  | ({
       readonly kind: 'submit';
       readonly id: WorkflowId;
       readonly queue: QueueName;
       readonly spec: WorkflowSpec;
       readonly at: number;
-    }
+    } & SubmissionOrigin)
   | {readonly kind: 'cancel'; readonly id: WorkflowId; readonly at: number}
   | {readonly kind: 'put_worker'; readonly report: WorkerRegistration}
   | {
@@ -360,6 +379,8 @@
   readonly crashes?: readonly CrashRecord[];
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
+  /** Customers with their last terms; absent in images without any. */
+  readonly customers?: readonly Customer[];
   readonly workflows: ReadonlyArray<
     Omit<WorkflowState, 'occurrences' | 'activeRuns'> & {
       /** Read by earlier versions only: it is derived from `occurrences`. */
