Later attempts avoid workers where a task failed

Cause: workers that fail what they start become free at once and attract one attempt after the other. Nothing kept where a task had failed, and a worker was set aside only after three workflows had failed on it.

Change: the state keeps where the runs of a task failed and when a worker last finished a run. A later attempt avoids these workers, prefers proven ones, and the last attempt waits for one for up to 2 s. Two workflows that fail first on one worker within a second set it aside.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -7,6 +7,7 @@
   WorkerHealth,
   decidePass,
   earlyAdviceRequests,
+  evidenceOf,
   plannerImage,
   toCellError,
   type NewWorkflow,
@@ -220,8 +221,8 @@
       case 'end_runs':
         for (const {task, outcome} of command.ends) {
           this.advice.prune(task.workflow);
-          if (outcome === 'done' || outcome === 'failed')
-            this.noteEvidence(command.life.worker, task.workflow, outcome);
+          const kind = evidenceOf(outcome, this.db.findTask(task));
+          if (kind) this.noteEvidence(command.life.worker, task.workflow, kind);
         }
         for (const end of this.db.ended.byLastRecord)
           this.endLog.note(end, this.options.clock.wall());
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -46,6 +46,7 @@
   WorkflowResult,
   WorkflowState,
 } from './types.js';
+import {noteOutcome} from './run_outcomes.js';
 import {noPreemptibleRuns, indexRun, unindexRun} from './preemptible_runs.js';
 import {latestReport} from './worker_reports.js';
 
@@ -317,6 +318,7 @@
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
       this.orphans.delete(end.task, end.run);
+      noteOutcome(this, worker, end, at);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -55,6 +55,7 @@
   workers: [...workers.values()].map(worker => ({
     report: worker.report,
     endsRecorded: worker.endsRecorded,
+    ...(worker.lastDoneAt !== undefined && {lastDoneAt: worker.lastDoneAt}),
     active: [...worker.active.values()],
   })),
 });
--- /dev/null
+++ b/packages/state/src/workflow/planner/attempts.ts
@@ -0,0 +1,141 @@
+/**
+ * Chooses the workers for later attempts of tasks that have failed. Load
+ * pattern: some workers fail everything that they start and become free at
+ * once, so that they attract one attempt after the other, until a task that
+ * could be done has none left.
+ */
+import type {WorkerId} from '../../ids/types.js';
+import {fitsInto} from '../resources.js';
+import type {FailedRun} from '../types.js';
+import {taskResources, type StepWork} from './step_work.js';
+import type {PlanInput, WorkerView} from './types.js';
+
+/** Age up to which a run that ended as done proves that its worker is healthy, in ms. */
+const PROOF_MS = 6000;
+/**
+ * Time after a failure for which the last attempt waits for a proven worker, in
+ * ms; in a quiet pool few workers have finished a run of late.
+ */
+const LAST_ATTEMPT_WAIT_MS = 2000;
+/** Failures of one task in a rack from which on the rack is avoided. */
+const RACK_FAILURES = 2;
+
+/** Chooses the workers for later attempts during one pass. */
+export class AttemptWorkers {
+  /** @param chooseBest - chooses the best of some workers that has room. */
+  constructor(
+    private readonly input: Pick<PlanInput, 'db' | 'wall'>,
+    private readonly chooseBest: (
+      work: StepWork,
+      workers: readonly WorkerView[],
+    ) => WorkerView | undefined,
+  ) {}
+
+  /**
+   * Chooses a worker for the next attempt of a task: one with recent proof that it
+   * finishes runs, else another one, unless the last attempt waits for such proof.
+   */
+  choose(
+    work: StepWork,
+    index: number,
+    candidates: readonly WorkerView[],
+  ): WorkerView | undefined {
+    const {failedRuns} = work.state.tasks[index] ?? {};
+    if (!failedRuns) return this.chooseBest(work, candidates);
+    const others = withoutFailed(work, failedRuns, 1, candidates);
+    const proven = others.filter(worker => this.isProven(worker));
+    const chosen = this.chooseBest(work, proven);
+    if (chosen) return chosen;
+    const mayWait = this.isWaiting(work, index) && canHold(work, 1, proven);
+    return mayWait ? undefined : this.chooseBest(work, others);
+  }
+
+  /** Whether a task may wait for a proven worker, as it has one attempt left. */
+  isWaiting(work: StepWork, index: number): boolean {
+    const {failedRuns, failures = 0} = work.state.tasks[index] ?? {};
+    const isLast = failures >= work.queue.maxAttempts - 1;
+    return failedRuns !== undefined && isLast && this.mayWait(work, failedRuns);
+  }
+
+  /** Workers on which all members of a gang may start. */
+  forGang(
+    work: StepWork,
+    memberCount: number,
+    candidates: readonly WorkerView[],
+  ): readonly WorkerView[] {
+    if (work.state.gangFailures === 0) return candidates;
+    const failedRuns = work.state.tasks.flatMap(task => task.failedRuns ?? []);
+    const others = withoutFailed(work, failedRuns, memberCount, candidates);
+    const proven = others.filter(worker => this.isProven(worker));
+    return canHold(work, memberCount, proven) ? proven : others;
+  }
+
+  private isProven({worker}: WorkerView): boolean {
+    const doneAt = this.input.db.workers.get(worker)?.lastDoneAt;
+    // The wall clocks of successive leaders may differ.
+    return (
+      doneAt !== undefined && Math.abs(this.input.wall - doneAt) < PROOF_MS
+    );
+  }
+
+  /** Whether the last attempt may wait without exceeding the objective. */
+  private mayWait(
+    {ready}: StepWork,
+    failedRuns: readonly FailedRun[],
+  ): boolean {
+    const {wall} = this.input;
+    const failedAt = Math.max(...failedRuns.map(({at}) => at));
+    const waitedMs = Math.abs(wall - failedAt);
+    return wall < ready.dueAt && waitedMs < LAST_ATTEMPT_WAIT_MS;
+  }
+}
+
+/**
+ * The workers where a task has not failed and that are in no rack where it failed
+ * repeatedly; restrictions that leave too few workers are dropped.
+ */
+const withoutFailed = (
+  work: StepWork,
+  failedRuns: readonly FailedRun[],
+  taskCount: number,
+  candidates: readonly WorkerView[],
+): readonly WorkerView[] => {
+  const failed = new Set<WorkerId>(failedRuns.map(({worker}) => worker));
+  const others = candidates.filter(({worker}) => !failed.has(worker));
+  if (!canHold(work, taskCount, others)) return candidates;
+  const racks = racksToAvoid(failedRuns);
+  if (racks.size === 0) return others;
+  const elsewhere = others.filter(
+    ({rack}) => rack === undefined || !racks.has(rack),
+  );
+  return canHold(work, taskCount, elsewhere) ? elsewhere : others;
+};
+
+const racksToAvoid = (failedRuns: readonly FailedRun[]): Set<string> => {
+  const counts = new Map<string, number>();
+  for (const {rack} of failedRuns)
+    if (rack !== undefined) counts.set(rack, (counts.get(rack) ?? 0) + 1);
+  return new Set(
+    [...counts].flatMap(([rack, n]) => (n >= RACK_FAILURES ? [rack] : [])),
+  );
+};
+
+/** Whether the empty workers have room for a number of tasks of a step. */
+const canHold = (
+  work: StepWork,
+  taskCount: number,
+  workers: readonly WorkerView[],
+): boolean => {
+  const size = taskResources(work);
+  const limit = work.spec.maxPerWorker || taskCount;
+  let held = 0;
+  for (const {room} of workers) {
+    if (!fitsInto(size, room)) continue;
+    const byCpu = size.cpuMillis ? room.cpuMillis / size.cpuMillis : limit;
+    const byMemory = size.memMb ? room.memMb / size.memMb : limit;
+    const byGpus = size.gpus ? room.gpus / size.gpus : limit;
+    held += Math.min(limit, Math.floor(Math.min(byCpu, byMemory, byGpus)));
+    if (held >= taskCount) return true;
+  }
+  return false;
+};
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -12,6 +12,7 @@
 import type {StepKey} from '../types.js';
 import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
+import {AttemptWorkers} from './attempts.js';
 import {CandidateWorkers} from './candidate_workers.js';
 import {findStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
@@ -68,6 +69,7 @@
   private readonly adviceRequester: AdviceRequester;
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
+  private readonly attempts: AttemptWorkers;
   /** Steps with pending starts. */
   private readonly pendingSteps = new Set<string>();
   /** Steps with tasks that this pass starts. */
@@ -83,6 +85,7 @@
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
+    this.attempts = new AttemptWorkers(input, this.chooseWorker.bind(this));
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
     for (const key of input.pending.keys())
@@ -226,11 +229,15 @@
       const isSuspect = this.quarantine.isSuspect(task);
       const worker = isSuspect
         ? this.chooseFirst(work, quiet)
-        : this.chooseWorker(work, quiet);
+        : this.attempts.choose(work, index, quiet);
       if (!worker && isSuspect) {
         this.waitForQuiet(work, candidates, [index]);
         continue;
       }
+      if (!worker && this.attempts.isWaiting(work, index)) {
+        this.wait(work, 'attempt', 1, quiet.length);
+        continue;
+      }
       if (!worker) {
         this.wait(work, 'room', waiting.length, quiet.length);
         this.preempt(work, waiting.length - placedCount, quiet);
@@ -253,7 +260,8 @@
     const expired = new Set<WorkerId>();
     const gang = {...work.ready.ref, index: 0};
     const all = this.candidates.of(work);
-    const candidates = this.quarantine.workersFor(gang, all);
+    const quiet = this.quarantine.workersFor(gang, all);
+    const candidates = this.attempts.forGang(work, waiting.length, quiet);
     for (const index of waiting) {
       const worker = this.chooseWorker(work, candidates);
       if (!worker && this.quarantine.isSuspect(gang)) {
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -116,6 +116,8 @@
   | 'tickets'
   /** No worker has free resources now; a gang gets them reserved. */
   | 'room'
+  /** Its tasks have failed elsewhere, and no worker for the next attempt has room. */
+  | 'attempt'
   /** A worker has crashed under it, and no worker is quiet enough for it now. */
   | 'quarantine'
   /** The gang would not fit even on empty workers. */
--- a/packages/state/src/workflow/planner/worker_health.ts
+++ b/packages/state/src/workflow/planner/worker_health.ts
@@ -5,10 +5,16 @@
  * workers too.
  */
 import type {WorkerId} from '../../ids/types.js';
-import type {WorkflowId} from '../types.js';
+import type {RunOutcome, TaskState, WorkflowId} from '../types.js';
 
 /** Observed result of a run on a worker. */
-export type RunEvidence = 'done' | 'failed' | 'refused' | 'stalled';
+export type RunEvidence =
+  | 'done'
+  | 'failed'
+  /** Failed, as before on another worker, so that the job may be at fault. */
+  | 'failed_again'
+  | 'refused'
+  | 'stalled';
 
 /** Thresholds for setting workers aside. */
 export interface WorkerHealthOptions {
@@ -22,6 +28,13 @@
    * Minimum share of failures in a worker's evidence for it to be set aside.
    */
   readonly failedShare: number;
+  /** Age up to which failures are one event about the worker, in ms. */
+  readonly burstMs: number;
+  /**
+   * Minimum number of workflows that failed first on a worker, within a burst and
+   * without a finished run, before it is set aside.
+   */
+  readonly minBurstWorkflows: number;
   /** How long a worker is set aside, in ms. */
   readonly setAsideMs: number;
   /** Maximum share of the workers that may be set aside at a time. */
@@ -32,6 +45,8 @@
   windowMs: 6000,
   minFailedWorkflows: 3,
   failedShare: 0.6,
+  burstMs: 1000,
+  minBurstWorkflows: 2,
   setAsideMs: 3000,
   maxSetAsideShare: 1 / 3,
 };
@@ -94,11 +109,39 @@
     // A refusal or a stall is the worker's fault; a failure may be the job's.
     if (kind === 'refused' || kind === 'stalled') return true;
     const {minFailedWorkflows, failedShare} = this.options;
-    const failed = recent.filter(entry => entry.kind === 'failed');
-    const workflows = new Set(failed.map(({workflow}) => workflow));
+    const failed = recent.filter(entry => isFailure(entry));
     return (
-      workflows.size >= minFailedWorkflows &&
-      failed.length >= failedShare * recent.length
+      this.isFailingBurst(recent) ||
+      (countWorkflows(failed) >= minFailedWorkflows &&
+        failed.length >= failedShare * recent.length)
     );
   }
+
+  /**
+   * Whether all of a worker's latest runs failed at about the same time, for jobs
+   * that had not failed before.
+   */
+  private isFailingBurst(recent: readonly Evidence[]): boolean {
+    const {burstMs, minBurstWorkflows} = this.options;
+    const since = (recent.at(-1)?.at ?? 0) - burstMs;
+    const burst = recent.filter(({at}) => at >= since);
+    const first = burst.filter(({kind}) => kind === 'failed');
+    return burst.every(isFailure) && countWorkflows(first) >= minBurstWorkflows;
+  }
 }
+
+const isFailure = ({kind}: Evidence): boolean =>
+  kind === 'failed' || kind === 'failed_again';
+
+const countWorkflows = (evidence: readonly Evidence[]): number =>
+  new Set(evidence.map(({workflow}) => workflow)).size;
+
+/** What the end of a run tells of its worker; a task's state already counts it. */
+export const evidenceOf = (
+  outcome: RunOutcome,
+  task: TaskState | undefined,
+): RunEvidence | undefined => {
+  if (outcome === 'done') return 'done';
+  if (outcome !== 'failed') return undefined;
+  return (task?.failures ?? 0) > 1 ? 'failed_again' : 'failed';
+};
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -151,6 +151,15 @@
   readonly run: number;
 }
 
+/** Where and when a run of a task failed. */
+export interface FailedRun {
+  readonly worker: WorkerId;
+  /** Rack of the worker; absent when it is not known. */
+  readonly rack?: string;
+  /** Wall time of its record, in ms since 1970. */
+  readonly at: number;
+}
+
 /** State of a task. */
 export interface TaskState {
   isDone: boolean;
@@ -163,6 +172,8 @@
   /** Number of the run that wrote the checkpoint; 0 without one. */
   checkpointRun: number;
   active: ActiveRun[];
+  /** Its latest failed runs, a few at most; absent without any. */
+  failedRuns?: readonly FailedRun[];
 }
 
 /** State of a step of one occurrence. */
@@ -240,6 +251,11 @@
    * a core; not lowered when that run ends, unless it was the last.
    */
   yieldingMaxCpu: number;
+  /**
+   * Wall time of the record of its latest run that ended as done, in ms since
+   * 1970; absent before the first.
+   */
+  lastDoneAt?: number;
 }
 
 /** A run that can be preempted at no more than the cost of a restart. */
