Callers are authenticated by the keys of customers

A configuration could name tenants, and they were ignored: every caller was served, with any key or none.

The leader and the replicas authenticate with the bundle that they have applied. A replica serves calls with a key only while it is fresh and has reached the leader's index, and only a VM that has confirmed its state answers 401. Submissions record customer and zone. Bundles with wrong customers are rejected; keys are left out of journals, lines and errors; data folders are open to their owner only.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
   upstreamCommand,
   workerCommand,
 } from './commands/capacity.js';
+import {customerCommand} from './commands/customer.js';
 import {explainCommand} from './commands/explain.js';
 import {jobCommand} from './commands/job.js';
 import {journalCommand, replayCommand} from './commands/journal.js';
@@ -28,6 +29,7 @@
     upstream: upstreamCommand,
     worker: workerCommand,
     member: memberCommand,
+    customer: customerCommand,
     status: statusCommand,
     explain: explainCommand,
     journal: journalCommand,
--- a/packages/coordination/src/workflow/replica_reader.ts
+++ b/packages/coordination/src/workflow/replica_reader.ts
@@ -38,7 +38,10 @@
   readonly waitedMs: number;
 }
 
-/** Age above which a replica serves only final states, in ms: two heartbeats of the log. */
+/**
+ * Age above which a replica serves only final states, and those only without
+ * authentication, in ms: two heartbeats of the log.
+ */
 export const MAX_REPLICA_AGE_MS = 250;
 /** Time for which a read waits for a lagging replica, in ms. */
 const MAX_WAIT_MS = 150;
@@ -99,12 +102,15 @@
     return {answer, waitedMs: clock.now() - beganAt};
   }
 
-  /** The final state of a workflow if it ends in time, and otherwise what was read. */
+  /**
+   * The final state of a workflow if it ends in time, and otherwise what was
+   * read; undefined if its caller can't be authenticated here any more.
+   */
   private async awaitEnd(
     address: QueueAddress,
     answer: WorkflowReply,
     wait: EndWait,
-  ): Promise<WorkflowReply> {
+  ): Promise<WorkflowReply | undefined> {
     const {replica, blocking} = this.options;
     const workflow = findWorkflow(replica.db, address);
     if (!blocking || !workflow) return answer;
@@ -112,6 +118,7 @@
     const priority = replica.db.queues.get(queue)?.priority ?? 0;
     await blocking.untilEnded({workflow: id, queue, priority, ...wait});
     const later = this.read(address);
+    if (!later && this.needsFresh(address)) return undefined;
     return later && isFinal(later) ? later : answer;
   }
 
@@ -128,7 +135,8 @@
   ): Promise<WorkflowReply | undefined> {
     const {clock} = this.options;
     const known = this.read(address);
-    if (known && (isFinal(known) || this.hasReached(atLeast))) return known;
+    const isSettled = known && isFinal(known) && !this.needsFresh(address);
+    if (known && (isSettled || this.hasReached(atLeast))) return known;
     const deadline = clock.now() + MAX_WAIT_MS;
     while (!this.hasReached(atLeast) && clock.now() < deadline)
       await pause(clock, POLL_INTERVAL_MS);
@@ -151,7 +159,17 @@
    */
   read(address: QueueAddress): WorkflowReply | undefined {
     const reply = this.isReadable ? this.lookUp(address) : undefined;
-    return reply && (this.isFresh || isFinal(reply)) ? reply : undefined;
+    const isSettled = reply && isFinal(reply) && !this.needsFresh(address);
+    return reply && (this.isFresh || isSettled) ? reply : undefined;
+  }
+
+  /**
+   * Whether even final states are told only while the replica is fresh: the
+   * caller's key may have been revoked since.
+   */
+  private needsFresh({credential}: QueueAddress): boolean {
+    const {bundle} = this.options.replica.db;
+    return credential !== undefined || bundle?.customers !== undefined;
   }
 
   private lookUp(address: QueueAddress): WorkflowReply | undefined {
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -9,10 +9,14 @@
 } from '@primrosewick/protocol';
 import {
   CellError,
+  authenticate,
+  customerOf,
   findBundleError,
   findExceededLimit,
   matchQueue,
   type Bundle,
+  type Caller,
+  type CustomerName,
   type NewWorkflow,
   type QueueMatch,
   type QueueName,
@@ -69,6 +73,8 @@
   readonly isWorkflowId?: (text: string) => boolean;
   /** Called for each workflow whose submission is about to be recorded. */
   readonly onSubmission?: (workflow: NewWorkflow) => void;
+  /** Called for each recorded workflow with its customer; undefined without one. */
+  readonly onAccepted?: (customer: CustomerName | undefined) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
   /** Called for each workflow that is rejected because of the backlog. */
@@ -125,9 +131,12 @@
       const match = await this.findQueue(request);
       if (request.kind === 'get') return this.get(request);
       if (!match) return {kind: 'unknown_queue'};
+      const caller = this.authenticate(request, match);
+      if (caller.kind === 'denied')
+        return {kind: 'unauthenticated', version: this.bundleVersion};
       switch (request.kind) {
         case 'submit':
-          return this.submit(request, match, deadline);
+          return this.submit(request, match, caller, deadline);
         case 'cancel':
           return this.cancel(request, match);
       }
@@ -235,16 +244,33 @@
   private async findQueue({
     host,
     path,
+    credential,
   }: WorkflowRequest): Promise<QueueMatch | undefined> {
     if (!this.db.bundle) await this.confirm();
     if (!this.db.bundle)
       throw new CellError({code: 'starting', step: 'find-queue'});
     const match = matchQueue(this.db.bundle, host, path);
-    if (match && this.isComplete(match)) return match;
+    if (
+      match &&
+      this.isComplete(match) &&
+      this.authenticate({credential}, match).kind !== 'denied'
+    )
+      return match;
     await this.confirm();
     return matchQueue(this.db.bundle, host, path);
   }
 
+  private authenticate(
+    {credential}: Pick<QueueAddress, 'credential'>,
+    {queue}: QueueMatch,
+  ): Caller {
+    return authenticate(this.db.bundle ?? {}, queue, credential);
+  }
+
+  private get bundleVersion(): number {
+    return this.db.bundle?.version ?? 0;
+  }
+
   /** Whether a path is that of a queue or of a workflow, so that no nested queue can be meant. */
   private isComplete({rest}: QueueMatch): boolean {
     return rest === '' || this.isWorkflowId(rest);
@@ -253,12 +279,13 @@
   private async submit(
     request: Extract<WorkflowRequest, {kind: 'submit'}>,
     {queue, rest}: QueueMatch,
+    caller: Caller,
     deadline: number,
   ): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
-    const {spec} = request;
+    const {spec, zone} = request;
     const {clock, logger} = this.options;
-    if (this.db.workflows.has(id)) return {kind: 'accepted'};
+    if (this.db.workflows.has(id)) return this.acknowledge(request, caller);
     if (!this.isWorkflowId(rest))
       return answerOddSubmission(this.db, request, rest);
     const pending = this.submitting.get(id);
@@ -270,21 +297,26 @@
     const inFlight = this.submitting.size;
     this.admission.check({id, queue, spec, inFlight, deadline});
     this.options.onSubmission?.({id, queue, spec});
+    const customer = customerOf(caller)?.name;
     const outcome = this.propose({
       kind: 'submit',
       id,
       queue: queue.name,
       spec,
       at: clock.wall(),
+      ...(customer !== undefined && {customer}),
+      ...(zone !== undefined && {zone}),
     });
     this.submitting.set(id, outcome);
     try {
       await outcome;
+      this.options.onAccepted?.(customer);
       logger.info(
         {
           decision: 'accept',
           req: id,
           queue: queue.name,
+          ...(customer !== undefined && {customer}),
           bundle: this.db.bundle?.version,
           index: this.db.index,
           open: this.db.open.size,
@@ -300,6 +332,20 @@
     }
   }
 
+  /**
+   * Acknowledges a submission that was recorded earlier. No record proves here
+   * that this VM still leads, so that it knows of revoked keys.
+   */
+  private async acknowledge(
+    address: QueueAddress,
+    caller: Caller,
+  ): Promise<WorkflowReply> {
+    if (caller.kind === 'unchecked') return {kind: 'accepted'};
+    await this.confirm();
+    const target = findTarget(this.db, address);
+    return target.kind === 'unauthenticated' ? target : {kind: 'accepted'};
+  }
+
   private isWorkflowId(text: string): boolean {
     const {isWorkflowId = isPathSegment} = this.options;
     return isWorkflowId(text);
--- a/packages/coordination/src/workflow/workflow_view.ts
+++ b/packages/coordination/src/workflow/workflow_view.ts
@@ -6,6 +6,7 @@
 } from '@primrosewick/protocol';
 import {
   CellError,
+  authenticate,
   matchQueue,
   type Bundle,
   type Queue,
@@ -36,7 +37,9 @@
   | {readonly kind: 'queue'; readonly queue: Queue}
   | {readonly kind: 'workflow'; readonly workflow: WorkflowState}
   | {readonly kind: 'unknown_workflow'}
-  | {readonly kind: 'unknown_queue'};
+  | {readonly kind: 'unknown_queue'}
+  /** The queue is known, and the caller is not. */
+  | {readonly kind: 'unauthenticated'; readonly version: number};
 
 /** Part of the state in which addresses are looked up. */
 type AddressedState = Pick<WorkflowDb, 'bundle' | 'queues' | 'workflows'>;
@@ -64,10 +67,13 @@
   state: AddressedState,
   address: QueueAddress,
 ): AddressTarget => {
-  const match =
-    state.bundle && matchQueue(state.bundle, address.host, address.path);
+  const {bundle} = state;
+  const match = bundle && matchQueue(bundle, address.host, address.path);
   if (!match) return {kind: 'unknown_queue'};
   const {queue, rest} = match;
+  const caller = authenticate(bundle, queue, address.credential);
+  if (caller.kind === 'denied')
+    return {kind: 'unauthenticated', version: bundle.version};
   if (rest === '') return {kind: 'queue', queue};
   const workflow =
     state.workflows.get(rest as WorkflowId) ?? findSubmittedAt(state, address);
@@ -153,6 +159,7 @@
     case 'workflow':
       return {kind: 'state', state: viewOf(target.workflow)};
     case 'unknown_workflow':
+    case 'unauthenticated':
       return target;
     case 'unknown_queue':
       return {...target, version};
--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -1,6 +1,10 @@
 /** What is counted and measured while this VM leads. */
-import type {SchedulerOptions} from '@primrosewick/coordination';
+import type {
+  SchedulerOptions,
+  WorkflowServiceOptions,
+} from '@primrosewick/coordination';
 import type {Registry} from 'prom-client';
+import {makeCustomerCounter} from './customer_submissions.js';
 import {makeGivenUpCounter} from './given_up_runs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {makeEndCounter} from './reads_around_ends.js';
@@ -9,11 +13,13 @@
 export type LeaderCounters = Pick<
   SchedulerOptions,
   'onWaited' | 'onEnded' | 'onGivenUp'
->;
+> &
+  Required<Pick<WorkflowServiceOptions, 'onAccepted'>>;
 
 /** Makes them for all leaderships of this VM. */
 export const makeLeaderCounters = (registry: Registry): LeaderCounters => ({
   onWaited: makeQueueWaitObserver(registry),
   onEnded: makeEndCounter(registry),
   onGivenUp: makeGivenUpCounter(registry),
+  onAccepted: makeCustomerCounter(registry),
 });
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -16,7 +16,6 @@
 } from '@primrosewick/coordination';
 import {
   type ClusterSettings,
-  type LinkLeaderReply,
   type LinkHello,
   type LinkHelloReply,
   type LinkMethods,
@@ -26,30 +25,24 @@
 import {
   CellError,
   findBundleError,
+  listCustomerUsage,
   toCellError,
   type Bundle,
+  type CustomerUsage,
   type VmId,
   type WorkerRegistration,
 } from '@primrosewick/state';
-import {
-  LinkClient,
-  LinkServer,
-  systemClock,
-  type LinkHandlers,
-} from '@primrosewick/transport';
+import {LinkClient, LinkServer, systemClock} from '@primrosewick/transport';
 import {AdviceCalls} from './advice_calls.js';
 import {makeAnnouncementRelay} from './announcement_relay.js';
+import {AuthenticationLog} from './authentication_log.js';
 import {BundleReader} from './bundle_reader.js';
-import {answerConfirmed} from './confirmed_replica.js';
 import {ConfirmedReads} from './confirmed_reads.js';
 import {LiveVms} from './live_vms.js';
 import {ReadLog} from './read_log.js';
 import {makeLeaderCounters, type LeaderCounters} from './leader_counters.js';
-import {
-  answerRead,
-  makeReplicaReaders,
-  type ReplicaReaders,
-} from './replica_readers.js';
+import {makeNodeHandlers} from './node_handlers.js';
+import {makeReplicaReaders, type ReplicaReaders} from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
@@ -95,6 +88,7 @@
   private readonly readers: ReplicaReaders | null;
   private readonly announcements: AnnouncementRelay | null;
   private readonly calls: WorkflowRequestRouter;
+  private readonly authentication: AuthenticationLog;
   private readonly bundles: BundleReader;
   private scheduler: SchedulerTask | null = null;
   private readonly callers: LiveVms;
@@ -157,6 +151,10 @@
       }),
       reads: new ReadLog(logger, options.registry),
     });
+    this.authentication = new AuthenticationLog({
+      ...options,
+      clock: systemClock,
+    });
     this.bundles = new BundleReader({
       reader: this.readers?.confirmed ?? null,
       gateway: this.gateway,
@@ -167,7 +165,14 @@
     this.server = new LinkServer({
       address: settings.peer,
       cell: CLUSTER_NAME,
-      handlers: this.handlers(),
+      handlers: makeNodeHandlers({
+        hello: from => this.helloReply(from),
+        log: this.log,
+        service: this.service,
+        readers: this.readers,
+        adviceCalls: this.adviceCalls,
+        readIndex: () => this.readIndex(),
+      }),
       onRefusal: err => logger.info({decision: 'refuse', err: err.toBody()}),
       onDisconnected: vm => this.onPeerLost(vm),
       onDroppedReply: unsent => droppedReplyLog.logDrop(unsent),
@@ -263,6 +268,7 @@
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
       onRefused: queue => this.scheduler?.noteRefused(queue),
       onGivenUp: this.counters.onGivenUp,
+      onAccepted: this.counters.onAccepted,
       checkLife: life => this.scheduler?.lives.check(life),
       answers: claim => this.scheduler?.lives.answers(claim),
       depart: life => this.scheduler?.lives.depart(life),
@@ -357,39 +363,24 @@
     };
   }
 
-  private handlers(): LinkHandlers {
-    const notLeader = <T>(): Promise<LinkLeaderReply<T>> =>
-      Promise.resolve({kind: 'not_leader', leader: null});
-    const {log, service} = this;
-    return {
-      hello: async from => this.helloReply(from),
-      consensus: async ({envelopes}, from) => ({
-        envelopes: log ? await log.receive(from, envelopes) : [],
-      }),
-      readIndex: () => this.readIndex(),
-      readWorkflow: (query, _from, _deadline, signal) =>
-        answerRead(this.readers, query, signal),
-      readConfirmed: request =>
-        answerConfirmed(this.readers, request, systemClock),
-      workflow: (request, _from, deadline) =>
-        service?.handle(request, deadline) ?? notLeader(),
-      announceWorker: report => service?.announceWorker(report) ?? notLeader(),
-      heardWorkers: request =>
-        service?.noteAnnouncements(request) ?? notLeader(),
-      removeWorker: (request, _from, deadline) =>
-        service?.removeWorker(request, deadline) ?? notLeader(),
-      putBundle: request => service?.putBundle(request) ?? notLeader(),
-      getBundle: () => service?.getBundle() ?? notLeader(),
-      advise: request => this.adviceCalls.answer(request),
-    };
-  }
-
   /** Routes a client's request to a VM that can answer it. */
   request(
     request: WorkflowRequest,
     terms: RequestTerms,
   ): Promise<WorkflowReply> {
-    return this.calls.request(request, terms);
+    const {zone} = this.options.settings;
+    const sent = request.kind === 'submit' ? {...request, zone} : request;
+    return this.authentication.watch(sent, this.calls.request(sent, terms));
+  }
+
+  /**
+   * Terms and usage of all customers as this VM's copy of the log has them.
+   * @throws CellError `log_unavailable` without a copy that may be read.
+   */
+  listCustomers(): readonly CustomerUsage[] {
+    if (this.readers?.reader.isReadable)
+      return listCustomerUsage(this.replica.db);
+    throw new CellError({code: 'log_unavailable', step: 'list-customers'});
   }
 
   /** Handles the announcement of a worker, until a deadline of the monotonic clock in ms. */
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -197,33 +197,38 @@
 
   /** Reads a replica that first reaches a read index of the leader. */
   private confirm(
-    {host, path}: QueueAddress,
+    request: QueueAddress,
     deadline: number,
   ): Promise<WorkflowReply | undefined> {
     const {clock, confirmed} = this.options;
     const leftMs = deadline - clock.now();
     const until = clock.now() + leftMs * CONFIRMED_TIME_FRACTION;
-    return confirmed.read({host, path}, until);
+    return confirmed.read(addressOf(request), until);
   }
 
   private async readReplica(
-    {host, path}: QueueAddress,
+    request: QueueAddress,
     terms: BlockingTerms,
   ): Promise<ReplicaAnswer> {
     const {gateway, clock, reader} = this.options;
-    if (clock.now() < (this.cancelledUntil.get(path) ?? 0))
+    const address = addressOf(request);
+    if (clock.now() < (this.cancelledUntil.get(address.path) ?? 0))
       return {way: 'cancelled_here', peer: null};
-    if (reader) return this.readOwn(reader, {host, path}, terms);
+    const hasKey = address.credential !== undefined;
+    if (reader && !hasKey) return this.readOwn(reader, address, terms);
     // The age of a replica is known only by the indexes that the leader reports.
     if (!gateway.hasContact) return {way: 'no_contact', peer: null};
+    if (reader) return this.readOwn(reader, address, terms);
     const peer = gateway.replicaVm;
     if (peer === null) return {way: 'no_reader', peer};
-    return this.readPeer(peer, {host, path}, terms);
+    return this.readPeer(peer, address, terms);
   }
 
   /**
    * Reads this VM's replica without an index to reach: the VM and its replica
-   * learn of the leader together, so the index proves nothing.
+   * learn of the leader together, so the index proves nothing. A call with a key
+   * needs one, since a replica that was frozen hears of the leader before it has
+   * caught up, and may not have the record that revoked the key.
    */
   private async readOwn(
     reader: ReplicaReader,
@@ -232,12 +237,15 @@
   ): Promise<ReplicaAnswer> {
     const {waitMs} = this.replicaTimes(address, deadline, signal);
     const wait = {deadline: this.options.clock.now() + waitMs, signal};
+    const hasKey = address.credential !== undefined;
+    const atLeast = hasKey ? this.options.gateway.knownIndex : 0;
     const {answer = null, waitedMs} = await reader.readBlocking(
       address,
-      0,
+      atLeast,
       wait,
     );
-    return this.check(null, 0, {answer, index: reader.index, waitedMs});
+    const {index} = reader;
+    return this.check(null, address, atLeast, {answer, index, waitedMs});
   }
 
   /**
@@ -271,7 +279,7 @@
         timeoutMs: answerMs + waitMs,
         signal,
       });
-      const answer = this.check(peer, atLeast, reply);
+      const answer = this.check(peer, address, atLeast, reply);
       // This read has waited already; the next one goes to a replica that is up to date.
       if (answer.way === 'copy_behind') gateway.avoidReplica(peer);
       return answer;
@@ -289,10 +297,12 @@
    * Accepts an answer that is no older than any index reported by the leader or
    * a replica before the read. The outcome of an ended workflow does not change,
    * so a replica that merely lags may report it; one that was cut off or
-   * suspended may have an old bundle.
+   * suspended may have an old bundle. Calls with a key are answered by none
+   * that lags.
    */
   private check(
     peer: VmId | null,
+    {credential}: QueueAddress,
     atLeast: number,
     {
       answer,
@@ -301,7 +311,8 @@
     }: LinkMethods['readWorkflow']['reply'],
   ): ReplicaAnswer {
     const {gateway, logger} = this.options;
-    const known = answer && isFinal(answer) ? gateway.settledIndex : atLeast;
+    const maySettle = credential === undefined && answer && isFinal(answer);
+    const known = maySettle ? gateway.settledIndex : atLeast;
     if (index < known) {
       logger.debug(
         {change: 'reader_behind', peer, index, known},
@@ -322,6 +333,13 @@
   }
 }
 
+/** The address alone of a request; without a key, no field is sent for it. */
+const addressOf = ({host, path, credential}: QueueAddress): QueueAddress => ({
+  host,
+  path,
+  ...(credential !== undefined && {credential}),
+});
+
 const answerOf = (
   peer: VmId | null,
   reply: WorkflowReply | undefined,
--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -4,6 +4,7 @@
  * contains it; a second one is the baseline bundle of `benchIdle`.
  */
 import {cpus} from 'node:os';
+import {benchAuthentication} from './authentication.js';
 import {benchEntry} from './entry.js';
 import {benchIdleVms} from './idle.js';
 import {
@@ -43,6 +44,7 @@
   },
   benchCancel,
   benchUrgent,
+  benchAuthentication,
   benchEntry,
   function benchIdle() {
     return benchIdleVms(process.argv[3]);
--- a/packages/state/src/bundle/core.ts
+++ b/packages/state/src/bundle/core.ts
@@ -1,4 +1,5 @@
 /** Looks up the queue that a client addresses. */
+import {findCustomersError} from './customer_checks.js';
 import {findQueueOf} from './queue_index.js';
 import type {Bundle, Queue} from './types.js';
 
@@ -36,5 +37,5 @@
       return `two queues share host ${host} and prefix ${prefix}`;
     places.add(place);
   }
-  return undefined;
+  return findCustomersError(bundle.customers ?? []);
 };
--- a/packages/state/src/bundle/fixtures.ts
+++ b/packages/state/src/bundle/fixtures.ts
@@ -1,5 +1,7 @@
 /** Bundles for specs. */
-import type {Bundle, Queue} from './types.js';
+import type {CustomerName, KeyDigest} from '../ids/types.js';
+import {digestKey} from './authentication.js';
+import type {Bundle, Customer, Queue} from './types.js';
 
 /** Name of the pool in `testBundle`. */
 export const TEST_POOL = 'pool';
@@ -44,3 +46,21 @@
     source: '{}',
     ...part,
   }) as Bundle;
+
+/** Digest of a key that is a text. */
+export const testDigest = (key: string): KeyDigest =>
+  digestKey(Buffer.from(key));
+
+/** A customer with the given keys and no limits. */
+export const testCustomer = (
+  name: string,
+  keys: readonly string[],
+  part: Partial<Customer> = {},
+): Customer => ({
+  name: name as CustomerName,
+  keyDigests: keys.map(testDigest),
+  priority: 0,
+  weight: 0,
+  cap: {cpuMillis: 0, memMb: 0, gpus: 0},
+  ...part,
+});
--- a/packages/state/src/storage/node_disk.ts
+++ b/packages/state/src/storage/node_disk.ts
@@ -4,6 +4,9 @@
 import {CellError} from '../errors/cell_error.js';
 import type {Folder} from './types.js';
 
+/** Permissions of new folders and files: records hold the keys of customers. */
+const OWNER_FOLDER_MODE = 0o700;
+const OWNER_FILE_MODE = 0o600;
 /** Bytes of a part of a file that is read in parts. */
 const PART_BYTES = 4 * 1024 * 1024;
 
@@ -37,7 +40,7 @@
   ): Promise<NodeFolder> {
     const resolved = path.resolve(root);
     try {
-      await mkdir(resolved, {recursive: true});
+      await mkdir(resolved, {recursive: true, mode: OWNER_FOLDER_MODE});
     } catch (err) {
       throw storageError('make-folder', resolved, err);
     }
@@ -118,7 +121,7 @@
   private async handleOf(file: string): Promise<FileHandle> {
     const known = this.handles.get(file);
     if (known) return known;
-    const handle = await open(this.pathOf(file), 'a');
+    const handle = await open(this.pathOf(file), 'a', OWNER_FILE_MODE);
     this.handles.set(file, handle);
     await syncFolder(this.root);
     return handle;
@@ -152,7 +155,7 @@
   });
 
 const writeSynced = async (file: string, bytes: Uint8Array): Promise<void> => {
-  const handle = await open(file, 'w');
+  const handle = await open(file, 'w', OWNER_FILE_MODE);
   try {
     await handle.writeFile(bytes);
     await handle.sync();
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -2,7 +2,7 @@
  * The planner and its whole state, driven by events, so that an operator can
  * replay a journal to see why work was placed where it was.
  */
-import type {Bundle} from '../../bundle/types.js';
+import type {Bundle, Customer} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import type {DecisionNote} from '../../requests/types.js';
 import {assertNever} from '../../utils/assert_never.js';
@@ -160,6 +160,7 @@
     state: {
       ...image,
       bundle: image.bundle && withoutSource(image.bundle),
+      ...(image.customers && {customers: image.customers.map(withoutDigests)}),
       workflows: kept.map(workflow => ({
         ...workflow,
         spec: withoutPayload(workflow.spec),
@@ -178,12 +179,21 @@
   payload: '',
 });
 
-/** Copies a bundle without its text, which is only returned to operators. */
+/**
+ * Copies a bundle without its text, which is only returned to operators, and
+ * without digests of keys, which no decision uses.
+ */
 export const withoutSource = (bundle: Bundle): Bundle => ({
   ...bundle,
+  ...(bundle.customers && {customers: bundle.customers.map(withoutDigests)}),
   source: '',
 });
 
+const withoutDigests = (customer: Customer): Customer => ({
+  ...customer,
+  keyDigests: [],
+});
+
 const reviveAdvice = mapReviver(reviveAdviceRecord);
 
 /** Restores a planner from its plain state. */
