--- a/packages/coordination/src/workflow/pass_journal.spec.ts
+++ b/packages/coordination/src/workflow/pass_journal.spec.ts
@@ -1,6 +1,11 @@
 import {expect} from 'chai';
 import {type Bundle, type PassEvent, type Plan} from '@primrosewick/state';
-import {testBundle, testQueue} from '@primrosewick/state/fixtures';
+import {
+  testBundle,
+  testCustomer,
+  testDigest,
+  testQueue,
+} from '@primrosewick/state/fixtures';
 import {systemClock} from '@primrosewick/transport';
 import {JournalRecorder} from '../journal/recorder.js';
 import {PassJournal} from './pass_journal.js';
@@ -51,4 +56,23 @@
     expect(longest).to.be.within(JOURNAL_BYTES / 2, MAX_KEPT_BYTES);
     expect(recorder.getBytes('workflows').includes('sss')).to.equal(false);
   });
+  // Guards against keys in the journal, which is served on the metrics port.
+  it('a bundle is recorded without keys and their digests', () => {
+    const recorder = new JournalRecorder({
+      clock: systemClock,
+      maxBytes: JOURNAL_BYTES,
+    });
+    const bundle = testBundle({
+      customers: [testCustomer('acme', ['topsecret'])],
+      source: 'topsecret',
+    });
+    new PassJournal(recorder, () => ({})).noteRecord(1, {
+      kind: 'put_bundle',
+      bundle,
+    });
+    const text = recorder.getBytes('workflows').toString();
+    expect(text).to.contain('acme');
+    expect(text).not.to.contain('topsecret');
+    expect(text).not.to.contain(testDigest('topsecret'));
+  });
 });
--- a/packages/daemon/src/cluster/count_order.spec.ts
+++ b/packages/daemon/src/cluster/count_order.spec.ts
@@ -125,6 +125,16 @@
     expect(await first).to.eql(NEWER_COUNT);
     expect(await second).to.eql(NEWER_UNKNOWN);
   });
+  // Guards against a key that counts as revoked and, a moment later, as good again.
+  it('a count is not answered by an older bundle than one that refused a key before it', async () => {
+    const refused: WorkflowReply = {kind: 'unauthenticated', version: NEWER};
+    const {count} = await makeEntry({
+      ...laggingReplica(),
+      confirm: async () => refused,
+    });
+    expect(await count(ADDED)).to.eql(refused);
+    expect(await count(DROPPED)).to.eql(refused);
+  });
   it('a count waits for those before it, and is read once if none of them was newer', async () => {
     const {count, asked} = await makeEntry({
       ...laggingReplica(),
