--- a/packages/daemon/src/cluster/authentication.spec.ts
+++ b/packages/daemon/src/cluster/authentication.spec.ts
@@ -25,6 +25,7 @@
   testBundle,
   testCustomer,
   testDigest,
+  testQueue,
   testSpec,
   testStep,
   testTask,
@@ -302,6 +303,14 @@
     expect(await world.call('old')).to.equal('done');
     expect(await world.call(undefined)).to.equal('done');
   });
+  it('a replica that was cut off serves no call without a key to a queue that is public no more', async () => {
+    const queues = [testQueue({isPublic: true})];
+    world = await new World({...OLD_KEYS, queues}).start();
+    expect(await world.call(undefined)).to.equal('done');
+    world.cutFromLeader.add(NEAR);
+    await world.putBundle(NEW_KEYS);
+    expect(await world.call(undefined)).to.equal('unauthenticated');
+  });
   it('a submission records its customer and zone, and a cancellation needs a key', async () => {
     world = await new World(OLD_KEYS).start();
     const path = `${QUEUE}b`;
