Caps of customers: totals, planner and refusal at submission

Cause: a bundle can give a customer a cap, but nothing holds its running work to it, and work that can never fit the cap would wait for good.

Change: the replicated state keeps running totals of resources by customer, which restoring an image recounts. A pass adds starts that are not recorded and tasks held back for orphaned runs, and serves a step only with what the cap allows: steps start in waves, gangs whole, copies count. A step held back takes no turn at the adviser, reserves and preempts nothing; it waits with the reason `cap`, with used and allowed resources on the `wait` line. A task or gang that exceeds its cap is rejected with `cap_exceeded` before it is recorded. The search for waiting tasks moves to a module of its own.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -13,6 +13,7 @@
   type Plan,
   type PlannedStop,
   type QueueName,
+  type ReasonCode,
   type RunEvidence,
   type WorkerId,
   type WorkerIncarnation,
@@ -190,9 +191,9 @@
     this.advice.drop(id);
   }
 
-  /** Counts a workflow that was rejected because of the queue's backlog. */
-  noteRefused(queue: QueueName): void {
-    this.load.queues.countFor(queue, 'refused', 'backlog');
+  /** Counts a workflow of a queue that was rejected for a reason. */
+  noteRefused(queue: QueueName, why: ReasonCode): void {
+    this.load.queues.countFor(queue, 'refused', why);
   }
 
   private get db(): WorkflowDb {
--- a/packages/coordination/src/workflow/service.spec.ts
+++ b/packages/coordination/src/workflow/service.spec.ts
@@ -1,7 +1,17 @@
 import bunyan from 'bunyan';
 import {expect} from 'chai';
-import type {CellError, VmId, WorkflowSpec} from '@primrosewick/state';
-import {TestLog, testSpec, testStep} from '@primrosewick/state/fixtures';
+import type {
+  CellError,
+  KeyDigest,
+  VmId,
+  WorkflowSpec,
+} from '@primrosewick/state';
+import {
+  TestLog,
+  testCustomer,
+  testSpec,
+  testStep,
+} from '@primrosewick/state/fixtures';
 import {systemClock} from '@primrosewick/transport';
 import {WorkflowReplica} from './replica.js';
 import {
@@ -35,7 +45,7 @@
     onAnnouncement: () => undefined,
     ...options,
   });
-  return {service, proposed};
+  return {service, proposed, replica};
 };
 
 /** Submits a workflow; returns the answer or error code, and the proposed commands. */
@@ -116,4 +126,30 @@
     expect(reply.kind).to.equal('ok');
     expect(proposed).to.eql([]);
   });
+  it('work that the cap of its customer can never hold is rejected, not recorded', async () => {
+    const cap = {cpuMillis: 500, memMb: 0, gpus: 0};
+    const keyDigests = ['digest' as KeyDigest];
+    const refused: string[] = [];
+    const {service, proposed, replica} = makeService({
+      onRefused: (_, why) => refused.push(why),
+    });
+    const bundle = {
+      ...replica.db.bundle!,
+      version: 2,
+      customers: [testCustomer('a', {cap, keyDigests})],
+    };
+    replica.db.apply(replica.db.index + 1, {kind: 'put_bundle', bundle});
+    const answerTo = (credential: string) =>
+      service
+        .handle({
+          kind: 'submit',
+          host: QUEUE!.host,
+          path: `${QUEUE!.prefix}a`,
+          spec: testSpec([testStep()]),
+          credential: credential as KeyDigest,
+        })
+        .catch(({code, status, outcome}: CellError) => [code, status, outcome]);
+    expect(await answerTo('digest')).to.eql(['cap_exceeded', 429, 'not_run']);
+    expect([proposed, refused]).to.eql([[], ['cap_exceeded']]);
+  });
 });
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -30,6 +30,7 @@
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import {SubmissionAdmission} from './submission_admission.js';
+import {CapCheck} from './cap_check.js';
 import type {WorkflowReplica} from './replica.js';
 import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
@@ -71,8 +72,11 @@
   readonly onSubmission?: (workflow: NewWorkflow) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
-  /** Called for each workflow that is rejected because of the backlog. */
-  readonly onRefused?: (queue: QueueName) => void;
+  /** Called for each workflow that is rejected because of the backlog or a cap. */
+  readonly onRefused?: (
+    queue: QueueName,
+    why: 'backlog' | 'cap_exceeded',
+  ) => void;
 }
 
 /** Handles the calls of clients, workers and operators at the leader. */
@@ -81,6 +85,7 @@
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly admission: SubmissionAdmission;
+  private readonly caps: CapCheck;
   private readonly workers: WorkerRegistry;
   private readonly departures: Departures;
   private readonly bundles: BundleWriter;
@@ -95,6 +100,7 @@
       ...options,
       db: options.replica.db,
     });
+    this.caps = new CapCheck({...options, db: options.replica.db});
     this.workers = new WorkerRegistry({
       ...options,
       db: () => options.replica.db,
@@ -267,9 +273,16 @@
       return {kind: 'accepted'};
     }
     throwOnFault('submit', findExceededLimit(spec));
+    const customer = this.caps.findCustomer(request);
+    this.caps.check({id, queue, spec, customer});
     const inFlight = this.submitting.size;
     this.admission.check({id, queue, spec, inFlight, deadline});
-    this.options.onSubmission?.({id, queue, spec});
+    this.options.onSubmission?.({
+      id,
+      queue,
+      spec,
+      ...(customer && {customer: customer.name}),
+    });
     const outcome = this.propose({
       kind: 'submit',
       id,
--- a/packages/coordination/src/workflow/submission_admission.ts
+++ b/packages/coordination/src/workflow/submission_admission.ts
@@ -25,7 +25,7 @@
   /** Decides given the time that records take. */
   readonly records?: Pick<RecordLoadTask, 'decide'>;
   /** Called for each workflow that is rejected because of the backlog. */
-  readonly onRefused?: (queue: QueueName) => void;
+  readonly onRefused?: (queue: QueueName, why: 'backlog') => void;
 }
 
 /** A submission that is neither known nor in flight. */
@@ -115,7 +115,7 @@
     const admission = decideAdmission(db, queue, spec);
     if (admission.kind === 'admit') return;
     const {expectedMs, retryAfterMs} = admission;
-    this.options.onRefused?.(queue.name);
+    this.options.onRefused?.(queue.name, 'backlog');
     this.options.logger.info(
       {
         decision: 'reject',
--- a/packages/coordination/src/workflow/wait_log.ts
+++ b/packages/coordination/src/workflow/wait_log.ts
@@ -32,7 +32,8 @@
   }
 
   /** Notes a wait of one pass, at a monotonic time in ms. */
-  note({step, why, taskCount, candidateCount}: PlannedWait, now: number): void {
+  note(wait: PlannedWait, now: number): void {
+    const {step, why, taskCount, candidateCount, cap} = wait;
     const key = stepKey(step);
     const last = this.logged.get(key);
     const silentMs = last?.why === why ? REPEAT_INTERVAL_MS : MIN_INTERVAL_MS;
@@ -42,7 +43,14 @@
     // Most waits end too soon to be worth a line, so the first pass logs none.
     if (!last) return;
     this.logger.info(
-      {decision: 'wait', step: key, reason: why, taskCount, candidateCount},
+      {
+        decision: 'wait',
+        step: key,
+        reason: why,
+        taskCount,
+        candidateCount,
+        ...cap,
+      },
       'tasks of a step are waiting',
     );
   }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -261,7 +261,7 @@
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
-      onRefused: queue => this.scheduler?.noteRefused(queue),
+      onRefused: (queue, why) => this.scheduler?.noteRefused(queue, why),
       onGivenUp: this.counters.onGivenUp,
       checkLife: life => this.scheduler?.lives.check(life),
       answers: claim => this.scheduler?.lives.answers(claim),
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -153,6 +153,12 @@
     1000,
     'Queued work would delay this work until it is no longer useful.',
   ),
+  cap_exceeded: reason(
+    429,
+    'not_run',
+    5000,
+    'A task or gang needs more at once than the cap of its customer allows.',
+  ),
   leader_late: reason(
     503,
     'not_run',
--- a/packages/state/src/workflow/admission/limits.spec.ts
+++ b/packages/state/src/workflow/admission/limits.spec.ts
@@ -1,8 +1,9 @@
 import {expect} from 'chai';
 import {testQueue} from '../../bundle/fixtures.js';
-import {TestLog, testSpec, testStep} from '../fixtures.js';
+import {TestLog, testCustomer, testSpec, testStep} from '../fixtures.js';
 import {decideAdmission} from './core.js';
-import {findExceededLimit} from './limits.js';
+import type {Resources, StepSpec} from '../types.js';
+import {findExceededCap, findExceededLimit} from './limits.js';
 
 describe('limits of one workflow', () => {
   it('a huge estimate in one queue does not block the admission of others', () => {
@@ -37,4 +38,20 @@
     const spec = testSpec(steps, {occurrences: 10_000, firstDueAt: 1});
     expect(findExceededLimit(spec)).to.not.equal(undefined);
   });
+  // Guards against work that would wait for good.
+  it('a task or gang over the cap is named, with the dimension', () => {
+    const exceeded = (step: Partial<StepSpec>, cap: Partial<Resources>) =>
+      findExceededCap(
+        testSpec([testStep(step)]),
+        testCustomer('a', {cap: {cpuMillis: 0, memMb: 0, gpus: 0, ...cap}}),
+      );
+    const gang = {taskCount: 4, isGang: true};
+    expect(exceeded(gang, {cpuMillis: 3999})).to.equal(
+      'step 0 needs 4000 thousandths of a core at once; the cap of customer a is 3999',
+    );
+    expect(exceeded(gang, {cpuMillis: 4000})).to.equal(undefined);
+    expect(exceeded({taskCount: 50}, {cpuMillis: 1000})).to.equal(undefined);
+    expect(exceeded({}, {memMb: 99})).to.match(/MB of memory/);
+    expect(exceeded({}, {gpus: 1})).to.equal(undefined);
+  });
 });
--- a/packages/state/src/workflow/admission/limits.ts
+++ b/packages/state/src/workflow/admission/limits.ts
@@ -3,8 +3,9 @@
  * and replays it after a restart, so a workflow that is too large for one
  * process would crash all voters repeatedly.
  */
+import type {Customer} from '../../bundle/types.js';
 import {occurrenceCount} from '../task_state.js';
-import type {WorkflowSpec} from '../types.js';
+import type {Resources, StepSpec, WorkflowSpec} from '../types.js';
 
 /** Maximum number of steps of a workflow, over all occurrences. */
 export const MAX_STEPS = 10_000;
@@ -24,3 +25,31 @@
     ? `more than ${MAX_TASKS} tasks over all occurrences`
     : undefined;
 };
+
+const DIMENSIONS: ReadonlyArray<readonly [keyof Resources, string]> = [
+  ['cpuMillis', 'thousandths of a core'],
+  ['memMb', 'MB of memory'],
+  ['gpus', 'accelerators'],
+];
+
+/**
+ * Finds a task or a gang that its customer's cap can never hold, even with
+ * nothing else running.
+ * @returns a description that names the cap and the dimension, or undefined.
+ */
+export const findExceededCap = (
+  {steps}: Pick<WorkflowSpec, 'steps'>,
+  {name, cap}: Pick<Customer, 'name' | 'cap'>,
+): string | undefined => {
+  for (const [index, step] of steps.entries())
+    for (const [dimension, unit] of DIMENSIONS) {
+      const needed = atOnce(step) * step.room[dimension];
+      if (cap[dimension] > 0 && needed > cap[dimension])
+        return `step ${index} needs ${needed} ${unit} at once; the cap of customer ${name} is ${cap[dimension]}`;
+    }
+  return undefined;
+};
+
+/** Number of tasks of a step that can only run together. */
+const atOnce = ({isGang, taskCount}: StepSpec): number =>
+  isGang ? taskCount : 1;
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -6,6 +6,7 @@
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
+import {CustomerUsage} from './customer_usage.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
 import {imageOf, originOf, restoreWorker} from './image.js';
@@ -62,6 +63,8 @@
   /** Queues by name; one that the bundle dropped keeps its last settings. */
   readonly queues = new Map<QueueName, Queue>();
   readonly customers = new KnownCustomers();
+  /** Resources that customers have running. */
+  readonly usage = new CustomerUsage();
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
@@ -179,6 +182,7 @@
   /** Rebuilds the counts and the index of active runs from the whole state. */
   private rebuildActiveRuns(): void {
     this.running.clear();
+    this.usage.recount(this.workflows.values());
     for (const workflow of this.workflows.values()) {
       workflow.activeRuns = countActiveRuns(workflow);
       if (workflow.phase !== 'open' && workflow.activeRuns > 0)
@@ -295,6 +299,7 @@
     if (step && state.active.length === 0) step.idleCount--;
     state.active.push({run, worker, bornAt});
     workflow.activeRuns++;
+    this.usage.add(workflow, task.step);
     this.addStopCandidate(task);
     const key = taskKey(task);
     if (!workerState.active.has(key))
@@ -411,6 +416,7 @@
     const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
     if (!workflow || !step) return;
     workflow.activeRuns--;
+    this.usage.remove(workflow, task.step);
     if (state.active.length === 0) {
       if (!state.isDone) step.idleCount++;
       this.running.remove(task, !hasActiveRuns(step));
--- a/packages/state/src/workflow/fixtures.ts
+++ b/packages/state/src/workflow/fixtures.ts
@@ -1,7 +1,8 @@
 /** Test workflows and workers. */
 import {testBundle, TEST_POOL} from '../bundle/fixtures.js';
-import type {Bundle} from '../bundle/types.js';
+import type {Bundle, Customer} from '../bundle/types.js';
 import {WorkflowDb} from './db.js';
+import {NO_RESOURCES} from './resources.js';
 import type {
   RunEnd,
   StepSpec,
@@ -62,6 +63,20 @@
     ...part,
   }) as WorkerRegistration;
 
+/** A customer without a cap, of weight 1. */
+export const testCustomer = (
+  name: string,
+  part: Partial<Customer> = {},
+): Customer =>
+  ({
+    name,
+    keyDigests: [],
+    priority: 1,
+    weight: 1,
+    cap: NO_RESOURCES,
+    ...part,
+  }) as Customer;
+
 /** A task of the first occurrence. */
 export const testTask = (
   workflow: string,
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -55,6 +55,10 @@
       return views;
     },
     pending,
+    mayRun: [
+      ...pass.heldBack,
+      ...pass.expected.map(([worker, key]) => [key, worker] as const),
+    ],
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
   });
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -3,6 +3,7 @@
  * shares of their queues are served first, then the others, both by priority
  * and due time; smaller steps may overtake one that does not fit.
  */
+import {CustomerCaps} from './customer_caps.js';
 import {findEvacuations} from './evacuation.js';
 import {findReadySteps} from './ready.js';
 import {findStops} from './stops.js';
@@ -16,7 +17,7 @@
   if (waiting.length === 0) return withoutPlacing(input);
   const shares = new QueueShares(input);
   const ready = shares.orderByShare(waiting, input.db);
-  const placer = new StepPlacer(input, shares);
+  const placer = new StepPlacer(input, shares, new CustomerCaps(input));
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
   const {starts, advice, waits, reserved, preempted, preemptedAt} = placer;
--- a/packages/state/src/workflow/planner/early_advice.spec.ts
+++ b/packages/state/src/workflow/planner/early_advice.spec.ts
@@ -2,7 +2,7 @@
 import type {Queue} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import {testQueue} from '../../bundle/fixtures.js';
-import {TestLog, testSpec, testStep} from '../fixtures.js';
+import {TestLog, testCustomer, testSpec, testStep} from '../fixtures.js';
 import type {WorkflowId, WorkflowSpec} from '../types.js';
 import {earlyAdviceRequests} from './early_advice.js';
 
@@ -45,4 +45,21 @@
     expect(requestsFor(spec, {queue: testQueue({})})).to.eql([]);
     expect(requestsFor({...spec, firstDueAt: 5000})).to.eql([]);
   });
+  it('nothing is asked for what the cap of the customer forbids', () => {
+    const cap = {cpuMillis: 2000, memMb: 0, gpus: 0};
+    const log = new TestLog({customers: [testCustomer('a', {cap})]});
+    log.addWorker('w1');
+    const askedSteps = (taskCount: number) =>
+      earlyAdviceRequests(
+        {db: log.db, unusable: new Set()},
+        {
+          id: 'new' as WorkflowId,
+          queue: ADVISED,
+          spec: testSpec([testStep({taskCount, isGang: true}), testStep()]),
+          customer: 'a' as never,
+        },
+      ).map(({step}) => step.step);
+    expect(askedSteps(2)).to.eql([0, 1]);
+    expect(askedSteps(3)).to.eql([1]);
+  });
 });
--- a/packages/state/src/workflow/planner/early_advice.ts
+++ b/packages/state/src/workflow/planner/early_advice.ts
@@ -4,11 +4,12 @@
  * as a call to the adviser; one after the other, both would delay the first task.
  */
 import type {Queue} from '../../bundle/types.js';
-import type {WorkerId} from '../../ids/types.js';
+import type {CustomerName, WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
 import {stepKey} from '../refs.js';
 import type {StepSpec, WorkflowId, WorkflowSpec} from '../types.js';
 import {chooseWorkersToQuery, type QueriedWorker} from './advice.js';
+import {countUnderCap} from './customer_caps.js';
 import type {AdviceRequest} from './types.js';
 import {freeResourcesOf} from './views.js';
 
@@ -17,11 +18,12 @@
   readonly id: WorkflowId;
   readonly queue: Queue;
   readonly spec: WorkflowSpec;
+  readonly customer?: CustomerName;
 }
 
 /** The state of the workers, as the planner would see them. */
 export interface KnownWorkers {
-  readonly db: Pick<WorkflowDb, 'workers'>;
+  readonly db: Pick<WorkflowDb, 'workers' | 'customers' | 'usage'>;
   /** Workers that currently get no new tasks. */
   readonly unusable: ReadonlySet<WorkerId>;
 }
@@ -29,18 +31,21 @@
 /** Requests for the steps that can start as soon as the workflow is recorded. */
 export const earlyAdviceRequests = (
   known: KnownWorkers,
-  {id, queue, spec}: NewWorkflow,
+  workflow: NewWorkflow,
 ): AdviceRequest[] => {
+  const {id, queue, spec} = workflow;
   const {advice: timing} = queue;
   if (!timing || spec.firstDueAt > 0) return [];
   const requests: AdviceRequest[] = [];
   for (const [index, step] of spec.steps.entries()) {
     if (step.after.length > 0) continue;
+    const taskCount = countStartable(known, workflow, step);
+    if (taskCount === 0) continue;
     const ref = {workflow: id, occurrence: 0, step: index};
     const waiting = {
       key: stepKey(ref),
       spec: step,
-      taskCount: step.taskCount,
+      taskCount,
       timing,
     };
     const suitable = suitableWorkers(known, queue, step);
@@ -50,6 +55,19 @@
   return requests;
 };
 
+/** Number of tasks that the cap of the customer allows beside what it runs. */
+const countStartable = (
+  {db}: KnownWorkers,
+  {customer}: NewWorkflow,
+  {room, taskCount, isGang}: StepSpec,
+): number => {
+  const cap = customer === undefined ? undefined : db.customers.get(customer);
+  if (!cap) return taskCount;
+  const {declared} = db.usage.of(cap.name);
+  const count = Math.min(taskCount, countUnderCap(room, declared, cap.cap));
+  return isGang && count < taskCount ? 0 : count;
+};
+
 const suitableWorkers = (
   {db, unusable}: KnownWorkers,
   {pool}: Queue,
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,7 +2,6 @@
  * Places the tasks of one step after another on the resources that are left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {taskKeyIn} from '../refs.js';
 import {
   NO_RESOURCES,
   fitsInto,
@@ -14,6 +13,7 @@
 import {AdviceRequester} from './advice_requester.js';
 import {CandidateWorkers} from './candidate_workers.js';
 import {findStragglers} from './copies.js';
+import type {CustomerCaps} from './customer_caps.js';
 import {homeRackOf} from './home_rack.js';
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
@@ -41,6 +41,7 @@
   WaitReason,
   WorkerView,
 } from './types.js';
+import {WaitingTasks} from './waiting_tasks.js';
 
 /** Penalty of a worker away from the data; 1 equals a whole free worker. */
 const REMOTE_DATA_PENALTY = 1;
@@ -68,16 +69,18 @@
   private readonly adviceRequester: AdviceRequester;
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
-  /** Steps with pending starts. */
-  private readonly pendingSteps = new Set<string>();
+  private readonly waiting: WaitingTasks;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
+  /** Number of waits for anything but a cap, counted once all steps are placed. */
+  private otherWaits: number | undefined;
   /** Steps for which the previous pass reserved resources, by worker. */
   private readonly reservedFor = new Map<WorkerId, StepKey>();
 
   constructor(
     private readonly input: PlanInput,
     shares: QueueShares,
+    private readonly caps: CustomerCaps,
   ) {
     this.reservations = new ReservationPlanner(input, shares);
     this.adviceRequester = new AdviceRequester(input);
@@ -85,8 +88,7 @@
     this.candidates = new CandidateWorkers(input.workers);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
-    for (const key of input.pending.keys())
-      this.pendingSteps.add(key.slice(0, key.lastIndexOf('.')));
+    this.waiting = new WaitingTasks(input.pending);
   }
 
   /** Requests to advisers. */
@@ -112,8 +114,10 @@
   /** Places the tasks of a step that fit. */
   place(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const waiting = work && this.waitingTasks(work);
-    if (!work || !waiting || waiting.length === 0) return;
+    const all = work && this.waiting.of(work);
+    if (!work || !all || all.length === 0) return;
+    const waiting = all.slice(0, this.caps.countAllowed(work, all.length));
+    if (waiting.length === 0) return this.waitForCap(work, all.length);
     const {advice: timing} = work.queue;
     const hasSlot = this.adviceRequester.tryAcquireSlot(work);
     if (!hasSlot && !work.advice)
@@ -124,6 +128,8 @@
     if (work.spec.isGang) this.placeGang(placed, waiting);
     else this.placeEach(placed, waiting);
     const isWaiting = this.waits.at(-1)?.step === work.ready.ref;
+    if (!isWaiting && waiting.length < all.length)
+      this.waitForCap(work, all.length - waiting.length);
     if (!hasSlot || !timing || !isWaiting) return;
     // Other gangs renew their tickets once their resources are nearly complete.
     if (work.spec.isGang && !ready.isCounted)
@@ -142,12 +148,13 @@
    */
   placeCopies(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const isIdle = this.waits.length === 0 && !this.started.has(ready.key);
+    const isIdle = this.hasNoOtherWaits() && !this.started.has(ready.key);
     if (!work || !isIdle) return;
     const candidates = this.candidates.of(work);
     for (const {index, worker: slow} of findStragglers(work, this.input)) {
       const task = {...work.ready.ref, index};
       if (this.quarantine.isSuspect(task)) continue;
+      if (this.caps.countAllowed(work, 1) === 0) return;
       const others = this.quarantine
         .workersFor(task, candidates)
         .filter(({worker}) => worker !== slow);
@@ -158,6 +165,12 @@
     }
   }
 
+  /** Whether no step waits for anything but the cap of its customer. */
+  private hasNoOtherWaits(): boolean {
+    this.otherWaits ??= this.waits.filter(({why}) => why !== 'cap').length;
+    return this.otherWaits === 0;
+  }
+
   private withHomeRack(work: StepWork, waitingCount: number): StepWork {
     const homeRack = homeRackOf(
       work,
@@ -187,28 +200,6 @@
     };
   }
 
-  /**
-   * Indexes of the tasks to start; none for a gang of which any member is
-   * active or pending.
-   */
-  private waitingTasks({ready, spec, state}: StepWork): number[] {
-    const waiting: number[] = [];
-    if (state.idleCount === 0) return waiting;
-    const hasPending = this.pendingSteps.has(ready.key);
-    for (const [index, task] of state.tasks.entries()) {
-      if (task.isDone) continue;
-      const isActiveOrPending =
-        task.active.length > 0 ||
-        (hasPending && this.input.pending.has(taskKeyIn(ready.key, index)));
-      if (isActiveOrPending) {
-        if (spec.isGang) return [];
-        continue;
-      }
-      waiting.push(index);
-    }
-    return waiting;
-  }
-
   private requestAdviceIfNeeded(work: StepWork, taskCount: number): boolean {
     return this.adviceRequester.requestIfNeeded(work, taskCount, {
       suitableWorkers: this.candidates.suitable(work),
@@ -241,6 +232,7 @@
         expired.add(worker.worker);
         // Claims the resources for the task until the ticket is renewed.
         claimResources(work, worker);
+        this.caps.claim(work, 1);
         continue;
       }
       this.start(work, {index, worker});
@@ -266,6 +258,7 @@
           this.preempt(work, waiting.length, candidates) ||
           this.reservations.reserve(work, waiting.length, candidates);
         const why = isReserved ? 'room' : 'never_fits_now';
+        if (isReserved) this.caps.claim(work, waiting.length);
         return this.wait(work, why, waiting.length, candidates.length);
       }
       if (work.queue.advice && !this.ticketFor(work, worker))
@@ -273,6 +266,7 @@
       claimResources(work, worker);
       placements.push({index, worker});
     }
+    this.caps.claim(work, waiting.length);
     if (expired.size > 0) {
       this.wait(work, 'tickets', waiting.length, candidates.length);
       const chosen = new Set(placements.map(({worker}) => worker.worker));
@@ -293,12 +287,10 @@
     taskCount: number,
     candidates: readonly WorkerView[],
   ): boolean {
-    const {coversAllTasks, lapsed, chosen} = this.reservations.preempt(
-      work,
-      taskCount,
-      candidates,
-    );
+    const preemption = this.reservations.preempt(work, taskCount, candidates);
+    const {coversAllTasks, lapsed, chosen} = preemption;
     this.adviceRequester.renewLapsed(work, lapsed, chosen);
+    if (!work.spec.isGang) this.caps.claim(work, preemption.taskCount);
     return coversAllTasks;
   }
 
@@ -331,6 +323,20 @@
     this.waits.push({step: ready.ref, why, taskCount, candidateCount});
   }
 
+  /** Holds tasks back as their customer may not have more running. */
+  private waitForCap(work: StepWork, taskCount: number): void {
+    this.caps.keepForGang(work);
+    const cap = this.caps.waitOf(work);
+    const {ref} = work.ready;
+    this.waits.push({
+      step: ref,
+      why: 'cap',
+      taskCount,
+      candidateCount: 0,
+      ...(cap && {cap}),
+    });
+  }
+
   /** The first worker that a task fits on. */
   private chooseFirst(
     work: StepWork,
@@ -393,6 +399,7 @@
     const task = work.state.tasks[placement.index];
     if (!task) return;
     claimResources(work, placement.worker);
+    this.caps.claim(work, 1);
     this.addStart(work, placement, task.lastRun + 1, task.checkpoint);
   }
 
--- a/packages/state/src/workflow/planner/reservation_planner.ts
+++ b/packages/state/src/workflow/planner/reservation_planner.ts
@@ -42,6 +42,8 @@
 export interface PreemptionResult {
   /** Whether all tasks will have resources. */
   readonly coversAllTasks: boolean;
+  /** Number of tasks that will have resources. */
+  readonly taskCount: number;
   /** Workers that the tasks will have resources on. */
   readonly chosen: ReadonlySet<WorkerId>;
   /** Those of them whose tickets must be renewed first. */
@@ -50,6 +52,7 @@
 
 const NO_PREEMPTION: PreemptionResult = {
   coversAllTasks: false,
+  taskCount: 0,
   chosen: new Set(),
   lapsed: new Set(),
 };
@@ -152,6 +155,7 @@
       this.keep(work, option, mayPreempt && option.hasTicket);
     return {
       coversAllTasks,
+      taskCount: options.length,
       chosen: workersOf(options),
       lapsed: workersOf(expired),
     };
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -1,5 +1,5 @@
 /** Inputs and decisions of the planner. */
-import type {WorkerId} from '../../ids/types.js';
+import type {CustomerName, WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
 import type {
   RecordedStart,
@@ -65,6 +65,12 @@
    * Tasks whose start is proposed or sent and not yet settled, with the worker.
    */
   readonly pending: ReadonlyMap<TaskKey, WorkerId>;
+  /**
+   * Where tasks may run beside recorded runs: starts that are not settled, and
+   * tasks held back for orphaned runs. By default the pending tasks; a task can be
+   * here twice.
+   */
+  readonly mayRun?: ReadonlyArray<readonly [TaskKey, WorkerId]>;
   /** Tasks whose run was told to stop and has not ended yet. */
   readonly stopping: ReadonlySet<TaskKey>;
   /** Expected time until a run completes, in ms; undefined when unknown. */
@@ -119,7 +125,9 @@
   /** A worker has crashed under it, and no worker is quiet enough for it now. */
   | 'quarantine'
   /** The gang would not fit even on empty workers. */
-  | 'never_fits_now';
+  | 'never_fits_now'
+  /** The cap of its customer does not allow more to run now. */
+  | 'cap';
 
 /** What a suspect waits for. */
 export interface SuspectWait {
@@ -134,6 +142,15 @@
   readonly quietAt?: number;
 }
 
+/** A cap that holds tasks back. */
+export interface CapWait {
+  readonly customer: CustomerName;
+  /** Resources that the customer may have running. */
+  readonly used: Resources;
+  /** Its cap; 0 for no limit. */
+  readonly allowed: Resources;
+}
+
 /** A step with waiting tasks. */
 export interface PlannedWait {
   readonly step: StepRef;
@@ -143,6 +160,8 @@
   readonly candidateCount: number;
   /** Given if it waits in quarantine. */
   readonly suspect?: SuspectWait;
+  /** Given if the cap of its customer holds it back. */
+  readonly cap?: CapWait;
 }
 
 /** Decisions of one pass. */
