Customers take turns by weighted dominant shares where a pool is scarce

Cause: steps are served by due time, so one customer's backlog is ahead of everybody else's, and preemption and the fit on a worker know no customers.

Change: where the ready steps of a pool need more than is free, customers take turns within a priority by dominant share divided by weight; work beyond its rate comes last, and an overdue step first while its customer is below its share. The guaranteed parts of the queues are filled in that order, and the turns at the adviser follow it. Preemption takes from the customer furthest above its share. With customers, the fit on a worker is judged by memory where that is scarcer. A bundle without customers takes none of these paths.

--- a/packages/proofs/src/bench/passes.ts
+++ b/packages/proofs/src/bench/passes.ts
@@ -12,6 +12,7 @@
   stepKey,
   taskKey,
   type Bundle,
+  type Customer,
   type PassEvent,
   type Plan,
   type Random,
@@ -24,10 +25,12 @@
   type WorkerId,
   type WorkflowId,
 } from '@primrosewick/state';
-import {testStep} from '@primrosewick/state/fixtures';
+import {testCustomer, testStep} from '@primrosewick/state/fixtures';
 import {quantile, round, type Table} from './report.js';
 
 const WORKER_COUNTS = [245, 380];
+/** Customers to which the workflows belong in turn; 0 for none. */
+const CUSTOMER_COUNTS = [0, 110];
 const PASS_COUNT = 200;
 const WARM_UP_PASSES = 50;
 const NOW_MS = 100_000;
@@ -87,10 +90,11 @@
 
   constructor(
     private readonly workerCount: number,
+    private readonly customerCount: number,
     seed: number,
   ) {
     this.random = seededRandom(seed);
-    this.apply({kind: 'put_bundle', bundle: makeBundle()});
+    this.apply({kind: 'put_bundle', bundle: makeBundle(customerCount)});
     for (let i = 0; i < workerCount; i++) this.addWorker(i);
     this.fillWorkers();
     for (const waiting of WAITING_STEPS) this.addWaitingSteps(waiting);
@@ -225,6 +229,7 @@
 
   private submit(name: string, queue: string, step: StepSpec): WorkflowId {
     const id = name as WorkflowId;
+    const customer = `c${this.db.workflows.size % this.customerCount}`;
     this.apply({
       kind: 'submit',
       id,
@@ -237,6 +242,7 @@
         intervalMs: 0,
       },
       at: NOW_MS - 1000,
+      ...(this.customerCount > 0 && {customer: customer as never}),
     });
     return id;
   }
@@ -257,7 +263,7 @@
   }
 }
 
-const makeBundle = (): Bundle =>
+const makeBundle = (customerCount: number): Bundle =>
   ({
     version: 1,
     queues: WAITING_STEPS.map(({queue}, priority) => ({
@@ -272,12 +278,26 @@
       advice: ADVICE_TIMING,
     })),
     pools: [{name: POOL}],
+    ...(customerCount > 0 && {customers: makeCustomers(customerCount)}),
     limits: {},
     source: '{}',
   }) as never as Bundle;
 
-const measurePasses = (workers: number, seed: number): number[] => {
-  const cluster = new FullCluster(workers, seed);
+/** Customers with different weights and caps that they don't reach. */
+const makeCustomers = (count: number): Customer[] =>
+  Array.from({length: count}, (_, i) =>
+    testCustomer(`c${i}`, {
+      weight: 1 + (i % 7),
+      cap: {cpuMillis: 10_000_000, memMb: 10_000_000, gpus: 0},
+    }),
+  );
+
+const measurePasses = (
+  workers: number,
+  customers: number,
+  seed: number,
+): number[] => {
+  const cluster = new FullCluster(workers, customers, seed);
   const firstPlan = cluster.pass();
   for (let i = 0; i < WARM_UP_PASSES; i++) cluster.pass();
   const tookMs: number[] = [];
@@ -289,6 +309,7 @@
   }
   return [
     workers,
+    customers,
     round(quantile(tookMs, 0.05), 3),
     round(quantile(tookMs, 0.5), 3),
     round(quantile(tookMs, 0.99), 3),
@@ -303,6 +324,7 @@
   heading: `Passes of the planner with 100 waiting steps (seed ${seed}, one core)`,
   columns: [
     'workers',
+    'customers',
     'p5 ms',
     'p50 ms',
     'p99 ms',
@@ -310,5 +332,7 @@
     'stops, first pass',
     'waits, last pass',
   ],
-  rows: WORKER_COUNTS.map(workers => measurePasses(workers, seed)),
+  rows: WORKER_COUNTS.flatMap(workers =>
+    CUSTOMER_COUNTS.map(customers => measurePasses(workers, customers, seed)),
+  ),
 });
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -4,6 +4,7 @@
  * and due time; smaller steps may overtake one that does not fit.
  */
 import {CustomerCaps} from './customer_caps.js';
+import {orderByCustomer} from './customer_shares.js';
 import {findEvacuations} from './evacuation.js';
 import {findReadySteps} from './ready.js';
 import {findStops} from './stops.js';
@@ -16,7 +17,8 @@
   const waiting = findReadySteps(input.db, input.wall);
   if (waiting.length === 0) return withoutPlacing(input);
   const shares = new QueueShares(input);
-  const ready = shares.orderByShare(waiting, input.db);
+  const inTurn = orderByCustomer(waiting, input, shares.customers);
+  const ready = shares.orderByShare(inTurn, input.db);
   const placer = new StepPlacer(input, shares, new CustomerCaps(input));
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
--- a/packages/state/src/workflow/planner/customer_caps.ts
+++ b/packages/state/src/workflow/planner/customer_caps.ts
@@ -5,10 +5,10 @@
  */
 import type {Customer} from '../../bundle/types.js';
 import type {CustomerName} from '../../ids/types.js';
-import {taskRefOf} from '../refs.js';
-import {addResources} from '../resources.js';
+import {addResources, multiplyResources} from '../resources.js';
 import type {Resources, StepSpec, WorkflowState} from '../types.js';
 import type {CapWait, PlanInput} from './types.js';
+import {unrecordedTasks} from './unrecorded_tasks.js';
 
 /** A step and the workflow that it belongs to. */
 export interface CappedStep {
@@ -61,7 +61,8 @@
         isKept: false,
       });
     }
-    if (this.usages.size > 0) this.addUnrecorded(input);
+    if (this.usages.size === 0) return;
+    for (const task of unrecordedTasks(input)) this.claim(task, 1);
   }
 
   /** Number of waiting tasks that may start now; a gang starts whole or not at all. */
@@ -80,7 +81,10 @@
   claim(step: CappedStep, taskCount: number): void {
     const usage = this.usageOf(step);
     if (usage)
-      usage.used = addResources(usage.used, times(step.spec.room, taskCount));
+      usage.used = addResources(
+        usage.used,
+        multiplyResources(step.spec.room, taskCount),
+      );
   }
 
   /**
@@ -115,25 +119,4 @@
       ? undefined
       : this.usages.get(workflow.customer);
   }
-
-  /** Adds what may run and is not recorded at that worker. */
-  private addUnrecorded({
-    db,
-    pending,
-    mayRun = [...pending],
-  }: Pick<PlanInput, 'db' | 'pending' | 'mayRun'>): void {
-    for (const [key, worker] of mayRun) {
-      if (db.workers.get(worker)?.active.has(key)) continue;
-      const {workflow: id, step} = taskRefOf(key);
-      const workflow = db.workflows.get(id);
-      const spec = workflow?.spec.steps[step];
-      if (spec) this.claim({workflow, spec}, 1);
-    }
-  }
 }
-
-const times = ({cpuMillis, memMb, gpus}: Resources, n: number): Resources => ({
-  cpuMillis: cpuMillis * n,
-  memMb: memMb * n,
-  gpus: gpus * n,
-});
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,12 +2,7 @@
  * Places the tasks of one step after another on the resources that are left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {
-  NO_RESOURCES,
-  fitsInto,
-  freeFraction,
-  subtractResources,
-} from '../resources.js';
+import {NO_RESOURCES, fitsInto, subtractResources} from '../resources.js';
 import type {StepKey} from '../types.js';
 import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
@@ -42,6 +37,7 @@
   WorkerView,
 } from './types.js';
 import {WaitingTasks} from './waiting_tasks.js';
+import {fitsByPool, type Fit} from './worker_fit.js';
 
 /** Penalty of a worker away from the data; 1 equals a whole free worker. */
 const REMOTE_DATA_PENALTY = 1;
@@ -69,6 +65,7 @@
   private readonly adviceRequester: AdviceRequester;
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
+  private readonly fitIn: (pool: string) => Fit;
   private readonly waiting: WaitingTasks;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
@@ -86,6 +83,7 @@
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
+    this.fitIn = fitsByPool(input);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
     this.waiting = new WaitingTasks(input.pending);
@@ -362,6 +360,7 @@
     let best: WorkerView | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     const mayUseReserved = isPreemptible(spec);
+    const fit = this.fitIn(queue.pool);
     for (const worker of candidates) {
       // Most workers are full; skips the sum for those without reservations.
       const free =
@@ -371,7 +370,7 @@
       if (!fitsInto(size, free)) continue;
       if (!isBelowPerWorkerLimit(work, worker)) continue;
       const score =
-        freeFraction(subtractResources(free, size), worker.room) +
+        fit(subtractResources(free, size), worker.room) +
         (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
         (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
         (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
--- a/packages/state/src/workflow/planner/preemption.ts
+++ b/packages/state/src/workflow/planner/preemption.ts
@@ -14,6 +14,7 @@
   subtractResources,
 } from '../resources.js';
 import type {Resources, TaskKey, TaskRef, PreemptibleRun} from '../types.js';
+import {holderOf, type Holder} from './customer_holdings.js';
 import type {QueueShares} from './queue_shares.js';
 import type {PlanInput, WorkerView} from './types.js';
 
@@ -26,6 +27,15 @@
  */
 export const ENDING_SOON_MS = 900;
 
+/**
+ * Fractions of the pool by which customers count as equally far above their
+ * shares when workers are compared. Smaller differences would have each pass
+ * check the runs of far more workers.
+ */
+const SHARE_TOLERANCE = 0.05;
+/** Highest cost that the shares of customers add, as a number of preempted runs. */
+const MAX_SHARE_COST = 0.9;
+
 /** A preemptible run. */
 export interface Victim {
   readonly key: TaskKey;
@@ -39,6 +49,9 @@
    */
   readonly isDelayTolerant: boolean;
   readonly queue: Queue | undefined;
+  readonly holder: Holder;
+  /** Fraction of the pool that its customer has beyond its share; 0 without customers. */
+  readonly excess: number;
 }
 
 /** The step for which runs are preempted. */
@@ -74,8 +87,9 @@
    */
   readonly maxCpu: number;
   /**
-   * Preemptible runs: the least urgent first, then delay-tolerant ones, then
-   * the largest. Built on first use.
+   * Preemptible runs: the least urgent first, then those of the customer that
+   * is furthest above its share, then delay-tolerant ones, then the largest.
+   * Built on first use.
    */
   victims: readonly Victim[] | undefined;
 }
@@ -167,19 +181,32 @@
    */
   take(worker: WorkerId, victims: readonly Victim[]): void {
     const known = this.stateOf(worker);
-    for (const {key, room, queue} of victims) {
+    for (const {key, room, queue, holder} of victims) {
       this.chosen.add(key);
-      if (queue) this.shares.adjustForPreemption(queue, room, true);
+      if (queue) this.shares.adjustForPreemption(queue, room, true, holder);
       known.becomingFree = addResources(known.becomingFree, room);
     }
   }
 
+  /**
+   * Cost of taking from customers that are less far above their shares than the
+   * furthest one, from 0 to MAX_SHARE_COST; 0 without customers.
+   */
+  shareCost(victims: readonly Victim[]): number {
+    const {customers} = this.shares;
+    let cost = 0;
+    for (const {queue, excess} of victims)
+      if (customers && queue)
+        cost = Math.max(cost, customers.mostExcess(queue.pool) - excess);
+    return cost < SHARE_TOLERANCE ? 0 : MAX_SHARE_COST * Math.min(1, cost);
+  }
+
   /** Reverts `take` for runs of a worker. */
   release(worker: WorkerId, victims: readonly Victim[]): void {
     const known = this.stateOf(worker);
-    for (const {key, room, queue} of victims) {
+    for (const {key, room, queue, holder} of victims) {
       this.chosen.delete(key);
-      if (queue) this.shares.adjustForPreemption(queue, room, false);
+      if (queue) this.shares.adjustForPreemption(queue, room, false, holder);
       known.becomingFree = subtractResources(known.becomingFree, room);
     }
   }
@@ -238,6 +265,7 @@
     return victims.sort(
       (a, b) =>
         b.priority - a.priority ||
+        b.excess - a.excess ||
         Number(b.isDelayTolerant) - Number(a.isDelayTolerant) ||
         b.room.cpuMillis - a.room.cpuMillis,
     );
@@ -246,6 +274,8 @@
   private victimOf(key: TaskKey, yielding: PreemptibleRun): Victim {
     const {workflow, task, run, room} = yielding;
     const queue = this.input.db.queues.get(workflow.queue);
+    const holder = holderOf(workflow);
+    const {customers} = this.shares;
     const slackMs = queue ? slackOf(yielding, queue, this.input.wall) : 0;
     return {
       key,
@@ -254,6 +284,8 @@
       room,
       priority: queue?.priority ?? 0,
       queue,
+      holder,
+      excess: queue && customers ? customers.excessOf(queue.pool, holder) : 0,
       isDelayTolerant: slackMs < 0 || slackMs > MIN_SLACK_MS,
     };
   }
--- a/packages/state/src/workflow/planner/queue_shares.ts
+++ b/packages/state/src/workflow/planner/queue_shares.ts
@@ -8,6 +8,7 @@
 import type {WorkflowDb} from '../db.js';
 import {addResources, NO_RESOURCES} from '../resources.js';
 import type {Resources, StepState} from '../types.js';
+import {CustomerHoldings, type Holder} from './customer_holdings.js';
 import type {PlanInput, ReadyStep} from './types.js';
 
 /**
@@ -31,8 +32,12 @@
 export class QueueShares {
   private readonly holdings = new Map<QueueName, QueueHolding>();
   private readonly poolResources = new Map<string, Resources>();
+  /** Holdings of customers; absent in a bundle without customers. */
+  readonly customers?: CustomerHoldings;
 
-  constructor({db, workers}: Pick<PlanInput, 'db' | 'workers'>) {
+  constructor(input: Pick<PlanInput, 'db' | 'workers' | 'pending' | 'mayRun'>) {
+    const {db, workers} = input;
+    if (db.customers.size > 0) this.customers = new CustomerHoldings(input);
     for (const {pool, room, isUsable} of workers.values())
       if (isUsable)
         this.poolResources.set(
@@ -67,14 +72,16 @@
   }
 
   /**
-   * Updates the holding of a queue when a run is chosen as a victim, or
+   * Updates the holdings of a queue and a customer when a run is chosen as a victim, or
    * released again.
    */
   adjustForPreemption(
     {name, pool}: Queue,
     room: Resources,
     isPreempted: boolean,
+    holder: Holder,
   ): void {
+    this.customers?.adjust(pool, holder, room, isPreempted);
     const holding = this.holdings.get(name);
     if (!holding) return;
     const fraction = this.dominantShareOf(pool, room);
--- a/packages/state/src/workflow/planner/ready.ts
+++ b/packages/state/src/workflow/planner/ready.ts
@@ -94,7 +94,7 @@
  * Multiple of its allowed time after which a late workflow is no longer
  * deferred.
  */
-const OVERDUE_FACTOR = 2;
+export const OVERDUE_FACTOR = 2;
 
 /**
  * Whether a workflow would be late; false for one long overdue, so that it is
--- a/packages/state/src/workflow/planner/reservation_planner.ts
+++ b/packages/state/src/workflow/planner/reservation_planner.ts
@@ -240,6 +240,7 @@
       !queue.advice || findTicket(work, worker, this.input.now) !== undefined;
     const cost =
       victims.length +
+      this.victims.shareCost(victims) +
       (isAwayFromData(spec, worker) ? REMOTE_DATA_COST : 0) +
       (hasTicket ? 0 : TICKET_RENEWAL_COST);
     return {worker, victims, hasTicket, cost};
--- a/packages/state/src/workflow/resources.ts
+++ b/packages/state/src/workflow/resources.ts
@@ -30,3 +30,21 @@
     free.cpuMillis / Math.max(1, whole.cpuMillis),
     free.memMb / Math.max(1, whole.memMb),
   );
+
+/** An amount several times. */
+export const multiplyResources = (
+  {cpuMillis, memMb, gpus}: Resources,
+  times: number,
+): Resources => ({
+  cpuMillis: cpuMillis * times,
+  memMb: memMb * times,
+  gpus: gpus * times,
+});
+
+/** Largest fraction of a whole that an amount takes, of all kinds. */
+export const dominantShare = (amount: Resources, whole: Resources): number =>
+  Math.max(
+    amount.cpuMillis / Math.max(1, whole.cpuMillis),
+    amount.memMb / Math.max(1, whole.memMb),
+    amount.gpus / Math.max(1, whole.gpus),
+  );
