--- a/packages/cli/src/commands/customer.ts
+++ b/packages/cli/src/commands/customer.ts
@@ -1,5 +1,5 @@
 import {defineCommand} from 'citty';
-import type {CustomerUsage, Resources} from '@primrosewick/state';
+import type {CustomerReport, Resources} from '@primrosewick/state';
 import {callJson} from '@primrosewick/transport';
 import {UsageError} from '../client/api.js';
 import {printJson, runCommand} from '../output/run.js';
@@ -45,14 +45,14 @@
 
 /** What is used of one resource, and its cap if there is one. */
 const describeUse = (
-  {used, cap}: CustomerUsage,
+  {used, cap}: CustomerReport,
   resource: keyof Resources,
 ): string =>
   cap[resource] > 0
     ? `${used[resource]}/${cap[resource]}`
     : String(used[resource]);
 
-const rowOf = (customer: CustomerUsage): string[] => [
+const rowOf = (customer: CustomerReport): string[] => [
   customer.isInForce ? customer.name : `${customer.name} (dropped)`,
   String(customer.priority),
   String(customer.weight),
@@ -64,7 +64,7 @@
   String(customer.running),
 ];
 
-const printTable = (customers: readonly CustomerUsage[]): void =>
+const printTable = (customers: readonly CustomerReport[]): void =>
   void process.stdout.write(formatTable(HEADINGS, customers.map(rowOf)));
 
 const list = defineCommand({
@@ -76,7 +76,7 @@
   args: METRICS_ARGS,
   run: ({args}) =>
     runCommand(async () => {
-      const reply = await getJson<{customers: CustomerUsage[]}>(
+      const reply = await getJson<{customers: CustomerReport[]}>(
         args.metrics,
         '/customers',
       );
@@ -101,7 +101,7 @@
   },
   run: ({args}) =>
     runCommand(async () => {
-      const reply = await getJson<{customer: CustomerUsage}>(
+      const reply = await getJson<{customer: CustomerReport}>(
         args.metrics,
         `/customers/${encodeURIComponent(args.name)}`,
       );
--- a/packages/coordination/src/workflow/pass_journal.spec.ts
+++ b/packages/coordination/src/workflow/pass_journal.spec.ts
@@ -2,7 +2,7 @@
 import {type Bundle, type PassEvent, type Plan} from '@primrosewick/state';
 import {
   testBundle,
-  testCustomer,
+  testKeyedCustomer,
   testDigest,
   testQueue,
 } from '@primrosewick/state/fixtures';
@@ -63,7 +63,7 @@
       maxBytes: JOURNAL_BYTES,
     });
     const bundle = testBundle({
-      customers: [testCustomer('acme', ['topsecret'])],
+      customers: [testKeyedCustomer('acme', ['topsecret'])],
       source: 'topsecret',
     });
     new PassJournal(recorder, () => ({})).noteRecord(1, {
--- a/packages/daemon/src/cluster/authentication.spec.ts
+++ b/packages/daemon/src/cluster/authentication.spec.ts
@@ -23,7 +23,7 @@
 import {
   TestLog,
   testBundle,
-  testCustomer,
+  testKeyedCustomer,
   testDigest,
   testQueue,
   testSpec,
@@ -46,10 +46,10 @@
 const [OWN_ZONE, OTHER_ZONE] = ['z1', 'z2'] as ZoneId[] as [ZoneId, ZoneId];
 const ENDED = '/queue/a';
 const QUEUE = '/queue/';
-const OLD_KEYS = {customers: [testCustomer('acme', ['old'])]};
+const OLD_KEYS = {customers: [testKeyedCustomer('acme', ['old'])]};
 const NEW_KEYS = {
   version: 2,
-  customers: [testCustomer('acme', ['new'])],
+  customers: [testKeyedCustomer('acme', ['new'])],
   source: '{"tenants":[{"apiKeys":["new"]}]}',
 };
 const unavailable = (): CellError =>
@@ -332,7 +332,7 @@
       .putBundle({
         ...NEW_KEYS,
         version: 3,
-        customers: [testCustomer('acme', ['topsecret', 'topsecret'])],
+        customers: [testKeyedCustomer('acme', ['topsecret', 'topsecret'])],
       })
       .catch(() => undefined);
     await world.call('topsecret');
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -25,10 +25,10 @@
 import {
   CellError,
   findBundleError,
-  listCustomerUsage,
+  reportCustomers,
   toCellError,
   type Bundle,
-  type CustomerUsage,
+  type CustomerReport,
   type VmId,
   type WorkerRegistration,
 } from '@primrosewick/state';
@@ -266,7 +266,7 @@
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
-      onRefused: queue => this.scheduler?.noteRefused(queue),
+      onRefused: (queue, why) => this.scheduler?.noteRefused(queue, why),
       onGivenUp: this.counters.onGivenUp,
       onAccepted: this.counters.onAccepted,
       checkLife: life => this.scheduler?.lives.check(life),
@@ -377,9 +377,9 @@
    * Terms and usage of all customers as this VM's copy of the log has them.
    * @throws CellError `log_unavailable` without a copy that may be read.
    */
-  listCustomers(): readonly CustomerUsage[] {
+  listCustomers(): readonly CustomerReport[] {
     if (this.readers?.reader.isReadable)
-      return listCustomerUsage(this.replica.db);
+      return reportCustomers(this.replica.db);
     throw new CellError({code: 'log_unavailable', step: 'list-customers'});
   }
 
--- a/packages/proofs/src/bench/authentication.ts
+++ b/packages/proofs/src/bench/authentication.ts
@@ -1,6 +1,6 @@
 /** Benchmark of the authentication of one call: its digest, and the look-up of that. */
 import {authenticate, digestKey} from '@primrosewick/state';
-import {testCustomer, testQueue} from '@primrosewick/state/fixtures';
+import {testKeyedCustomer, testQueue} from '@primrosewick/state/fixtures';
 import {quantile, round, type Table} from './report.js';
 
 /** Customers and keys of each: those of a large deployment, and the limits of a bundle. */
@@ -16,7 +16,7 @@
   const keysOf = (c: number): string[] =>
     Array.from({length: keyCount}, (_, k) => `key-${c}-${k}-0123456789abcdef`);
   const customers = Array.from({length: customerCount}, (_, c) =>
-    testCustomer(`c${c}`, keysOf(c)),
+    testKeyedCustomer(`c${c}`, keysOf(c)),
   );
   const queue = testQueue({});
   const sent = Array.from({length: CALLS_PER_ROUND}, (_, i) =>
--- a/packages/state/src/bundle/authentication.spec.ts
+++ b/packages/state/src/bundle/authentication.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {authenticate} from './authentication.js';
-import {testCustomer, testDigest, testQueue} from './fixtures.js';
+import {testKeyedCustomer, testDigest, testQueue} from './fixtures.js';
 import type {Customer, Queue} from './types.js';
 
 const PRIVATE = testQueue({});
@@ -35,7 +35,7 @@
   // Guards against a group of similar digests in which only one key is found.
   it('each of 20,000 keys finds its customer, and no other key does', () => {
     const customers = Array.from({length: 400}, (_, c) =>
-      testCustomer(
+      testKeyedCustomer(
         `c${c}`,
         Array.from({length: 50}, (_key, k) => `key ${c} ${k}`),
       ),
@@ -47,20 +47,26 @@
       expect(callerOf(customers, `other ${i}`)).to.equal('unknown');
   });
   it('a key that was moved belongs to its new customer only, and a last key that was removed to nobody', () => {
-    const before = [testCustomer('a', ['k']), testCustomer('b', ['l'])];
-    const after = [testCustomer('a', []), testCustomer('b', ['l', 'k'])];
+    const before = [
+      testKeyedCustomer('a', ['k']),
+      testKeyedCustomer('b', ['l']),
+    ];
+    const after = [
+      testKeyedCustomer('a', []),
+      testKeyedCustomer('b', ['l', 'k']),
+    ];
     expect(callerOf(before, 'k')).to.equal('a');
     expect(callerOf(after, 'k')).to.equal('b');
-    expect(callerOf([testCustomer('b', [])], 'l')).to.equal('unknown');
+    expect(callerOf([testKeyedCustomer('b', [])], 'l')).to.equal('unknown');
   });
   it('a public queue is open to all, and knows the customer of a known key', () => {
-    const customers = [testCustomer('a', ['k'])];
+    const customers = [testKeyedCustomer('a', ['k'])];
     expect(callerOf(customers, undefined, PUBLIC)).to.equal('anonymous');
     expect(callerOf(customers, 'other', PUBLIC)).to.equal('anonymous');
     expect(callerOf(customers, 'k', PUBLIC)).to.equal('a');
   });
   it('a credential that is no digest is unknown', () => {
-    const customers = [testCustomer('a', ['k'])];
+    const customers = [testKeyedCustomer('a', ['k'])];
     const short = testDigest('k').slice(0, 20) as never;
     const caller = authenticate({customers}, PRIVATE, short);
     expect(caller).to.eql({kind: 'denied', cause: 'unknown'});
--- a/packages/state/src/bundle/fixtures.ts
+++ b/packages/state/src/bundle/fixtures.ts
@@ -52,7 +52,7 @@
   digestKey(Buffer.from(key));
 
 /** A customer with the given keys and no limits. */
-export const testCustomer = (
+export const testKeyedCustomer = (
   name: string,
   keys: readonly string[],
   part: Partial<Customer> = {},
--- a/packages/state/src/workflow/customer_usage.ts
+++ b/packages/state/src/workflow/customer_usage.ts
@@ -1,61 +1,104 @@
-/** What operators see of customers: their terms, what they use, and their workflows. */
-import type {Customer} from '../bundle/types.js';
+/**
+ * Running totals of the resources that customers have running, so that caps and
+ * shares cost a pass nothing for each run.
+ */
+import type {QueueName} from '../bundle/types.js';
 import type {CustomerName} from '../ids/types.js';
-import type {WorkflowDb} from './db.js';
-import {NO_RESOURCES, addResources} from './resources.js';
-import type {Resources} from './types.js';
-
-/** Terms and usage of one customer; it has no key and no digest. */
-export interface CustomerUsage extends Pick<
-  Customer,
-  'name' | 'priority' | 'weight' | 'cap'
-> {
-  /** Whether the bundle in force has it; a dropped one stays while it has work. */
-  readonly isInForce: boolean;
-  readonly keyCount: number;
-  /** Resources of its recorded runs. */
-  readonly used: Resources;
-  /** Open workflows without a started task. */
-  readonly waiting: number;
-  /** Open workflows with a started task. */
-  readonly running: number;
+import {
+  NO_RESOURCES,
+  addResources,
+  fitsInto,
+  subtractResources,
+} from './resources.js';
+import type {Resources, WorkflowState} from './types.js';
+
+/** Resources of the runs of one customer that may be active. */
+export interface CustomerTotals {
+  readonly runs: number;
+  /** Declared resources, leftover tasks included; counted toward the cap. */
+  readonly declared: Resources;
+  /** Those of long-running tasks, which run until their workflow is cancelled. */
+  readonly lasting: Resources;
+  /** Resources that the runs reserve on workers, by queue. */
+  readonly heldByQueue: ReadonlyMap<QueueName, Resources>;
 }
 
-/** Resources of the recorded runs of each customer. */
-const sumRuns = (db: WorkflowDb): ReadonlyMap<CustomerName, Resources> => {
-  const sums = new Map<CustomerName, Resources>();
-  for (const {active} of db.workers.values())
-    for (const {task} of active.values()) {
-      const customer = db.workflows.get(task.workflow)?.customer;
-      if (customer === undefined) continue;
-      const sum = sums.get(customer) ?? NO_RESOURCES;
-      sums.set(customer, addResources(sum, db.resourcesOf(task)));
-    }
-  return sums;
+const NO_TOTALS: CustomerTotals = {
+  runs: 0,
+  declared: NO_RESOURCES,
+  lasting: NO_RESOURCES,
+  heldByQueue: new Map(),
 };
 
-/** Terms and usage of all customers, recounted from the whole state. */
-export const listCustomerUsage = (db: WorkflowDb): readonly CustomerUsage[] => {
-  const used = sumRuns(db);
-  const inForce = new Set(db.bundle?.customers?.map(({name}) => name));
-  const waiting = new Map<CustomerName, number>();
-  const running = new Map<CustomerName, number>();
-  for (const {customer, hasStarted} of db.open.values()) {
-    if (customer === undefined) continue;
-    const counts = hasStarted ? running : waiting;
-    counts.set(customer, (counts.get(customer) ?? 0) + 1);
+interface Totals extends CustomerTotals {
+  runs: number;
+  declared: Resources;
+  lasting: Resources;
+  readonly heldByQueue: Map<QueueName, Resources>;
+}
+
+type RunOwner = Pick<WorkflowState, 'customer' | 'queue' | 'spec'>;
+
+/** Totals by customer; bounded by the customers that have runs. */
+export class CustomerUsage {
+  private readonly totals = new Map<CustomerName, Totals>();
+
+  /** Totals of a customer. */
+  of(customer: CustomerName): CustomerTotals {
+    return this.totals.get(customer) ?? NO_TOTALS;
+  }
+
+  /** Totals of all customers that have runs. */
+  entries(): IterableIterator<[CustomerName, CustomerTotals]> {
+    return this.totals.entries();
+  }
+
+  /** Adds a run of a step that may be active from now on. */
+  add(owner: RunOwner, step: number): void {
+    this.count(owner, step, 1);
   }
-  return [...db.customers.values()].map(
-    ({name, priority, weight, cap, keyDigests}) => ({
-      name,
-      priority,
-      weight,
-      cap,
-      isInForce: inForce.has(name),
-      keyCount: inForce.has(name) ? keyDigests.length : 0,
-      used: used.get(name) ?? NO_RESOURCES,
-      waiting: waiting.get(name) ?? 0,
-      running: running.get(name) ?? 0,
-    }),
-  );
+
+  /** Removes a run whose end is proven. */
+  remove(owner: RunOwner, step: number): void {
+    this.count(owner, step, -1);
+  }
+
+  /** Counts all runs again from the states of the workflows. */
+  recount(workflows: Iterable<WorkflowState>): void {
+    this.totals.clear();
+    for (const workflow of workflows)
+      for (const steps of workflow.occurrences.values())
+        steps.forEach(({tasks}, step) => {
+          for (const {active} of tasks)
+            active.forEach(() => this.add(workflow, step));
+        });
+  }
+
+  private count({customer, queue, spec}: RunOwner, at: number, sign: 1 | -1) {
+    const step = spec.steps[at];
+    if (customer === undefined || !step) return;
+    const known = this.totals.get(customer);
+    const totals = known ?? {...NO_TOTALS, heldByQueue: new Map()};
+    totals.runs += sign;
+    // Without runs the totals start anew, so that rounding errors do not add up.
+    if (totals.runs === 0) return void this.totals.delete(customer);
+    const change = sign > 0 ? addResources : subtractResources;
+    totals.declared = change(totals.declared, step.room);
+    if (step.isLongRunning) totals.lasting = change(totals.lasting, step.room);
+    if (!step.usesLeftover) {
+      const held = totals.heldByQueue.get(queue) ?? NO_RESOURCES;
+      setUnlessNone(totals.heldByQueue, queue, change(held, step.room));
+    }
+    this.totals.set(customer, totals);
+  }
+}
+
+const setUnlessNone = (
+  byQueue: Map<QueueName, Resources>,
+  queue: QueueName,
+  room: Resources,
+): void => {
+  const isNone = fitsInto(room, NO_RESOURCES);
+  if (isNone) byQueue.delete(queue);
+  else byQueue.set(queue, room);
 };
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,19 +2,14 @@
  * Places the tasks of one step after another on the resources that are left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {taskKeyIn} from '../refs.js';
-import {
-  NO_RESOURCES,
-  fitsInto,
-  freeFraction,
-  subtractResources,
-} from '../resources.js';
+import {NO_RESOURCES, fitsInto, subtractResources} from '../resources.js';
 import type {StepKey} from '../types.js';
 import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
 import {AttemptWorkers} from './attempts.js';
 import {CandidateWorkers} from './candidate_workers.js';
 import {findStragglers} from './copies.js';
+import type {CustomerCaps} from './customer_caps.js';
 import {homeRackOf} from './home_rack.js';
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
@@ -42,6 +37,8 @@
   WaitReason,
   WorkerView,
 } from './types.js';
+import {WaitingTasks} from './waiting_tasks.js';
+import {fitsByPool, type Fit} from './worker_fit.js';
 
 /** Penalty of a worker away from the data; 1 equals a whole free worker. */
 const REMOTE_DATA_PENALTY = 1;
@@ -70,26 +67,29 @@
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
   private readonly attempts: AttemptWorkers;
-  /** Steps with pending starts. */
-  private readonly pendingSteps = new Set<string>();
+  private readonly fitIn: (pool: string) => Fit;
+  private readonly waiting: WaitingTasks;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
+  /** Number of waits for anything but a cap, counted once all steps are placed. */
+  private otherWaits: number | undefined;
   /** Steps for which the previous pass reserved resources, by worker. */
   private readonly reservedFor = new Map<WorkerId, StepKey>();
 
   constructor(
     private readonly input: PlanInput,
     shares: QueueShares,
+    private readonly caps: CustomerCaps,
   ) {
     this.reservations = new ReservationPlanner(input, shares);
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
     this.attempts = new AttemptWorkers(input, this.chooseWorker.bind(this));
+    this.fitIn = fitsByPool(input);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
-    for (const key of input.pending.keys())
-      this.pendingSteps.add(key.slice(0, key.lastIndexOf('.')));
+    this.waiting = new WaitingTasks(input.pending);
   }
 
   /** Requests to advisers. */
@@ -115,8 +115,10 @@
   /** Places the tasks of a step that fit. */
   place(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const waiting = work && this.waitingTasks(work);
-    if (!work || !waiting || waiting.length === 0) return;
+    const all = work && this.waiting.of(work);
+    if (!work || !all || all.length === 0) return;
+    const waiting = all.slice(0, this.caps.countAllowed(work, all.length));
+    if (waiting.length === 0) return this.waitForCap(work, all.length);
     const {advice: timing} = work.queue;
     const hasSlot = this.adviceRequester.tryAcquireSlot(work);
     if (!hasSlot && !work.advice)
@@ -127,6 +129,8 @@
     if (work.spec.isGang) this.placeGang(placed, waiting);
     else this.placeEach(placed, waiting);
     const isWaiting = this.waits.at(-1)?.step === work.ready.ref;
+    if (!isWaiting && waiting.length < all.length)
+      this.waitForCap(work, all.length - waiting.length);
     if (!hasSlot || !timing || !isWaiting) return;
     // Other gangs renew their tickets once their resources are nearly complete.
     if (work.spec.isGang && !ready.isCounted)
@@ -145,12 +149,13 @@
    */
   placeCopies(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const isIdle = this.waits.length === 0 && !this.started.has(ready.key);
+    const isIdle = this.hasNoOtherWaits() && !this.started.has(ready.key);
     if (!work || !isIdle) return;
     const candidates = this.candidates.of(work);
     for (const {index, worker: slow} of findStragglers(work, this.input)) {
       const task = {...work.ready.ref, index};
       if (this.quarantine.isSuspect(task)) continue;
+      if (this.caps.countAllowed(work, 1) === 0) return;
       const others = this.quarantine
         .workersFor(task, candidates)
         .filter(({worker}) => worker !== slow);
@@ -161,6 +166,12 @@
     }
   }
 
+  /** Whether no step waits for anything but the cap of its customer. */
+  private hasNoOtherWaits(): boolean {
+    this.otherWaits ??= this.waits.filter(({why}) => why !== 'cap').length;
+    return this.otherWaits === 0;
+  }
+
   private withHomeRack(work: StepWork, waitingCount: number): StepWork {
     const homeRack = homeRackOf(
       work,
@@ -190,28 +201,6 @@
     };
   }
 
-  /**
-   * Indexes of the tasks to start; none for a gang of which any member is
-   * active or pending.
-   */
-  private waitingTasks({ready, spec, state}: StepWork): number[] {
-    const waiting: number[] = [];
-    if (state.idleCount === 0) return waiting;
-    const hasPending = this.pendingSteps.has(ready.key);
-    for (const [index, task] of state.tasks.entries()) {
-      if (task.isDone) continue;
-      const isActiveOrPending =
-        task.active.length > 0 ||
-        (hasPending && this.input.pending.has(taskKeyIn(ready.key, index)));
-      if (isActiveOrPending) {
-        if (spec.isGang) return [];
-        continue;
-      }
-      waiting.push(index);
-    }
-    return waiting;
-  }
-
   private requestAdviceIfNeeded(work: StepWork, taskCount: number): boolean {
     return this.adviceRequester.requestIfNeeded(work, taskCount, {
       suitableWorkers: this.candidates.suitable(work),
@@ -248,6 +237,7 @@
         expired.add(worker.worker);
         // Claims the resources for the task until the ticket is renewed.
         claimResources(work, worker);
+        this.caps.claim(work, 1);
         continue;
       }
       this.start(work, {index, worker});
@@ -274,6 +264,7 @@
           this.preempt(work, waiting.length, candidates) ||
           this.reservations.reserve(work, waiting.length, candidates);
         const why = isReserved ? 'room' : 'never_fits_now';
+        if (isReserved) this.caps.claim(work, waiting.length);
         return this.wait(work, why, waiting.length, candidates.length);
       }
       if (work.queue.advice && !this.ticketFor(work, worker))
@@ -281,6 +272,7 @@
       claimResources(work, worker);
       placements.push({index, worker});
     }
+    this.caps.claim(work, waiting.length);
     if (expired.size > 0) {
       this.wait(work, 'tickets', waiting.length, candidates.length);
       const chosen = new Set(placements.map(({worker}) => worker.worker));
@@ -301,12 +293,10 @@
     taskCount: number,
     candidates: readonly WorkerView[],
   ): boolean {
-    const {coversAllTasks, lapsed, chosen} = this.reservations.preempt(
-      work,
-      taskCount,
-      candidates,
-    );
+    const preemption = this.reservations.preempt(work, taskCount, candidates);
+    const {coversAllTasks, lapsed, chosen} = preemption;
     this.adviceRequester.renewLapsed(work, lapsed, chosen);
+    if (!work.spec.isGang) this.caps.claim(work, preemption.taskCount);
     return coversAllTasks;
   }
 
@@ -339,6 +329,20 @@
     this.waits.push({step: ready.ref, why, taskCount, candidateCount});
   }
 
+  /** Holds tasks back as their customer may not have more running. */
+  private waitForCap(work: StepWork, taskCount: number): void {
+    this.caps.keepForGang(work);
+    const cap = this.caps.waitOf(work);
+    const {ref} = work.ready;
+    this.waits.push({
+      step: ref,
+      why: 'cap',
+      taskCount,
+      candidateCount: 0,
+      ...(cap && {cap}),
+    });
+  }
+
   /** The first worker that a task fits on. */
   private chooseFirst(
     work: StepWork,
@@ -364,6 +368,7 @@
     let best: WorkerView | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     const mayUseReserved = isPreemptible(spec);
+    const fit = this.fitIn(queue.pool);
     for (const worker of candidates) {
       // Most workers are full; skips the sum for those without reservations.
       const free =
@@ -373,7 +378,7 @@
       if (!fitsInto(size, free)) continue;
       if (!isBelowPerWorkerLimit(work, worker)) continue;
       const score =
-        freeFraction(subtractResources(free, size), worker.room) +
+        fit(subtractResources(free, size), worker.room) +
         (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
         (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
         (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
@@ -401,6 +406,7 @@
     const task = work.state.tasks[placement.index];
     if (!task) return;
     claimResources(work, placement.worker);
+    this.caps.claim(work, 1);
     this.addStart(work, placement, task.lastRun + 1, task.checkpoint);
   }
 
