Run times and worker speeds are learned from the ends of runs

Estimates that clients declare are off by ten times, and workers of one size differ in speed by more than two, so that due times, admission and placement decide on wrong times.

WorkflowDb.estimates learns times by queue and image, and speeds by incarnation of a worker, when end_runs is applied; it is an optional part of the state image. Due times, order of service, admission, stragglers and stalls use the expected times.

--- a/packages/coordination/src/workflow/stalled_runs.ts
+++ b/packages/coordination/src/workflow/stalled_runs.ts
@@ -1,6 +1,8 @@
 /** Finds stalled runs. */
 import {
+  expectedMsOf,
   isStalled,
+  usedSpeedOf,
   type PlannedStop,
   type WorkerId,
   type WorkflowDb,
@@ -16,13 +18,18 @@
   const found: PlannedStop[] = [];
   for (const [worker, channel] of channels) {
     if (!channel.isUsable) continue;
-    const {bornAt} = db.workers.get(worker)?.report ?? {bornAt: 0};
+    const report = db.workers.get(worker)?.report;
+    const bornAt = report?.bornAt ?? 0;
+    const speed = report ? usedSpeedOf(db, report) : 1;
     for (const progress of channel.progress.values()) {
       const {task, run} = progress;
-      const spec = db.workflows.get(task.workflow)?.spec.steps[task.step];
+      const workflow = db.workflows.get(task.workflow);
+      const spec = workflow?.spec.steps[task.step];
       // All members of a gang stall as soon as one of them does.
-      if (!spec || spec.isLongRunning || spec.isGang) continue;
-      if (!isStalled(progress, spec.estimateMs, now)) continue;
+      if (!workflow || !spec || spec.isLongRunning || spec.isGang) continue;
+      const {occurrence, step} = task;
+      const expectedMs = expectedMsOf(db, workflow, occurrence, step) / speed;
+      if (!isStalled(progress, expectedMs, now)) continue;
       found.push({task, run, worker, bornAt, why: 'stalled'});
     }
   }
--- a/packages/state/src/workflow/admission/core.ts
+++ b/packages/state/src/workflow/admission/core.ts
@@ -6,7 +6,11 @@
  */
 import type {Queue} from '../../bundle/types.js';
 import type {WorkflowDb} from '../db.js';
-import {longestChainMs} from '../planner/ready.js';
+import {
+  expectedChainMs,
+  expectedSpec,
+  usedSpeedOf,
+} from '../planner/expected_times.js';
 import type {StepSpec, StepState, WorkflowSpec} from '../types.js';
 import type {Admission} from './types.js';
 
@@ -43,13 +47,19 @@
   withinMs: number,
 ): number => {
   let sum = 0;
-  for (const {queue, spec, occurrences} of db.open.values()) {
+  for (const workflow of db.open.values()) {
+    const {queue, spec, occurrences} = workflow;
     const other = db.queues.get(queue);
     if (!other || other.pool !== pool || other.priority > priority) continue;
     if (spec.firstDueAt > 0) continue;
     const states = occurrences.get(0);
     spec.steps.forEach(
-      (step, i) => (sum += remainingWork(step, states?.[i], withinMs)),
+      (step, i) =>
+        (sum += remainingWork(
+          expectedSpec(db, workflow, i, step),
+          states?.[i],
+          withinMs,
+        )),
     );
   }
   return sum;
@@ -57,13 +67,13 @@
 
 /**
  * Processor capacity of a pool without draining workers, in thousandths of a
- * core.
+ * core at speed 1.
  */
 const capacityOf = (db: WorkflowDb, {pool}: Queue): number => {
   let sum = 0;
   for (const {report} of db.workers.values())
     if (report.pool === pool && !report.isDraining)
-      sum += report.room.cpuMillis;
+      sum += report.room.cpuMillis * usedSpeedOf(db, report);
   return sum;
 };
 
@@ -76,7 +86,9 @@
   let sum = 0;
   for (const other of db.queues.values())
     if (other.pool === pool && other.priority <= priority)
-      sum += db.open.workOf(other.name).work;
+      sum +=
+        db.open.workOf(other.name).work *
+        db.estimates.durations.ratioOf(other.name);
   return sum;
 };
 
@@ -86,7 +98,8 @@
  */
 const meanChainMs = (db: WorkflowDb, {name}: Queue): number => {
   const {count, chainMs} = db.open.workOf(name);
-  return count === 0 ? 0 : chainMs / count;
+  const ratio = db.estimates.durations.ratioOf(name);
+  return count === 0 ? 0 : (ratio * chainMs) / count;
 };
 
 /**
@@ -103,7 +116,7 @@
   spec: WorkflowSpec,
 ): Admission => {
   const capacity = capacityOf(db, queue);
-  const chainMs = longestChainMs(spec);
+  const chainMs = expectedChainMs(db, queue, spec);
   if (capacity === 0 || !isDueNow(spec))
     return {kind: 'admit', expectedMs: chainMs};
   const allowedMs = Math.max(chainMs, meanChainMs(db, queue));
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -8,6 +8,8 @@
 import {TaskCrashes} from './crashes/task_crashes.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
+import {RunEstimates} from './estimates/core.js';
+import {learnFromEnd} from './estimates/ended_runs.js';
 import {imageOf, originOf, restoreWorker} from './image.js';
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
@@ -68,6 +70,8 @@
   readonly orphans = new OrphanedRuns();
   /** Tasks under which workers have crashed. */
   readonly crashes = new TaskCrashes(this.workflows);
+  /** Run times and worker speeds, learned from the ends of runs. */
+  readonly estimates = new RunEstimates();
   readonly open = new OpenWorkflows();
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
@@ -170,6 +174,7 @@
     this.departed.restore(image.departed);
     this.orphans.restore(image.orphans);
     this.crashes.restore(image.crashes);
+    this.estimates.restore(image.estimates);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, restoreWorker(kept, this));
@@ -317,6 +322,7 @@
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
       this.orphans.delete(end.task, end.run);
+      learnFromEnd(this, worker, end, at);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
@@ -402,6 +408,7 @@
     this.ended.finish(workflow, this.queues.get(workflow.queue), phase, at);
     this.open.delete(workflow.id);
     this.crashes.forget(workflow.id);
+    this.estimates.forget(workflow.id);
     if (workflow.activeRuns === 0) discardDetails(workflow);
     else this.running.ending.add(workflow.id);
   }
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -20,6 +20,9 @@
   ...(isBeyondRate && {isBeyondRate}),
 });
 
+const withEstimates = (estimates: WorkflowImage['estimates']) =>
+  estimates === undefined ? {} : {estimates};
+
 /** Creates a serializable image of the whole state. */
 export const imageOf = ({
   index,
@@ -31,11 +34,13 @@
   departed,
   crashes,
   orphans,
+  estimates,
 }: WorkflowDb): WorkflowImage => ({
   index,
   departed: departed.values(),
   crashes: crashes.values(),
   orphans: orphans.values(),
+  ...withEstimates(estimates.toImage()),
   bundle,
   queues: [...queues.values()],
   ...(customers.size > 0 && {customers: [...customers.values()]}),
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -9,7 +9,12 @@
 import {mapReviver} from '../../utils/image.js';
 import {WorkflowDb} from '../db.js';
 import {plan} from '../planner/core.js';
-import type {Plan, PlanInput, StepAdvice} from '../planner/types.js';
+import type {
+  Plan,
+  PlanInput,
+  PlannedStart,
+  StepAdvice,
+} from '../planner/types.js';
 import {viewWorkers} from '../planner/views.js';
 import {stepKey, taskKey} from '../refs.js';
 import {hasActiveRuns} from '../task_state.js';
@@ -79,9 +84,9 @@
 
 /** Reasons for the decisions of a pass, by task. */
 export const notesOf = ({starts, stops}: Plan): DecisionNote[] => [
-  ...starts.map(({task, run, worker, checkpoint}) => ({
+  ...starts.map(({task, run, worker, checkpoint, expected}) => ({
     subject: taskKey(task),
-    reason: `run ${run} starts on ${worker}${checkpoint === '' ? '' : ' from its checkpoint'}`,
+    reason: `run ${run} starts on ${worker}${checkpoint === '' ? '' : ' from its checkpoint'}${expectedText(expected)}`,
   })),
   ...stops.map(({task, run, worker, why, inFavourOf}) => ({
     subject: taskKey(task),
@@ -89,6 +94,11 @@
   })),
 ];
 
+const expectedText = (expected: PlannedStart['expected']): string =>
+  expected
+    ? `, expected to take ${expected.ms} ms at speed ${expected.speed.toFixed(2)}`
+    : '';
+
 /** The planner as a replayable state machine. */
 export class PlannerCore {
   constructor(
--- a/packages/state/src/workflow/planner/copies.ts
+++ b/packages/state/src/workflow/planner/copies.ts
@@ -6,6 +6,7 @@
 import type {WorkerId} from '../../ids/types.js';
 import {taskKeyIn} from '../refs.js';
 import type {StepSpec} from '../types.js';
+import {withExpected} from './expected_times.js';
 import type {StepWork} from './step_work.js';
 import type {PlanInput} from './types.js';
 
@@ -57,5 +58,11 @@
   });
 };
 
+/** Stragglers by the expected time of a step in place of its estimate. */
+export const findExpectedStragglers = (
+  work: StepWork,
+  input: PlanInput,
+): Straggler[] => findStragglers(withExpected(work, input), input);
+
 const medianOf = (values: readonly number[]): number =>
   [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -13,11 +13,12 @@
 import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
 import {CandidateWorkers} from './candidate_workers.js';
-import {findStragglers} from './copies.js';
+import {findExpectedStragglers} from './copies.js';
 import {homeRackOf} from './home_rack.js';
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
 import type {QueueShares} from './queue_shares.js';
+import {SpeedScore} from './speed_score.js';
 import {
   countByWorker,
   findTicket,
@@ -68,6 +69,7 @@
   private readonly adviceRequester: AdviceRequester;
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
+  private readonly speeds: SpeedScore;
   /** Steps with pending starts. */
   private readonly pendingSteps = new Set<string>();
   /** Steps with tasks that this pass starts. */
@@ -83,6 +85,7 @@
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
+    this.speeds = new SpeedScore(input, this.candidates);
     for (const [step, workers] of input.reserved)
       for (const worker of workers) this.reservedFor.set(worker, step);
     for (const key of input.pending.keys())
@@ -145,7 +148,10 @@
     const isIdle = this.waits.length === 0 && !this.started.has(ready.key);
     if (!work || !isIdle) return;
     const candidates = this.candidates.of(work);
-    for (const {index, worker: slow} of findStragglers(work, this.input)) {
+    for (const {index, worker: slow} of findExpectedStragglers(
+      work,
+      this.input,
+    )) {
       const task = {...work.ready.ref, index};
       if (this.quarantine.isSuspect(task)) continue;
       const others = this.quarantine
@@ -369,7 +375,8 @@
         (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
         (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
         (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
-        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0);
+        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0) +
+        this.speeds.penaltyOf(work, worker);
       if (score >= bestScore) continue;
       best = worker;
       bestScore = score;
@@ -412,6 +419,7 @@
       bornAt: worker.bornAt,
       checkpoint,
       ...(ticket === undefined ? {} : {ticket}),
+      ...this.speeds.expectationOf(work, worker),
     });
   }
 }
--- a/packages/state/src/workflow/planner/ready.ts
+++ b/packages/state/src/workflow/planner/ready.ts
@@ -4,13 +4,14 @@
 import {occurrenceCount} from '../task_state.js';
 import {stepKey} from '../refs.js';
 import type {StepState, WorkflowSpec, WorkflowState} from '../types.js';
+import {expectedChains} from './expected_times.js';
 import type {ReadyStep} from './types.js';
 
 /**
  * Critical paths of a workflow's steps; cached, as a specification never
  * changes.
  */
-interface Chains {
+export interface Chains {
   /** From each step to the end, in ms. */
   readonly fromMs: readonly number[];
   readonly longestMs: number;
@@ -18,20 +19,33 @@
 
 const CHAINS = new WeakMap<WorkflowSpec, Chains>();
 
-const chainsOf = (spec: WorkflowSpec): Chains => {
+/** Critical paths by the estimates of the client. */
+export const chainsOf = (spec: WorkflowSpec): Chains => {
   const known = CHAINS.get(spec);
   if (known) return known;
-  const fromMs = spec.steps.map(({estimateMs}) => estimateMs);
+  const chains = computeChains(
+    spec,
+    index => spec.steps[index]?.estimateMs ?? 0,
+  );
+  CHAINS.set(spec, chains);
+  return chains;
+};
+
+/** Critical paths by given times of the steps' tasks, in ms. */
+export const computeChains = (
+  spec: WorkflowSpec,
+  msOf: (index: number) => number,
+): Chains => {
+  const times = spec.steps.map((_, index) => msOf(index));
+  const fromMs = [...times];
   // Steps are in topological order, so the last ones are computed first.
   for (let index = spec.steps.length - 1; index >= 0; index--)
     for (const before of spec.steps[index]?.after ?? [])
       fromMs[before] = Math.max(
         fromMs[before] ?? 0,
-        (spec.steps[before]?.estimateMs ?? 0) + (fromMs[index] ?? 0),
+        (times[before] ?? 0) + (fromMs[index] ?? 0),
       );
-  const chains = {fromMs, longestMs: Math.max(0, ...fromMs)};
-  CHAINS.set(spec, chains);
-  return chains;
+  return {fromMs, longestMs: Math.max(0, ...fromMs)};
 };
 
 /**
@@ -59,10 +73,9 @@
   workflow: WorkflowState,
   {objectiveMs, stretch}: Queue,
   occurrence: number,
+  longestMs = longestChainMs(workflow.spec),
 ): number =>
-  startDueAt(workflow, occurrence) +
-  objectiveMs +
-  stretch * longestChainMs(workflow.spec);
+  startDueAt(workflow, occurrence) + objectiveMs + stretch * longestMs;
 
 /** Whether all tasks of a step's predecessors are done. */
 export const arePredecessorsDone = (
@@ -101,7 +114,6 @@
  * not starved.
  */
 const isLate = (
-  {spec}: WorkflowState,
   {
     dueAt,
     startAt,
@@ -111,10 +123,10 @@
     readonly startAt: number;
     readonly wall: number;
   },
-  step: number,
+  chainMs: number,
 ): boolean => {
   const overdueAt = startAt + OVERDUE_FACTOR * (dueAt - startAt);
-  return wall < overdueAt && wall + chainFromMs(spec, step) > dueAt;
+  return wall < overdueAt && wall + chainMs > dueAt;
 };
 
 const addReadySteps = (
@@ -128,7 +140,8 @@
   for (let occurrence = 0; occurrence < occurrenceCount(spec); occurrence++) {
     const startAt = startDueAt(workflow, occurrence);
     if (spec.firstDueAt > 0 && startAt > wall) return;
-    const dueAt = dueAtOf(workflow, queue, occurrence);
+    const {longestMs, fromMs} = expectedChains(db, workflow, occurrence);
+    const dueAt = dueAtOf(workflow, queue, occurrence, longestMs);
     const steps = db.stepsOf(workflow, occurrence);
     steps.forEach((step, index) => {
       const isWaiting = step.idleCount > 0;
@@ -142,7 +155,7 @@
         key: stepKey(ref),
         priority: queue.priority,
         dueAt,
-        isLate: isLate(workflow, {dueAt, startAt, wall}, index),
+        isLate: isLate({dueAt, startAt, wall}, fromMs[index] ?? 0),
       });
     });
   }
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -80,10 +80,19 @@
   readonly callerCount: number;
 }
 
+/** What a run is expected to take on its worker. */
+export interface StartExpectation {
+  readonly ms: number;
+  /** Speed of the worker relative to others; 1 while speeds are even. */
+  readonly speed: number;
+}
+
 /** A start to record and then send to the worker. */
 export interface PlannedStart extends RecordedStart {
   readonly checkpoint: string;
   readonly ticket?: string;
+  /** Given once run times or speeds are learned; for explanations only. */
+  readonly expected?: StartExpectation;
 }
 
 /** A step and the workers that its adviser must be queried about. */
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -11,6 +11,7 @@
 } from '../ids/types.js';
 import type {Bundle, Customer, Queue, QueueName} from '../bundle/types.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
+import type {EstimatesImage} from './estimates/types.js';
 
 /** Id of a workflow, chosen by the client. */
 export type WorkflowId = Branded<string, 'WorkflowId'>;
@@ -377,6 +378,8 @@
   readonly orphans?: readonly OrphanedRun[];
   /** Crashes under tasks that are not given up; absent in older images. */
   readonly crashes?: readonly CrashRecord[];
+  /** Learned run times and speeds; absent in older images, or without any. */
+  readonly estimates?: EstimatesImage;
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   /** Customers with their last terms; absent in images without any. */
