Bench for workers of different speeds, on virtual time

No bench had workers of different speeds, tails, or estimates with a log-normal error.

benchUneven simulates such a load with the estimates of the clients, with what is learned, and with true times and speeds. The other loads are unchanged.

--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -16,6 +16,7 @@
 import {benchCancel, benchDecisions, benchPacking} from './placing.js';
 import {formatTable, type Table} from './report.js';
 import {benchSchedulingDays} from './scheduling/day_table.js';
+import {benchUnevenWorkers} from './scheduling/uneven.js';
 import {benchScheduling} from './scheduling/table.js';
 import {benchUrgent} from './urgent.js';
 import {benchWaiting} from './waiting.js';
@@ -32,6 +33,9 @@
   function benchDays() {
     return benchSchedulingDays(SEED);
   },
+  function benchUneven() {
+    return benchUnevenWorkers(SEED);
+  },
   function benchPasses() {
     return benchPlannerPasses(SEED);
   },
--- a/packages/proofs/src/bench/scheduling/cluster.ts
+++ b/packages/proofs/src/bench/scheduling/cluster.ts
@@ -20,6 +20,7 @@
   type WorkerId,
   type WorkerView,
   type WorkflowCommand,
+  type WorkflowSpec,
 } from '@primrosewick/state';
 import {EventQueue} from '../../world/event_queue.js';
 import {BenchAdviser} from './adviser.js';
@@ -27,7 +28,7 @@
 import {generateArrivals, type Arrival, type LoadPattern} from './load.js';
 import {WORKER_CPU_MILLIS, makeBundle, makeReport} from './setup.js';
 import {StopCounter} from './stop_counter.js';
-import type {ClusterResult, Policy} from './types.js';
+import type {ClusterResult, Knowledge, Policy} from './types.js';
 import {uselessAfterMs} from './worth.js';
 
 interface Run {
@@ -41,6 +42,8 @@
   workStartedAt: number | undefined;
   /** Work saved by earlier runs of the task, in ms. */
   readonly done: number;
+  /** Speed of its worker, or of the slowest of its gang. */
+  speed: number;
   isOver: boolean;
 }
 
@@ -58,6 +61,8 @@
  * Time after the end of the arrivals in which work may still complete, in ms.
  */
 const DRAIN_MS = 30_000;
+/** Ends that a speed counts as which is known for sure. */
+const CERTAIN_WEIGHT = 1e6;
 const NO_KEYS: ReadonlySet<TaskKey> = new Set();
 
 /** Simulates a load pattern under a policy. */
@@ -89,6 +94,7 @@
     private readonly pattern: LoadPattern,
     private readonly policy: Policy,
     seed: number,
+    private readonly knowledge: Knowledge = 'declared',
   ) {
     this.random = seededRandom(seed);
     this.pace = paceOf(pattern);
@@ -97,6 +103,7 @@
     );
     this.apply({kind: 'put_bundle', bundle: makeBundle(pattern)});
     for (let i = 0; i < pattern.workerCount; i++) this.addWorker(i);
+    if (knowledge === 'true') this.teachSpeeds();
     for (const arrival of generateArrivals(pattern, seededRandom(seed + 1)))
       this.queue.after(arrival.at, () => this.submit(arrival));
     for (const {at, count} of pattern.losses)
@@ -149,6 +156,21 @@
     this.apply({kind: 'put_worker', report: makeReport(worker, this.pattern)});
   }
 
+  private speedOf(worker: WorkerId): number {
+    const speeds = this.pattern.workerSpeeds ?? [1];
+    return speeds[Number(worker.slice(1)) % speeds.length]!;
+  }
+
+  private teachSpeeds(): void {
+    this.db.estimates.speeds.restore({
+      workers: [...this.liveWorkers].map(worker => {
+        const log = Math.log(this.speedOf(worker));
+        return [worker, 1, log, CERTAIN_WEIGHT, 0, 0];
+      }),
+      noise: 0,
+    });
+  }
+
   private loseWorkers(count: number): void {
     for (const worker of [...this.liveWorkers].slice(0, count)) {
       this.liveWorkers.delete(worker);
@@ -175,19 +197,33 @@
         kind: 'submit',
         id: arrival.id as never,
         queue: arrival.kind.name as never,
-        spec: arrival.spec,
+        spec: this.declaredSpec(arrival),
         at: this.queue.now,
       });
     });
   }
 
+  /** The specification as its client gives it, or with true times. */
+  private declaredSpec({spec, durations}: Arrival): WorkflowSpec {
+    if (this.knowledge !== 'true') return spec;
+    const steps = spec.steps.map((step, i) => {
+      const times = [...durations[i]!].sort((a, b) => a - b);
+      return {...step, estimateMs: times[times.length >> 1]!};
+    });
+    return {...spec, steps};
+  }
+
   /**
    * Refuses a workflow that would be useless when done; its client comes back
    * as long as it could still earn something.
    */
   private refuse(arrival: Arrival): boolean {
     const queue = this.db.queues.get(arrival.kind.name as never)!;
-    const decision = decideAdmission(this.db, queue, arrival.spec);
+    const decision = decideAdmission(
+      this.db,
+      queue,
+      this.declaredSpec(arrival),
+    );
     this.refused.delete(arrival.id);
     if (decision.kind === 'admit') return false;
     this.refused.add(arrival.id);
@@ -251,7 +287,8 @@
     for (const stop of stops) this.stop(stop);
     if (starts.length === 0) return;
     this.afterCommit(() => {
-      this.apply({kind: 'start_runs', starts});
+      const at = this.knowledge === 'learned' ? {at: this.queue.now} : {};
+      this.apply({kind: 'start_runs', starts, ...at});
       this.queue.after(ORDER_MS, () => starts.forEach(s => this.beginRun(s)));
     });
   }
@@ -282,6 +319,7 @@
       room: this.resourcesOf(task),
       workStartedAt: undefined,
       done: this.progress.get(key) ?? 0,
+      speed: this.speedOf(worker),
       isOver: false,
     };
     this.runs.set(key, started);
@@ -289,7 +327,12 @@
       this.startedAt.set(task.workflow, this.queue.now);
     const members = this.gangMembersOf(task);
     if (members.some(member => this.runs.get(member)?.run !== run)) return;
-    for (const member of members) this.work(this.runs.get(member)!);
+    const runs = members.map(member => this.runs.get(member)!);
+    const speed = Math.min(...runs.map(member => member.speed));
+    for (const member of runs) {
+      member.speed = speed;
+      this.work(member);
+    }
   }
 
   /** Keys of all tasks of the task's gang, or only its own if it has none. */
@@ -305,7 +348,9 @@
     run.workStartedAt = this.queue.now + (run.done > 0 ? this.restoreMs : 0);
     if (run.done > 0) this.lostCoreMs += this.restoreMs * run.room.cpuMillis;
     const remainingMs =
-      run.workStartedAt - this.queue.now + this.neededMs(run.task) - run.done;
+      run.workStartedAt -
+      this.queue.now +
+      (this.neededMs(run.task) - run.done) / run.speed;
     this.queue.after(remainingMs, () => {
       if (run.isOver || this.stopping.has(taskKey(run.task))) return;
       this.usefulCoreMs += this.neededMs(run.task) * run.room.cpuMillis;
@@ -316,7 +361,8 @@
   private remainingMsOf(key: TaskKey): number | undefined {
     const run = this.runs.get(key);
     if (run?.workStartedAt === undefined) return undefined;
-    return this.neededMs(run.task) - run.done - this.elapsedWorkMs(run);
+    const leftMs = this.neededMs(run.task) - run.done;
+    return leftMs / run.speed - this.elapsedWorkMs(run) / run.speed;
   }
 
   private get tellMs(): number {
@@ -333,7 +379,7 @@
 
   private elapsedWorkMs(run: Run): number {
     if (run.workStartedAt === undefined) return 0;
-    return Math.max(0, this.queue.now - run.workStartedAt);
+    return run.speed * Math.max(0, this.queue.now - run.workStartedAt);
   }
 
   private stop(planned: PlannedStop): void {
--- a/packages/proofs/src/bench/scheduling/load.ts
+++ b/packages/proofs/src/bench/scheduling/load.ts
@@ -32,6 +32,8 @@
    * step's tasks.
    */
   readonly maxEstimateError: number;
+  /** Deviation of the logarithm of an estimate's error; 0 if not given. */
+  readonly estimateDeviation?: number;
   readonly stretch: number;
   readonly objectiveMs: number;
   readonly advice: {
@@ -73,6 +75,10 @@
   }>;
   /** Speed of the leader; without it, passes take no time. */
   readonly leader?: LeaderTiming;
+  /** Speeds of the workers, in turn; 1 if not given. */
+  readonly workerSpeeds?: readonly number[];
+  /** Fraction of tasks, and of gangs, that take longer by a factor. */
+  readonly tails?: {readonly share: number; readonly factor: number};
   /** Memory of a worker, in MB. */
   readonly workerMemMb?: number;
   /** Time of a restore from a checkpoint and longest time of a stop, in ms. */
@@ -106,14 +112,17 @@
 const drawUniform = (random: Random): number =>
   random.nextInt(1, DRAW_RESOLUTION) / DRAW_RESOLUTION;
 
+/** Draws a number from a normal distribution. */
+const drawNormal = (random: Random): number =>
+  Math.sqrt(-2 * Math.log(drawUniform(random))) *
+  Math.cos(2 * Math.PI * drawUniform(random));
+
 /**
  * Draws a factor from a log-normal distribution with mean 1 and the relative
  * standard deviation `spread`, capped at `MAX_FACTOR`.
  */
 const drawFactor = (random: Random, spread: number): number => {
-  const normal =
-    Math.sqrt(-2 * Math.log(drawUniform(random))) *
-    Math.cos(2 * Math.PI * drawUniform(random));
+  const normal = drawNormal(random);
   const sigma = Math.sqrt(Math.log(1 + spread * spread));
   return Math.min(MAX_FACTOR, Math.exp(sigma * normal - (sigma * sigma) / 2));
 };
@@ -123,6 +132,7 @@
   index: number,
   taskMs: number,
   random: Random,
+  tails: LoadPattern['tails'],
 ): {readonly spec: StepSpec; readonly durations: number[]} => {
   const taskCount = Math.max(
     1,
@@ -141,11 +151,17 @@
         );
   const estimateFactor =
     1 + (2 * drawUniform(random) - 1) * kind.maxEstimateError;
+  const deviation = kind.estimateDeviation ?? 0;
+  const errorFactor =
+    deviation === 0 ? 1 : Math.exp(deviation * drawNormal(random));
+  const tailFactor = (): number =>
+    tails && drawUniform(random) <= tails.share ? tails.factor : 1;
+  const gangFactor = isGang ? tailFactor() : 1;
   return {
     spec: {
       taskCount,
       room: {cpuMillis, memMb, gpus: 0},
-      estimateMs: Math.round(taskMs * estimateFactor),
+      estimateMs: Math.round(taskMs * estimateFactor * errorFactor),
       after: index === 0 ? [] : [index - 1],
       isCheckpointable: drawUniform(random) <= kind.checkpointableShare,
       isGang,
@@ -159,8 +175,10 @@
     },
     durations: Array.from({length: taskCount}, () =>
       isGang
-        ? taskMs
-        : taskMs * (1 + (2 * drawUniform(random) - 1) * TASK_TIME_VARIATION),
+        ? taskMs * gangFactor
+        : taskMs *
+          (1 + (2 * drawUniform(random) - 1) * TASK_TIME_VARIATION) *
+          tailFactor(),
     ),
   };
 };
@@ -170,13 +188,14 @@
   at: number,
   number: number,
   random: Random,
+  tails: LoadPattern['tails'],
 ): Arrival => {
   const fraction = kind.steps - Math.floor(kind.steps);
   const stepCount =
     Math.floor(kind.steps) + (drawUniform(random) <= fraction ? 1 : 0);
   const taskMs = kind.taskMs * drawFactor(random, TIME_SPREAD);
   const steps = Array.from({length: stepCount}, (_, index) =>
-    makeStep(kind, index, taskMs, random),
+    makeStep(kind, index, taskMs, random, tails),
   );
   return {
     at,
@@ -203,7 +222,7 @@
     let at = 0;
     let number = 0;
     for (; number < (kind.initialCount ?? 0); number++)
-      arrivals.push(makeArrival(kind, 0, number, random));
+      arrivals.push(makeArrival(kind, 0, number, random, pattern.tails));
     for (; ; number++) {
       const burst = pattern.bursts.find(
         given =>
@@ -214,7 +233,7 @@
       const perMs = (kind.arrivalsPerSecond * (burst?.factor ?? 1)) / 1000;
       at += -Math.log(drawUniform(random)) / perMs;
       if (at >= pattern.durationMs) break;
-      arrivals.push(makeArrival(kind, at, number, random));
+      arrivals.push(makeArrival(kind, at, number, random, pattern.tails));
     }
   }
   return arrivals.sort((a, b) => a.at - b.at);
--- a/packages/proofs/src/bench/scheduling/types.ts
+++ b/packages/proofs/src/bench/scheduling/types.ts
@@ -6,6 +6,15 @@
 /** Computes the plan of one scheduling pass. */
 export type Policy = (input: PlanInput) => Plan;
 
+/** What a simulated planner knows of run times and of the speeds of workers. */
+export type Knowledge =
+  /** The estimates of the clients. */
+  | 'declared'
+  /** What is learned from the ends of runs. */
+  | 'learned'
+  /** The true means and speeds. */
+  | 'true';
+
 /** Result of one workflow. */
 export interface WorkflowOutcome {
   readonly arrival: Arrival;
