--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -3,6 +3,7 @@
 import type {
   PlannedWait,
   QueueName,
+  SpeedSpread,
   WorkflowCommand,
   WorkflowDb,
 } from '@primrosewick/state';
@@ -10,6 +11,7 @@
 import {AdviceLoad} from './advice_load.js';
 import {QueueLoad, type EndedWait} from './queue_load.js';
 import {usageOf, type CellUsage} from './queue_usage.js';
+import {SpeedLog} from './speed_log.js';
 
 /** Interval between two log lines of a queue, in ms. */
 export const LOAD_INTERVAL_MS = 2000;
@@ -32,6 +34,7 @@
   readonly callerUse: () => CallerUse;
   /** Called for each wait that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
+  readonly onSpeeds?: (spread: SpeedSpread) => void;
 }
 
 /**
@@ -42,6 +45,7 @@
   readonly queues: QueueLoad;
   readonly advice = new AdviceLoad();
   private readonly beganAt: number;
+  private readonly speedLog: SpeedLog;
   /** Queues that had work at the last report. */
   private lastWithWork: ReadonlySet<QueueName> = new Set();
 
@@ -49,6 +53,7 @@
     const {db, clock} = options;
     this.queues = new QueueLoad(id => db.workflows.get(id)?.queue);
     this.beganAt = clock.now();
+    this.speedLog = new SpeedLog(options.logger, db, options.onSpeeds);
   }
 
   /** Notes all waits of one pass, at a monotonic time in ms. */
@@ -95,6 +100,7 @@
       .slice(0, MAX_QUEUES_LOGGED);
     this.lastWithWork = withWork;
     for (const queue of logged) this.logQueue(queue, usage);
+    this.speedLog.note(clock.now());
   }
 
   private logQueue(queue: QueueName, {queues, cpuMillis}: CellUsage): void {
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -4,6 +4,7 @@
   WorkflowCommand,
   WorkflowEnd,
   WorkflowResult,
+  SpeedSpread,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import type {Recorder} from '../zone/types.js';
@@ -39,6 +40,8 @@
   readonly ask: AdviceDispatcherOptions['ask'];
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
+  /** Called at intervals with the spread of the learned speeds. */
+  readonly onSpeeds?: (spread: SpeedSpread) => void;
   /** Called for each workflow that has ended. */
   readonly onEnded?: (end: WorkflowEnd) => void;
   /** Called with the number of runs that a record of this leader gives up. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -110,6 +110,7 @@
       logger,
       callerUse: () => this.advice.callerUse,
       onWaited: wait => options.onWaited?.(wait),
+      onSpeeds: spread => options.onSpeeds?.(spread),
     });
     this.runLog = new RunLog(logger, this.load.queues);
     this.advice = new AdviceDispatcher({
--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -4,11 +4,12 @@
 import {makeGivenUpCounter} from './given_up_runs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {makeEndCounter} from './reads_around_ends.js';
+import {makeSpeedObserver} from './worker_speeds.js';
 
 /** Functions that count what a leader tells of. */
 export type LeaderCounters = Pick<
   SchedulerOptions,
-  'onWaited' | 'onEnded' | 'onGivenUp'
+  'onWaited' | 'onEnded' | 'onGivenUp' | 'onSpeeds'
 >;
 
 /** Makes them for all leaderships of this VM. */
@@ -16,4 +17,5 @@
   onWaited: makeQueueWaitObserver(registry),
   onEnded: makeEndCounter(registry),
   onGivenUp: makeGivenUpCounter(registry),
+  onSpeeds: makeSpeedObserver(registry),
 });
