--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -8,11 +8,12 @@
 import {makeGivenUpCounter} from './given_up_runs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {makeEndCounter} from './reads_around_ends.js';
+import {makeSpeedObserver} from './worker_speeds.js';
 
 /** Functions that count what a leader tells of. */
 export type LeaderCounters = Pick<
   SchedulerOptions,
-  'onWaited' | 'onEnded' | 'onGivenUp'
+  'onWaited' | 'onEnded' | 'onGivenUp' | 'onSpeeds'
 > &
   Required<Pick<WorkflowServiceOptions, 'onAccepted'>>;
 
@@ -22,4 +23,5 @@
   onEnded: makeEndCounter(registry),
   onGivenUp: makeGivenUpCounter(registry),
   onAccepted: makeCustomerCounter(registry),
+  onSpeeds: makeSpeedObserver(registry),
 });
--- a/packages/state/src/workflow/planner/attempts.ts
+++ b/packages/state/src/workflow/planner/attempts.ts
@@ -9,6 +9,7 @@
 import type {FailedRun} from '../types.js';
 import {taskResources, type StepWork} from './step_work.js';
 import type {PlanInput, WorkerView} from './types.js';
+import type {WorkerChoice} from './worker_choice.js';
 
 /** Age up to which a run that ended as done proves that its worker is healthy, in ms. */
 const PROOF_MS = 6000;
@@ -22,13 +23,9 @@
 
 /** Chooses the workers for later attempts during one pass. */
 export class AttemptWorkers {
-  /** @param chooseBest - chooses the best of some workers that has room. */
   constructor(
     private readonly input: Pick<PlanInput, 'db' | 'wall'>,
-    private readonly chooseBest: (
-      work: StepWork,
-      workers: readonly WorkerView[],
-    ) => WorkerView | undefined,
+    private readonly choice: Pick<WorkerChoice, 'best'>,
   ) {}
 
   /**
@@ -41,13 +38,13 @@
     candidates: readonly WorkerView[],
   ): WorkerView | undefined {
     const {failedRuns} = work.state.tasks[index] ?? {};
-    if (!failedRuns) return this.chooseBest(work, candidates);
+    if (!failedRuns) return this.choice.best(work, candidates);
     const others = withoutFailed(work, failedRuns, 1, candidates);
     const proven = others.filter(worker => this.isProven(worker));
-    const chosen = this.chooseBest(work, proven);
+    const chosen = this.choice.best(work, proven);
     if (chosen) return chosen;
     const mayWait = this.isWaiting(work, index) && canHold(work, 1, proven);
-    return mayWait ? undefined : this.chooseBest(work, others);
+    return mayWait ? undefined : this.choice.best(work, others);
   }
 
   /** Whether a task may wait for a proven worker, as it has one attempt left. */
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,29 +2,24 @@
  * Places the tasks of one step after another on the resources that are left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {NO_RESOURCES, fitsInto, subtractResources} from '../resources.js';
+import {fitsInto} from '../resources.js';
 import type {StepKey} from '../types.js';
-import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
 import {AttemptWorkers} from './attempts.js';
 import {CandidateWorkers} from './candidate_workers.js';
-import {findStragglers} from './copies.js';
+import {findExpectedStragglers} from './copies.js';
 import type {CustomerCaps} from './customer_caps.js';
 import {homeRackOf} from './home_rack.js';
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
 import type {QueueShares} from './queue_shares.js';
+import {SpeedScore} from './speed_score.js';
 import {
   countByWorker,
-  findTicket,
   releaseResources,
-  isBelowPerWorkerLimit,
-  isAwayFromData,
-  isOutsideRack,
   latestCheckpoint,
   taskResources,
   claimResources,
-  usableResources,
   type StepWork,
 } from './step_work.js';
 import type {
@@ -38,19 +33,7 @@
   WorkerView,
 } from './types.js';
 import {WaitingTasks} from './waiting_tasks.js';
-import {fitsByPool, type Fit} from './worker_fit.js';
-
-/** Penalty of a worker away from the data; 1 equals a whole free worker. */
-const REMOTE_DATA_PENALTY = 1;
-/** Penalty of a worker outside the home rack of the step. */
-const SPREAD_PENALTY = 1;
-/**
- * Penalty of a worker with resources reserved for another step, such as a gang
- * of lower priority.
- */
-const RESERVED_PENALTY = 1.5;
-/** Penalty of a worker whose ticket must be renewed first. */
-const TICKET_PENALTY = 2;
+import {WorkerChoice} from './worker_choice.js';
 
 /** Assignment of one task to a worker. */
 interface Placement {
@@ -67,14 +50,13 @@
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
   private readonly attempts: AttemptWorkers;
-  private readonly fitIn: (pool: string) => Fit;
+  private readonly choice: WorkerChoice;
   private readonly waiting: WaitingTasks;
+  private readonly speeds: SpeedScore;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
   /** Number of waits for anything but a cap, counted once all steps are placed. */
   private otherWaits: number | undefined;
-  /** Steps for which the previous pass reserved resources, by worker. */
-  private readonly reservedFor = new Map<WorkerId, StepKey>();
 
   constructor(
     private readonly input: PlanInput,
@@ -85,10 +67,9 @@
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
-    this.attempts = new AttemptWorkers(input, this.chooseWorker.bind(this));
-    this.fitIn = fitsByPool(input);
-    for (const [step, workers] of input.reserved)
-      for (const worker of workers) this.reservedFor.set(worker, step);
+    this.speeds = new SpeedScore(input, this.candidates);
+    this.choice = new WorkerChoice(input, this.speeds);
+    this.attempts = new AttemptWorkers(input, this.choice);
     this.waiting = new WaitingTasks(input.pending);
   }
 
@@ -152,15 +133,21 @@
     const isIdle = this.hasNoOtherWaits() && !this.started.has(ready.key);
     if (!work || !isIdle) return;
     const candidates = this.candidates.of(work);
-    for (const {index, worker: slow} of findStragglers(work, this.input)) {
+    for (const {index, worker: slow} of findExpectedStragglers(
+      work,
+      this.input,
+    )) {
       const task = {...work.ready.ref, index};
       if (this.quarantine.isSuspect(task)) continue;
       if (this.caps.countAllowed(work, 1) === 0) return;
       const others = this.quarantine
         .workersFor(task, candidates)
         .filter(({worker}) => worker !== slow);
-      const worker = this.chooseWorker(work, others);
-      if (!worker || (work.queue.advice && !this.ticketFor(work, worker)))
+      const worker = this.choice.best(work, others);
+      if (
+        !worker ||
+        (work.queue.advice && !this.choice.ticketFor(work, worker))
+      )
         continue;
       this.start(work, {index, worker});
     }
@@ -217,7 +204,7 @@
       const quiet = this.quarantine.workersFor(task, candidates);
       const isSuspect = this.quarantine.isSuspect(task);
       const worker = isSuspect
-        ? this.chooseFirst(work, quiet)
+        ? this.choice.first(work, quiet)
         : this.attempts.choose(work, index, quiet);
       if (!worker && isSuspect) {
         this.waitForQuiet(work, candidates, [index]);
@@ -233,7 +220,7 @@
         break;
       }
       placedCount++;
-      if (work.queue.advice && !this.ticketFor(work, worker)) {
+      if (work.queue.advice && !this.choice.ticketFor(work, worker)) {
         expired.add(worker.worker);
         // Claims the resources for the task until the ticket is renewed.
         claimResources(work, worker);
@@ -253,7 +240,7 @@
     const quiet = this.quarantine.workersFor(gang, all);
     const candidates = this.attempts.forGang(work, waiting.length, quiet);
     for (const index of waiting) {
-      const worker = this.chooseWorker(work, candidates);
+      const worker = this.choice.best(work, candidates);
       if (!worker && this.quarantine.isSuspect(gang)) {
         for (const {worker: place} of placements) releaseResources(work, place);
         return this.waitForQuiet(work, all, waiting);
@@ -267,7 +254,7 @@
         if (isReserved) this.caps.claim(work, waiting.length);
         return this.wait(work, why, waiting.length, candidates.length);
       }
-      if (work.queue.advice && !this.ticketFor(work, worker))
+      if (work.queue.advice && !this.choice.ticketFor(work, worker))
         expired.add(worker.worker);
       claimResources(work, worker);
       placements.push({index, worker});
@@ -343,65 +330,6 @@
     });
   }
 
-  /** The first worker that a task fits on. */
-  private chooseFirst(
-    work: StepWork,
-    candidates: readonly WorkerView[],
-  ): WorkerView | undefined {
-    for (const worker of candidates) {
-      const chosen = this.chooseWorker(work, [worker]);
-      if (chosen) return chosen;
-    }
-    return undefined;
-  }
-
-  /**
-   * Best fit: the worker with the lowest score, which is the fraction of it
-   * that the task leaves free, plus penalties.
-   */
-  private chooseWorker(
-    work: StepWork,
-    candidates: readonly WorkerView[],
-  ): WorkerView | undefined {
-    const {spec, queue, ready} = work;
-    const size = taskResources(work);
-    let best: WorkerView | undefined;
-    let bestScore = Number.POSITIVE_INFINITY;
-    const mayUseReserved = isPreemptible(spec);
-    const fit = this.fitIn(queue.pool);
-    for (const worker of candidates) {
-      // Most workers are full; skips the sum for those without reservations.
-      const free =
-        mayUseReserved && worker.kept !== NO_RESOURCES
-          ? usableResources(work, worker)
-          : worker.free;
-      if (!fitsInto(size, free)) continue;
-      if (!isBelowPerWorkerLimit(work, worker)) continue;
-      const score =
-        fit(subtractResources(free, size), worker.room) +
-        (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
-        (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
-        (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
-        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0);
-      if (score >= bestScore) continue;
-      best = worker;
-      bestScore = score;
-    }
-    return best;
-  }
-
-  /**
-   * Whether the previous pass reserved resources on a worker for another step.
-   */
-  private isReservedForOther({worker}: WorkerView, {key}: ReadyStep): boolean {
-    const reservedStep = this.reservedFor.get(worker);
-    return reservedStep !== undefined && reservedStep !== key;
-  }
-
-  private ticketFor(work: StepWork, worker: WorkerView) {
-    return findTicket(work, worker, this.input.now);
-  }
-
   private start(work: StepWork, placement: Placement): void {
     const task = work.state.tasks[placement.index];
     if (!task) return;
@@ -416,7 +344,7 @@
     run: number,
     checkpoint: string,
   ): void {
-    const ticket = this.ticketFor(work, worker)?.text;
+    const ticket = this.choice.ticketFor(work, worker)?.text;
     this.quarantine.noteStart({...work.ready.ref, index}, worker.worker);
     this.started.add(work.ready.key);
     this.starts.push({
@@ -426,6 +354,7 @@
       bornAt: worker.bornAt,
       checkpoint,
       ...(ticket === undefined ? {} : {ticket}),
+      ...this.speeds.expectationOf(work, worker),
     });
   }
 }
