Customers in the fuzzing world, their load over virtual time, and operators' view

Cause: the caps were proved by specs of the planner alone, and operators saw neither what a customer uses nor what its cap holds back.

Change: a fuzzing plan gives workflows to customers, and its oracle recounts what the workers run for each at every start.

--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -8,6 +8,7 @@
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import {AdviceLoad} from './advice_load.js';
+import {CustomerLoad} from './customer_load.js';
 import {QueueLoad, type EndedWait} from './queue_load.js';
 import {usageOf, type CellUsage} from './queue_usage.js';
 
@@ -41,6 +42,7 @@
 export class LoadReport {
   readonly queues: QueueLoad;
   readonly advice = new AdviceLoad();
+  private readonly customers: CustomerLoad;
   private readonly beganAt: number;
   /** Queues that had work at the last report. */
   private lastWithWork: ReadonlySet<QueueName> = new Set();
@@ -48,11 +50,13 @@
   constructor(private readonly options: LoadReportOptions) {
     const {db, clock} = options;
     this.queues = new QueueLoad(id => db.workflows.get(id)?.queue);
+    this.customers = new CustomerLoad(options);
     this.beganAt = clock.now();
   }
 
   /** Notes all waits of one pass, at a monotonic time in ms. */
   notePass(waits: readonly PlannedWait[], now: number): void {
+    this.customers.notePass(waits);
     for (const wait of this.queues.notePass(waits, now))
       this.options.onWaited?.(wait);
   }
@@ -95,6 +99,7 @@
       .slice(0, MAX_QUEUES_LOGGED);
     this.lastWithWork = withWork;
     for (const queue of logged) this.logQueue(queue, usage);
+    this.customers.log();
   }
 
   private logQueue(queue: QueueName, {queues, cpuMillis}: CellUsage): void {
--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -1,6 +1,8 @@
 /** What is counted and measured while this VM leads. */
 import type {SchedulerOptions} from '@primrosewick/coordination';
+import type {WorkflowDb} from '@primrosewick/state';
 import type {Registry} from 'prom-client';
+import {registerCustomerGauges} from './customer_gauges.js';
 import {makeGivenUpCounter} from './given_up_runs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {makeEndCounter} from './reads_around_ends.js';
@@ -11,9 +13,18 @@
   'onWaited' | 'onEnded' | 'onGivenUp'
 >;
 
-/** Makes them for all leaderships of this VM. */
-export const makeLeaderCounters = (registry: Registry): LeaderCounters => ({
-  onWaited: makeQueueWaitObserver(registry),
-  onEnded: makeEndCounter(registry),
-  onGivenUp: makeGivenUpCounter(registry),
-});
+/**
+ * Makes them for all leaderships of this VM, and registers the gauges of the
+ * customers in its replica.
+ */
+export const makeLeaderCounters = (
+  registry: Registry,
+  db: Pick<WorkflowDb, 'usage'>,
+): LeaderCounters => {
+  registerCustomerGauges(registry, db);
+  return {
+    onWaited: makeQueueWaitObserver(registry),
+    onEnded: makeEndCounter(registry),
+    onGivenUp: makeGivenUpCounter(registry),
+  };
+};
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -125,7 +125,7 @@
       port: options.advice,
       clock: systemClock,
     });
-    this.counters = makeLeaderCounters(options.registry);
+    this.counters = makeLeaderCounters(options.registry, this.replica.db);
     this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
--- a/packages/proofs/src/workflow/cell_bundle.ts
+++ b/packages/proofs/src/workflow/cell_bundle.ts
@@ -1,5 +1,10 @@
 /** The bundle of the simulated cell. */
-import type {Bundle} from '@primrosewick/state';
+import {
+  findExceededCap,
+  type Bundle,
+  type Customer,
+  type WorkflowSpec,
+} from '@primrosewick/state';
 
 /** Queues of the cell; tasks of the first preempt those of the second. */
 export type TestQueueName = 'urgent' | 'patient' | 'advised';
@@ -18,6 +23,21 @@
   objectiveMs: 5000,
 });
 
+/** Cap of the capped customer: one task of the widest kind, or a few small ones. */
+export const CUSTOMER_CAP = {cpuMillis: 6000, memMb: 0, gpus: 0};
+
+/** Customers of the worlds that have them; the first has a cap. */
+export const CUSTOMERS = [
+  {name: 'capped', keyDigests: [], priority: 1, weight: 1, cap: CUSTOMER_CAP},
+  {
+    name: 'free',
+    keyDigests: [],
+    priority: 1,
+    weight: 2,
+    cap: {cpuMillis: 0, memMb: 0, gpus: 0},
+  },
+] as never as readonly Customer[];
+
 /** The bundle in force: one pool, and a queue of each kind. */
 export const BUNDLE = {
   version: 1,
@@ -46,3 +66,17 @@
   },
   source: '{}',
 } as never as Bundle;
+
+/**
+ * The customer of a workflow: in turn one with a cap, one without, and none. Work
+ * that the cap can never hold would be refused, so it goes to the other customer.
+ */
+export const customerFor = (
+  number: number,
+  spec: WorkflowSpec,
+): Customer | undefined => {
+  const [capped, free] = CUSTOMERS as readonly [Customer, Customer];
+  if (number % 3 === 2) return undefined;
+  const isRefused = findExceededCap(spec, capped) !== undefined;
+  return number % 3 === 0 && !isRefused ? capped : free;
+};
--- a/packages/proofs/src/workflow/oracle.ts
+++ b/packages/proofs/src/workflow/oracle.ts
@@ -12,6 +12,7 @@
   type WorkerId,
   type WorkflowSpec,
 } from '@primrosewick/state';
+import {findCapViolation, type CapOracleOptions} from './cap_oracle.js';
 
 /**
  * A speculative copy may start up to this long after the end of the other run
@@ -49,6 +50,8 @@
 
   constructor(
     private readonly specOf: (id: string) => WorkflowSpec | undefined,
+    private readonly customerOf: CapOracleOptions['customerOf'] = () =>
+      undefined,
   ) {}
 
   /** Records a contradiction. */
@@ -85,6 +88,15 @@
     this.checkSpread(task, worker);
     places.set(worker, run);
     this.running.set(key, places);
+    const exceeded = findCapViolation(
+      {
+        customerOf: this.customerOf,
+        stepOf: ({workflow, step: at}) => this.specOf(workflow)?.steps[at],
+      },
+      task,
+      this.running,
+    );
+    if (exceeded !== undefined) this.addViolation(exceeded);
   }
 
   /** Records that a run saved a checkpoint. */
--- a/packages/proofs/src/workflow/plans.ts
+++ b/packages/proofs/src/workflow/plans.ts
@@ -340,3 +340,18 @@
     silence,
   ],
 });
+
+/** Fuzzing plan for workflows of customers, one of them with a cap. */
+export const customersPlan = (
+  seed: number,
+  runs: number,
+): AsyncFuzzPlan<EmptyModel, WorkflowWorld> => ({
+  ...workflowPlan(seed, runs),
+  name: 'customers',
+  commands: [...commands, submission('urgent'), submission('patient'), leaving],
+  setUp: async worldSeed => {
+    const world = new WorkflowWorld(worldSeed, {hasCustomers: true});
+    await world.start();
+    return world;
+  },
+});
--- a/packages/proofs/src/workflow/standing.spec.ts
+++ b/packages/proofs/src/workflow/standing.spec.ts
@@ -11,7 +11,8 @@
   type StandingDay,
 } from './standing_days.js';
 import {silencePlan, standingPlan} from './standing_plans.js';
-import {WorkflowWorld, type WorkflowWorldOptions} from './workflow_world.js';
+import type {WorkflowWorldOptions} from './world_options.js';
+import {WorkflowWorld} from './workflow_world.js';
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60);
 const TIMEOUT_MS = 60_000;
--- a/packages/proofs/src/workflow/workflow.spec.ts
+++ b/packages/proofs/src/workflow/workflow.spec.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {runFuzzAsync} from '../fuzz/run_fuzz.js';
 import {
+  customersPlan,
   deadlyPlan,
   earlyAdvicePlan,
   goodbyePlan,
@@ -48,6 +49,10 @@
   // occurrences have run.
   it('a workflow whose steps run several times is done after the last time', () =>
     runFuzzAsync(repeatedPlan(7501, Math.ceil(RUNS / 3)))).timeout(600_000);
+  // Guards against a customer that runs more than its cap allows, as its runs on
+  // silent workers, or of a former leader, are not counted.
+  it('no customer runs more than its cap allows', () =>
+    runFuzzAsync(customersPlan(7901, Math.ceil(RUNS / 2)))).timeout(600_000);
   // Guards against TWICE: runs that are taken for never started, as their ends
   // were beyond the end of a list.
   it('lists that hold two ends at a time keep them too', () =>
--- a/packages/proofs/src/workflow/workflow_world.ts
+++ b/packages/proofs/src/workflow/workflow_world.ts
@@ -6,6 +6,7 @@
 import {
   CellError,
   seededRandom,
+  type Customer,
   type QueueName,
   type Random,
   type Resources,
@@ -19,14 +20,18 @@
 import {EventQueue} from '../world/event_queue.js';
 import {SimProcess, VirtualClock} from '../world/process.js';
 import {WorldJournals} from './world_journals.js';
-import {BUNDLE, type TestQueueName} from './cell_bundle.js';
+import {
+  BUNDLE,
+  CUSTOMERS,
+  customerFor,
+  type TestQueueName,
+} from './cell_bundle.js';
 import {GangRuns} from './gang_runs.js';
 import {ForgedWords, type ForgedWord} from './forged_words.js';
 import {WorkflowOracle} from './oracle.js';
 import {CalmClock} from './calm_clock.js';
 import {RunDraws} from './run_draws.js';
 import {SimAdviser} from './sim_adviser.js';
-import type {ConnectionPolicy} from './sim_connections.js';
 import {announceRegularly} from './sim_announcements.js';
 import {SimGoodbyes, type GoodbyeOptions} from './sim_goodbyes.js';
 import {SimNetwork} from './sim_network.js';
@@ -40,31 +45,9 @@
 import type {SimWorker} from './sim_worker.js';
 import {StandingCheck} from './standing_check.js';
 import {findWrongEnd} from './workflow_ends.js';
+import {DEFAULTS, type WorkflowWorldOptions} from './world_options.js';
 import {WORKER_RESOURCES, makeWorkers} from './world_workers.js';
 
-/** Options of a world. */
-export interface WorkflowWorldOptions {
-  /** Maximum number of ends that one list of a worker holds. */
-  readonly maxListedEnds: number;
-  /** Duration of each run, in ms; drawn for each by default. */
-  readonly runMs?: number;
-  /** Longest lease that workers accept, in ms. */
-  readonly maxLeaseMs: number;
-  /** How leaders keep connections to workers. */
-  readonly connectionPolicy: ConnectionPolicy;
-  /** Whether connections to a worker that is down are refused; otherwise nothing comes. */
-  readonly refusesWhenDown: boolean;
-  /** Whether no workflow may stand in calm times while workers are free. */
-  readonly checksStanding: boolean;
-}
-
-const DEFAULTS: WorkflowWorldOptions = {
-  maxListedEnds: 500,
-  maxLeaseMs: 8000,
-  connectionPolicy: 'one_a_call',
-  refusesWhenDown: false,
-  checksStanding: false,
-};
 const SETTLE_MS = 120_000;
 /** Expected time of a call that is short enough to be made early, in ms. */
 const SHORT_CALL = {baseMs: 10, perWorkerMs: 1};
@@ -83,6 +66,8 @@
   private readonly forgedWords: ForgedWords;
   private readonly random: Random;
   private readonly specs = new Map<string, WorkflowSpec>();
+  /** Customers by workflow, in a world that has them. */
+  private readonly customers = new Map<string, Customer>();
   private readonly draws: RunDraws;
   private faults: CallFaults = {lossPercent: 0, latePercent: 0};
   private leadership: Leadership | undefined;
@@ -101,7 +86,10 @@
     const service = () => this.leadership?.service;
     const faults = () => this.faults;
     this.draws = new RunDraws({random, runMs});
-    this.oracle = new WorkflowOracle(id => this.specs.get(id));
+    this.oracle = new WorkflowOracle(
+      id => this.specs.get(id),
+      ({workflow}) => this.customers.get(workflow),
+    );
     this.adviser = new SimAdviser({queue, random, workers});
     this.network = new SimNetwork({queue, workers, refusesWhenDown});
     this.reports = new SimReports({
@@ -163,7 +151,8 @@
    * workers.
    */
   async start(): Promise<void> {
-    this.commit({kind: 'put_bundle', bundle: BUNDLE});
+    const customers = this.options.hasCustomers && {customers: CUSTOMERS};
+    this.commit({kind: 'put_bundle', bundle: {...BUNDLE, ...customers}});
     this.changeLeader(false);
     this.reports.start();
     const {queue, workers, network, reports} = this;
@@ -182,6 +171,10 @@
   submit(spec: WorkflowSpec, queue: TestQueueName = 'urgent'): void {
     const id = `f${this.specs.size}` as WorkflowId;
     this.specs.set(id, spec);
+    const customer = this.options.hasCustomers
+      ? customerFor(this.specs.size, spec)
+      : undefined;
+    if (customer) this.customers.set(id, customer);
     const at = this.clockOf(new SimProcess()).wall();
     this.commit({
       kind: 'submit',
@@ -189,6 +182,7 @@
       queue: queue as QueueName,
       spec,
       at,
+      ...(customer && {customer: customer.name}),
     });
   }
 
