--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -3,7 +3,9 @@
   SchedulerOptions,
   WorkflowServiceOptions,
 } from '@primrosewick/coordination';
+import type {WorkflowDb} from '@primrosewick/state';
 import type {Registry} from 'prom-client';
+import {registerCustomerGauges} from './customer_gauges.js';
 import {makeCustomerCounter} from './customer_submissions.js';
 import {makeGivenUpCounter} from './given_up_runs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
@@ -17,11 +19,20 @@
 > &
   Required<Pick<WorkflowServiceOptions, 'onAccepted'>>;
 
-/** Makes them for all leaderships of this VM. */
-export const makeLeaderCounters = (registry: Registry): LeaderCounters => ({
-  onWaited: makeQueueWaitObserver(registry),
-  onEnded: makeEndCounter(registry),
-  onGivenUp: makeGivenUpCounter(registry),
-  onAccepted: makeCustomerCounter(registry),
-  onSpeeds: makeSpeedObserver(registry),
-});
+/**
+ * Makes them for all leaderships of this VM, and registers the gauges of the
+ * customers in its replica.
+ */
+export const makeLeaderCounters = (
+  registry: Registry,
+  db: Pick<WorkflowDb, 'usage'>,
+): LeaderCounters => {
+  registerCustomerGauges(registry, db);
+  return {
+    onWaited: makeQueueWaitObserver(registry),
+    onEnded: makeEndCounter(registry),
+    onGivenUp: makeGivenUpCounter(registry),
+    onAccepted: makeCustomerCounter(registry),
+    onSpeeds: makeSpeedObserver(registry),
+  };
+};
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -55,6 +55,7 @@
 export * from './workflow/planner/expected_times.js';
 export type {RunEstimates} from './workflow/estimates/core.js';
 export type {SpeedSpread} from './workflow/estimates/worker_speeds.js';
+export {countUnderCap} from './workflow/planner/customer_caps.js';
 export * from './workflow/planner/early_advice.js';
 export {ENDING_SOON_MS} from './workflow/planner/preemption.js';
 export * from './workflow/planner/ready.js';
