Rates of customers decide what is refused first under overload

One customer that sends seven times its usual rate made admission refuse whichever submission came next, also while workers were free.

Accepted submissions are counted by customer in a sliding window that is derived from the records. While not all work can be in time, what is beyond the rate is refused with over_rate, 429 and a spread time to retry; work beyond the rate that has not started is no backlog for others. A bundle without customers is admitted as before.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -37,6 +37,7 @@
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {KnownLives} from './known_lives.js';
 import {OrphanTracker} from './orphan_tracker.js';
+import type {RefusalReason} from './submission_admission.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
 import {WorkerViews} from './worker_views.js';
@@ -190,9 +191,9 @@
     this.advice.drop(id);
   }
 
-  /** Counts a workflow that was rejected because of the queue's backlog. */
-  noteRefused(queue: QueueName): void {
-    this.load.queues.countFor(queue, 'refused', 'backlog');
+  /** Counts a workflow that was rejected because of the backlog or a rate. */
+  noteRefused(queue: QueueName, why: RefusalReason): void {
+    this.load.queues.countFor(queue, 'refused', why);
   }
 
   private get db(): WorkflowDb {
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -29,7 +29,10 @@
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
-import {SubmissionAdmission} from './submission_admission.js';
+import {
+  SubmissionAdmission,
+  type RefusalReason,
+} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
 import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
@@ -71,8 +74,8 @@
   readonly onSubmission?: (workflow: NewWorkflow) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
-  /** Called for each workflow that is rejected because of the backlog. */
-  readonly onRefused?: (queue: QueueName) => void;
+  /** Called for each workflow that is rejected because of the backlog or a rate. */
+  readonly onRefused?: (queue: QueueName, why: RefusalReason) => void;
 }
 
 /** Handles the calls of clients, workers and operators at the leader. */
@@ -268,7 +271,13 @@
     }
     throwOnFault('submit', findExceededLimit(spec));
     const inFlight = this.submitting.size;
-    this.admission.check({id, queue, spec, inFlight, deadline});
+    const isBeyondRate = this.admission.check({
+      id,
+      queue,
+      spec,
+      inFlight,
+      deadline,
+    });
     this.options.onSubmission?.({id, queue, spec});
     const outcome = this.propose({
       kind: 'submit',
@@ -276,6 +285,7 @@
       queue: queue.name,
       spec,
       at: clock.wall(),
+      ...(isBeyondRate && {isBeyondRate}),
     });
     this.submitting.set(id, outcome);
     try {
--- a/packages/coordination/src/workflow/submission_admission.ts
+++ b/packages/coordination/src/workflow/submission_admission.ts
@@ -3,6 +3,8 @@
 import {
   CellError,
   decideAdmission,
+  type Admission,
+  type CustomerName,
   type Queue,
   type QueueName,
   type WorkflowDb,
@@ -15,6 +17,12 @@
 import {RefusedSubmissions} from '../record_load/refused_submissions.js';
 import type {RecordLoadTask} from '../record_load/task.js';
 
+const REFUSAL_TEXTS: Readonly<Record<RefusalReason, string>> = {
+  backlog: 'workflow rejected: it would finish too late to be useful',
+  over_rate:
+    'workflow rejected: beyond the rate of its customer, without room for all',
+};
+
 /** Options of {@link SubmissionAdmission}. */
 export interface SubmissionAdmissionOptions {
   readonly db: WorkflowDb;
@@ -24,15 +32,20 @@
   readonly load: Pick<LoadSheddingTask, 'decide'>;
   /** Decides given the time that records take. */
   readonly records?: Pick<RecordLoadTask, 'decide'>;
-  /** Called for each workflow that is rejected because of the backlog. */
-  readonly onRefused?: (queue: QueueName) => void;
+  /** Called for each workflow that is rejected because of the backlog or a rate. */
+  readonly onRefused?: (queue: QueueName, why: RefusalReason) => void;
 }
 
+/** Reason of a rejection because of the backlog. */
+export type RefusalReason = 'backlog' | 'over_rate';
+
 /** A submission that is neither known nor in flight. */
 export interface NewSubmission {
   readonly id: WorkflowId;
   readonly queue: Queue;
   readonly spec: WorkflowSpec;
+  /** Customer whose key the client gave; absent without one. */
+  readonly customer?: CustomerName;
   /** Submissions that are proposed and not applied yet. */
   readonly inFlight: number;
   /** Monotonic time until which its caller waits, in ms. */
@@ -49,13 +62,17 @@
     this.loadSheddingLog = new LoadSheddingLog(logger, clock);
   }
 
-  /** @throws CellError `leader_late` or `backlog` for work that is not taken. */
-  check(submission: NewSubmission): void {
-    const {id, queue, spec} = submission;
+  /**
+   * @returns whether the work is taken beyond the rate of its customer.
+   * @throws CellError `leader_late`, `backlog` or `over_rate` for work that is not
+   *   taken.
+   */
+  check(submission: NewSubmission): boolean {
+    const {id} = submission;
     this.rejectWhenRefused(id);
     this.rejectWhenLagging(id);
     this.rejectWhenRecordsAreSlow(submission);
-    this.rejectForBacklog(id, queue, spec);
+    return this.rejectForBacklog(submission);
   }
 
   /** Error for a submission that is refused now; it stays so until its client may return. */
@@ -105,29 +122,42 @@
     throw this.refuse(id, decision.retryAfterMs);
   }
 
-  /** @throws CellError `backlog` for a workflow that would finish too late to be useful. */
-  private rejectForBacklog(
-    id: WorkflowId,
-    queue: Queue,
-    spec: WorkflowSpec,
-  ): void {
-    const {db} = this.options;
-    const admission = decideAdmission(db, queue, spec);
-    if (admission.kind === 'admit') return;
-    const {expectedMs, retryAfterMs} = admission;
-    this.options.onRefused?.(queue.name);
+  /**
+   * @returns whether a workflow is beyond the rate of its customer.
+   * @throws CellError `backlog` for one that would finish too late to be useful,
+   *   `over_rate` for one beyond the rate while not everything can be in time.
+   */
+  private rejectForBacklog(submission: NewSubmission): boolean {
+    const {id, queue, spec, customer} = submission;
+    const {db, clock} = this.options;
+    const admission = decideAdmission(db, queue, spec, {
+      id,
+      wall: clock.wall(),
+      ...(customer !== undefined && {customer}),
+    });
+    if (admission.kind === 'admit') return admission.isBeyondRate === true;
+    throw this.refuseForBacklog(submission, admission);
+  }
+
+  private refuseForBacklog(
+    {id, queue, customer}: NewSubmission,
+    {kind, expectedMs, retryAfterMs}: Exclude<Admission, {kind: 'admit'}>,
+  ): CellError {
+    const why = kind === 'refuse' ? 'backlog' : kind;
+    this.options.onRefused?.(queue.name, why);
     this.options.logger.info(
       {
         decision: 'reject',
         req: id,
         queue: queue.name,
-        why: 'backlog',
+        customer,
+        why,
         expectedMs,
         retryAfterMs,
-        index: db.index,
+        index: this.options.db.index,
       },
-      'workflow rejected: it would finish too late to be useful',
+      REFUSAL_TEXTS[why],
     );
-    throw new CellError({code: 'backlog', step: 'admit', retryAfterMs});
+    return new CellError({code: why, step: 'admit', retryAfterMs});
   }
 }
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -9,7 +9,6 @@
   LoadSheddingTask,
   type RecordLoadTask,
   SchedulerTask,
-  WorkflowReplica,
   WorkflowService,
   type AdvicePort,
   type OrderPort,
@@ -52,6 +51,7 @@
 } from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
+import {makeReplica} from './replica_settings.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
 import {
   WorkflowRequestRouter,
@@ -89,7 +89,7 @@
   readonly gateway: GatewayTask;
   private readonly peers: LinkClient;
   private readonly server: LinkServer;
-  private readonly replica: WorkflowReplica;
+  private readonly replica: ReturnType<typeof makeReplica>;
   private readonly log: ReplicatedLog | null;
   private readonly service: WorkflowService | null;
   private readonly readers: ReplicaReaders | null;
@@ -112,7 +112,7 @@
 
   constructor(private readonly options: ClusterNodeOptions) {
     const {settings, logger} = options;
-    this.replica = new WorkflowReplica({keepEndedMs: settings.keepEndedMs});
+    this.replica = makeReplica(settings);
     this.peers = new LinkClient({
       cell: CLUSTER_NAME,
       vm: settings.peer,
@@ -261,7 +261,7 @@
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
-      onRefused: queue => this.scheduler?.noteRefused(queue),
+      onRefused: (queue, why) => this.scheduler?.noteRefused(queue, why),
       onGivenUp: this.counters.onGivenUp,
       checkLife: life => this.scheduler?.lives.check(life),
       answers: claim => this.scheduler?.lives.answers(claim),
--- a/packages/protocol/src/settings/cluster.ts
+++ b/packages/protocol/src/settings/cluster.ts
@@ -44,6 +44,30 @@
     .min(1000)
     .default(180_000)
     .describe('How long the state of an ended workflow can be queried, in ms.'),
+  rateWindowMs: z
+    .int()
+    .min(100)
+    .max(600_000)
+    .default(5000)
+    .describe('Sliding window of the rates of customers, in ms.'),
+  rateOverage: z
+    .number()
+    .min(0)
+    .default(0.1)
+    .describe('Fraction of its rate by which a customer may exceed it.'),
+  rateSlack: z
+    .number()
+    .min(0)
+    .default(20)
+    .describe(
+      'Workflows per window that a customer may submit in addition to its rate.',
+    ),
+  mayDeferUseless: z
+    .boolean()
+    .default(true)
+    .describe(
+      'Whether work that can no longer be useful is deferred in a bundle without customers, as it is with customers.',
+    ),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error'])
     .default('info')
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -153,6 +153,12 @@
     1000,
     'Queued work would delay this work until it is no longer useful.',
   ),
+  over_rate: reason(
+    429,
+    'not_run',
+    5000,
+    'The customer is beyond its rate, and not all work can be done in time.',
+  ),
   leader_late: reason(
     503,
     'not_run',
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,6 +5,7 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {CustomerRates} from './admission/customer_rate.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
@@ -69,12 +70,16 @@
   /** Tasks under which workers have crashed. */
   readonly crashes = new TaskCrashes(this.workflows);
   readonly open = new OpenWorkflows();
+  /** Accepted submissions by customer. */
+  readonly rates: CustomerRates;
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
   readonly ended: EndedWorkflows;
   private lastIndex = 0;
 
-  constructor({keepEndedMs = KEEP_ENDED_MS}: Partial<WorkflowDbOptions> = {}) {
+  constructor(options: Partial<WorkflowDbOptions> = {}) {
+    const {keepEndedMs = KEEP_ENDED_MS, rate} = options;
+    this.rates = new CustomerRates(rate);
     this.ended = new EndedWorkflows(this.workflows, keepEndedMs);
   }
 
@@ -158,6 +163,7 @@
     this.workflows.clear();
     this.open.clear();
     this.ended.clear();
+    this.rates.clear();
     for (const kept of image.workflows)
       this.addWorkflow({
         ...kept,
@@ -204,6 +210,7 @@
 
   private addWorkflow(workflow: WorkflowState): void {
     this.workflows.set(workflow.id, workflow);
+    this.rates.noteAccepted(workflow);
     if (workflow.phase === 'open') this.open.set(workflow.id, workflow);
     else this.ended.add(workflow.id, workflow.endedAt);
   }
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -10,6 +10,7 @@
   ZoneId,
 } from '../ids/types.js';
 import type {Bundle, Customer, Queue, QueueName} from '../bundle/types.js';
+import type {RateTerms} from './admission/customer_rate.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
 
 /** Id of a workflow, chosen by the client. */
@@ -366,6 +367,8 @@
 export interface WorkflowDbOptions {
   /** How long an ended workflow stays readable, in ms. */
   readonly keepEndedMs: number;
+  /** Terms of the rates of customers. */
+  readonly rate: RateTerms;
 }
 
 /** Serializable image of the whole state. */
