Accepted work that can no longer be useful gives way

Under overload, work that was already past three times its objective took room, turns at the adviser and preemptions from work that could still be in time.

A pure function says whether a workflow would end past three times its objective even if it started now.

--- a/packages/coordination/src/workflow/pass_input.ts
+++ b/packages/coordination/src/workflow/pass_input.ts
@@ -15,6 +15,7 @@
 export interface PassSources {
   readonly clock: Clock;
   readonly callers: SchedulerOptions['callers'];
+  readonly mayDeferUseless?: boolean;
   readonly channels: ReadonlyMap<WorkerId, WorkerChannel>;
   readonly views: WorkerViews;
   readonly orphans: OrphanTracker;
@@ -43,6 +44,7 @@
     remaining: [],
     endingSoon: [],
     callerCount: callers().length,
+    ...(sources.mayDeferUseless && {mayDeferUseless: true}),
     preemptedAt: [...preemptedAt],
     reserved: [...reserved].map(([step, workers]) => [step, [...workers]]),
   };
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -37,6 +37,8 @@
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDispatcherOptions['callers'];
   readonly ask: AdviceDispatcherOptions['ask'];
+  /** Whether useless work is deferred in a bundle without customers. */
+  readonly mayDeferUseless?: boolean;
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
   /** Called for each workflow that has ended. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -373,8 +373,7 @@
     const beganAt = clock.now();
     const times = runTimesOf({db: this.db, clock, channels: this.channels});
     const pass = collectPassInput({
-      clock,
-      callers: this.options.callers,
+      ...this.options,
       channels: this.channels,
       views: this.views,
       orphans: this.orphans,
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -322,8 +322,8 @@
       propose: command => log.propose(command),
       ...this.counters,
       callers: () => this.callers.list(),
-      ask: (vm, step, workers, deadline) =>
-        this.adviceCalls.ask(vm, step, workers, deadline),
+      ask: (...call) => this.adviceCalls.ask(...call),
+      mayDeferUseless: settings.mayDeferUseless,
       recorder: this.journal,
     });
     this.scheduler.start();
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -57,6 +57,7 @@
     pending,
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
+    ...(pass.mayDeferUseless && {mayDeferUseless: true}),
   });
 };
 
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -47,6 +47,8 @@
    */
   readonly endingSoon: ReadonlyArray<readonly [WorkerId, TaskKey]>;
   readonly callerCount: number;
+  /** Whether useless work is deferred in a bundle without customers; else absent. */
+  readonly mayDeferUseless?: boolean;
   /** Workers on which the previous pass reserved resources, by step. */
   readonly reserved: ReadonlyArray<readonly [StepKey, readonly WorkerId[]]>;
   /** When runs were last preempted for each waiting gang; absent in older journals. */
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -9,13 +9,15 @@
 import {StepPlacer} from './placer.js';
 import {QueueShares} from './queue_shares.js';
 import type {Plan, PlanInput} from './types.js';
+import {splitUseless} from './useless_work.js';
 
 /** Plans one pass over all waiting steps. */
 export const plan = (input: PlanInput): Plan => {
   const waiting = findReadySteps(input.db, input.wall);
   if (waiting.length === 0) return withoutPlacing(input);
   const shares = new QueueShares(input);
-  const ready = shares.orderByShare(waiting, input.db);
+  const {useful, useless} = splitUseless(waiting, input);
+  const ready = [...shares.orderByShare(useful, input.db), ...useless];
   const placer = new StepPlacer(input, shares);
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -263,6 +263,7 @@
       if (!worker) {
         for (const {worker: place} of placements) releaseResources(work, place);
         const isReserved =
+          work.ready.isUseless === true ||
           this.preempt(work, waiting.length, candidates) ||
           this.reservations.reserve(work, waiting.length, candidates);
         const why = isReserved ? 'room' : 'never_fits_now';
@@ -285,7 +286,7 @@
   }
 
   /**
-   * Preempts runs of lower priority.
+   * Preempts runs of lower priority; none for work that is useless.
    * @returns whether all tasks will have resources.
    */
   private preempt(
@@ -293,6 +294,7 @@
     taskCount: number,
     candidates: readonly WorkerView[],
   ): boolean {
+    if (work.ready.isUseless) return false;
     const {coversAllTasks, lapsed, chosen} = this.reservations.preempt(
       work,
       taskCount,
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -78,6 +78,8 @@
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
   /** Number of VMs that can call advisers, each one call at a time. */
   readonly callerCount: number;
+  /** Whether useless work is deferred in a bundle without customers. */
+  readonly mayDeferUseless?: boolean;
 }
 
 /** A start to record and then send to the worker. */
@@ -171,4 +173,6 @@
   readonly isLate: boolean;
   /** Whether the step is within the guaranteed share of its queue. */
   readonly isCounted?: boolean;
+  /** Whether its workflow can no longer be useful, and gives way to others. */
+  readonly isUseless?: boolean;
 }
--- a/packages/state/src/workflow/planner/useless_work.ts
+++ b/packages/state/src/workflow/planner/useless_work.ts
@@ -7,6 +7,7 @@
 import type {WorkflowDb} from '../db.js';
 import type {WorkflowState} from '../types.js';
 import {chainFromMs, dueAtOf, startDueAt} from './ready.js';
+import type {PlanInput, ReadyStep} from './types.js';
 
 /** Multiple of its objective after which the result of a workflow is useless. */
 export const USELESS_FACTOR = 3;
@@ -50,3 +51,24 @@
       wall + chainFromMs(spec, step) > uselessAt,
   );
 };
+
+/**
+ * Ready steps of useful and of useless work, each in the given order; all count
+ * as useful if useless work is not deferred.
+ */
+export const splitUseless = (
+  ready: readonly ReadyStep[],
+  {db, wall, mayDeferUseless}: PlanInput,
+): {readonly useful: ReadyStep[]; readonly useless: ReadyStep[]} => {
+  const useful: ReadyStep[] = [];
+  const useless: ReadyStep[] = [];
+  const isDeferring = defersUseless(db, mayDeferUseless);
+  for (const step of ready) {
+    const workflow = isDeferring ? db.open.get(step.ref.workflow) : undefined;
+    const queue = workflow && db.queues.get(workflow.queue);
+    if (workflow && queue && isUseless(workflow, queue, wall))
+      useless.push({...step, isUseless: true});
+    else useful.push(step);
+  }
+  return {useful, useless};
+};
