Zones take turns in a full pool, and recovery is logged

By due time alone, a zone at the crest of its wave takes the room of a full pool first, and nothing showed how long a new leader takes to serve what it found.

Where a pool is full, steps of the same queue and customer take turns by zone, in proportion to what the zones asked for. A line recovered has the times to the first start, the first acceptance and the end of the backlog.

--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '@primrosewick/transport';
 import {AdviceLoad} from './advice_load.js';
 import {QueueLoad, type EndedWait} from './queue_load.js';
+import {RecoveryLog} from './recovery_log.js';
 import {usageOf, type CellUsage} from './queue_usage.js';
 
 /** Interval between two log lines of a queue, in ms. */
@@ -42,17 +43,20 @@
   readonly queues: QueueLoad;
   readonly advice = new AdviceLoad();
   private readonly beganAt: number;
+  private readonly recovery: RecoveryLog;
   /** Queues that had work at the last report. */
   private lastWithWork: ReadonlySet<QueueName> = new Set();
 
   constructor(private readonly options: LoadReportOptions) {
-    const {db, clock} = options;
+    const {db, clock, logger} = options;
     this.queues = new QueueLoad(id => db.workflows.get(id)?.queue);
     this.beganAt = clock.now();
+    this.recovery = new RecoveryLog(logger, db, this.beganAt);
   }
 
   /** Notes all waits of one pass, at a monotonic time in ms. */
   notePass(waits: readonly PlannedWait[], now: number): void {
+    this.recovery.notePass(waits, now);
     for (const wait of this.queues.notePass(waits, now))
       this.options.onWaited?.(wait);
   }
@@ -60,6 +64,7 @@
   /** Counts the ended and voided runs of an applied record. */
   noteRecord(command: WorkflowCommand): void {
     const {queues} = this;
+    this.recovery.noteRecord(command, this.options.clock.now());
     switch (command.kind) {
       case 'end_runs':
         for (const {task, outcome} of command.ends)
--- a/packages/state/src/workflow/planner/core.ts
+++ b/packages/state/src/workflow/planner/core.ts
@@ -10,6 +10,7 @@
 import {QueueShares} from './queue_shares.js';
 import type {Plan, PlanInput} from './types.js';
 import {splitUseless} from './useless_work.js';
+import {orderByZone} from './zone_turns.js';
 
 /** Plans one pass over all waiting steps. */
 export const plan = (input: PlanInput): Plan => {
@@ -17,7 +18,8 @@
   if (waiting.length === 0) return withoutPlacing(input);
   const shares = new QueueShares(input);
   const {useful, useless} = splitUseless(waiting, input);
-  const ready = [...shares.orderByShare(useful, input.db), ...useless];
+  const served = orderByZone(shares.orderByShare(useful, input.db), input);
+  const ready = [...served, ...useless];
   const placer = new StepPlacer(input, shares);
   for (const step of ready) placer.place(step);
   for (const step of ready) placer.placeCopies(step);
