--- a/packages/coordination/src/workflow/pass_input.ts
+++ b/packages/coordination/src/workflow/pass_input.ts
@@ -15,6 +15,9 @@
 export interface PassSources {
   readonly clock: Clock;
   readonly callers: SchedulerOptions['callers'];
+  readonly mayDeferUseless?: boolean;
+  /** Whether zones take turns where a pool is full. */
+  readonly mayShareZones?: boolean;
   readonly channels: ReadonlyMap<WorkerId, WorkerChannel>;
   readonly views: WorkerViews;
   readonly orphans: OrphanTracker;
@@ -43,6 +46,8 @@
     remaining: [],
     endingSoon: [],
     callerCount: callers().length,
+    ...(sources.mayDeferUseless && {mayDeferUseless: true}),
+    ...(sources.mayShareZones && {mayShareZones: true}),
     preemptedAt: [...preemptedAt],
     reserved: [...reserved].map(([step, workers]) => [step, [...workers]]),
   };
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -38,6 +38,10 @@
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDispatcherOptions['callers'];
   readonly ask: AdviceDispatcherOptions['ask'];
+  /** Whether useless work is deferred in a bundle without customers. */
+  readonly mayDeferUseless?: boolean;
+  /** Whether zones take turns where a pool is full. */
+  readonly mayShareZones?: boolean;
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
   /** Called at intervals with the spread of the learned speeds. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -26,6 +26,7 @@
 import {AdviceDispatcher} from './advice_dispatcher.js';
 import {ChannelSet} from './channel_set.js';
 import {EndLog} from './end_log.js';
+import {FirstStartLog} from './first_start_log.js';
 import {LEASE_MS, LEADERSHIP_MARGIN_MS, MAX_GRANTED_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
@@ -39,6 +40,7 @@
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {KnownLives} from './known_lives.js';
 import {OrphanTracker} from './orphan_tracker.js';
+import type {RefusalReason} from './submission_admission.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
 import {WorkerViews} from './worker_views.js';
@@ -72,6 +74,7 @@
   private readonly waitLog: WaitLog;
   private readonly endLog: EndLog;
   private readonly timeline = new StartTimeline();
+  private readonly firstStarts: FirstStartLog;
   private readonly passLoad: PassLoad;
   private readonly load: LoadReport;
   private readonly runLog: RunLog;
@@ -106,6 +109,7 @@
     this.waitLog = new WaitLog(logger);
     this.endLog = new EndLog(logger, replica.db);
     this.passLoad = new PassLoad(logger, this.startedAt);
+    this.firstStarts = new FirstStartLog({...options, timeline: this.timeline});
     this.load = new LoadReport({
       db: replica.db,
       clock,
@@ -249,17 +253,6 @@
     this.timeline.note(id, moment, this.options.clock.now());
   }
 
-  /** Logs the time spent in each stage before the workflow's first start. */
-  private logFirstStart(id: WorkflowId): void {
-    const stages = this.timeline.finish(id, this.options.clock.now());
-    if (!stages) return;
-    const queue = this.db.workflows.get(id)?.queue;
-    this.options.logger.info(
-      {decision: 'first_start', req: id, queue, stages},
-      'first task of a workflow is running',
-    );
-  }
-
   /** Opens and closes channels, so that each registered incarnation has one. */
   private syncChannels(): void {
     if (this.isClosed) return;
@@ -291,7 +284,7 @@
       crashEvidence: () => this.lives.crashEvidenceOf(life.worker),
       onChange: () => this.schedulePass(),
       onGivenUp: this.options.onGivenUp,
-      onStarted: task => this.logFirstStart(task.workflow),
+      onStarted: task => this.firstStarts.log(task.workflow),
       onStartFailed: (task, failure) => {
         if (failure.kind === 'refused' && failure.why === 'unhealthy')
           this.noteEvidence(life.worker, task.workflow, 'refused');
@@ -375,8 +368,7 @@
     const beganAt = clock.now();
     const times = runTimesOf({db: this.db, clock, channels: this.channels});
     const pass = collectPassInput({
-      clock,
-      callers: this.options.callers,
+      ...this.options,
       channels: this.channels,
       views: this.views,
       orphans: this.orphans,
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -33,8 +33,11 @@
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
-import {SubmissionAdmission} from './submission_admission.js';
 import {CapCheck} from './cap_check.js';
+import {
+  SubmissionAdmission,
+  type RefusalReason,
+} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
 import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
@@ -78,10 +81,10 @@
   readonly onAccepted?: (customer: CustomerName | undefined) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
-  /** Called for each workflow that is rejected because of the backlog or a cap. */
+  /** Called for each workflow that is rejected because of the backlog, a rate or a cap. */
   readonly onRefused?: (
     queue: QueueName,
-    why: 'backlog' | 'cap_exceeded',
+    why: RefusalReason | 'cap_exceeded',
   ) => void;
 }
 
@@ -304,7 +307,14 @@
     const customer = payer?.name;
     this.caps.check({id, queue, spec, customer: payer});
     const inFlight = this.submitting.size;
-    this.admission.check({id, queue, spec, inFlight, deadline});
+    const isBeyondRate = this.admission.check({
+      id,
+      queue,
+      spec,
+      inFlight,
+      deadline,
+      ...(customer !== undefined && {customer}),
+    });
     this.options.onSubmission?.({
       id,
       queue,
@@ -319,6 +329,7 @@
       at: clock.wall(),
       ...(customer !== undefined && {customer}),
       ...(zone !== undefined && {zone}),
+      ...(isBeyondRate && {isBeyondRate}),
     });
     this.submitting.set(id, outcome);
     try {
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -9,7 +9,6 @@
   LoadSheddingTask,
   type RecordLoadTask,
   SchedulerTask,
-  WorkflowReplica,
   WorkflowService,
   type AdvicePort,
   type OrderPort,
@@ -45,6 +44,7 @@
 import {makeReplicaReaders, type ReplicaReaders} from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
+import {makeReplica} from './replica_settings.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
 import {
   WorkflowRequestRouter,
@@ -82,7 +82,7 @@
   readonly gateway: GatewayTask;
   private readonly peers: LinkClient;
   private readonly server: LinkServer;
-  private readonly replica: WorkflowReplica;
+  private readonly replica: ReturnType<typeof makeReplica>;
   private readonly log: ReplicatedLog | null;
   private readonly service: WorkflowService | null;
   private readonly readers: ReplicaReaders | null;
@@ -106,7 +106,7 @@
 
   constructor(private readonly options: ClusterNodeOptions) {
     const {settings, logger} = options;
-    this.replica = new WorkflowReplica({keepEndedMs: settings.keepEndedMs});
+    this.replica = makeReplica(settings);
     this.peers = new LinkClient({
       cell: CLUSTER_NAME,
       vm: settings.peer,
@@ -328,8 +328,9 @@
       propose: command => log.propose(command),
       ...this.counters,
       callers: () => this.callers.list(),
-      ask: (vm, step, workers, deadline) =>
-        this.adviceCalls.ask(vm, step, workers, deadline),
+      ask: (...call) => this.adviceCalls.ask(...call),
+      mayDeferUseless: settings.mayDeferUseless,
+      mayShareZones: settings.mayShareZones,
       recorder: this.journal,
     });
     this.scheduler.start();
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -159,6 +159,12 @@
     5000,
     'A task or gang needs more at once than the cap of its customer allows.',
   ),
+  over_rate: reason(
+    429,
+    'not_run',
+    5000,
+    'The customer is beyond its rate, and not all work can be done in time.',
+  ),
   leader_late: reason(
     503,
     'not_run',
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -66,6 +66,8 @@
     ],
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
+    ...(pass.mayDeferUseless && {mayDeferUseless: true}),
+    ...(pass.mayShareZones && {mayShareZones: true}),
   });
 };
 
