The rest of a cap is kept only for work that can use it

Cause: a gang that no workers could hold kept the rest of its customer's cap again and again, a useless gang counted toward the cap without any reserved room, and a task larger than what was left of the cap was overtaken by small tasks of the same customer for ever.

Change: the rest is kept only if the suitable workers can hold the step, useless gangs count nothing, and a single task keeps the rest too once its workflow is late.

--- a/packages/state/src/workflow/planner/attempts.ts
+++ b/packages/state/src/workflow/planner/attempts.ts
@@ -118,7 +118,7 @@
 };
 
 /** Whether the empty workers have room for a number of tasks of a step. */
-const canHold = (
+export const canHold = (
   work: StepWork,
   taskCount: number,
   workers: readonly WorkerView[],
--- a/packages/state/src/workflow/planner/customer_caps.spec.ts
+++ b/packages/state/src/workflow/planner/customer_caps.spec.ts
@@ -113,6 +113,52 @@
     submit(blocked, 'small', {taskCount: 3}, {queue: 'low'});
     expect(resultOf(blocked).counts).to.eql({small: 3});
   });
+  // Guards against a gang that no worker can hold: each time the customer's runs
+  // had drained for it, it could not start, and all other work waited in vain.
+  it('a gang that the workers can never hold keeps nothing of the cap', () => {
+    const log = logOf(capOf(5000));
+    submit(log, 'run', {taskCount: 2});
+    for (let i = 0; i < 2; i++) log.start('w0', testTask('run', 0, i));
+    const requiredLabel = 'of no worker' as never;
+    submit(log, 'gang', {taskCount: 4, isGang: true, requiredLabel});
+    submit(log, 'small', {taskCount: 3}, {queue: 'low'});
+    expect(resultOf(log)).to.eql({
+      counts: {small: 3},
+      waits: [['gang', 'cap']],
+    });
+  });
+  // Guards against a large task that small ones of its customer starve.
+  it('a large task keeps the rest of the cap once it is late', () => {
+    const log = logOf(capOf(5000));
+    submit(log, 'run', {taskCount: 3});
+    for (let i = 0; i < 3; i++) log.start('w0', testTask('run', 0, i));
+    submit(log, 'large', {room: capOf(4000, 100)});
+    submit(log, 'small', {taskCount: 3}, {queue: 'low'});
+    expect(resultOf(log).counts).to.eql({small: 2});
+    // 2.5 s are allowed from 1,000 ms on.
+    expect(resultOf(log, {wall: 3499}).counts).to.eql({small: 2});
+    expect(resultOf(log, {wall: 3500}).counts).to.eql({});
+    log.end('w0', testTask('run', 0, 0), 'done');
+    log.end('w0', testTask('run', 0, 1), 'done');
+    expect(resultOf(log, {wall: 3500}).counts).to.eql({large: 1});
+  });
+  // Guards against a gang that reserves nothing and yet counts toward the cap.
+  it('a useless gang without room leaves the cap to other work', () => {
+    const log = logOf(capOf(12_000));
+    submit(
+      log,
+      'lasting',
+      {taskCount: 10, isLongRunning: true},
+      {
+        customer: 'b',
+      },
+    );
+    for (let i = 0; i < 10; i++)
+      log.start(`w${i % 4}`, testTask('lasting', 0, i));
+    submit(log, 'gang', {taskCount: 12, isGang: true});
+    submit(log, 'small', {taskCount: 4});
+    expect(resultOf(log, {wall: 9000}).counts).to.eql({small: 4});
+  });
   it('starts that are not recorded and tasks held back count', () => {
     const log = logOf(capOf(3000));
     submit(log, 'wide', {taskCount: 8});
--- a/packages/state/src/workflow/planner/customer_caps.ts
+++ b/packages/state/src/workflow/planner/customer_caps.ts
@@ -22,7 +22,7 @@
   used: Resources;
   /** Resources of its long-running tasks. */
   readonly lasting: Resources;
-  /** Whether the rest of the cap is kept for a gang that waits for it. */
+  /** Whether the rest of the cap is kept for a step that waits for it. */
   isKept: boolean;
 }
 
@@ -50,7 +50,12 @@
 export class CustomerCaps {
   private readonly usages = new Map<CustomerName, Usage>();
 
-  constructor(input: Pick<PlanInput, 'db' | 'pending' | 'mayRun'>) {
+  constructor(
+    private readonly input: Pick<
+      PlanInput,
+      'db' | 'pending' | 'mayRun' | 'wall'
+    >,
+  ) {
     const {db} = input;
     for (const customer of db.customers.values()) {
       const {declared, lasting} = db.usage.of(customer.name);
@@ -88,17 +93,17 @@
   }
 
   /**
-   * Keeps the rest of the cap from later steps for a gang that does not fit
-   * beside what runs; not for one that would not fit beside the long-running
-   * tasks alone, as it would stop its customer for good.
+   * Keeps the rest of the cap from later steps for a gang, or for a late task,
+   * that does not fit beside what runs; not for one that would not fit beside
+   * the long-running tasks alone, as it would stop its customer for good.
    */
-  keepForGang({workflow, spec}: CappedStep): void {
+  keepRest({workflow, spec}: CappedStep, dueAt: number): void {
     const usage = this.usageOf({workflow, spec});
-    if (!usage || !spec.isGang) return;
-    if (
-      countUnderCap(spec.room, usage.lasting, usage.customer.cap) >=
-      spec.taskCount
-    )
+    if (!usage || !(spec.isGang || this.input.wall >= dueAt)) return;
+    const {lasting, used, customer} = usage;
+    const neededCount = spec.isGang ? spec.taskCount : 1;
+    if (countUnderCap(spec.room, used, customer.cap) >= neededCount) return;
+    if (countUnderCap(spec.room, lasting, customer.cap) >= neededCount)
       usage.isKept = true;
   }
 
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -5,7 +5,7 @@
 import {fitsInto} from '../resources.js';
 import type {StepKey} from '../types.js';
 import {AdviceRequester} from './advice_requester.js';
-import {AttemptWorkers} from './attempts.js';
+import {AttemptWorkers, canHold} from './attempts.js';
 import {CandidateWorkers} from './candidate_workers.js';
 import {findExpectedStragglers} from './copies.js';
 import type {CustomerCaps} from './customer_caps.js';
@@ -247,11 +247,12 @@
       }
       if (!worker) {
         for (const {worker: place} of placements) releaseResources(work, place);
+        const isUseless = work.ready.isUseless === true;
         const isReserved =
-          work.ready.isUseless === true ||
-          this.preempt(work, waiting.length, candidates) ||
-          this.reservations.reserve(work, waiting.length, candidates);
-        const why = isReserved ? 'room' : 'never_fits_now';
+          !isUseless &&
+          (this.preempt(work, waiting.length, candidates) ||
+            this.reservations.reserve(work, waiting.length, candidates));
+        const why = isReserved || isUseless ? 'room' : 'never_fits_now';
         if (isReserved) this.caps.claim(work, waiting.length);
         return this.wait(work, why, waiting.length, candidates.length);
       }
@@ -320,9 +321,11 @@
 
   /** Holds tasks back as their customer may not have more running. */
   private waitForCap(work: StepWork, taskCount: number): void {
-    this.caps.keepForGang(work);
+    const {ref, dueAt} = work.ready;
+    const neededCount = work.spec.isGang ? taskCount : 1;
+    if (canHold(work, neededCount, this.candidates.suitable(work)))
+      this.caps.keepRest(work, dueAt);
     const cap = this.caps.waitOf(work);
-    const {ref} = work.ready;
     this.waits.push({
       step: ref,
       why: 'cap',
