Sums of resources are exact, so that a restored voter plans the same

Cause: clients may declare fractions of their resources. The totals of customers and workers were sums in the order of the records, and a voter that is restored from an image adds in another order. With the last bits different, passes planned different starts.

Change: what is summed is rounded to multiples of a power of two, whose sums and differences are exact. Integers stay as they are.

--- a/packages/state/src/workflow/customer_usage.ts
+++ b/packages/state/src/workflow/customer_usage.ts
@@ -9,6 +9,7 @@
   addResources,
   fitsInto,
   subtractResources,
+  summable,
 } from './resources.js';
 import type {Resources, WorkflowState} from './types.js';
 
@@ -80,14 +81,14 @@
     const known = this.totals.get(customer);
     const totals = known ?? {...NO_TOTALS, heldByQueue: new Map()};
     totals.runs += sign;
-    // Without runs the totals start anew, so that rounding errors do not add up.
     if (totals.runs === 0) return void this.totals.delete(customer);
     const change = sign > 0 ? addResources : subtractResources;
-    totals.declared = change(totals.declared, step.room);
-    if (step.isLongRunning) totals.lasting = change(totals.lasting, step.room);
+    const room = summable(step.room);
+    totals.declared = change(totals.declared, room);
+    if (step.isLongRunning) totals.lasting = change(totals.lasting, room);
     if (!step.usesLeftover) {
       const held = totals.heldByQueue.get(queue) ?? NO_RESOURCES;
-      setUnlessNone(totals.heldByQueue, queue, change(held, step.room));
+      setUnlessNone(totals.heldByQueue, queue, change(held, room));
     }
     this.totals.set(customer, totals);
   }
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -16,7 +16,12 @@
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
-import {NO_RESOURCES, addResources, subtractResources} from './resources.js';
+import {
+  NO_RESOURCES,
+  addResources,
+  subtractResources,
+  summable,
+} from './resources.js';
 import {OrphanedRuns} from './orphaned_runs.js';
 import {StopCandidates} from './stop_candidates.js';
 import {
@@ -207,7 +212,7 @@
   /** Resources that a task holds on its worker. */
   resourcesOf({workflow, step}: TaskRef): Resources {
     const spec = this.workflows.get(workflow)?.spec.steps[step];
-    return !spec || spec.usesLeftover ? NO_RESOURCES : spec.room;
+    return !spec || spec.usesLeftover ? NO_RESOURCES : summable(spec.room);
   }
 
   private addStopCandidate(task: TaskRef): void {
--- a/packages/state/src/workflow/resources.ts
+++ b/packages/state/src/workflow/resources.ts
@@ -4,6 +4,22 @@
 /** No resources. */
 export const NO_RESOURCES: Resources = {cpuMillis: 0, memMb: 0, gpus: 0};
 
+/** Parts of a unit to which summed resources are rounded; a power of two. */
+const PARTS_PER_UNIT = 2 ** 20;
+
+/**
+ * Rounds resources so that their sums and differences are exact. Clients may
+ * declare fractions, whose sums would depend on the order of the records.
+ */
+export const summable = ({cpuMillis, memMb, gpus}: Resources): Resources => ({
+  cpuMillis: toParts(cpuMillis),
+  memMb: toParts(memMb),
+  gpus: toParts(gpus),
+});
+
+const toParts = (amount: number): number =>
+  Math.round(amount * PARTS_PER_UNIT) / PARTS_PER_UNIT;
+
 /** Sum of two amounts. */
 export const addResources = (a: Resources, b: Resources): Resources => ({
   cpuMillis: a.cpuMillis + b.cpuMillis,
