A submission recorded after its customer was dropped keeps to the cap

Cause: a bundle that dropped a customer without work also dropped its terms. A submission that was proposed before and recorded after that bundle then ran without any cap.

A new optional field of the state image carries them.

Result: a spec in customer_caps.spec.ts fails without the change and passes with it, also with a restored image.

--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -172,7 +172,7 @@
     this.bundle = image.bundle;
     this.queues.clear();
     for (const queue of image.queues) this.queues.set(queue.name, queue);
-    this.customers.restore(image.customers);
+    this.customers.restore(image.customers, image.droppedCustomers);
     this.workflows.clear();
     this.open.clear();
     this.ended.clear();
@@ -243,6 +243,7 @@
     const {id, queue, spec, at} = command;
     this.ended.removeOld(at);
     if (this.workflows.has(id)) return;
+    this.customers.noteWork(command.customer);
     this.addWorkflow({
       id,
       queue,
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -2,6 +2,7 @@
  * The state of workflows as plain data, without what can be derived from the
  * rest.
  */
+import type {Customer} from '../bundle/types.js';
 import type {WorkflowDb} from './db.js';
 import {indexRun, noPreemptibleRuns} from './preemptible_runs.js';
 import {taskKey} from './refs.js';
@@ -23,6 +24,9 @@
 const withEstimates = (estimates: WorkflowImage['estimates']) =>
   estimates === undefined ? {} : {estimates};
 
+const withDropped = (droppedCustomers: readonly Customer[]) =>
+  droppedCustomers.length === 0 ? {} : {droppedCustomers};
+
 /** Creates a serializable image of the whole state. */
 export const imageOf = ({
   index,
@@ -44,6 +48,7 @@
   bundle,
   queues: [...queues.values()],
   ...(customers.size > 0 && {customers: [...customers.values()]}),
+  ...withDropped(customers.droppedValues()),
   workflows: [...workflows.values()].map(workflow => ({
     id: workflow.id,
     queue: workflow.queue,
--- a/packages/state/src/workflow/planner/customer_caps.spec.ts
+++ b/packages/state/src/workflow/planner/customer_caps.spec.ts
@@ -245,6 +245,20 @@
     log.apply({kind: 'put_bundle', bundle});
     expect(resultOf(log).counts).to.eql({wide: 3});
   });
+  // Guards against work without a cap, whose submission was proposed by a leader
+  // that had not applied the bundle yet.
+  it('work that is recorded after its customer was dropped keeps to its last cap', () => {
+    for (const isRestored of [false, true]) {
+      const log = logOf(capOf(3000));
+      const bundle = {...log.db.bundle!, version: 2, customers: []};
+      log.apply({kind: 'put_bundle', bundle});
+      expect(log.db.customers.size).to.equal(0);
+      if (isRestored)
+        log.db.restore(JSON.parse(JSON.stringify(log.db.toImage())));
+      submit(log, 'wide', {taskCount: 8});
+      expect(resultOf(log).counts).to.eql({wide: 3});
+    }
+  });
   it('no pass brings a customer above its cap, and all its work is done', () => {
     const log = logOf(capOf(5500, 700));
     submit(log, 'wide', {taskCount: 25, room: capOf(1000, 150)});
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -403,6 +403,8 @@
   readonly queues: readonly Queue[];
   /** Customers with their last terms; absent in images without any. */
   readonly customers?: readonly Customer[];
+  /** Dropped customers without work; absent in older images, or without any. */
+  readonly droppedCustomers?: readonly Customer[];
   readonly workflows: ReadonlyArray<
     Omit<WorkflowState, 'occurrences' | 'activeRuns'> & {
       /** Read by earlier versions only: it is derived from `occurrences`. */
