Useless work is judged by learned run times

Cause: admission, due times and lateness use the learned run times, but work was found useless by the estimates of the clients. Work that admission takes as in time, with an estimate far too short, gave way at once; with one far too long, it never did.

Change: the objective and the remaining time are those of the expected critical path, as for due times.

Result: a spec in useless_work.spec.ts fails with declared estimates and passes with learned ones; without learned times nothing differs.

--- a/packages/state/src/workflow/admission/core.ts
+++ b/packages/state/src/workflow/admission/core.ts
@@ -280,7 +280,7 @@
     };
   const mayDefer = submission !== undefined && defersUseless(db);
   const isUseful: BacklogFilter = (workflow, other) =>
-    !mayDefer || !isUseless(workflow, other, submission.wall);
+    !mayDefer || !isUseless(db, workflow, other, submission.wall);
   if (submission && waitMs > 0)
     return decideBeyondRate(db, queue, spec, {
       id: submission.id,
--- a/packages/state/src/workflow/planner/useless_work.spec.ts
+++ b/packages/state/src/workflow/planner/useless_work.spec.ts
@@ -27,12 +27,30 @@
     const log = makeLog();
     log.apply(submitOf('a', {spec: ONE}));
     const workflow = log.db.open.get('a' as never)!;
-    const at = (wall: number) => isUseless(workflow, QUEUE, wall);
+    const at = (wall: number) => isUseless(log.db, workflow, QUEUE, wall);
     expect(at(1000 + 7500 - 1000)).to.equal(false);
     expect(at(1000 + 7500 - 999)).to.equal(true);
     expect(at(1000 + 8 * 2500 - 1)).to.equal(true);
     expect(at(1000 + 8 * 2500)).to.equal(false);
   });
+  // Guards against work that admission takes by its learned time, and that then
+  // gives way as its client declared less.
+  it('is judged by learned run times', () => {
+    const log = makeLog();
+    log.apply(submitOf('a', {spec: ONE}));
+    const [mean, bias] = [Math.log(4000), Math.log(4)];
+    log.db.estimates.durations.restore([
+      [
+        'queue\n#0',
+        [48, mean, 0.01, 48, bias, 0.01, 4000, 1000, mean, 0.01, bias, 0.01],
+      ],
+    ]);
+    const workflow = log.db.open.get('a' as never)!;
+    const at = (wall: number) => isUseless(log.db, workflow, QUEUE, wall);
+    // Of three times 8.5 s, four seconds are needed.
+    expect(at(1000 + 25_500 - 4000)).to.equal(false);
+    expect(at(1000 + 25_500 - 3999)).to.equal(true);
+  });
   it('does not contain what runs, is timed, or never ends', () => {
     const log = makeLog();
     const timed = {...ONE, firstDueAt: 1000};
@@ -41,7 +59,7 @@
       log.apply(submitOf(id, {spec}));
     log.start('w1', testTask('runs', 0, 0));
     for (const workflow of log.db.open.values())
-      expect(isUseless(workflow, QUEUE, 10_000)).to.equal(false);
+      expect(isUseless(log.db, workflow, QUEUE, 10_000)).to.equal(false);
   });
   it('gives way to work that can be in time, and is done when there is room', () => {
     const log = makeLog();
--- a/packages/state/src/workflow/planner/useless_work.ts
+++ b/packages/state/src/workflow/planner/useless_work.ts
@@ -6,7 +6,8 @@
 import type {Queue} from '../../bundle/types.js';
 import type {WorkflowDb} from '../db.js';
 import type {WorkflowState} from '../types.js';
-import {chainFromMs, dueAtOf, startDueAt} from './ready.js';
+import {expectedChains} from './expected_times.js';
+import {dueAtOf, startDueAt} from './ready.js';
 import type {PlanInput, ReadyStep} from './types.js';
 
 /** Multiple of its objective after which the result of a workflow is useless. */
@@ -33,6 +34,7 @@
  * not useless.
  */
 export const isUseless = (
+  db: Pick<WorkflowDb, 'estimates'>,
   workflow: WorkflowState,
   queue: Queue,
   wall: number,
@@ -41,14 +43,15 @@
   if (spec.firstDueAt > 0 || spec.steps.some(step => step.isLongRunning))
     return false;
   const startAt = startDueAt(workflow, 0);
-  const allowedMs = dueAtOf(workflow, queue, 0) - startAt;
+  const {longestMs, fromMs} = expectedChains(db, workflow, 0);
+  const allowedMs = dueAtOf(workflow, queue, 0, longestMs) - startAt;
   if (wall >= startAt + STARVED_FACTOR * allowedMs) return false;
   const uselessAt = startAt + USELESS_FACTOR * allowedMs;
   const states = occurrences.get(0);
   return spec.steps.some(
     (_, step) =>
       (!states || (states[step]?.idleCount ?? 0) > 0) &&
-      wall + chainFromMs(spec, step) > uselessAt,
+      wall + (fromMs[step] ?? 0) > uselessAt,
   );
 };
 
@@ -66,7 +69,7 @@
   for (const step of ready) {
     const workflow = isDeferring ? db.open.get(step.ref.workflow) : undefined;
     const queue = workflow && db.queues.get(workflow.queue);
-    if (workflow && queue && isUseless(workflow, queue, wall))
+    if (workflow && queue && isUseless(db, workflow, queue, wall))
       useless.push({...step, isUseless: true});
     else useful.push(step);
   }
