Later attempts do not wait forever beside free workers

Cause: a task never returned to a worker where it failed as long as the other workers could hold it while empty, and a failed gang waited for proven workers in the same way. Where the others were occupied by runs that never end, both waited forever beside free workers.

Change: a gang waits for proven workers without room for at most two seconds. After 2.5 seconds a task may return to a worker where it failed, if no other has room and the workers are mostly free.

Result: two specs in attempts.spec.ts fail without the change and pass with it; the planner's specs pass.

--- a/packages/state/src/workflow/planner/attempts.spec.ts
+++ b/packages/state/src/workflow/planner/attempts.spec.ts
@@ -8,6 +8,9 @@
 /** Wall time right after the ends that a `TestLog` records. */
 const SOON = 2100;
 
+/** Leaves no room for a second one on a worker. */
+const BIG = {cpuMillis: 3000, memMb: 100, gpus: 0};
+
 /** A workflow whose only task has failed once on the first of some workers. */
 const failedLog = (
   maxAttempts: number,
@@ -73,6 +76,45 @@
     expect(startsAt(log, SOON)).to.not.include('w1');
     expect(startsAt(log, SOON)).to.have.length(2);
   });
+  // Guards against a task that waits forever while most workers are free: the
+  // runs of the only other worker may never end.
+  it('a task returns to a worker where it failed if no other has room, but not soon', () => {
+    const all = {room: {cpuMillis: 4000, memMb: 100, gpus: 0}};
+    const lasting = testSpec([testStep({...all, isLongRunning: true})]);
+    const occupied = (workers: readonly string[]) => {
+      const log = failedLog(4, workers);
+      for (const worker of workers.slice(1)) {
+        log.submit(`on-${worker}`, lasting);
+        log.start(worker, testTask(`on-${worker}`, 0, 0));
+      }
+      return log;
+    };
+    const log = occupied(['w1', 'w2']);
+    expect(startsAt(log, SOON)).to.eql([]);
+    expect(startsAt(log, 2000 + 2499)).to.eql([]);
+    expect(startsAt(log, 2000 + 2500)).to.eql(['w1']);
+    expect(startsAt(occupied(['w1', 'w2', 'w3']), 2000 + 2500)).to.eql([]);
+  });
+  // Guards against a gang that waits forever for workers that are proven by small
+  // runs beside those that take their room.
+  it('a gang waits for proven workers, but not for long', () => {
+    const log = new TestLog({queues: [testQueue({maxAttempts: 4})]});
+    for (let i = 1; i <= 5; i++) log.addWorker(`w${i}`);
+    const gang = testStep({taskCount: 2, isGang: true, room: BIG});
+    log.submit('job', testSpec([gang]));
+    log.start('w1', testTask('job', 0, 0));
+    log.start('w2', testTask('job', 0, 1));
+    log.end('w1', testTask('job', 0, 0), 'failed');
+    log.end('w2', testTask('job', 0, 1), 'broken');
+    for (const worker of ['w2', 'w3']) {
+      finishOn(log, worker);
+      const id = `lasting-on-${worker}`;
+      log.submit(id, testSpec([testStep({isLongRunning: true, room: BIG})]));
+      log.start(worker, testTask(id, 0, 0));
+    }
+    expect(startsAt(log, SOON)).to.eql([]);
+    expect(startsAt(log, 2000 + 2000)).to.have.members(['w4', 'w5']);
+  });
   it('a restored state still knows where a task failed', () => {
     const log = failedLog(4, ['w1', 'w2']);
     const restored = new WorkflowDb();
--- a/packages/state/src/workflow/planner/attempts.ts
+++ b/packages/state/src/workflow/planner/attempts.ts
@@ -5,8 +5,8 @@
  * could be done has none left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {fitsInto} from '../resources.js';
-import type {FailedRun} from '../types.js';
+import {NO_RESOURCES, addResources, fitsInto} from '../resources.js';
+import type {FailedRun, Resources} from '../types.js';
 import {taskResources, type StepWork} from './step_work.js';
 import type {PlanInput, WorkerView} from './types.js';
 import type {WorkerChoice} from './worker_choice.js';
@@ -18,6 +18,14 @@
  * ms; in a quiet pool few workers have finished a run of late.
  */
 const LAST_ATTEMPT_WAIT_MS = 2000;
+/**
+ * Time after a failure from which on a task may return to a worker where it
+ * failed, in ms, if no other one has room while the workers are mostly free;
+ * runs of the other workers may never end. A faulty worker is set aside by then.
+ */
+const RETURN_AFTER_MS = 2500;
+/** Fraction of the workers' resources from which on they count as mostly free. */
+const MOSTLY_FREE = 0.5;
 /** Failures of one task in a rack from which on the rack is avoided. */
 const RACK_FAILURES = 2;
 
@@ -44,7 +52,10 @@
     const chosen = this.choice.best(work, proven);
     if (chosen) return chosen;
     const mayWait = this.isWaiting(work, index) && canHold(work, 1, proven);
-    return mayWait ? undefined : this.choice.best(work, others);
+    if (mayWait) return undefined;
+    const other = this.choice.best(work, others);
+    if (other || !this.mayReturn(failedRuns, candidates)) return other;
+    return this.choice.best(work, candidates);
   }
 
   /** Whether a task may wait for a proven worker, as it has one attempt left. */
@@ -64,7 +75,31 @@
     const failedRuns = work.state.tasks.flatMap(task => task.failedRuns ?? []);
     const others = withoutFailed(work, failedRuns, memberCount, candidates);
     const proven = others.filter(worker => this.isProven(worker));
-    return canHold(work, memberCount, proven) ? proven : others;
+    const holdsNow = (workers: readonly WorkerView[]): boolean =>
+      canHold(work, memberCount, workers, ({free}) => free);
+    if (holdsNow(proven)) return proven;
+    const mayWait = this.sinceFailure(failedRuns) < LAST_ATTEMPT_WAIT_MS;
+    if (mayWait && canHold(work, memberCount, proven)) return proven;
+    return !holdsNow(others) && this.mayReturn(failedRuns, candidates)
+      ? candidates
+      : others;
+  }
+
+  /** Whether a task may return to workers where it failed. */
+  private mayReturn(
+    failedRuns: readonly FailedRun[],
+    candidates: readonly WorkerView[],
+  ): boolean {
+    return (
+      this.sinceFailure(failedRuns) >= RETURN_AFTER_MS &&
+      areMostlyFree(candidates)
+    );
+  }
+
+  /** Time since the latest failure, in ms; the wall clock may have been set back. */
+  private sinceFailure(failedRuns: readonly FailedRun[]): number {
+    const failedAt = Math.max(...failedRuns.map(({at}) => at));
+    return Math.abs(this.input.wall - failedAt);
   }
 
   private isProven({worker}: WorkerView): boolean {
@@ -80,10 +115,8 @@
     {ready}: StepWork,
     failedRuns: readonly FailedRun[],
   ): boolean {
-    const {wall} = this.input;
-    const failedAt = Math.max(...failedRuns.map(({at}) => at));
-    const waitedMs = Math.abs(wall - failedAt);
-    return wall < ready.dueAt && waitedMs < LAST_ATTEMPT_WAIT_MS;
+    const isInTime = this.input.wall < ready.dueAt;
+    return isInTime && this.sinceFailure(failedRuns) < LAST_ATTEMPT_WAIT_MS;
   }
 }
 
@@ -117,16 +150,34 @@
   );
 };
 
-/** Whether the empty workers have room for a number of tasks of a step. */
+const areMostlyFree = (workers: readonly WorkerView[]): boolean => {
+  let free = NO_RESOURCES;
+  let whole = NO_RESOURCES;
+  for (const worker of workers) {
+    free = addResources(free, worker.free);
+    whole = addResources(whole, worker.room);
+  }
+  return (
+    free.cpuMillis >= MOSTLY_FREE * whole.cpuMillis &&
+    free.memMb >= MOSTLY_FREE * whole.memMb
+  );
+};
+
+/**
+ * Whether workers have room for a number of tasks of a step; by default while
+ * they are empty.
+ */
 export const canHold = (
   work: StepWork,
   taskCount: number,
   workers: readonly WorkerView[],
+  roomOf: (worker: WorkerView) => Resources = ({room}) => room,
 ): boolean => {
   const size = taskResources(work);
   const limit = work.spec.maxPerWorker || taskCount;
   let held = 0;
-  for (const {room} of workers) {
+  for (const worker of workers) {
+    const room = roomOf(worker);
     if (!fitsInto(size, room)) continue;
     const byCpu = size.cpuMillis ? room.cpuMillis / size.cpuMillis : limit;
     const byMemory = size.memMb ? room.memMb / size.memMb : limit;
