One module finds scarce pools; a spec for the backlog of less urgent work

Cause: customer_shares.ts and zone_turns.ts each found scarce pools in the same way. The mutant 'refusal for a backlog of lower priority' survived, as the upper bound of the backlog admitted the work in its spec before the open workflows were counted.

Change: scarce_pools.ts serves both. The new spec has more accepted work than the bound allows, nearly all of it done.

--- a/packages/state/src/workflow/admission/core.spec.ts
+++ b/packages/state/src/workflow/admission/core.spec.ts
@@ -3,7 +3,7 @@
 import type {QueueName} from '../../bundle/types.js';
 import {seededRandom} from '../../utils/random.js';
 import {WorkflowDb} from '../db.js';
-import {TestLog, testSpec, testStep} from '../fixtures.js';
+import {TestLog, testSpec, testStep, testTask} from '../fixtures.js';
 import {OpenWorkflows} from '../open_workflows.js';
 import type {WorkflowSpec} from '../types.js';
 import {decideAdmission} from './core.js';
@@ -54,6 +54,19 @@
     fill(log, 'urgent', 2);
     expect(decide(log, 'urgent').kind).to.equal('refuse');
   });
+  // Guards against a backlog that counts less urgent work: the accepted work of a
+  // queue is an upper bound, beyond which the open workflows are counted.
+  it('urgent work is not refused beside its own work that is done', () => {
+    const log = makeLog();
+    fill(log, 'patient', 20);
+    fill(log, 'urgent', 1);
+    for (let i = 0; i < 39; i++) {
+      log.start('w1', testTask('urgent0', 0, i));
+      log.end('w1', testTask('urgent0', 0, i), 'done');
+    }
+    // A quarter of a second of urgent work is left, and one of its own.
+    expect(decide(log, 'urgent')).to.eql({kind: 'admit', expectedMs: 1250});
+  });
   it('a burst is refused from some point on, until capacity is added', () => {
     const log = makeLog();
     const admitted: boolean[] = [];
--- a/packages/state/src/workflow/planner/customer_shares.ts
+++ b/packages/state/src/workflow/planner/customer_shares.ts
@@ -3,12 +3,7 @@
  * weighted dominant shares. Load pattern: one customer's backlog is ahead of
  * everybody else's, and the total demand is more than the pool has.
  */
-import {
-  NO_RESOURCES,
-  addResources,
-  fitsInto,
-  multiplyResources,
-} from '../resources.js';
+import {NO_RESOURCES, addResources, multiplyResources} from '../resources.js';
 import {stepKey, taskRefOf} from '../refs.js';
 import type {Resources, StepKey} from '../types.js';
 import {
@@ -17,6 +12,7 @@
   type Holder,
 } from './customer_holdings.js';
 import {OVERDUE_FACTOR, startDueAt} from './ready.js';
+import {addTo, scarcePools} from './scarce_pools.js';
 import {TurnHeap} from './turn_heap.js';
 import type {PlanInput, ReadyStep} from './types.js';
 
@@ -113,29 +109,6 @@
   return counts;
 };
 
-/** Pools whose ready steps need more than is free there, in any resource. */
-const scarcePools = (
-  contenders: readonly Contender[],
-  workers: PlanInput['workers'],
-): Set<string> => {
-  const needs = new Map<string, Resources>();
-  for (const {pool, need} of contenders) addTo(needs, pool, need);
-  const free = new Map<string, Resources>();
-  for (const worker of workers.values())
-    if (worker.isUsable) addTo(free, worker.pool, worker.free);
-  const scarce = [...needs].filter(
-    ([pool, need]) => !fitsInto(need, free.get(pool) ?? NO_RESOURCES),
-  );
-  return new Set(scarce.map(([pool]) => pool));
-};
-
-const addTo = (
-  sums: Map<string, Resources>,
-  key: string,
-  amount: Resources,
-): void =>
-  void sums.set(key, addResources(sums.get(key) ?? NO_RESOURCES, amount));
-
 /** The steps of one customer that await their turns. */
 interface HolderLine {
   readonly holder: Holder;
--- a/packages/state/src/workflow/planner/zone_turns.ts
+++ b/packages/state/src/workflow/planner/zone_turns.ts
@@ -4,8 +4,9 @@
  * crest, or whose submissions arrive later, would be served worse.
  */
 import type {ZoneId} from '../../ids/types.js';
-import {NO_RESOURCES, addResources} from '../resources.js';
+import {NO_RESOURCES, addResources, multiplyResources} from '../resources.js';
 import type {Resources, WorkflowState} from '../types.js';
+import {scarcePools} from './scarce_pools.js';
 import type {PlanInput, ReadyStep} from './types.js';
 
 /** A ready step of a workflow that has a zone. */
@@ -18,7 +19,7 @@
   /** Steps take turns only with those of the same group. */
   readonly group: string;
   /** Resources of its waiting tasks. */
-  readonly wanted: Resources;
+  readonly need: Resources;
 }
 
 /**
@@ -36,7 +37,7 @@
     zoneStepOf(step, position, input),
   );
   if (new Set(known.map(({zone}) => zone)).size < 2) return ordered;
-  const scarce = scarcePools(known, input);
+  const scarce = scarcePools(known, input.workers);
   for (const members of groupBy(known, ({group}) => group).values()) {
     if (!scarce.has(members[0]?.pool ?? '')) continue;
     const turns = takeTurns(members);
@@ -66,8 +67,8 @@
     step.isLate,
     isBeyondRate === true,
   ]);
-  const wanted = waitingResources(step, workflow, db);
-  return [{step, position, pool, zone, group, wanted}];
+  const need = waitingResources(step, workflow, db);
+  return [{step, position, pool, zone, group, need}];
 };
 
 const waitingResources = (
@@ -78,36 +79,7 @@
   const spec = workflow.spec.steps[ref.step];
   const count = db.stepsOf(workflow, ref.occurrence)[ref.step]?.idleCount ?? 0;
   if (!spec || spec.usesLeftover) return NO_RESOURCES;
-  const {cpuMillis, memMb, gpus} = spec.room;
-  return {
-    cpuMillis: count * cpuMillis,
-    memMb: count * memMb,
-    gpus: count * gpus,
-  };
-};
-
-/** Pools that have less free than the steps need, in any dimension. */
-const scarcePools = (
-  steps: readonly ZoneStep[],
-  {workers}: Pick<PlanInput, 'workers'>,
-): ReadonlySet<string> => {
-  const scarce = new Set<string>();
-  for (const [pool, members] of groupBy(steps, step => step.pool)) {
-    let free = NO_RESOURCES;
-    for (const worker of workers.values())
-      if (worker.pool === pool && worker.isUsable)
-        free = addResources(free, worker.free);
-    const wanted = members.reduce(
-      (sum, member) => addResources(sum, member.wanted),
-      NO_RESOURCES,
-    );
-    const isScarce =
-      wanted.cpuMillis > free.cpuMillis ||
-      wanted.memMb > free.memMb ||
-      wanted.gpus > free.gpus;
-    if (isScarce) scarce.add(pool);
-  }
-  return scarce;
+  return multiplyResources(spec.room, count);
 };
 
 /**
@@ -116,14 +88,14 @@
  */
 const takeTurns = (members: readonly ZoneStep[]): ZoneStep[] => {
   const total = members.reduce(
-    (sum, {wanted}) => addResources(sum, wanted),
+    (sum, {need}) => addResources(sum, need),
     NO_RESOURCES,
   );
-  const sizeOf = ({wanted}: ZoneStep): number =>
+  const sizeOf = ({need}: ZoneStep): number =>
     Math.max(
-      wanted.cpuMillis / Math.max(1, total.cpuMillis),
-      wanted.memMb / Math.max(1, total.memMb),
-      wanted.gpus / Math.max(1, total.gpus),
+      need.cpuMillis / Math.max(1, total.cpuMillis),
+      need.memMb / Math.max(1, total.memMb),
+      need.gpus / Math.max(1, total.gpus),
     );
   const turns: Array<{readonly member: ZoneStep; readonly at: number}> = [];
   for (const own of groupBy(members, ({zone}) => zone).values()) {
