A straggler and its copy both count while they are orphaned

Cause: the orphan tracker held one run for each task. When the workers of a straggler and of its copy both ended, only the run noted last counted toward the cap of its customer, and the task was held back for it alone.

Change: orphaned runs are held by task and worker.

Result: a spec in trackers.spec.ts fails without the change and passes with it.

--- a/packages/coordination/src/workflow/orphan_tracker.ts
+++ b/packages/coordination/src/workflow/orphan_tracker.ts
@@ -42,21 +42,29 @@
 
 /** Holds tasks back until any orphaned run of theirs is certain to be over. */
 export class OrphanTracker {
-  private readonly orphans = new Map<TaskKey, Orphan>();
+  /** By task and worker; a straggler and its copy may both be orphaned. */
+  private readonly orphans = new Map<string, Orphan>();
 
   constructor(private readonly options: OrphanTrackerOptions) {}
 
   /** Notes starts to an incarnation that has ended, at a monotonic time in ms. */
   note({starts, ...given}: OrphanedStarts, now: number): void {
     for (const start of starts)
-      this.orphans.set(taskKey(start.task), {...given, start, since: now});
+      this.orphans.set(`${taskKey(start.task)} ${given.worker}`, {
+        ...given,
+        start,
+        since: now,
+      });
   }
 
   /** Tasks held back at a monotonic time in ms, each with the worker that may run it. */
   heldBack(now: number): Array<readonly [TaskKey, WorkerId]> {
     for (const [key, orphan] of this.orphans)
       if (this.isOver(orphan, now)) this.orphans.delete(key);
-    return [...this.orphans].map(([key, {worker}]) => [key, worker]);
+    return [...this.orphans.values()].map(({start, worker}) => [
+      taskKey(start.task),
+      worker,
+    ]);
   }
 
   private isOver({worker, start, since, hasNextLife}: Orphan, now: number) {
--- a/packages/coordination/src/workflow/trackers.spec.ts
+++ b/packages/coordination/src/workflow/trackers.spec.ts
@@ -79,6 +79,20 @@
     expect(orphans.heldBack(2000)).to.eql([[KEY, worker]]);
     expect(orphans.heldBack(3500)).to.eql([]);
   });
+  // Guards against a customer above its cap: of a straggler and its copy, only the
+  // one noted last was counted.
+  it('two orphaned runs of a task on different workers are both held', () => {
+    const {orphans} = makeTracker('no_later_life');
+    const other = 'w2' as WorkerId;
+    const copy = {...start, run: 2};
+    orphans.note({worker, starts: [start], hasNextLife: true}, 1000);
+    orphans.note({worker: other, starts: [copy], hasNextLife: false}, 1000);
+    expect(orphans.heldBack(2000)).to.eql([
+      [KEY, worker],
+      [KEY, other],
+    ]);
+    expect(orphans.heldBack(3500)).to.eql([[KEY, worker]]);
+  });
   // Guards against TWICE: a start that the next incarnation had accepted was made
   // again elsewhere while it ran there.
   it('a task is held back until the next incarnation is known not to run it', () => {
