--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -16,7 +16,12 @@
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
-import {NO_RESOURCES, addResources, subtractResources} from './resources.js';
+import {
+  NO_RESOURCES,
+  addResources,
+  subtractResources,
+  summable,
+} from './resources.js';
 import {OrphanedRuns} from './orphaned_runs.js';
 import {StopCandidates} from './stop_candidates.js';
 import {
@@ -167,7 +172,7 @@
     this.bundle = image.bundle;
     this.queues.clear();
     for (const queue of image.queues) this.queues.set(queue.name, queue);
-    this.customers.restore(image.customers);
+    this.customers.restore(image.customers, image.droppedCustomers);
     this.workflows.clear();
     this.open.clear();
     this.ended.clear();
@@ -207,7 +212,7 @@
   /** Resources that a task holds on its worker. */
   resourcesOf({workflow, step}: TaskRef): Resources {
     const spec = this.workflows.get(workflow)?.spec.steps[step];
-    return !spec || spec.usesLeftover ? NO_RESOURCES : spec.room;
+    return !spec || spec.usesLeftover ? NO_RESOURCES : summable(spec.room);
   }
 
   private addStopCandidate(task: TaskRef): void {
@@ -238,6 +243,7 @@
     const {id, queue, spec, at} = command;
     this.ended.removeOld(at);
     if (this.workflows.has(id)) return;
+    this.customers.noteWork(command.customer);
     this.addWorkflow({
       id,
       queue,
