Explain where a job would go, by the cores of the real decision

Before a job is sent, nobody could tell whether it would be admitted, where its tasks would start, and what would hold them back.

explainPlacement runs admission and one planner pass over an overlay of the state with the job. The placer reports each step's turn to an observer, and WorkerChoice gives the score of a worker. planInputOf is split from decidePass, and acceptedWorkflow from WorkflowDb.submit, so that both uses share them.

--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -52,6 +52,8 @@
 export * from './workflow/admission/limits.js';
 export * from './workflow/admission/types.js';
 export * from './workflow/types.js';
+export * from './workflow/where/core.js';
+export * from './workflow/where/types.js';
 export * from './workflow/planner/core.js';
 export * from './workflow/planner/expected_times.js';
 export type {RunEstimates} from './workflow/estimates/core.js';
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,6 +5,7 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {acceptedWorkflow} from './accepted_workflow.js';
 import {CustomerRates} from './admission/customer_rate.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
 import {CustomerUsage} from './customer_usage.js';
@@ -12,7 +13,7 @@
 import {EndedWorkflows} from './ended_workflows.js';
 import {RunEstimates} from './estimates/core.js';
 import {learnFromEnd} from './estimates/ended_runs.js';
-import {imageOf, originOf, restoreWorker} from './image.js';
+import {imageOf, restoreWorker} from './image.js';
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
 import {taskKey} from './refs.js';
@@ -235,21 +236,9 @@
   }
 
   private submit(command: Extract<WorkflowCommand, {kind: 'submit'}>): void {
-    const {id, queue, spec, at} = command;
-    this.ended.removeOld(at);
-    if (this.workflows.has(id)) return;
-    this.addWorkflow({
-      id,
-      queue,
-      spec,
-      ...originOf(command),
-      acceptedAt: at,
-      phase: 'open',
-      endedAt: 0,
-      hasStarted: false,
-      occurrences: new Map(),
-      activeRuns: 0,
-    });
+    this.ended.removeOld(command.at);
+    if (this.workflows.has(command.id)) return;
+    this.addWorkflow(acceptedWorkflow(command));
   }
 
   private cancel(id: WorkflowId, at: number): WorkflowResult {
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -42,12 +42,16 @@
 }
 
 /** Computes the plan of one pass. */
-export const decidePass = (pass: PassEvent, state: PassContext): Plan => {
+export const decidePass = (pass: PassEvent, state: PassContext): Plan =>
+  plan(planInputOf(pass, state));
+
+/** All inputs of one pass; the views of workers are made when first asked for. */
+export const planInputOf = (pass: PassEvent, state: PassContext): PlanInput => {
   const unusable = new Set(pass.unusable);
   let views: PlanInput['workers'] | undefined;
   const pending = new Map<TaskKey, WorkerId>(pass.heldBack);
   for (const [worker, key] of pass.expected) pending.set(key, worker);
-  return plan({
+  return {
     ...state,
     reserved: new Map(
       pass.reserved.map(([step, workers]) => [step, new Set(workers)]),
@@ -68,7 +72,7 @@
     callerCount: pass.callerCount,
     ...(pass.mayDeferUseless && {mayDeferUseless: true}),
     ...(pass.mayShareZones && {mayShareZones: true}),
-  });
+  };
 };
 
 /** Extracts the decisions of a plan that a replay must reproduce. */
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -29,6 +29,7 @@
   PlannedStop,
   PlannedWait,
   ReadyStep,
+  StepScoring,
   WaitReason,
   WorkerView,
 } from './types.js';
@@ -98,6 +99,7 @@
     const work = this.buildWork(ready);
     const all = work && this.waiting.of(work);
     if (!work || !all || all.length === 0) return;
+    this.input.onTurn?.(work, () => this.scoringOf(work, all.length));
     const waiting = all.slice(0, this.caps.countAllowed(work, all.length));
     if (waiting.length === 0) return this.waitForCap(work, all.length);
     const {advice: timing} = work.queue;
@@ -159,6 +161,17 @@
     return this.otherWaits === 0;
   }
 
+  private scoringOf(work: StepWork, waitingCount: number): StepScoring {
+    const placed = this.withHomeRack(work, waitingCount);
+    const allowed = this.candidates.of(work);
+    const task = {...work.ready.ref, index: 0};
+    return {
+      allowed,
+      quiet: this.quarantine.workersFor(task, allowed),
+      scoreOf: worker => this.choice.scoreOf(placed, worker),
+    };
+  }
+
   private withHomeRack(work: StepWork, waitingCount: number): StepWork {
     const homeRack = homeRackOf(
       work,
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -9,6 +9,7 @@
   TaskKey,
   WorkerIncarnation,
 } from '../types.js';
+import type {StepWork} from './step_work.js';
 
 /** The leader's current view of a worker; a pass updates its resources. */
 export interface WorkerView extends WorkerIncarnation {
@@ -53,6 +54,16 @@
   readonly isAsking: boolean;
 }
 
+/** How a pass judges the workers for a step whose turn it is. */
+export interface StepScoring {
+  /** Workers that may run the step, as far as its adviser has answered. */
+  readonly allowed: readonly WorkerView[];
+  /** Those of them that are not kept for suspects of crashes. */
+  readonly quiet: readonly WorkerView[];
+  /** Lowest best; undefined for a worker on which a task does not fit now. */
+  readonly scoreOf: (worker: WorkerView) => number | undefined;
+}
+
 /** Inputs of one pass. */
 export interface PlanInput {
   readonly db: WorkflowDb;
@@ -88,6 +99,8 @@
   readonly mayDeferUseless?: boolean;
   /** Whether zones take turns where a pool is full. */
   readonly mayShareZones?: boolean;
+  /** Called for each step when its turn comes; for explanations only. */
+  readonly onTurn?: (work: StepWork, scoring: () => StepScoring) => void;
 }
 
 /** What a run is expected to take on its worker. */
--- a/packages/state/src/workflow/planner/worker_choice.ts
+++ b/packages/state/src/workflow/planner/worker_choice.ts
@@ -2,7 +2,7 @@
 import type {WorkerId} from '../../ids/types.js';
 import {isPreemptible} from '../preemptible_runs.js';
 import {NO_RESOURCES, fitsInto, subtractResources} from '../resources.js';
-import type {StepKey} from '../types.js';
+import type {Resources, StepKey} from '../types.js';
 import type {SpeedScore} from './speed_score.js';
 import {
   findTicket,
@@ -28,6 +28,13 @@
 /** Penalty of a worker whose ticket must be renewed first. */
 const TICKET_PENALTY = 2;
 
+/** What the scores of all workers for one step have in common. */
+interface ScoreTerms {
+  readonly size: Resources;
+  readonly mayUseReserved: boolean;
+  readonly fit: Fit;
+}
+
 /** Scores workers during one pass. */
 export class WorkerChoice {
   private readonly fitIn: (pool: string) => Fit;
@@ -63,34 +70,50 @@
     work: StepWork,
     candidates: readonly WorkerView[],
   ): WorkerView | undefined {
-    const {spec, queue, ready} = work;
-    const size = taskResources(work);
     let best: WorkerView | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    const mayUseReserved = isPreemptible(spec);
-    const fit = this.fitIn(queue.pool);
+    const terms = this.termsOf(work);
     for (const worker of candidates) {
-      // Most workers are full; skips the sum for those without reservations.
-      const free =
-        mayUseReserved && worker.kept !== NO_RESOURCES
-          ? usableResources(work, worker)
-          : worker.free;
-      if (!fitsInto(size, free)) continue;
-      if (!isBelowPerWorkerLimit(work, worker)) continue;
-      const score =
-        fit(subtractResources(free, size), worker.room) +
-        (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
-        (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
-        (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
-        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0) +
-        this.speeds.penaltyOf(work, worker);
-      if (score >= bestScore) continue;
+      const score = this.scoreOf(work, worker, terms);
+      if (score === undefined || score >= bestScore) continue;
       best = worker;
       bestScore = score;
     }
     return best;
   }
 
+  /** Score of a worker; undefined if a task of the step does not fit there now. */
+  scoreOf(
+    work: StepWork,
+    worker: WorkerView,
+    {size, mayUseReserved, fit} = this.termsOf(work),
+  ): number | undefined {
+    const {spec, queue, ready} = work;
+    // Most workers are full; skips the sum for those without reservations.
+    const free =
+      mayUseReserved && worker.kept !== NO_RESOURCES
+        ? usableResources(work, worker)
+        : worker.free;
+    if (!fitsInto(size, free)) return undefined;
+    if (!isBelowPerWorkerLimit(work, worker)) return undefined;
+    return (
+      fit(subtractResources(free, size), worker.room) +
+      (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
+      (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
+      (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
+      (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0) +
+      this.speeds.penaltyOf(work, worker)
+    );
+  }
+
+  private termsOf(work: StepWork): ScoreTerms {
+    return {
+      size: taskResources(work),
+      mayUseReserved: isPreemptible(work.spec),
+      fit: this.fitIn(work.queue.pool),
+    };
+  }
+
   /**
    * Whether the previous pass reserved resources on a worker for another step.
    */
