Command where, answered on the metrics address of a voter

Operators and customers had no way to ask the explanation of a placement.

POST /where takes a job and a queue, authenticates the caller by its key, and answers from the inputs of the leader's scheduler, or from a copy, which it says. PassInputs holds what passes hand to each other, so that a trial has the same inputs without changing them.

--- a/packages/cli/src/commands/customer.ts
+++ b/packages/cli/src/commands/customer.ts
@@ -1,35 +1,20 @@
 import {defineCommand} from 'citty';
 import type {CustomerReport, Resources} from '@primrosewick/state';
 import {callJson} from '@primrosewick/transport';
-import {UsageError} from '../client/api.js';
+import {METRICS_ARGS, metricsAddress} from '../client/metrics.js';
 import {printJson, runCommand} from '../output/run.js';
 import {formatTable} from '../output/table.js';
 
 const CALL_TIMEOUT_MS = 8000;
 
-const METRICS_ARGS = {
-  metrics: {
-    type: 'string',
-    description:
-      'Metrics address of a voter; defaults to PRIMROSEWICK_METRICS.',
-  },
-  json: {type: 'boolean', description: 'Print JSON.'},
-} as const;
-
 /** @throws UsageError when no address is given. */
-const getJson = <T>(metrics: string | undefined, path: string): Promise<T> => {
-  const address = metrics ?? process.env['PRIMROSEWICK_METRICS'];
-  if (!address)
-    throw new UsageError(
-      'no voter given: use --metrics ADDRESS or set PRIMROSEWICK_METRICS',
-    );
-  return callJson<T>({
-    address,
+const getJson = <T>(metrics: string | undefined, path: string): Promise<T> =>
+  callJson<T>({
+    address: metricsAddress(metrics),
     method: 'GET',
     path,
     timeoutMs: CALL_TIMEOUT_MS,
   });
-};
 
 const HEADINGS = [
   'CUSTOMER',
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -14,6 +14,7 @@
 import {profileCommand} from './commands/profile.js';
 import {serviceCommand} from './commands/service.js';
 import {statusCommand} from './commands/status.js';
+import {whereCommand} from './commands/where.js';
 
 const main = defineCommand({
   meta: {
@@ -31,6 +32,7 @@
     member: memberCommand,
     customer: customerCommand,
     status: statusCommand,
+    where: whereCommand,
     explain: explainCommand,
     journal: journalCommand,
     replay: replayCommand,
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -5,13 +5,14 @@
 import type {Subscription} from 'rxjs';
 import {
   WorkerHealth,
-  decidePass,
   earlyAdviceRequests,
   evidenceOf,
+  plan as planPass,
   plannerImage,
   toCellError,
   type NewWorkflow,
   type Plan,
+  type PlanInput,
   type PlannedStop,
   type QueueName,
   type ReasonCode,
@@ -30,17 +31,15 @@
 import {LEASE_MS, LEADERSHIP_MARGIN_MS, MAX_GRANTED_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
-import {collectPassInput} from './pass_input.js';
+import {PassInputs} from './pass_input.js';
 import {LoadReport, LOAD_INTERVAL_MS} from './load_report.js';
 import {PassLoad} from './pass_load.js';
 import {RunLog} from './run_log.js';
-import {runTimesOf} from './run_times.js';
 import {StartOrders} from './start_orders.js';
 import {findStalled} from './stalled_runs.js';
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {KnownLives} from './known_lives.js';
 import {OrphanTracker} from './orphan_tracker.js';
-import type {RefusalReason} from './submission_admission.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
 import {WorkerViews} from './worker_views.js';
@@ -66,10 +65,7 @@
   private readonly subscriptions: Subscription[] = [];
   private readonly orphans: OrphanTracker;
   private readonly health = new WorkerHealth();
-  private reserved: Plan['reserved'] = new Map();
-  private preemptedAt: Plan['preemptedAt'] = new Map();
-  /** Workers that got no new tasks in the last pass. */
-  private unusable: ReadonlySet<WorkerId> = new Set();
+  private readonly inputs: PassInputs;
   private readonly journal: PassJournal | undefined;
   private readonly waitLog: WaitLog;
   private readonly endLog: EndLog;
@@ -130,6 +126,14 @@
       onAdvice: (step, change) => this.journal?.noteAdvice(step, change),
       onCall: (step, moment) => this.noteMoment(step.workflow, moment),
     });
+    this.inputs = new PassInputs({
+      ...options,
+      db: replica.db,
+      channels: this.channels,
+      views: this.views,
+      orphans: this.orphans,
+      adviceOf: key => this.advice.adviceOf(key),
+    });
     this.startOrders = new StartOrders({
       db: replica.db,
       clock,
@@ -186,7 +190,7 @@
   noteSubmission(workflow: NewWorkflow): void {
     const {advice: terms} = workflow.queue;
     if (this.isClosed || !terms) return;
-    const known = {db: this.db, unusable: this.unusable};
+    const known = {db: this.db, unusable: this.inputs.unusable};
     for (const request of earlyAdviceRequests(known, workflow))
       if (this.advice.mayAskEarly(request, terms))
         this.advice.requestAdvice(request, terms);
@@ -296,6 +300,11 @@
     return channel;
   }
 
+  /** Inputs of a pass that would begin now; undefined before the first pass. */
+  trialInput(): PlanInput | undefined {
+    return this.inputs.trial();
+  }
+
   private noteEvidence(
     worker: WorkerId,
     workflow: WorkflowId,
@@ -366,24 +375,9 @@
   private runPass(): void {
     const {clock} = this.options;
     const beganAt = clock.now();
-    const times = runTimesOf({db: this.db, clock, channels: this.channels});
-    const pass = collectPassInput({
-      ...this.options,
-      channels: this.channels,
-      views: this.views,
-      orphans: this.orphans,
-      reserved: this.reserved,
-      preemptedAt: this.preemptedAt,
-    });
-    this.unusable = new Set(pass.unusable);
-    const plan = decidePass(pass, {
-      db: this.db,
-      adviceOf: key => this.advice.adviceOf(key),
-      remainingMs: (worker, key) => times.get(worker, key),
-      endsSoon: worker => times.endsSoon(worker),
-    });
-    this.reserved = plan.reserved;
-    this.preemptedAt = plan.preemptedAt;
+    const {pass, times, input} = this.inputs.next();
+    const plan = planPass(input);
+    this.inputs.notePlan(plan);
     this.journal?.notePass({...pass, ...times.lines}, plan);
     this.applyPlan(plan);
     const endedAt = clock.now();
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -46,6 +46,10 @@
 import {makeRecordLoad} from './record_times.js';
 import {makeReplica} from './replica_settings.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
+import {
+  makePlacementQueries,
+  type PlacementQueries,
+} from './placement_queries.js';
 import {
   WorkflowRequestRouter,
   type RequestTerms,
@@ -80,6 +84,8 @@
 /** Node of a cell that schedules workflows. */
 export class ClusterNode {
   readonly gateway: GatewayTask;
+  /** Tells where jobs would go. */
+  readonly placements: PlacementQueries;
   private readonly peers: LinkClient;
   private readonly server: LinkServer;
   private readonly replica: ReturnType<typeof makeReplica>;
@@ -161,6 +167,11 @@
       clock: systemClock,
       logger,
     });
+    this.placements = makePlacementQueries(options, this.replica.db, {
+      isReadable: () => this.readers?.reader.isReadable === true,
+      leaderInput: () => this.scheduler?.trialInput(),
+      callerCount: () => this.callers.list().length,
+    });
     const droppedReplyLog = new DroppedReplyLog(logger, systemClock);
     this.server = new LinkServer({
       address: settings.peer,
