Interference: disturbing pairs of images are learned, placing avoids them

Two task images on one worker slow each other down, by amounts that change within seconds. Until now this looked like slow workers or wrong estimates, and placement put such tasks beside each other again.

The replicated state learns from ended runs by how much runs of a kind take longer beside another kind: members of one step beside it are compared with those that ran at the same time without it, at the learned speeds of their workers. Placing adds a penalty below those for data and racks; it is 0 unless a pair counts. Times are freed of a known disturbance before speeds are learned from them.

--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -12,6 +12,8 @@
 import {EndedWorkflows} from './ended_workflows.js';
 import {RunEstimates} from './estimates/core.js';
 import {learnFromEnd} from './estimates/ended_runs.js';
+import {Interference} from './interference/core.js';
+import {learnNeighbours} from './interference/ended_runs.js';
 import {imageOf, originOf, restoreWorker} from './image.js';
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
@@ -77,6 +79,8 @@
   readonly crashes = new TaskCrashes(this.workflows);
   /** Run times and worker speeds, learned from the ends of runs. */
   readonly estimates = new RunEstimates();
+  /** Which kinds of tasks slow each other down, learned from the same ends. */
+  readonly interference = new Interference();
   readonly open = new OpenWorkflows();
   /** Accepted submissions by customer. */
   readonly rates: CustomerRates;
@@ -185,6 +189,7 @@
     this.orphans.restore(image.orphans);
     this.crashes.restore(image.crashes);
     this.estimates.restore(image.estimates);
+    this.interference.restore(image.interference);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, restoreWorker(kept, this));
@@ -336,7 +341,8 @@
       this.crashes.noteEnd(worker, end, at);
       this.orphans.delete(end.task, end.run);
       noteOutcome(this, worker, end, at);
-      learnFromEnd(this, worker, end, at);
+      const disturbedLog = learnNeighbours(this, worker, end, at);
+      learnFromEnd(this, worker, end, at, disturbedLog);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
@@ -423,6 +429,7 @@
     this.open.delete(workflow.id);
     this.crashes.forget(workflow.id);
     this.estimates.forget(workflow.id);
+    this.interference.forget(workflow.id);
     if (workflow.activeRuns === 0) discardDetails(workflow);
     else this.running.ending.add(workflow.id);
   }
--- a/packages/state/src/workflow/estimates/ended_runs.ts
+++ b/packages/state/src/workflow/estimates/ended_runs.ts
@@ -18,12 +18,17 @@
 
 type State = Pick<WorkflowDb, 'open' | 'workers' | 'estimates'>;
 
-/** Learns from the end of a run that is still active, before it is removed. */
+/**
+ * Learns from the end of a run that is still active, before it is removed.
+ * @param disturbedLog - logarithm of the ratio by which the run was slowed by its
+ * neighbours, which says nothing about its worker.
+ */
 export const learnFromEnd = (
   db: State,
   worker: WorkerState,
   {task, run, outcome}: RunEnd,
   at: number,
+  disturbedLog = 0,
 ): void => {
   const workflow = db.open.get(task.workflow);
   const spec = workflow?.spec.steps[task.step];
@@ -33,7 +38,8 @@
   if (taskState.isDone || spec.isLongRunning || spec.usesLeftover) return;
   if (run === COUNTED_RUN) {
     if (spec.isGang) noteGang(db, task, spec, state, at);
-    else if (isSampled(task, spec)) noteRun(db, task, spec, worker, at);
+    else if (isSampled(task, spec))
+      noteRun(db, task, spec, worker, at, disturbedLog);
   }
   const isLast = spec.isGang || state.doneCount + 1 === state.tasks.length;
   if (!isLast) return;
@@ -54,12 +60,28 @@
   spec: StepSpec,
   {report, active}: WorkerState,
   at: number,
+  disturbedLog: number,
 ): void => {
   const startedAt = active.get(taskKey(task))?.startedAt;
   // Racks slow tasks that run in several; this says nothing about their workers.
   if (startedAt === undefined || spec.isRackLocal) return;
   if (at < startedAt || isAway(spec, report)) return;
-  estimates.noteRun(task, report, at - startedAt);
+  estimates.noteRun(task, report, (at - startedAt) / Math.exp(disturbedLog));
+};
+
+/** Whether a run that ends tells about its worker: one of a step that is no gang. */
+export const countsAsSample = (
+  db: Pick<WorkflowDb, 'open'>,
+  {report}: WorkerState,
+  {task, run, outcome}: RunEnd,
+): boolean => {
+  const workflow = db.open.get(task.workflow);
+  const spec = workflow?.spec.steps[task.step];
+  const state = workflow?.occurrences.get(task.occurrence)?.[task.step];
+  if (outcome !== 'done' || run !== COUNTED_RUN || !spec) return false;
+  if (state?.tasks[task.index]?.isDone !== false) return false;
+  if (spec.isLongRunning || spec.usesLeftover || spec.isGang) return false;
+  return !spec.isRackLocal && isSampled(task, spec) && !isAway(spec, report);
 };
 
 /** A gang makes progress from the start of its last member. */
--- a/packages/state/src/workflow/estimates/worker_speeds.ts
+++ b/packages/state/src/workflow/estimates/worker_speeds.ts
@@ -20,6 +20,8 @@
 const MAX_INHERITED_WEIGHT = 2;
 /** Ends after which a speed is compared with others. */
 export const KNOWN_WEIGHT = 6;
+/** Ends after which the runs of a worker can be compared with others. */
+const MIN_COMPARED_WEIGHT = 4;
 const MAX_LOG_SPEED = Math.log(10);
 /** A sample this far off is taken as a tail, and counts little. */
 const TAIL_LOG = Math.log(4);
@@ -65,6 +67,16 @@
     return state ? usedLog(stateOf(state, bornAt)) : 0;
   }
 
+  /**
+   * Logarithm of the speed of a worker that has enough ends to compare its runs,
+   * not drawn towards 1; undefined for others.
+   */
+  knownLogOf({worker, bornAt}: WorkerIncarnation): number | undefined {
+    const state = this.workers.get(worker);
+    const own = state && stateOf(state, bornAt);
+    return own && own.weight >= MIN_COMPARED_WEIGHT ? own.log : undefined;
+  }
+
   /** Learns how much faster than its step a run has ended. */
   note({worker, bornAt}: WorkerIncarnation, sample: number, at: number): void {
     if (worker.length > MAX_ID_LENGTH) return;
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -20,6 +20,9 @@
   ...(isBeyondRate && {isBeyondRate}),
 });
 
+const withInterference = (interference: WorkflowImage['interference']) =>
+  interference === undefined ? {} : {interference};
+
 const withEstimates = (estimates: WorkflowImage['estimates']) =>
   estimates === undefined ? {} : {estimates};
 
@@ -35,12 +38,14 @@
   crashes,
   orphans,
   estimates,
+  interference,
 }: WorkflowDb): WorkflowImage => ({
   index,
   departed: departed.values(),
   crashes: crashes.values(),
   orphans: orphans.values(),
   ...withEstimates(estimates.toImage()),
+  ...withInterference(interference.toImage()),
   bundle,
   queues: [...queues.values()],
   ...(customers.size > 0 && {customers: [...customers.values()]}),
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -13,6 +13,7 @@
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
 import type {QueueShares} from './queue_shares.js';
+import {InterferenceScore} from './interference_score.js';
 import {SpeedScore} from './speed_score.js';
 import {
   countByWorker,
@@ -53,6 +54,7 @@
   private readonly choice: WorkerChoice;
   private readonly waiting: WaitingTasks;
   private readonly speeds: SpeedScore;
+  private readonly interference: InterferenceScore;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
   /** Number of waits for anything but a cap, counted once all steps are placed. */
@@ -68,7 +70,8 @@
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
     this.speeds = new SpeedScore(input, this.candidates);
-    this.choice = new WorkerChoice(input, this.speeds);
+    this.interference = new InterferenceScore(input);
+    this.choice = new WorkerChoice(input, this.speeds, this.interference);
     this.attempts = new AttemptWorkers(input, this.choice);
     this.waiting = new WaitingTasks(input.pending);
   }
@@ -348,6 +351,7 @@
   ): void {
     const ticket = this.choice.ticketFor(work, worker)?.text;
     this.quarantine.noteStart({...work.ready.ref, index}, worker.worker);
+    this.interference.noteStart(work, worker);
     this.started.add(work.ready.key);
     this.starts.push({
       task: {...work.ready.ref, index},
--- a/packages/state/src/workflow/planner/worker_choice.ts
+++ b/packages/state/src/workflow/planner/worker_choice.ts
@@ -3,6 +3,7 @@
 import {isPreemptible} from '../preemptible_runs.js';
 import {NO_RESOURCES, fitsInto, subtractResources} from '../resources.js';
 import type {StepKey} from '../types.js';
+import type {InterferenceScore} from './interference_score.js';
 import type {SpeedScore} from './speed_score.js';
 import {
   findTicket,
@@ -37,6 +38,7 @@
   constructor(
     private readonly input: PlanInput,
     private readonly speeds: SpeedScore,
+    private readonly interference: InterferenceScore,
   ) {
     this.fitIn = fitsByPool(input);
     for (const [step, workers] of input.reserved)
@@ -83,7 +85,8 @@
         (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
         (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
         (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0) +
-        this.speeds.penaltyOf(work, worker);
+        this.speeds.penaltyOf(work, worker) +
+        this.interference.penaltyOf(work, worker);
       if (score >= bestScore) continue;
       best = worker;
       bestScore = score;
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -13,6 +13,7 @@
 import type {RateTerms} from './admission/customer_rate.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
 import type {EstimatesImage} from './estimates/types.js';
+import type {InterferenceImage} from './interference/types.js';
 
 /** Id of a workflow, chosen by the client. */
 export type WorkflowId = Branded<string, 'WorkflowId'>;
@@ -399,6 +400,8 @@
   readonly crashes?: readonly CrashRecord[];
   /** Learned run times and speeds; absent in older images, or without any. */
   readonly estimates?: EstimatesImage;
+  /** Learned disturbance; absent in older images, or without any. */
+  readonly interference?: InterferenceImage;
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   /** Customers with their last terms; absent in images without any. */
