--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -53,6 +53,7 @@
 export * from './workflow/replica_catch_up.js';
 export * from './workflow/confirmed_reader.js';
 export type {GivenUpReason} from './workflow/life_log.js';
+export type {InterferenceCounts} from './workflow/interference_log.js';
 export type {EndedWait} from './workflow/queue_load.js';
 export * from './workflow/scheduler_options.js';
 export * from './workflow/scheduler_task.js';
--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -10,6 +10,7 @@
 import type {Clock} from '@primrosewick/transport';
 import {AdviceLoad} from './advice_load.js';
 import {CustomerLoad} from './customer_load.js';
+import {InterferenceLog, type InterferenceCounts} from './interference_log.js';
 import {QueueLoad, type EndedWait} from './queue_load.js';
 import {RecoveryLog} from './recovery_log.js';
 import {usageOf, type CellUsage} from './queue_usage.js';
@@ -37,6 +38,7 @@
   /** Called for each wait that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
   readonly onSpeeds?: (spread: SpeedSpread) => void;
+  readonly onInterference?: (counts: InterferenceCounts) => void;
 }
 
 /**
@@ -49,6 +51,7 @@
   private readonly customers: CustomerLoad;
   private readonly beganAt: number;
   private readonly speedLog: SpeedLog;
+  private readonly interferenceLog: InterferenceLog;
   private readonly recovery: RecoveryLog;
   /** Queues that had work at the last report. */
   private lastWithWork: ReadonlySet<QueueName> = new Set();
@@ -59,6 +62,11 @@
     this.customers = new CustomerLoad(options);
     this.beganAt = clock.now();
     this.speedLog = new SpeedLog(options.logger, db, options.onSpeeds);
+    this.interferenceLog = new InterferenceLog(
+      logger,
+      db,
+      options.onInterference,
+    );
     this.recovery = new RecoveryLog(logger, db, this.beganAt);
   }
 
@@ -110,6 +118,7 @@
     this.lastWithWork = withWork;
     for (const queue of logged) this.logQueue(queue, usage);
     this.speedLog.note(clock.now());
+    this.interferenceLog.note(clock.now(), clock.wall());
     this.customers.log();
   }
 
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '@primrosewick/transport';
 import type {Recorder} from '../zone/types.js';
 import type {AdviceDispatcherOptions} from './advice_dispatcher.js';
+import type {InterferenceCounts} from './interference_log.js';
 import type {LifeLogOptions} from './life_log.js';
 import type {OrderPort} from './ports.js';
 import type {EndedWait} from './queue_load.js';
@@ -46,6 +47,8 @@
   readonly onWaited?: (wait: EndedWait) => void;
   /** Called at intervals with the spread of the learned speeds. */
   readonly onSpeeds?: (spread: SpeedSpread) => void;
+  /** Called at intervals with the pairs of kinds that slow each other down. */
+  readonly onInterference?: (counts: InterferenceCounts) => void;
   /** Called for each workflow that has ended. */
   readonly onEnded?: (end: WorkflowEnd) => void;
   /** Called with the number of runs that a record of this leader gives up. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -117,6 +117,7 @@
       callerUse: () => this.advice.callerUse,
       onWaited: wait => options.onWaited?.(wait),
       onSpeeds: spread => options.onSpeeds?.(spread),
+      onInterference: counts => options.onInterference?.(counts),
     });
     this.runLog = new RunLog(logger, this.load.queues);
     this.advice = new AdviceDispatcher({
--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -8,6 +8,7 @@
 import {registerCustomerGauges} from './customer_gauges.js';
 import {makeCustomerCounter} from './customer_submissions.js';
 import {makeGivenUpCounter} from './given_up_runs.js';
+import {makeInterferenceObserver} from './interference_pairs.js';
 import {makeQueueWaitObserver} from './queue_waits.js';
 import {makeEndCounter} from './reads_around_ends.js';
 import {makeSpeedObserver} from './worker_speeds.js';
@@ -15,7 +16,7 @@
 /** Functions that count what a leader tells of. */
 export type LeaderCounters = Pick<
   SchedulerOptions,
-  'onWaited' | 'onEnded' | 'onGivenUp' | 'onSpeeds'
+  'onWaited' | 'onEnded' | 'onGivenUp' | 'onSpeeds' | 'onInterference'
 > &
   Required<Pick<WorkflowServiceOptions, 'onAccepted'>>;
 
@@ -34,5 +35,6 @@
     onGivenUp: makeGivenUpCounter(registry),
     onAccepted: makeCustomerCounter(registry),
     onSpeeds: makeSpeedObserver(registry),
+    onInterference: makeInterferenceObserver(registry),
   };
 };
--- a/packages/state/src/workflow/interference/core.spec.ts
+++ b/packages/state/src/workflow/interference/core.spec.ts
@@ -146,6 +146,52 @@
       }
     }
   });
+  it('one worker alone, or two, never blame a neighbour', () => {
+    const one = {w3: 'loud'};
+    for (const beside of [one, {...one, w5: 'loud'}]) {
+      const shop = new Shop(8);
+      for (let i = 0; i < 40; i++) {
+        const factorOf = slowedBy('loud', 2);
+        shop.runStep(i % 2 === 0 ? beside : {}, {factorOf});
+        expect(shop.ratioOf('loud'), `step ${i}`).to.equal(1);
+      }
+    }
+  });
+  // Guards against comparing members of a step before and in a burst.
+  it('staggered members of a step are not compared with each other', () => {
+    const {interference} = new WorkflowDb();
+    const speeds = {knownLogOf: () => 0};
+    for (let i = 0; i < 10; i++) {
+      const ref = {workflow: `job${i}` as never, occurrence: 0, step: 0};
+      WORKERS.forEach((worker, index) => {
+        const isLate = index % 2 === 1;
+        interference.noteRun(ref, {
+          worker: worker as never,
+          bornAt: 1,
+          from: isLate ? 2000 : 0,
+          until: isLate ? 6000 : 2000,
+          neighbours: isLate ? [['@loud' as TaskKind, 1]] : [],
+        });
+      });
+      interference.complete(ref, VICTIM, speeds);
+    }
+    expect(interference.pairs.size).to.equal(0);
+  });
+  // Guards against blame where most ends are of a worker that has become slow.
+  it('a pair with most of the ends from one worker does not count', () => {
+    for (const [share, counts] of [
+      [1, true],
+      [8, false],
+    ] as const) {
+      const {pairs} = new WorkflowDb().interference;
+      const pair = {victim: VICTIM, neighbour: '@loud' as TaskKind};
+      for (let i = 0; i < 60; i++) {
+        const worker = (i % (share + 3) < share ? 'w3' : `w${i % 3}`) as never;
+        pairs.note({...pair, worker, log: 0.5, gain: 1, at: 0});
+      }
+      expect(pairs.logOf(VICTIM, pair.neighbour, 0) > 0).to.equal(counts);
+    }
+  });
   it('a disturbance that moves to another pair is followed', () => {
     const shop = new Shop(5);
     const loud = {factorOf: slowedBy('loud', 1.6)};
@@ -172,8 +218,9 @@
     const times = {factorOf: slowedBy('loud', 1.5)};
     shop.endsUntilFound('loud', 10, times);
     const restored = new WorkflowDb();
-    restored.restore(JSON.parse(JSON.stringify(shop.log.db.toImage())));
     const {db} = shop.log;
+    expect(db.interference.pairs.size).to.equal(1);
+    restored.restore(JSON.parse(JSON.stringify(db.toImage())));
     const apply = db.apply.bind(db);
     db.apply = (index, command) => {
       restored.apply(index, command);
@@ -184,6 +231,9 @@
     expect(JSON.stringify(restored.toImage())).to.equal(
       JSON.stringify(db.toImage()),
     );
+    expect(JSON.stringify(restored.interference.toImage())).to.equal(
+      JSON.stringify(db.interference.toImage()),
+    );
   });
   it('the oldest of too many pairs are dropped', () => {
     const {pairs} = new WorkflowDb().interference;
--- a/packages/state/src/workflow/planner/interference_score.spec.ts
+++ b/packages/state/src/workflow/planner/interference_score.spec.ts
@@ -23,6 +23,7 @@
   const pair = {...state, workers: [], counts: true};
   log.db.interference.pairs.restore([
     ['@victim' as never, '@loud' as never, pair],
+    ['@loud' as never, '@victim' as never, pair],
   ]);
 };
 
@@ -65,6 +66,8 @@
   it('data and racks matter more', () => {
     const log = makeLog(Math.log(2));
     log.addWorker('w2', {labels: ['kind', 'rack-2'], sequence: 2});
+    log.submit('quiet', testSpec([{...LOUD, image: 'quiet'}]));
+    log.start('w2', testTask('quiet', 0, 0));
     log.submit('job', testSpec([{...VICTIM, preferredRack: 'rack-1'}]));
     expect(workersOf(log)).to.eql(['w1']);
   });
