--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -48,7 +48,6 @@
   TaskRef,
   TaskState,
   WorkerIncarnation as Incarnation,
-  WorkerRegistration,
   WorkerState,
   WorkflowCommand,
   WorkflowDbOptions,
@@ -59,8 +58,8 @@
   WorkflowState,
 } from './types.js';
 import {noteOutcome} from './run_outcomes.js';
-import {noPreemptibleRuns, indexRun, unindexRun} from './preemptible_runs.js';
-import {latestReport} from './worker_reports.js';
+import {indexRun, unindexRun} from './preemptible_runs.js';
+import {putWorker} from './worker_reports.js';
 
 /** How long an ended workflow stays readable by default, in ms. */
 const KEEP_ENDED_MS = 180_000;
@@ -124,7 +123,8 @@
       case 'cancel':
         return this.cancel(command.id, command.at);
       case 'put_worker':
-        if (!this.departed.has(command.report)) this.putWorker(command.report);
+        if (!this.departed.has(command.report))
+          putWorker(this.workers, command.report);
         return APPLIED;
       case 'remove_worker':
         this.removeWorker(command);
@@ -259,24 +259,6 @@
     return APPLIED;
   }
 
-  private putWorker(report: WorkerRegistration): void {
-    const known = this.workers.get(report.worker);
-    if (known && known.report.bornAt > report.bornAt) return;
-    if (known?.report.bornAt === report.bornAt) {
-      known.report = latestReport(known, report);
-      return;
-    }
-    // A later start proves nothing about the runs of the earlier incarnation.
-    if (known && known.active.size > 0) return;
-    this.workers.set(report.worker, {
-      report,
-      endsRecorded: 0,
-      active: new Map(),
-      used: NO_RESOURCES,
-      ...noPreemptibleRuns(),
-    });
-  }
-
   /** Removes a worker; its runs are over. */
   private removeWorker(command: RemoveWorker): void {
     const {life, runs, proof, crash, isFinal, orphans} = command;
--- a/packages/state/src/workflow/worker_reports.ts
+++ b/packages/state/src/workflow/worker_reports.ts
@@ -1,5 +1,7 @@
 /** Order of the reports of one incarnation of a worker, which may overtake each other. */
-import {addResources, fitsInto} from './resources.js';
+import type {WorkerId} from '../ids/types.js';
+import {noPreemptibleRuns} from './preemptible_runs.js';
+import {NO_RESOURCES, addResources, fitsInto} from './resources.js';
 import type {Resources, WorkerRegistration, WorkerState} from './types.js';
 
 /**
@@ -21,6 +23,28 @@
   };
 };
 
+/** Keeps the report of a worker, which registers its incarnation if it is new. */
+export const putWorker = (
+  workers: Map<WorkerId, WorkerState>,
+  report: WorkerRegistration,
+): void => {
+  const known = workers.get(report.worker);
+  if (known && known.report.bornAt > report.bornAt) return;
+  if (known?.report.bornAt === report.bornAt) {
+    known.report = latestReport(known, report);
+    return;
+  }
+  // A later start proves nothing about the runs of the earlier incarnation.
+  if (known && known.active.size > 0) return;
+  workers.set(report.worker, {
+    report,
+    endsRecorded: 0,
+    active: new Map(),
+    used: NO_RESOURCES,
+    ...noPreemptibleRuns(),
+  });
+};
+
 /** Rounding errors of sums and differences of sizes that are not whole numbers. */
 const ROUNDING: Resources = {cpuMillis: 1e-3, memMb: 1e-3, gpus: 1e-3};
 
