--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -46,10 +46,7 @@
 import {makeRecordLoad} from './record_times.js';
 import {makeReplica} from './replica_settings.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
-import {
-  makePlacementQueries,
-  type PlacementQueries,
-} from './placement_queries.js';
+import {makePlacementQueries} from './placement_queries.js';
 import {
   WorkflowRequestRouter,
   type RequestTerms,
@@ -85,7 +82,7 @@
 export class ClusterNode {
   readonly gateway: GatewayTask;
   /** Tells where jobs would go. */
-  readonly placements: PlacementQueries;
+  readonly placements: ReturnType<typeof makePlacementQueries>;
   private readonly peers: LinkClient;
   private readonly server: LinkServer;
   private readonly replica: ReturnType<typeof makeReplica>;
