Sums of resources are rounded down

Cause: rounding to the nearest multiple can put a sum above a room that the sizes fill exactly, so that a task which fits is not placed.

Change: sizes are rounded down.

--- a/packages/state/src/workflow/resources.ts
+++ b/packages/state/src/workflow/resources.ts
@@ -8,7 +8,7 @@
 const PARTS_PER_UNIT = 2 ** 20;
 
 /**
- * Rounds resources so that their sums and differences are exact. Clients may
+ * Rounds resources down so that their sums and differences are exact. Clients may
  * declare fractions, whose sums would depend on the order of the records.
  */
 export const summable = ({cpuMillis, memMb, gpus}: Resources): Resources => ({
@@ -18,7 +18,7 @@
 });
 
 const toParts = (amount: number): number =>
-  Math.round(amount * PARTS_PER_UNIT) / PARTS_PER_UNIT;
+  Math.floor(amount * PARTS_PER_UNIT) / PARTS_PER_UNIT;
 
 /** Sum of two amounts. */
 export const addResources = (a: Resources, b: Resources): Resources => ({
