A budget for what untrusted peers make a process hold

Cause: parts of bodies, parsed requests and responses were kept without a bound over all connections, and Node's parser takes a whole read of 64 KB before anything can stop it.

Change: one budget a process for all servers of the platform; the largest and slowest give way, by address. Bodies are kept in one growing buffer, requests sent ahead and unread responses are bounded, connections count against limits.maxFds, and the limits of the bundle are in force at entries, which hear of them with hellos. Callers on links have to say who they are.

--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -5,7 +5,6 @@
 import {
   type AnnouncementRelay,
   GatewayTask,
-  JournalRecorder,
   LoadSheddingTask,
   type RecordLoadTask,
   SchedulerTask,
@@ -20,6 +19,7 @@
   type LinkHello,
   type LinkHelloReply,
   type LinkMethods,
+  type VersionedLimits,
   type WorkflowReply,
   type WorkflowRequest,
 } from '@primrosewick/protocol';
@@ -39,11 +39,13 @@
 } from '@primrosewick/transport';
 import {AdviceCalls} from './advice_calls.js';
 import {makeAnnouncementRelay} from './announcement_relay.js';
+import {BundleLimits, limitsOf} from './bundle_limits.js';
 import {BundleReader} from './bundle_reader.js';
 import {answerConfirmed} from './confirmed_replica.js';
 import {ConfirmedReads} from './confirmed_reads.js';
 import {LiveVms} from './live_vms.js';
 import {ReadLog} from './read_log.js';
+import {makeDecisionJournal} from './decision_journal.js';
 import {makeLeaderCounters, type LeaderCounters} from './leader_counters.js';
 import {
   answerRead,
@@ -74,13 +76,6 @@
 
 /** Pause between a failure of the data folder and the end of the process, in ms. */
 const REOPEN_PAUSE_MS = 1500;
-/** Size of the scheduler's journal while its images are small, in bytes. */
-const JOURNAL_BYTES = 6 * 1024 * 1024;
-/**
- * Maximum size of one of its two segments, in bytes; more than half the
- * journal, so that large images are written rarely.
- */
-const MAX_SEGMENT_BYTES = 9 * 1024 * 1024;
 /** Upper bound of the random seed for elections, exclusive. */
 const MAX_SEED = 2 ** 31;
 
@@ -101,13 +96,10 @@
   private readonly adviceCalls: AdviceCalls;
   private readonly counters: LeaderCounters;
   /** Decisions of the scheduler while this VM led, for `explain` and `replay`. */
-  readonly journal = new JournalRecorder({
-    clock: systemClock,
-    maxBytes: JOURNAL_BYTES,
-    maxSegmentBytes: MAX_SEGMENT_BYTES,
-  });
+  readonly journal = makeDecisionJournal();
   private readonly load = new LoadSheddingTask(systemClock);
   private readonly records: RecordLoadTask;
+  private readonly limits = new BundleLimits();
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -143,6 +135,9 @@
           'contact with the leader changed',
         ),
     });
+    this.gateway.helloReplies.subscribe(({limits}) =>
+      this.limits.observe(limits),
+    );
     this.calls = new WorkflowRequestRouter({
       gateway: this.gateway,
       peers: this.peers,
@@ -226,6 +221,11 @@
     return !this.isStopping && this.gateway.hasContact;
   }
 
+  /** Limits on clients of the latest bundle that this VM knows; null before any. */
+  get clientLimits(): VersionedLimits | null {
+    return this.limits.current;
+  }
+
   private makeLog(): ReplicatedLog | null {
     const {settings, logger, onFatal} = this.options;
     if (settings.dataFolder === null) return null;
@@ -354,6 +354,7 @@
       isServing,
       isReadable: this.readers?.reader.isReadable === true,
       index: this.replica.index,
+      limits: limitsOf(this.replica.db.bundle),
     };
   }
 
--- a/packages/daemon/src/servers.ts
+++ b/packages/daemon/src/servers.ts
@@ -2,6 +2,7 @@
 import {CellError} from '@primrosewick/state';
 import {
   HttpServer,
+  PeerBudget,
   type HttpHandler,
   type Route,
 } from '@primrosewick/transport';
@@ -18,15 +19,25 @@
 export const makeServers = (context: RouteContext): HttpServer[] => {
   const {listen, operatorTokenFile} = context.settings;
   const guard = tokenGuard(readToken(operatorTokenFile));
+  const {connections} = context.settings.limits;
+  const maxFds = FDS_PER_CONNECTION * connections;
+  const budget = new PeerBudget({memoryMb: MEMORY_MB, maxFds});
+  const make = makeServer.bind(undefined, context, budget);
   return [
-    makeServer(context, listen.client, clientRoutes(context)),
-    makeServer(context, listen.platform, platformRoutes(context)),
-    makeServer(context, listen.operator, operatorRoutes(context), guard),
+    make(listen.client, clientRoutes(context)),
+    make(listen.platform, platformRoutes(context)),
+    make(listen.operator, operatorRoutes(context), guard),
   ];
 };
 
+/** Memory that the budget for peers is derived from: a daemon forwards responses of 4 MB. */
+const MEMORY_MB = 2048;
+/** Three servers, and a quarter for all else. */
+const FDS_PER_CONNECTION = 4;
+
 const makeServer = (
   {settings, metrics}: RouteContext,
+  budget: PeerBudget,
   address: string,
   routes: Array<Route<HttpHandler>>,
   guard?: ReturnType<typeof tokenGuard>,
@@ -39,5 +50,6 @@
     guard,
     onRefusal,
     limits: settings.limits,
+    budget,
   });
 };
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -5,6 +5,7 @@
  */
 import type {
   Bundle,
+  ClientLimits,
   ErrorBody,
   KeyDigest,
   NodeId,
@@ -42,6 +43,13 @@
   readonly isReadable: boolean;
   /** Applied index of its state; 0 without a disk. */
   readonly index: number;
+  /** Limits of the bundle that it has; earlier releases tell none. */
+  readonly limits?: VersionedLimits;
+}
+
+/** Limits on clients, of one version of the bundle. */
+export interface VersionedLimits extends ClientLimits {
+  readonly version: number;
 }
 
 /** Address of a queue in a client's request. */
--- a/packages/transport/src/http/body.ts
+++ b/packages/transport/src/http/body.ts
@@ -1,31 +1,54 @@
 import type {IncomingMessage} from 'node:http';
 import {CellError, type ReasonCode} from '@primrosewick/state';
 import {startTimeout} from '../tasks/timers.js';
+import {isFragmented} from './budget/core.js';
+import {GrowingBuffer} from './budget/growing_buffer.js';
+
+/** Accounts for what a body holds while it is read. */
+export interface BodyAccount {
+  /** Adds bytes; negative where they are let go. */
+  charge(bytes: number): void;
+  /** Lets a body be rejected while it is read; @returns a function that ends this. */
+  addBody(reject: () => void): () => void;
+  /** Parses nothing more of the connection. */
+  endInput(): void;
+}
 
 /** Limits of a request body. */
 export interface BodyLimits {
   readonly maxBytes: number;
   /** Maximum time until the whole body has arrived, in ms. */
   readonly timeoutMs: number;
+  /** Absent where nothing is accounted for. */
+  readonly account?: BodyAccount;
 }
 
 /**
  * Reads a whole request body.
- * @throws CellError `body_too_large`, `slow_sender` or `client_gone`.
+ * @throws CellError `body_too_large`, `slow_sender`, `too_many_requests` or
+ *   `client_gone`.
  */
 export const readBody = (
   req: IncomingMessage,
-  limits: BodyLimits,
+  {maxBytes, timeoutMs, account}: BodyLimits,
 ): Promise<Buffer> =>
   new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let length = 0;
+    const buffer = new GrowingBuffer(maxBytes, change =>
+      account?.charge(change),
+    );
+    let chunks = 0;
+    let isOver = false;
     const cleanUp = (): void => {
+      isOver = true;
       timer.cancel();
+      removeBody?.();
       req.off('data', onData).off('end', onEnd).off('close', onClose);
     };
     const fail = (code: ReasonCode): void => {
+      if (isOver) return;
       cleanUp();
+      account?.endInput();
+      buffer.clear();
       reject(
         new CellError({
           code,
@@ -36,17 +59,20 @@
       );
     };
     const onData = (part: Buffer): void => {
-      parts.push(part);
-      length += part.length;
-      if (length > limits.maxBytes) fail('body_too_large');
+      chunks++;
+      const isTooLarge = !buffer.append(part);
+      if (isTooLarge || isFragmented(chunks, buffer.length))
+        fail('body_too_large');
     };
     const onEnd = (): void => {
       cleanUp();
-      resolve(Buffer.concat(parts, length));
+      const body = buffer.take();
+      resolve(body);
     };
     const onClose = (): void => fail('client_gone');
-    const timer = startTimeout(limits.timeoutMs, () => fail('slow_sender'));
-    if (Number(req.headers['content-length'] ?? 0) > limits.maxBytes)
+    const removeBody = account?.addBody(() => fail('too_many_requests'));
+    const timer = startTimeout(timeoutMs, () => fail('slow_sender'));
+    if (Number(req.headers['content-length'] ?? 0) > maxBytes)
       return fail('body_too_large');
     req.on('data', onData).on('end', onEnd).on('close', onClose);
   });
--- /dev/null
+++ b/packages/transport/src/http/budget/connection.ts
@@ -0,0 +1,192 @@
+/**
+ * One connection of an HTTP server: bounds the requests that are sent ahead and
+ * accounts for what they hold.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {decideAhead, mayStart, type PipelineState} from './core.js';
+import {PacedInput} from './paced_input.js';
+import type {BudgetedPeer, PeerBudget} from './task.js';
+import {REQUEST_BYTES, type ConnectionId, type ServerId} from './types.js';
+
+/** A request that was parsed. */
+interface TakenRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly account: RequestAccount;
+}
+
+/** Options of {@link PeerConnection}. */
+export interface PeerConnectionOptions {
+  readonly socket: Socket;
+  readonly budget: PeerBudget;
+  readonly server: ServerId;
+  /** Connections that the server accepts. */
+  readonly maxOfServer: number;
+  /** Headers that the server accepts, in bytes. */
+  readonly maxHeaderBytes: number;
+  /** Handles one request. */
+  readonly start: (
+    req: IncomingMessage,
+    res: ServerResponse,
+    account: RequestAccount,
+  ) => void;
+}
+
+/** Accounts for one request until its response is sent. */
+export class RequestAccount {
+  private held = 0;
+
+  constructor(
+    private readonly connection: PeerConnection,
+    bytes: number,
+  ) {
+    this.charge(bytes);
+  }
+
+  /** Adds bytes; negative where they are let go. */
+  charge(bytes: number): void {
+    this.held += bytes;
+    this.connection.charge(bytes);
+  }
+
+  /** Lets go of all bytes. */
+  release(): void {
+    this.charge(-this.held);
+  }
+
+  /** Lets a body be rejected while it is read; @returns a function that ends this. */
+  addBody(reject: () => void): () => void {
+    return this.connection.addBody(reject);
+  }
+
+  /** Parses nothing more, as the connection is closed after a response. */
+  endInput(): void {
+    this.connection.endInput();
+  }
+
+  /** Accounts for bytes of the response until they are handed to the network. */
+  addUnsent(bytes: number): void {
+    this.connection.addUnsent(bytes);
+    this.charge(bytes);
+  }
+}
+
+/** A connection whose requests and responses count against the budget. */
+export class PeerConnection implements BudgetedPeer {
+  readonly socket: Socket;
+  private readonly id: ConnectionId | undefined;
+  private readonly waiting: TakenRequest[] = [];
+  private readonly input: PacedInput | undefined;
+  private isEnding = false;
+  private started = 0;
+  /** Bytes of responses that are not handed to the network yet. */
+  private unsentBytes = 0;
+  /** Bytes that the peer had sent when its last request was parsed. */
+  private parsedBytes = 0;
+  private readonly bodies = new Set<() => void>();
+
+  constructor(private readonly options: PeerConnectionOptions) {
+    const {socket, budget, server, maxOfServer} = options;
+    this.socket = socket;
+    this.input = PacedInput.attach(socket, () => this.mayParse());
+    this.id = budget.open(this, server, maxOfServer);
+  }
+
+  /** Takes a request that has arrived. */
+  take(req: IncomingMessage, res: ServerResponse): void {
+    const {id, socket} = this;
+    if (id === undefined || socket.destroyed) return;
+    this.parsedBytes = socket.bytesRead;
+    const decision = decideAhead(this.state());
+    if (decision === 'close') return this.options.budget.end(id, 'pipeline');
+    const bytes = REQUEST_BYTES + headerBytesOf(req);
+    const account = new RequestAccount(this, bytes);
+    if (socket.destroyed) return;
+    if (decision === 'start') return this.begin({req, res, account});
+    this.waiting.push({req, res, account});
+  }
+
+  /** Parses nothing more, as the connection is closed after a response. */
+  endInput(): void {
+    this.isEnding = true;
+  }
+
+  private mayParse(): boolean {
+    return this.waiting.length === 0 && !this.isEnding;
+  }
+
+  /** Accounts for bytes of a body or response; negative where they are let go. */
+  charge(bytes: number): void {
+    if (this.id !== undefined) this.options.budget.charge(this.id, bytes);
+  }
+
+  /** Adds to the bytes of responses that are not handed to the network yet. */
+  addUnsent(bytes: number): void {
+    this.unsentBytes += bytes;
+  }
+
+  /** Lets a body be rejected while it is read; @returns a function that ends this. */
+  addBody(reject: () => void): () => void {
+    this.bodies.add(reject);
+    return () => void this.bodies.delete(reject);
+  }
+
+  /** @inheritdoc */
+  rejectBody(): boolean {
+    const bodies = [...this.bodies];
+    for (const reject of bodies) reject();
+    return bodies.length > 0;
+  }
+
+  /** @inheritdoc */
+  unreadBytes(): number {
+    return Math.max(this.unsentBytes, this.socket.writableLength);
+  }
+
+  /** @inheritdoc */
+  partialBytes(): number {
+    const restBytes = this.input?.restBytes ?? 0;
+    if (this.started > 0) return restBytes;
+    const bytes = this.socket.bytesRead - this.parsedBytes - restBytes;
+    return restBytes + Math.min(bytes, this.options.maxHeaderBytes);
+  }
+
+  private begin({req, res, account}: TakenRequest): void {
+    const id = this.id!;
+    this.started++;
+    this.options.budget.noteRequest(id, 1);
+    res.once('close', () => {
+      this.started--;
+      this.options.budget.noteRequest(id, -1);
+      account.release();
+      this.parsedBytes = Math.max(this.parsedBytes, this.socket.bytesRead);
+      this.startWaiting();
+    });
+    this.options.start(req, res, account);
+  }
+
+  private startWaiting(): void {
+    if (this.socket.destroyed) return;
+    while (this.waiting.length > 0 && mayStart(this.state()))
+      this.begin(this.waiting.shift()!);
+    if (this.waiting.length > 0) return;
+    if (this.socket.isPaused()) this.socket.resume();
+  }
+
+  private state(): PipelineState {
+    return {
+      started: this.started,
+      startedInAll: this.options.budget.startedRequests,
+      waiting: this.waiting.length,
+      unreadBytes: this.unreadBytes(),
+    };
+  }
+}
+
+/** Bytes of the parsed headers of a request. */
+export const headerBytesOf = ({rawHeaders, url}: IncomingMessage): number => {
+  let bytes = url?.length ?? 0;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes;
+};
--- a/packages/transport/src/http/client.ts
+++ b/packages/transport/src/http/client.ts
@@ -8,6 +8,7 @@
 import {CellError, isReasonCode, type ErrorBody} from '@primrosewick/state';
 import {startTimeout, type Timer} from '../tasks/timers.js';
 import {isCallable, splitAddress} from './address.js';
+import {GrowingBuffer} from './budget/growing_buffer.js';
 import {ConnectionPool} from './connection_pool.js';
 
 /** Options of an HTTP call. */
@@ -162,12 +163,9 @@
   private readResponse(res: IncomingMessage): void {
     const {address} = this.call;
     this.pool?.noteHeard(address, res.socket, performance.now());
-    const parts: Buffer[] = [];
-    let length = 0;
+    const buffer = new GrowingBuffer(this.call.maxResponseBytes);
     res.on('data', (part: Buffer) => {
-      parts.push(part);
-      length += part.length;
-      if (length > this.call.maxResponseBytes)
+      if (!this.isSettled && !buffer.append(part))
         this.fail('too_large', 'the response body exceeds its limit');
     });
     res.on('error', err => this.fail('lost', err.message));
@@ -179,7 +177,7 @@
         );
     });
     res.on('end', () => {
-      if (res.complete) this.succeed(res, Buffer.concat(parts, length));
+      if (res.complete) this.succeed(res, buffer.take());
     });
   }
 
--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -8,19 +8,31 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {CellError, toCellError, type ReasonCode} from '@primrosewick/state';
 import type {z} from 'zod';
 import {splitAddress} from './address.js';
 import {readBody} from './body.js';
+import {
+  PeerConnection,
+  headerBytesOf,
+  type RequestAccount,
+} from './budget/connection.js';
+import {DEFAULT_BUDGET, type PeerBudget} from './budget/task.js';
+import type {ServerId} from './budget/types.js';
 import {Router, type Route} from './router.js';
 
 /** Limits of a server. */
 export interface HttpLimits {
   readonly headerBytes: number;
   readonly bodyBytes: number;
-  /** Maximum time for the headers, and again for the body, to arrive, in ms. */
+  /** Maximum time for the body to arrive, in ms. */
   readonly bodyMs: number;
+  /** Maximum time for the headers to arrive, in ms; that of the body if absent. */
+  readonly headerMs?: number;
+  /** Time after which an idle connection is closed, in ms; 30 s if absent. */
+  readonly idleMs?: number;
   readonly connections: number;
 }
 
@@ -60,6 +72,10 @@
 export interface HttpServerOptions {
   readonly address: string;
   readonly limits: HttpLimits;
+  /** Stricter or looser limits in force now; `limits` alone if absent. */
+  readonly currentLimits?: () => HttpLimits;
+  /** Budget that the servers of the process share; that of the process if absent. */
+  readonly budget?: PeerBudget;
   readonly routes: ReadonlyArray<Route<HttpHandler>>;
   /** Handles requests whose path matches no route. */
   readonly fallback?: HttpHandler;
@@ -73,20 +89,26 @@
 export class HttpServer {
   private readonly server: Server;
   private readonly router: Router<HttpHandler>;
+  private readonly budget: PeerBudget;
+  private readonly id: ServerId;
+  private readonly connections = new WeakMap<Socket, PeerConnection>();
+  /** Limits that the server was last set to. */
+  private inForce: HttpLimits | undefined;
   private isClosing = false;
 
   constructor(private readonly options: HttpServerOptions) {
-    const {limits} = options;
     this.router = new Router(options.routes);
+    this.budget = options.budget ?? DEFAULT_BUDGET;
+    this.id = this.budget.addServer();
     this.server = createServer({
-      maxHeaderSize: limits.headerBytes,
-      headersTimeout: limits.bodyMs,
-      requestTimeout: 0,
-      keepAliveTimeout: 30_000,
+      maxHeaderSize: options.limits.headerBytes,
       connectionsCheckingInterval: 1000,
     });
-    this.server.maxConnections = limits.connections;
-    this.server.on('request', (req, res) => void this.serve(req, res));
+    this.applyLimits();
+    this.server.on('connection', socket => this.accept(socket));
+    this.server.on('request', (req, res) =>
+      this.connections.get(req.socket)?.take(req, res),
+    );
     this.server.on('clientError', (err, socket) =>
       this.rejectSocket(err, socket),
     );
@@ -114,39 +136,79 @@
     this.server.closeAllConnections();
   }
 
+  /** Sets the times to the limits in force. */
+  private applyLimits(): HttpLimits {
+    const limits = this.options.currentLimits?.() ?? this.options.limits;
+    if (limits === this.inForce) return limits;
+    this.inForce = limits;
+    const {bodyMs, headerMs = bodyMs, idleMs = DEFAULT_IDLE_MS} = limits;
+    this.server.headersTimeout = headerMs;
+    this.server.requestTimeout = headerMs + bodyMs + REQUEST_MARGIN_MS;
+    this.server.keepAliveTimeout = idleMs;
+    return limits;
+  }
+
+  private accept(socket: Socket): void {
+    const {connections, headerBytes} = this.applyLimits();
+    const connection = new PeerConnection({
+      socket,
+      budget: this.budget,
+      server: this.id,
+      maxOfServer: connections,
+      maxHeaderBytes: headerBytes,
+      start: (req, res, account) => void this.serve(req, res, account),
+    });
+    this.connections.set(socket, connection);
+  }
+
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
+    account: RequestAccount,
   ): Promise<void> {
     try {
-      const reply = await this.route(req, res);
-      this.send(res, reply);
+      const reply = await this.route(req, res, account);
+      if (hasLongRest(req)) {
+        account.endInput();
+        if (!res.headersSent) res.setHeader('connection', 'close');
+      }
+      this.send(res, reply, account);
     } catch (err) {
-      this.sendError(req, res, toCellError(err, 'serve'));
+      this.sendError(req, res, toCellError(err, 'serve'), account);
     }
   }
 
   private async route(
     req: IncomingMessage,
     res: ServerResponse,
+    account: RequestAccount,
   ): Promise<HttpReply> {
+    const limits = this.applyLimits();
+    if (
+      limits.headerBytes < this.options.limits.headerBytes &&
+      headerBytesOf(req) > limits.headerBytes
+    )
+      throw new CellError({code: 'headers_too_large', step: 'route'});
     const url = parseUrl(req.url);
     this.options.guard?.(req, url.pathname);
     const lookup = this.router.find(req.method ?? 'GET', url.pathname);
     const {fallback} = this.options;
     if (lookup.kind === 'unknown_path' && fallback)
-      return fallback(this.makeContext(req, res, {}, url.searchParams));
+      return fallback(
+        this.makeContext({req, res, account, limits}, {}, url.searchParams),
+      );
     if (lookup.kind === 'unknown_path')
       throw new CellError({code: 'unknown_path', step: 'route'});
     if (lookup.kind === 'wrong_method')
       throw new CellError({code: 'method_not_allowed', step: 'route'});
     const {handler, params} = lookup.match;
-    return handler(this.makeContext(req, res, params, url.searchParams));
+    return handler(
+      this.makeContext({req, res, account, limits}, params, url.searchParams),
+    );
   }
 
   private makeContext(
-    req: IncomingMessage,
-    res: ServerResponse,
+    {req, res, account, limits}: Exchange,
     params: Readonly<Record<string, string>>,
     query: URLSearchParams,
   ): HttpContext {
@@ -154,9 +216,8 @@
     res.on('close', () => {
       if (!res.writableFinished) controller.abort();
     });
-    const {bodyBytes, bodyMs} = this.options.limits;
-    const readBytes = () =>
-      readBody(req, {maxBytes: bodyBytes, timeoutMs: bodyMs});
+    const {bodyBytes: maxBytes, bodyMs: timeoutMs} = limits;
+    const readBytes = () => readBody(req, {maxBytes, timeoutMs, account});
     return {
       req,
       params,
@@ -167,7 +228,12 @@
     };
   }
 
-  private send(res: ServerResponse, reply: HttpReply): void {
+  private send(
+    res: ServerResponse,
+    reply: HttpReply,
+    account: RequestAccount,
+  ): void {
+    if (res.destroyed) return;
     const isBytes = reply.body instanceof Uint8Array;
     const body = isBytes
       ? (reply.body as Uint8Array)
@@ -179,23 +245,25 @@
       ...reply.headers,
       'content-length': body.length,
     });
-    res.end(body);
+    sendBody(res, body, account);
   }
 
   private sendError(
     req: IncomingMessage,
     res: ServerResponse,
     err: CellError,
+    account: RequestAccount,
   ): void {
     this.options.onRefusal(err);
     if (res.headersSent || res.destroyed) return;
     const isUnread = !req.complete;
-    if (isUnread) res.setHeader('connection', 'close');
-    this.send(res, {
-      status: err.status,
-      headers: retryHeaders(err),
-      body: {error: err.toBody()},
-    });
+    if (isUnread) {
+      account.endInput();
+      res.setHeader('connection', 'close');
+    }
+    const headers = retryHeaders(err);
+    const body = {error: err.toBody()};
+    this.send(res, {status: err.status, headers, body}, account);
     if (isUnread) req.resume();
   }
 
@@ -210,9 +278,61 @@
     const body = JSON.stringify({error: err.toBody()}) + '\n';
     const head = `HTTP/1.1 ${err.status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n`;
     socket.end(head + body);
+    setTimeout(() => socket.destroy(), REJECTED_LINGER_MS).unref();
   }
 }
 
+/** Time for which a connection whose request was not understood stays, in ms. */
+const REJECTED_LINGER_MS = 500;
+/** Time after which an idle connection is closed, in ms. */
+const DEFAULT_IDLE_MS = 30_000;
+/** Time for which a request may last beyond the limits of its parts, in ms. */
+const REQUEST_MARGIN_MS = 2000;
+/** Part of a response that is written at once, in bytes. */
+const PART_BYTES = 64 * 1024;
+
+/** Body that is drained after its response, so that the connection is kept, in bytes. */
+const MAX_DRAINED_BYTES = 16 * 1024;
+
+/** Whether more of a body may follow than is drained. */
+const hasLongRest = ({complete, headers}: IncomingMessage): boolean =>
+  !complete &&
+  (headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > MAX_DRAINED_BYTES);
+
+/** A request and its response, with what counts for it. */
+interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly account: RequestAccount;
+  readonly limits: HttpLimits;
+}
+
+/**
+ * Sends a body, a large one in parts, so that a peer that reads slowly differs
+ * from one that reads nothing.
+ */
+const sendBody = (
+  res: ServerResponse,
+  body: Uint8Array,
+  account: RequestAccount,
+): void => {
+  account.addUnsent(body.length);
+  let sent = 0;
+  const sendPart = (): void => {
+    if (res.destroyed) return;
+    const part = body.subarray(sent, sent + PART_BYTES);
+    sent += part.length;
+    const onSent = (): void => {
+      account.addUnsent(-part.length);
+      if (sent < body.length) sendPart();
+    };
+    if (sent < body.length) res.write(part, onSent);
+    else res.end(part, onSent);
+  };
+  sendPart();
+};
+
 /** `retry-after` header for an error that allows a retry, in whole seconds rounded up. */
 export const retryHeaders = (err: CellError): Record<string, string> =>
   err.retryAfterMs > 0
--- a/packages/transport/src/link/server.ts
+++ b/packages/transport/src/link/server.ts
@@ -14,7 +14,10 @@
 } from '@primrosewick/protocol';
 import {CellError, toCellError, type VmId} from '@primrosewick/state';
 import {workMeter, type WorkKind} from '../event_loop/work_meter.js';
+import {splitAddress} from '../http/address.js';
+import {startTimeout} from '../tasks/timers.js';
 import {LINK_SERVICE, encodeMeasured} from './service.js';
+import {UnnamedCallers} from './unnamed_callers.js';
 
 /**
  * Handlers by method; the deadline is the caller's, on the monotonic clock in ms.
@@ -52,6 +55,16 @@
  */
 const DEFAULT_PROBE: LinkProbe = {intervalMs: 30_000, timeoutMs: 10_000};
 
+/** Time for a caller to say who it is once its stream is open, in ms. */
+const OPEN_TIMEOUT_MS = 3000;
+/**
+ * Streams whose callers have not said who they are, from one address and in all;
+ * each may hold one frame. A VM opens one stream and says it at once.
+ */
+const MAX_UNNAMED = {perAddress: 16, total: 256};
+/** Streams of one connection; a VM opens one. */
+const MAX_STREAMS_PER_CONNECTION = 4;
+
 /** Options of `LinkServer`. */
 export interface LinkServerOptions {
   readonly address: string;
@@ -102,12 +115,14 @@
   private readonly server: Server;
   /** The latest stream of each VM. */
   private readonly streams = new Map<VmId, Stream>();
+  private readonly unnamed = new UnnamedCallers(MAX_UNNAMED);
 
   constructor(private readonly options: LinkServerOptions) {
     const {intervalMs, timeoutMs} = options.probe ?? DEFAULT_PROBE;
     this.server = new Server({
       'grpc.max_receive_message_length': MAX_LINK_FRAME_BYTES,
       'grpc.max_send_message_length': MAX_LINK_FRAME_BYTES,
+      'grpc.max_concurrent_streams': MAX_STREAMS_PER_CONNECTION,
       'grpc.keepalive_time_ms': intervalMs,
       'grpc.keepalive_timeout_ms': timeoutMs,
     });
@@ -135,8 +150,21 @@
   private accept(stream: Stream): void {
     let from: VmId | undefined;
     const calls: OpenCalls = new Map();
+    const caller = splitAddress(stream.getPeer()).host;
+    if (!this.unnamed.add(caller)) return this.reject(stream, caller);
+    let isUnnamed = true;
+    const leaveUnnamed = (): void => {
+      if (isUnnamed) this.unnamed.remove(caller);
+      isUnnamed = false;
+      timer.cancel();
+    };
+    const timer = startTimeout(OPEN_TIMEOUT_MS, () => {
+      leaveUnnamed();
+      this.reject(stream, caller);
+    });
     stream.on('data', (frame: LinkFrame) => {
       if (frame.kind === 'open') {
+        leaveUnnamed();
         if (frame.cell !== this.options.cell) return void stream.end();
         from = frame.from;
         this.streams.set(from, stream);
@@ -144,6 +172,7 @@
       } else if (from !== undefined) this.take(stream, from, frame, calls);
     });
     const onClosed = (): void => {
+      leaveUnnamed();
       for (const controller of calls.values()) controller.abort();
       if (from) this.onStreamClosed(from, stream);
     };
@@ -156,6 +185,15 @@
     stream.on('error', onClosed);
   }
 
+  /** Ends a stream whose caller has not said who it is. */
+  private reject(stream: Stream, caller: string): void {
+    this.options.onRefusal(
+      new CellError({code: 'slow_sender', step: 'link-open', peer: caller}),
+    );
+    stream.on('error', () => undefined);
+    stream.destroy();
+  }
+
   private onStreamClosed(from: VmId, stream: Stream): void {
     if (this.streams.get(from) !== stream) return;
     this.streams.delete(from);
