Bytes that wait to be parsed count at once

Cause: what was read and not parsed yet, up to 64 KB a connection, counted only every 250 ms.

Change: the paced input charges it as it is read, with the whole buffer that it is part of.

--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -89,7 +89,11 @@
   constructor(private readonly options: PeerConnectionOptions) {
     const {socket, budget, server, maxOfServer} = options;
     this.socket = socket;
-    this.input = PacedInput.attach(socket, () => this.mayParse());
+    this.input = PacedInput.attach(
+      socket,
+      () => this.mayParse(),
+      change => this.charge(change),
+    );
     this.id = budget.open(this, server, maxOfServer);
   }
 
@@ -147,9 +151,9 @@
   /** @inheritdoc */
   partialBytes(): number {
     const restBytes = this.input?.restBytes ?? 0;
-    if (this.started > 0) return restBytes;
+    if (this.started > 0) return 0;
     const bytes = this.socket.bytesRead - this.parsedBytes - restBytes;
-    return restBytes + Math.min(bytes, this.options.maxHeaderBytes);
+    return Math.min(bytes, this.options.maxHeaderBytes);
   }
 
   private begin({req, res, account}: TakenRequest): void {
--- a/packages/transport/src/http/budget/paced_input.ts
+++ b/packages/transport/src/http/budget/paced_input.ts
@@ -15,18 +15,23 @@
   /** Bytes that were read and not parsed yet. */
   private rest: Buffer | undefined;
   private isFeeding = false;
+  /** Bytes of the buffer that `rest` is a part of. */
+  private heldBytes = 0;
 
   private constructor(
     private readonly socket: Socket,
     private readonly parse: OnData,
     /** Whether more may be parsed now. */
     private readonly mayParse: () => boolean,
+    /** Told the change of the bytes that wait to be parsed. */
+    private readonly onHeld: (change: number) => void,
   ) {}
 
   /** Puts itself before the parser that an HTTP server has attached to a socket. */
   static attach(
     socket: Socket,
     mayParse: () => boolean,
+    onHeld: (change: number) => void,
   ): PacedInput | undefined {
     const [parse] = socket.listeners('data') as OnData[];
     if (!parse) return undefined;
@@ -34,6 +39,7 @@
       socket,
       data => parse.call(socket, data),
       mayParse,
+      onHeld,
     );
     socket.removeListener('data', parse);
     socket.on('data', data => input.take(data));
@@ -56,7 +62,7 @@
       this.parse(slice);
     }
     if (this.socket.destroyed) this.rest = undefined;
-    if (!this.rest) return;
+    if (!this.rest) return this.hold(0);
     if (!this.canParse()) return void this.socket.pause();
     // What the slice came to is handled first: bodies flow from the next tick on.
     this.isFeeding = true;
@@ -71,9 +77,16 @@
     if (!this.rest && data.length <= SLICE_BYTES && this.canParse())
       return this.parse(data);
     this.rest = this.rest ? Buffer.concat([this.rest, data]) : data;
+    this.hold(this.rest.length);
     this.feed();
   }
 
+  private hold(bytes: number): void {
+    const change = bytes - this.heldBytes;
+    this.heldBytes = bytes;
+    if (change !== 0) this.onHeld(change);
+  }
+
   private canParse(): boolean {
     return !this.socket.destroyed && !this.socket.isPaused() && this.mayParse();
   }
