--- a/packages/coordination/src/workflow/load_report.ts
+++ b/packages/coordination/src/workflow/load_report.ts
@@ -3,13 +3,17 @@
 import type {
   PlannedWait,
   QueueName,
+  SpeedSpread,
   WorkflowCommand,
   WorkflowDb,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import {AdviceLoad} from './advice_load.js';
+import {CustomerLoad} from './customer_load.js';
 import {QueueLoad, type EndedWait} from './queue_load.js';
+import {RecoveryLog} from './recovery_log.js';
 import {usageOf, type CellUsage} from './queue_usage.js';
+import {SpeedLog} from './speed_log.js';
 
 /** Interval between two log lines of a queue, in ms. */
 export const LOAD_INTERVAL_MS = 2000;
@@ -32,6 +36,7 @@
   readonly callerUse: () => CallerUse;
   /** Called for each wait that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
+  readonly onSpeeds?: (spread: SpeedSpread) => void;
 }
 
 /**
@@ -41,18 +46,26 @@
 export class LoadReport {
   readonly queues: QueueLoad;
   readonly advice = new AdviceLoad();
+  private readonly customers: CustomerLoad;
   private readonly beganAt: number;
+  private readonly speedLog: SpeedLog;
+  private readonly recovery: RecoveryLog;
   /** Queues that had work at the last report. */
   private lastWithWork: ReadonlySet<QueueName> = new Set();
 
   constructor(private readonly options: LoadReportOptions) {
-    const {db, clock} = options;
+    const {db, clock, logger} = options;
     this.queues = new QueueLoad(id => db.workflows.get(id)?.queue);
+    this.customers = new CustomerLoad(options);
     this.beganAt = clock.now();
+    this.speedLog = new SpeedLog(options.logger, db, options.onSpeeds);
+    this.recovery = new RecoveryLog(logger, db, this.beganAt);
   }
 
   /** Notes all waits of one pass, at a monotonic time in ms. */
   notePass(waits: readonly PlannedWait[], now: number): void {
+    this.customers.notePass(waits);
+    this.recovery.notePass(waits, now);
     for (const wait of this.queues.notePass(waits, now))
       this.options.onWaited?.(wait);
   }
@@ -60,6 +73,7 @@
   /** Counts the ended and voided runs of an applied record. */
   noteRecord(command: WorkflowCommand): void {
     const {queues} = this;
+    this.recovery.noteRecord(command, this.options.clock.now());
     switch (command.kind) {
       case 'end_runs':
         for (const {task, outcome} of command.ends)
@@ -95,6 +109,8 @@
       .slice(0, MAX_QUEUES_LOGGED);
     this.lastWithWork = withWork;
     for (const queue of logged) this.logQueue(queue, usage);
+    this.speedLog.note(clock.now());
+    this.customers.log();
   }
 
   private logQueue(queue: QueueName, {queues, cpuMillis}: CellUsage): void {
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -4,6 +4,7 @@
   WorkflowCommand,
   WorkflowEnd,
   WorkflowResult,
+  SpeedSpread,
 } from '@primrosewick/state';
 import type {Clock} from '@primrosewick/transport';
 import type {Recorder} from '../zone/types.js';
@@ -37,8 +38,14 @@
   readonly propose: (command: WorkflowCommand) => Promise<WorkflowResult>;
   readonly callers: AdviceDispatcherOptions['callers'];
   readonly ask: AdviceDispatcherOptions['ask'];
+  /** Whether useless work is deferred in a bundle without customers. */
+  readonly mayDeferUseless?: boolean;
+  /** Whether zones take turns where a pool is full. */
+  readonly mayShareZones?: boolean;
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
+  /** Called at intervals with the spread of the learned speeds. */
+  readonly onSpeeds?: (spread: SpeedSpread) => void;
   /** Called for each workflow that has ended. */
   readonly onEnded?: (end: WorkflowEnd) => void;
   /** Called with the number of runs that a record of this leader gives up. */
--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -7,12 +7,14 @@
   WorkerHealth,
   decidePass,
   earlyAdviceRequests,
+  evidenceOf,
   plannerImage,
   toCellError,
   type NewWorkflow,
   type Plan,
   type PlannedStop,
   type QueueName,
+  type ReasonCode,
   type RunEvidence,
   type WorkerId,
   type WorkerIncarnation,
@@ -24,6 +26,7 @@
 import {AdviceDispatcher} from './advice_dispatcher.js';
 import {ChannelSet} from './channel_set.js';
 import {EndLog} from './end_log.js';
+import {FirstStartLog} from './first_start_log.js';
 import {LEASE_MS, LEADERSHIP_MARGIN_MS, MAX_GRANTED_MS} from './order_terms.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 import {PassJournal} from './pass_journal.js';
@@ -37,6 +40,7 @@
 import {StartTimeline, type StartMoment} from './start_timeline.js';
 import {KnownLives} from './known_lives.js';
 import {OrphanTracker} from './orphan_tracker.js';
+import type {RefusalReason} from './submission_admission.js';
 import {WaitLog} from './wait_log.js';
 import {WorkerChannel} from './worker_channel.js';
 import {WorkerViews} from './worker_views.js';
@@ -70,6 +74,7 @@
   private readonly waitLog: WaitLog;
   private readonly endLog: EndLog;
   private readonly timeline = new StartTimeline();
+  private readonly firstStarts: FirstStartLog;
   private readonly passLoad: PassLoad;
   private readonly load: LoadReport;
   private readonly runLog: RunLog;
@@ -104,12 +109,14 @@
     this.waitLog = new WaitLog(logger);
     this.endLog = new EndLog(logger, replica.db);
     this.passLoad = new PassLoad(logger, this.startedAt);
+    this.firstStarts = new FirstStartLog({...options, timeline: this.timeline});
     this.load = new LoadReport({
       db: replica.db,
       clock,
       logger,
       callerUse: () => this.advice.callerUse,
       onWaited: wait => options.onWaited?.(wait),
+      onSpeeds: spread => options.onSpeeds?.(spread),
     });
     this.runLog = new RunLog(logger, this.load.queues);
     this.advice = new AdviceDispatcher({
@@ -190,9 +197,9 @@
     this.advice.drop(id);
   }
 
-  /** Counts a workflow that was rejected because of the queue's backlog. */
-  noteRefused(queue: QueueName): void {
-    this.load.queues.countFor(queue, 'refused', 'backlog');
+  /** Counts a workflow of a queue that was rejected for a reason. */
+  noteRefused(queue: QueueName, why: ReasonCode): void {
+    this.load.queues.countFor(queue, 'refused', why);
   }
 
   private get db(): WorkflowDb {
@@ -220,8 +227,8 @@
       case 'end_runs':
         for (const {task, outcome} of command.ends) {
           this.advice.prune(task.workflow);
-          if (outcome === 'done' || outcome === 'failed')
-            this.noteEvidence(command.life.worker, task.workflow, outcome);
+          const kind = evidenceOf(outcome, this.db.findTask(task));
+          if (kind) this.noteEvidence(command.life.worker, task.workflow, kind);
         }
         for (const end of this.db.ended.byLastRecord)
           this.endLog.note(end, this.options.clock.wall());
@@ -246,17 +253,6 @@
     this.timeline.note(id, moment, this.options.clock.now());
   }
 
-  /** Logs the time spent in each stage before the workflow's first start. */
-  private logFirstStart(id: WorkflowId): void {
-    const stages = this.timeline.finish(id, this.options.clock.now());
-    if (!stages) return;
-    const queue = this.db.workflows.get(id)?.queue;
-    this.options.logger.info(
-      {decision: 'first_start', req: id, queue, stages},
-      'first task of a workflow is running',
-    );
-  }
-
   /** Opens and closes channels, so that each registered incarnation has one. */
   private syncChannels(): void {
     if (this.isClosed) return;
@@ -288,7 +284,7 @@
       crashEvidence: () => this.lives.crashEvidenceOf(life.worker),
       onChange: () => this.schedulePass(),
       onGivenUp: this.options.onGivenUp,
-      onStarted: task => this.logFirstStart(task.workflow),
+      onStarted: task => this.firstStarts.log(task.workflow),
       onStartFailed: (task, failure) => {
         if (failure.kind === 'refused' && failure.why === 'unhealthy')
           this.noteEvidence(life.worker, task.workflow, 'refused');
@@ -372,8 +368,7 @@
     const beganAt = clock.now();
     const times = runTimesOf({db: this.db, clock, channels: this.channels});
     const pass = collectPassInput({
-      clock,
-      callers: this.options.callers,
+      ...this.options,
       channels: this.channels,
       views: this.views,
       orphans: this.orphans,
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -9,10 +9,14 @@
 } from '@primrosewick/protocol';
 import {
   CellError,
+  authenticate,
+  customerOf,
   findBundleError,
   findExceededLimit,
   matchQueue,
   type Bundle,
+  type Caller,
+  type CustomerName,
   type NewWorkflow,
   type QueueMatch,
   type QueueName,
@@ -29,7 +33,11 @@
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {BundleWriter} from './bundle_writer.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
-import {SubmissionAdmission} from './submission_admission.js';
+import {CapCheck} from './cap_check.js';
+import {
+  SubmissionAdmission,
+  type RefusalReason,
+} from './submission_admission.js';
 import type {WorkflowReplica} from './replica.js';
 import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
@@ -69,10 +77,15 @@
   readonly isWorkflowId?: (text: string) => boolean;
   /** Called for each workflow whose submission is about to be recorded. */
   readonly onSubmission?: (workflow: NewWorkflow) => void;
+  /** Called for each recorded workflow with its customer; undefined without one. */
+  readonly onAccepted?: (customer: CustomerName | undefined) => void;
   /** Called if it was not recorded, as far as this VM knows. */
   readonly onUnrecorded?: (id: WorkflowId) => void;
-  /** Called for each workflow that is rejected because of the backlog. */
-  readonly onRefused?: (queue: QueueName) => void;
+  /** Called for each workflow that is rejected because of the backlog, a rate or a cap. */
+  readonly onRefused?: (
+    queue: QueueName,
+    why: RefusalReason | 'cap_exceeded',
+  ) => void;
 }
 
 /** Handles the calls of clients, workers and operators at the leader. */
@@ -81,6 +94,7 @@
   /** Submissions in flight, so that a duplicate shares the outcome. */
   private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
   private readonly admission: SubmissionAdmission;
+  private readonly caps: CapCheck;
   private readonly workers: WorkerRegistry;
   private readonly departures: Departures;
   private readonly bundles: BundleWriter;
@@ -95,6 +109,7 @@
       ...options,
       db: options.replica.db,
     });
+    this.caps = new CapCheck({...options, db: options.replica.db});
     this.workers = new WorkerRegistry({
       ...options,
       db: () => options.replica.db,
@@ -125,9 +140,12 @@
       const match = await this.findQueue(request);
       if (request.kind === 'get') return this.get(request);
       if (!match) return {kind: 'unknown_queue'};
+      const caller = this.authenticate(request, match);
+      if (caller.kind === 'denied')
+        return {kind: 'unauthenticated', version: this.bundleVersion};
       switch (request.kind) {
         case 'submit':
-          return this.submit(request, match, deadline);
+          return this.submit(request, match, caller, deadline);
         case 'cancel':
           return this.cancel(request, match);
       }
@@ -235,16 +253,33 @@
   private async findQueue({
     host,
     path,
+    credential,
   }: WorkflowRequest): Promise<QueueMatch | undefined> {
     if (!this.db.bundle) await this.confirm();
     if (!this.db.bundle)
       throw new CellError({code: 'starting', step: 'find-queue'});
     const match = matchQueue(this.db.bundle, host, path);
-    if (match && this.isComplete(match)) return match;
+    if (
+      match &&
+      this.isComplete(match) &&
+      this.authenticate({credential}, match).kind !== 'denied'
+    )
+      return match;
     await this.confirm();
     return matchQueue(this.db.bundle, host, path);
   }
 
+  private authenticate(
+    {credential}: Pick<QueueAddress, 'credential'>,
+    {queue}: QueueMatch,
+  ): Caller {
+    return authenticate(this.db.bundle ?? {}, queue, credential);
+  }
+
+  private get bundleVersion(): number {
+    return this.db.bundle?.version ?? 0;
+  }
+
   /** Whether a path is that of a queue or of a workflow, so that no nested queue can be meant. */
   private isComplete({rest}: QueueMatch): boolean {
     return rest === '' || this.isWorkflowId(rest);
@@ -253,12 +288,13 @@
   private async submit(
     request: Extract<WorkflowRequest, {kind: 'submit'}>,
     {queue, rest}: QueueMatch,
+    caller: Caller,
     deadline: number,
   ): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
-    const {spec} = request;
+    const {spec, zone} = request;
     const {clock, logger} = this.options;
-    if (this.db.workflows.has(id)) return {kind: 'accepted'};
+    if (this.db.workflows.has(id)) return this.acknowledge(request, caller);
     if (!this.isWorkflowId(rest))
       return answerOddSubmission(this.db, request, rest);
     const pending = this.submitting.get(id);
@@ -267,24 +303,44 @@
       return {kind: 'accepted'};
     }
     throwOnFault('submit', findExceededLimit(spec));
+    const payer = customerOf(caller);
+    const customer = payer?.name;
+    this.caps.check({id, queue, spec, customer: payer});
     const inFlight = this.submitting.size;
-    this.admission.check({id, queue, spec, inFlight, deadline});
-    this.options.onSubmission?.({id, queue, spec});
+    const isBeyondRate = this.admission.check({
+      id,
+      queue,
+      spec,
+      inFlight,
+      deadline,
+      ...(customer !== undefined && {customer}),
+    });
+    this.options.onSubmission?.({
+      id,
+      queue,
+      spec,
+      ...(customer !== undefined && {customer}),
+    });
     const outcome = this.propose({
       kind: 'submit',
       id,
       queue: queue.name,
       spec,
       at: clock.wall(),
+      ...(customer !== undefined && {customer}),
+      ...(zone !== undefined && {zone}),
+      ...(isBeyondRate && {isBeyondRate}),
     });
     this.submitting.set(id, outcome);
     try {
       await outcome;
+      this.options.onAccepted?.(customer);
       logger.info(
         {
           decision: 'accept',
           req: id,
           queue: queue.name,
+          ...(customer !== undefined && {customer}),
           bundle: this.db.bundle?.version,
           index: this.db.index,
           open: this.db.open.size,
@@ -300,6 +356,20 @@
     }
   }
 
+  /**
+   * Acknowledges a submission that was recorded earlier. No record proves here
+   * that this VM still leads, so that it knows of revoked keys.
+   */
+  private async acknowledge(
+    address: QueueAddress,
+    caller: Caller,
+  ): Promise<WorkflowReply> {
+    if (caller.kind === 'unchecked') return {kind: 'accepted'};
+    await this.confirm();
+    const target = findTarget(this.db, address);
+    return target.kind === 'unauthenticated' ? target : {kind: 'accepted'};
+  }
+
   private isWorkflowId(text: string): boolean {
     const {isWorkflowId = isPathSegment} = this.options;
     return isWorkflowId(text);
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -8,14 +8,12 @@
   LoadSheddingTask,
   type RecordLoadTask,
   SchedulerTask,
-  WorkflowReplica,
   WorkflowService,
   type AdvicePort,
   type OrderPort,
 } from '@primrosewick/coordination';
 import {
   type ClusterSettings,
-  type LinkLeaderReply,
   type LinkHello,
   type LinkHelloReply,
   type LinkMethods,
@@ -26,34 +24,29 @@
 import {
   CellError,
   findBundleError,
+  reportCustomers,
   toCellError,
   type Bundle,
+  type CustomerReport,
   type VmId,
   type WorkerRegistration,
 } from '@primrosewick/state';
-import {
-  LinkClient,
-  LinkServer,
-  systemClock,
-  type LinkHandlers,
-} from '@primrosewick/transport';
+import {LinkClient, LinkServer, systemClock} from '@primrosewick/transport';
 import {AdviceCalls} from './advice_calls.js';
 import {makeAnnouncementRelay} from './announcement_relay.js';
+import {AuthenticationLog} from './authentication_log.js';
 import {BundleLimits, limitsOf} from './bundle_limits.js';
 import {BundleReader} from './bundle_reader.js';
-import {answerConfirmed} from './confirmed_replica.js';
 import {ConfirmedReads} from './confirmed_reads.js';
 import {LiveVms} from './live_vms.js';
 import {ReadLog} from './read_log.js';
 import {makeDecisionJournal} from './decision_journal.js';
 import {makeLeaderCounters, type LeaderCounters} from './leader_counters.js';
-import {
-  answerRead,
-  makeReplicaReaders,
-  type ReplicaReaders,
-} from './replica_readers.js';
+import {makeNodeHandlers} from './node_handlers.js';
+import {makeReplicaReaders, type ReplicaReaders} from './replica_readers.js';
 import {queryPeers} from './query_peers.js';
 import {makeRecordLoad} from './record_times.js';
+import {makeReplica} from './replica_settings.js';
 import {DroppedReplyLog} from './dropped_reply_log.js';
 import {
   WorkflowRequestRouter,
@@ -84,12 +77,13 @@
   readonly gateway: GatewayTask;
   private readonly peers: LinkClient;
   private readonly server: LinkServer;
-  private readonly replica: WorkflowReplica;
+  private readonly replica: ReturnType<typeof makeReplica>;
   private readonly log: ReplicatedLog | null;
   private readonly service: WorkflowService | null;
   private readonly readers: ReplicaReaders | null;
   private readonly announcements: AnnouncementRelay | null;
   private readonly calls: WorkflowRequestRouter;
+  private readonly authentication: AuthenticationLog;
   private readonly bundles: BundleReader;
   private scheduler: SchedulerTask | null = null;
   private readonly callers: LiveVms;
@@ -104,7 +98,7 @@
 
   constructor(private readonly options: ClusterNodeOptions) {
     const {settings, logger} = options;
-    this.replica = new WorkflowReplica({keepEndedMs: settings.keepEndedMs});
+    this.replica = makeReplica(settings);
     this.peers = new LinkClient({
       cell: CLUSTER_NAME,
       vm: settings.peer,
@@ -117,7 +111,7 @@
       port: options.advice,
       clock: systemClock,
     });
-    this.counters = makeLeaderCounters(options.registry);
+    this.counters = makeLeaderCounters(options.registry, this.replica.db);
     this.records = makeRecordLoad(options, randomInt(MAX_SEED));
     this.log = this.makeLog();
     this.service = this.log && this.makeService(this.log);
@@ -152,6 +146,10 @@
       }),
       reads: new ReadLog(logger, options.registry),
     });
+    this.authentication = new AuthenticationLog({
+      ...options,
+      clock: systemClock,
+    });
     this.bundles = new BundleReader({
       reader: this.readers?.confirmed ?? null,
       gateway: this.gateway,
@@ -162,7 +160,14 @@
     this.server = new LinkServer({
       address: settings.peer,
       cell: CLUSTER_NAME,
-      handlers: this.handlers(),
+      handlers: makeNodeHandlers({
+        hello: from => this.helloReply(from),
+        log: this.log,
+        service: this.service,
+        readers: this.readers,
+        adviceCalls: this.adviceCalls,
+        readIndex: () => this.readIndex(),
+      }),
       onRefusal: err => logger.info({decision: 'refuse', err: err.toBody()}),
       onDisconnected: vm => this.onPeerLost(vm),
       onDroppedReply: unsent => droppedReplyLog.logDrop(unsent),
@@ -261,8 +266,9 @@
       onAnnouncement: worker => this.scheduler?.noteAnnouncement(worker),
       onSubmission: workflow => this.scheduler?.noteSubmission(workflow),
       onUnrecorded: id => this.scheduler?.noteUnrecorded(id),
-      onRefused: queue => this.scheduler?.noteRefused(queue),
+      onRefused: (queue, why) => this.scheduler?.noteRefused(queue, why),
       onGivenUp: this.counters.onGivenUp,
+      onAccepted: this.counters.onAccepted,
       checkLife: life => this.scheduler?.lives.check(life),
       answers: claim => this.scheduler?.lives.answers(claim),
       depart: life => this.scheduler?.lives.depart(life),
@@ -322,8 +328,9 @@
       propose: command => log.propose(command),
       ...this.counters,
       callers: () => this.callers.list(),
-      ask: (vm, step, workers, deadline) =>
-        this.adviceCalls.ask(vm, step, workers, deadline),
+      ask: (...call) => this.adviceCalls.ask(...call),
+      mayDeferUseless: settings.mayDeferUseless,
+      mayShareZones: settings.mayShareZones,
       recorder: this.journal,
     });
     this.scheduler.start();
@@ -358,39 +365,24 @@
     };
   }
 
-  private handlers(): LinkHandlers {
-    const notLeader = <T>(): Promise<LinkLeaderReply<T>> =>
-      Promise.resolve({kind: 'not_leader', leader: null});
-    const {log, service} = this;
-    return {
-      hello: async from => this.helloReply(from),
-      consensus: async ({envelopes}, from) => ({
-        envelopes: log ? await log.receive(from, envelopes) : [],
-      }),
-      readIndex: () => this.readIndex(),
-      readWorkflow: (query, _from, _deadline, signal) =>
-        answerRead(this.readers, query, signal),
-      readConfirmed: request =>
-        answerConfirmed(this.readers, request, systemClock),
-      workflow: (request, _from, deadline) =>
-        service?.handle(request, deadline) ?? notLeader(),
-      announceWorker: report => service?.announceWorker(report) ?? notLeader(),
-      heardWorkers: request =>
-        service?.noteAnnouncements(request) ?? notLeader(),
-      removeWorker: (request, _from, deadline) =>
-        service?.removeWorker(request, deadline) ?? notLeader(),
-      putBundle: request => service?.putBundle(request) ?? notLeader(),
-      getBundle: () => service?.getBundle() ?? notLeader(),
-      advise: request => this.adviceCalls.answer(request),
-    };
-  }
-
   /** Routes a client's request to a VM that can answer it. */
   request(
     request: WorkflowRequest,
     terms: RequestTerms,
   ): Promise<WorkflowReply> {
-    return this.calls.request(request, terms);
+    const {zone} = this.options.settings;
+    const sent = request.kind === 'submit' ? {...request, zone} : request;
+    return this.authentication.watch(sent, this.calls.request(sent, terms));
+  }
+
+  /**
+   * Terms and usage of all customers as this VM's copy of the log has them.
+   * @throws CellError `log_unavailable` without a copy that may be read.
+   */
+  listCustomers(): readonly CustomerReport[] {
+    if (this.readers?.reader.isReadable)
+      return reportCustomers(this.replica.db);
+    throw new CellError({code: 'log_unavailable', step: 'list-customers'});
   }
 
   /** Handles the announcement of a worker, until a deadline of the monotonic clock in ms. */
--- a/packages/proofs/src/bench/main.ts
+++ b/packages/proofs/src/bench/main.ts
@@ -4,6 +4,7 @@
  * contains it; a second one is the baseline bundle of `benchIdle`.
  */
 import {cpus} from 'node:os';
+import {benchAuthentication} from './authentication.js';
 import {benchEntry} from './entry.js';
 import {benchIdleVms} from './idle.js';
 import {
@@ -16,6 +17,7 @@
 import {benchCancel, benchDecisions, benchPacking} from './placing.js';
 import {formatTable, type Table} from './report.js';
 import {benchSchedulingDays} from './scheduling/day_table.js';
+import {benchUnevenWorkers} from './scheduling/uneven.js';
 import {benchScheduling} from './scheduling/table.js';
 import {benchUrgent} from './urgent.js';
 import {benchWaiting} from './waiting.js';
@@ -32,6 +34,9 @@
   function benchDays() {
     return benchSchedulingDays(SEED);
   },
+  function benchUneven() {
+    return benchUnevenWorkers(SEED);
+  },
   function benchPasses() {
     return benchPlannerPasses(SEED);
   },
@@ -43,6 +48,7 @@
   },
   benchCancel,
   benchUrgent,
+  benchAuthentication,
   benchEntry,
   function benchIdle() {
     return benchIdleVms(process.argv[3]);
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,9 +5,13 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
+import {CustomerRates} from './admission/customer_rate.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
+import {CustomerUsage} from './customer_usage.js';
 import {DepartedWorkers} from './departed_workers.js';
 import {EndedWorkflows} from './ended_workflows.js';
+import {RunEstimates} from './estimates/core.js';
+import {learnFromEnd} from './estimates/ended_runs.js';
 import {imageOf, originOf, restoreWorker} from './image.js';
 import {KnownCustomers} from './known_customers.js';
 import {OpenWorkflows} from './open_workflows.js';
@@ -46,6 +50,7 @@
   WorkflowResult,
   WorkflowState,
 } from './types.js';
+import {noteOutcome} from './run_outcomes.js';
 import {noPreemptibleRuns, indexRun, unindexRun} from './preemptible_runs.js';
 import {latestReport} from './worker_reports.js';
 
@@ -62,19 +67,27 @@
   /** Queues by name; one that the bundle dropped keeps its last settings. */
   readonly queues = new Map<QueueName, Queue>();
   readonly customers = new KnownCustomers();
+  /** Resources that customers have running. */
+  readonly usage = new CustomerUsage();
   readonly workflows = new Map<WorkflowId, WorkflowState>();
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly departed = new DepartedWorkers();
   readonly orphans = new OrphanedRuns();
   /** Tasks under which workers have crashed. */
   readonly crashes = new TaskCrashes(this.workflows);
+  /** Run times and worker speeds, learned from the ends of runs. */
+  readonly estimates = new RunEstimates();
   readonly open = new OpenWorkflows();
+  /** Accepted submissions by customer. */
+  readonly rates: CustomerRates;
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
   readonly ended: EndedWorkflows;
   private lastIndex = 0;
 
-  constructor({keepEndedMs = KEEP_ENDED_MS}: Partial<WorkflowDbOptions> = {}) {
+  constructor(options: Partial<WorkflowDbOptions> = {}) {
+    const {keepEndedMs = KEEP_ENDED_MS, rate} = options;
+    this.rates = new CustomerRates(rate);
     this.ended = new EndedWorkflows(this.workflows, keepEndedMs);
   }
 
@@ -158,6 +171,7 @@
     this.workflows.clear();
     this.open.clear();
     this.ended.clear();
+    this.rates.clear();
     for (const kept of image.workflows)
       this.addWorkflow({
         ...kept,
@@ -170,6 +184,7 @@
     this.departed.restore(image.departed);
     this.orphans.restore(image.orphans);
     this.crashes.restore(image.crashes);
+    this.estimates.restore(image.estimates);
     this.workers.clear();
     for (const kept of image.workers)
       this.workers.set(kept.report.worker, restoreWorker(kept, this));
@@ -179,6 +194,7 @@
   /** Rebuilds the counts and the index of active runs from the whole state. */
   private rebuildActiveRuns(): void {
     this.running.clear();
+    this.usage.recount(this.workflows.values());
     for (const workflow of this.workflows.values()) {
       workflow.activeRuns = countActiveRuns(workflow);
       if (workflow.phase !== 'open' && workflow.activeRuns > 0)
@@ -204,6 +220,7 @@
 
   private addWorkflow(workflow: WorkflowState): void {
     this.workflows.set(workflow.id, workflow);
+    this.rates.noteAccepted(workflow);
     if (workflow.phase === 'open') this.open.set(workflow.id, workflow);
     else this.ended.add(workflow.id, workflow.endedAt);
   }
@@ -295,6 +312,7 @@
     if (step && state.active.length === 0) step.idleCount--;
     state.active.push({run, worker, bornAt});
     workflow.activeRuns++;
+    this.usage.add(workflow, task.step);
     this.addStopCandidate(task);
     const key = taskKey(task);
     if (!workerState.active.has(key))
@@ -317,6 +335,8 @@
       worker.endsRecorded = end.sequence;
       this.crashes.noteEnd(worker, end, at);
       this.orphans.delete(end.task, end.run);
+      noteOutcome(this, worker, end, at);
+      learnFromEnd(this, worker, end, at);
       const isActive = this.removeRun(life, end.task, end.run);
       const wasOrdered = end.run <= (this.findTask(end.task)?.lastRun ?? 0);
       if (isActive || (countsVoided && wasOrdered)) this.applyEnd(end, at);
@@ -402,6 +422,7 @@
     this.ended.finish(workflow, this.queues.get(workflow.queue), phase, at);
     this.open.delete(workflow.id);
     this.crashes.forget(workflow.id);
+    this.estimates.forget(workflow.id);
     if (workflow.activeRuns === 0) discardDetails(workflow);
     else this.running.ending.add(workflow.id);
   }
@@ -411,6 +432,7 @@
     const step = workflow?.occurrences.get(task.occurrence)?.[task.step];
     if (!workflow || !step) return;
     workflow.activeRuns--;
+    this.usage.remove(workflow, task.step);
     if (state.active.length === 0) {
       if (!state.isDone) step.idleCount++;
       this.running.remove(task, !hasActiveRuns(step));
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -2,14 +2,19 @@
  * The planner and its whole state, driven by events, so that an operator can
  * replay a journal to see why work was placed where it was.
  */
-import type {Bundle} from '../../bundle/types.js';
+import type {Bundle, Customer} from '../../bundle/types.js';
 import type {WorkerId} from '../../ids/types.js';
 import type {DecisionNote} from '../../requests/types.js';
 import {assertNever} from '../../utils/assert_never.js';
 import {mapReviver} from '../../utils/image.js';
 import {WorkflowDb} from '../db.js';
 import {plan} from '../planner/core.js';
-import type {Plan, PlanInput, StepAdvice} from '../planner/types.js';
+import type {
+  Plan,
+  PlanInput,
+  PlannedStart,
+  StepAdvice,
+} from '../planner/types.js';
 import {viewWorkers} from '../planner/views.js';
 import {stepKey, taskKey} from '../refs.js';
 import {hasActiveRuns} from '../task_state.js';
@@ -55,8 +60,14 @@
       return views;
     },
     pending,
+    mayRun: [
+      ...pass.heldBack,
+      ...pass.expected.map(([worker, key]) => [key, worker] as const),
+    ],
     stopping: new Set(pass.stopping),
     callerCount: pass.callerCount,
+    ...(pass.mayDeferUseless && {mayDeferUseless: true}),
+    ...(pass.mayShareZones && {mayShareZones: true}),
   });
 };
 
@@ -79,9 +90,9 @@
 
 /** Reasons for the decisions of a pass, by task. */
 export const notesOf = ({starts, stops}: Plan): DecisionNote[] => [
-  ...starts.map(({task, run, worker, checkpoint}) => ({
+  ...starts.map(({task, run, worker, checkpoint, expected}) => ({
     subject: taskKey(task),
-    reason: `run ${run} starts on ${worker}${checkpoint === '' ? '' : ' from its checkpoint'}`,
+    reason: `run ${run} starts on ${worker}${checkpoint === '' ? '' : ' from its checkpoint'}${expectedText(expected)}`,
   })),
   ...stops.map(({task, run, worker, why, inFavourOf}) => ({
     subject: taskKey(task),
@@ -89,6 +100,11 @@
   })),
 ];
 
+const expectedText = (expected: PlannedStart['expected']): string =>
+  expected
+    ? `, expected to take ${expected.ms} ms at speed ${expected.speed.toFixed(2)}`
+    : '';
+
 /** The planner as a replayable state machine. */
 export class PlannerCore {
   constructor(
@@ -160,6 +176,7 @@
     state: {
       ...image,
       bundle: image.bundle && withoutSource(image.bundle),
+      ...(image.customers && {customers: image.customers.map(withoutDigests)}),
       workflows: kept.map(workflow => ({
         ...workflow,
         spec: withoutPayload(workflow.spec),
@@ -178,12 +195,21 @@
   payload: '',
 });
 
-/** Copies a bundle without its text, which is only returned to operators. */
+/**
+ * Copies a bundle without its text, which is only returned to operators, and
+ * without digests of keys, which no decision uses.
+ */
 export const withoutSource = (bundle: Bundle): Bundle => ({
   ...bundle,
+  ...(bundle.customers && {customers: bundle.customers.map(withoutDigests)}),
   source: '',
 });
 
+const withoutDigests = (customer: Customer): Customer => ({
+  ...customer,
+  keyDigests: [],
+});
+
 const reviveAdvice = mapReviver(reviveAdviceRecord);
 
 /** Restores a planner from its plain state. */
--- a/packages/state/src/workflow/planner/placer.ts
+++ b/packages/state/src/workflow/planner/placer.ts
@@ -2,33 +2,24 @@
  * Places the tasks of one step after another on the resources that are left.
  */
 import type {WorkerId} from '../../ids/types.js';
-import {taskKeyIn} from '../refs.js';
-import {
-  NO_RESOURCES,
-  fitsInto,
-  freeFraction,
-  subtractResources,
-} from '../resources.js';
+import {fitsInto} from '../resources.js';
 import type {StepKey} from '../types.js';
-import {isPreemptible} from '../preemptible_runs.js';
 import {AdviceRequester} from './advice_requester.js';
+import {AttemptWorkers, canHold} from './attempts.js';
 import {CandidateWorkers} from './candidate_workers.js';
-import {findStragglers} from './copies.js';
+import {findExpectedStragglers} from './copies.js';
+import type {CustomerCaps} from './customer_caps.js';
 import {homeRackOf} from './home_rack.js';
 import {Quarantine} from './quarantine.js';
 import {ReservationPlanner} from './reservation_planner.js';
 import type {QueueShares} from './queue_shares.js';
+import {SpeedScore} from './speed_score.js';
 import {
   countByWorker,
-  findTicket,
   releaseResources,
-  isBelowPerWorkerLimit,
-  isAwayFromData,
-  isOutsideRack,
   latestCheckpoint,
   taskResources,
   claimResources,
-  usableResources,
   type StepWork,
 } from './step_work.js';
 import type {
@@ -41,18 +32,8 @@
   WaitReason,
   WorkerView,
 } from './types.js';
-
-/** Penalty of a worker away from the data; 1 equals a whole free worker. */
-const REMOTE_DATA_PENALTY = 1;
-/** Penalty of a worker outside the home rack of the step. */
-const SPREAD_PENALTY = 1;
-/**
- * Penalty of a worker with resources reserved for another step, such as a gang
- * of lower priority.
- */
-const RESERVED_PENALTY = 1.5;
-/** Penalty of a worker whose ticket must be renewed first. */
-const TICKET_PENALTY = 2;
+import {WaitingTasks} from './waiting_tasks.js';
+import {WorkerChoice} from './worker_choice.js';
 
 /** Assignment of one task to a worker. */
 interface Placement {
@@ -68,25 +49,28 @@
   private readonly adviceRequester: AdviceRequester;
   private readonly quarantine: Quarantine;
   private readonly candidates: CandidateWorkers;
-  /** Steps with pending starts. */
-  private readonly pendingSteps = new Set<string>();
+  private readonly attempts: AttemptWorkers;
+  private readonly choice: WorkerChoice;
+  private readonly waiting: WaitingTasks;
+  private readonly speeds: SpeedScore;
   /** Steps with tasks that this pass starts. */
   private readonly started = new Set<StepKey>();
-  /** Steps for which the previous pass reserved resources, by worker. */
-  private readonly reservedFor = new Map<WorkerId, StepKey>();
+  /** Number of waits for anything but a cap, counted once all steps are placed. */
+  private otherWaits: number | undefined;
 
   constructor(
     private readonly input: PlanInput,
     shares: QueueShares,
+    private readonly caps: CustomerCaps,
   ) {
     this.reservations = new ReservationPlanner(input, shares);
     this.adviceRequester = new AdviceRequester(input);
     this.quarantine = new Quarantine(input);
     this.candidates = new CandidateWorkers(input.workers);
-    for (const [step, workers] of input.reserved)
-      for (const worker of workers) this.reservedFor.set(worker, step);
-    for (const key of input.pending.keys())
-      this.pendingSteps.add(key.slice(0, key.lastIndexOf('.')));
+    this.speeds = new SpeedScore(input, this.candidates);
+    this.choice = new WorkerChoice(input, this.speeds);
+    this.attempts = new AttemptWorkers(input, this.choice);
+    this.waiting = new WaitingTasks(input.pending);
   }
 
   /** Requests to advisers. */
@@ -112,8 +96,10 @@
   /** Places the tasks of a step that fit. */
   place(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const waiting = work && this.waitingTasks(work);
-    if (!work || !waiting || waiting.length === 0) return;
+    const all = work && this.waiting.of(work);
+    if (!work || !all || all.length === 0) return;
+    const waiting = all.slice(0, this.caps.countAllowed(work, all.length));
+    if (waiting.length === 0) return this.waitForCap(work, all.length);
     const {advice: timing} = work.queue;
     const hasSlot = this.adviceRequester.tryAcquireSlot(work);
     if (!hasSlot && !work.advice)
@@ -124,6 +110,8 @@
     if (work.spec.isGang) this.placeGang(placed, waiting);
     else this.placeEach(placed, waiting);
     const isWaiting = this.waits.at(-1)?.step === work.ready.ref;
+    if (!isWaiting && waiting.length < all.length)
+      this.waitForCap(work, all.length - waiting.length);
     if (!hasSlot || !timing || !isWaiting) return;
     // Other gangs renew their tickets once their resources are nearly complete.
     if (work.spec.isGang && !ready.isCounted)
@@ -142,22 +130,35 @@
    */
   placeCopies(ready: ReadyStep): void {
     const work = this.buildWork(ready);
-    const isIdle = this.waits.length === 0 && !this.started.has(ready.key);
+    const isIdle = this.hasNoOtherWaits() && !this.started.has(ready.key);
     if (!work || !isIdle) return;
     const candidates = this.candidates.of(work);
-    for (const {index, worker: slow} of findStragglers(work, this.input)) {
+    for (const {index, worker: slow} of findExpectedStragglers(
+      work,
+      this.input,
+    )) {
       const task = {...work.ready.ref, index};
       if (this.quarantine.isSuspect(task)) continue;
+      if (this.caps.countAllowed(work, 1) === 0) return;
       const others = this.quarantine
         .workersFor(task, candidates)
         .filter(({worker}) => worker !== slow);
-      const worker = this.chooseWorker(work, others);
-      if (!worker || (work.queue.advice && !this.ticketFor(work, worker)))
+      const worker = this.choice.best(work, others);
+      if (
+        !worker ||
+        (work.queue.advice && !this.choice.ticketFor(work, worker))
+      )
         continue;
       this.start(work, {index, worker});
     }
   }
 
+  /** Whether no step waits for anything but the cap of its customer. */
+  private hasNoOtherWaits(): boolean {
+    this.otherWaits ??= this.waits.filter(({why}) => why !== 'cap').length;
+    return this.otherWaits === 0;
+  }
+
   private withHomeRack(work: StepWork, waitingCount: number): StepWork {
     const homeRack = homeRackOf(
       work,
@@ -187,28 +188,6 @@
     };
   }
 
-  /**
-   * Indexes of the tasks to start; none for a gang of which any member is
-   * active or pending.
-   */
-  private waitingTasks({ready, spec, state}: StepWork): number[] {
-    const waiting: number[] = [];
-    if (state.idleCount === 0) return waiting;
-    const hasPending = this.pendingSteps.has(ready.key);
-    for (const [index, task] of state.tasks.entries()) {
-      if (task.isDone) continue;
-      const isActiveOrPending =
-        task.active.length > 0 ||
-        (hasPending && this.input.pending.has(taskKeyIn(ready.key, index)));
-      if (isActiveOrPending) {
-        if (spec.isGang) return [];
-        continue;
-      }
-      waiting.push(index);
-    }
-    return waiting;
-  }
-
   private requestAdviceIfNeeded(work: StepWork, taskCount: number): boolean {
     return this.adviceRequester.requestIfNeeded(work, taskCount, {
       suitableWorkers: this.candidates.suitable(work),
@@ -225,22 +204,27 @@
       const quiet = this.quarantine.workersFor(task, candidates);
       const isSuspect = this.quarantine.isSuspect(task);
       const worker = isSuspect
-        ? this.chooseFirst(work, quiet)
-        : this.chooseWorker(work, quiet);
+        ? this.choice.first(work, quiet)
+        : this.attempts.choose(work, index, quiet);
       if (!worker && isSuspect) {
         this.waitForQuiet(work, candidates, [index]);
         continue;
       }
+      if (!worker && this.attempts.isWaiting(work, index)) {
+        this.wait(work, 'attempt', 1, quiet.length);
+        continue;
+      }
       if (!worker) {
         this.wait(work, 'room', waiting.length, quiet.length);
         this.preempt(work, waiting.length - placedCount, quiet);
         break;
       }
       placedCount++;
-      if (work.queue.advice && !this.ticketFor(work, worker)) {
+      if (work.queue.advice && !this.choice.ticketFor(work, worker)) {
         expired.add(worker.worker);
         // Claims the resources for the task until the ticket is renewed.
         claimResources(work, worker);
+        this.caps.claim(work, 1);
         continue;
       }
       this.start(work, {index, worker});
@@ -253,26 +237,31 @@
     const expired = new Set<WorkerId>();
     const gang = {...work.ready.ref, index: 0};
     const all = this.candidates.of(work);
-    const candidates = this.quarantine.workersFor(gang, all);
+    const quiet = this.quarantine.workersFor(gang, all);
+    const candidates = this.attempts.forGang(work, waiting.length, quiet);
     for (const index of waiting) {
-      const worker = this.chooseWorker(work, candidates);
+      const worker = this.choice.best(work, candidates);
       if (!worker && this.quarantine.isSuspect(gang)) {
         for (const {worker: place} of placements) releaseResources(work, place);
         return this.waitForQuiet(work, all, waiting);
       }
       if (!worker) {
         for (const {worker: place} of placements) releaseResources(work, place);
+        const isUseless = work.ready.isUseless === true;
         const isReserved =
-          this.preempt(work, waiting.length, candidates) ||
-          this.reservations.reserve(work, waiting.length, candidates);
-        const why = isReserved ? 'room' : 'never_fits_now';
+          !isUseless &&
+          (this.preempt(work, waiting.length, candidates) ||
+            this.reservations.reserve(work, waiting.length, candidates));
+        const why = isReserved || isUseless ? 'room' : 'never_fits_now';
+        if (isReserved) this.caps.claim(work, waiting.length);
         return this.wait(work, why, waiting.length, candidates.length);
       }
-      if (work.queue.advice && !this.ticketFor(work, worker))
+      if (work.queue.advice && !this.choice.ticketFor(work, worker))
         expired.add(worker.worker);
       claimResources(work, worker);
       placements.push({index, worker});
     }
+    this.caps.claim(work, waiting.length);
     if (expired.size > 0) {
       this.wait(work, 'tickets', waiting.length, candidates.length);
       const chosen = new Set(placements.map(({worker}) => worker.worker));
@@ -285,7 +274,7 @@
   }
 
   /**
-   * Preempts runs of lower priority.
+   * Preempts runs of lower priority; none for work that is useless.
    * @returns whether all tasks will have resources.
    */
   private preempt(
@@ -293,12 +282,11 @@
     taskCount: number,
     candidates: readonly WorkerView[],
   ): boolean {
-    const {coversAllTasks, lapsed, chosen} = this.reservations.preempt(
-      work,
-      taskCount,
-      candidates,
-    );
+    if (work.ready.isUseless) return false;
+    const preemption = this.reservations.preempt(work, taskCount, candidates);
+    const {coversAllTasks, lapsed, chosen} = preemption;
     this.adviceRequester.renewLapsed(work, lapsed, chosen);
+    if (!work.spec.isGang) this.caps.claim(work, preemption.taskCount);
     return coversAllTasks;
   }
 
@@ -331,68 +319,27 @@
     this.waits.push({step: ready.ref, why, taskCount, candidateCount});
   }
 
-  /** The first worker that a task fits on. */
-  private chooseFirst(
-    work: StepWork,
-    candidates: readonly WorkerView[],
-  ): WorkerView | undefined {
-    for (const worker of candidates) {
-      const chosen = this.chooseWorker(work, [worker]);
-      if (chosen) return chosen;
-    }
-    return undefined;
-  }
-
-  /**
-   * Best fit: the worker with the lowest score, which is the fraction of it
-   * that the task leaves free, plus penalties.
-   */
-  private chooseWorker(
-    work: StepWork,
-    candidates: readonly WorkerView[],
-  ): WorkerView | undefined {
-    const {spec, queue, ready} = work;
-    const size = taskResources(work);
-    let best: WorkerView | undefined;
-    let bestScore = Number.POSITIVE_INFINITY;
-    const mayUseReserved = isPreemptible(spec);
-    for (const worker of candidates) {
-      // Most workers are full; skips the sum for those without reservations.
-      const free =
-        mayUseReserved && worker.kept !== NO_RESOURCES
-          ? usableResources(work, worker)
-          : worker.free;
-      if (!fitsInto(size, free)) continue;
-      if (!isBelowPerWorkerLimit(work, worker)) continue;
-      const score =
-        freeFraction(subtractResources(free, size), worker.room) +
-        (isAwayFromData(spec, worker) ? REMOTE_DATA_PENALTY : 0) +
-        (isOutsideRack(work, worker) ? SPREAD_PENALTY : 0) +
-        (this.isReservedForOther(worker, ready) ? RESERVED_PENALTY : 0) +
-        (queue.advice && !this.ticketFor(work, worker) ? TICKET_PENALTY : 0);
-      if (score >= bestScore) continue;
-      best = worker;
-      bestScore = score;
-    }
-    return best;
-  }
-
-  /**
-   * Whether the previous pass reserved resources on a worker for another step.
-   */
-  private isReservedForOther({worker}: WorkerView, {key}: ReadyStep): boolean {
-    const reservedStep = this.reservedFor.get(worker);
-    return reservedStep !== undefined && reservedStep !== key;
-  }
-
-  private ticketFor(work: StepWork, worker: WorkerView) {
-    return findTicket(work, worker, this.input.now);
+  /** Holds tasks back as their customer may not have more running. */
+  private waitForCap(work: StepWork, taskCount: number): void {
+    const {ref, dueAt} = work.ready;
+    const neededCount = work.spec.isGang ? taskCount : 1;
+    if (canHold(work, neededCount, this.candidates.suitable(work)))
+      this.caps.keepRest(work, dueAt);
+    const cap = this.caps.waitOf(work);
+    this.waits.push({
+      step: ref,
+      why: 'cap',
+      taskCount,
+      candidateCount: 0,
+      ...(cap && {cap}),
+    });
   }
 
   private start(work: StepWork, placement: Placement): void {
     const task = work.state.tasks[placement.index];
     if (!task) return;
     claimResources(work, placement.worker);
+    this.caps.claim(work, 1);
     this.addStart(work, placement, task.lastRun + 1, task.checkpoint);
   }
 
@@ -402,7 +349,7 @@
     run: number,
     checkpoint: string,
   ): void {
-    const ticket = this.ticketFor(work, worker)?.text;
+    const ticket = this.choice.ticketFor(work, worker)?.text;
     this.quarantine.noteStart({...work.ready.ref, index}, worker.worker);
     this.started.add(work.ready.key);
     this.starts.push({
@@ -412,6 +359,7 @@
       bornAt: worker.bornAt,
       checkpoint,
       ...(ticket === undefined ? {} : {ticket}),
+      ...this.speeds.expectationOf(work, worker),
     });
   }
 }
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -1,5 +1,5 @@
 /** Inputs and decisions of the planner. */
-import type {WorkerId} from '../../ids/types.js';
+import type {CustomerName, WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
 import type {
   RecordedStart,
@@ -65,6 +65,12 @@
    * Tasks whose start is proposed or sent and not yet settled, with the worker.
    */
   readonly pending: ReadonlyMap<TaskKey, WorkerId>;
+  /**
+   * Where tasks may run beside recorded runs: starts that are not settled, and
+   * tasks held back for orphaned runs. By default the pending tasks; a task can be
+   * here twice.
+   */
+  readonly mayRun?: ReadonlyArray<readonly [TaskKey, WorkerId]>;
   /** Tasks whose run was told to stop and has not ended yet. */
   readonly stopping: ReadonlySet<TaskKey>;
   /** Expected time until a run completes, in ms; undefined when unknown. */
@@ -78,12 +84,25 @@
   readonly adviceOf: (step: StepKey) => StepAdvice | undefined;
   /** Number of VMs that can call advisers, each one call at a time. */
   readonly callerCount: number;
+  /** Whether useless work is deferred in a bundle without customers. */
+  readonly mayDeferUseless?: boolean;
+  /** Whether zones take turns where a pool is full. */
+  readonly mayShareZones?: boolean;
+}
+
+/** What a run is expected to take on its worker. */
+export interface StartExpectation {
+  readonly ms: number;
+  /** Speed of the worker relative to others; 1 while speeds are even. */
+  readonly speed: number;
 }
 
 /** A start to record and then send to the worker. */
 export interface PlannedStart extends RecordedStart {
   readonly checkpoint: string;
   readonly ticket?: string;
+  /** Given once run times or speeds are learned; for explanations only. */
+  readonly expected?: StartExpectation;
 }
 
 /** A step and the workers that its adviser must be queried about. */
@@ -116,10 +135,14 @@
   | 'tickets'
   /** No worker has free resources now; a gang gets them reserved. */
   | 'room'
+  /** Its tasks have failed elsewhere, and no worker for the next attempt has room. */
+  | 'attempt'
   /** A worker has crashed under it, and no worker is quiet enough for it now. */
   | 'quarantine'
   /** The gang would not fit even on empty workers. */
-  | 'never_fits_now';
+  | 'never_fits_now'
+  /** The cap of its customer does not allow more to run now. */
+  | 'cap';
 
 /** What a suspect waits for. */
 export interface SuspectWait {
@@ -134,6 +157,15 @@
   readonly quietAt?: number;
 }
 
+/** A cap that holds tasks back. */
+export interface CapWait {
+  readonly customer: CustomerName;
+  /** Resources that the customer may have running. */
+  readonly used: Resources;
+  /** Its cap; 0 for no limit. */
+  readonly allowed: Resources;
+}
+
 /** A step with waiting tasks. */
 export interface PlannedWait {
   readonly step: StepRef;
@@ -143,6 +175,8 @@
   readonly candidateCount: number;
   /** Given if it waits in quarantine. */
   readonly suspect?: SuspectWait;
+  /** Given if the cap of its customer holds it back. */
+  readonly cap?: CapWait;
 }
 
 /** Decisions of one pass. */
@@ -171,4 +205,6 @@
   readonly isLate: boolean;
   /** Whether the step is within the guaranteed share of its queue. */
   readonly isCounted?: boolean;
+  /** Whether its workflow can no longer be useful, and gives way to others. */
+  readonly isUseless?: boolean;
 }
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -10,7 +10,9 @@
   ZoneId,
 } from '../ids/types.js';
 import type {Bundle, Customer, Queue, QueueName} from '../bundle/types.js';
+import type {RateTerms} from './admission/customer_rate.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
+import type {EstimatesImage} from './estimates/types.js';
 
 /** Id of a workflow, chosen by the client. */
 export type WorkflowId = Branded<string, 'WorkflowId'>;
@@ -151,6 +153,15 @@
   readonly run: number;
 }
 
+/** Where and when a run of a task failed. */
+export interface FailedRun {
+  readonly worker: WorkerId;
+  /** Rack of the worker; absent when it is not known. */
+  readonly rack?: string;
+  /** Wall time of its record, in ms since 1970. */
+  readonly at: number;
+}
+
 /** State of a task. */
 export interface TaskState {
   isDone: boolean;
@@ -163,6 +174,8 @@
   /** Number of the run that wrote the checkpoint; 0 without one. */
   checkpointRun: number;
   active: ActiveRun[];
+  /** Its latest failed runs, a few at most; absent without any. */
+  failedRuns?: readonly FailedRun[];
 }
 
 /** State of a step of one occurrence. */
@@ -240,6 +253,11 @@
    * a core; not lowered when that run ends, unless it was the last.
    */
   yieldingMaxCpu: number;
+  /**
+   * Wall time of the record of its latest run that ended as done, in ms since
+   * 1970; absent before the first.
+   */
+  lastDoneAt?: number;
 }
 
 /** A run that can be preempted at no more than the cost of a restart. */
@@ -366,6 +384,8 @@
 export interface WorkflowDbOptions {
   /** How long an ended workflow stays readable, in ms. */
   readonly keepEndedMs: number;
+  /** Terms of the rates of customers. */
+  readonly rate: RateTerms;
 }
 
 /** Serializable image of the whole state. */
@@ -377,6 +397,8 @@
   readonly orphans?: readonly OrphanedRun[];
   /** Crashes under tasks that are not given up; absent in older images. */
   readonly crashes?: readonly CrashRecord[];
+  /** Learned run times and speeds; absent in older images, or without any. */
+  readonly estimates?: EstimatesImage;
   readonly bundle: Bundle | null;
   readonly queues: readonly Queue[];
   /** Customers with their last terms; absent in images without any. */
