Requests sent ahead close their connection at the 17th

Cause: PacedInput took Node's native path from the socket to the parser away for every connection and split bodies, and collections by hand ran after each 1 MB.

Change: both are removed. A connection with 16 requests in progress is closed at the next one, its parser is stopped within the read, and none that came ahead runs before the read is parsed.

--- a/packages/transport/src/http/body.ts
+++ b/packages/transport/src/http/body.ts
@@ -10,7 +10,7 @@
   charge(bytes: number): void;
   /** Lets a body be rejected while it is read; @returns a function that ends this. */
   addBody(reject: () => void): () => void;
-  /** Parses nothing more of the connection. */
+  /** Starts no further request of the connection. */
   endInput(): void;
 }
 
--- /dev/null
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -0,0 +1,71 @@
+/** Sends requests ahead of their responses to a server in this process. */
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {HttpServer} from '../server.js';
+import {MAX_REQUESTS_IN_PROGRESS} from './core.js';
+import {PeerBudget} from './task.js';
+
+const HOST = '127.0.0.1';
+const PORT = 18_093;
+const HANDLE_MS = 20;
+
+/** Sends a number of requests at once; resolves with what came back. */
+const sendAhead = (count: number): Promise<string> =>
+  new Promise(resolve => {
+    const socket = connect(PORT, HOST);
+    let text = '';
+    socket.on('error', () => undefined).on('close', () => resolve(text));
+    socket.on('data', data => (text += data.toString()));
+    const last = 'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n';
+    const others = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(count - 1);
+    socket.write(others + last);
+  });
+
+describe('requests sent ahead', () => {
+  let budget: PeerBudget;
+  let server: HttpServer;
+  let parsed: number;
+  let handled: number;
+  let closed: string[];
+
+  beforeEach(async () => {
+    budget = new PeerBudget();
+    [parsed, handled, closed] = [0, 0, []];
+    budget.onClosed = ({reason}) => void closed.push(reason);
+    server = new HttpServer({
+      address: `${HOST}:${PORT}`,
+      budget,
+      limits: {headerBytes: 8192, bodyBytes: 1000, bodyMs: 200, connections: 9},
+      routes: [],
+      guard: () => void parsed++,
+      fallback: async () => {
+        handled++;
+        await new Promise(resolve => setTimeout(resolve, HANDLE_MS));
+        return {status: 200};
+      },
+      onRefusal: () => undefined,
+    });
+    await server.listen();
+  });
+
+  afterEach(() => {
+    void server.close();
+    server.destroy();
+  });
+
+  it('are all answered up to the limit', async () => {
+    const text = await sendAhead(MAX_REQUESTS_IN_PROGRESS);
+    expect(text.split('HTTP/1.1 200').length - 1).to.equal(
+      MAX_REQUESTS_IN_PROGRESS,
+    );
+    expect(closed).to.eql([]);
+  });
+
+  // Guards against a read with hundreds of requests, all of which would be handled.
+  it('close their connection beyond the limit, and run only the first', async () => {
+    expect(await sendAhead(1000)).to.equal('');
+    expect(closed).to.eql(['pipeline']);
+    expect([parsed, handled]).to.eql([1, 1]);
+    expect([budget.connections, budget.heldBytes]).to.eql([0, 0]);
+  });
+});
--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -5,7 +5,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {decideAhead, mayStart, type PipelineState} from './core.js';
-import {PacedInput} from './paced_input.js';
 import type {BudgetedPeer, PeerBudget} from './task.js';
 import {REQUEST_BYTES, type ConnectionId, type ServerId} from './types.js';
 
@@ -36,6 +35,7 @@
 /** Accounts for one request until its response is sent. */
 export class RequestAccount {
   private held = 0;
+  private unsent = 0;
 
   constructor(
     private readonly connection: PeerConnection,
@@ -53,6 +53,8 @@
   /** Lets go of all bytes. */
   release(): void {
     this.charge(-this.held);
+    this.connection.addUnsent(-this.unsent);
+    this.unsent = 0;
   }
 
   /** Lets a body be rejected while it is read; @returns a function that ends this. */
@@ -60,13 +62,14 @@
     return this.connection.addBody(reject);
   }
 
-  /** Parses nothing more, as the connection is closed after a response. */
+  /** Starts no further request, as the connection is closed after a response. */
   endInput(): void {
     this.connection.endInput();
   }
 
   /** Accounts for bytes of the response until they are handed to the network. */
   addUnsent(bytes: number): void {
+    this.unsent += bytes;
     this.connection.addUnsent(bytes);
     this.charge(bytes);
   }
@@ -77,49 +80,52 @@
   readonly socket: Socket;
   private readonly id: ConnectionId | undefined;
   private readonly waiting: TakenRequest[] = [];
-  private readonly input: PacedInput | undefined;
   private isEnding = false;
   private started = 0;
   /** Bytes of responses that are not handed to the network yet. */
   private unsentBytes = 0;
   /** Bytes that the peer had sent when its last request was parsed. */
   private parsedBytes = 0;
-  private readonly bodies = new Set<() => void>();
+  /** Reject the bodies that are being read. */
+  private bodies: Set<() => void> | undefined;
 
   constructor(private readonly options: PeerConnectionOptions) {
     const {socket, budget, server, maxOfServer} = options;
     this.socket = socket;
-    this.input = PacedInput.attach(
-      socket,
-      () => this.mayParse(),
-      change => this.charge(change),
-    );
     this.id = budget.open(this, server, maxOfServer);
   }
 
-  /** Takes a request that has arrived. */
+  /**
+   * Takes a request that has arrived. Requests that the parser delivers after the
+   * connection was closed, or its last response was decided, are dropped.
+   */
   take(req: IncomingMessage, res: ServerResponse): void {
     const {id, socket} = this;
-    if (id === undefined || socket.destroyed) return;
-    this.parsedBytes = socket.bytesRead;
+    if (id === undefined || socket.destroyed || this.isEnding) return;
     const decision = decideAhead(this.state());
-    if (decision === 'close') return this.options.budget.end(id, 'pipeline');
-    const bytes = REQUEST_BYTES + headerBytesOf(req);
-    const account = new RequestAccount(this, bytes);
+    if (decision === 'close') {
+      this.options.budget.end(id, 'pipeline');
+      return stopParser(socket);
+    }
+    const {bytesRead} = socket;
+    const arrivedBytes = bytesRead - this.parsedBytes;
+    this.parsedBytes = bytesRead;
+    const headerBytes = Math.min(arrivedBytes, this.options.maxHeaderBytes);
+    const account = new RequestAccount(this, REQUEST_BYTES + headerBytes);
     if (socket.destroyed) return;
-    if (decision === 'start') return this.begin({req, res, account});
+    if (decision === 'start' && this.started === 0)
+      return this.begin({req, res, account});
+    // Nothing that came ahead runs before the whole read has been parsed, as the
+    // connection may be closed for what follows.
     this.waiting.push({req, res, account});
+    if (decision === 'start') process.nextTick(() => this.startWaiting());
   }
 
-  /** Parses nothing more, as the connection is closed after a response. */
+  /** Starts no further request, as the connection is closed after a response. */
   endInput(): void {
     this.isEnding = true;
   }
 
-  private mayParse(): boolean {
-    return this.waiting.length === 0 && !this.isEnding;
-  }
-
   /** Accounts for bytes of a body or response; negative where they are let go. */
   charge(bytes: number): void {
     if (this.id !== undefined) this.options.budget.charge(this.id, bytes);
@@ -132,13 +138,14 @@
 
   /** Lets a body be rejected while it is read; @returns a function that ends this. */
   addBody(reject: () => void): () => void {
-    this.bodies.add(reject);
-    return () => void this.bodies.delete(reject);
+    const bodies = (this.bodies ??= new Set());
+    bodies.add(reject);
+    return () => void bodies.delete(reject);
   }
 
   /** @inheritdoc */
   rejectBody(): boolean {
-    const bodies = [...this.bodies];
+    const bodies = [...(this.bodies ?? [])];
     for (const reject of bodies) reject();
     return bodies.length > 0;
   }
@@ -150,9 +157,8 @@
 
   /** @inheritdoc */
   partialBytes(): number {
-    const restBytes = this.input?.restBytes ?? 0;
     if (this.started > 0) return 0;
-    const bytes = this.socket.bytesRead - this.parsedBytes - restBytes;
+    const bytes = this.socket.bytesRead - this.parsedBytes;
     return Math.min(bytes, this.options.maxHeaderBytes);
   }
 
@@ -164,18 +170,16 @@
       this.started--;
       this.options.budget.noteRequest(id, -1);
       account.release();
-      this.parsedBytes = Math.max(this.parsedBytes, this.socket.bytesRead);
+      this.parsedBytes = this.socket.bytesRead;
       this.startWaiting();
     });
     this.options.start(req, res, account);
   }
 
   private startWaiting(): void {
-    if (this.socket.destroyed) return;
+    if (this.socket.destroyed || this.isEnding) return;
     while (this.waiting.length > 0 && mayStart(this.state()))
       this.begin(this.waiting.shift()!);
-    if (this.waiting.length > 0) return;
-    if (this.socket.isPaused()) this.socket.resume();
   }
 
   private state(): PipelineState {
@@ -188,6 +192,25 @@
   }
 }
 
+/** The part of Node's parser that is used here. */
+interface HttpParser {
+  /** Called with the headers of each request. */
+  onIncoming: () => number;
+}
+
+/** Result of `onIncoming` after which the rest of a read isn't parsed, as for an upgrade. */
+const STOP_PARSING = 2;
+
+/**
+ * Stops the parser within the read that it works on. Otherwise it makes objects
+ * for hundreds of further requests, which stay until the connection has closed;
+ * 900 connections filled a heap of 80 MB this way.
+ */
+const stopParser = (socket: Socket): void => {
+  const {parser} = socket as {parser?: HttpParser | null};
+  if (parser) parser.onIncoming = () => STOP_PARSING;
+};
+
 /** Bytes of the parsed headers of a request. */
 export const headerBytesOf = ({rawHeaders, url}: IncomingMessage): number => {
   let bytes = url?.length ?? 0;
--- a/packages/transport/src/http/budget/core.ts
+++ b/packages/transport/src/http/budget/core.ts
@@ -217,32 +217,32 @@
   readonly unreadBytes: number;
 }
 
-/** Requests of a connection that are handled at once. */
-export const MAX_STARTED_REQUESTS = 16;
+/**
+ * Requests of a connection whose response is not sent yet; it is closed at the
+ * next one. Node's parser delivers all requests of a read, so they can't be left
+ * unread.
+ */
+export const MAX_REQUESTS_IN_PROGRESS = 16;
 /**
  * Requests of all connections from which on a connection has one handled at
  * once, so that requests sent ahead don't delay those of other connections.
  */
 export const MANY_STARTED_REQUESTS = 256;
-/**
- * Requests of a connection that wait behind those; the socket is paused then,
- * but what came with the same read is parsed already.
- */
-export const MAX_WAITING_REQUESTS = 64;
 /** Unread bytes of responses from which on no further request is started. */
 export const MAX_UNREAD_BYTES = 64 * 1024;
 
 /** Decides whether a connection may start a request that has arrived. */
 export const decideAhead = (state: PipelineState): AheadDecision => {
-  if (state.waiting >= MAX_WAITING_REQUESTS) return 'close';
+  if (state.started + state.waiting >= MAX_REQUESTS_IN_PROGRESS) return 'close';
   return state.waiting > 0 || !mayStart(state) ? 'wait' : 'start';
 };
 
 /** Whether a connection may start the request that waits first. */
 export const mayStart = (state: PipelineState): boolean => {
   const isBusy = state.startedInAll >= MANY_STARTED_REQUESTS;
-  const maxStarted = isBusy ? 1 : MAX_STARTED_REQUESTS;
-  return state.started < maxStarted && state.unreadBytes <= MAX_UNREAD_BYTES;
+  return (
+    (!isBusy || state.started === 0) && state.unreadBytes <= MAX_UNREAD_BYTES
+  );
 };
 
 /** Bytes that a peer has not read yet, as seen at two times. */
--- a/packages/transport/src/http/budget/growing_buffer.ts
+++ b/packages/transport/src/http/budget/growing_buffer.ts
@@ -1,15 +1,15 @@
 /** Collects the parts of a body, at the cost of its bytes and not of its parts. */
 
-import {noteRead} from './collector.js';
-
 /** First capacity, in bytes; ordinary bodies fit, and Node serves it from its pool. */
 const FIRST_BYTES = 1024;
 /** Capacity from which on a buffer has memory of its own, in bytes. */
 const UNPOOLED_BYTES = 4096;
 
+const EMPTY = Buffer.alloc(0);
+
 /** One buffer that doubles when it is full. */
 export class GrowingBuffer {
-  private bytes: Buffer = Buffer.alloc(0);
+  private bytes = EMPTY;
   private used = 0;
   /** Capacity that `onCapacity` was told. */
   private told = 0;
@@ -47,7 +47,7 @@
   /** Lets go of the bytes. */
   clear(): void {
     this.isCleared = true;
-    this.bytes = Buffer.alloc(0);
+    this.bytes = EMPTY;
     this.used = 0;
     this.tell(0);
   }
@@ -58,7 +58,6 @@
     const capacity = Math.min(this.maxBytes, doubled);
     this.tell(capacity);
     if (this.isCleared) return false;
-    noteRead(capacity);
     const grown =
       capacity < UNPOOLED_BYTES
         ? Buffer.allocUnsafe(capacity)
--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -212,17 +212,16 @@
     params: Readonly<Record<string, string>>,
     query: URLSearchParams,
   ): HttpContext {
-    const controller = new AbortController();
-    res.on('close', () => {
-      if (!res.writableFinished) controller.abort();
-    });
+    let signal: AbortSignal | undefined;
     const {bodyBytes: maxBytes, bodyMs: timeoutMs} = limits;
     const readBytes = () => readBody(req, {maxBytes, timeoutMs, account});
     return {
       req,
       params,
       query,
-      signal: controller.signal,
+      get signal() {
+        return (signal ??= signalOf(res));
+      },
       readBytes,
       readJson: async schema => checkJson(await readBytes(), schema),
     };
@@ -300,6 +299,16 @@
   (headers['transfer-encoding'] !== undefined ||
     Number(headers['content-length'] ?? 0) > MAX_DRAINED_BYTES);
 
+/** A signal that is aborted when a connection closes before the response was sent. */
+const signalOf = (res: ServerResponse): AbortSignal => {
+  if (res.closed && !res.writableFinished) return AbortSignal.abort();
+  const controller = new AbortController();
+  res.once('close', () => {
+    if (!res.writableFinished) controller.abort();
+  });
+  return controller.signal;
+};
+
 /** A request and its response, with what counts for it. */
 interface Exchange {
   readonly req: IncomingMessage;
@@ -318,6 +327,7 @@
   account: RequestAccount,
 ): void => {
   account.addUnsent(body.length);
+  if (body.length <= PART_BYTES) return void res.end(body);
   let sent = 0;
   const sendPart = (): void => {
     if (res.destroyed) return;
