Chunks of a rejected body are skipped by the parser

Cause: without PacedInput, one read gives up to 11,000 chunks of one byte, each of which made a buffer and a call; 900 such connections kept an entry from an ordinary request.

Change: once a body is fragmented, the parser delivers no more of it until it ends, and the reader rejects it with 413. All requests begin after the whole read has been parsed.

--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -113,12 +113,10 @@
     const headerBytes = Math.min(arrivedBytes, this.options.maxHeaderBytes);
     const account = new RequestAccount(this, REQUEST_BYTES + headerBytes);
     if (socket.destroyed) return;
-    if (decision === 'start' && this.started === 0)
-      return this.begin({req, res, account});
-    // Nothing that came ahead runs before the whole read has been parsed, as the
-    // connection may be closed for what follows.
+    // Nothing runs before the whole read has been parsed, as the connection may be
+    // closed for what follows.
     this.waiting.push({req, res, account});
-    if (decision === 'start') process.nextTick(() => this.startWaiting());
+    if (decision === 'start') process.nextTick(startWaiting, this);
   }
 
   /** Starts no further request, as the connection is closed after a response. */
@@ -176,7 +174,8 @@
     this.options.start(req, res, account);
   }
 
-  private startWaiting(): void {
+  /** Starts requests that wait, as far as may be. */
+  startWaiting(): void {
     if (this.socket.destroyed || this.isEnding) return;
     while (this.waiting.length > 0 && mayStart(this.state()))
       this.begin(this.waiting.shift()!);
@@ -211,6 +210,9 @@
   if (parser) parser.onIncoming = () => STOP_PARSING;
 };
 
+const startWaiting = (connection: PeerConnection): void =>
+  connection.startWaiting();
+
 /** Bytes of the parsed headers of a request. */
 export const headerBytesOf = ({rawHeaders, url}: IncomingMessage): number => {
   let bytes = url?.length ?? 0;
--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -19,6 +19,7 @@
   headerBytesOf,
   type RequestAccount,
 } from './budget/connection.js';
+import {BoundedMessage} from './budget/message.js';
 import {DEFAULT_BUDGET, type PeerBudget} from './budget/task.js';
 import type {ServerId} from './budget/types.js';
 import {Router, type Route} from './router.js';
@@ -101,6 +102,7 @@
     this.budget = options.budget ?? DEFAULT_BUDGET;
     this.id = this.budget.addServer();
     this.server = createServer({
+      IncomingMessage: BoundedMessage,
       maxHeaderSize: options.limits.headerBytes,
       connectionsCheckingInterval: 1000,
     });
