--- a/packages/protocol/src/settings/cluster.ts
+++ b/packages/protocol/src/settings/cluster.ts
@@ -70,7 +70,7 @@
     ),
   mayDeferUseless: z
     .boolean()
-    .default(true)
+    .default(false)
     .describe(
       'Whether work that can no longer be useful is deferred in a bundle without customers, as it is with customers.',
     ),
--- a/packages/state/src/workflow/planner/useless_work.ts
+++ b/packages/state/src/workflow/planner/useless_work.ts
@@ -56,22 +56,31 @@
 };
 
 /**
- * Ready steps of useful and of useless work, each in the given order; all count
- * as useful if useless work is not deferred.
+ * Ready steps of useful and of useless work, each in the given order. All steps of
+ * a pool count as useful if useless work is not deferred, or if nothing else waits
+ * there.
  */
 export const splitUseless = (
   ready: readonly ReadyStep[],
   {db, wall, mayDeferUseless}: PlanInput,
 ): {readonly useful: ReadyStep[]; readonly useless: ReadyStep[]} => {
+  if (!defersUseless(db, mayDeferUseless))
+    return {useful: [...ready], useless: []};
+  const judged = ready.map(step => {
+    const workflow = db.open.get(step.ref.workflow);
+    const queue = workflow && db.queues.get(workflow.queue);
+    const mayWait =
+      queue !== undefined && isUseless(db, workflow!, queue, wall);
+    return {step, pool: queue?.pool, mayWait};
+  });
+  const contended = new Set(
+    judged.filter(({mayWait}) => !mayWait).map(({pool}) => pool),
+  );
   const useful: ReadyStep[] = [];
   const useless: ReadyStep[] = [];
-  const isDeferring = defersUseless(db, mayDeferUseless);
-  for (const step of ready) {
-    const workflow = isDeferring ? db.open.get(step.ref.workflow) : undefined;
-    const queue = workflow && db.queues.get(workflow.queue);
-    if (workflow && queue && isUseless(db, workflow, queue, wall))
+  for (const {step, pool, mayWait} of judged)
+    if (mayWait && contended.has(pool))
       useless.push({...step, isUseless: true});
     else useful.push(step);
-  }
   return {useful, useless};
 };
