--- a/packages/state/src/workflow/interference/pacing.spec.ts
+++ b/packages/state/src/workflow/interference/pacing.spec.ts
@@ -18,8 +18,8 @@
   private due: {at: number; percent: number} | undefined;
 
   /** Runs for a time; `disturbedMs` is what full speed adds to the tail. */
-  run(untilMs: number, disturbedMs: number): void {
-    for (; this.now < untilMs; this.now += 50) {
+  run(endMs: number, disturbedMs: number): void {
+    for (; this.now < endMs; this.now += 50) {
       if (this.due && this.now >= this.due.at) this.percent = this.due.percent;
       const goal = 60 + (disturbedMs * this.percent) / 100;
       this.tailMs += (goal - this.tailMs) * 0.2;
@@ -81,10 +81,10 @@
   });
   it('speed is tried less and less often while it is too much', () => {
     const worker = new SimulatedWorker();
-    const changes = (untilMs: number): number => {
+    const changes = (endMs: number): number => {
       const before = worker.orders.length;
       // Over the target at full speed, and calm at the first level.
-      worker.run(untilMs, 45);
+      worker.run(endMs, 45);
       return worker.orders.length - before;
     };
     const early = changes(60_000);
