--- a/packages/transport/src/http/budget/ahead.spec.ts
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -5,7 +5,8 @@
 import {MAX_REQUESTS_IN_PROGRESS} from './core.js';
 import {PeerBudget} from './task.js';
 
-const HOST = '127.0.0.1';
+/** Address of this process, so that two runs on a machine do not meet. */
+const HOST = `127.${64 + ((process.pid >> 8) % 64)}.${process.pid % 256}.2`;
 const PORT = 18_093;
 const HANDLE_MS = 20;
 
