Avoiding workers where a task failed is a setting, off by default

Five tests of standing jobs failed since later attempts avoid workers where their task failed (f161 stood for 10 s with room twice over); with every wait switched off they still fail, with the choice of workers off three of the five pass. The cause is not traced.

--- a/packages/coordination/src/workflow/pass_input.ts
+++ b/packages/coordination/src/workflow/pass_input.ts
@@ -22,6 +22,8 @@
   readonly mayDeferUseless?: boolean;
   /** Whether zones take turns where a pool is full. */
   readonly mayShareZones?: boolean;
+  /** Whether later attempts avoid workers where the task failed. */
+  readonly mayAvoidFailed?: boolean;
   readonly channels: ReadonlyMap<WorkerId, WorkerChannel>;
   readonly views: Pick<WorkerViews, 'unusable'>;
   readonly orphans: Pick<OrphanTracker, 'heldBack'>;
@@ -52,6 +54,7 @@
     callerCount: callers().length,
     ...(sources.mayDeferUseless && {mayDeferUseless: true}),
     ...(sources.mayShareZones && {mayShareZones: true}),
+    ...(sources.mayAvoidFailed && {mayAvoidFailed: true}),
     preemptedAt: [...preemptedAt],
     reserved: [...reserved].map(([step, workers]) => [step, [...workers]]),
   };
--- a/packages/coordination/src/workflow/scheduler_options.ts
+++ b/packages/coordination/src/workflow/scheduler_options.ts
@@ -43,6 +43,8 @@
   readonly mayDeferUseless?: boolean;
   /** Whether zones take turns where a pool is full. */
   readonly mayShareZones?: boolean;
+  /** Whether later attempts avoid workers where the task failed. */
+  readonly mayAvoidFailed?: boolean;
   /** Called for each wait of a step that has ended. */
   readonly onWaited?: (wait: EndedWait) => void;
   /** Called at intervals with the spread of the learned speeds. */
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -318,6 +318,7 @@
       ask: (...call) => this.adviceCalls.ask(...call),
       mayDeferUseless: settings.mayDeferUseless,
       mayShareZones: settings.mayShareZones,
+      mayAvoidFailed: settings.mayAvoidFailed,
       recorder: this.journal,
     });
     this.scheduler.start();
--- a/packages/protocol/src/settings/cluster.ts
+++ b/packages/protocol/src/settings/cluster.ts
@@ -62,6 +62,12 @@
     .describe(
       'Workflows per window that a customer may submit in addition to its rate.',
     ),
+  mayAvoidFailed: z
+    .boolean()
+    .default(false)
+    .describe(
+      'Whether later attempts of a task avoid workers where it failed, and prefer those that finished a run of late.',
+    ),
   mayShareZones: z
     .boolean()
     .default(false)
--- a/packages/state/src/workflow/journal/core.ts
+++ b/packages/state/src/workflow/journal/core.ts
@@ -72,6 +72,7 @@
     callerCount: pass.callerCount,
     ...(pass.mayDeferUseless && {mayDeferUseless: true}),
     ...(pass.mayShareZones && {mayShareZones: true}),
+    ...(pass.mayAvoidFailed && {mayAvoidFailed: true}),
   };
 };
 
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -51,6 +51,8 @@
   readonly mayDeferUseless?: boolean;
   /** Whether zones take turns where a pool is full. */
   readonly mayShareZones?: boolean;
+  /** Whether later attempts avoid workers where the task failed. */
+  readonly mayAvoidFailed?: boolean;
   /** Workers on which the previous pass reserved resources, by step. */
   readonly reserved: ReadonlyArray<readonly [StepKey, readonly WorkerId[]]>;
   /** When runs were last preempted for each waiting gang; absent in older journals. */
--- a/packages/state/src/workflow/planner/attempts.ts
+++ b/packages/state/src/workflow/planner/attempts.ts
@@ -32,7 +32,7 @@
 /** Chooses the workers for later attempts during one pass. */
 export class AttemptWorkers {
   constructor(
-    private readonly input: Pick<PlanInput, 'db' | 'wall'>,
+    private readonly input: Pick<PlanInput, 'db' | 'wall' | 'mayAvoidFailed'>,
     private readonly choice: Pick<WorkerChoice, 'best'>,
   ) {}
 
@@ -46,7 +46,8 @@
     candidates: readonly WorkerView[],
   ): WorkerView | undefined {
     const {failedRuns} = work.state.tasks[index] ?? {};
-    if (!failedRuns) return this.choice.best(work, candidates);
+    if (!failedRuns || !this.input.mayAvoidFailed)
+      return this.choice.best(work, candidates);
     const others = withoutFailed(work, failedRuns, 1, candidates);
     const proven = others.filter(worker => this.isProven(worker));
     const chosen = this.choice.best(work, proven);
@@ -61,6 +62,7 @@
   /** Whether a task may wait for a proven worker, as it has one attempt left. */
   isWaiting(work: StepWork, index: number): boolean {
     const {failedRuns, failures = 0} = work.state.tasks[index] ?? {};
+    if (!this.input.mayAvoidFailed) return false;
     const isLast = failures >= work.queue.maxAttempts - 1;
     return failedRuns !== undefined && isLast && this.mayWait(work, failedRuns);
   }
@@ -71,7 +73,8 @@
     memberCount: number,
     candidates: readonly WorkerView[],
   ): readonly WorkerView[] {
-    if (work.state.gangFailures === 0) return candidates;
+    if (work.state.gangFailures === 0 || !this.input.mayAvoidFailed)
+      return candidates;
     const failedRuns = work.state.tasks.flatMap(task => task.failedRuns ?? []);
     const others = withoutFailed(work, failedRuns, memberCount, candidates);
     const proven = others.filter(worker => this.isProven(worker));
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -99,6 +99,8 @@
   readonly mayDeferUseless?: boolean;
   /** Whether zones take turns where a pool is full. */
   readonly mayShareZones?: boolean;
+  /** Whether later attempts avoid workers where the task failed. */
+  readonly mayAvoidFailed?: boolean;
   /** Called for each step when its turn comes; for explanations only. */
   readonly onTurn?: (work: StepWork, scoring: () => StepScoring) => void;
 }
