--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -137,8 +137,8 @@
     appendFileSync(this.recordFile, `${at} ${text}\n`);
   }
 
-  /** Starts three voters, three entries and minions, and puts a configuration. */
-  async start({minions, routes}) {
+  /** Starts three voters and three entries, as at the first start of the system. */
+  async launch({routes} = {}) {
     this.net = await findNet();
     const zones = Object.keys(ZONES);
     for (const kind of ['voter', 'entry'])
@@ -153,7 +153,7 @@
       );
     this.voters = this.machines.filter(({kind}) => kind === 'voter');
     this.entries = this.machines.filter(({kind}) => kind === 'entry');
-    this.controls = this.voters.map(({ip}) => `${ip}:${PORTS.control}`);
+    this.controls = this.controlsOf(this.voters);
     for (const machine of this.machines) {
       this.writeSettings(machine, true);
       this.startMachine(machine);
@@ -179,6 +179,11 @@
         idleTimeoutMs: 15_000,
       },
     };
+  }
+
+  /** Starts three voters, three entries and minions, and puts a configuration. */
+  async start({minions, routes}) {
+    await this.launch({routes});
     if (!(await until(20_000, () => this.putConfig(this.config))))
       throw new CannotRun('the configuration was not acknowledged');
     for (const machine of this.machines) this.writeSettings(machine, false);
@@ -193,6 +198,11 @@
     this.record('the deployment is ready');
   }
 
+  /** Addresses of machines for minions and the operator. */
+  controlsOf(machines) {
+    return machines.map(({ip}) => `${ip}:${PORTS.control}`);
+  }
+
   route(more = {}) {
     return {
       name: 'r-wrr6x73',
