--- a/review/lib-3/minion.mjs
+++ b/review/lib-3/minion.mjs
@@ -4,7 +4,8 @@
  * in the first argument, and each event is written to standard output as a line.
  *
  * The `spec` of a job says what its tasks do: `work 800` ends as done after
- * 800 ms of work, `lasts` runs until it is stopped.
+ * 800 ms of work, `lasts` runs until it is stopped, `deadly 800` crashes the
+ * minion 800 ms after its start.
  */
 import {createServer} from 'node:http';
 import {request} from './http.mjs';
@@ -77,6 +78,12 @@
   const entry = {task, run, at: performance.now(), workMs};
   running.set(task, entry);
   tell('start', {task, run});
+  const [, deadlyMs] = /deadly (\d+)/.exec(spec) ?? [];
+  if (deadlyMs !== undefined)
+    setTimeout(() => {
+      tell('crash', {task, run});
+      process.exit(1);
+    }, Number(deadlyMs));
   if (workMs !== undefined) setTimeout(() => endRun(entry, 'done'), workMs);
   return [200, {}];
 };
