Log for how long a request may have waited unread

Hypotheses: A, it waited in the socket of the entry that stood still; B, the entry had read it and sent it again to the leader; C, the cancellation never reached the leader; D, the leader took the submission first and lost it. StallWatch notes every 100 ms that the sockets are read, so the line 'answer' of an entry that has just stood still has unreadMs, an upper bound.

--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -31,7 +31,12 @@
   type VmId,
   type WorkerRegistration,
 } from '@primrosewick/state';
-import {LinkClient, LinkServer, systemClock} from '@primrosewick/transport';
+import {
+  LinkClient,
+  LinkServer,
+  StallWatch,
+  systemClock,
+} from '@primrosewick/transport';
 import {AdviceCalls} from './advice_calls.js';
 import {makeAnnouncementRelay} from './announcement_relay.js';
 import {AuthenticationLog} from './authentication_log.js';
@@ -96,6 +101,7 @@
   private readonly load = new LoadSheddingTask(systemClock);
   private readonly records: RecordLoadTask;
   private readonly limits = new BundleLimits();
+  private readonly stalls = new StallWatch(systemClock);
   private isStopping = false;
 
   constructor(private readonly options: ClusterNodeOptions) {
@@ -177,6 +183,7 @@
   /** Opens the data folder, starts listening and joins the cell. */
   async start(): Promise<void> {
     await this.log?.open();
+    this.stalls.start();
     await this.server.listen();
     this.gateway.start();
     this.announcements?.start();
@@ -201,6 +208,7 @@
   async stop(): Promise<void> {
     this.beginStop();
     this.gateway.stop();
+    this.stalls.stop();
     this.announcements?.stop();
     await this.log?.close();
     this.scheduler?.close();
@@ -213,6 +221,14 @@
     return !this.isStopping && this.gateway.hasContact;
   }
 
+  /**
+   * Longest time for which a request that is read now may have waited in its socket,
+   * in ms; 0 unless this process has just stood still.
+   */
+  get unreadMs(): number {
+    return this.stalls.unreadMs;
+  }
+
   /** Limits on clients of the latest bundle that this VM knows; null before any. */
   get clientLimits(): VersionedLimits | null {
     return this.limits.current;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -18,5 +18,6 @@
 export * from './logs/log_rate_limiter.js';
 export * from './event_loop/lag_detector.js';
 export * from './event_loop/lag_monitor.js';
+export * from './event_loop/stall_watch.js';
 export * from './event_loop/work_meter.js';
 export * from './event_loop/gc_watch.js';
