A submission that comes after its cancelling was acknowledged is refused

Cause: the leader kept nothing of a cancelled id that it didn't know, so a submission of it that came later was new. It may come from an entry that slept, over a link that was cut off, or be sent again to a later leader; the leader can't tell how old it is.

Change: the cancellation of an unknown id is recorded before it is acknowledged, and a submission of it is answered 410 (cancelled_before), decided where the record is applied. The ids are in the image. They are kept as long as an ended job (keepEndedMs) and hold 1 MiB at most, 32,768 ids of 16 digits; nothing is pushed out. A customer or client address may hold as much as is still free, so one alone fills half; beyond that a cancellation is answered 503 with Retry-After (too_many_cancellations) and not acknowledged. Cancelling a known job is as before. Lines 'cancel' and 'reject', gauges primrosewick_cancelled_ids and _bytes.

--- a/packages/coordination/src/workflow/scheduler_task.ts
+++ b/packages/coordination/src/workflow/scheduler_task.ts
@@ -244,7 +244,9 @@
         this.timeline.forget(command.id);
         break;
       case 'submit':
-        this.timeline.begin(command.id, this.options.clock.now());
+        // One that was cancelled before has no effect.
+        if (this.db.open.has(command.id))
+          this.timeline.begin(command.id, this.options.clock.now());
         break;
       case 'void_runs':
         this.channels.get(command.life.worker)?.continueLeaving();
--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -9,6 +9,7 @@
 } from '@primrosewick/protocol';
 import {
   CellError,
+  assertNever,
   authenticate,
   customerOf,
   findBundleError,
@@ -32,6 +33,7 @@
 import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {BundleWriter} from './bundle_writer.js';
+import {CancellationRecorder} from './cancellation_recorder.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
 import {CapCheck} from './cap_check.js';
 import {
@@ -88,6 +90,8 @@
   ) => void;
 }
 
+type Cancellation = Extract<WorkflowRequest, {kind: 'cancel'}>;
+
 /** Handles the calls of clients, workers and operators at the leader. */
 export class WorkflowService {
   private readonly readIndexBatcher: ReadIndexBatcher;
@@ -99,6 +103,7 @@
   private readonly departures: Departures;
   private readonly bundles: BundleWriter;
   private readonly leadershipCheckLog: LeadershipCheckLog;
+  private readonly cancellations: CancellationRecorder;
 
   constructor(private readonly options: WorkflowServiceOptions) {
     this.leadershipCheckLog = new LeadershipCheckLog(
@@ -126,6 +131,11 @@
       propose: command => options.log.propose(command),
     });
     this.readIndexBatcher = new ReadIndexBatcher(() => options.log.readIndex());
+    this.cancellations = new CancellationRecorder({
+      ...options,
+      db: options.replica.db,
+      propose: command => options.log.propose(command),
+    });
   }
 
   /**
@@ -147,7 +157,7 @@
         case 'submit':
           return this.submit(request, match, caller, deadline);
         case 'cancel':
-          return this.cancel(request, match);
+          return this.cancel(request, match, caller);
       }
     });
   }
@@ -299,9 +309,10 @@
       return answerOddSubmission(this.db, request, rest);
     const pending = this.submitting.get(id);
     if (pending) {
-      await pending;
+      this.checkRecorded(id, await pending);
       return {kind: 'accepted'};
     }
+    if (this.db.cancelled.has(id)) throw this.refuseCancelled(id);
     throwOnFault('submit', findExceededLimit(spec));
     const payer = customerOf(caller);
     const customer = payer?.name;
@@ -333,7 +344,7 @@
     });
     this.submitting.set(id, outcome);
     try {
-      await outcome;
+      this.checkRecorded(id, await outcome);
       this.options.onAccepted?.(customer);
       logger.info(
         {
@@ -356,6 +367,24 @@
     }
   }
 
+  /** @throws CellError `cancelled_before` for a submission that has no effect. */
+  private checkRecorded(id: WorkflowId, {kind}: WorkflowResult): void {
+    if (kind === 'cancelled_before') throw this.refuseCancelled(id);
+  }
+
+  private refuseCancelled(id: WorkflowId): CellError {
+    this.options.logger.info(
+      {
+        decision: 'reject',
+        req: id,
+        why: 'cancelled_before',
+        index: this.db.index,
+      },
+      'workflow rejected: its id was cancelled before',
+    );
+    return new CellError({code: 'cancelled_before', step: 'submit'});
+  }
+
   /**
    * Acknowledges a submission that was recorded earlier. No record proves here
    * that this VM still leads, so that it knows of revoked keys.
@@ -381,18 +410,32 @@
   }
 
   private async cancel(
-    address: QueueAddress,
+    request: Cancellation,
     {rest}: QueueMatch,
+    caller: Caller,
   ): Promise<WorkflowReply> {
     await this.submitting.get(rest as WorkflowId)?.catch(() => undefined);
     await this.confirm();
-    const target = findTarget(this.db, address);
-    if (target.kind === 'queue') return {kind: 'unknown_workflow'};
-    if (target.kind !== 'workflow') return target;
-    const {id} = target.workflow;
-    const at = this.options.clock.wall();
-    const result = await this.propose({kind: 'cancel', id, at});
-    this.options.logger.info(
+    const target = findTarget(this.db, request);
+    switch (target.kind) {
+      case 'queue':
+        return {kind: 'unknown_workflow'};
+      case 'unknown_queue':
+      case 'unauthenticated':
+        return target;
+      case 'unknown_workflow':
+        return this.cancelUnknown(rest, request, caller);
+      case 'workflow':
+        return this.cancelKnown(target.workflow.id);
+      default:
+        return assertNever(target);
+    }
+  }
+
+  private async cancelKnown(id: WorkflowId): Promise<WorkflowReply> {
+    const {clock, logger} = this.options;
+    const result = await this.propose({kind: 'cancel', id, at: clock.wall()});
+    logger.info(
       {decision: 'cancel', req: id, result: result.kind, index: this.db.index},
       'processed a workflow cancellation',
     );
@@ -400,6 +443,19 @@
       ? {kind: 'unknown_workflow'}
       : {kind: 'cancelled'};
   }
+
+  private async cancelUnknown(
+    rest: string,
+    {clientAddress = ''}: Cancellation,
+    caller: Caller,
+  ): Promise<WorkflowReply> {
+    // No submission of such an id is accepted.
+    if (!this.isWorkflowId(rest)) return {kind: 'unknown_workflow'};
+    const canceller = customerOf(caller)?.name ?? clientAddress;
+    const id = rest as WorkflowId;
+    const outcome = await this.cancellations.record(id, canceller);
+    return {kind: outcome === 'known' ? 'cancelled' : 'unknown_workflow'};
+  }
 }
 
 /** @throws CellError `invalid_input` with `detail`, if there is one. */
--- a/packages/daemon/src/cluster/leader_counters.ts
+++ b/packages/daemon/src/cluster/leader_counters.ts
@@ -5,6 +5,7 @@
 } from '@primrosewick/coordination';
 import type {WorkflowDb} from '@primrosewick/state';
 import type {Registry} from 'prom-client';
+import {registerCancelledIdsGauges} from './cancelled_ids_gauge.js';
 import {registerCustomerGauges} from './customer_gauges.js';
 import {makeCustomerCounter} from './customer_submissions.js';
 import {makeGivenUpCounter} from './given_up_runs.js';
@@ -21,13 +22,14 @@
   Required<Pick<WorkflowServiceOptions, 'onAccepted'>>;
 
 /**
- * Makes them for all leaderships of this VM, and registers the gauges of the
- * customers in its replica.
+ * Makes them for all leaderships of this VM, and registers the gauges of its
+ * replica.
  */
 export const makeLeaderCounters = (
   registry: Registry,
-  db: Pick<WorkflowDb, 'usage'>,
+  db: Pick<WorkflowDb, 'usage' | 'cancelled'>,
 ): LeaderCounters => {
+  registerCancelledIdsGauges(registry, db);
   registerCustomerGauges(registry, db);
   return {
     onWaited: makeQueueWaitObserver(registry),
--- a/packages/protocol/src/link/types.ts
+++ b/packages/protocol/src/link/types.ts
@@ -69,7 +69,11 @@
       readonly zone?: ZoneId;
     })
   | (QueueAddress & {readonly kind: 'get'})
-  | (QueueAddress & {readonly kind: 'cancel'});
+  | (QueueAddress & {
+      readonly kind: 'cancel';
+      /** IP address of the client; earlier releases send none. */
+      readonly clientAddress?: string;
+    });
 
 /** State of a workflow as reported to clients. */
 export type WorkflowView =
--- a/packages/state/src/errors/reasons.ts
+++ b/packages/state/src/errors/reasons.ts
@@ -171,6 +171,18 @@
     1000,
     'The leader lags behind the work it has accepted; it accepts no new work until it has caught up.',
   ),
+  cancelled_before: reason(
+    410,
+    'not_run',
+    0,
+    'The id was cancelled before this submission of it arrived.',
+  ),
+  too_many_cancellations: reason(
+    503,
+    'not_run',
+    5000,
+    'The caller has cancelled too many ids that no workflow has.',
+  ),
   log_overloaded: reason(
     503,
     'not_run',
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -5,8 +5,9 @@
 import type {Bundle, Queue, QueueName} from '../bundle/types.js';
 import type {WorkerId} from '../ids/types.js';
 import {assertNever} from '../utils/assert_never.js';
-import {acceptedWorkflow} from './accepted_workflow.js';
+import {acceptedWorkflow, type Submission} from './accepted_workflow.js';
 import {CustomerRates} from './admission/customer_rate.js';
+import {CancelledIds} from './cancelled_ids.js';
 import {TaskCrashes} from './crashes/task_crashes.js';
 import {CustomerUsage} from './customer_usage.js';
 import {DepartedWorkers} from './departed_workers.js';
@@ -64,6 +65,7 @@
 /** How long an ended workflow stays readable by default, in ms. */
 const KEEP_ENDED_MS = 180_000;
 
+type Cancellation = Extract<WorkflowCommand, {kind: 'cancel'}>;
 type RemoveWorker = Extract<WorkflowCommand, {kind: 'remove_worker'}>;
 
 const APPLIED: WorkflowResult = {kind: 'applied'};
@@ -92,12 +94,15 @@
   /** Runs that may have to be stopped. */
   readonly running = new StopCandidates();
   readonly ended: EndedWorkflows;
+  /** Ids whose submissions are refused, as they were cancelled before. */
+  readonly cancelled: CancelledIds;
   private lastIndex = 0;
 
   constructor(options: Partial<WorkflowDbOptions> = {}) {
     const {keepEndedMs = KEEP_ENDED_MS, rate} = options;
     this.rates = new CustomerRates(rate);
     this.ended = new EndedWorkflows(this.workflows, keepEndedMs);
+    this.cancelled = new CancelledIds(keepEndedMs);
   }
 
   /** Log index of the last applied record. */
@@ -118,10 +123,9 @@
       case 'put_bundle':
         return this.putBundle(command.bundle);
       case 'submit':
-        this.submit(command);
-        return APPLIED;
+        return this.submit(command);
       case 'cancel':
-        return this.cancel(command.id, command.at);
+        return this.cancel(command);
       case 'put_worker':
         if (!this.departed.has(command.report))
           putWorker(this.workers, command.report);
@@ -191,6 +195,7 @@
         activeRuns: 0,
       });
     this.ended.sort();
+    this.cancelled.restore(image.cancelled);
     this.departed.restore(image.departed);
     this.orphans.restore(image.orphans);
     this.crashes.restore(image.crashes);
@@ -245,16 +250,22 @@
     return APPLIED;
   }
 
-  private submit(command: Extract<WorkflowCommand, {kind: 'submit'}>): void {
+  private submit(command: Submission): WorkflowResult {
     this.ended.removeOld(command.at);
-    if (this.workflows.has(command.id)) return;
+    this.cancelled.removeOld(command.at);
+    if (this.workflows.has(command.id)) return APPLIED;
+    if (this.cancelled.has(command.id)) return {kind: 'cancelled_before'};
     this.customers.noteWork(command.customer);
     this.addWorkflow(acceptedWorkflow(command));
+    return APPLIED;
   }
 
-  private cancel(id: WorkflowId, at: number): WorkflowResult {
+  private cancel({id, at, remembers = false}: Cancellation): WorkflowResult {
     const workflow = this.workflows.get(id);
-    if (!workflow) return {kind: 'no_workflow'};
+    if (!workflow) {
+      const isRemembered = remembers && this.cancelled.add(id, at);
+      return {kind: 'no_workflow', isRemembered};
+    }
     if (workflow.phase === 'open') this.finish(workflow, 'cancelled', at);
     return APPLIED;
   }
--- a/packages/state/src/workflow/image.ts
+++ b/packages/state/src/workflow/image.ts
@@ -33,6 +33,7 @@
 /** Creates a serializable image of the whole state. */
 export const imageOf = ({
   index,
+  cancelled,
   bundle,
   queues,
   customers,
@@ -45,6 +46,7 @@
   interference,
 }: WorkflowDb): WorkflowImage => ({
   index,
+  ...(cancelled.size > 0 && {cancelled: cancelled.values()}),
   departed: departed.values(),
   crashes: crashes.values(),
   orphans: orphans.values(),
--- a/packages/state/src/workflow/types.ts
+++ b/packages/state/src/workflow/types.ts
@@ -11,6 +11,7 @@
 } from '../ids/types.js';
 import type {Bundle, Customer, Queue, QueueName} from '../bundle/types.js';
 import type {RateTerms} from './admission/customer_rate.js';
+import type {CancelledId} from './cancelled_ids.js';
 import type {CrashEvidence, CrashRecord} from './crashes/types.js';
 import type {EstimatesImage} from './estimates/types.js';
 import type {InterferenceImage} from './interference/types.js';
@@ -318,7 +319,16 @@
       readonly spec: WorkflowSpec;
       readonly at: number;
     } & SubmissionOrigin)
-  | {readonly kind: 'cancel'; readonly id: WorkflowId; readonly at: number}
+  | {
+      readonly kind: 'cancel';
+      readonly id: WorkflowId;
+      readonly at: number;
+      /**
+       * Whether an id that no workflow has is remembered, so that a submission of it
+       * that comes later is refused; absent in older records.
+       */
+      readonly remembers?: boolean;
+    }
   | {readonly kind: 'put_worker'; readonly report: WorkerRegistration}
   | {
       readonly kind: 'remove_worker';
@@ -378,8 +388,10 @@
       readonly kind: 'superseded';
       readonly version: number;
     }
-  /** No workflow has this id. */
-  | {readonly kind: 'no_workflow'};
+  /** No workflow has this id; whether it is remembered as cancelled. */
+  | {readonly kind: 'no_workflow'; readonly isRemembered: boolean}
+  /** The submission was not recorded, as its id had been cancelled. */
+  | {readonly kind: 'cancelled_before'};
 
 /** Options of `WorkflowDb`. */
 export interface WorkflowDbOptions {
@@ -392,6 +404,8 @@
 /** Serializable image of the whole state. */
 export interface WorkflowImage {
   readonly index: number;
+  /** Ids cancelled before their submission; absent in older images, or without any. */
+  readonly cancelled?: readonly CancelledId[];
   /** Incarnations that have ended for good; absent in older images. */
   readonly departed?: readonly WorkerIncarnation[];
   /** Runs that next incarnations may have begun; absent in older images. */
