A submission whose client has gone is not handed on, nor sent again

Callers saw: a job whose first try got no answer from an entry that stood still, and whose second try was refused elsewhere, may run when the entry wakes. Seen in a test: an entry stopped for 2.5 s handed on all six submissions that waited in its sockets, three of them from clients that had left 1.8 s before.

Cause: the end of a connection is read a few turns of the event loop after the request before it, and the request was handed on at once; the signal that its client had gone was not looked at, neither then nor before it was sent again to another leader.

Change: an entry that has just stood still reads its sockets on before it hands a submission on, and callLeader sends nothing once the signal is aborted. Clients that still wait are served as before; reads and cancellations go on.

--- a/packages/coordination/src/gateway/task.spec.ts
+++ b/packages/coordination/src/gateway/task.spec.ts
@@ -113,6 +113,24 @@
     });
     expect(await call(gateway, 500)).to.eql({kind: 'accepted'});
   });
+  // Guards against a submission that goes to a new leader though its client has gone.
+  it('a call whose caller has gone is not sent again, and not sent at all if it had gone', async () => {
+    const sent: number[] = [];
+    const controller = new AbortController();
+    const gateway = await makeGateway(async (_to, nth) => {
+      sent.push(nth);
+      controller.abort();
+      throw new CellError({code: 'peer_timeout', step: 'call'});
+    });
+    const callUntilGone = (): Promise<string> => {
+      const deadline = performance.now() + 500;
+      const {signal} = controller;
+      return codeOf(gateway.callLeader('workflow', get, deadline, signal));
+    };
+    expect(await callUntilGone()).to.equal('client_gone unknown');
+    expect(await callUntilGone()).to.equal('client_gone not_run');
+    expect(sent).to.eql([1]);
+  });
   it('a refusal that is not retryable is returned at once', async () => {
     const gateway = await makeGateway(async () => {
       throw new CellError({code: 'queue_full', step: 'call'});
--- a/packages/coordination/src/gateway/task.ts
+++ b/packages/coordination/src/gateway/task.ts
@@ -207,6 +207,7 @@
 
   /**
    * Calls the leader, on whichever VM it is, until a deadline of the monotonic clock in ms.
+   * Nothing is sent once `signal` is aborted.
    * @throws CellError with outcome `unknown` when a call may have been
    *   executed, and with `not_run` when none was sent.
    */
@@ -214,6 +215,7 @@
     method: M,
     request: LinkMethods[M]['request'],
     deadline: number,
+    signal?: AbortSignal,
   ): Promise<LeaderValue<M>> {
     const {clock} = this.options;
     const unacceptedDeadline = Math.min(
@@ -223,6 +225,7 @@
     let unknownOutcomeDeadline: number | undefined;
     let last = new CellError({code: 'log_unavailable', step: method});
     while (clock.now() < (unknownOutcomeDeadline ?? unacceptedDeadline)) {
+      if (signal?.aborted) throw clientGone(method, unknownOutcomeDeadline);
       const outcome = await this.tryLeader(method, request, deadline);
       if (outcome.kind === 'ok') return outcome.value;
       last = outcome.err;
@@ -379,6 +382,17 @@
   }
 }
 
+/** Error of a call that is not sent again; it may run if its outcome is unknown. */
+const clientGone = (
+  step: string,
+  unknownOutcomeDeadline: number | undefined,
+): CellError =>
+  new CellError({
+    code: 'client_gone',
+    step,
+    outcome: unknownOutcomeDeadline === undefined ? 'not_run' : 'unknown',
+  });
+
 /** Error codes after which a retry, or another leader, may succeed. */
 const RETRYABLE_CODES: ReadonlySet<ReasonCode> = new Set([
   'peer_unreachable',
--- a/packages/daemon/src/cluster/authentication.spec.ts
+++ b/packages/daemon/src/cluster/authentication.spec.ts
@@ -123,6 +123,7 @@
       reader: readers?.reader ?? null,
       confirmed,
       reads: new ReadLog(logger, this.registry),
+      stalls: {readPending: async () => undefined},
     });
     this.gateway.start();
     await pause(systemClock, 20);
--- a/packages/daemon/src/cluster/client_calls.ts
+++ b/packages/daemon/src/cluster/client_calls.ts
@@ -1,7 +1,11 @@
 /** Creates what carries the calls of a node's clients to the VMs that answer them. */
 import {GatewayTask} from '@primrosewick/coordination';
 import type {LinkHello} from '@primrosewick/protocol';
-import {systemClock, type LinkClient} from '@primrosewick/transport';
+import {
+  systemClock,
+  type LinkClient,
+  type StallWatch,
+} from '@primrosewick/transport';
 import {ConfirmedReads} from './confirmed_reads.js';
 import type {ClusterNodeOptions} from './node.js';
 import {ReadLog} from './read_log.js';
@@ -34,10 +38,12 @@
     gateway,
     peers,
     readers,
+    stalls,
   }: {
     readonly gateway: GatewayTask;
     readonly peers: LinkClient;
     readonly readers: ReplicaReaders | null;
+    readonly stalls: StallWatch;
   },
 ): WorkflowRequestRouter =>
   new WorkflowRequestRouter({
@@ -53,4 +59,5 @@
       own: readers?.confirmed ?? null,
     }),
     reads: new ReadLog(logger, registry),
+    stalls,
   });
--- a/packages/daemon/src/cluster/count_order.spec.ts
+++ b/packages/daemon/src/cluster/count_order.spec.ts
@@ -81,6 +81,7 @@
     reader: null,
     confirmed,
     reads: new ReadLog(logger, new Registry()),
+    stalls: {readPending: async () => undefined},
   });
   const count = (path: string, leftMs = 1000): Promise<WorkflowReply> =>
     router.request(
--- a/packages/daemon/src/cluster/node.ts
+++ b/packages/daemon/src/cluster/node.ts
@@ -133,6 +133,7 @@
       gateway: this.gateway,
       peers: this.peers,
       readers: this.readers,
+      stalls: this.stalls,
     });
     this.authentication = new AuthenticationLog({
       ...options,
--- a/packages/daemon/src/cluster/workflow_request_router.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.spec.ts
@@ -115,6 +115,7 @@
       own: null,
     }),
     reads,
+    stalls: {readPending: async () => undefined},
   });
   return Object.assign(calls, {seen: reads.seen});
 };
--- a/packages/daemon/src/cluster/workflow_request_router.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.ts
@@ -16,7 +16,7 @@
   WorkflowRequest,
 } from '@primrosewick/protocol';
 import {toCellError, type CellError, type VmId} from '@primrosewick/state';
-import type {Clock, LinkCaller} from '@primrosewick/transport';
+import type {Clock, LinkCaller, StallWatch} from '@primrosewick/transport';
 import type Logger from 'bunyan';
 import type {ConfirmedReads} from './confirmed_reads.js';
 import {CountOrder} from './count_order.js';
@@ -32,6 +32,8 @@
   readonly reader: ReplicaReader | null;
   readonly confirmed: ConfirmedReads;
   readonly reads: ReadLog;
+  /** Tells whether this VM has just stood still. */
+  readonly stalls: Pick<StallWatch, 'readPending'>;
 }
 
 /** Answer of a replica, or the reason for which the leader is asked. */
@@ -51,6 +53,8 @@
   readonly signal?: AbortSignal;
 }
 
+type Submission = Extract<WorkflowRequest, {kind: 'submit'}>;
+
 /** Terms of a read that may wait for an end; the signal tells it not to. */
 type BlockingTerms = Required<RequestTerms>;
 
@@ -102,10 +106,26 @@
       return mayNameWorkflow(request.path)
         ? this.read(request, terms)
         : this.count(request, terms);
-    if (request.kind === 'cancel') this.rememberCancellation(request);
+    if (request.kind === 'submit') return this.submit(request, terms);
+    this.rememberCancellation(request);
     return this.options.gateway.callLeader('workflow', request, terms.deadline);
   }
 
+  /**
+   * Submits a workflow, unless its client has gone: it may have been told elsewhere
+   * that the workflow was refused. A request that was read after this VM stood still
+   * may be followed by the end of its connection, which is read first.
+   * @throws CellError `client_gone`, or from the calls to the leader.
+   */
+  private async submit(
+    request: Submission,
+    {deadline, signal}: RequestTerms,
+  ): Promise<WorkflowReply> {
+    const {gateway, stalls} = this.options;
+    await stalls.readPending();
+    return gateway.callLeader('workflow', request, deadline, signal);
+  }
+
   /** Lets no read wait for the end of its workflow any longer. */
   beginDrain(): void {
     this.isDraining = true;
--- a/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router_replicas.spec.ts
@@ -99,6 +99,7 @@
       own: null,
     }),
     reads: new ReadLog(logger, new Registry()),
+    stalls: {readPending: async () => undefined},
   });
   return {calls, asked};
 };
