--- a/packages/coordination/src/workflow/service.ts
+++ b/packages/coordination/src/workflow/service.ts
@@ -1,5 +1,4 @@
 /** Serves requests of clients, workers and operators while this VM leads. */
-import type Logger from 'bunyan';
 import type {
   LinkLeaderReply,
   LinkMethods,
@@ -13,14 +12,10 @@
   authenticate,
   customerOf,
   findBundleError,
-  findExceededLimit,
   matchQueue,
   type Bundle,
   type Caller,
-  type CustomerName,
-  type NewWorkflow,
   type QueueMatch,
-  type QueueName,
   type VmId,
   type WorkerRegistration,
   type WorkflowCommand,
@@ -28,18 +23,15 @@
   type WorkflowId,
   type WorkflowResult,
 } from '@primrosewick/state';
-import type {Clock} from '@primrosewick/transport';
-import type {LoadSheddingTask} from '../load/task.js';
-import type {RecordLoadTask} from '../record_load/task.js';
 import {LeadershipCheckLog} from './leadership_check_log.js';
 import {BundleWriter} from './bundle_writer.js';
 import {CancellationRecorder} from './cancellation_recorder.js';
 import {ReadIndexBatcher} from './read_index_batcher.js';
-import {CapCheck} from './cap_check.js';
 import {
-  SubmissionAdmission,
-  type RefusalReason,
-} from './submission_admission.js';
+  SubmissionRecorder,
+  rejectInvalid,
+  type SubmissionRecorderOptions,
+} from './submission_recorder.js';
 import type {WorkflowReplica} from './replica.js';
 import {Departures, type DeparturesOptions} from './departures.js';
 import {WorkerRegistry, type WorkerRegistryOptions} from './worker_registry.js';
@@ -66,39 +58,21 @@
       WorkerRegistryOptions,
       'onAnnouncement' | 'checkLife' | 'answers' | 'onGivenUp'
     >,
-    Pick<DeparturesOptions, 'depart'> {
+    Pick<DeparturesOptions, 'depart'>,
+    Omit<SubmissionRecorderOptions, 'db' | 'propose'> {
   readonly replica: WorkflowReplica;
   readonly log: LogAccess;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  /** Decides whether this VM takes new work, given its event loop lag. */
-  readonly load: Pick<LoadSheddingTask, 'decide'>;
-  /** Decides whether this VM takes new work, given the time of its records. */
-  readonly records?: Pick<RecordLoadTask, 'decide'>;
   /** Whether a text is an id that clients may choose; by default any path segment is. */
   readonly isWorkflowId?: (text: string) => boolean;
-  /** Called for each workflow whose submission is about to be recorded. */
-  readonly onSubmission?: (workflow: NewWorkflow) => void;
-  /** Called for each recorded workflow with its customer; undefined without one. */
-  readonly onAccepted?: (customer: CustomerName | undefined) => void;
-  /** Called if it was not recorded, as far as this VM knows. */
-  readonly onUnrecorded?: (id: WorkflowId) => void;
-  /** Called for each workflow that is rejected because of the backlog, a rate or a cap. */
-  readonly onRefused?: (
-    queue: QueueName,
-    why: RefusalReason | 'cap_exceeded',
-  ) => void;
 }
 
+type Submission = Extract<WorkflowRequest, {kind: 'submit'}>;
 type Cancellation = Extract<WorkflowRequest, {kind: 'cancel'}>;
 
 /** Handles the calls of clients, workers and operators at the leader. */
 export class WorkflowService {
   private readonly readIndexBatcher: ReadIndexBatcher;
-  /** Submissions in flight, so that a duplicate shares the outcome. */
-  private readonly submitting = new Map<WorkflowId, Promise<WorkflowResult>>();
-  private readonly admission: SubmissionAdmission;
-  private readonly caps: CapCheck;
+  private readonly submissions: SubmissionRecorder;
   private readonly workers: WorkerRegistry;
   private readonly departures: Departures;
   private readonly bundles: BundleWriter;
@@ -110,11 +84,11 @@
       options.logger,
       options.clock,
     );
-    this.admission = new SubmissionAdmission({
+    this.submissions = new SubmissionRecorder({
       ...options,
       db: options.replica.db,
+      propose: command => options.log.propose(command),
     });
-    this.caps = new CapCheck({...options, db: options.replica.db});
     this.workers = new WorkerRegistry({
       ...options,
       db: () => options.replica.db,
@@ -202,7 +176,7 @@
     LinkMethods['putBundle']['reply']
   > {
     return this.runAsLeader(async () => {
-      throwOnFault('put-bundle', findBundleError(bundle));
+      rejectInvalid('put-bundle', findBundleError(bundle));
       const result = await this.bundles.put(bundle);
       this.options.logger.info(
         {
@@ -296,93 +270,19 @@
   }
 
   private async submit(
-    request: Extract<WorkflowRequest, {kind: 'submit'}>,
+    request: Submission,
     {queue, rest}: QueueMatch,
     caller: Caller,
     deadline: number,
   ): Promise<WorkflowReply> {
     const id = rest as WorkflowId;
-    const {spec, zone} = request;
-    const {clock, logger} = this.options;
     if (this.db.workflows.has(id)) return this.acknowledge(request, caller);
     if (!this.isWorkflowId(rest))
       return answerOddSubmission(this.db, request, rest);
-    const pending = this.submitting.get(id);
-    if (pending) {
-      this.checkRecorded(id, await pending);
-      return {kind: 'accepted'};
-    }
-    if (this.db.cancelled.has(id)) throw this.refuseCancelled(id);
-    throwOnFault('submit', findExceededLimit(spec));
-    const payer = customerOf(caller);
-    const customer = payer?.name;
-    this.caps.check({id, queue, spec, customer: payer});
-    const inFlight = this.submitting.size;
-    const isBeyondRate = this.admission.check({
-      id,
-      queue,
-      spec,
-      inFlight,
-      deadline,
-      ...(customer !== undefined && {customer}),
-    });
-    this.options.onSubmission?.({
-      id,
-      queue,
-      spec,
-      ...(customer !== undefined && {customer}),
-    });
-    const outcome = this.propose({
-      kind: 'submit',
-      id,
-      queue: queue.name,
-      spec,
-      at: clock.wall(),
-      ...(customer !== undefined && {customer}),
-      ...(zone !== undefined && {zone}),
-      ...(isBeyondRate && {isBeyondRate}),
-    });
-    this.submitting.set(id, outcome);
-    try {
-      this.checkRecorded(id, await outcome);
-      this.options.onAccepted?.(customer);
-      logger.info(
-        {
-          decision: 'accept',
-          req: id,
-          queue: queue.name,
-          ...(customer !== undefined && {customer}),
-          bundle: this.db.bundle?.version,
-          index: this.db.index,
-          open: this.db.open.size,
-        },
-        'workflow accepted',
-      );
-      return {kind: 'accepted'};
-    } catch (err) {
-      this.options.onUnrecorded?.(id);
-      throw err;
-    } finally {
-      this.submitting.delete(id);
-    }
-  }
-
-  /** @throws CellError `cancelled_before` for a submission that has no effect. */
-  private checkRecorded(id: WorkflowId, {kind}: WorkflowResult): void {
-    if (kind === 'cancelled_before') throw this.refuseCancelled(id);
-  }
-
-  private refuseCancelled(id: WorkflowId): CellError {
-    this.options.logger.info(
-      {
-        decision: 'reject',
-        req: id,
-        why: 'cancelled_before',
-        index: this.db.index,
-      },
-      'workflow rejected: its id was cancelled before',
-    );
-    return new CellError({code: 'cancelled_before', step: 'submit'});
+    const {spec, zone} = request;
+    const customer = customerOf(caller);
+    await this.submissions.record({id, queue, spec, zone, customer}, deadline);
+    return {kind: 'accepted'};
   }
 
   /**
@@ -414,7 +314,7 @@
     {rest}: QueueMatch,
     caller: Caller,
   ): Promise<WorkflowReply> {
-    await this.submitting.get(rest as WorkflowId)?.catch(() => undefined);
+    await this.submissions.settled(rest as WorkflowId);
     await this.confirm();
     const target = findTarget(this.db, request);
     switch (target.kind) {
@@ -457,9 +357,3 @@
     return {kind: outcome === 'known' ? 'cancelled' : 'unknown_workflow'};
   }
 }
-
-/** @throws CellError `invalid_input` with `detail`, if there is one. */
-const throwOnFault = (step: string, detail: string | undefined): void => {
-  if (detail === undefined) return;
-  throw new CellError({code: 'invalid_input', step, detail});
-};
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -35,6 +35,7 @@
 export * from './bundle/types.js';
 export * from './workflow/db.js';
 export * from './workflow/cancelled_ids.js';
+export * from './workflow/commands.js';
 export * from './workflow/customer_report.js';
 export * from './workflow/customer_usage.js';
 export {KnownCustomers} from './workflow/known_customers.js';
--- a/packages/state/src/workflow/accepted_workflow.ts
+++ b/packages/state/src/workflow/accepted_workflow.ts
@@ -1,6 +1,7 @@
 /** The state of a workflow as its submission leaves it. */
 import {originOf} from './image.js';
-import type {WorkflowCommand, WorkflowState} from './types.js';
+import type {WorkflowCommand} from './commands.js';
+import type {WorkflowState} from './types.js';
 
 /** Record of a submission. */
 export type Submission = Extract<WorkflowCommand, {kind: 'submit'}>;
--- a/packages/state/src/workflow/admission/fixtures.ts
+++ b/packages/state/src/workflow/admission/fixtures.ts
@@ -1,7 +1,8 @@
 /** Test bundles and submissions with customers. */
 import type {Bundle, Customer, Queue} from '../../bundle/types.js';
 import {testSpec, testStep} from '../fixtures.js';
-import type {WorkflowCommand, WorkflowSpec} from '../types.js';
+import type {WorkflowCommand} from '../commands.js';
+import type {WorkflowSpec} from '../types.js';
 
 /** Part of a bundle with customers, given their weights by name. */
 export const customerBundle = (
--- a/packages/state/src/workflow/customer_usage.spec.ts
+++ b/packages/state/src/workflow/customer_usage.spec.ts
@@ -3,7 +3,8 @@
 import {CustomerUsage} from './customer_usage.js';
 import {WorkflowDb} from './db.js';
 import {TestLog, testSpec, testStep, testTask} from './fixtures.js';
-import type {TaskRef, WorkflowCommand, WorkflowId} from './types.js';
+import type {WorkflowCommand} from './commands.js';
+import type {TaskRef, WorkflowId} from './types.js';
 
 const WORKERS = ['w0', 'w1', 'w2'] as never[];
 const CUSTOMERS = ['a', 'b', undefined] as never[];
--- a/packages/state/src/workflow/db.ts
+++ b/packages/state/src/workflow/db.ts
@@ -30,6 +30,7 @@
 import {StopCandidates} from './stop_candidates.js';
 import {
   countActiveRuns,
+  countFailure,
   discardDetails,
   newOccurrence,
   isOccurrenceDone,
@@ -43,6 +44,10 @@
 } from './task_state.js';
 import type {
   RecordedStart,
+  WorkflowCommand,
+  WorkflowResult,
+} from './commands.js';
+import type {
   Resources,
   RunEnd,
   StepState,
@@ -50,12 +55,10 @@
   TaskState,
   WorkerIncarnation as Incarnation,
   WorkerState,
-  WorkflowCommand,
   WorkflowDbOptions,
   WorkflowId,
   WorkflowImage,
   WorkflowPhase,
-  WorkflowResult,
   WorkflowState,
 } from './types.js';
 import {noteOutcome} from './run_outcomes.js';
@@ -372,30 +375,12 @@
       else markDone(step, state);
       if (state.active.length > 0) this.addStopCandidate(task);
       this.finishIfDone(workflow, task.occurrence, at);
-    } else if (outcome === 'failed') {
-      this.countFailure(workflow, step, task, run, at);
-    }
-  }
-
-  private countFailure(
-    workflow: WorkflowState,
-    step: StepState,
-    task: TaskRef,
-    run: number,
-    at: number,
-  ): void {
-    const spec = workflow.spec.steps[task.step];
-    const state = step.tasks[task.index];
-    if (!spec || !state || spec.isLongRunning) return;
-    state.failures++;
-    if (spec.isGang && run > step.lastFailedRun) {
-      step.lastFailedRun = run;
-      step.gangFailures++;
+    } else if (outcome === 'failed' && !spec.isLongRunning) {
+      const failures = countFailure(spec, step, {task, run});
+      const maxAttempts = this.queues.get(workflow.queue)?.maxAttempts ?? 1;
+      if (!state.isDone && failures >= maxAttempts)
+        this.finish(workflow, 'failed', at);
     }
-    const failures = spec.isGang ? step.gangFailures : state.failures;
-    const maxAttempts = this.queues.get(workflow.queue)?.maxAttempts ?? 1;
-    if (!state.isDone && failures >= maxAttempts)
-      this.finish(workflow, 'failed', at);
   }
 
   private finishIfDone(
--- a/packages/state/src/workflow/fixtures.ts
+++ b/packages/state/src/workflow/fixtures.ts
@@ -3,12 +3,12 @@
 import type {Bundle, Customer} from '../bundle/types.js';
 import {WorkflowDb} from './db.js';
 import {NO_RESOURCES} from './resources.js';
+import type {WorkflowCommand} from './commands.js';
 import type {
   RunEnd,
   StepSpec,
   TaskRef,
   WorkerRegistration,
-  WorkflowCommand,
   WorkflowId,
   WorkflowSpec,
 } from './types.js';
--- a/packages/state/src/workflow/journal/types.ts
+++ b/packages/state/src/workflow/journal/types.ts
@@ -2,7 +2,8 @@
 import type {WorkerId} from '../../ids/types.js';
 import type {PendingStart} from '../planner/views.js';
 import type {Ticket} from '../planner/types.js';
-import type {StepKey, TaskKey, WorkflowCommand} from '../types.js';
+import type {WorkflowCommand} from '../commands.js';
+import type {StepKey, TaskKey} from '../types.js';
 
 /** Change to the advice about one step; absent fields are left unchanged. */
 export interface AdviceChange {
--- a/packages/state/src/workflow/orphaned_runs.ts
+++ b/packages/state/src/workflow/orphaned_runs.ts
@@ -4,7 +4,8 @@
  */
 import type {WorkerId} from '../ids/types.js';
 import {taskKey} from './refs.js';
-import type {OrphanedRun, TaskKey, TaskRef} from './types.js';
+import type {OrphanedRun} from './commands.js';
+import type {TaskKey, TaskRef} from './types.js';
 
 /** Maximum number of remembered runs; the oldest is dropped first. */
 const MAX_ORPHANS = 4096;
--- a/packages/state/src/workflow/planner/types.ts
+++ b/packages/state/src/workflow/planner/types.ts
@@ -1,8 +1,8 @@
 /** Inputs and decisions of the planner. */
 import type {CustomerName, WorkerId} from '../../ids/types.js';
 import type {WorkflowDb} from '../db.js';
+import type {RecordedStart} from '../commands.js';
 import type {
-  RecordedStart,
   Resources,
   StepKey,
   StepRef,
--- a/packages/state/src/workflow/restored_plans.spec.ts
+++ b/packages/state/src/workflow/restored_plans.spec.ts
@@ -11,7 +11,8 @@
 } from './fixtures.js';
 import {plan} from './planner/core.js';
 import {inputOf} from './planner/fixtures.js';
-import type {RunEnd, StepSpec, WorkflowCommand, WorkflowSpec} from './types.js';
+import type {WorkflowCommand} from './commands.js';
+import type {RunEnd, StepSpec, WorkflowSpec} from './types.js';
 
 const roomOf = (cpuMillis: number, memMb: number) => ({
   cpuMillis,
--- a/packages/state/src/workflow/task_state.ts
+++ b/packages/state/src/workflow/task_state.ts
@@ -1,10 +1,12 @@
 /** Helpers that create and update the states of workflows, steps and tasks. */
 import type {WorkflowDb} from './db.js';
 import {taskKey} from './refs.js';
+import type {VoidedRun} from './commands.js';
 import type {
+  RunEnd,
+  StepSpec,
   StepState,
   TaskState,
-  VoidedRun,
   WorkerIncarnation,
   WorkflowSpec,
   WorkflowState,
@@ -136,3 +138,22 @@
   UNSTARTED_STEPS.set(spec, steps);
   return steps;
 };
+
+/**
+ * Counts a failed run of a task, or of its gang as a whole.
+ * @returns the failures of the task, or of the gang, so far.
+ */
+export const countFailure = (
+  spec: StepSpec,
+  step: StepState,
+  {task, run}: Pick<RunEnd, 'task' | 'run'>,
+): number => {
+  const state = step.tasks[task.index]!;
+  state.failures++;
+  if (!spec.isGang) return state.failures;
+  if (run > step.lastFailedRun) {
+    step.lastFailedRun = run;
+    step.gangFailures++;
+  }
+  return step.gangFailures;
+};
