Requests are counted before Node answers them by itself

Callers saw: 900 connections that send GET, DELETE or POST ahead without the header Host, and read no answers, end an entry of 210 MB (heap limit, SIGABRT); shown again here.

Cause: Node's HTTP server answers a request without Host, or with an unknown Expect, before it emits 'request', where the budget for peers counts. A read of 64 KB holds over a thousand of these, each with its objects until the connection is gone; and the objects of connections that were closed in the same turn of the event loop weren't counted at all.

Change: the budget decides in the parser's onIncoming, before Node makes a response, so the whole class of answers that Node gives is behind it. Host is checked in the server itself (400 as before), unknown expectations are ignored (RFC 9110 lets a server). With 512 parsed requests in the process, those of closed connections included until their sockets are gone, each connection may have one; it is closed at the second.

--- a/packages/transport/src/http/budget/ahead.spec.ts
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -10,15 +10,21 @@
 const PORT = 18_093;
 const HANDLE_MS = 20;
 
+const GET = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
+/** Node answers both by itself, unless it is told not to. */
+const WITHOUT_HOST = 'GET /a HTTP/1.1\r\n\r\n';
+const WITH_EXPECTATION =
+  'POST /a HTTP/1.1\r\nHost: a\r\nExpect: x\r\nContent-Length: 2\r\n\r\n{}';
+
 /** Sends a number of requests at once; resolves with what came back. */
-const sendAhead = (count: number): Promise<string> =>
+const sendAhead = (count: number, request = GET): Promise<string> =>
   new Promise(resolve => {
     const socket = connect(PORT, HOST);
     let text = '';
     socket.on('error', () => undefined).on('close', () => resolve(text));
     socket.on('data', data => (text += data.toString()));
     const last = 'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n';
-    const others = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(count - 1);
+    const others = request.repeat(count - 1);
     socket.write(others + last);
   });
 
@@ -54,6 +60,24 @@
     server.destroy();
   });
 
+  // Guards against requests that run, and are answered, while the read is parsed.
+  for (const [name, request] of Object.entries({
+    'without a host': WITHOUT_HOST,
+  }))
+    it(`close their connection beyond the limit, and none runs, ${name}`, async () => {
+      expect(await sendAhead(1000, request)).to.equal('');
+      expect(closed).to.eql(['pipeline']);
+      expect([parsed, handled]).to.eql([0, 0]);
+      expect([budget.connections, budget.heldBytes]).to.eql([0, 0]);
+      expect(budget.parsedRequests).to.equal(0);
+    });
+
+  it('without a host are rejected, with an unknown expectation served', async () => {
+    expect(await sendAhead(2, WITHOUT_HOST)).to.match(/^HTTP\/1.1 400/);
+    expect(await sendAhead(2, WITH_EXPECTATION)).to.match(/^HTTP\/1.1 200/);
+    expect(budget.parsedRequests).to.equal(0);
+  });
+
   it('are all answered up to the limit', async () => {
     const text = await sendAhead(MAX_REQUESTS_IN_PROGRESS);
     expect(text.split('HTTP/1.1 200').length - 1).to.equal(
--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -5,12 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {noteRead} from './collector.js';
-import {
-  MAX_REQUESTS_IN_PROGRESS,
-  decideAhead,
-  mayStart,
-  type PipelineState,
-} from './core.js';
+import {decideAhead, mayStart, type PipelineState} from './core.js';
 import type {BudgetedPeer, PeerBudget} from './task.js';
 import {REQUEST_BYTES, type ConnectionId, type ServerId} from './types.js';
 
@@ -42,11 +37,13 @@
 export class RequestAccount {
   private held = 0;
   private unsent = 0;
+  private isReleased = false;
 
   constructor(
     private readonly connection: PeerConnection,
     bytes: number,
   ) {
+    this.connection.noteParsed(1);
     this.charge(bytes);
   }
 
@@ -58,6 +55,8 @@
 
   /** Lets go of all bytes. */
   release(): void {
+    if (!this.isReleased) this.connection.noteParsed(-1);
+    this.isReleased = true;
     this.charge(-this.held);
     this.connection.addUnsent(-this.unsent);
     this.unsent = 0;
@@ -99,30 +98,34 @@
     const {socket, budget, server, maxOfServer} = options;
     this.socket = socket;
     this.id = budget.open(this, server, maxOfServer);
+    guardParser(socket, () => this.admit());
+    socket.once('close', () => this.releaseWaiting());
   }
 
-  /**
-   * Takes a request that has arrived. Requests that the parser delivers after the
-   * connection was closed, or its last response was decided, are dropped.
-   */
-  take(req: IncomingMessage, res: ServerResponse): void {
+  /** Decides on a request whose headers were parsed, before Node makes a response for it. */
+  private admit(): Admission {
     const {id, socket} = this;
-    if (id === undefined || socket.destroyed || this.isEnding) return;
+    if (id === undefined || socket.destroyed) return 'stop';
+    if (this.isEnding) return 'drop';
+    if (decideAhead(this.state()) !== 'close') return 'take';
+    noteRead((this.waiting.length + 1) * REQUEST_BYTES);
+    this.options.budget.end(id, 'pipeline');
+    return 'stop';
+  }
+
+  /** Takes a request that was admitted. */
+  take(req: IncomingMessage, res: ServerResponse): void {
+    const {socket} = this;
     const decision = decideAhead(this.state());
-    if (decision === 'close') {
-      this.options.budget.end(id, 'pipeline');
-      noteRead(MAX_REQUESTS_IN_PROGRESS * REQUEST_BYTES);
-      return stopParser(socket);
-    }
     const {bytesRead} = socket;
     const arrivedBytes = bytesRead - this.parsedBytes;
     this.parsedBytes = bytesRead;
     const headerBytes = Math.min(arrivedBytes, this.options.maxHeaderBytes);
     const account = new RequestAccount(this, REQUEST_BYTES + headerBytes);
     if (socket.destroyed) return;
+    this.waiting.push({req, res, account});
     // Nothing runs before the whole read has been parsed, as the connection may be
     // closed for what follows.
-    this.waiting.push({req, res, account});
     if (decision === 'start') process.nextTick(startWaiting, this);
   }
 
@@ -136,6 +139,11 @@
     if (this.id !== undefined) this.options.budget.charge(this.id, bytes);
   }
 
+  /** Notes that a request was parsed (1) or is released (-1). */
+  noteParsed(change: 1 | -1): void {
+    this.options.budget.noteParsed(change);
+  }
+
   /** Adds to the bytes of responses that are not handed to the network yet. */
   addUnsent(bytes: number): void {
     this.unsentBytes += bytes;
@@ -181,6 +189,11 @@
     this.options.start(req, res, account);
   }
 
+  /** Releases requests that never start, as the connection is gone. */
+  private releaseWaiting(): void {
+    for (const {account} of this.waiting.splice(0)) account.release();
+  }
+
   /** Starts requests that wait, as far as may be. */
   startWaiting(): void {
     if (this.socket.destroyed || this.isEnding) return;
@@ -192,29 +205,49 @@
     return {
       started: this.started,
       startedInAll: this.options.budget.startedRequests,
+      parsedInAll: this.options.budget.parsedRequests,
       waiting: this.waiting.length,
       unreadBytes: this.unreadBytes(),
     };
   }
 }
 
+/** What becomes of a request whose headers were parsed. */
+type Admission = 'take' | 'drop' | 'stop';
+
+type OnIncoming = (req: IncomingMessage, shouldKeepAlive: boolean) => number;
+
 /** The part of Node's parser that is used here. */
 interface HttpParser {
-  /** Called with the headers of each request. */
-  onIncoming: () => number;
+  /** Called with the headers of each request; makes the response. */
+  onIncoming: OnIncoming;
 }
 
+/** Result of `onIncoming` after which the body is read. */
+const READ_BODY = 0;
 /** Result of `onIncoming` after which the rest of a read isn't parsed, as for an upgrade. */
 const STOP_PARSING = 2;
 
 /**
- * Stops the parser within the read that it works on. Otherwise it makes objects
- * for hundreds of further requests, which stay until the connection has closed;
- * 900 connections filled a heap of 80 MB this way.
+ * Has each request admitted before Node sees it: Node answers some by itself. A read may
+ * hold hundreds, whose objects stay until the connection has closed; 900 connections
+ * filled a heap of 80 MB this way.
  */
-const stopParser = (socket: Socket): void => {
+const guardParser = (socket: Socket, admit: () => Admission): void => {
   const {parser} = socket as {parser?: HttpParser | null};
-  if (parser) parser.onIncoming = () => STOP_PARSING;
+  if (!parser) return;
+  const {onIncoming} = parser;
+  parser.onIncoming = (req, shouldKeepAlive) => {
+    switch (admit()) {
+      case 'take':
+        return onIncoming(req, shouldKeepAlive);
+      case 'drop':
+        req.resume();
+        return READ_BODY;
+      case 'stop':
+        return STOP_PARSING;
+    }
+  };
 };
 
 const startWaiting = (connection: PeerConnection): void =>
--- a/packages/transport/src/http/budget/core.spec.ts
+++ b/packages/transport/src/http/budget/core.spec.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {
+  MANY_PARSED_REQUESTS,
   MANY_STARTED_REQUESTS,
   MAX_REQUESTS_IN_PROGRESS,
   MAX_UNREAD_BYTES,
@@ -82,7 +83,13 @@
     expect(ledger.findIdlest(id(5), 2)).to.equal(undefined);
   });
   it('starts a bounded number of requests sent ahead, in their order', () => {
-    const idle = {started: 0, startedInAll: 0, waiting: 0, unreadBytes: 0};
+    const idle = {
+      started: 0,
+      startedInAll: 0,
+      parsedInAll: 0,
+      waiting: 0,
+      unreadBytes: 0,
+    };
     expect(decideAhead(idle)).to.equal('start');
     const full = {...idle, started: MAX_REQUESTS_IN_PROGRESS};
     expect(decideAhead(full)).to.equal('close');
@@ -97,6 +104,9 @@
     const busy = {...idle, startedInAll: MANY_STARTED_REQUESTS};
     expect(decideAhead(busy)).to.equal('start');
     expect(decideAhead({...busy, started: 1})).to.equal('wait');
+    const crowded = {...idle, parsedInAll: MANY_PARSED_REQUESTS};
+    expect(decideAhead(crowded)).to.equal('start');
+    expect(decideAhead({...crowded, started: 1})).to.equal('close');
   });
   it('a peer that reads nothing is found, one that reads slowly is not', () => {
     const began = {bytes: 0, movedAt: 0};
--- a/packages/transport/src/http/budget/core.ts
+++ b/packages/transport/src/http/budget/core.ts
@@ -212,6 +212,8 @@
   readonly started: number;
   /** Requests that have started on all connections. */
   readonly startedInAll: number;
+  /** Requests that were parsed on all connections and are not released yet. */
+  readonly parsedInAll: number;
   readonly waiting: number;
   /** Bytes of responses that the peer has not read. */
   readonly unreadBytes: number;
@@ -223,6 +225,11 @@
  * unread.
  */
 export const MAX_REQUESTS_IN_PROGRESS = 16;
+/**
+ * Parsed requests of all connections from which on a connection has one; those of a
+ * connection that was closed count until its socket is gone, as Node holds them.
+ */
+export const MANY_PARSED_REQUESTS = 512;
 /**
  * Requests of all connections from which on a connection has one handled at
  * once, so that requests sent ahead don't delay those of other connections.
@@ -233,7 +240,9 @@
 
 /** Decides whether a connection may start a request that has arrived. */
 export const decideAhead = (state: PipelineState): AheadDecision => {
-  if (state.started + state.waiting >= MAX_REQUESTS_IN_PROGRESS) return 'close';
+  const isCrowded = state.parsedInAll >= MANY_PARSED_REQUESTS;
+  const maxInProgress = isCrowded ? 1 : MAX_REQUESTS_IN_PROGRESS;
+  if (state.started + state.waiting >= maxInProgress) return 'close';
   return state.waiting > 0 || !mayStart(state) ? 'wait' : 'start';
 };
 
--- a/packages/transport/src/http/budget/task.ts
+++ b/packages/transport/src/http/budget/task.ts
@@ -49,6 +49,7 @@
   private readonly entries = new Map<ConnectionId, Entry>();
   private sweeper: NodeJS.Timeout | undefined;
   private nextId = 0;
+  private parsed = 0;
 
   constructor(limits: ProcessLimits = DEFAULT_PROCESS_LIMITS) {
     this.ledger = new PeerLedger(budgetLimitsOf(limits));
@@ -64,6 +65,11 @@
     return this.ledger.startedRequests;
   }
 
+  /** Requests that were parsed and are not released yet. */
+  get parsedRequests(): number {
+    return this.parsed;
+  }
+
   /** Number of connections. */
   get connections(): number {
     return this.ledger.size;
@@ -108,6 +114,11 @@
     if (bytes > 0) this.enforce();
   }
 
+  /** Notes that a request was parsed (1) or is released (-1). */
+  noteParsed(change: 1 | -1): void {
+    this.parsed += change;
+  }
+
   /** Notes that a request began (1) or ended (-1) on a connection. */
   noteRequest(id: ConnectionId, change: 1 | -1): void {
     this.ledger.noteRequest(id, change, performance.now());
--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -104,13 +104,17 @@
     this.server = createServer({
       IncomingMessage: BoundedMessage,
       maxHeaderSize: options.limits.headerBytes,
+      // Checked in `route`: Node would answer before the request is accounted for.
+      requireHostHeader: false,
       connectionsCheckingInterval: 1000,
     });
     this.applyLimits();
     this.server.on('connection', socket => this.accept(socket));
-    this.server.on('request', (req, res) =>
-      this.connections.get(req.socket)?.take(req, res),
-    );
+    const take = (req: IncomingMessage, res: ServerResponse): void =>
+      this.connections.get(req.socket)?.take(req, res);
+    this.server.on('request', take);
+    // An expectation that isn't known is ignored; Node would answer it by itself.
+    this.server.on('checkExpectation', take);
     this.server.on('clientError', (err, socket) =>
       this.rejectSocket(err, socket),
     );
@@ -191,6 +195,7 @@
       headerBytesOf(req) > limits.headerBytes
     )
       throw new CellError({code: 'headers_too_large', step: 'route'});
+    requireHost(req);
     const url = parseUrl(req.url);
     this.options.guard?.(req, url.pathname);
     const lookup = this.router.find(req.method ?? 'GET', url.pathname);
@@ -357,6 +362,16 @@
   return 'invalid_input';
 };
 
+/** @throws CellError `invalid_input` for a request of HTTP/1.1 without a host. */
+const requireHost = ({headers, httpVersion}: IncomingMessage): void => {
+  if (headers.host !== undefined || httpVersion !== '1.1') return;
+  throw new CellError({
+    code: 'invalid_input',
+    step: 'route',
+    detail: 'the header Host is missing',
+  });
+};
+
 const parseUrl = (url: string | undefined): URL => {
   try {
     return new URL(url ?? '/', 'http://local');
