Requests start once all reads of a turn of the event loop are parsed

Callers saw: 900 connections that send POST of two bytes ahead end an entry of 210 MB, and with the commit before keep it busy: no ordinary request is answered for 30 s.

Hypotheses: A, the log lines of 400s; B, responses that wait to be written; C, requests run while their read is still parsed, so that the limit of 16 is never met. A profile shows the time in handling request after request, with few descriptors open, so C: Node runs the queue of next ticks after each part of a body, and started requests there.

Change: requests start in setImmediate, after all reads of the turn, so the limit on requests in progress sees all of them and the connection is closed at the 17th.

--- a/packages/transport/src/http/budget/ahead.spec.ts
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -11,6 +11,8 @@
 const HANDLE_MS = 20;
 
 const GET = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
+/** Node runs what waits for the next tick after each part of a body. */
+const POST = 'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}';
 /** Node answers both by itself, unless it is told not to. */
 const WITHOUT_HOST = 'GET /a HTTP/1.1\r\n\r\n';
 const WITH_EXPECTATION =
@@ -62,7 +64,9 @@
 
   // Guards against requests that run, and are answered, while the read is parsed.
   for (const [name, request] of Object.entries({
+    'whose bodies are read at once': POST,
     'without a host': WITHOUT_HOST,
+    'with an unknown expectation': WITH_EXPECTATION,
   }))
     it(`close their connection beyond the limit, and none runs, ${name}`, async () => {
       expect(await sendAhead(1000, request)).to.equal('');
--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -86,6 +86,7 @@
   private readonly id: ConnectionId | undefined;
   private readonly waiting: TakenRequest[] = [];
   private isEnding = false;
+  private isStarting = false;
   private started = 0;
   /** Bytes of responses that are not handed to the network yet. */
   private unsentBytes = 0;
@@ -124,9 +125,7 @@
     const account = new RequestAccount(this, REQUEST_BYTES + headerBytes);
     if (socket.destroyed) return;
     this.waiting.push({req, res, account});
-    // Nothing runs before the whole read has been parsed, as the connection may be
-    // closed for what follows.
-    if (decision === 'start') process.nextTick(startWaiting, this);
+    if (decision === 'start') this.startSoon();
   }
 
   /** Starts no further request, as the connection is closed after a response. */
@@ -194,8 +193,20 @@
     for (const {account} of this.waiting.splice(0)) account.release();
   }
 
+  /**
+   * Starts requests once all reads of this turn of the event loop have been parsed, as
+   * the connection may be closed for what follows. The queue of next ticks runs between
+   * the requests of one read, after each part of a body.
+   */
+  private startSoon(): void {
+    if (this.isStarting) return;
+    this.isStarting = true;
+    setImmediate(startWaiting, this);
+  }
+
   /** Starts requests that wait, as far as may be. */
   startWaiting(): void {
+    this.isStarting = false;
     if (this.socket.destroyed || this.isEnding) return;
     while (this.waiting.length > 0 && mayStart(this.state()))
       this.begin(this.waiting.shift()!);
