Kept connections are not reset by a planned stop

Cause: close() closed idle connections at once, and a connection counts as idle though its next request has arrived and is not read yet, so closing it resets the request.

Change: close() only stops accepting; kept connections are closed with their next response, and after 250 ms if they bring none.

Measured: server_close.spec failed before (expected '' to match 200) and passes.

--- a/packages/transport/src/http/server.ts
+++ b/packages/transport/src/http/server.ts
@@ -8,7 +8,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as TcpServer, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {CellError, toCellError, type ReasonCode} from '@primrosewick/state';
 import type {z} from 'zod';
@@ -128,12 +128,17 @@
     });
   }
 
-  /** Stops accepting connections, and resolves once all requests have ended. */
+  /**
+   * Stops accepting connections, and resolves once all requests have ended. Kept
+   * connections are closed with their next response, or after a while without a
+   * request: one that is under way would be reset.
+   */
   close(): Promise<void> {
     this.isClosing = true;
     return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // That of the HTTP server closes idle connections at once.
+      TcpServer.prototype.close.call(this.server, () => resolve());
+      setTimeout(() => this.server.close(), CLOSE_IDLE_AFTER_MS);
     });
   }
 
@@ -290,6 +295,8 @@
 
 /** Time for which a connection whose request was not understood stays, in ms. */
 const REJECTED_LINGER_MS = 500;
+/** Time for a kept connection to bring another request when the server closes, in ms. */
+const CLOSE_IDLE_AFTER_MS = 250;
 /** Time after which an idle connection is closed, in ms. */
 const DEFAULT_IDLE_MS = 30_000;
 /** Time for which a request may last beyond the limits of its parts, in ms. */
