--- a/packages/daemon/src/cluster/workflow_request_router.spec.ts
+++ b/packages/daemon/src/cluster/workflow_request_router.spec.ts
@@ -3,7 +3,12 @@
 import {Registry} from 'prom-client';
 import {GatewayTask} from '@primrosewick/coordination';
 import type {LinkHelloReply, WorkflowReply} from '@primrosewick/protocol';
-import {CellError, type VmId, type ZoneId} from '@primrosewick/state';
+import {
+  CellError,
+  type VmId,
+  type WorkflowSpec,
+  type ZoneId,
+} from '@primrosewick/state';
 import {pause, systemClock, type LinkCaller} from '@primrosewick/transport';
 import {ConfirmedReads} from './confirmed_reads.js';
 import {ReadLog, type CompletedRead} from './read_log.js';
@@ -51,6 +56,7 @@
     isLed = true,
     askLeader = async (): Promise<void> => undefined,
     confirm = noConfirmation,
+    readPending = async (): Promise<void> => undefined,
   } = {},
 ) => {
   const helloReply = (vm: VmId, isServing: boolean): LinkHelloReply => ({
@@ -115,7 +121,7 @@
       own: null,
     }),
     reads,
-    stalls: {readPending: async () => undefined},
+    stalls: {readPending},
   });
   return Object.assign(calls, {seen: reads.seen});
 };
@@ -234,4 +240,19 @@
     expect(err).to.include({code: 'log_unavailable'});
     expect(calls.seen[0]).to.include({way: 'copy_failed', err});
   });
+  // Guards against a job that is handed on by a VM that stood still while its client left.
+  it('a submission whose client has closed its connection meanwhile is not handed on', async () => {
+    const controller = new AbortController();
+    const readPending = async (): Promise<void> => controller.abort();
+    const calls = await makeRouter(50, async () => 50, {readPending});
+    const spec = {} as WorkflowSpec;
+    const {signal} = controller;
+    const err = await calls
+      .request(
+        {kind: 'submit', host: 'h', path: '/q/a', spec},
+        {deadline: systemClock.now() + 1000, signal},
+      )
+      .catch((thrown: CellError) => thrown);
+    expect(err).to.include({code: 'client_gone', outcome: 'not_run'});
+  });
 });
