Requests of a connection that is gone count no more

Change: the connection releases all its requests when its socket closes.

Measured: 'count no more once their connection is gone' failed before (expected [120, 0] to equal [0, 0]); 46 tests of transport/http pass.

--- a/packages/coordination/src/workflow/cancellation_quota.ts
+++ b/packages/coordination/src/workflow/cancellation_quota.ts
@@ -23,7 +23,7 @@
 /** Cancellations within this time are counted together, in ms. */
 const COUNTED_TOGETHER_MS = 1000;
 
-/** Options of {@link UnknownCancellations}. */
+/** Options of {@link CancellationQuota}. */
 export interface CancellationQuotaOptions {
   /** Bytes of the ids that the state holds. */
   readonly heldBytes: () => number;
--- a/packages/transport/src/http/budget/ahead.spec.ts
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -76,6 +76,20 @@
       expect(budget.parsedRequests).to.equal(0);
     });
 
+  // Guards against requests that count for ever, so that no connection may send any ahead.
+  it('count no more once their connection is gone', async () => {
+    const sockets = Array.from({length: 8}, () => connect(PORT, HOST));
+    for (const socket of sockets) {
+      socket.on('error', () => undefined);
+      socket.write(POST.repeat(MAX_REQUESTS_IN_PROGRESS));
+    }
+    await new Promise(resolve => setTimeout(resolve, HANDLE_MS / 2));
+    expect(budget.parsedRequests).to.equal(8 * MAX_REQUESTS_IN_PROGRESS);
+    for (const socket of sockets) socket.destroy();
+    await new Promise(resolve => setTimeout(resolve, 5 * HANDLE_MS));
+    expect([budget.parsedRequests, budget.connections]).to.eql([0, 0]);
+  });
+
   it('without a host are rejected, with an unknown expectation served', async () => {
     expect(await sendAhead(2, WITHOUT_HOST)).to.match(/^HTTP\/1.1 400/);
     expect(await sendAhead(2, WITH_EXPECTATION)).to.match(/^HTTP\/1.1 200/);
--- a/packages/transport/src/http/budget/connection.ts
+++ b/packages/transport/src/http/budget/connection.ts
@@ -85,6 +85,8 @@
   readonly socket: Socket;
   private readonly id: ConnectionId | undefined;
   private readonly waiting: TakenRequest[] = [];
+  /** Requests that were parsed and are not released yet. */
+  private readonly accounts = new Set<RequestAccount>();
   private isEnding = false;
   private isStarting = false;
   private started = 0;
@@ -100,7 +102,7 @@
     this.socket = socket;
     this.id = budget.open(this, server, maxOfServer);
     guardParser(socket, () => this.admit());
-    socket.once('close', () => this.releaseWaiting());
+    socket.once('close', () => this.releaseAll());
   }
 
   /** Decides on a request whose headers were parsed, before Node makes a response for it. */
@@ -123,6 +125,7 @@
     this.parsedBytes = bytesRead;
     const headerBytes = Math.min(arrivedBytes, this.options.maxHeaderBytes);
     const account = new RequestAccount(this, REQUEST_BYTES + headerBytes);
+    this.accounts.add(account);
     if (socket.destroyed) return;
     this.waiting.push({req, res, account});
     if (decision === 'start') this.startSoon();
@@ -182,15 +185,21 @@
       this.started--;
       this.options.budget.noteRequest(id, -1);
       account.release();
+      this.accounts.delete(account);
       this.parsedBytes = this.socket.bytesRead;
       this.startWaiting();
     });
     this.options.start(req, res, account);
   }
 
-  /** Releases requests that never start, as the connection is gone. */
-  private releaseWaiting(): void {
-    for (const {account} of this.waiting.splice(0)) account.release();
+  /**
+   * Releases all requests, as the connection is gone: some never start, and Node closes
+   * no response that waits for an earlier one.
+   */
+  private releaseAll(): void {
+    this.waiting.length = 0;
+    for (const account of this.accounts) account.release();
+    this.accounts.clear();
   }
 
   /**
