--- a/packages/transport/src/http/budget/ahead.spec.ts
+++ b/packages/transport/src/http/budget/ahead.spec.ts
@@ -30,16 +30,28 @@
     socket.write(others + last);
   });
 
+const WAIT_MS = 5000;
+
+/** Waits until a condition holds, or for `WAIT_MS`. */
+const waitFor = async (isMet: () => boolean): Promise<void> => {
+  const until = performance.now() + WAIT_MS;
+  while (!isMet() && performance.now() < until)
+    await new Promise(resolve => setTimeout(resolve, 5));
+};
+
 describe('requests sent ahead', () => {
   let budget: PeerBudget;
   let server: HttpServer;
   let parsed: number;
   let handled: number;
   let closed: string[];
+  /** What handlers wait for, if a test holds them. */
+  let held: Promise<void> | undefined;
 
   beforeEach(async () => {
     budget = new PeerBudget();
     [parsed, handled, closed] = [0, 0, []];
+    held = undefined;
     budget.onClosed = ({reason}) => void closed.push(reason);
     server = new HttpServer({
       address: `${HOST}:${PORT}`,
@@ -49,7 +61,7 @@
       guard: () => void parsed++,
       fallback: async () => {
         handled++;
-        await new Promise(resolve => setTimeout(resolve, HANDLE_MS));
+        await (held ?? new Promise(resolve => setTimeout(resolve, HANDLE_MS)));
         return {status: 200};
       },
       onRefusal: () => undefined,
@@ -78,15 +90,19 @@
 
   // Guards against requests that count for ever, so that no connection may send any ahead.
   it('count no more once their connection is gone', async () => {
+    let release = (): void => undefined;
+    held = new Promise(resolve => (release = resolve));
     const sockets = Array.from({length: 8}, () => connect(PORT, HOST));
     for (const socket of sockets) {
       socket.on('error', () => undefined);
       socket.write(POST.repeat(MAX_REQUESTS_IN_PROGRESS));
     }
-    await new Promise(resolve => setTimeout(resolve, HANDLE_MS / 2));
-    expect(budget.parsedRequests).to.equal(8 * MAX_REQUESTS_IN_PROGRESS);
+    const all = 8 * MAX_REQUESTS_IN_PROGRESS;
+    await waitFor(() => budget.parsedRequests === all);
+    expect(budget.parsedRequests).to.equal(all);
     for (const socket of sockets) socket.destroy();
-    await new Promise(resolve => setTimeout(resolve, 5 * HANDLE_MS));
+    await waitFor(() => budget.connections === 0);
+    release();
     expect([budget.parsedRequests, budget.connections]).to.eql([0, 0]);
   });
 
