--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -8,6 +8,7 @@
 export * from './http/connection_table.js';
 export * from './http/router.js';
 export * from './http/server.js';
+export * from './metrics/read_gauge.js';
 export * from './metrics/registry.js';
 export * from './tasks/clock.js';
 export * from './tasks/suspension.js';
